--- /dev/null
+++ b/coltsfootgate/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/coltsfootgate_core/src/prelude.rs
@@ -0,0 +1,12 @@
+//! The types that almost every module needs.
+
+pub use crate::ids::{
+    BranchPath, ClassId, ConfigVersion, CustomerId, EndpointId, GrantId, Incarnation, InstanceId,
+    PoolId, RequestId, RequestTier, ZoneName,
+};
+pub use crate::outcome::RequestOutcome;
+pub use crate::reason::ErrorKind;
+pub use crate::settings::{
+    ClassSettings, CustomerSettings, DeploymentSettings, EndpointSettings, PoolSettings,
+    RouteTarget, RoutingStrategy,
+};
