Add the client for endpoints

Cause: the pipeline needs each failed attempt told apart by what it proves. Change: a pool of HTTP/1.1 connections behind the EndpointClient trait; failures name whether the request was sent; events of a streamed answer are cut out of its pieces.

--- /dev/null
+++ b/coltsfootgate/src/endpoint/connection.rs
@@ -0,0 +1,213 @@
+//! HTTP/1.1 connections to endpoints, kept open between requests.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Request, Response, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use monoio::io::IntoPollIo;
+use monoio::net::TcpStream;
+use monoio::time::timeout;
+use monoio_compat::hyper::MonoioIo;
+
+use super::{
+    EndpointAnswer, EndpointClient, EndpointFailure, EndpointRequest, NOT_STARTED_HEADER,
+    REQUEST_ID_HEADER,
+};
+
+/// Longest wait for a connection to an endpoint.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Idle connections kept for each endpoint.
+const IDLE_CONNECTIONS_MAX: usize = 64;
+/// Largest head of an answer, in bytes.
+const ANSWER_HEAD_MAX: usize = 64 * 1024;
+
+type EndpointSender = SendRequest<Full<Bytes>>;
+type IdleConnections = HashMap<Arc<str>, Vec<EndpointSender>>;
+
+/// The connections of this instance to all endpoints.
+#[derive(Clone, Default)]
+pub struct ConnectionPool {
+    idle: Rc<RefCell<IdleConnections>>,
+}
+
+impl ConnectionPool {
+    /// Makes a pool without connections.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Drops the idle connections to an endpoint, after one of them went silent.
+    pub fn forget(&self, address: &str) {
+        self.idle.borrow_mut().remove(address);
+    }
+
+    fn take_idle(&self, address: &str) -> Option<EndpointSender> {
+        let mut idle = self.idle.borrow_mut();
+        let senders = idle.get_mut(address)?;
+        while let Some(sender) = senders.pop() {
+            if sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, address: &Arc<str>, sender: EndpointSender) {
+        if sender.is_closed() {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let senders = idle.entry(address.clone()).or_default();
+        if senders.len() < IDLE_CONNECTIONS_MAX {
+            senders.push(sender);
+        }
+    }
+
+    async fn connect(&self, address: &str) -> Result<EndpointSender, EndpointFailure> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+            .await
+            .map_err(|_| EndpointFailure::NeverSent)?
+            .map_err(|_| EndpointFailure::NeverSent)?;
+        let _ = stream.set_nodelay(true);
+        let stream = stream.into_poll_io().map_err(|_| EndpointFailure::NeverSent)?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(ANSWER_HEAD_MAX)
+            .handshake(MonoioIo::new(stream))
+            .await
+            .map_err(|_| EndpointFailure::NeverSent)?;
+        monoio::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(sender)
+    }
+
+    /// Sends on an idle connection if one still takes the request, else on a fresh one.
+    async fn send_once(
+        &self,
+        address: &Arc<str>,
+        mut message: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, EndpointSender), EndpointFailure> {
+        while let Some(mut sender) = self.take_idle(address) {
+            match sender.try_send_request(message).await {
+                Ok(response) => return Ok((response, sender)),
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) => message = unsent,
+                    None => return Err(EndpointFailure::ConnectionLost),
+                },
+            }
+        }
+        let mut sender = self.connect(address).await?;
+        match sender.try_send_request(message).await {
+            Ok(response) => Ok((response, sender)),
+            Err(mut error) => match error.take_message() {
+                Some(_) => Err(EndpointFailure::NeverSent),
+                None => Err(EndpointFailure::ConnectionLost),
+            },
+        }
+    }
+}
+
+impl EndpointClient for ConnectionPool {
+    async fn send(&self, request: EndpointRequest) -> Result<EndpointAnswer, EndpointFailure> {
+        let address = request.address.clone();
+        let attempt = request.attempt.clone();
+        let head_timeout = request.head_timeout;
+        let message = build_message(request)?;
+        let sent = match timeout(head_timeout, self.send_once(&address, message)).await {
+            Ok(sent) => sent?,
+            Err(_) => {
+                self.forget(&address);
+                return Err(EndpointFailure::Silent);
+            }
+        };
+        let (response, sender) = sent;
+        let (head, body) = response.into_parts();
+        check_head(&head.headers, head.status, &attempt)?;
+        let stream = AnswerStream { body, sender: Some(sender), address, pool: self.clone() };
+        Ok(EndpointAnswer { status: head.status, headers: head.headers, stream })
+    }
+}
+
+fn build_message(request: EndpointRequest) -> Result<Request<Full<Bytes>>, EndpointFailure> {
+    let mut headers = request.headers;
+    let host = HeaderValue::from_str(&request.address).map_err(|_| EndpointFailure::NeverSent)?;
+    headers.insert(header::HOST, host);
+    let id = HeaderValue::from_str(&request.attempt).map_err(|_| EndpointFailure::NeverSent)?;
+    headers.insert(REQUEST_ID_HEADER, id);
+    let mut message = Request::new(Full::new(request.body));
+    *message.method_mut() = request.method;
+    *message.uri_mut() = request.path.parse().map_err(|_| EndpointFailure::NeverSent)?;
+    *message.headers_mut() = headers;
+    Ok(message)
+}
+
+fn check_head(
+    headers: &HeaderMap,
+    status: http::StatusCode,
+    attempt: &str,
+) -> Result<(), EndpointFailure> {
+    // A refusal may come from in front of the endpoint, where no id is known.
+    if headers.get(NOT_STARTED_HEADER).is_some_and(|value| value == "true") {
+        return Err(EndpointFailure::RefusedBeforeStart);
+    }
+    match headers.get(REQUEST_ID_HEADER) {
+        Some(echoed) if echoed.as_bytes() == attempt.as_bytes() => Ok(()),
+        Some(_) => Err(EndpointFailure::Mismatched),
+        None if status.is_success() => Err(EndpointFailure::Mismatched),
+        None => Err(EndpointFailure::FailedAnswer(status)),
+    }
+}
+
+/// The body of an answer; dropping it before its end closes the connection.
+pub struct AnswerStream {
+    body: Incoming,
+    sender: Option<EndpointSender>,
+    address: Arc<str>,
+    pool: ConnectionPool,
+}
+
+impl std::fmt::Debug for AnswerStream {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("AnswerStream").field("address", &self.address).finish()
+    }
+}
+
+impl AnswerStream {
+    /// The next piece of the body, or `None` once it is whole.
+    pub async fn next(&mut self, silence: Duration) -> Result<Option<Bytes>, EndpointFailure> {
+        loop {
+            let frame = match timeout(silence, self.body.frame()).await {
+                Ok(frame) => frame,
+                Err(_) => {
+                    self.pool.forget(&self.address);
+                    return Err(EndpointFailure::Silent);
+                }
+            };
+            match frame {
+                None => {
+                    self.keep_connection();
+                    return Ok(None);
+                }
+                Some(Err(_)) => return Err(EndpointFailure::ConnectionLost),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+    }
+
+    fn keep_connection(&mut self) {
+        if let Some(sender) = self.sender.take() {
+            self.pool.keep(&self.address, sender);
+        }
+    }
+}
--- /dev/null
+++ b/coltsfootgate/src/endpoint/event.rs
@@ -0,0 +1,104 @@
+//! Server-sent events of a streamed answer, cut out of the pieces that arrive.
+
+use bytes::{Bytes, BytesMut};
+use serde::Deserialize;
+
+/// Largest event, in bytes; an engine that sends more is treated as broken.
+const EVENT_MAX: usize = 1024 * 1024;
+
+/// One event of a streamed answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StreamEvent {
+    /// A chunk of the answer, as it arrived, with its blank line.
+    Chunk(Bytes),
+    /// The end of a whole answer.
+    Done,
+}
+
+/// An event that is larger than allowed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EventTooLarge;
+
+/// What the router reads of a chunk.
+#[derive(Debug, Deserialize)]
+pub struct ChunkFacts {
+    /// The id that the engine echoes.
+    #[serde(default)]
+    pub id: String,
+    /// The choices of the chunk.
+    #[serde(default)]
+    pub choices: Vec<ChoiceFacts>,
+}
+
+/// What the router reads of a choice in a chunk.
+#[derive(Debug, Deserialize)]
+pub struct ChoiceFacts {
+    /// Set in the chunk that ends the choice.
+    #[serde(default)]
+    pub finish_reason: Option<String>,
+}
+
+impl ChunkFacts {
+    /// Reads the facts of a chunk event, if it holds valid JSON.
+    pub fn parse(event: &[u8]) -> Option<Self> {
+        serde_json::from_slice(event_data(event)?).ok()
+    }
+
+    /// Whether the chunk carries a token rather than the end of the answer.
+    pub fn carries_token(&self) -> bool {
+        self.choices.iter().any(|choice| choice.finish_reason.is_none())
+    }
+}
+
+/// Cuts a stream of bytes into events.
+#[derive(Debug, Default)]
+pub struct EventReader {
+    buffer: BytesMut,
+    scanned: usize,
+}
+
+impl EventReader {
+    /// Makes a reader without bytes.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a piece of the stream.
+    pub fn push(&mut self, piece: &[u8]) {
+        self.buffer.extend_from_slice(piece);
+    }
+
+    /// The next whole event, or `None` until more of the stream arrives.
+    pub fn next(&mut self) -> Result<Option<StreamEvent>, EventTooLarge> {
+        let Some(end) = self.find_blank_line() else {
+            return if self.buffer.len() > EVENT_MAX { Err(EventTooLarge) } else { Ok(None) };
+        };
+        let event = self.buffer.split_to(end).freeze();
+        self.scanned = 0;
+        let is_done = event_data(&event).is_some_and(|data| data == b"[DONE]");
+        Ok(Some(if is_done { StreamEvent::Done } else { StreamEvent::Chunk(event) }))
+    }
+
+    /// The position after the first blank line; bytes are looked at once only.
+    fn find_blank_line(&mut self) -> Option<usize> {
+        let start = self.scanned;
+        for position in start..self.buffer.len() {
+            if self.buffer[position] != b'\n' {
+                continue;
+            }
+            let before = &self.buffer[..position];
+            if before.ends_with(b"\n") || before.ends_with(b"\n\r") {
+                return Some(position + 1);
+            }
+        }
+        self.scanned = self.buffer.len();
+        None
+    }
+}
+
+fn event_data(event: &[u8]) -> Option<&[u8]> {
+    event.split(|byte| *byte == b'\n').find_map(|line| {
+        let data = line.strip_prefix(b"data:")?;
+        Some(data.trim_ascii())
+    })
+}
