--- a/coltsfootgate/src/endpoint/event.rs
+++ b/coltsfootgate/src/endpoint/event.rs
@@ -69,7 +69,7 @@
     }
 
     /// The next whole event, or `None` until more of the stream arrives.
-    pub fn next(&mut self) -> Result<Option<StreamEvent>, EventTooLarge> {
+    pub fn next_event(&mut self) -> Result<Option<StreamEvent>, EventTooLarge> {
         let Some(end) = self.find_blank_line() else {
             return if self.buffer.len() > EVENT_MAX { Err(EventTooLarge) } else { Ok(None) };
         };
