Read the daemon's own settings, log and meet the platform

The daemon needs checked settings, a log and the platform's service before any part of it can run. Settings come from flags and environment variables and every fault is listed at once; the peers' secret comes from the environment only and is never printed.

--- a/coltsfootgate/src/lib.rs
+++ b/coltsfootgate/src/lib.rs
@@ -1,3 +1,7 @@
 //! The daemon of coltsfootgate: sockets, tasks and the pipeline of requests.
 
+pub mod clock;
 pub mod endpoint;
+pub mod logging;
+pub mod options;
+pub mod platform;
--- /dev/null
+++ b/coltsfootgate/src/logging.rs
@@ -0,0 +1,106 @@
+//! Log output as text or JSON lines, with a fixed prefix for each part.
+
+use std::fmt::Arguments;
+use std::io::Write;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use fern::{Dispatch, FormatCallback};
+use log::{LevelFilter, Record, SetLoggerError};
+use serde::Serialize;
+
+use crate::options::LogFormat;
+
+/// Target of the decision lines, whose message is a JSON object of its own.
+pub const DECISION_TARGET: &str = "decision";
+
+/// Seconds in a day.
+const DAY_SECONDS: u64 = 86_400;
+
+/// One line of the JSON log.
+#[derive(Serialize)]
+struct LogLine<'a> {
+    time: String,
+    level: &'static str,
+    part: &'a str,
+    message: String,
+}
+
+/// Sends the process's log to standard error.
+///
+/// # Errors
+///
+/// Fails if a logger was installed before.
+pub fn start_logging(level: LevelFilter, format: LogFormat) -> Result<(), SetLoggerError> {
+    let dispatch = Dispatch::new().level(level).filter(|metadata| is_own_target(metadata.target()));
+    let dispatch = match format {
+        LogFormat::Text => dispatch.format(write_text),
+        LogFormat::Json => dispatch.format(write_json),
+    };
+    dispatch.chain(std::io::stderr()).apply()
+}
+
+/// Whether a message comes from this system rather than from a library.
+fn is_own_target(target: &str) -> bool {
+    !target.contains("::") || target.starts_with("coltsfoot")
+}
+
+/// The part of the system that a log target stands for, such as `peers`.
+pub fn part_name(target: &str) -> &str {
+    let mut segments = target.split("::");
+    match (segments.next(), segments.next()) {
+        (Some(_), Some(module)) => module,
+        (Some("coltsfootgate"), None) | (None, _) => "daemon",
+        (Some(part), None) => part,
+    }
+}
+
+fn write_text(out: FormatCallback<'_>, message: &Arguments<'_>, record: &Record<'_>) {
+    let part = part_name(record.target());
+    out.finish(format_args!("{} {:<5} {part}: {message}", time_now(), record.level()));
+}
+
+fn write_json(out: FormatCallback<'_>, message: &Arguments<'_>, record: &Record<'_>) {
+    let line = LogLine {
+        time: time_now(),
+        level: record.level().as_str(),
+        part: part_name(record.target()),
+        message: message.to_string(),
+    };
+    let text = serde_json::to_string(&line).unwrap_or_default();
+    out.finish(format_args!("{text}"));
+}
+
+/// Writes a last message without the logger, for faults before it has started.
+pub fn print_fault(message: &str) {
+    // Nothing is left to report to if standard error is closed.
+    let _ = writeln!(std::io::stderr(), "coltsfootgate: {message}");
+}
+
+fn time_now() -> String {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    format_time(elapsed)
+}
+
+/// Formats a time since the Unix epoch as RFC 3339 in UTC with milliseconds.
+pub fn format_time(elapsed: Duration) -> String {
+    let (days, rest) = (elapsed.as_secs() / DAY_SECONDS, elapsed.as_secs() % DAY_SECONDS);
+    let (year, month, day) = civil_date(days);
+    let (hour, minute, second) = (rest / 3_600, rest / 60 % 60, rest % 60);
+    let milliseconds = elapsed.subsec_millis();
+    format!("{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{second:02}.{milliseconds:03}Z")
+}
+
+/// The Gregorian date of a count of days since 1970-01-01.
+fn civil_date(days: u64) -> (u64, u64, u64) {
+    // Years are counted from March, so that the leap day comes last.
+    let days = days + 719_468;
+    let (era, day_of_era) = (days / 146_097, days % 146_097);
+    let year_of_era =
+        (day_of_era - day_of_era / 1_460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
+    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+    let month_from_march = (5 * day_of_year + 2) / 153;
+    let day = day_of_year - (153 * month_from_march + 2) / 5 + 1;
+    let month = if month_from_march < 10 { month_from_march + 3 } else { month_from_march - 9 };
+    let year = year_of_era + era * 400 + u64::from(month <= 2);
+    (year, month, day)
+}
--- /dev/null
+++ b/coltsfootgate/src/options/parse.rs
@@ -0,0 +1,209 @@
+//! Parsing of single settings, with each fault noted.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::LevelFilter;
+
+use super::{
+    ENVIRONMENT_PREFIX, LogFormat, PEER_SECRET_BYTES_MIN, PEER_SECRET_VARIABLE, PeerSecret,
+    SettingFault, SettingFaults,
+};
+
+/// Longest name of an availability zone or region, in bytes.
+const NAME_BYTES_MAX: usize = 64;
+
+/// Collects the faults while settings are read.
+pub(super) struct FaultList<'a> {
+    environment: &'a HashMap<String, String>,
+    known: Vec<String>,
+    faults: Vec<SettingFault>,
+}
+
+impl<'a> FaultList<'a> {
+    pub(super) fn new(environment: &'a HashMap<String, String>) -> Self {
+        let known = vec![PEER_SECRET_VARIABLE.to_owned()];
+        Self { environment, known, faults: Vec::new() }
+    }
+
+    /// Reads an optional setting: the flag, else the variable, else the default.
+    pub(super) fn value<T>(
+        &mut self,
+        name: &str,
+        flag: Option<String>,
+        default: Option<&str>,
+        parse: fn(&str) -> Result<T, &'static str>,
+    ) -> Option<T> {
+        let variable = variable_name(name);
+        let (setting, text) = match (flag, self.environment.get(&variable)) {
+            (Some(text), _) => (format!("--{name}"), Some(text)),
+            (None, Some(text)) => (variable.clone(), Some(text.clone())),
+            (None, None) => (format!("--{name}"), default.map(str::to_owned)),
+        };
+        self.known.push(variable);
+        let text = text?;
+        match parse(&text) {
+            Ok(value) => Some(value),
+            Err(allowed) => {
+                self.add(setting, Some(text), allowed);
+                None
+            }
+        }
+    }
+
+    /// Reads a setting that must be given or have a default.
+    pub(super) fn required<T>(
+        &mut self,
+        name: &str,
+        flag: Option<String>,
+        default: Option<&str>,
+        parse: fn(&str) -> Result<T, &'static str>,
+    ) -> Option<T> {
+        let before = self.faults.len();
+        let value = self.value(name, flag, default, parse);
+        if value.is_none() && self.faults.len() == before {
+            let allowed = parse("").err().unwrap_or("a value");
+            self.add(format!("--{name} or {}", variable_name(name)), None, allowed);
+        }
+        value
+    }
+
+    pub(super) fn address(
+        &mut self,
+        name: &str,
+        flag: Option<String>,
+        default: Option<&str>,
+    ) -> Option<SocketAddr> {
+        self.required(name, flag, default, parse_address)
+    }
+
+    pub(super) fn name(
+        &mut self,
+        name: &str,
+        flag: Option<String>,
+        default: Option<&str>,
+    ) -> Option<Arc<str>> {
+        self.required(name, flag, default, parse_name)
+    }
+
+    pub(super) fn level(&mut self, flag: Option<String>) -> Option<LevelFilter> {
+        self.required("log-level", flag, Some("info"), parse_level)
+    }
+
+    pub(super) fn format(&mut self, flag: Option<String>) -> Option<LogFormat> {
+        self.required("log-format", flag, Some("text"), parse_format)
+    }
+
+    /// Reads the secret from the environment; its text never appears in a fault.
+    pub(super) fn secret(&mut self) -> Option<PeerSecret> {
+        match self.environment.get(PEER_SECRET_VARIABLE) {
+            Some(text) if text.len() >= PEER_SECRET_BYTES_MIN => {
+                Some(PeerSecret::new(text.as_str()))
+            }
+            found => {
+                let found = found.map(|text| format!("{} bytes", text.len()));
+                let allowed = format!("{PEER_SECRET_BYTES_MIN} bytes or more");
+                self.add(PEER_SECRET_VARIABLE.to_owned(), found, &allowed);
+                None
+            }
+        }
+    }
+
+    /// Notes each variable with the daemon's prefix that no setting has.
+    pub(super) fn unknown_variables(&mut self) {
+        let mut unknown: Vec<_> = self
+            .environment
+            .keys()
+            .filter(|name| name.starts_with(ENVIRONMENT_PREFIX) && !self.known.contains(name))
+            .cloned()
+            .collect();
+        unknown.sort();
+        for name in unknown {
+            self.add(name, Some("a setting that does not exist".to_owned()), "one of --help");
+        }
+    }
+
+    pub(super) fn finish<T>(self, settings: Option<T>) -> Result<T, SettingFaults> {
+        match settings {
+            Some(settings) if self.faults.is_empty() => Ok(settings),
+            _ => Err(SettingFaults(self.faults)),
+        }
+    }
+
+    fn add(&mut self, setting: String, found: Option<String>, allowed: &str) {
+        self.faults.push(SettingFault { setting, found, allowed: allowed.to_owned() });
+    }
+}
+
+fn variable_name(name: &str) -> String {
+    format!("{ENVIRONMENT_PREFIX}{}", name.to_uppercase().replace('-', "_"))
+}
+
+fn parse_address(text: &str) -> Result<SocketAddr, &'static str> {
+    text.parse().map_err(|_| "an IP address and port, such as 127.0.0.1:9100")
+}
+
+/// Parses an address that others connect to, which needs a host and a port.
+pub(super) fn parse_advertised(text: &str) -> Result<SocketAddr, &'static str> {
+    let address = parse_address(text)?;
+    if address.ip().is_unspecified() || address.port() == 0 {
+        return Err("an IP address and port that others can connect to");
+    }
+    Ok(address)
+}
+
+fn parse_name(text: &str) -> Result<Arc<str>, &'static str> {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
+    if text.is_empty() || text.len() > NAME_BYTES_MAX || !text.bytes().all(allowed) {
+        return Err("1 to 64 letters, digits, '-', '_' or '.'");
+    }
+    Ok(text.into())
+}
+
+/// Parses a duration with its unit, such as `250 ms` or `3 s`.
+pub(super) fn parse_duration(text: &str) -> Result<Duration, &'static str> {
+    const ALLOWED: &str = "a duration above 0 with unit ms, s or min, such as \"250 ms\"";
+    let split = text.find(|c: char| !c.is_ascii_digit()).ok_or(ALLOWED)?;
+    let (number, unit) = text.split_at(split);
+    let number: u64 = number.parse().map_err(|_| ALLOWED)?;
+    let unit_milliseconds = match unit.trim() {
+        "ms" => 1,
+        "s" => 1_000,
+        "min" => 60_000,
+        _ => return Err(ALLOWED),
+    };
+    let milliseconds = number.checked_mul(unit_milliseconds).ok_or(ALLOWED)?;
+    if milliseconds == 0 {
+        return Err(ALLOWED);
+    }
+    Ok(Duration::from_millis(milliseconds))
+}
+
+/// Parses a count above 0.
+pub(super) fn parse_count(text: &str) -> Result<usize, &'static str> {
+    match text.parse() {
+        Ok(count) if count > 0 => Ok(count),
+        _ => Err("a whole number above 0"),
+    }
+}
+
+fn parse_level(text: &str) -> Result<LevelFilter, &'static str> {
+    match text {
+        "error" => Ok(LevelFilter::Error),
+        "warn" => Ok(LevelFilter::Warn),
+        "info" => Ok(LevelFilter::Info),
+        "debug" => Ok(LevelFilter::Debug),
+        "trace" => Ok(LevelFilter::Trace),
+        _ => Err("error, warn, info, debug or trace"),
+    }
+}
+
+fn parse_format(text: &str) -> Result<LogFormat, &'static str> {
+    match text {
+        "text" => Ok(LogFormat::Text),
+        "json" => Ok(LogFormat::Json),
+        _ => Err("text or json"),
+    }
+}
--- /dev/null
+++ b/coltsfootgate/src/platform/http.rs
@@ -0,0 +1,155 @@
+//! The adapter for the HTTP dialect of the platform's service.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::HOST;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use super::client::BoundedClient;
+use super::{
+    InstanceDirectory, ListedInstance, PlatformError, PlatformStore, StoredValue, SwapResult,
+    VALUE_BYTES_MAX, ValueRevision,
+};
+
+/// Header that carries the revision of a value.
+const REVISION_HEADER: &str = "x-revision";
+/// Largest answer that lists keys or instances, in bytes.
+const LIST_BYTES_MAX: usize = 4 << 20;
+
+#[derive(Deserialize)]
+struct KeyList {
+    keys: Vec<Arc<str>>,
+}
+
+#[derive(Deserialize)]
+struct InstanceList {
+    instances: Vec<ListedInstance>,
+}
+
+/// The platform's service, spoken to over HTTP.
+#[derive(Clone)]
+pub struct HttpPlatform {
+    client: Rc<BoundedClient>,
+    host: Arc<str>,
+    limit: Duration,
+}
+
+impl HttpPlatform {
+    /// Makes an adapter for the service at an address, with a time limit for each call.
+    pub fn new(address: SocketAddr, limit: Duration) -> Self {
+        let client = Rc::new(BoundedClient::new(address));
+        Self { client, host: address.to_string().into(), limit }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        limit: Duration,
+        bytes_max: usize,
+    ) -> Result<Response<Bytes>, PlatformError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, &*self.host)
+            .body(Full::new(body))
+            .map_err(|error| PlatformError::Malformed(error.to_string().into()))?;
+        self.client.call(request, limit, bytes_max).await
+    }
+
+    async fn get(
+        &self,
+        path: &str,
+        limit: Duration,
+        bytes_max: usize,
+    ) -> Result<Response<Bytes>, PlatformError> {
+        self.call(Method::GET, path, Bytes::new(), limit, bytes_max).await
+    }
+
+    async fn get_list<T: DeserializeOwned>(&self, path: &str) -> Result<T, PlatformError> {
+        let response = self.get(path, self.limit, LIST_BYTES_MAX).await?;
+        if response.status() != StatusCode::OK {
+            return Err(refused(&response));
+        }
+        serde_json::from_slice(response.body())
+            .map_err(|error| PlatformError::Malformed(error.to_string().into()))
+    }
+}
+
+impl PlatformStore for HttpPlatform {
+    async fn read(&self, key: &str) -> Result<Option<StoredValue>, PlatformError> {
+        let response = self.get(&format!("/kv/{key}"), self.limit, VALUE_BYTES_MAX).await?;
+        match response.status() {
+            StatusCode::OK => Ok(Some(stored_value(response)?)),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(refused(&response)),
+        }
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        after: ValueRevision,
+        wait: Duration,
+    ) -> Result<Option<StoredValue>, PlatformError> {
+        let path = format!("/kv/{key}?after={after}&wait={}", wait.as_millis());
+        let response = self.get(&path, wait + self.limit, VALUE_BYTES_MAX).await?;
+        match response.status() {
+            StatusCode::OK => Ok(Some(stored_value(response)?)),
+            StatusCode::NOT_MODIFIED | StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(refused(&response)),
+        }
+    }
+
+    async fn swap(
+        &self,
+        key: &str,
+        revision: ValueRevision,
+        value: Bytes,
+    ) -> Result<SwapResult, PlatformError> {
+        let path = format!("/kv/{key}?revision={revision}");
+        let response = self.call(Method::PUT, &path, value, self.limit, VALUE_BYTES_MAX).await?;
+        match response.status() {
+            StatusCode::OK => Ok(SwapResult::Written(response_revision(&response)?)),
+            StatusCode::CONFLICT => Ok(SwapResult::Conflict(response_revision(&response)?)),
+            _ => Err(refused(&response)),
+        }
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<Arc<str>>, PlatformError> {
+        let list: KeyList = self.get_list(&format!("/kv?prefix={prefix}")).await?;
+        Ok(list.keys)
+    }
+}
+
+impl InstanceDirectory for HttpPlatform {
+    async fn instances(&self) -> Result<Vec<ListedInstance>, PlatformError> {
+        let list: InstanceList = self.get_list("/instances").await?;
+        Ok(list.instances)
+    }
+}
+
+fn stored_value(response: Response<Bytes>) -> Result<StoredValue, PlatformError> {
+    let revision = response_revision(&response)?;
+    Ok(StoredValue { revision, value: response.into_body() })
+}
+
+fn response_revision(response: &Response<Bytes>) -> Result<ValueRevision, PlatformError> {
+    response
+        .headers()
+        .get(REVISION_HEADER)
+        .and_then(|value| value.to_str().ok()?.parse().ok())
+        .ok_or_else(|| PlatformError::Malformed("no revision".into()))
+}
+
+fn refused(response: &Response<Bytes>) -> PlatformError {
+    PlatformError::Refused(response.status().as_u16())
+}
