Add the callers' side: bounded requests, answers and connections

Cause: the thin path needs an entry that malformed, oversized and slow input cannot take down. Change: a listener with bounds on connections, head, body and time; the link over which a task answers a caller and learns that it left; errors in the shape that OpenAI clients parse.

--- /dev/null
+++ b/coltsfootgate/src/entry/listener.rs
@@ -0,0 +1,191 @@
+//! Accepts callers' connections and serves the requests on them.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use coltsfootgate_core::prelude::ErrorKind;
+use futures_util::future::{Either, select};
+use http::{Request, Response, header};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use monoio::io::{AsyncWriteRentExt, IntoPollIo};
+use monoio::net::{TcpListener, TcpStream};
+use monoio_compat::hyper::{MonoioIo, MonoioTimer};
+
+use super::answer::{AnswerBody, OUTCOME, REASON, RULE, Refusal};
+use super::request::{ENTRY_RULE, RequestBounds};
+use crate::shutdown::ShutdownSignal;
+
+/// Bounds on what callers may use.
+#[derive(Clone, Debug)]
+pub struct EntryBounds {
+    /// Connections held at once.
+    pub connections_max: usize,
+    /// Largest head, in bytes.
+    pub head_max: usize,
+    /// Longest time for a head, idle time between two requests included.
+    pub head_timeout: Duration,
+    /// Bounds on the body.
+    pub request: RequestBounds,
+}
+
+/// Serves one request of a caller.
+pub trait RequestHandler: 'static {
+    /// Answers a request; dropped when the caller leaves before the answer's head.
+    fn handle(&self, request: Request<Incoming>) -> impl Future<Output = Response<AnswerBody>>;
+
+    /// Counts an error that ended a connection before a request was read.
+    fn connection_failed(&self, kind: ErrorKind);
+}
+
+/// Accepts callers' connections until shutdown.
+pub struct EntryListener<H> {
+    listener: TcpListener,
+    handler: Rc<H>,
+    bounds: EntryBounds,
+    open: Rc<Cell<usize>>,
+    shutdown: ShutdownSignal,
+}
+
+/// Counts a connection for as long as it is open.
+struct ConnectionCount(Rc<Cell<usize>>);
+
+impl ConnectionCount {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(open.clone())
+    }
+}
+
+impl Drop for ConnectionCount {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl<H: RequestHandler> EntryListener<H> {
+    /// Makes a listener on a bound socket.
+    pub fn new(
+        listener: TcpListener,
+        handler: Rc<H>,
+        bounds: EntryBounds,
+        shutdown: ShutdownSignal,
+    ) -> Self {
+        Self { listener, handler, bounds, open: Rc::default(), shutdown }
+    }
+
+    /// Accepts connections until shutdown; those open then finish their request in flight.
+    pub async fn run(self) {
+        loop {
+            let accepted = match select(
+                std::pin::pin!(self.listener.accept()),
+                std::pin::pin!(self.shutdown.clone().triggered()),
+            )
+            .await
+            {
+                Either::Left((accepted, _)) => accepted,
+                Either::Right(_) => return,
+            };
+            match accepted {
+                Ok((stream, _)) => self.start_connection(stream),
+                Err(error) => self.rest_after_error(error).await,
+            }
+        }
+    }
+
+    async fn rest_after_error(&self, error: io::Error) {
+        log::warn!(target: "entry", "a connection could not be accepted: {error}");
+        // Out of descriptors: accepting again at once would spin.
+        monoio::time::sleep(Duration::from_millis(50)).await;
+    }
+
+    fn start_connection(&self, stream: TcpStream) {
+        if self.open.get() >= self.bounds.connections_max {
+            self.handler.connection_failed(ErrorKind::TooManyConnections);
+            monoio::spawn(refuse_connection(stream));
+            return;
+        }
+        let count = ConnectionCount::new(&self.open);
+        let handler = self.handler.clone();
+        let bounds = self.bounds.clone();
+        let shutdown = self.shutdown.clone();
+        monoio::spawn(async move {
+            serve_connection(stream, handler, bounds, shutdown).await;
+            drop(count);
+        });
+    }
+}
+
+async fn refuse_connection(mut stream: TcpStream) {
+    let message = "the instance holds as many connections as it may";
+    let refusal = Refusal::new(ErrorKind::TooManyConnections, ENTRY_RULE, message);
+    let body = refusal.body();
+    let head = format!(
+        "HTTP/1.1 503 Service Unavailable\r\ncontent-type: application/json\r\n\
+         retry-after: 1\r\nconnection: close\r\n{OUTCOME}: {}\r\n{REASON}: {}\r\n\
+         {RULE}: {ENTRY_RULE}\r\ncontent-length: {}\r\n\r\n",
+        refusal.kind.outcome(),
+        refusal.kind,
+        body.len(),
+    );
+    let answer = [head.as_bytes(), &body].concat();
+    let (_, _) = stream.write_all(answer).await;
+}
+
+async fn serve_connection<H: RequestHandler>(
+    stream: TcpStream,
+    handler: Rc<H>,
+    bounds: EntryBounds,
+    shutdown: ShutdownSignal,
+) {
+    let _ = stream.set_nodelay(true);
+    let Ok(stream) = stream.into_poll_io() else { return };
+    let service_handler = handler.clone();
+    let draining = shutdown.clone();
+    let service = service_fn(move |request| {
+        let handler = service_handler.clone();
+        let draining = draining.clone();
+        async move {
+            let mut response = handler.handle(request).await;
+            if draining.is_triggered() {
+                let close = header::HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(MonoioTimer)
+        .header_read_timeout(bounds.head_timeout)
+        .max_buf_size(bounds.head_max)
+        .serve_connection(MonoioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = match select(connection.as_mut(), std::pin::pin!(shutdown.triggered())).await {
+        Either::Left((ended, _)) => ended,
+        Either::Right(_) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended
+        && let Some(kind) = connection_error_kind(&error)
+    {
+        handler.connection_failed(kind);
+    }
+}
+
+fn connection_error_kind(error: &hyper::Error) -> Option<ErrorKind> {
+    if error.is_parse_too_large() {
+        Some(ErrorKind::HeadTooLarge)
+    } else if error.is_parse() {
+        Some(ErrorKind::MalformedRequest)
+    } else if error.is_timeout() {
+        Some(ErrorKind::SlowRequest)
+    } else {
+        None
+    }
+}
--- /dev/null
+++ b/coltsfootgate/src/entry/mod.rs
@@ -0,0 +1,11 @@
+//! The callers' side: connections, requests and answers over HTTP/1.1.
+
+pub mod answer;
+pub mod caller;
+pub mod listener;
+pub mod request;
+
+pub use answer::{AnswerBody, Refusal};
+pub use caller::{CallerGone, CallerLink};
+pub use listener::{EntryBounds, EntryListener};
+pub use request::AcceptedRequest;
--- a/coltsfootgate/src/lib.rs
+++ b/coltsfootgate/src/lib.rs
@@ -2,6 +2,8 @@
 
 pub mod clock;
 pub mod endpoint;
+pub mod entry;
 pub mod logging;
 pub mod options;
 pub mod platform;
+pub mod shutdown;
