--- a/coltsfootgate_core/src/lib.rs
+++ b/coltsfootgate_core/src/lib.rs
@@ -1,7 +1,11 @@
 //! Every decision of coltsfootgate, as pure functions of state, event and time.
 
+pub mod gossip;
+pub mod head;
 pub mod ids;
+pub mod membership;
 pub mod outcome;
 pub mod prelude;
 pub mod reason;
+pub mod rendezvous;
 pub mod settings;
--- /dev/null
+++ b/coltsfootgate_core/src/rendezvous.rs
@@ -0,0 +1,74 @@
+//! Ownership of keys among instances by highest random weight.
+
+use std::cmp::Reverse;
+
+use crate::ids::InstanceId;
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// Hashes bytes to the same number on every machine and in every release (FNV-1a, finalised).
+pub fn stable_hash(bytes: &[u8]) -> u64 {
+    let folded = bytes
+        .iter()
+        .fold(FNV_OFFSET, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME));
+    mix_bits(folded)
+}
+
+/// The finaliser of SplitMix64, which spreads close inputs over the whole range.
+fn mix_bits(mut bits: u64) -> u64 {
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    bits ^ (bits >> 31)
+}
+
+/// Maps keys to owners among a set of instances.
+///
+/// Every instance that holds the same set names the same owner. When an instance joins or leaves,
+/// only the keys that it owns change hands.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct OwnerTable {
+    instances: Vec<(u64, InstanceId)>,
+}
+
+impl OwnerTable {
+    /// Makes a table of the given instances; order and duplicates do not matter.
+    pub fn new(instances: impl IntoIterator<Item = InstanceId>) -> Self {
+        let mut instances: Vec<_> =
+            instances.into_iter().map(|id| (stable_hash(id.as_bytes()), id)).collect();
+        instances.sort();
+        instances.dedup();
+        Self { instances }
+    }
+
+    /// The instance that owns the key, or `None` if the table is empty.
+    pub fn owner(&self, key: &str) -> Option<&InstanceId> {
+        let key_hash = stable_hash(key.as_bytes());
+        self.instances
+            .iter()
+            .max_by_key(|(hash, _)| mix_bits(key_hash ^ hash.rotate_left(32)))
+            .map(|(_, id)| id)
+    }
+
+    /// All instances, the owner of the key first and then those that would follow it.
+    pub fn ranked(&self, key: &str) -> Vec<&InstanceId> {
+        let key_hash = stable_hash(key.as_bytes());
+        let mut ranked: Vec<_> = self
+            .instances
+            .iter()
+            .map(|(hash, id)| (mix_bits(key_hash ^ hash.rotate_left(32)), id))
+            .collect();
+        ranked.sort_by_key(|(weight, _)| Reverse(*weight));
+        ranked.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// How many instances the table holds.
+    pub fn len(&self) -> usize {
+        self.instances.len()
+    }
+
+    /// Whether the table holds no instance.
+    pub fn is_empty(&self) -> bool {
+        self.instances.is_empty()
+    }
+}
--- /dev/null
+++ b/coltsfootgate_core/tests/rendezvous.rs
@@ -0,0 +1,51 @@
+//! Ownership stays put when other instances come and go.
+
+use std::sync::Arc;
+
+use coltsfootgate_core::prelude::InstanceId;
+use coltsfootgate_core::rendezvous::{OwnerTable, stable_hash};
+use proptest::prelude::*;
+
+fn instances(count: usize) -> Vec<InstanceId> {
+    (0..count).map(|index| Arc::from(format!("127.0.0.1:{}", 9000 + index))).collect()
+}
+
+#[test]
+fn hash_is_the_same_in_every_release() {
+    assert_eq!(stable_hash(b""), 0xf52a_15e9_a9b5_e89b);
+    assert_eq!(stable_hash(b"claims/7"), 0x3eb0_437f_bb8e_70dd);
+}
+
+#[test]
+fn empty_table_has_no_owner() {
+    assert_eq!(OwnerTable::new([]).owner("endpoint"), None);
+}
+
+proptest! {
+    #[test]
+    fn only_the_keys_of_a_lost_instance_change_hands(
+        count in 2usize..40,
+        lost in 0usize..40,
+        keys in prop::collection::vec("[a-z]{1,12}", 1..40),
+    ) {
+        let all = instances(count);
+        let lost = all[lost % count].clone();
+        let before = OwnerTable::new(all.iter().rev().cloned());
+        let after = OwnerTable::new(all.iter().filter(|id| **id != lost).cloned());
+        for key in keys {
+            let ranked = before.ranked(&key);
+            prop_assert_eq!(before.owner(&key), Some(ranked[0]));
+            let heir = if *ranked[0] == lost { ranked[1] } else { ranked[0] };
+            prop_assert_eq!(after.owner(&key), Some(heir));
+        }
+    }
+}
+
+#[test]
+fn keys_spread_evenly() {
+    let table = OwnerTable::new(instances(9));
+    for id in instances(9) {
+        let owned = (0..9000).filter(|key| table.owner(&key.to_string()) == Some(&id)).count();
+        assert!((800..1200).contains(&owned), "{id} owns {owned} of 9000");
+    }
+}
