Add stand-ins of the platform and of a model engine

Tests of the daemon and of the tool need something to talk to that can be told to fail. Each stand-in runs on a thread of its own in a test or as a thin binary, and has a control port that no fault closes.

--- /dev/null
+++ b/coltsfootgate_standins/src/engine/mod.rs
@@ -0,0 +1,398 @@
+//! Stand-in of a model engine that batches continuously.
+
+mod answer;
+mod batch;
+mod cache;
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_channel::mpsc;
+use futures_util::StreamExt;
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use self::answer::{AnswerShape, AnswerWriter, EngineRequest};
+use self::batch::{Sequence, SequenceBatch};
+use crate::answer_text::{DEFAULT_MAX_TOKENS, PromptDigest};
+use crate::body::{ConnectionCut, StandinBody};
+use crate::http_server::{StandinService, empty_response, json_response, query_value, whole_body};
+use crate::runner::{self, StandinHandle};
+use crate::signal::{ChangeSignal, ServerGate};
+
+/// How often the load is noted for later reports.
+const LOAD_INTERVAL: Duration = Duration::from_millis(250);
+/// A report is at least this old, and up to twice as old.
+const LOAD_LAG: Duration = Duration::from_secs(1);
+/// A step that is later than this moves the schedule; below, the next one makes up for it.
+const SCHEDULE_SLIP: Duration = Duration::from_millis(20);
+/// Least factor by which steps can be slowed.
+const SLOW_MIN: f64 = 0.01;
+const WRONG_ID: &str = "00000000-0000-4000-8000-000000000000";
+
+/// What an engine can do.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineSettings {
+    /// Seed of the answer lengths and the lag of reports.
+    pub seed: u64,
+    /// Sequences that run at once.
+    pub batch: usize,
+    /// Requests that may wait; more are refused before they start.
+    pub waiting: usize,
+    /// Duration of a step without sequences.
+    pub step_base: Duration,
+    /// What each sequence adds to a step.
+    pub step_sequence: Duration,
+    /// What each prompt token that is not cached adds to a step.
+    pub prefill: Duration,
+    /// Tokens that the key-value memory holds.
+    pub kv_tokens: u64,
+    /// Blocks of 16 tokens that the prefix cache holds.
+    pub cache_blocks: usize,
+}
+
+impl Default for EngineSettings {
+    fn default() -> Self {
+        Self {
+            seed: 0,
+            batch: 8,
+            waiting: 64,
+            step_base: Duration::from_micros(2500),
+            step_sequence: Duration::from_micros(500),
+            prefill: Duration::from_micros(20),
+            kv_tokens: 32_768,
+            cache_blocks: 256,
+        }
+    }
+}
+
+impl EngineSettings {
+    /// Tokens a second with a full batch and nothing to prefill.
+    pub fn full_rate(&self) -> f64 {
+        let step = self.step_base + self.step_sequence * self.batch as u32;
+        self.batch as f64 / step.as_secs_f64()
+    }
+}
+
+/// Orders to an engine; what is left out stays as it was.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct EngineOrder {
+    /// Steps take this many times as long.
+    slow: Option<f64>,
+    /// Connections stay open and nothing more is sent.
+    stall: Option<bool>,
+    /// The listener and all connections are closed, and all state is lost.
+    crash: Option<bool>,
+    /// Requests are refused with proof that they were not started.
+    refuse: Option<bool>,
+    /// Answers carry the id of another request.
+    wrong_id: Option<bool>,
+    /// Answers that begin from now on are cut after this many tokens; 0 ends that.
+    cut_after_tokens: Option<u32>,
+    /// The head of each answer is held back.
+    delay_ms: Option<u64>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LoadSample {
+    at: Instant,
+    running: usize,
+    waiting: usize,
+    kv_used: f64,
+}
+
+/// Sums up the tokens that the engine could have given.
+#[derive(Clone, Copy, Debug)]
+struct CapacityMeter {
+    since: Instant,
+    prefill: Duration,
+    tokens: f64,
+}
+
+#[derive(Debug)]
+struct EngineService {
+    settings: EngineSettings,
+    gate: ServerGate,
+    changed: ChangeSignal,
+    batch: RefCell<SequenceBatch<AnswerWriter>>,
+    slow: Cell<f64>,
+    stalled: Cell<bool>,
+    crashed: Cell<bool>,
+    refusing: Cell<bool>,
+    wrong_id: Cell<bool>,
+    cut_after: Cell<Option<u32>>,
+    delay: Cell<Duration>,
+    capacity: Cell<CapacityMeter>,
+    loads: RefCell<VecDeque<LoadSample>>,
+    lag_rng: RefCell<SmallRng>,
+    executions: RefCell<HashMap<String, u32>>,
+    prompt_runs: RefCell<HashMap<String, u32>>,
+    refused: Cell<u64>,
+}
+
+/// Starts an engine on a thread of its own.
+pub fn start_engine(listen: SocketAddr, settings: EngineSettings) -> io::Result<StandinHandle> {
+    runner::start_service(listen, move || EngineService::new(settings))
+}
+
+impl StandinService for EngineService {
+    fn start(self: &Rc<Self>) {
+        monoio::spawn(run_steps(self.clone()));
+        monoio::spawn(note_loads(self.clone()));
+    }
+
+    fn gate(&self) -> &ServerGate {
+        &self.gate
+    }
+
+    async fn answer(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<StandinBody>, ConnectionCut> {
+        let number = request.uri().query().and_then(|query| query_value(query, "after"));
+        let after = number.and_then(|number| number.parse().ok()).unwrap_or(0);
+        match request.uri().path() {
+            "/v1/load" => Ok(json_response(StatusCode::OK, &self.load_report())),
+            "/v1/cache-events" => {
+                let events = self.batch.borrow().cache.events_after(after, Instant::now());
+                Ok(json_response(StatusCode::OK, &events))
+            }
+            "/v1/chat/completions" => self.generate(request, AnswerShape::Chat).await,
+            "/v1/completions" => self.generate(request, AnswerShape::Completion).await,
+            _ => Ok(empty_response(StatusCode::NOT_FOUND)),
+        }
+    }
+
+    fn take_order(self: &Rc<Self>, order: &[u8]) -> Result<(), String> {
+        let order: EngineOrder =
+            serde_json::from_slice(order).map_err(|error| error.to_string())?;
+        self.measure_capacity();
+        self.slow.set(order.slow.map_or(self.slow.get(), |factor| factor.max(SLOW_MIN)));
+        self.stalled.set(order.stall.unwrap_or(self.stalled.get()));
+        self.refusing.set(order.refuse.unwrap_or(self.refusing.get()));
+        self.wrong_id.set(order.wrong_id.unwrap_or(self.wrong_id.get()));
+        self.delay.set(order.delay_ms.map_or(self.delay.get(), Duration::from_millis));
+        if let Some(tokens) = order.cut_after_tokens {
+            self.cut_after.set((tokens > 0).then_some(tokens));
+        }
+        if let Some(crashed) = order.crash {
+            self.crashed.set(crashed);
+            self.gate.set_open(!crashed);
+            if crashed {
+                self.batch.borrow_mut().clear();
+            }
+        }
+        self.changed.notify();
+        Ok(())
+    }
+
+    fn counters(&self) -> Value {
+        self.measure_capacity();
+        let batch = self.batch.borrow();
+        let counters = batch.counters;
+        json!({
+            "steps": counters.steps,
+            "tokens": counters.tokens,
+            "tokens_cancelled": counters.tokens_cancelled,
+            "finished": counters.finished,
+            "cancelled": counters.cancelled,
+            "preempted": counters.preempted,
+            "refused": self.refused.get(),
+            "running": batch.running(),
+            "waiting": batch.waiting(),
+            "capacity_tokens": self.capacity.get().tokens,
+            "executions": *self.executions.borrow(),
+            "prompt_runs": *self.prompt_runs.borrow(),
+        })
+    }
+}
+
+impl EngineService {
+    fn new(settings: EngineSettings) -> Self {
+        let now = Instant::now();
+        Self {
+            settings,
+            gate: ServerGate::default(),
+            changed: ChangeSignal::default(),
+            batch: RefCell::new(SequenceBatch::new(settings)),
+            slow: Cell::new(1.0),
+            stalled: Cell::new(false),
+            crashed: Cell::new(false),
+            refusing: Cell::new(false),
+            wrong_id: Cell::new(false),
+            cut_after: Cell::new(None),
+            delay: Cell::new(Duration::ZERO),
+            capacity: Cell::new(CapacityMeter { since: now, prefill: Duration::ZERO, tokens: 0.0 }),
+            loads: RefCell::new(VecDeque::new()),
+            lag_rng: RefCell::new(SmallRng::seed_from_u64(settings.seed)),
+            executions: RefCell::default(),
+            prompt_runs: RefCell::default(),
+            refused: Cell::new(0),
+        }
+    }
+
+    async fn generate(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        shape: AnswerShape,
+    ) -> Result<Response<StandinBody>, ConnectionCut> {
+        let headers = request.headers().clone();
+        let body = whole_body(request).await?;
+        let Ok(request) = serde_json::from_slice::<EngineRequest>(&body) else {
+            return Ok(empty_response(StatusCode::BAD_REQUEST));
+        };
+        if self.refusing.get() || self.batch.borrow().waiting() >= self.settings.waiting {
+            self.refused.set(self.refused.get() + 1);
+            return Ok(not_started(StatusCode::TOO_MANY_REQUESTS));
+        }
+        let mut receiver = self.enqueue(&headers, &request, shape);
+        let id = self.echoed_id(&headers);
+        if !self.delay.get().is_zero() {
+            monoio::time::sleep(self.delay.get()).await;
+        }
+        let (content_type, body) = if request.stream {
+            ("text/event-stream", StandinBody::Pieces(receiver))
+        } else {
+            let whole = receiver.next().await.unwrap_or(Err(ConnectionCut))?;
+            ("application/json", StandinBody::from(whole))
+        };
+        let mut response = Response::new(body);
+        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+        if let Ok(id) = HeaderValue::from_str(&id) {
+            response.headers_mut().insert("x-request-id", id);
+        }
+        Ok(response)
+    }
+
+    fn echoed_id(&self, headers: &HeaderMap) -> String {
+        if self.wrong_id.get() {
+            return WRONG_ID.to_owned();
+        }
+        header_text(headers, "x-request-id").unwrap_or_default().to_owned()
+    }
+
+    fn enqueue(
+        &self,
+        headers: &HeaderMap,
+        request: &EngineRequest,
+        shape: AnswerShape,
+    ) -> mpsc::UnboundedReceiver<Result<bytes::Bytes, ConnectionCut>> {
+        let (pieces, receiver) = mpsc::unbounded();
+        let prompt = request.prompt_text();
+        let digest = PromptDigest::of(&prompt);
+        let offset = header_number(headers, "x-resume-offset").unwrap_or(0);
+        let max_tokens = request.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+        let length = digest.answer_length(self.settings.seed, max_tokens);
+        let attempt = header_text(headers, "x-request-id").unwrap_or_default().to_owned();
+        *self.executions.borrow_mut().entry(attempt).or_default() += 1;
+        *self.prompt_runs.borrow_mut().entry(digest.to_string()).or_default() += 1;
+        let sink = AnswerWriter {
+            id: self.echoed_id(headers),
+            digest,
+            shape,
+            streamed: request.stream,
+            offset,
+            cut_after: self.cut_after.get(),
+            pieces,
+        };
+        self.batch.borrow_mut().push(Sequence {
+            priority: header_number(headers, "x-priority").unwrap_or(u32::from(u8::MAX)) as u8,
+            prompt_tokens: prompt.split_whitespace().count() as u32,
+            prompt,
+            index: offset.min(length),
+            length,
+            generated: 0,
+            sink,
+        });
+        self.changed.notify();
+        receiver
+    }
+
+    fn load_report(&self) -> Value {
+        let lag = LOAD_LAG.mul_f64(1.0 + self.lag_rng.borrow_mut().random::<f64>());
+        let loads = self.loads.borrow();
+        let sample = loads.iter().rev().find(|sample| sample.at.elapsed() >= lag);
+        let Some(sample) = sample.or(loads.front()) else {
+            return json!({"running": 0, "waiting": 0, "kv_used": 0.0, "age_ms": 0});
+        };
+        json!({
+            "running": sample.running,
+            "waiting": sample.waiting,
+            "kv_used": sample.kv_used,
+            "age_ms": sample.at.elapsed().as_millis() as u64,
+        })
+    }
+
+    /// Adds what could have been generated since the last time.
+    fn measure_capacity(&self) {
+        let mut meter = self.capacity.get();
+        let now = Instant::now();
+        let prefill = self.batch.borrow().counters.prefill;
+        if !self.crashed.get() {
+            let elapsed = (now - meter.since).as_secs_f64() / self.slow.get();
+            let usable = elapsed - (prefill - meter.prefill).as_secs_f64();
+            meter.tokens += usable.max(0.0) * self.settings.full_rate();
+        }
+        (meter.since, meter.prefill) = (now, prefill);
+        self.capacity.set(meter);
+    }
+}
+
+async fn run_steps(engine: Rc<EngineService>) {
+    let can_run =
+        || !engine.batch.borrow().is_idle() && !engine.stalled.get() && !engine.crashed.get();
+    let mut due = Instant::now();
+    loop {
+        engine.changed.until(can_run).await;
+        let now = Instant::now();
+        let step = engine.batch.borrow_mut().begin_step(now).mul_f64(engine.slow.get());
+        let schedule = if now - due > SCHEDULE_SLIP { now } else { due };
+        due = schedule + step;
+        monoio::time::sleep_until(due.into()).await;
+        if !engine.stalled.get() {
+            engine.batch.borrow_mut().finish_step();
+        }
+    }
+}
+
+async fn note_loads(engine: Rc<EngineService>) {
+    loop {
+        {
+            let batch = engine.batch.borrow();
+            let mut loads = engine.loads.borrow_mut();
+            loads.push_back(LoadSample {
+                at: Instant::now(),
+                running: batch.running(),
+                waiting: batch.waiting(),
+                kv_used: batch.kv_used(),
+            });
+            loads.retain(|sample| sample.at.elapsed() < 3 * LOAD_LAG);
+        }
+        monoio::time::sleep(LOAD_INTERVAL).await;
+    }
+}
+
+fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+fn header_number(headers: &HeaderMap, name: &str) -> Option<u32> {
+    header_text(headers, name).and_then(|text| text.trim().parse().ok())
+}
+
+/// A refusal that proves that nothing was run.
+pub(crate) fn not_started(status: StatusCode) -> Response<StandinBody> {
+    let mut response = empty_response(status);
+    response.headers_mut().insert("x-not-started", HeaderValue::from_static("true"));
+    response
+}
--- /dev/null
+++ b/coltsfootgate_standins/src/http_server.rs
@@ -0,0 +1,162 @@
+//! The HTTP/1.1 server that all stand-ins share.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::{self, Either};
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use monoio::io::IntoPollIo;
+use monoio::net::{ListenerOpts, TcpListener, TcpStream};
+use monoio_compat::hyper::MonoioIo;
+use serde_json::Value;
+
+use crate::body::{ConnectionCut, StandinBody};
+use crate::signal::ServerGate;
+
+/// Pause before binding or accepting is tried again.
+const REBIND_PAUSE: Duration = Duration::from_millis(20);
+
+/// What a stand-in answers; the server around it is shared.
+pub trait StandinService: Sized + 'static {
+    /// Starts tasks that run beside the requests.
+    fn start(self: &Rc<Self>) {}
+
+    /// The gate that faults close.
+    fn gate(&self) -> &ServerGate;
+
+    /// Answers one request, or has the connection cut.
+    fn answer(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Result<Response<StandinBody>, ConnectionCut>>;
+
+    /// Takes a control order; the error says what is wrong with it.
+    fn take_order(self: &Rc<Self>, order: &[u8]) -> Result<(), String>;
+
+    /// What was counted so far.
+    fn counters(&self) -> Value;
+}
+
+/// Binds an address that no other listener shares.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind_with_config(address, &ListenerOpts::new().reuse_port(false))
+}
+
+/// Serves requests and control orders; listens again after the gate has been closed and opened.
+pub async fn serve<S: StandinService>(service: Rc<S>, listener: TcpListener) {
+    let Ok(address) = listener.local_addr() else { return };
+    let mut bound = Some(listener);
+    loop {
+        service.gate().until_open().await;
+        if let Some(listener) = bound.take().or_else(|| bind(address).ok()) {
+            accept_until_closed(&service, listener).await;
+        } else {
+            monoio::time::sleep(REBIND_PAUSE).await;
+        }
+    }
+}
+
+async fn accept_until_closed<S: StandinService>(service: &Rc<S>, listener: TcpListener) {
+    loop {
+        let accepted = pin!(listener.accept());
+        let closed = pin!(service.gate().until_closed());
+        match future::select(accepted, closed).await {
+            Either::Left((Ok((stream, _)), _)) => {
+                monoio::spawn(serve_connection(service.clone(), stream));
+            }
+            Either::Left((Err(_), _)) => monoio::time::sleep(REBIND_PAUSE).await,
+            Either::Right(_) => return,
+        }
+    }
+}
+
+async fn serve_connection<S: StandinService>(service: Rc<S>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let Ok(stream) = stream.into_poll_io() else { return };
+    let handler = service.clone();
+    let connection = http1::Builder::new().serve_connection(
+        MonoioIo::new(stream),
+        service_fn(move |request| answer_or_control(handler.clone(), request)),
+    );
+    let (connection, closed) = (pin!(connection), pin!(service.gate().until_closed()));
+    future::select(connection, closed).await;
+}
+
+async fn answer_or_control<S: StandinService>(
+    service: Rc<S>,
+    request: Request<Incoming>,
+) -> Result<Response<StandinBody>, ConnectionCut> {
+    if request.uri().path() == "/control" {
+        return Ok(control_answer(&service, request).await);
+    }
+    service.answer(request).await
+}
+
+/// Serves control orders alone, on a listener that no fault closes.
+pub async fn serve_control<S: StandinService>(service: Rc<S>, listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let service = service.clone();
+        monoio::spawn(async move {
+            let Ok(stream) = stream.into_poll_io() else { return };
+            let handler = service_fn(move |request| {
+                let service = service.clone();
+                async move { Ok::<_, Infallible>(control_answer(&service, request).await) }
+            });
+            let _ = http1::Builder::new().serve_connection(MonoioIo::new(stream), handler).await;
+        });
+    }
+}
+
+async fn control_answer<S: StandinService>(
+    service: &Rc<S>,
+    request: Request<Incoming>,
+) -> Response<StandinBody> {
+    if request.method() == Method::GET {
+        return json_response(StatusCode::OK, &service.counters());
+    }
+    let Ok(order) = whole_body(request).await else {
+        return empty_response(StatusCode::BAD_REQUEST);
+    };
+    match service.take_order(&order) {
+        Ok(()) => empty_response(StatusCode::OK),
+        Err(cause) => json_response(StatusCode::BAD_REQUEST, &Value::String(cause)),
+    }
+}
+
+/// Reads the whole body of a request.
+pub async fn whole_body(request: Request<Incoming>) -> Result<Bytes, ConnectionCut> {
+    let body = request.into_body().collect().await.map_err(|_| ConnectionCut)?;
+    Ok(body.to_bytes())
+}
+
+/// A response without a body.
+pub fn empty_response(status: StatusCode) -> Response<StandinBody> {
+    let mut response = Response::new(StandinBody::Whole(None));
+    *response.status_mut() = status;
+    response
+}
+
+/// A response with a JSON body.
+pub fn json_response(status: StatusCode, value: &Value) -> Response<StandinBody> {
+    let mut response = Response::new(StandinBody::from(Bytes::from(value.to_string())));
+    *response.status_mut() = status;
+    let content_type = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(http::header::CONTENT_TYPE, content_type);
+    response
+}
+
+/// The value of a query parameter.
+pub fn query_value<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
--- /dev/null
+++ b/coltsfootgate_standins/src/platform.rs
@@ -0,0 +1,344 @@
+//! Stand-in of the platform: a key-value service with compare-and-swap, and the instance list.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::body::{ConnectionCut, StandinBody};
+use crate::http_server::{StandinService, empty_response, json_response, query_value, whole_body};
+use crate::runner::{self, StandinHandle};
+use crate::signal::{ChangeSignal, ServerGate};
+
+/// Largest value that the store takes, in bytes.
+const VALUE_BYTES_MAX: usize = 1 << 20;
+
+/// One entry of the instance list.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct ListedInstance {
+    /// `router` or `endpoint`.
+    pub role: String,
+    /// The peers' address of a router, or the address of an endpoint in the tree.
+    pub address: String,
+    /// The operators' address of a router.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub operators_address: Option<String>,
+    /// Its availability zone.
+    pub availability_zone: String,
+    /// `live` or `leaving`.
+    pub state: String,
+}
+
+/// How the store is out of service.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StoreOutage {
+    /// It is in service.
+    #[default]
+    None,
+    /// It closes all connections and takes no new one.
+    Refuse,
+    /// It takes requests and answers them when the outage has ended.
+    Hang,
+}
+
+/// Orders to the platform; what is left out stays as it was.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct PlatformOrder {
+    outage: Option<StoreOutage>,
+    delay_ms: Option<u64>,
+    /// The answers of this many writes are lost after they took effect.
+    lose_answers: Option<u32>,
+    /// Reads of these keys get the value of this moment from now on.
+    stale_keys: Option<Vec<String>>,
+    silent_watches: Option<bool>,
+    list_lag_ms: Option<u64>,
+    /// Replaces the instance list.
+    instances: Option<Vec<ListedInstance>>,
+    /// Adds these entries, or replaces those with the same role and address.
+    set_instances: Option<Vec<ListedInstance>>,
+    /// Removes the entries with these addresses.
+    remove_instances: Option<Vec<String>>,
+}
+
+#[derive(Clone, Debug)]
+struct StoredValue {
+    revision: u64,
+    bytes: Bytes,
+}
+
+#[derive(Debug)]
+struct HeldLease {
+    holder: String,
+    until: Instant,
+}
+
+#[derive(Debug, Default)]
+struct CallCounters {
+    writes: Cell<u64>,
+    reads: Cell<u64>,
+    watches: Cell<u64>,
+    waiting_watches: Cell<u64>,
+    lists: Cell<u64>,
+    leases: Cell<u64>,
+}
+
+fn raise(counter: &Cell<u64>) {
+    counter.set(counter.get() + 1);
+}
+
+#[derive(Debug, Default)]
+struct PlatformService {
+    gate: ServerGate,
+    changed: ChangeSignal,
+    outage: Cell<StoreOutage>,
+    delay: Cell<Duration>,
+    lose_answers: Cell<u32>,
+    silent_watches: Cell<bool>,
+    list_lag: Cell<Duration>,
+    values: RefCell<BTreeMap<String, StoredValue>>,
+    stale: RefCell<HashMap<String, Option<StoredValue>>>,
+    last_revision: Cell<u64>,
+    leases: RefCell<HashMap<String, HeldLease>>,
+    /// Every state of the list with the moment since when it holds.
+    lists: RefCell<Vec<(Instant, Vec<ListedInstance>)>>,
+    counters: CallCounters,
+}
+
+/// Starts the platform on a thread of its own.
+pub fn start_platform(listen: SocketAddr) -> io::Result<StandinHandle> {
+    runner::start_service(listen, PlatformService::default)
+}
+
+impl StandinService for PlatformService {
+    fn gate(&self) -> &ServerGate {
+        &self.gate
+    }
+
+    async fn answer(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<StandinBody>, ConnectionCut> {
+        let method = request.method().clone();
+        let path = request.uri().path().to_owned();
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        let body = whole_body(request).await?;
+        self.count(&method, &path, &query);
+        self.changed.until(|| self.outage.get() != StoreOutage::Hang).await;
+        if !self.delay.get().is_zero() {
+            monoio::time::sleep(self.delay.get()).await;
+        }
+        if path == "/instances" {
+            return Ok(json_response(StatusCode::OK, &json!({"instances": self.visible_list()})));
+        }
+        if path == "/kv" {
+            return Ok(self.list_keys(query_value(&query, "prefix").unwrap_or_default()));
+        }
+        if let Some(name) = path.strip_prefix("/lease/") {
+            return Ok(self.take_lease(name, &query));
+        }
+        let Some(key) = path.strip_prefix("/kv/") else {
+            return Ok(empty_response(StatusCode::NOT_FOUND));
+        };
+        match method {
+            Method::GET => Ok(self.read(key, &query).await),
+            Method::PUT => self.write(key, &query, Some(body)),
+            Method::DELETE => self.write(key, &query, None),
+            _ => Ok(empty_response(StatusCode::METHOD_NOT_ALLOWED)),
+        }
+    }
+
+    fn take_order(self: &Rc<Self>, order: &[u8]) -> Result<(), String> {
+        let order: PlatformOrder =
+            serde_json::from_slice(order).map_err(|error| error.to_string())?;
+        self.set_faults(&order);
+        self.change_list(order);
+        self.changed.notify();
+        Ok(())
+    }
+
+    fn counters(&self) -> Value {
+        let counters = &self.counters;
+        json!({
+            "writes": counters.writes.get(),
+            "reads": counters.reads.get(),
+            "watches": counters.watches.get(),
+            "waiting_watches": counters.waiting_watches.get(),
+            "lists": counters.lists.get(),
+            "leases": counters.leases.get(),
+            "revision": self.last_revision.get(),
+        })
+    }
+}
+
+impl PlatformService {
+    fn count(&self, method: &Method, path: &str, query: &str) {
+        let counters = &self.counters;
+        raise(match path {
+            "/instances" => &counters.lists,
+            _ if path.starts_with("/lease/") => &counters.leases,
+            _ if method != Method::GET => &counters.writes,
+            _ if query.contains("after=") => &counters.watches,
+            _ => &counters.reads,
+        });
+    }
+
+    fn set_faults(&self, order: &PlatformOrder) {
+        if let Some(outage) = order.outage {
+            self.outage.set(outage);
+            self.gate.set_open(outage != StoreOutage::Refuse);
+        }
+        if let Some(delay_ms) = order.delay_ms {
+            self.delay.set(Duration::from_millis(delay_ms));
+        }
+        if let Some(count) = order.lose_answers {
+            self.lose_answers.set(count);
+        }
+        if let Some(keys) = &order.stale_keys {
+            let values = self.values.borrow();
+            let frozen = keys.iter().map(|key| (key.clone(), values.get(key).cloned())).collect();
+            *self.stale.borrow_mut() = frozen;
+        }
+        if let Some(silent) = order.silent_watches {
+            self.silent_watches.set(silent);
+        }
+        if let Some(lag_ms) = order.list_lag_ms {
+            self.list_lag.set(Duration::from_millis(lag_ms));
+        }
+    }
+
+    fn change_list(&self, order: PlatformOrder) {
+        let mut lists = self.lists.borrow_mut();
+        let mut list = lists.last().map(|(_, list)| list.clone()).unwrap_or_default();
+        if let Some(instances) = order.instances {
+            list = instances;
+        }
+        for instance in order.set_instances.unwrap_or_default() {
+            list.retain(|old| (&old.role, &old.address) != (&instance.role, &instance.address));
+            list.push(instance);
+        }
+        let removed = order.remove_instances.unwrap_or_default();
+        list.retain(|instance| !removed.contains(&instance.address));
+        if lists.last().is_none_or(|(_, old)| *old != list) {
+            lists.push((Instant::now(), list));
+        }
+    }
+
+    fn visible_list(&self) -> Vec<ListedInstance> {
+        let lists = self.lists.borrow();
+        let mut visible =
+            lists.iter().rev().filter(|(since, _)| since.elapsed() >= self.list_lag.get());
+        visible.next().map(|(_, list)| list.clone()).unwrap_or_default()
+    }
+
+    fn list_keys(&self, prefix: &str) -> Response<StandinBody> {
+        let values = self.values.borrow();
+        let keys: Vec<_> = values.keys().filter(|key| key.starts_with(prefix)).collect();
+        json_response(StatusCode::OK, &json!({"keys": keys}))
+    }
+
+    fn visible_value(&self, key: &str) -> Option<StoredValue> {
+        if let Some(frozen) = self.stale.borrow().get(key) {
+            return frozen.clone();
+        }
+        self.values.borrow().get(key).cloned()
+    }
+
+    async fn read(&self, key: &str, query: &str) -> Response<StandinBody> {
+        let number = |name| query_value(query, name).and_then(|value| value.parse::<u64>().ok());
+        let Some(after) = number("after") else {
+            return value_response(self.visible_value(key));
+        };
+        let wait = Duration::from_millis(number("wait").unwrap_or(0));
+        let _waiting = WaitingWatch::new(&self.counters.waiting_watches);
+        let is_newer = || self.visible_value(key).is_some_and(|value| value.revision > after);
+        let noticed = self.changed.until(|| !self.silent_watches.get() && is_newer());
+        let in_time = monoio::time::timeout(wait, noticed).await.is_ok();
+        self.changed.until(|| !self.silent_watches.get()).await;
+        if in_time {
+            return value_response(self.visible_value(key));
+        }
+        empty_response(StatusCode::NOT_MODIFIED)
+    }
+
+    fn write(
+        &self,
+        key: &str,
+        query: &str,
+        bytes: Option<Bytes>,
+    ) -> Result<Response<StandinBody>, ConnectionCut> {
+        let expected = query_value(query, "revision").and_then(|value| value.parse::<u64>().ok());
+        let Some(expected) = expected else {
+            return Ok(empty_response(StatusCode::BAD_REQUEST));
+        };
+        if bytes.as_ref().is_some_and(|bytes| bytes.len() > VALUE_BYTES_MAX) {
+            return Ok(empty_response(StatusCode::PAYLOAD_TOO_LARGE));
+        }
+        let present = self.values.borrow().get(key).map_or(0, |value| value.revision);
+        if present != expected {
+            return Ok(with_revision(empty_response(StatusCode::CONFLICT), present));
+        }
+        let revision = self.last_revision.get() + 1;
+        self.last_revision.set(revision);
+        match bytes {
+            Some(bytes) => {
+                self.values.borrow_mut().insert(key.to_owned(), StoredValue { revision, bytes })
+            }
+            None => self.values.borrow_mut().remove(key),
+        };
+        self.changed.notify();
+        if let Some(left) = self.lose_answers.get().checked_sub(1) {
+            self.lose_answers.set(left);
+            return Err(ConnectionCut);
+        }
+        Ok(with_revision(empty_response(StatusCode::OK), revision))
+    }
+
+    fn take_lease(&self, name: &str, query: &str) -> Response<StandinBody> {
+        let holder = query_value(query, "holder").unwrap_or_default().to_owned();
+        let ttl = query_value(query, "ttl").and_then(|ttl| ttl.parse().ok()).unwrap_or(0);
+        let now = Instant::now();
+        let mut leases = self.leases.borrow_mut();
+        if leases.get(name).is_some_and(|held| held.holder != holder && held.until > now) {
+            return empty_response(StatusCode::CONFLICT);
+        }
+        let until = now + Duration::from_millis(ttl);
+        leases.insert(name.to_owned(), HeldLease { holder, until });
+        empty_response(StatusCode::OK)
+    }
+}
+
+/// Counts a watch for as long as it waits.
+struct WaitingWatch<'a>(&'a Cell<u64>);
+
+impl<'a> WaitingWatch<'a> {
+    fn new(counter: &'a Cell<u64>) -> Self {
+        raise(counter);
+        Self(counter)
+    }
+}
+
+impl Drop for WaitingWatch<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+fn value_response(value: Option<StoredValue>) -> Response<StandinBody> {
+    let Some(value) = value else { return empty_response(StatusCode::NOT_FOUND) };
+    with_revision(Response::new(StandinBody::from(value.bytes)), value.revision)
+}
+
+fn with_revision(mut response: Response<StandinBody>, revision: u64) -> Response<StandinBody> {
+    response.headers_mut().insert("x-revision", HeaderValue::from(revision));
+    response
+}
