--- /dev/null
+++ b/coltsfootgate_config/src/check.rs
@@ -0,0 +1,84 @@
+//! Checks each setting of a document against the keys of its tree.
+
+use std::sync::Arc;
+
+use crate::document::{BranchDocument, BranchNode};
+use crate::error::{ConfigError, ConfigErrors, ConfigFault};
+use crate::schema::ValueKind;
+use crate::value::{Setting, SettingValue};
+
+/// Collects the faults of one document.
+#[derive(Debug)]
+pub(crate) struct FaultList {
+    source: Arc<str>,
+    errors: Vec<ConfigError>,
+}
+
+impl FaultList {
+    pub(crate) fn new(source: Arc<str>) -> Self {
+        Self { source, errors: Vec::new() }
+    }
+
+    /// Adds a fault of a setting that the branch states.
+    pub(crate) fn setting(&mut self, node: &BranchNode, setting: &Setting, fault: ConfigFault) {
+        self.add(node, setting.line, Some(&setting.key), fault);
+    }
+
+    /// Adds a fault of a branch as a whole.
+    pub(crate) fn branch(&mut self, node: &BranchNode, fault: ConfigFault) {
+        self.add(node, node.line, None, fault);
+    }
+
+    /// Adds the fault of a key that the branch lacks.
+    pub(crate) fn missing(&mut self, node: &BranchNode, key: &str, allowed: impl Into<String>) {
+        let fault = ConfigFault::MissingKey { allowed: allowed.into() };
+        self.add(node, node.line, Some(key), fault);
+    }
+
+    /// The faults in the order of the text, if there are any.
+    pub(crate) fn finish(mut self) -> Result<(), ConfigErrors> {
+        self.errors.sort_by_key(|error| error.line);
+        if self.errors.is_empty() { Ok(()) } else { Err(ConfigErrors(self.errors)) }
+    }
+
+    fn add(&mut self, node: &BranchNode, line: usize, key: Option<&str>, fault: ConfigFault) {
+        self.errors.push(ConfigError {
+            source: self.source.clone(),
+            line: (line > 0).then_some(line),
+            branch: Some(node.path.clone()),
+            key: key.map(Arc::from),
+            fault,
+        });
+    }
+}
+
+/// The fault of a value that its key does not allow.
+pub(crate) fn wrong_value(value: &SettingValue, allowed: impl Into<String>) -> ConfigFault {
+    ConfigFault::WrongValue { found: value.to_string(), allowed: allowed.into() }
+}
+
+/// Checks that every key is known and every value allowed.
+pub(crate) fn check_keys(document: &BranchDocument, faults: &mut FaultList) {
+    for node in &document.nodes {
+        for setting in &node.settings {
+            check_setting(node, setting, faults);
+        }
+    }
+}
+
+fn check_setting(node: &BranchNode, setting: &Setting, faults: &mut FaultList) {
+    let Some(spec) = node.kind.key(&setting.key) else {
+        let known = node.kind.keys().iter().map(|spec| spec.name);
+        faults.setting(node, setting, ConfigFault::unknown_key(&setting.key, known));
+        return;
+    };
+    let reserved = node.parent.is_none() && matches!(spec.kind, ValueKind::Match);
+    if reserved {
+        let found = format!("`{}` at the root", spec.name);
+        let allowed = "the root matches every request".into();
+        faults.setting(node, setting, ConfigFault::Misplaced { found, allowed });
+    } else if !spec.kind.allows(&setting.value) {
+        let fault = wrong_value(&setting.value, spec.kind.description());
+        faults.setting(node, setting, fault);
+    }
+}
--- /dev/null
+++ b/coltsfootgate_config/src/class_match.rs
@@ -0,0 +1,216 @@
+//! The conditions by which a request falls into a class.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use coltsfootgate_core::ids::BranchPath;
+
+use crate::check::wrong_value;
+use crate::error::ConfigFault;
+use crate::schema::MATCH_KEYS;
+use crate::value::{Setting, SettingValue};
+
+/// The segment of a path pattern, or the value of a header, that matches anything.
+const WILDCARD: &str = "*";
+
+/// Finds headers of a request by name.
+pub trait HeaderLookup {
+    /// The value of a header; `name` is in lower case.
+    fn header(&self, name: &str) -> Option<&str>;
+}
+
+/// A request without headers.
+#[derive(Clone, Copy, Debug)]
+pub struct NoHeaders;
+
+impl HeaderLookup for NoHeaders {
+    fn header(&self, _name: &str) -> Option<&str> {
+        None
+    }
+}
+
+impl<N: AsRef<str>, V: AsRef<str>> HeaderLookup for [(N, V)] {
+    fn header(&self, name: &str) -> Option<&str> {
+        let found = self.iter().find(|(key, _)| key.as_ref().eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_ref())
+    }
+}
+
+impl<N: AsRef<str>, V: AsRef<str>> HeaderLookup for Vec<(N, V)> {
+    fn header(&self, name: &str) -> Option<&str> {
+        self.as_slice().header(name)
+    }
+}
+
+/// What classification looks at.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestFacts<'a, H: ?Sized> {
+    /// The branch of the customer.
+    pub customer: &'a str,
+    /// The HTTP method, in upper case.
+    pub method: &'a str,
+    /// The path; a query is ignored.
+    pub path: &'a str,
+    /// The model that the request names.
+    pub model: Option<&'a str>,
+    /// The headers.
+    pub headers: &'a H,
+}
+
+/// The conditions of one class; all that are stated must hold.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ClassMatch {
+    customers: Option<HashSet<BranchPath>>,
+    models: Option<HashSet<Arc<str>>>,
+    methods: Option<HashSet<Arc<str>>>,
+    paths: Option<Vec<PathPattern>>,
+    headers: Vec<HeaderPattern>,
+}
+
+/// A fault inside `match`, with the setting that holds it.
+pub(crate) struct MatchFault<'a> {
+    pub(crate) setting: &'a Setting,
+    pub(crate) fault: ConfigFault,
+}
+
+impl ClassMatch {
+    /// Reads the conditions from the table of a `match`.
+    pub(crate) fn read<'a>(table: &'a [Setting], faults: &mut Vec<MatchFault<'a>>) -> Self {
+        let mut class_match = Self::default();
+        for setting in table {
+            if let Err(fault) = class_match.read_condition(setting) {
+                faults.push(MatchFault { setting, fault });
+            }
+        }
+        class_match
+    }
+
+    /// The branches of customers that the conditions name.
+    pub(crate) fn customers(&self) -> impl Iterator<Item = &BranchPath> {
+        self.customers.iter().flatten()
+    }
+
+    /// The models that the conditions name.
+    pub(crate) fn models(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.models.iter().flatten()
+    }
+
+    /// Whether all conditions hold for a request.
+    pub(crate) fn holds<H: HeaderLookup + ?Sized>(&self, facts: &RequestFacts<'_, H>) -> bool {
+        let path = facts.path.split('?').next().unwrap_or_default();
+        let customer = self.customers.as_ref().is_none_or(|set| holds_branch(set, facts.customer));
+        let model = self
+            .models
+            .as_ref()
+            .is_none_or(|models| facts.model.is_some_and(|model| models.contains(model)));
+        let method = self.methods.as_ref().is_none_or(|methods| methods.contains(facts.method));
+        let path_matches = |patterns: &Vec<PathPattern>| patterns.iter().any(|p| p.matches(path));
+        customer
+            && model
+            && method
+            && self.paths.as_ref().is_none_or(path_matches)
+            && self.headers.iter().all(|pattern| pattern.matches(facts.headers))
+    }
+
+    fn read_condition(&mut self, setting: &Setting) -> Result<(), ConfigFault> {
+        let texts = || read_texts(&setting.value);
+        match &*setting.key {
+            "customer" => self.customers = Some(texts()?.into_iter().collect()),
+            "model" => self.models = Some(texts()?.into_iter().collect()),
+            "method" => self.methods = Some(read_methods(&setting.value)?),
+            "path" => self.paths = Some(read_paths(&setting.value)?),
+            "header" => self.headers = read_headers(&setting.value)?,
+            unknown => return Err(ConfigFault::unknown_key(unknown, MATCH_KEYS)),
+        }
+        Ok(())
+    }
+}
+
+/// Whether a set holds a branch or one above it.
+fn holds_branch(branches: &HashSet<BranchPath>, branch: &str) -> bool {
+    let above = branch.match_indices('.').map(|(end, _)| &branch[..end]);
+    branches.contains(branch) || above.into_iter().any(|above| branches.contains(above))
+}
+
+fn read_texts(value: &SettingValue) -> Result<Vec<Arc<str>>, ConfigFault> {
+    let texts = value.as_texts().filter(|texts| !texts.is_empty());
+    texts.ok_or_else(|| wrong_value(value, "a text or a list of texts that is not empty"))
+}
+
+fn read_methods(value: &SettingValue) -> Result<HashSet<Arc<str>>, ConfigFault> {
+    let methods = read_texts(value)?;
+    let is_method = |text: &Arc<str>| text.bytes().all(|byte| byte.is_ascii_uppercase());
+    if !methods.iter().all(is_method) {
+        return Err(wrong_value(value, "HTTP methods in upper case, such as \"POST\""));
+    }
+    Ok(methods.into_iter().collect())
+}
+
+fn read_paths(value: &SettingValue) -> Result<Vec<PathPattern>, ConfigFault> {
+    let patterns = read_texts(value)?.iter().map(|text| PathPattern::read(text)).collect();
+    let allowed =
+        "paths that start with \"/\"; a segment may be `*`, and a last one matches any rest";
+    Option::ok_or_else(patterns, || wrong_value(value, allowed))
+}
+
+fn read_headers(value: &SettingValue) -> Result<Vec<HeaderPattern>, ConfigFault> {
+    let allowed = "a table from header name to a text or a list of texts, `*` for any value";
+    let SettingValue::Table(settings) = value else {
+        return Err(wrong_value(value, allowed));
+    };
+    let read = |setting: &Setting| {
+        let values = read_texts(&setting.value).map_err(|_| wrong_value(value, allowed))?;
+        Ok(HeaderPattern { name: setting.key.to_ascii_lowercase().into(), values })
+    };
+    settings.iter().map(read).collect()
+}
+
+#[derive(Clone, Debug)]
+struct HeaderPattern {
+    name: Arc<str>,
+    values: Vec<Arc<str>>,
+}
+
+impl HeaderPattern {
+    fn matches<H: HeaderLookup + ?Sized>(&self, headers: &H) -> bool {
+        headers.header(&self.name).is_some_and(|found| {
+            self.values.iter().any(|value| &**value == WILDCARD || &**value == found)
+        })
+    }
+}
+
+/// A path in which `*` stands for one segment, or at the end for any rest, also an empty one.
+#[derive(Clone, Debug)]
+struct PathPattern {
+    segments: Vec<Arc<str>>,
+    open_ended: bool,
+}
+
+impl PathPattern {
+    fn read(text: &str) -> Option<Self> {
+        let mut segments: Vec<Arc<str>> =
+            text.strip_prefix('/')?.split('/').map(Arc::from).collect();
+        if segments.iter().any(|segment| segment.contains('*') && &**segment != WILDCARD) {
+            return None;
+        }
+        let open_ended = segments.last().is_some_and(|segment| &**segment == WILDCARD);
+        if open_ended {
+            segments.pop();
+        }
+        Some(Self { segments, open_ended })
+    }
+
+    fn matches(&self, path: &str) -> bool {
+        let Some(path) = path.strip_prefix('/') else {
+            return false;
+        };
+        let mut found = path.split('/');
+        for segment in &self.segments {
+            match found.next() {
+                Some(other) if &**segment == WILDCARD || &**segment == other => {}
+                _ => return false,
+            }
+        }
+        self.open_ended || found.next().is_none()
+    }
+}
--- /dev/null
+++ b/coltsfootgate_config/src/classes.rs
@@ -0,0 +1,142 @@
+//! The classes of requests, and which one a request falls into.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use coltsfootgate_core::ids::{ClassId, TIER_COUNT};
+use coltsfootgate_core::settings::ClassSettings;
+
+use crate::check::FaultList;
+use crate::class_match::{ClassMatch, HeaderLookup, MatchFault, RequestFacts};
+use crate::document::{BranchDocument, BranchNode};
+use crate::error::ConfigFault;
+use crate::resolve::SettingReader;
+use crate::schema::TreeKind;
+use crate::value::SettingValue;
+
+/// The classes as a tree of conditions.
+#[derive(Clone, Debug)]
+pub(crate) struct ClassIndex {
+    branches: Vec<ClassBranch>,
+    by_id: HashMap<ClassId, usize>,
+}
+
+#[derive(Clone, Debug)]
+struct ClassBranch {
+    settings: Arc<ClassSettings>,
+    conditions: ClassMatch,
+    children: Vec<usize>,
+}
+
+impl ClassIndex {
+    pub(crate) fn build(document: &BranchDocument, faults: &mut FaultList) -> Self {
+        let mut index = Self { branches: Vec::new(), by_id: HashMap::new() };
+        index.add(document, document.root(TreeKind::Classes), faults);
+        index.check_floors(document, faults);
+        index
+    }
+
+    /// The class that a request falls into.
+    pub(crate) fn classify<H: HeaderLookup + ?Sized>(
+        &self,
+        facts: &RequestFacts<'_, H>,
+    ) -> &Arc<ClassSettings> {
+        let mut branch = &self.branches[0];
+        loop {
+            let mut children = branch.children.iter().map(|child| &self.branches[*child]);
+            match children.find(|child| child.conditions.holds(facts)) {
+                Some(child) => branch = child,
+                None => return &branch.settings,
+            }
+        }
+    }
+
+    /// The class with this branch.
+    pub(crate) fn class(&self, id: &str) -> Option<&Arc<ClassSettings>> {
+        self.by_id.get(id).map(|position| &self.branches[*position].settings)
+    }
+
+    /// All classes, each before those below it.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Arc<ClassSettings>> {
+        self.branches.iter().map(|branch| &branch.settings)
+    }
+
+    fn add(&mut self, document: &BranchDocument, node: usize, faults: &mut FaultList) -> usize {
+        let settings = Arc::new(SettingReader::new(document, node).class());
+        let conditions = read_conditions(document, &document.nodes[node], faults);
+        let position = self.branches.len();
+        self.by_id.insert(settings.id.clone(), position);
+        self.branches.push(ClassBranch { settings, conditions, children: Vec::new() });
+        for child in &document.nodes[node].children {
+            let child = self.add(document, *child, faults);
+            self.branches[position].children.push(child);
+        }
+        position
+    }
+
+    /// The floors of all tiers together must leave room for the order of tiers.
+    fn check_floors(&self, document: &BranchDocument, faults: &mut FaultList) {
+        let mut floors = [0.0_f64; TIER_COUNT];
+        for class in self.iter() {
+            let floor = &mut floors[class.tier.index()];
+            *floor = floor.max(class.floor);
+        }
+        let sum: f64 = floors.iter().sum();
+        if sum > 1.0 {
+            let found = format!("floors of the tiers that add up to {sum:.3}");
+            let allowed = "at most 1.0 over all tiers, counting the highest floor of each".into();
+            let root = &document.nodes[document.root(TreeKind::Classes)];
+            faults.branch(root, ConfigFault::WrongValue { found, allowed });
+        }
+    }
+}
+
+fn read_conditions(
+    document: &BranchDocument,
+    node: &BranchNode,
+    faults: &mut FaultList,
+) -> ClassMatch {
+    let Some(setting) = node.setting("match") else {
+        if node.parent.is_some() {
+            faults.missing(node, "match", "a table of customer, model, method, path and header");
+        }
+        return ClassMatch::default();
+    };
+    let SettingValue::Table(table) = &setting.value else {
+        return ClassMatch::default();
+    };
+    let mut match_faults = Vec::new();
+    let conditions = ClassMatch::read(table, &mut match_faults);
+    for MatchFault { setting, fault } in match_faults {
+        faults.setting(node, setting, fault);
+    }
+    check_references(document, node, &conditions, faults);
+    conditions
+}
+
+/// Customers and models that conditions name must exist.
+fn check_references(
+    document: &BranchDocument,
+    node: &BranchNode,
+    conditions: &ClassMatch,
+    faults: &mut FaultList,
+) {
+    let Some(setting) = node.setting("match") else {
+        return;
+    };
+    for customer in conditions.customers() {
+        let known = document.branch(customer);
+        if known.is_none_or(|branch| branch.kind != TreeKind::Customers) {
+            let found = format!("customer {customer:?}");
+            let allowed = "a branch of `customers`".into();
+            faults.setting(node, setting, ConfigFault::WrongValue { found, allowed });
+        }
+    }
+    let stated = |node: &BranchNode| node.setting("model")?.value.as_text().cloned();
+    let models: Vec<_> = document.nodes.iter().filter_map(stated).collect();
+    for model in conditions.models().filter(|model| !models.contains(model)) {
+        let found = format!("model {model:?}");
+        let allowed = format!("a model of a pool: {}", models.join(", "));
+        faults.setting(node, setting, ConfigFault::WrongValue { found, allowed });
+    }
+}
--- /dev/null
+++ b/coltsfootgate_config/src/customers.rs
@@ -0,0 +1,106 @@
+//! The customers, and which of them a bearer key belongs to.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use coltsfootgate_core::ids::CustomerId;
+use coltsfootgate_core::settings::CustomerSettings;
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use crate::check::FaultList;
+use crate::document::BranchDocument;
+use crate::error::ConfigFault;
+use crate::resolve::SettingReader;
+use crate::schema::TreeKind;
+
+/// The bytes of a SHA-256 digest.
+const DIGEST_BYTES: usize = 32;
+/// The bytes of a digest by which entries are found before the whole is compared.
+const BUCKET_BYTES: usize = 8;
+
+type KeyDigest = [u8; DIGEST_BYTES];
+
+/// The customers by branch and by the digests of their keys.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CustomerIndex {
+    customers: BTreeMap<CustomerId, Arc<CustomerSettings>>,
+    by_digest: HashMap<[u8; BUCKET_BYTES], Vec<DigestEntry>>,
+}
+
+#[derive(Clone, Debug)]
+struct DigestEntry {
+    digest: KeyDigest,
+    customer: Arc<CustomerSettings>,
+}
+
+impl CustomerIndex {
+    pub(crate) fn build(document: &BranchDocument, faults: &mut FaultList) -> Self {
+        let mut index = Self::default();
+        for (position, node) in document.nodes.iter().enumerate() {
+            if node.kind == TreeKind::Customers && node.setting("keys").is_some() {
+                index.add(document, position, faults);
+            }
+        }
+        if index.customers.is_empty() {
+            let root = &document.nodes[document.root(TreeKind::Customers)];
+            faults.missing(root, "keys", "at least one customer, which is a branch with `keys`");
+        }
+        index
+    }
+
+    /// The customer that a bearer key belongs to; digests are compared in constant time.
+    pub(crate) fn by_key(&self, key: &str) -> Option<&Arc<CustomerSettings>> {
+        let digest: KeyDigest = Sha256::digest(key.as_bytes()).into();
+        self.entry(&digest).map(|entry| &entry.customer)
+    }
+
+    /// The customer with this branch.
+    pub(crate) fn customer(&self, id: &str) -> Option<&Arc<CustomerSettings>> {
+        self.customers.get(id)
+    }
+
+    /// All customers, sorted by branch.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Arc<CustomerSettings>> {
+        self.customers.values()
+    }
+
+    fn entry(&self, digest: &KeyDigest) -> Option<&DigestEntry> {
+        let bucket = self.by_digest.get(&bucket(digest))?;
+        bucket.iter().find(|entry| entry.digest.ct_eq(digest).into())
+    }
+
+    fn add(&mut self, document: &BranchDocument, position: usize, faults: &mut FaultList) {
+        let node = &document.nodes[position];
+        let reader = SettingReader::new(document, position);
+        let customer = Arc::new(reader.customer());
+        for text in reader.texts("keys") {
+            let Some(digest) = read_digest(&text) else {
+                continue;
+            };
+            if let (Some(entry), Some(setting)) = (self.entry(&digest), node.setting("keys")) {
+                let (found, first) = (format!("digest {text:?}"), entry.customer.id.clone());
+                faults.setting(node, setting, ConfigFault::Duplicate { found, first });
+                continue;
+            }
+            let entry = DigestEntry { digest, customer: customer.clone() };
+            self.by_digest.entry(bucket(&digest)).or_default().push(entry);
+        }
+        self.customers.insert(customer.id.clone(), customer);
+    }
+}
+
+fn bucket(digest: &KeyDigest) -> [u8; BUCKET_BYTES] {
+    std::array::from_fn(|position| digest[position])
+}
+
+fn read_digest(text: &str) -> Option<KeyDigest> {
+    if text.len() != DIGEST_BYTES * 2 || !text.is_ascii() {
+        return None;
+    }
+    let mut digest = [0; DIGEST_BYTES];
+    for (position, byte) in digest.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[position * 2..position * 2 + 2], 16).ok()?;
+    }
+    Some(digest)
+}
--- /dev/null
+++ b/coltsfootgate_config/src/document.rs
@@ -0,0 +1,238 @@
+//! Reads TOML into branches, each with the settings that it states itself.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use coltsfootgate_core::ids::BranchPath;
+use toml::de::{DeTable, DeValue};
+
+use crate::error::{ConfigError, ConfigErrors, ConfigFault};
+use crate::schema::TreeKind;
+use crate::value::{Setting, SettingValue, is_bare_key};
+
+/// The longest name of a branch in bytes.
+const BRANCH_NAME_BYTES: usize = 64;
+
+/// A branch with what the text states for it.
+#[derive(Clone, Debug)]
+pub struct BranchNode {
+    /// The dotted path.
+    pub path: BranchPath,
+    /// The tree that the branch belongs to.
+    pub kind: TreeKind,
+    /// The position of the branch above, but for the roots.
+    pub parent: Option<usize>,
+    /// The line of its header, counted from 1; 0 for a root that the text leaves out.
+    pub line: usize,
+    /// The settings that the branch states, in the order of the text.
+    pub settings: Vec<Setting>,
+    /// The positions of the branches directly below, in the order of the text.
+    pub children: Vec<usize>,
+}
+
+impl BranchNode {
+    /// The setting that the branch itself states for a key.
+    pub fn setting(&self, key: &str) -> Option<&Setting> {
+        self.settings.iter().find(|setting| &*setting.key == key)
+    }
+}
+
+/// All branches of a text, before any check of their settings.
+#[derive(Clone, Debug)]
+pub struct BranchDocument {
+    /// The file or version that was read.
+    pub source: Arc<str>,
+    /// The branches; the first ones are the roots in the order of [`TreeKind::ALL`].
+    pub nodes: Vec<BranchNode>,
+    positions: HashMap<BranchPath, usize>,
+}
+
+impl BranchDocument {
+    /// Reads a text; `source` names it in errors.
+    ///
+    /// Fails with every fault of syntax and of branch names.
+    pub fn parse(source: &str, text: &str) -> Result<Self, ConfigErrors> {
+        let mut reader = DocumentReader::new(source, text);
+        let (table, syntax_errors) = DeTable::parse_recoverable(text);
+        for error in syntax_errors {
+            let line = error.span().map(|span| reader.line(span.start));
+            reader.fail(line, None, None, ConfigFault::Syntax(error.message().into()));
+        }
+        reader.read_top(table.get_ref());
+        reader.finish()
+    }
+
+    /// The position of the branch with this path.
+    pub fn position(&self, path: &str) -> Option<usize> {
+        self.positions.get(path).copied()
+    }
+
+    /// The branch with this path.
+    pub fn branch(&self, path: &str) -> Option<&BranchNode> {
+        self.position(path).map(|position| &self.nodes[position])
+    }
+
+    /// The position of the root of a tree.
+    pub fn root(&self, kind: TreeKind) -> usize {
+        kind as usize
+    }
+
+    /// The nearest branch, from this one upwards, that states a key.
+    pub fn stating_branch(&self, position: usize, key: &str) -> Option<(&BranchNode, &Setting)> {
+        let mut next = Some(position);
+        while let Some(position) = next {
+            let node = &self.nodes[position];
+            if let Some(setting) = node.setting(key) {
+                return Some((node, setting));
+            }
+            next = node.parent;
+        }
+        None
+    }
+
+    fn with_roots(source: Arc<str>) -> Self {
+        let mut document = Self { source, nodes: Vec::new(), positions: HashMap::new() };
+        for kind in TreeKind::ALL {
+            document.push(kind.name().into(), kind, None, 0);
+        }
+        document
+    }
+
+    fn push(
+        &mut self,
+        path: BranchPath,
+        kind: TreeKind,
+        parent: Option<usize>,
+        line: usize,
+    ) -> usize {
+        let position = self.nodes.len();
+        self.positions.insert(path.clone(), position);
+        let (settings, children) = (Vec::new(), Vec::new());
+        self.nodes.push(BranchNode { path, kind, parent, line, settings, children });
+        if let Some(parent) = parent {
+            self.nodes[parent].children.push(position);
+        }
+        position
+    }
+}
+
+struct DocumentReader {
+    document: BranchDocument,
+    line_starts: Vec<usize>,
+    errors: Vec<ConfigError>,
+}
+
+impl DocumentReader {
+    fn new(source: &str, text: &str) -> Self {
+        let newlines = text.bytes().enumerate().filter(|(_, byte)| *byte == b'\n');
+        let line_starts = newlines.map(|(offset, _)| offset + 1).collect();
+        let document = BranchDocument::with_roots(source.into());
+        Self { document, line_starts, errors: Vec::new() }
+    }
+
+    fn line(&self, offset: usize) -> usize {
+        self.line_starts.partition_point(|start| *start <= offset) + 1
+    }
+
+    fn fail(
+        &mut self,
+        line: Option<usize>,
+        branch: Option<&BranchPath>,
+        key: Option<&str>,
+        fault: ConfigFault,
+    ) {
+        let source = self.document.source.clone();
+        let (branch, key) = (branch.cloned(), key.map(Arc::from));
+        self.errors.push(ConfigError { source, line, branch, key, fault });
+    }
+
+    fn finish(self) -> Result<BranchDocument, ConfigErrors> {
+        if self.errors.is_empty() { Ok(self.document) } else { Err(ConfigErrors(self.errors)) }
+    }
+
+    fn read_top(&mut self, table: &DeTable<'_>) {
+        for (key, value) in table.iter() {
+            let line = self.line(key.span().start);
+            let name = key.get_ref();
+            match (TreeKind::by_name(name), value.get_ref()) {
+                (Some(kind), DeValue::Table(branch)) => {
+                    let position = self.document.root(kind);
+                    self.document.nodes[position].line = line;
+                    self.read_branch(position, branch);
+                }
+                (Some(_), other) => {
+                    let found = format!("a {}", other.type_str());
+                    let fault = ConfigFault::WrongValue { found, allowed: "a table".into() };
+                    self.fail(Some(line), None, Some(name), fault);
+                }
+                (None, _) => {
+                    let fault = ConfigFault::unknown_key(name, TreeKind::ALL.map(TreeKind::name));
+                    self.fail(Some(line), None, Some(name), fault);
+                }
+            }
+        }
+    }
+
+    fn read_branch(&mut self, position: usize, table: &DeTable<'_>) {
+        let kind = self.document.nodes[position].kind;
+        for (key, value) in table.iter() {
+            let line = self.line(key.span().start);
+            let name = key.get_ref();
+            match value.get_ref() {
+                DeValue::Table(branch) if kind.has_branches() && !kind.is_table_key(name) => {
+                    self.read_child(position, name, line, branch);
+                }
+                value => {
+                    let value = self.read_value(value);
+                    let setting = Setting { key: name.as_ref().into(), value, line };
+                    self.document.nodes[position].settings.push(setting);
+                }
+            }
+        }
+    }
+
+    fn read_child(&mut self, parent: usize, name: &str, line: usize, table: &DeTable<'_>) {
+        let parent_node = &self.document.nodes[parent];
+        let kind = parent_node.kind;
+        let path: BranchPath = format!("{}.{name}", parent_node.path).into();
+        if !is_bare_key(name) || name.len() > BRANCH_NAME_BYTES {
+            let allowed =
+                format!("1 to {BRANCH_NAME_BYTES} letters, digits, `-` and `_` in a branch name");
+            let fault = ConfigFault::Misplaced { found: format!("{name:?}"), allowed };
+            self.fail(Some(line), Some(&path), None, fault);
+            return;
+        }
+        let position = self.document.push(path, kind, Some(parent), line);
+        self.read_branch(position, table);
+    }
+
+    fn read_value(&self, value: &DeValue<'_>) -> SettingValue {
+        match value {
+            DeValue::Boolean(value) => SettingValue::Boolean(*value),
+            DeValue::Integer(number) => i64::from_str_radix(number.as_str(), number.radix())
+                .map_or_else(
+                    |_| SettingValue::Other(number.to_string().into()),
+                    SettingValue::Integer,
+                ),
+            DeValue::Float(number) => number
+                .as_str()
+                .parse()
+                .map_or_else(|_| SettingValue::Other(number.as_str().into()), SettingValue::Number),
+            DeValue::String(text) => SettingValue::Text(text.as_ref().into()),
+            DeValue::Datetime(date) => SettingValue::Other(date.to_string().into()),
+            DeValue::Array(values) => SettingValue::List(
+                values.iter().map(|value| self.read_value(value.get_ref())).collect(),
+            ),
+            DeValue::Table(table) => SettingValue::Table(self.read_settings(table)),
+        }
+    }
+
+    fn read_settings(&self, table: &DeTable<'_>) -> Vec<Setting> {
+        let settings = table.iter().map(|(key, value)| Setting {
+            key: key.get_ref().as_ref().into(),
+            value: self.read_value(value.get_ref()),
+            line: self.line(key.span().start),
+        });
+        settings.collect()
+    }
+}
--- /dev/null
+++ b/coltsfootgate_config/src/error.rs
@@ -0,0 +1,124 @@
+//! What can be wrong with a tree, and where.
+
+use std::error::Error;
+use std::fmt::{self, Display, Formatter};
+use std::sync::Arc;
+
+use coltsfootgate_core::ids::BranchPath;
+
+/// One fault in a tree, with its place.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ConfigError {
+    /// The file or version that was read.
+    pub source: Arc<str>,
+    /// The line, counted from 1, where one is known.
+    pub line: Option<usize>,
+    /// The branch, where one is known.
+    pub branch: Option<BranchPath>,
+    /// The key, where the fault lies in one.
+    pub key: Option<Arc<str>>,
+    /// What is wrong.
+    pub fault: ConfigFault,
+}
+
+/// What is wrong in one place of a tree.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ConfigFault {
+    /// The text is not valid TOML.
+    Syntax(String),
+    /// The key does not exist in this kind of branch.
+    UnknownKey {
+        /// The known key that is spelled most alike.
+        nearest: Option<&'static str>,
+        /// All known keys.
+        known: String,
+    },
+    /// The value is of the wrong kind or out of bounds.
+    WrongValue {
+        /// The value that was found.
+        found: String,
+        /// The values that are allowed.
+        allowed: String,
+    },
+    /// A key that has no default is stated nowhere.
+    MissingKey {
+        /// The values that are allowed.
+        allowed: String,
+    },
+    /// The value must differ from all others and does not.
+    Duplicate {
+        /// The value that was found.
+        found: String,
+        /// The branch that states it first.
+        first: BranchPath,
+    },
+    /// A branch stands where it cannot.
+    Misplaced {
+        /// What was found.
+        found: String,
+        /// What is allowed.
+        allowed: String,
+    },
+}
+
+impl Display for ConfigFault {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Syntax(message) => write!(formatter, "not valid TOML: {message}"),
+            Self::UnknownKey { nearest: Some(nearest), known } => {
+                write!(formatter, "unknown key; nearest is `{nearest}`; allowed: {known}")
+            }
+            Self::UnknownKey { nearest: None, known } => {
+                write!(formatter, "unknown key; allowed: {known}")
+            }
+            Self::WrongValue { found, allowed } | Self::Misplaced { found, allowed } => {
+                write!(formatter, "found {found}; allowed: {allowed}")
+            }
+            Self::MissingKey { allowed } => {
+                write!(formatter, "stated neither here nor above; allowed: {allowed}")
+            }
+            Self::Duplicate { found, first } => {
+                write!(
+                    formatter,
+                    "found {found}, which {first} states already; allowed: one branch only"
+                )
+            }
+        }
+    }
+}
+
+impl Display for ConfigError {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.source)?;
+        if let Some(line) = self.line {
+            write!(formatter, ":{line}")?;
+        }
+        if let Some(branch) = &self.branch {
+            write!(formatter, ": {branch}")?;
+        }
+        if let Some(key) = &self.key {
+            write!(formatter, ": {key}")?;
+        }
+        write!(formatter, ": {}", self.fault)
+    }
+}
+
+impl Error for ConfigError {}
+
+/// Every fault that was found in a tree, in the order of the text.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ConfigErrors(pub Vec<ConfigError>);
+
+impl Display for ConfigErrors {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        for (position, error) in self.0.iter().enumerate() {
+            if position > 0 {
+                formatter.write_str("\n")?;
+            }
+            error.fmt(formatter)?;
+        }
+        Ok(())
+    }
+}
+
+impl Error for ConfigErrors {}
--- /dev/null
+++ b/coltsfootgate_config/src/pools.rs
@@ -0,0 +1,201 @@
+//! The pools of endpoints, by model and by path.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+
+use coltsfootgate_core::ids::{BranchPath, PoolId};
+use coltsfootgate_core::settings::{EndpointSettings, PoolSettings, RouteTarget};
+
+use crate::check::{FaultList, wrong_value};
+use crate::document::{BranchDocument, BranchNode};
+use crate::error::ConfigFault;
+use crate::resolve::SettingReader;
+use crate::schema::TreeKind;
+
+/// The pools by branch, model and path prefix.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PoolIndex {
+    pools: BTreeMap<PoolId, Arc<PoolSettings>>,
+    by_model: HashMap<Arc<str>, Arc<PoolSettings>>,
+    by_prefix: HashMap<Arc<str>, Arc<PoolSettings>>,
+}
+
+impl PoolIndex {
+    pub(crate) fn build(document: &BranchDocument, faults: &mut FaultList) -> Self {
+        let mut builder = PoolBuilder {
+            document,
+            faults,
+            index: Self::default(),
+            zones: SettingReader::new(document, document.root(TreeKind::Deployment)).texts("zones"),
+            addresses: HashMap::new(),
+        };
+        builder.walk(document.root(TreeKind::Pools));
+        builder.check_any();
+        builder.index
+    }
+
+    /// The pool that serves a model.
+    pub(crate) fn for_model(&self, model: &str) -> Option<&Arc<PoolSettings>> {
+        self.by_model.get(model)
+    }
+
+    /// The pool of the longest prefix of a path; a query is ignored.
+    pub(crate) fn for_path(&self, path: &str) -> Option<&Arc<PoolSettings>> {
+        let path = path.split('?').next().unwrap_or_default();
+        if let Some(pool) = self.by_prefix.get(format!("{path}/").as_str()) {
+            return Some(pool);
+        }
+        let prefixes = path.rmatch_indices('/').map(|(end, _)| &path[..=end]);
+        prefixes.into_iter().find_map(|prefix| self.by_prefix.get(prefix))
+    }
+
+    /// The pool with this branch.
+    pub(crate) fn pool(&self, id: &str) -> Option<&Arc<PoolSettings>> {
+        self.pools.get(id)
+    }
+
+    /// All pools, sorted by branch.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Arc<PoolSettings>> {
+        self.pools.values()
+    }
+
+    /// The names of all models, sorted.
+    pub(crate) fn models(&self) -> Vec<Arc<str>> {
+        let mut models: Vec<_> = self.by_model.keys().cloned().collect();
+        models.sort();
+        models
+    }
+}
+
+struct PoolBuilder<'a> {
+    document: &'a BranchDocument,
+    faults: &'a mut FaultList,
+    index: PoolIndex,
+    zones: Vec<Arc<str>>,
+    addresses: HashMap<Arc<str>, BranchPath>,
+}
+
+impl PoolBuilder<'_> {
+    /// Goes down from the root until a branch is a pool.
+    fn walk(&mut self, position: usize) {
+        let document = self.document;
+        let node = &document.nodes[position];
+        if is_pool(node) {
+            self.add_pool(position);
+            return;
+        }
+        if node.setting("address").is_some() {
+            let found = "an `address` outside a pool".into();
+            let allowed = "below a branch with `model` or `service`".into();
+            self.faults.branch(node, ConfigFault::Misplaced { found, allowed });
+        }
+        for child in &node.children {
+            self.walk(*child);
+        }
+    }
+
+    fn add_pool(&mut self, position: usize) {
+        let document = self.document;
+        let node = &document.nodes[position];
+        let reader = SettingReader::new(document, position);
+        let target = match (reader.text("model"), reader.text("service")) {
+            (Some(model), None) => RouteTarget::Model(model),
+            (None, Some(prefix)) => RouteTarget::Service(prefix),
+            (None, None) => return,
+            (Some(_), Some(_)) => {
+                let found = "both `model` and `service`".into();
+                let allowed = "one of the two".into();
+                self.faults.branch(node, ConfigFault::Misplaced { found, allowed });
+                return;
+            }
+        };
+        let mut endpoints = Vec::new();
+        self.collect_endpoints(position, &mut endpoints);
+        endpoints.sort_by(|left, right| left.id.cmp(&right.id));
+        let (resumes, silence) = (reader.boolean("resumes"), reader.duration("silence"));
+        let id = reader.path();
+        let pool = Arc::new(PoolSettings { id, target, resumes, silence, endpoints });
+        self.insert(node, pool);
+    }
+
+    fn insert(&mut self, node: &BranchNode, pool: Arc<PoolSettings>) {
+        let (index, name, key) = match &pool.target {
+            RouteTarget::Model(model) => (&mut self.index.by_model, model, "model"),
+            RouteTarget::Service(prefix) => (&mut self.index.by_prefix, prefix, "service"),
+        };
+        if let (Some(other), Some(setting)) = (index.get(name), node.setting(key)) {
+            let (found, first) = (setting.value.to_string(), other.id.clone());
+            self.faults.setting(node, setting, ConfigFault::Duplicate { found, first });
+        }
+        index.insert(name.clone(), pool.clone());
+        self.index.pools.insert(pool.id.clone(), pool);
+    }
+
+    fn collect_endpoints(&mut self, position: usize, endpoints: &mut Vec<EndpointSettings>) {
+        let document = self.document;
+        for child in &document.nodes[position].children {
+            let node = &document.nodes[*child];
+            if is_pool(node) {
+                let found = "a pool inside a pool".into();
+                let allowed = "pools side by side".into();
+                self.faults.branch(node, ConfigFault::Misplaced { found, allowed });
+            }
+            if node.setting("address").is_some() {
+                let endpoint = SettingReader::new(document, *child).endpoint();
+                self.check_endpoint(node, &endpoint);
+                endpoints.push(endpoint);
+            }
+            self.collect_endpoints(*child, endpoints);
+        }
+    }
+
+    fn check_endpoint(&mut self, node: &BranchNode, endpoint: &EndpointSettings) {
+        self.check_zone(node, endpoint);
+        self.check_address(node, endpoint);
+        if endpoint.slots > endpoint.slots_max {
+            let found = format!("slots = {} above slots_max", endpoint.slots);
+            let allowed = format!("1 to slots_max, here {}", endpoint.slots_max);
+            self.faults.branch(node, ConfigFault::WrongValue { found, allowed });
+        }
+        if !node.children.is_empty() {
+            let found = "branches below an endpoint".into();
+            let allowed = "endpoints side by side".into();
+            self.faults.branch(node, ConfigFault::Misplaced { found, allowed });
+        }
+    }
+
+    fn check_zone(&mut self, node: &BranchNode, endpoint: &EndpointSettings) {
+        if endpoint.zone.is_empty() {
+            self.faults.missing(node, "zone", "the name of an availability zone");
+        } else if !self.zones.is_empty() && !self.zones.contains(&endpoint.zone) {
+            let found = format!("zone {:?}", endpoint.zone);
+            let allowed = format!("the zones of `deployment`: {}", self.zones.join(", "));
+            self.faults.branch(node, ConfigFault::WrongValue { found, allowed });
+        }
+    }
+
+    fn check_address(&mut self, node: &BranchNode, endpoint: &EndpointSettings) {
+        let first = self.addresses.insert(endpoint.address.clone(), endpoint.id.clone());
+        if let (Some(first), Some(setting)) = (first, node.setting("address")) {
+            let found = setting.value.to_string();
+            self.faults.setting(node, setting, ConfigFault::Duplicate { found, first });
+        }
+    }
+
+    fn check_any(&mut self) {
+        if self.index.pools.is_empty() {
+            let root = &self.document.nodes[self.document.root(TreeKind::Pools)];
+            let allowed = "at least one pool, which is a branch with `model` or `service`";
+            self.faults.missing(root, "model", allowed);
+        }
+        let zones: HashSet<_> = self.zones.iter().collect();
+        let root = &self.document.nodes[self.document.root(TreeKind::Deployment)];
+        if let Some(setting) = root.setting("zones").filter(|_| zones.len() < self.zones.len()) {
+            self.faults.setting(root, setting, wrong_value(&setting.value, "each zone once"));
+        }
+    }
+}
+
+fn is_pool(node: &BranchNode) -> bool {
+    node.setting("model").is_some() || node.setting("service").is_some()
+}
--- /dev/null
+++ b/coltsfootgate_config/src/resolve.rs
@@ -0,0 +1,140 @@
+//! Reads settings of a branch with everything that it inherits.
+
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootgate_core::ids::{BranchPath, RequestTier};
+use coltsfootgate_core::settings::{
+    ClassSettings, CustomerSettings, DeploymentSettings, EndpointSettings, RoutingStrategy,
+};
+
+use crate::document::BranchDocument;
+use crate::value::{SettingValue, parse_duration};
+
+/// Reads the settings of one branch; values that the checks reject read as zero.
+pub(crate) struct SettingReader<'a> {
+    document: &'a BranchDocument,
+    position: usize,
+}
+
+impl<'a> SettingReader<'a> {
+    pub(crate) fn new(document: &'a BranchDocument, position: usize) -> Self {
+        Self { document, position }
+    }
+
+    pub(crate) fn class(&self) -> ClassSettings {
+        ClassSettings {
+            id: self.path(),
+            tier: RequestTier::new(self.integer("tier")).unwrap_or(RequestTier::LOWEST),
+            first_token: self.duration("first_token"),
+            between_tokens: self.duration("between_tokens"),
+            whole_answer: self.duration("whole_answer"),
+            floor: self.number("floor"),
+            queue_requests: self.integer("queue_requests"),
+            queue_tokens: self.integer("queue_tokens"),
+            repeatable: self.boolean("repeatable"),
+            retry_budget: self.number("retry_budget"),
+            attempts: self.integer("attempts"),
+            deadline: self.duration("deadline"),
+            resume: self.boolean("resume"),
+        }
+    }
+
+    pub(crate) fn customer(&self) -> CustomerSettings {
+        CustomerSettings {
+            id: self.path(),
+            weight: self.number("weight"),
+            rate: self.number("rate"),
+            burst: self.integer("burst"),
+            concurrency: self.integer("concurrency"),
+        }
+    }
+
+    pub(crate) fn endpoint(&self) -> EndpointSettings {
+        EndpointSettings {
+            id: self.path(),
+            address: self.text("address").unwrap_or_default(),
+            zone: self.text("zone").unwrap_or_default(),
+            slots: self.integer("slots"),
+            slots_max: self.integer("slots_max"),
+        }
+    }
+
+    pub(crate) fn deployment(&self) -> DeploymentSettings {
+        DeploymentSettings {
+            name: self.text("name").unwrap_or_default(),
+            strategy: self.strategy(),
+            claim_window: self.duration("claim_window"),
+            claim_pages: self.integer("claim_pages"),
+            kept_answer_bytes: self.integer("kept_answer_bytes"),
+        }
+    }
+
+    pub(crate) fn path(&self) -> BranchPath {
+        self.document.nodes[self.position].path.clone()
+    }
+
+    pub(crate) fn text(&self, key: &str) -> Option<Arc<str>> {
+        self.value(key)?.as_text().cloned()
+    }
+
+    pub(crate) fn texts(&self, key: &str) -> Vec<Arc<str>> {
+        self.value(key).and_then(SettingValue::as_texts).unwrap_or_default()
+    }
+
+    pub(crate) fn duration(&self, key: &str) -> Duration {
+        let stated = self.value(key).and_then(SettingValue::as_text);
+        let text = stated.map_or_else(|| self.default_text(key), |text| &**text);
+        parse_duration(text).unwrap_or_default()
+    }
+
+    pub(crate) fn boolean(&self, key: &str) -> bool {
+        match self.value(key) {
+            Some(value) => matches!(value, SettingValue::Boolean(true)),
+            None => self.default_value(key),
+        }
+    }
+
+    pub(crate) fn integer<N: TryFrom<i64> + FromStr + Default>(&self, key: &str) -> N {
+        match self.value(key) {
+            Some(SettingValue::Integer(number)) => N::try_from(*number).unwrap_or_default(),
+            Some(_) => N::default(),
+            None => self.default_value(key),
+        }
+    }
+
+    fn number(&self, key: &str) -> f64 {
+        match self.value(key) {
+            Some(value) => value.as_number().unwrap_or_default(),
+            None => self.default_value(key),
+        }
+    }
+
+    fn strategy(&self) -> RoutingStrategy {
+        match self.text("strategy").as_deref().unwrap_or_else(|| self.default_text("strategy")) {
+            "round-robin" => RoutingStrategy::RoundRobin,
+            "local-least-loaded" => RoutingStrategy::LocalLeastLoaded,
+            _ => RoutingStrategy::Cooperative,
+        }
+    }
+
+    fn value(&self, key: &str) -> Option<&'a SettingValue> {
+        let node = &self.document.nodes[self.position];
+        let setting = if node.kind.key(key)?.inherited {
+            self.document.stating_branch(self.position, key).map(|(_, setting)| setting)
+        } else {
+            node.setting(key)
+        };
+        setting.map(|setting| &setting.value)
+    }
+
+    fn default_value<V: FromStr + Default>(&self, key: &str) -> V {
+        self.default_text(key).parse().unwrap_or_default()
+    }
+
+    fn default_text(&self, key: &str) -> &'static str {
+        let spec = self.document.nodes[self.position].kind.key(key);
+        spec.and_then(|spec| spec.default).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/coltsfootgate_config/src/schema.rs
@@ -0,0 +1,242 @@
+//! The keys that each kind of branch may state, with bounds and defaults.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coltsfootgate_core::ids::TIER_COUNT;
+
+use crate::value::{SettingValue, parse_duration};
+
+/// The bytes of a SHA-256 digest in hexadecimal.
+const DIGEST_HEX_BYTES: usize = 64;
+/// The longest text that a setting may hold, in bytes.
+const TEXT_BYTES: usize = 256;
+
+const MICROSECOND: Duration = Duration::from_micros(1);
+const MILLISECOND: Duration = Duration::from_millis(1);
+const MINUTE: Duration = Duration::from_secs(60);
+const HOUR: Duration = Duration::from_secs(3600);
+const DAY: Duration = Duration::from_secs(86400);
+
+/// The trees that a document holds.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum TreeKind {
+    /// Settings of the deployment as a whole; has no branches.
+    Deployment,
+    /// Classes of requests.
+    Classes,
+    /// Customers.
+    Customers,
+    /// Pools and their endpoints.
+    Pools,
+}
+
+impl TreeKind {
+    /// Every tree, in the order of a rendered document.
+    pub const ALL: [Self; 4] = [Self::Deployment, Self::Classes, Self::Customers, Self::Pools];
+
+    /// The name of the root.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Deployment => "deployment",
+            Self::Classes => "classes",
+            Self::Customers => "customers",
+            Self::Pools => "pools",
+        }
+    }
+
+    /// The tree with this name of a root.
+    pub fn by_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.name() == name)
+    }
+
+    /// The keys that branches of this tree may state.
+    pub fn keys(self) -> &'static [KeySpec] {
+        match self {
+            Self::Deployment => DEPLOYMENT_KEYS,
+            Self::Classes => CLASS_KEYS,
+            Self::Customers => CUSTOMER_KEYS,
+            Self::Pools => POOL_KEYS,
+        }
+    }
+
+    /// The specification of one key of this tree.
+    pub fn key(self, name: &str) -> Option<&'static KeySpec> {
+        self.keys().iter().find(|spec| spec.name == name)
+    }
+
+    /// Whether tables below the root are branches.
+    pub(crate) fn has_branches(self) -> bool {
+        self != Self::Deployment
+    }
+
+    /// Whether a key holds a table that is no branch.
+    pub(crate) fn is_table_key(self, name: &str) -> bool {
+        self.key(name).is_some_and(|spec| matches!(spec.kind, ValueKind::Match))
+    }
+}
+
+/// One key that a branch may state.
+#[derive(Debug)]
+pub struct KeySpec {
+    /// The key.
+    pub name: &'static str,
+    /// The values that it allows.
+    pub kind: ValueKind,
+    /// The value where no branch states one, as it would be written.
+    pub default: Option<&'static str>,
+    /// Whether branches below take the value over.
+    pub inherited: bool,
+}
+
+/// The values that a key allows.
+#[derive(Clone, Copy, Debug)]
+pub enum ValueKind {
+    /// A duration with its unit, within bounds.
+    Duration(Duration, Duration),
+    /// A whole number within bounds.
+    Integer(i64, i64),
+    /// A number within bounds.
+    Number(f64, f64),
+    /// `true` or `false`.
+    Boolean,
+    /// A text that is not empty.
+    Text,
+    /// A list of texts.
+    TextList,
+    /// One of these words.
+    Word(&'static [&'static str]),
+    /// A list of SHA-256 digests in hexadecimal.
+    Digests,
+    /// An IP address and port.
+    Address,
+    /// The prefix of paths of a service.
+    PathPrefix,
+    /// The conditions of a class.
+    Match,
+}
+
+impl ValueKind {
+    /// Whether a value is allowed.
+    pub(crate) fn allows(self, value: &SettingValue) -> bool {
+        match self {
+            Self::Duration(least, most) => {
+                let duration = value.as_text().and_then(|text| parse_duration(text));
+                duration.is_some_and(|duration| (least..=most).contains(&duration))
+            }
+            Self::Integer(least, most) => {
+                matches!(value, SettingValue::Integer(number) if (least..=most).contains(number))
+            }
+            Self::Number(least, most) => {
+                value.as_number().is_some_and(|number| (least..=most).contains(&number))
+            }
+            Self::Boolean => matches!(value, SettingValue::Boolean(_)),
+            Self::Text => value.as_text().is_some_and(|text| is_plain_text(text)),
+            Self::TextList => {
+                let texts = value.as_texts();
+                texts.is_some_and(|texts| texts.iter().all(|text| is_plain_text(text)))
+            }
+            Self::Word(words) => value.as_text().is_some_and(|text| words.contains(&&**text)),
+            Self::Digests => {
+                let texts = value.as_texts();
+                texts.is_some_and(|texts| texts.iter().all(|text| is_digest(text)))
+            }
+            Self::Address => value.as_text().is_some_and(|text| text.parse::<SocketAddr>().is_ok()),
+            Self::PathPrefix => value.as_text().is_some_and(|text| is_path_prefix(text)),
+            Self::Match => matches!(value, SettingValue::Table(_)),
+        }
+    }
+
+    /// Describes the allowed values for an error.
+    pub(crate) fn description(self) -> String {
+        match self {
+            Self::Duration(least, most) => format!(
+                "a duration with its unit (us, ms, s, min, h, d) from {least:?} to {most:?}, such as \"250 ms\""
+            ),
+            Self::Integer(least, most) => format!("a whole number from {least} to {most}"),
+            Self::Number(least, most) => format!("a number from {least} to {most}"),
+            Self::Boolean => "true or false".into(),
+            Self::Text => format!("a text of 1 to {TEXT_BYTES} printable characters"),
+            Self::TextList => "a text or a list of texts".into(),
+            Self::Word(words) => words.join(", "),
+            Self::Digests => "a list of SHA-256 digests, each 64 hexadecimal digits".into(),
+            Self::Address => "an IP address and port, such as \"10.0.0.7:8000\"".into(),
+            Self::PathPrefix => {
+                "a path prefix that starts and ends with \"/\", outside \"/v1/\"".into()
+            }
+            Self::Match => "a table of customer, model, method, path and header".into(),
+        }
+    }
+}
+
+fn is_plain_text(text: &str) -> bool {
+    !text.is_empty() && text.len() <= TEXT_BYTES && !text.chars().any(char::is_control)
+}
+
+fn is_digest(text: &str) -> bool {
+    text.len() == DIGEST_HEX_BYTES && text.bytes().all(|byte| byte.is_ascii_hexdigit())
+}
+
+fn is_path_prefix(text: &str) -> bool {
+    let encloses = text.starts_with('/') && text.ends_with('/');
+    encloses && is_plain_text(text) && !text.starts_with("/v1/") && !text.contains("//")
+}
+
+const fn inherited(name: &'static str, kind: ValueKind, default: &'static str) -> KeySpec {
+    KeySpec { name, kind, default: Some(default), inherited: true }
+}
+
+const fn stated(name: &'static str, kind: ValueKind) -> KeySpec {
+    KeySpec { name, kind, default: None, inherited: false }
+}
+
+const DEPLOYMENT_KEYS: &[KeySpec] = &[
+    stated("name", ValueKind::Text),
+    stated("zones", ValueKind::TextList),
+    inherited(
+        "strategy",
+        ValueKind::Word(&["cooperative", "round-robin", "local-least-loaded"]),
+        "cooperative",
+    ),
+    inherited("claim_window", ValueKind::Duration(MINUTE, Duration::from_secs(30 * 86400)), "24 h"),
+    inherited("claim_pages", ValueKind::Integer(1, 4096), "64"),
+    inherited("kept_answer_bytes", ValueKind::Integer(0, 65536), "4096"),
+];
+
+const CLASS_KEYS: &[KeySpec] = &[
+    stated("match", ValueKind::Match),
+    inherited("tier", ValueKind::Integer(1, TIER_COUNT as i64), "4"),
+    inherited("first_token", ValueKind::Duration(MILLISECOND, HOUR), "2 s"),
+    inherited("between_tokens", ValueKind::Duration(MICROSECOND, MINUTE), "100 ms"),
+    inherited("whole_answer", ValueKind::Duration(MILLISECOND, DAY), "30 s"),
+    inherited("floor", ValueKind::Number(0.0, 0.5), "0.0"),
+    inherited("queue_requests", ValueKind::Integer(0, 1_000_000), "1000"),
+    inherited("queue_tokens", ValueKind::Integer(0, 1_000_000_000), "500000"),
+    inherited("repeatable", ValueKind::Boolean, "true"),
+    inherited("retry_budget", ValueKind::Number(0.0, 1.0), "0.1"),
+    inherited("attempts", ValueKind::Integer(1, 10), "3"),
+    inherited("deadline", ValueKind::Duration(MILLISECOND, DAY), "60 s"),
+    inherited("resume", ValueKind::Boolean, "true"),
+];
+
+const CUSTOMER_KEYS: &[KeySpec] = &[
+    stated("keys", ValueKind::Digests),
+    inherited("weight", ValueKind::Number(0.01, 1000.0), "1.0"),
+    inherited("rate", ValueKind::Number(0.01, 1_000_000.0), "50.0"),
+    inherited("burst", ValueKind::Integer(1, 1_000_000), "50"),
+    inherited("concurrency", ValueKind::Integer(1, 1_000_000), "100"),
+];
+
+const POOL_KEYS: &[KeySpec] = &[
+    stated("model", ValueKind::Text),
+    stated("service", ValueKind::PathPrefix),
+    stated("address", ValueKind::Address),
+    inherited("resumes", ValueKind::Boolean, "false"),
+    inherited("silence", ValueKind::Duration(MILLISECOND, HOUR), "10 s"),
+    KeySpec { name: "zone", kind: ValueKind::Text, default: None, inherited: true },
+    inherited("slots", ValueKind::Integer(1, 65536), "8"),
+    inherited("slots_max", ValueKind::Integer(1, 65536), "64"),
+];
+
+/// The keys inside `match`.
+pub(crate) const MATCH_KEYS: [&str; 5] = ["customer", "model", "method", "path", "header"];
--- /dev/null
+++ b/coltsfootgate_config/src/trace.rs
@@ -0,0 +1,84 @@
+//! Traces each value in force to the branch that set it.
+
+use std::sync::Arc;
+
+use coltsfootgate_core::ids::BranchPath;
+use serde::Serialize;
+
+use crate::document::{BranchDocument, BranchNode};
+use crate::schema::KeySpec;
+use crate::tree::ConfigTree;
+use crate::value::Setting;
+
+/// A value in force for a branch, with its origin.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct TracedValue {
+    /// The key.
+    pub key: Arc<str>,
+    /// The value as the text or the default states it.
+    pub value: Arc<str>,
+    /// The branch that set the value; none where the default holds.
+    pub branch: Option<BranchPath>,
+    /// The line that set the value, counted from 1.
+    pub line: Option<usize>,
+}
+
+impl ConfigTree {
+    /// The value of a key for a branch, with its origin.
+    ///
+    /// Gives nothing for an unknown branch or key, or for a key without a value there.
+    pub fn trace(&self, branch: &str, key: &str) -> Option<TracedValue> {
+        let document = self.document();
+        let position = document.position(branch)?;
+        trace_key(document, position, document.nodes[position].kind.key(key)?)
+    }
+
+    /// The values of all keys for a branch; nothing for an unknown branch.
+    pub fn traces(&self, branch: &str) -> Vec<TracedValue> {
+        let document = self.document();
+        let Some(position) = document.position(branch) else {
+            return Vec::new();
+        };
+        let keys = document.nodes[position].kind.keys();
+        keys.iter().filter_map(|spec| trace_key(document, position, spec)).collect()
+    }
+
+    /// The branch that sets a key for a branch; nothing where the default holds.
+    pub fn setting_branch(&self, branch: &str, key: &str) -> Option<BranchPath> {
+        let document = self.document();
+        let position = document.position(branch)?;
+        let spec = document.nodes[position].kind.key(key)?;
+        stating(document, position, spec).map(|(node, _)| node.path.clone())
+    }
+}
+
+fn trace_key(document: &BranchDocument, position: usize, spec: &KeySpec) -> Option<TracedValue> {
+    let key = spec.name.into();
+    match stating(document, position, spec) {
+        Some((node, setting)) => {
+            let value = setting.value.to_string().into();
+            Some(TracedValue {
+                key,
+                value,
+                branch: Some(node.path.clone()),
+                line: Some(setting.line),
+            })
+        }
+        None => {
+            let value = spec.default?.into();
+            Some(TracedValue { key, value, branch: None, line: None })
+        }
+    }
+}
+
+fn stating<'a>(
+    document: &'a BranchDocument,
+    position: usize,
+    spec: &KeySpec,
+) -> Option<(&'a BranchNode, &'a Setting)> {
+    if spec.inherited {
+        return document.stating_branch(position, spec.name);
+    }
+    let node = &document.nodes[position];
+    node.setting(spec.name).map(|setting| (node, setting))
+}
--- /dev/null
+++ b/coltsfootgate_config/src/value.rs
@@ -0,0 +1,138 @@
+//! Values of settings, and the units in them.
+
+use std::fmt::{self, Display, Formatter};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Units of durations, with their length in seconds.
+const DURATION_UNITS: [(&str, f64); 6] =
+    [("us", 1e-6), ("ms", 1e-3), ("s", 1.0), ("min", 60.0), ("h", 3600.0), ("d", 86400.0)];
+
+/// A value as the text states it.
+#[derive(Clone, Debug)]
+pub enum SettingValue {
+    /// `true` or `false`.
+    Boolean(bool),
+    /// A whole number.
+    Integer(i64),
+    /// A number with a fraction.
+    Number(f64),
+    /// A text.
+    Text(Arc<str>),
+    /// A list of values.
+    List(Vec<SettingValue>),
+    /// A table of keys, only in `match`.
+    Table(Vec<Setting>),
+    /// A date, or a number out of range, which no key allows.
+    Other(Arc<str>),
+}
+
+/// A key with the value that a branch states for it.
+#[derive(Clone, Debug)]
+pub struct Setting {
+    /// The key.
+    pub key: Arc<str>,
+    /// The value.
+    pub value: SettingValue,
+    /// The line of the key, counted from 1.
+    pub line: usize,
+}
+
+impl SettingValue {
+    /// The text of a text value.
+    pub fn as_text(&self) -> Option<&Arc<str>> {
+        match self {
+            Self::Text(text) => Some(text),
+            _ => None,
+        }
+    }
+
+    /// The number of an integer or fractional value.
+    pub fn as_number(&self) -> Option<f64> {
+        match self {
+            Self::Integer(number) => Some(*number as f64),
+            Self::Number(number) => Some(*number),
+            _ => None,
+        }
+    }
+
+    /// The texts of a list of texts, or of one text alone.
+    pub fn as_texts(&self) -> Option<Vec<Arc<str>>> {
+        match self {
+            Self::Text(text) => Some(vec![text.clone()]),
+            Self::List(values) => values.iter().map(|value| value.as_text().cloned()).collect(),
+            _ => None,
+        }
+    }
+}
+
+impl Display for SettingValue {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Boolean(value) => value.fmt(formatter),
+            Self::Integer(number) => number.fmt(formatter),
+            Self::Number(number) => write!(formatter, "{number:?}"),
+            Self::Text(text) => write_quoted(formatter, text),
+            Self::Other(text) => formatter.write_str(text),
+            Self::List(values) => {
+                formatter.write_str("[")?;
+                for (position, value) in values.iter().enumerate() {
+                    formatter.write_str(if position > 0 { ", " } else { "" })?;
+                    value.fmt(formatter)?;
+                }
+                formatter.write_str("]")
+            }
+            Self::Table(settings) => {
+                formatter.write_str("{")?;
+                for (position, setting) in settings.iter().enumerate() {
+                    formatter.write_str(if position > 0 { ", " } else { " " })?;
+                    write_key(formatter, &setting.key)?;
+                    write!(formatter, " = {}", setting.value)?;
+                }
+                formatter.write_str(" }")
+            }
+        }
+    }
+}
+
+/// Writes a key of TOML, quoted where it must be.
+pub(crate) fn write_key(formatter: &mut Formatter<'_>, key: &str) -> fmt::Result {
+    if is_bare_key(key) { formatter.write_str(key) } else { write_quoted(formatter, key) }
+}
+
+/// Whether a key needs no quotes.
+pub(crate) fn is_bare_key(key: &str) -> bool {
+    !key.is_empty() && key.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_".contains(&byte))
+}
+
+fn write_quoted(formatter: &mut Formatter<'_>, text: &str) -> fmt::Result {
+    formatter.write_str("\"")?;
+    for character in text.chars() {
+        match character {
+            '"' => formatter.write_str("\\\"")?,
+            '\\' => formatter.write_str("\\\\")?,
+            control if control.is_control() => {
+                write!(formatter, "\\U{:08X}", u32::from(control))?;
+            }
+            other => write!(formatter, "{other}")?,
+        }
+    }
+    formatter.write_str("\"")
+}
+
+/// Reads a duration with its unit, such as `250 ms`, `1.5 s` or `24 h`.
+///
+/// The units are `us`, `ms`, `s`, `min`, `h` and `d`. Gives nothing for a text without a unit,
+/// with an unknown one, or with a number that is negative or not finite.
+pub fn parse_duration(text: &str) -> Option<Duration> {
+    let text = text.trim();
+    let unit_start = text.find(|character: char| character.is_ascii_alphabetic())?;
+    let (number, unit) = text.split_at(unit_start);
+    let number = number.trim_end();
+    if !number.starts_with(|character: char| character.is_ascii_digit()) {
+        return None;
+    }
+    let seconds = DURATION_UNITS.iter().find(|(name, _)| *name == unit)?.1;
+    let number: f64 = number.parse().ok()?;
+    Duration::try_from_secs_f64(number * seconds).ok()
+}
