Count outcomes, reasons, waits and tokens for prometheus

The set is registered at start, with a zero for every reason of the closed list, so that a rate holds from the first event.

--- a/coltsfootgate/src/lib.rs
+++ b/coltsfootgate/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod endpoint;
 pub mod entry;
 pub mod logging;
+pub mod metrics;
 pub mod options;
 pub mod platform;
 pub mod shutdown;
--- /dev/null
+++ b/coltsfootgate/src/metrics.rs
@@ -0,0 +1,381 @@
+//! Counters and histograms of the daemon, in the form that prometheus reads.
+
+#[cfg(test)]
+mod tests;
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
+};
+
+use coltsfootgate_core::ids::ConfigVersion;
+use coltsfootgate_core::outcome::RequestOutcome;
+use coltsfootgate_core::reason::ErrorKind;
+
+/// Class label of requests that ended before they had a class.
+pub const NO_CLASS: &str = "-";
+
+/// Bounds of the histograms of waits and answers, in seconds.
+const SECONDS_BUCKETS: &[f64] = &[
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.94, 1.5, 2.5, 5.0, 10.0, 30.0, 120.0,
+];
+/// Bounds of the histogram of the time between tokens, in seconds.
+const TOKEN_BUCKETS: &[f64] =
+    &[0.001, 0.0025, 0.005, 0.01, 0.015, 0.02, 0.034, 0.05, 0.1, 0.25, 1.0, 5.0];
+
+/// A latency target of a class.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum LatencyTarget {
+    /// Time to the first token.
+    FirstToken,
+    /// Time between two tokens, for all tokens of an answer.
+    BetweenTokens,
+    /// Time to the whole answer.
+    WholeAnswer,
+}
+
+impl LatencyTarget {
+    /// The name used as a label.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::FirstToken => "first-token",
+            Self::BetweenTokens => "between-tokens",
+            Self::WholeAnswer => "whole-answer",
+        }
+    }
+}
+
+/// Who is on the other side of a connection.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum ConnectionSide {
+    /// A caller.
+    Callers,
+    /// Another instance.
+    Peers,
+    /// An operator or a monitoring system.
+    Operators,
+    /// A model engine or plain service.
+    Endpoints,
+}
+
+impl ConnectionSide {
+    /// The name used as a label.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Callers => "callers",
+            Self::Peers => "peers",
+            Self::Operators => "operators",
+            Self::Endpoints => "endpoints",
+        }
+    }
+}
+
+/// Counts a connection as open until it is dropped.
+#[derive(Debug)]
+pub struct ConnectionCount(IntGauge);
+
+impl Drop for ConnectionCount {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
+/// All metrics of one daemon; clones share the same values.
+#[derive(Clone, Debug)]
+pub struct DaemonMetrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    refusals: IntCounterVec,
+    retries: IntCounterVec,
+    targets: IntCounterVec,
+    tokens: IntCounterVec,
+    waits: HistogramVec,
+    first_token: HistogramVec,
+    between_tokens: HistogramVec,
+    whole_answer: HistogramVec,
+    connections: IntGaugeVec,
+    connections_refused: IntCounterVec,
+    peer_bytes: IntCounterVec,
+    peer_faults: IntCounterVec,
+    platform_calls: IntCounterVec,
+    config_version: IntGauge,
+    config_refused: IntCounterVec,
+    answers_mismatched: IntCounterVec,
+    instances: IntGaugeVec,
+    waiting: IntGaugeVec,
+    loop_delay: Histogram,
+}
+
+/// Registers the metrics; a name that is taken or not valid is a fault of this file.
+struct MetricRegistrar(Registry);
+
+impl MetricRegistrar {
+    fn register<T: prometheus::core::Collector + Clone + 'static>(
+        &self,
+        metric: prometheus::Result<T>,
+    ) -> T {
+        let metric = metric.expect("a metric has a valid name");
+        self.0.register(Box::new(metric.clone())).expect("a metric's name is its own");
+        metric
+    }
+
+    fn counters(&self, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+        let name = format!("coltsfootgate_{name}_total");
+        self.register(IntCounterVec::new(Opts::new(name, help), labels))
+    }
+
+    fn gauges(&self, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+        self.register(IntGaugeVec::new(Opts::new(format!("coltsfootgate_{name}"), help), labels))
+    }
+
+    fn histograms(&self, name: &str, help: &str, buckets: &[f64]) -> HistogramVec {
+        let name = format!("coltsfootgate_{name}_seconds");
+        let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+        self.register(HistogramVec::new(options, &["class"]))
+    }
+}
+
+impl Default for DaemonMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl DaemonMetrics {
+    /// Makes a fresh set, with a zero for every reason of the closed list.
+    pub fn new() -> Self {
+        let registrar = MetricRegistrar(Registry::new());
+        let metrics = Self {
+            requests: registrar.counters(
+                "requests",
+                "Requests that ended, by class and outcome.",
+                &["class", "outcome"],
+            ),
+            refusals: registrar.counters(
+                "refusals",
+                "Requests that did not complete, by class and reason.",
+                &["class", "reason"],
+            ),
+            retries: registrar.counters(
+                "retries",
+                "Attempts after the first, by class and the reason the one before ended.",
+                &["class", "reason"],
+            ),
+            targets: registrar.counters(
+                "targets",
+                "Latency targets met and missed, by class.",
+                &["class", "target", "met"],
+            ),
+            tokens: registrar.counters(
+                "tokens",
+                "Tokens that reached a caller in a completed answer (goodput) and all others (wasted).",
+                &["class", "use"],
+            ),
+            waits: registrar.histograms(
+                "wait",
+                "Time from a request's arrival to its first dispatch.",
+                SECONDS_BUCKETS,
+            ),
+            first_token: registrar.histograms(
+                "first_token",
+                "Time from a request's arrival to the first token sent to its caller.",
+                SECONDS_BUCKETS,
+            ),
+            between_tokens: registrar.histograms(
+                "between_tokens",
+                "Time between two tokens sent to a caller.",
+                TOKEN_BUCKETS,
+            ),
+            whole_answer: registrar.histograms(
+                "whole_answer",
+                "Time from a request's arrival to the end of its answer.",
+                SECONDS_BUCKETS,
+            ),
+            connections: registrar.gauges("connections", "Open connections.", &["side"]),
+            connections_refused: registrar.counters(
+                "connections_refused",
+                "Connections closed at once because the bound was reached.",
+                &["side"],
+            ),
+            peer_bytes: registrar.counters(
+                "peer_bytes",
+                "Bytes of messages between instances, by direction.",
+                &["direction"],
+            ),
+            peer_faults: registrar.counters(
+                "peer_faults",
+                "Connections between instances that were refused or dropped, by cause.",
+                &["cause"],
+            ),
+            platform_calls: registrar.counters(
+                "platform_calls",
+                "Calls to the platform's service, by call and result.",
+                &["call", "result"],
+            ),
+            config_version: registrar.register(IntGauge::new(
+                "coltsfootgate_config_version",
+                "Version of the tree in force; 0 while there is none.",
+            )),
+            config_refused: registrar.counters(
+                "config_refused",
+                "Versions of the tree that were not taken, by cause.",
+                &["cause"],
+            ),
+            answers_mismatched: registrar.counters(
+                "answers_mismatched",
+                "Answers dropped because they named another request.",
+                &["class"],
+            ),
+            instances: registrar.gauges(
+                "instances",
+                "Other instances as this one knows them, by state.",
+                &["state"],
+            ),
+            waiting: registrar.gauges(
+                "waiting_requests",
+                "Requests waiting in the queues owned here, by tier.",
+                &["tier"],
+            ),
+            loop_delay: registrar.register(Histogram::with_opts(
+                HistogramOpts::new(
+                    "coltsfootgate_loop_delay_seconds",
+                    "How late a timer of the process's single thread fires.",
+                )
+                .buckets(TOKEN_BUCKETS.to_vec()),
+            )),
+            registry: registrar.0,
+        };
+        metrics.show_zeros();
+        metrics
+    }
+
+    /// Counts a request that ended; `reason` is `None` if it completed.
+    pub fn request_ended(&self, class: &str, outcome: RequestOutcome, reason: Option<ErrorKind>) {
+        self.requests.with_label_values(&[class, outcome.name()]).inc();
+        if let Some(reason) = reason {
+            self.refusals.with_label_values(&[class, reason.code()]).inc();
+        }
+    }
+
+    /// Counts a further attempt, with the reason for which the one before ended.
+    pub fn retried(&self, class: &str, reason: ErrorKind) {
+        self.retries.with_label_values(&[class, reason.code()]).inc();
+    }
+
+    /// Counts a latency target as met or missed.
+    pub fn target_settled(&self, class: &str, target: LatencyTarget, met: bool) {
+        let met = if met { "yes" } else { "no" };
+        self.targets.with_label_values(&[class, target.name(), met]).inc();
+    }
+
+    /// Counts tokens of a settled request: those of a completed answer, and those paid in vain.
+    pub fn tokens_settled(&self, class: &str, goodput: u64, wasted: u64) {
+        self.tokens.with_label_values(&[class, "goodput"]).inc_by(goodput);
+        self.tokens.with_label_values(&[class, "wasted"]).inc_by(wasted);
+    }
+
+    /// Notes the time from arrival to the first dispatch.
+    pub fn waited(&self, class: &str, time: Duration) {
+        self.waits.with_label_values(&[class]).observe(time.as_secs_f64());
+    }
+
+    /// Notes the time from arrival to the first token.
+    pub fn first_token(&self, class: &str, time: Duration) {
+        self.first_token.with_label_values(&[class]).observe(time.as_secs_f64());
+    }
+
+    /// The histogram of the time between tokens of a class, to be kept while a stream runs.
+    pub fn between_tokens(&self, class: &str) -> Histogram {
+        self.between_tokens.with_label_values(&[class])
+    }
+
+    /// Notes the time from arrival to the end of the answer.
+    pub fn whole_answer(&self, class: &str, time: Duration) {
+        self.whole_answer.with_label_values(&[class]).observe(time.as_secs_f64());
+    }
+
+    /// Counts a connection as open until the returned value is dropped.
+    pub fn connection_opened(&self, side: ConnectionSide) -> ConnectionCount {
+        let gauge = self.connections.with_label_values(&[side.name()]);
+        gauge.inc();
+        ConnectionCount(gauge)
+    }
+
+    /// How many connections are open.
+    pub fn open_connections(&self, side: ConnectionSide) -> usize {
+        usize::try_from(self.connections.with_label_values(&[side.name()]).get()).unwrap_or(0)
+    }
+
+    /// Counts a connection that was closed at once because the bound was reached.
+    pub fn connection_refused(&self, side: ConnectionSide) {
+        self.connections_refused.with_label_values(&[side.name()]).inc();
+    }
+
+    /// Counts bytes of messages that were sent to another instance.
+    pub fn peer_bytes_sent(&self, bytes: usize) {
+        self.peer_bytes.with_label_values(&["sent"]).inc_by(bytes as u64);
+    }
+
+    /// Counts bytes of messages that were received from another instance.
+    pub fn peer_bytes_received(&self, bytes: usize) {
+        self.peer_bytes.with_label_values(&["received"]).inc_by(bytes as u64);
+    }
+
+    /// Counts a connection between instances that was refused or dropped.
+    pub fn peer_fault(&self, cause: &str) {
+        self.peer_faults.with_label_values(&[cause]).inc();
+    }
+
+    /// Counts a call to the platform's service.
+    pub fn platform_called(&self, call: &str, result: &str) {
+        self.platform_calls.with_label_values(&[call, result]).inc();
+    }
+
+    /// Notes the version of the tree in force.
+    pub fn config_in_force(&self, version: ConfigVersion) {
+        self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
+    /// Counts a version of the tree that was not taken.
+    pub fn config_refused(&self, cause: &str) {
+        self.config_refused.with_label_values(&[cause]).inc();
+    }
+
+    /// Counts an answer that named another request and was dropped.
+    pub fn answer_mismatched(&self, class: &str) {
+        self.answers_mismatched.with_label_values(&[class]).inc();
+    }
+
+    /// Notes how many other instances are in a state.
+    pub fn instances_known(&self, state: &str, count: usize) {
+        self.instances.with_label_values(&[state]).set(count as i64);
+    }
+
+    /// Notes how many requests of a tier wait in the queues owned here.
+    pub fn requests_waiting(&self, tier: u8, count: usize) {
+        self.waiting.with_label_values(&[&tier.to_string()]).set(count as i64);
+    }
+
+    /// Notes how late a timer fired.
+    pub fn loop_delayed(&self, time: Duration) {
+        self.loop_delay.observe(time.as_secs_f64());
+    }
+
+    /// All metrics as prometheus text.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // Writing to memory fails only for a family without metrics, which are left out above.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+
+    /// Shows a zero for every reason, so that a rate can be taken from the first one on.
+    fn show_zeros(&self) {
+        for kind in ErrorKind::ALL {
+            self.refusals.with_label_values(&[NO_CLASS, kind.code()]).inc_by(0);
+            self.retries.with_label_values(&[NO_CLASS, kind.code()]).inc_by(0);
+        }
+    }
+}
--- /dev/null
+++ b/coltsfootgate/src/metrics/tests.rs
@@ -0,0 +1,42 @@
+//! Tests of the metrics' text.
+
+use super::*;
+
+fn text(metrics: &DaemonMetrics) -> String {
+    String::from_utf8(metrics.encode()).unwrap()
+}
+
+#[test]
+fn every_reason_is_shown_from_the_start() {
+    let text = text(&DaemonMetrics::new());
+    for kind in ErrorKind::ALL {
+        for family in ["refusals", "retries"] {
+            let line = format!("coltsfootgate_{family}_total{{class=\"-\",reason=\"{kind}\"}} 0");
+            assert!(text.contains(&line), "{line}");
+        }
+    }
+}
+
+#[test]
+fn a_refusal_counts_by_class_and_reason() {
+    let metrics = DaemonMetrics::new();
+    metrics.request_ended("classes.a", RequestOutcome::NotRun, Some(ErrorKind::QueueFull));
+    metrics.request_ended("classes.a", RequestOutcome::Completed, None);
+    let text = text(&metrics);
+    for line in [
+        "coltsfootgate_refusals_total{class=\"classes.a\",reason=\"queue-full\"} 1",
+        "coltsfootgate_requests_total{class=\"classes.a\",outcome=\"not-run\"} 1",
+        "coltsfootgate_requests_total{class=\"classes.a\",outcome=\"completed\"} 1",
+    ] {
+        assert!(text.contains(line), "{text}");
+    }
+}
+
+#[test]
+fn a_connection_counts_until_it_is_dropped() {
+    let metrics = DaemonMetrics::new();
+    let count = metrics.connection_opened(ConnectionSide::Callers);
+    assert_eq!(metrics.open_connections(ConnectionSide::Callers), 1);
+    drop(count);
+    assert_eq!(metrics.open_connections(ConnectionSide::Callers), 0);
+}
