Add the owner of a pool: queue by tier, ledger of grants, choice of endpoint

Every endpoint has one owner, which keeps the grants in flight and the queue in tier order. The decisions take an event and the time and return actions, so that they replay exactly. Tiers are strict above the floors; customers of a tier share by weight; slots adapt to the time between tokens; stragglers get less and come back by probes.

--- a/coltsfootgate_core/src/lib.rs
+++ b/coltsfootgate_core/src/lib.rs
@@ -1,10 +1,12 @@
 //! Every decision of coltsfootgate, as pure functions of state, event and time.
 
+pub mod estimate;
 pub mod gossip;
 pub mod head;
 pub mod ids;
 pub mod membership;
 pub mod outcome;
+pub mod owner;
 pub mod prelude;
 pub mod reason;
 pub mod rendezvous;
--- /dev/null
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -0,0 +1,287 @@
+//! The endpoints of an owner and the choice among them.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use super::concurrency::AdaptiveSlots;
+use super::event::{GrantRequest, ReleaseReport, ReleaseResult};
+use super::ledger::GrantLedger;
+use super::straggler::{EndpointHealth, EndpointState};
+use crate::ids::EndpointId;
+use crate::settings::EndpointSettings;
+
+/// Extra load, as a share of its slots, that a warm cache is worth to an endpoint.
+const AFFINITY_WORTH: f64 = 0.25;
+
+/// One endpoint and what its owner knows of it.
+#[derive(Clone, Debug)]
+pub struct OwnedEndpoint {
+    settings: EndpointSettings,
+    slots: AdaptiveSlots,
+    health: EndpointHealth,
+    in_flight: u32,
+    is_leaving: bool,
+    is_owned: bool,
+    last_grant: u64,
+}
+
+impl OwnedEndpoint {
+    fn new(settings: EndpointSettings) -> Self {
+        let slots = AdaptiveSlots::new(settings.slots, settings.slots_max);
+        Self {
+            settings,
+            slots,
+            health: EndpointHealth::default(),
+            in_flight: 0,
+            is_leaving: false,
+            is_owned: true,
+            last_grant: 0,
+        }
+    }
+
+    fn is_in_service(&self) -> bool {
+        self.is_owned && !self.is_leaving && self.health.state() != EndpointState::Ejected
+    }
+
+    /// Requests it may run at once now.
+    fn limit(&self, now: Instant) -> u32 {
+        if self.is_in_service() { self.health.allowance(self.slots.limit(), now) } else { 0 }
+    }
+
+    fn free(&self, now: Instant) -> u32 {
+        match self.health.state() {
+            EndpointState::Probing if self.in_flight > 0 => 0,
+            _ => self.limit(now).saturating_sub(self.in_flight),
+        }
+    }
+
+    fn load(&self, now: Instant) -> f64 {
+        f64::from(self.in_flight) / f64::from(self.limit(now).max(1))
+    }
+}
+
+/// What status pages show of an endpoint.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EndpointSnapshot {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// How far it is trusted.
+    pub state: EndpointState,
+    /// Whether it is leaving, or has passed to another owner.
+    pub is_leaving: bool,
+    /// Requests it may run at once.
+    pub slots: u32,
+    /// Grants in flight.
+    pub in_flight: u32,
+    /// Mean time between tokens, if measured.
+    pub token_time: Option<Duration>,
+}
+
+/// All endpoints of an owner, with those that still hold grants from before.
+#[derive(Clone, Debug, Default)]
+pub struct EndpointTable {
+    endpoints: BTreeMap<EndpointId, OwnedEndpoint>,
+    pool_speeds: Vec<Duration>,
+    grants: u64,
+}
+
+impl EndpointTable {
+    /// Takes over a new set of endpoints; others give no new grants.
+    ///
+    /// Grants in flight are counted anew, since some may have been announced before.
+    pub fn set_owned(&mut self, owned: Vec<EndpointSettings>, ledger: &GrantLedger) {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.is_owned = false;
+        }
+        for settings in owned {
+            let endpoint = self
+                .endpoints
+                .entry(settings.id.clone())
+                .or_insert_with(|| OwnedEndpoint::new(settings.clone()));
+            endpoint.slots.set_bounds(settings.slots, settings.slots_max);
+            endpoint.settings = settings;
+            endpoint.is_owned = true;
+        }
+        let counts = ledger.count_by_endpoint();
+        for (id, endpoint) in &mut self.endpoints {
+            endpoint.in_flight = counts.get(id).copied().unwrap_or(0);
+        }
+        self.forget_unused();
+    }
+
+    /// Marks an endpoint as leaving.
+    pub fn set_leaving(&mut self, endpoint: &EndpointId) {
+        if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
+            endpoint.is_leaving = true;
+        }
+    }
+
+    /// Whether any endpoint takes new work, now or once it has a free slot.
+    pub fn is_any_in_service(&self) -> bool {
+        self.endpoints.values().any(OwnedEndpoint::is_in_service)
+    }
+
+    /// Whether any endpoint that takes new work is not among those excluded.
+    pub fn can_ever_serve(&self, request: &GrantRequest) -> bool {
+        self.endpoints
+            .iter()
+            .any(|(id, endpoint)| endpoint.is_in_service() && !request.excluded.contains(id))
+    }
+
+    /// Slots that are free, and slots in all.
+    pub fn slots(&self, now: Instant) -> (u32, u32) {
+        self.endpoints.values().fold((0, 0), |(free, all), endpoint| {
+            (free + endpoint.free(now), all + endpoint.limit(now))
+        })
+    }
+
+    /// Whether any slot is free.
+    pub fn is_any_free(&self, now: Instant) -> bool {
+        self.endpoints.values().any(|endpoint| endpoint.free(now) > 0)
+    }
+
+    /// The endpoint for a request: the least loaded, or the hinted one if nearly so.
+    pub fn choose(
+        &self,
+        request: &GrantRequest,
+        hint: Option<&EndpointId>,
+        now: Instant,
+    ) -> Option<EndpointId> {
+        let candidates = self
+            .endpoints
+            .iter()
+            .filter(|(id, endpoint)| endpoint.free(now) > 0 && !request.excluded.contains(id));
+        let cost = |(id, endpoint): &(&EndpointId, &OwnedEndpoint)| {
+            let worth = if hint == Some(id) { AFFINITY_WORTH } else { 0.0 };
+            (endpoint.load(now) - worth, endpoint.last_grant)
+        };
+        let order = |one: &(f64, u64), other: &(f64, u64)| {
+            one.0.total_cmp(&other.0).then(one.1.cmp(&other.1))
+        };
+        let chosen = candidates.min_by(|one, other| order(&cost(one), &cost(other)));
+        chosen.map(|(id, _)| id.clone())
+    }
+
+    /// Counts a grant.
+    pub fn granted(&mut self, endpoint: &EndpointId, now: Instant) {
+        self.grants += 1;
+        let Some(endpoint) = self.endpoints.get_mut(endpoint) else { return };
+        endpoint.last_grant = self.grants;
+        endpoint.in_flight += 1;
+        endpoint.health.granted(now);
+        if endpoint.free(now) == 0 {
+            endpoint.slots.saturated();
+        }
+    }
+
+    /// Counts a grant that was given by an earlier owner.
+    pub fn announced(&mut self, endpoint: &EndpointId) {
+        if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
+            endpoint.in_flight += 1;
+        }
+    }
+
+    /// Counts the end of a grant.
+    pub fn ended(&mut self, endpoint: &EndpointId) {
+        if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
+            endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
+        }
+        self.forget_unused();
+    }
+
+    /// Learns from what an entry saw.
+    pub fn learn(&mut self, report: &ReleaseReport, target: Option<Duration>, now: Instant) {
+        let pool = self.pool_time_without(&report.endpoint);
+        let Some(endpoint) = self.endpoints.get_mut(&report.endpoint) else { return };
+        endpoint.health.ended(report.result, now);
+        if report.result == ReleaseResult::Refused {
+            endpoint.slots.queued_at_endpoint();
+        }
+        // A plain service has no tokens; the time to its answer stands in for their pace.
+        let pace = if target.is_some() { report.between_tokens } else { report.first_token };
+        if let Some(pace) = pace {
+            endpoint.slots.measured(pace, target);
+        }
+        match (pace, pool) {
+            (Some(pace), Some(pool)) => endpoint.health.measured(pace, pool, now),
+            _ if report.result == ReleaseResult::Completed => endpoint.health.completed(now),
+            _ => {}
+        }
+    }
+
+    /// Learns from an endpoint's own late view of its load.
+    pub fn load_report(&mut self, endpoint: &EndpointId, waiting: u32) {
+        if let Some(endpoint) = self.endpoints.get_mut(endpoint)
+            && waiting > 0
+        {
+            endpoint.slots.queued_at_endpoint();
+        }
+    }
+
+    /// Learns what came of a probe.
+    pub fn probed(&mut self, endpoint: &EndpointId, alive: bool, now: Instant) {
+        if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
+            endpoint.health.probed(alive, now);
+        }
+    }
+
+    /// Learns the speeds of the pool's other owners.
+    pub fn set_pool_speeds(&mut self, speeds: Vec<Duration>) {
+        self.pool_speeds = speeds;
+    }
+
+    /// The ejected endpoints whose probe is due.
+    pub fn take_probes(&mut self, now: Instant) -> Vec<EndpointId> {
+        self.endpoints
+            .iter_mut()
+            .filter(|(_, endpoint)| endpoint.is_owned && !endpoint.is_leaving)
+            .filter_map(|(id, endpoint)| endpoint.health.take_probe(now).then(|| id.clone()))
+            .collect()
+    }
+
+    /// The next moment at which a probe is due.
+    pub fn next_probe(&self) -> Option<Instant> {
+        self.endpoints
+            .values()
+            .filter(|endpoint| endpoint.is_owned && !endpoint.is_leaving)
+            .filter_map(|endpoint| endpoint.health.next_probe())
+            .min()
+    }
+
+    /// Median time between tokens over the endpoints in service.
+    pub fn token_time(&self) -> Option<Duration> {
+        let endpoints = self.endpoints.values().filter(|endpoint| endpoint.is_in_service());
+        median(endpoints.filter_map(|endpoint| endpoint.slots.token_time()).collect())
+    }
+
+    /// A view of every endpoint, for status pages.
+    pub fn snapshot(&self) -> Vec<EndpointSnapshot> {
+        self.endpoints
+            .iter()
+            .map(|(id, endpoint)| EndpointSnapshot {
+                endpoint: id.clone(),
+                state: endpoint.health.state(),
+                is_leaving: endpoint.is_leaving || !endpoint.is_owned,
+                slots: endpoint.slots.limit(),
+                in_flight: endpoint.in_flight,
+                token_time: endpoint.slots.token_time(),
+            })
+            .collect()
+    }
+
+    /// Median time between tokens over all others that are known.
+    fn pool_time_without(&self, judged: &EndpointId) -> Option<Duration> {
+        let others = self.endpoints.iter().filter(|(id, _)| *id != judged);
+        let own = others.filter_map(|(_, endpoint)| endpoint.slots.token_time());
+        median(own.chain(self.pool_speeds.iter().copied()).collect())
+    }
+
+    fn forget_unused(&mut self) {
+        self.endpoints.retain(|_, endpoint| endpoint.is_owned || endpoint.in_flight > 0);
+    }
+}
+
+fn median(mut times: Vec<Duration>) -> Option<Duration> {
+    times.sort_unstable();
+    times.get(times.len().saturating_sub(1) / 2).copied()
+}
--- /dev/null
+++ b/coltsfootgate_core/src/owner/ledger.rs
@@ -0,0 +1,141 @@
+//! The grants in flight, exact as far as entries have told.
+
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use super::event::HeldGrant;
+use crate::ids::{ClassId, EndpointId, GrantId, InstanceId, RequestTier};
+
+/// How long a grant may be on its way to an asker whose announcement lacks it.
+const DELIVERY_TIME: Duration = Duration::from_secs(2);
+/// How many ended grants are remembered, to recognise messages that arrive late.
+const ENDED_MAX: usize = 4096;
+
+/// A grant in flight.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GrantRecord {
+    /// The endpoint that the grant is for.
+    pub endpoint: EndpointId,
+    /// The class of the request.
+    pub class: ClassId,
+    /// The tier of the class.
+    pub tier: RequestTier,
+    /// When it was given, or first announced.
+    pub since: Instant,
+    /// Whether a floor decided.
+    pub by_floor: bool,
+}
+
+/// All grants in flight at the endpoints of one owner.
+#[derive(Clone, Debug, Default)]
+pub struct GrantLedger {
+    grants: BTreeMap<(InstanceId, GrantId), GrantRecord>,
+    ended: HashSet<(InstanceId, GrantId)>,
+    ended_order: VecDeque<(InstanceId, GrantId)>,
+}
+
+impl GrantLedger {
+    /// How many grants are in flight.
+    pub fn len(&self) -> usize {
+        self.grants.len()
+    }
+
+    /// Whether no grant is in flight.
+    pub fn is_empty(&self) -> bool {
+        self.grants.is_empty()
+    }
+
+    /// How many grants are in flight at each endpoint.
+    pub fn count_by_endpoint(&self) -> HashMap<EndpointId, u32> {
+        let mut counts = HashMap::new();
+        for record in self.grants.values() {
+            *counts.entry(record.endpoint.clone()).or_default() += 1;
+        }
+        counts
+    }
+
+    /// The record of a grant.
+    pub fn get(&self, asker: &InstanceId, grant: GrantId) -> Option<&GrantRecord> {
+        self.grants.get(&(asker.clone(), grant))
+    }
+
+    /// Whether a grant or an ask with this id has ended lately.
+    pub fn has_ended(&self, asker: &InstanceId, grant: GrantId) -> bool {
+        self.ended.contains(&(asker.clone(), grant))
+    }
+
+    /// Enters a grant.
+    pub fn insert(&mut self, asker: &InstanceId, grant: GrantId, record: GrantRecord) {
+        self.grants.insert((asker.clone(), grant), record);
+    }
+
+    /// Ends a grant; a second time, or for an unknown one, nothing is returned.
+    pub fn end(&mut self, asker: &InstanceId, grant: GrantId) -> Option<GrantRecord> {
+        let key = (asker.clone(), grant);
+        if self.ended.insert(key.clone()) {
+            self.ended_order.push_back(key.clone());
+        }
+        if self.ended_order.len() > ENDED_MAX
+            && let Some(oldest) = self.ended_order.pop_front()
+        {
+            self.ended.remove(&oldest);
+        }
+        self.grants.remove(&key)
+    }
+
+    /// Drops all grants of an entry instance that is gone.
+    pub fn lapse(&mut self, asker: &InstanceId) -> Vec<GrantRecord> {
+        let keys = self.keys_of(asker);
+        keys.into_iter().filter_map(|key| self.grants.remove(&key)).collect()
+    }
+
+    /// Makes the grants of an entry instance those that it announces.
+    pub fn reconcile(
+        &mut self,
+        asker: &InstanceId,
+        held: Vec<HeldGrant>,
+        now: Instant,
+    ) -> LedgerChange {
+        let announced: HashSet<GrantId> = held.iter().map(|held| held.grant).collect();
+        let mut change = LedgerChange::default();
+        for key in self.keys_of(asker) {
+            let is_delivered = self
+                .grants
+                .get(&key)
+                .is_some_and(|record| now.duration_since(record.since) > DELIVERY_TIME);
+            if is_delivered && !announced.contains(&key.1) {
+                change.removed.extend(self.grants.remove(&key));
+            }
+        }
+        for held in held {
+            let key = (asker.clone(), held.grant);
+            if self.grants.contains_key(&key) || self.ended.contains(&key) {
+                continue;
+            }
+            let record = GrantRecord {
+                endpoint: held.endpoint,
+                class: held.class,
+                tier: held.tier,
+                since: now,
+                by_floor: false,
+            };
+            change.added.push(record.clone());
+            self.grants.insert(key, record);
+        }
+        change
+    }
+
+    fn keys_of(&self, asker: &InstanceId) -> Vec<(InstanceId, GrantId)> {
+        let range = (asker.clone(), GrantId::MIN)..=(asker.clone(), GrantId::MAX);
+        self.grants.range(range).map(|(key, _)| key.clone()).collect()
+    }
+}
+
+/// What an announcement changed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct LedgerChange {
+    /// Grants that were unknown.
+    pub added: Vec<GrantRecord>,
+    /// Grants that the entry no longer holds.
+    pub removed: Vec<GrantRecord>,
+}
--- /dev/null
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -0,0 +1,323 @@
+//! Decides which waiting request goes to which endpoint of a pool.
+
+mod affinity;
+mod concurrency;
+mod endpoint;
+mod event;
+mod fair;
+mod ledger;
+mod queue;
+mod straggler;
+
+use std::time::{Duration, Instant};
+
+pub use affinity::PrefixAffinity;
+pub use concurrency::AdaptiveSlots;
+pub use endpoint::{EndpointSnapshot, EndpointTable};
+pub use event::{
+    GrantRequest, HeldGrant, OwnerAction, OwnerEvent, OwnerPressure, ReleaseReport, ReleaseResult,
+};
+pub use fair::{ArrivalNumber, FairQueue};
+pub use ledger::{GrantLedger, GrantRecord, LedgerChange};
+pub use queue::{AdmissionQueue, QueueAdmission, QueuedRequest};
+pub use straggler::{EndpointHealth, EndpointState};
+
+use crate::estimate::{AnswerEstimate, ServiceEstimate};
+use crate::ids::{EndpointId, GrantId, InstanceId, PoolId};
+use crate::reason::ErrorKind;
+
+/// How many requests that exclude all free endpoints are passed over for later ones.
+const PASSED_OVER_MAX: usize = 8;
+/// Share of a class's answers that its estimated length covers.
+const LENGTH_QUANTILE: f64 = 0.5;
+
+/// What an owner knows of its pool.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OwnerSettings {
+    /// The pool.
+    pub pool: PoolId,
+    /// Tightest target between two tokens over all classes; none for a plain service.
+    pub between_tokens: Option<Duration>,
+}
+
+/// What status pages show of an owner.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OwnerSnapshot {
+    /// The pool.
+    pub pool: PoolId,
+    /// How busy it is.
+    pub pressure: OwnerPressure,
+    /// Grants in flight.
+    pub grants: usize,
+    /// Its endpoints.
+    pub endpoints: Vec<EndpointSnapshot>,
+}
+
+/// The queue, the ledger and the endpoints of one pool that one instance owns.
+#[derive(Clone, Debug)]
+pub struct PoolOwner {
+    settings: OwnerSettings,
+    queue: AdmissionQueue,
+    ledger: GrantLedger,
+    endpoints: EndpointTable,
+    affinity: PrefixAffinity<EndpointId>,
+    answers: AnswerEstimate,
+    service: ServiceEstimate,
+}
+
+impl PoolOwner {
+    /// Makes an owner that has no endpoint yet.
+    pub fn new(settings: OwnerSettings) -> Self {
+        Self {
+            settings,
+            queue: AdmissionQueue::new(),
+            ledger: GrantLedger::default(),
+            endpoints: EndpointTable::default(),
+            affinity: PrefixAffinity::default(),
+            answers: AnswerEstimate::default(),
+            service: ServiceEstimate::default(),
+        }
+    }
+
+    /// Takes over changed settings.
+    pub fn set_settings(&mut self, settings: OwnerSettings) {
+        self.settings = settings;
+    }
+
+    /// Takes one event in and returns what to do.
+    pub fn handle(&mut self, event: OwnerEvent, now: Instant) -> Vec<OwnerAction> {
+        let mut actions = Vec::new();
+        self.expire(now, &mut actions);
+        match event {
+            OwnerEvent::Ask(request) => self.ask(request, now, &mut actions),
+            OwnerEvent::Release(report) => self.release(&report, now),
+            OwnerEvent::Cancel { asker, grant } => self.cancel(&asker, grant),
+            OwnerEvent::AskerLost { asker } => self.asker_lost(&asker),
+            OwnerEvent::Announce { asker, held } => self.announce(&asker, held, now),
+            OwnerEvent::LoadReport { endpoint, waiting, .. } => {
+                self.endpoints.load_report(&endpoint, waiting);
+            }
+            OwnerEvent::ProbeResult { endpoint, alive } => {
+                self.endpoints.probed(&endpoint, alive, now);
+            }
+            OwnerEvent::PoolSpeed { token_times } => self.endpoints.set_pool_speeds(token_times),
+            OwnerEvent::Endpoints(owned) => self.endpoints.set_owned(owned, &self.ledger),
+            OwnerEvent::EndpointLeaving { endpoint } => self.endpoints.set_leaving(&endpoint),
+            OwnerEvent::Tick => {}
+        }
+        self.settle(now, &mut actions);
+        actions
+    }
+
+    /// How busy the owner is.
+    pub fn pressure(&self, now: Instant) -> OwnerPressure {
+        let (free_slots, slots) = self.endpoints.slots(now);
+        OwnerPressure {
+            free_slots,
+            slots,
+            waiting_by_tier: self.queue.waiting_by_tier(),
+            estimate: self.service.between_grants(slots),
+            token_time: self.endpoints.token_time(),
+        }
+    }
+
+    /// When `Tick` is wanted next.
+    pub fn next_deadline(&self) -> Option<Instant> {
+        [self.queue.next_deadline(), self.endpoints.next_probe()].into_iter().flatten().min()
+    }
+
+    /// A view for status pages.
+    pub fn snapshot(&self, now: Instant) -> OwnerSnapshot {
+        OwnerSnapshot {
+            pool: self.settings.pool.clone(),
+            pressure: self.pressure(now),
+            grants: self.ledger.len(),
+            endpoints: self.endpoints.snapshot(),
+        }
+    }
+
+    /// Whether neither an ask waits nor a grant is in flight.
+    pub fn is_idle(&self) -> bool {
+        self.queue.is_empty() && self.ledger.is_empty()
+    }
+
+    fn ask(&mut self, mut request: GrantRequest, now: Instant, actions: &mut Vec<OwnerAction>) {
+        if let Some(record) = self.ledger.get(&request.asker, request.grant) {
+            actions.push(OwnerAction::Grant {
+                asker: request.asker,
+                grant: request.grant,
+                endpoint: record.endpoint.clone(),
+                by_floor: record.by_floor,
+            });
+            return;
+        }
+        if self.queue.contains(&request.asker, request.grant) {
+            return;
+        }
+        if let Some(kind) = self.refusal(&request, now) {
+            actions.push(self.refuse(&request, kind, now));
+            return;
+        }
+        request.tokens = self.answers.tokens(&request.class, LENGTH_QUANTILE, request.tokens);
+        self.dispatch(now, actions);
+        if let Some(endpoint) = self.choose(&request, now) {
+            actions.push(self.grant(&request, endpoint, false, now));
+        } else if request.wait {
+            self.enqueue(request, now, actions);
+        } else {
+            actions.push(OwnerAction::Busy {
+                asker: request.asker,
+                grant: request.grant,
+                pressure: self.pressure(now),
+            });
+        }
+    }
+
+    /// Why a request is refused before the queue is looked at.
+    fn refusal(&self, request: &GrantRequest, now: Instant) -> Option<ErrorKind> {
+        if self.ledger.has_ended(&request.asker, request.grant) {
+            return Some(ErrorKind::CallerLeftWaiting);
+        }
+        if request.deadline <= now {
+            return Some(ErrorKind::DeadlinePassed);
+        }
+        if !self.endpoints.can_ever_serve(request) {
+            return Some(ErrorKind::NoEndpoint);
+        }
+        None
+    }
+
+    fn enqueue(&mut self, request: GrantRequest, now: Instant, actions: &mut Vec<OwnerAction>) {
+        let wait = self.pressure(now).expected_wait(request.tier);
+        if now + wait > request.deadline {
+            actions.push(self.refuse(&request, ErrorKind::DeadlineUnmeetable, now));
+            return;
+        }
+        match self.queue.admit(request.clone()) {
+            QueueAdmission::Full => actions.push(self.refuse(&request, ErrorKind::QueueFull, now)),
+            QueueAdmission::Queued(displaced) => {
+                for victim in displaced {
+                    actions.push(self.refuse(&victim.request, ErrorKind::Displaced, now));
+                }
+            }
+        }
+    }
+
+    fn release(&mut self, report: &ReleaseReport, now: Instant) {
+        self.queue.remove(&report.asker, report.grant);
+        let Some(record) = self.ledger.end(&report.asker, report.grant) else { return };
+        self.endpoints.learn(report, self.settings.between_tokens, now);
+        self.endpoints.ended(&record.endpoint);
+        if report.result == ReleaseResult::Completed {
+            self.answers.note(&record.class, report.tokens);
+        }
+        if report.result != ReleaseResult::NotSent {
+            self.service.note(now.duration_since(record.since));
+        }
+    }
+
+    fn cancel(&mut self, asker: &InstanceId, grant: GrantId) {
+        self.queue.remove(asker, grant);
+        if let Some(record) = self.ledger.end(asker, grant) {
+            self.endpoints.ended(&record.endpoint);
+        }
+    }
+
+    fn asker_lost(&mut self, asker: &InstanceId) {
+        self.queue.remove_asker(asker);
+        for record in self.ledger.lapse(asker) {
+            self.endpoints.ended(&record.endpoint);
+        }
+    }
+
+    fn announce(&mut self, asker: &InstanceId, held: Vec<HeldGrant>, now: Instant) {
+        let change = self.ledger.reconcile(asker, held, now);
+        for record in &change.added {
+            self.endpoints.announced(&record.endpoint);
+        }
+        for record in &change.removed {
+            self.endpoints.ended(&record.endpoint);
+        }
+    }
+
+    /// Refuses what has waited until its deadline.
+    fn expire(&mut self, now: Instant, actions: &mut Vec<OwnerAction>) {
+        for request in self.queue.expire(now) {
+            actions.push(self.refuse(&request, ErrorKind::DeadlinePassed, now));
+        }
+    }
+
+    /// Gives free slots to what waits, or refuses all of it when no endpoint is left.
+    fn settle(&mut self, now: Instant, actions: &mut Vec<OwnerAction>) {
+        if !self.queue.is_empty() {
+            if self.endpoints.is_any_in_service() {
+                self.dispatch(now, actions);
+            } else {
+                for request in self.queue.drain() {
+                    actions.push(self.refuse(&request, ErrorKind::NoEndpoint, now));
+                }
+            }
+        }
+        for endpoint in self.endpoints.take_probes(now) {
+            actions.push(OwnerAction::Probe { endpoint });
+        }
+    }
+
+    fn dispatch(&mut self, now: Instant, actions: &mut Vec<OwnerAction>) {
+        let mut passed_over = Vec::new();
+        while passed_over.len() < PASSED_OVER_MAX && self.endpoints.is_any_free(now) {
+            let Some(queued) = self.queue.take() else { break };
+            match self.choose(&queued.request, now) {
+                Some(endpoint) => {
+                    self.queue.charge(&queued.request);
+                    let action = self.grant(&queued.request, endpoint, queued.by_floor, now);
+                    actions.push(action);
+                }
+                None if self.endpoints.can_ever_serve(&queued.request) => passed_over.push(queued),
+                None => actions.push(self.refuse(&queued.request, ErrorKind::NoEndpoint, now)),
+            }
+        }
+        for queued in passed_over {
+            self.queue.restore(queued);
+        }
+    }
+
+    fn choose(&self, request: &GrantRequest, now: Instant) -> Option<EndpointId> {
+        let hint = self.affinity.hint(request.prefix);
+        self.endpoints.choose(request, hint, now)
+    }
+
+    fn grant(
+        &mut self,
+        request: &GrantRequest,
+        endpoint: EndpointId,
+        by_floor: bool,
+        now: Instant,
+    ) -> OwnerAction {
+        let record = GrantRecord {
+            endpoint: endpoint.clone(),
+            class: request.class.clone(),
+            tier: request.tier,
+            since: now,
+            by_floor,
+        };
+        self.ledger.insert(&request.asker, request.grant, record);
+        self.endpoints.granted(&endpoint, now);
+        self.affinity.note(request.prefix, endpoint.clone());
+        OwnerAction::Grant {
+            asker: request.asker.clone(),
+            grant: request.grant,
+            endpoint,
+            by_floor,
+        }
+    }
+
+    fn refuse(&self, request: &GrantRequest, kind: ErrorKind, now: Instant) -> OwnerAction {
+        OwnerAction::Refuse {
+            asker: request.asker.clone(),
+            grant: request.grant,
+            kind,
+            pressure: self.pressure(now),
+        }
+    }
+}
--- /dev/null
+++ b/coltsfootgate_core/tests/owner.rs
@@ -0,0 +1,79 @@
+//! Cases of what one owner decides.
+
+mod support;
+
+use std::time::Duration;
+
+use coltsfootgate_core::owner::{OwnerEvent, ReleaseResult};
+use coltsfootgate_core::prelude::*;
+use rstest::rstest;
+use support::{OwnerDriver, ask};
+
+#[rstest]
+#[case::higher_tier_first(&[(5, 0.0), (1, 0.0), (3, 0.0)], &[1, 3, 5])]
+#[case::same_tier_by_arrival(&[(4, 0.0), (4, 0.0)], &[4, 4])]
+#[case::floor_goes_between(&[(1, 0.0), (1, 0.0), (1, 0.0), (7, 0.5)], &[1, 1, 7, 1])]
+fn waiting_requests_are_granted_in_order(#[case] asks: &[(u8, f64)], #[case] granted: &[u8]) {
+    let mut driver = OwnerDriver::new(1, 1);
+    driver.ask(ask(0, 1));
+    for (index, (tier, floor)) in asks.iter().enumerate() {
+        let mut request = ask(index as u64 + 1, *tier);
+        request.floor = *floor;
+        driver.ask(request);
+    }
+    for _ in granted {
+        driver.release_oldest(ReleaseResult::Completed);
+    }
+    assert_eq!(driver.granted_tiers()[1..], *granted);
+}
+
+#[rstest]
+#[case::higher_displaces_lower(2, 6, ErrorKind::Displaced, 6)]
+#[case::equal_is_refused(4, 4, ErrorKind::QueueFull, 4)]
+#[case::lower_is_refused(6, 2, ErrorKind::QueueFull, 6)]
+fn full_queue_sheds_the_lowest_tier(
+    #[case] arriving: u8,
+    #[case] waiting: u8,
+    #[case] kind: ErrorKind,
+    #[case] shed: u8,
+) {
+    let mut driver = OwnerDriver::new(1, 1);
+    driver.ask(ask(0, 1));
+    driver.ask(ask(1, waiting));
+    let mut request = ask(2, arriving);
+    request.queue_requests = u32::from(arriving == waiting);
+    driver.ask(request);
+    let refused = driver.refusals();
+    assert_eq!(refused, [(RequestTier::new(shed).unwrap(), kind)]);
+}
+
+#[test]
+fn repeated_ask_gets_the_same_grant() {
+    let mut driver = OwnerDriver::new(2, 2);
+    driver.ask(ask(1, 3));
+    driver.ask(ask(1, 3));
+    assert_eq!(driver.grant_messages(), 2);
+    assert_eq!(driver.in_flight(), 1);
+}
+
+#[test]
+fn cancel_before_its_ask_leaves_no_grant() {
+    let mut driver = OwnerDriver::new(1, 1);
+    let request = ask(1, 3);
+    driver.event(OwnerEvent::Cancel { asker: request.asker.clone(), grant: request.grant });
+    driver.ask(request);
+    assert_eq!(driver.in_flight(), 0);
+}
+
+#[test]
+fn deadline_passes_while_waiting() {
+    let mut driver = OwnerDriver::new(1, 1);
+    driver.ask(ask(0, 1));
+    let mut request = ask(1, 2);
+    request.deadline = driver.now() + Duration::from_millis(50);
+    driver.ask(request);
+    assert_eq!(driver.next_deadline(), Some(driver.now() + Duration::from_millis(50)));
+    driver.advance(Duration::from_millis(50));
+    let tier = RequestTier::new(2).unwrap();
+    assert_eq!(driver.refusals(), [(tier, ErrorKind::DeadlinePassed)]);
+}
--- /dev/null
+++ b/coltsfootgate_core/tests/support/mod.rs
@@ -0,0 +1,178 @@
+//! Drives an owner and keeps what it answered.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::sync::LazyLock;
+use std::time::{Duration, Instant};
+
+use coltsfootgate_core::owner::{
+    GrantRequest, OwnerAction, OwnerEvent, OwnerSettings, OwnerSnapshot, PoolOwner, ReleaseReport,
+    ReleaseResult,
+};
+use coltsfootgate_core::prelude::*;
+
+/// The moment at which every trial starts.
+static START: LazyLock<Instant> = LazyLock::new(Instant::now);
+
+/// One owner with everything it was asked and answered.
+pub struct OwnerDriver {
+    pub owner: PoolOwner,
+    now: Instant,
+    asks: BTreeMap<(InstanceId, GrantId), GrantRequest>,
+    actions: Vec<OwnerAction>,
+    held: Vec<(InstanceId, GrantId, EndpointId)>,
+}
+
+/// Endpoint settings by number.
+pub fn endpoint(number: u32, slots: u32) -> EndpointSettings {
+    EndpointSettings {
+        id: format!("endpoints.e{number}").into(),
+        address: format!("127.0.0.1:{}", 8000 + number).into(),
+        zone: "zone-a".into(),
+        slots,
+        slots_max: slots * 2,
+    }
+}
+
+/// An ask that waits, by its grant id and tier.
+pub fn ask(grant: GrantId, tier: u8) -> GrantRequest {
+    GrantRequest {
+        request: RequestId::from_u128(grant.into()),
+        asker: "127.0.0.1:9001".into(),
+        grant,
+        class: format!("classes.t{tier}").into(),
+        tier: RequestTier::new(tier).expect("tier in range"),
+        customer: "customers.one".into(),
+        weight: 1.0,
+        floor: 0.0,
+        queue_requests: 100,
+        queue_tokens: 1_000_000,
+        tokens: 10,
+        deadline: *START + Duration::from_secs(3600),
+        prefix: None,
+        excluded: Vec::new(),
+        wait: true,
+    }
+}
+
+impl OwnerDriver {
+    pub fn new(endpoints: u32, slots: u32) -> Self {
+        let settings = OwnerSettings {
+            pool: "pools.model".into(),
+            between_tokens: Some(Duration::from_millis(34)),
+        };
+        let mut driver = Self {
+            owner: PoolOwner::new(settings),
+            now: *START,
+            asks: BTreeMap::new(),
+            actions: Vec::new(),
+            held: Vec::new(),
+        };
+        let owned = (0..endpoints).map(|number| endpoint(number, slots)).collect();
+        driver.event(OwnerEvent::Endpoints(owned));
+        driver
+    }
+
+    pub fn now(&self) -> Instant {
+        self.now
+    }
+
+    pub fn actions(&self) -> &[OwnerAction] {
+        &self.actions
+    }
+
+    pub fn held(&self) -> &[(InstanceId, GrantId, EndpointId)] {
+        &self.held
+    }
+
+    pub fn next_deadline(&self) -> Option<Instant> {
+        self.owner.next_deadline()
+    }
+
+    pub fn snapshot(&self) -> OwnerSnapshot {
+        self.owner.snapshot(self.now)
+    }
+
+    pub fn in_flight(&self) -> usize {
+        self.snapshot().grants
+    }
+
+    pub fn advance(&mut self, time: Duration) -> Vec<OwnerAction> {
+        self.now += time;
+        self.event(OwnerEvent::Tick)
+    }
+
+    pub fn ask(&mut self, request: GrantRequest) -> Vec<OwnerAction> {
+        self.asks.insert((request.asker.clone(), request.grant), request.clone());
+        self.event(OwnerEvent::Ask(request))
+    }
+
+    pub fn event(&mut self, event: OwnerEvent) -> Vec<OwnerAction> {
+        let actions = self.owner.handle(event, self.now);
+        for action in &actions {
+            if let OwnerAction::Grant { asker, grant, endpoint, .. } = action {
+                let held = (asker.clone(), *grant, endpoint.clone());
+                if !self.held.contains(&held) {
+                    self.held.push(held);
+                }
+            }
+        }
+        self.actions.extend(actions.clone());
+        actions
+    }
+
+    /// Releases the grant that was given first.
+    pub fn release_oldest(&mut self, result: ReleaseResult) -> Vec<OwnerAction> {
+        self.release(0, result, Duration::from_millis(10))
+    }
+
+    /// Releases one of the held grants, with a mean time between tokens.
+    pub fn release(
+        &mut self,
+        index: usize,
+        result: ReleaseResult,
+        between_tokens: Duration,
+    ) -> Vec<OwnerAction> {
+        let (asker, grant, endpoint) = self.held.remove(index);
+        self.event(OwnerEvent::Release(ReleaseReport {
+            asker,
+            grant,
+            endpoint,
+            tokens: 10,
+            first_token: Some(between_tokens),
+            between_tokens: Some(between_tokens),
+            result,
+        }))
+    }
+
+    pub fn granted_tiers(&self) -> Vec<u8> {
+        self.actions
+            .iter()
+            .filter_map(|action| match action {
+                OwnerAction::Grant { asker, grant, .. } => Some(self.tier(asker, *grant).number()),
+                _ => None,
+            })
+            .collect()
+    }
+
+    pub fn grant_messages(&self) -> usize {
+        self.granted_tiers().len()
+    }
+
+    pub fn refusals(&self) -> Vec<(RequestTier, ErrorKind)> {
+        self.actions
+            .iter()
+            .filter_map(|action| match action {
+                OwnerAction::Refuse { asker, grant, kind, .. } => {
+                    Some((self.tier(asker, *grant), *kind))
+                }
+                _ => None,
+            })
+            .collect()
+    }
+
+    fn tier(&self, asker: &InstanceId, grant: GrantId) -> RequestTier {
+        self.asks[&(asker.clone(), grant)].tier
+    }
+}
