--- a/coltsfootgate_standins/src/engine/mod.rs
+++ b/coltsfootgate_standins/src/engine/mod.rs
@@ -25,7 +25,9 @@
 use self::batch::{Sequence, SequenceBatch};
 use crate::answer_text::{DEFAULT_MAX_TOKENS, PromptDigest};
 use crate::body::{ConnectionCut, StandinBody};
-use crate::http_server::{StandinService, empty_response, json_response, query_value, whole_body};
+use crate::http_server::{
+    ControlTarget, StandinService, empty_response, json_response, query_value, whole_body,
+};
 use crate::runner::{self, StandinHandle};
 use crate::signal::{ChangeSignal, ServerGate};
 
@@ -172,8 +174,10 @@
             _ => Ok(empty_response(StatusCode::NOT_FOUND)),
         }
     }
+}
 
-    fn take_order(self: &Rc<Self>, order: &[u8]) -> Result<(), String> {
+impl ControlTarget for EngineService {
+    fn take_order(&self, order: &[u8]) -> Result<(), String> {
         let order: EngineOrder =
             serde_json::from_slice(order).map_err(|error| error.to_string())?;
         self.measure_capacity();
--- a/coltsfootgate_standins/src/http_server.rs
+++ b/coltsfootgate_standins/src/http_server.rs
@@ -26,8 +26,17 @@
 /// Pause before binding or accepting is tried again.
 const REBIND_PAUSE: Duration = Duration::from_millis(20);
 
+/// What can be steered through a control port.
+pub trait ControlTarget: 'static {
+    /// Takes a control order; the error says what is wrong with it.
+    fn take_order(&self, order: &[u8]) -> Result<(), String>;
+
+    /// What was counted so far.
+    fn counters(&self) -> Value;
+}
+
 /// What a stand-in answers; the server around it is shared.
-pub trait StandinService: Sized + 'static {
+pub trait StandinService: ControlTarget + Sized {
     /// Starts tasks that run beside the requests.
     fn start(self: &Rc<Self>) {}
 
@@ -39,12 +48,6 @@
         self: Rc<Self>,
         request: Request<Incoming>,
     ) -> impl Future<Output = Result<Response<StandinBody>, ConnectionCut>>;
-
-    /// Takes a control order; the error says what is wrong with it.
-    fn take_order(self: &Rc<Self>, order: &[u8]) -> Result<(), String>;
-
-    /// What was counted so far.
-    fn counters(&self) -> Value;
 }
 
 /// Binds an address that no other listener shares.
@@ -54,26 +57,38 @@
 
 /// Serves requests and control orders; listens again after the gate has been closed and opened.
 pub async fn serve<S: StandinService>(service: Rc<S>, listener: TcpListener) {
+    let accepted = |stream| drop(monoio::spawn(serve_connection(service.clone(), stream)));
+    accept_while_open(service.gate(), listener, accepted).await;
+}
+
+/// Accepts connections while the gate is open, and binds the address anew each time it opens.
+pub async fn accept_while_open(
+    gate: &ServerGate,
+    listener: TcpListener,
+    mut accepted: impl FnMut(TcpStream),
+) {
     let Ok(address) = listener.local_addr() else { return };
     let mut bound = Some(listener);
     loop {
-        service.gate().until_open().await;
+        gate.until_open().await;
         if let Some(listener) = bound.take().or_else(|| bind(address).ok()) {
-            accept_until_closed(&service, listener).await;
+            accept_until_closed(gate, listener, &mut accepted).await;
         } else {
             monoio::time::sleep(REBIND_PAUSE).await;
         }
     }
 }
 
-async fn accept_until_closed<S: StandinService>(service: &Rc<S>, listener: TcpListener) {
+async fn accept_until_closed(
+    gate: &ServerGate,
+    listener: TcpListener,
+    accepted: &mut impl FnMut(TcpStream),
+) {
     loop {
-        let accepted = pin!(listener.accept());
-        let closed = pin!(service.gate().until_closed());
-        match future::select(accepted, closed).await {
-            Either::Left((Ok((stream, _)), _)) => {
-                monoio::spawn(serve_connection(service.clone(), stream));
-            }
+        let accepting = pin!(listener.accept());
+        let closed = pin!(gate.until_closed());
+        match future::select(accepting, closed).await {
+            Either::Left((Ok((stream, _)), _)) => accepted(stream),
             Either::Left((Err(_), _)) => monoio::time::sleep(REBIND_PAUSE).await,
             Either::Right(_) => return,
         }
@@ -103,7 +118,7 @@
 }
 
 /// Serves control orders alone, on a listener that no fault closes.
-pub async fn serve_control<S: StandinService>(service: Rc<S>, listener: TcpListener) {
+pub async fn serve_control<S: ControlTarget>(service: Rc<S>, listener: TcpListener) {
     while let Ok((stream, _)) = listener.accept().await {
         let service = service.clone();
         monoio::spawn(async move {
@@ -117,7 +132,7 @@
     }
 }
 
-async fn control_answer<S: StandinService>(
+async fn control_answer<S: ControlTarget>(
     service: &Rc<S>,
     request: Request<Incoming>,
 ) -> Response<StandinBody> {
--- a/coltsfootgate_standins/src/lib.rs
+++ b/coltsfootgate_standins/src/lib.rs
@@ -10,5 +10,7 @@
 
 pub mod http_server;
 pub mod platform;
+pub mod proxy;
 pub mod runner;
+pub mod service;
 pub mod signal;
--- a/coltsfootgate_standins/src/platform.rs
+++ b/coltsfootgate_standins/src/platform.rs
@@ -14,7 +14,9 @@
 use serde_json::{Value, json};
 
 use crate::body::{ConnectionCut, StandinBody};
-use crate::http_server::{StandinService, empty_response, json_response, query_value, whole_body};
+use crate::http_server::{
+    ControlTarget, StandinService, empty_response, json_response, query_value, whole_body,
+};
 use crate::runner::{self, StandinHandle};
 use crate::signal::{ChangeSignal, ServerGate};
 
@@ -156,8 +158,10 @@
             _ => Ok(empty_response(StatusCode::METHOD_NOT_ALLOWED)),
         }
     }
+}
 
-    fn take_order(self: &Rc<Self>, order: &[u8]) -> Result<(), String> {
+impl ControlTarget for PlatformService {
+    fn take_order(&self, order: &[u8]) -> Result<(), String> {
         let order: PlatformOrder =
             serde_json::from_slice(order).map_err(|error| error.to_string())?;
         self.set_faults(&order);
--- /dev/null
+++ b/coltsfootgate_standins/src/service.rs
@@ -0,0 +1,204 @@
+//! Stand-in of a plain service that counts what it executes.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_channel::mpsc;
+use http::{HeaderValue, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::body::{ConnectionCut, StandinBody};
+use crate::engine::not_started;
+use crate::http_server::{ControlTarget, StandinService, json_response, whole_body};
+use crate::runner::{self, StandinHandle};
+use crate::signal::ServerGate;
+
+/// What goes wrong with a request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ServiceFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// It is refused with proof that it was not started.
+    RefuseNotStarted,
+    /// The connection is cut before the request is executed.
+    CutBefore,
+    /// The connection is cut after the request was executed.
+    CutAfter,
+    /// The connection is cut amid the answer.
+    CutAmidAnswer,
+    /// Nothing is executed and nothing is answered.
+    HangBefore,
+    /// The request is executed and nothing is answered.
+    HangAfter,
+    /// The request is executed and answered with an error.
+    FailAfter,
+}
+
+/// Orders to a service; what is left out stays as it was.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct ServiceOrder {
+    fault: Option<ServiceFault>,
+    /// How many requests meet the fault; all, if it is left out.
+    times: Option<u32>,
+    /// Answers come this much later; the request is executed at once.
+    delay_ms: Option<u64>,
+    /// Answers carry the id of another request.
+    wrong_id: Option<bool>,
+    /// Answers carry this many bytes more.
+    padding: Option<usize>,
+    /// The listener and all connections are closed.
+    crash: Option<bool>,
+}
+
+#[derive(Debug, Default)]
+struct ExecutionCounters {
+    by_key: HashMap<String, u32>,
+    by_request_id: HashMap<String, u32>,
+    by_target: HashMap<String, u32>,
+}
+
+#[derive(Debug, Default)]
+struct PlainService {
+    gate: ServerGate,
+    fault: Cell<ServiceFault>,
+    times: Cell<Option<u32>>,
+    delay: Cell<Duration>,
+    wrong_id: Cell<bool>,
+    padding: Cell<usize>,
+    arrived: Cell<u64>,
+    executed: Cell<u64>,
+    executions: RefCell<ExecutionCounters>,
+}
+
+/// Starts a plain service on a thread of its own; it takes this long for each request.
+pub fn start_plain_service(listen: SocketAddr, work: Duration) -> io::Result<StandinHandle> {
+    runner::start_service(listen, move || PlainService {
+        delay: Cell::new(work),
+        ..PlainService::default()
+    })
+}
+
+impl StandinService for PlainService {
+    fn gate(&self) -> &ServerGate {
+        &self.gate
+    }
+
+    async fn answer(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<StandinBody>, ConnectionCut> {
+        let header = |name| {
+            let value = request.headers().get(name)?;
+            value.to_str().ok().map(str::to_owned)
+        };
+        let (id, key) = (header("x-request-id"), header("idempotency-key"));
+        let method = request.method().to_string();
+        let target = request.uri().to_string();
+        let body = whole_body(request).await?;
+        self.arrived.set(self.arrived.get() + 1);
+        let fault = self.next_fault();
+        match fault {
+            ServiceFault::RefuseNotStarted => {
+                return Ok(not_started(StatusCode::SERVICE_UNAVAILABLE));
+            }
+            ServiceFault::CutBefore => return Err(ConnectionCut),
+            ServiceFault::HangBefore => future::pending().await,
+            _ => {}
+        }
+        let execution = self.execute(id.as_deref(), key.as_deref(), &target);
+        if !self.delay.get().is_zero() {
+            monoio::time::sleep(self.delay.get()).await;
+        }
+        let answer = json!({
+            "method": method,
+            "target": target,
+            "key": key,
+            "execution": execution,
+            "body": String::from_utf8_lossy(&body),
+            "padding": "x".repeat(self.padding.get()),
+        });
+        let mut response = match fault {
+            ServiceFault::CutAfter => return Err(ConnectionCut),
+            ServiceFault::HangAfter => future::pending().await,
+            ServiceFault::FailAfter => json_response(StatusCode::INTERNAL_SERVER_ERROR, &answer),
+            ServiceFault::CutAmidAnswer => half_answer(&answer),
+            _ => json_response(StatusCode::OK, &answer),
+        };
+        let id = id.filter(|_| !self.wrong_id.get()).unwrap_or_else(|| "another".to_owned());
+        if let Ok(id) = HeaderValue::from_str(&id) {
+            response.headers_mut().insert("x-request-id", id);
+        }
+        Ok(response)
+    }
+}
+
+impl ControlTarget for PlainService {
+    fn take_order(&self, order: &[u8]) -> Result<(), String> {
+        let order: ServiceOrder =
+            serde_json::from_slice(order).map_err(|error| error.to_string())?;
+        if let Some(fault) = order.fault {
+            self.fault.set(fault);
+            self.times.set(order.times);
+        }
+        self.delay.set(order.delay_ms.map_or(self.delay.get(), Duration::from_millis));
+        self.wrong_id.set(order.wrong_id.unwrap_or(self.wrong_id.get()));
+        self.padding.set(order.padding.unwrap_or(self.padding.get()));
+        if let Some(crashed) = order.crash {
+            self.gate.set_open(!crashed);
+        }
+        Ok(())
+    }
+
+    fn counters(&self) -> Value {
+        let executions = self.executions.borrow();
+        json!({
+            "arrived": self.arrived.get(),
+            "executed": self.executed.get(),
+            "by_key": executions.by_key,
+            "by_request_id": executions.by_request_id,
+            "by_target": executions.by_target,
+        })
+    }
+}
+
+impl PlainService {
+    fn next_fault(&self) -> ServiceFault {
+        let Some(left) = self.times.get() else { return self.fault.get() };
+        let Some(rest) = left.checked_sub(1) else { return ServiceFault::None };
+        self.times.set(Some(rest));
+        self.fault.get()
+    }
+
+    fn execute(&self, id: Option<&str>, key: Option<&str>, target: &str) -> u64 {
+        let mut executions = self.executions.borrow_mut();
+        if let Some(id) = id {
+            *executions.by_request_id.entry(id.to_owned()).or_default() += 1;
+        }
+        if let Some(key) = key {
+            *executions.by_key.entry(key.to_owned()).or_default() += 1;
+        }
+        *executions.by_target.entry(target.to_owned()).or_default() += 1;
+        self.executed.set(self.executed.get() + 1);
+        self.executed.get()
+    }
+}
+
+fn half_answer(answer: &Value) -> Response<StandinBody> {
+    let text = answer.to_string();
+    let (pieces, receiver) = mpsc::unbounded();
+    let half = Bytes::copy_from_slice(&text.as_bytes()[..text.len() / 2]);
+    let _ = pieces.unbounded_send(Ok(half));
+    let _ = pieces.unbounded_send(Err(ConnectionCut));
+    Response::new(StandinBody::Pieces(receiver))
+}
--- a/coltsfootgate_standins/tests/engine.rs
+++ b/coltsfootgate_standins/tests/engine.rs
@@ -61,3 +61,32 @@
     assert_eq!(counters["tokens"], counters["tokens_cancelled"]);
     assert_eq!(counters["running"], 0);
 }
+
+#[rstest]
+#[case::from_the_start(0)]
+#[case::in_the_middle(5)]
+fn resumed_stream_continues_after_the_offset(#[case] offset: u32) {
+    use std::io::{Read, Write};
+
+    let engine = engine::start_engine(ANY_PORT, settings()).unwrap();
+    let digest = PromptDigest::of("resumed");
+    let length = digest.answer_length(SEED, MAX_TOKENS);
+    let body = String::from_utf8(request("resumed", true)).unwrap();
+    let mut stream = std::net::TcpStream::connect(engine.address).unwrap();
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\
+         x-resume-offset: {offset}\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(format!("{head}{body}").as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    let contents: String = answer
+        .lines()
+        .filter_map(|line| serde_json::from_str::<Value>(line.strip_prefix("data: ")?).ok())
+        .filter_map(|event| event["choices"][0]["delta"]["content"].as_str().map(str::to_owned))
+        .collect();
+    assert!(length > 5);
+    assert_eq!(contents, digest.text(offset, length));
+    assert!(answer.contains("data: [DONE]"));
+}
