Decide what follows a failed attempt

An attempt history gives out leave to send, so that a request that is not repeatable cannot be sent twice: with no key once ever, with a claim again only after proof that nothing ran. What the attempts leave possible together decides the outcome; a refusal at the end does not hide that an earlier attempt may have run. Retries spend a budget per class, wait with jitter and stop at the deadline.

--- a/coltsfootgate_core/src/lib.rs
+++ b/coltsfootgate_core/src/lib.rs
@@ -1,5 +1,6 @@
 //! Every decision of coltsfootgate, as pure functions of state, event and time.
 
+pub mod attempt;
 pub mod estimate;
 pub mod gossip;
 pub mod head;
@@ -10,4 +11,5 @@
 pub mod prelude;
 pub mod reason;
 pub mod rendezvous;
+pub mod retry;
 pub mod settings;
