Keep the tree as immutable branch texts, and merge changes of two operators

Operators race on one head. The tree is split into texts named by content, one for each root's own settings and each branch below a root. Two changes of different texts are merged; two of one text give a conflict that lists the lines which the second change would undo.

--- a/coltsfootgate_config/src/document.rs
+++ b/coltsfootgate_config/src/document.rs
@@ -90,7 +90,7 @@
         None
     }
 
-    fn with_roots(source: Arc<str>) -> Self {
+    pub(crate) fn with_roots(source: Arc<str>) -> Self {
         let mut document = Self { source, nodes: Vec::new(), positions: HashMap::new() };
         for kind in TreeKind::ALL {
             document.push(kind.name().into(), kind, None, 0);
@@ -98,7 +98,7 @@
         document
     }
 
-    fn push(
+    pub(crate) fn push(
         &mut self,
         path: BranchPath,
         kind: TreeKind,
--- /dev/null
+++ b/coltsfootgate_config/src/edit.rs
@@ -0,0 +1,113 @@
+//! Replaces or removes one branch of a document.
+
+use std::error::Error;
+use std::fmt::{self, Display, Formatter};
+
+use coltsfootgate_core::ids::BranchPath;
+
+use crate::document::BranchDocument;
+use crate::schema::TreeKind;
+
+/// Why a branch cannot be replaced or removed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum EditError {
+    /// The path names no branch of the document, nor a new one below an existing branch.
+    UnknownBranch(BranchPath),
+    /// The replacement does not hold the branch.
+    NotInReplacement(BranchPath),
+    /// The replacement holds another branch beside the one to replace.
+    OtherBranch(BranchPath),
+}
+
+impl Display for EditError {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::UnknownBranch(path) => write!(formatter, "there is no branch {path}"),
+            Self::NotInReplacement(path) => write!(formatter, "the text does not hold {path}"),
+            Self::OtherBranch(path) => write!(formatter, "the text also holds {path}"),
+        }
+    }
+}
+
+impl Error for EditError {}
+
+impl BranchDocument {
+    /// A copy in which a branch, with all below it, is taken from another document.
+    ///
+    /// A new branch goes after its siblings. Fails if the replacement lacks the branch or states
+    /// anything outside it, or if the branch above does not exist.
+    pub fn with_branch(&self, path: &str, replacement: &Self) -> Result<Self, EditError> {
+        let Some(source) = replacement.position(path) else {
+            return Err(EditError::NotInReplacement(path.into()));
+        };
+        let below = format!("{path}.");
+        let is_outside = |other: &str| other != path && !other.starts_with(&below);
+        let outside = |node: &&crate::document::BranchNode| {
+            is_outside(&node.path) && (!node.settings.is_empty() || node.children.is_empty())
+        };
+        if let Some(node) = replacement.nodes.iter().filter(|node| node.line > 0).find(outside) {
+            return Err(EditError::OtherBranch(node.path.clone()));
+        }
+        let parent = path.rsplit_once('.').map(|(parent, _)| parent);
+        let known = self.position(path).is_some();
+        if !known && parent.is_none_or(|parent| self.position(parent).is_none()) {
+            return Err(EditError::UnknownBranch(path.into()));
+        }
+        let append_below = if known { None } else { parent };
+        let edit = BranchEdit { path, append_below, replacement: Some((replacement, source)) };
+        Ok(self.edited(&edit))
+    }
+
+    /// A copy without a branch and all below it.
+    ///
+    /// Fails if there is no such branch.
+    pub fn without_branch(&self, path: &str) -> Result<Self, EditError> {
+        match self.position(path) {
+            Some(_) => Ok(self.edited(&BranchEdit { path, append_below: None, replacement: None })),
+            None => Err(EditError::UnknownBranch(path.into())),
+        }
+    }
+
+    fn edited(&self, edit: &BranchEdit<'_>) -> Self {
+        let mut copy = Self::with_roots(self.source.clone());
+        for kind in TreeKind::ALL {
+            let root = copy.root(kind);
+            copy.fill(root, self, root, edit);
+        }
+        copy
+    }
+
+    /// Copies settings and branches of `source` into the branch at `target`.
+    fn fill(&mut self, target: usize, source: &Self, position: usize, edit: &BranchEdit<'_>) {
+        let (source, position) = match edit.replacement {
+            Some((replacement, replaced)) if *self.nodes[target].path == *edit.path => {
+                (replacement, replaced)
+            }
+            None if *self.nodes[target].path == *edit.path => return,
+            _ => (source, position),
+        };
+        self.nodes[target].line = source.nodes[position].line;
+        self.nodes[target].settings = source.nodes[position].settings.clone();
+        for child in &source.nodes[position].children {
+            let node = &source.nodes[*child];
+            if *node.path == *edit.path && edit.replacement.is_none() {
+                continue;
+            }
+            let copied = self.push(node.path.clone(), node.kind, Some(target), node.line);
+            self.fill(copied, source, *child, edit);
+        }
+        if let Some((replacement, replaced)) = edit.replacement
+            && edit.append_below == Some(&*self.nodes[target].path)
+        {
+            let node = &replacement.nodes[replaced];
+            let added = self.push(node.path.clone(), node.kind, Some(target), node.line);
+            self.fill(added, replacement, replaced, edit);
+        }
+    }
+}
+
+struct BranchEdit<'a> {
+    path: &'a str,
+    append_below: Option<&'a str>,
+    replacement: Option<(&'a BranchDocument, usize)>,
+}
--- a/coltsfootgate_config/src/lib.rs
+++ b/coltsfootgate_config/src/lib.rs
@@ -4,9 +4,14 @@
 mod class_match;
 mod classes;
 mod customers;
+mod diff;
 mod document;
+mod edit;
 mod error;
+mod merge;
+mod parts;
 mod pools;
+mod render;
 mod resolve;
 mod rule;
 mod schema;
@@ -14,12 +19,20 @@
 mod trace;
 mod tree;
 mod value;
+mod version;
 
 pub use class_match::{HeaderLookup, NoHeaders, RequestFacts};
+pub use diff::{ChangeLine, diff};
 pub use document::{BranchDocument, BranchNode};
+pub use edit::EditError;
 pub use error::{ConfigError, ConfigErrors, ConfigFault};
+pub use merge::{BranchConflict, MergeConflict, merge};
+pub use parts::{
+    BranchPart, ContentDigest, PartsError, STORED_VALUE_BYTES, TreeParts, content_digest,
+};
 pub use rule::{DecisionRule, RuleSubjects};
 pub use schema::{KeySpec, TreeKind, ValueKind};
 pub use trace::TracedValue;
 pub use tree::ConfigTree;
 pub use value::{Setting, SettingValue, parse_duration};
+pub use version::{HEAD_KEY, HeadObject, RootEntry, RootObject, branch_key, history_key, root_key};
--- /dev/null
+++ b/coltsfootgate_config/src/merge.rs
@@ -0,0 +1,150 @@
+//! Brings together the changes of two operators who started from the same tree.
+
+use std::collections::{HashMap, HashSet};
+use std::error::Error;
+use std::fmt::{self, Display, Formatter};
+
+use coltsfootgate_core::ids::BranchPath;
+
+use crate::diff::{ChangeLine, diff_parts};
+use crate::parts::{BranchPart, TreeParts};
+use crate::schema::TreeKind;
+
+/// Two operators changed the same branches in different ways.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MergeConflict {
+    /// Each branch that both changed.
+    pub branches: Vec<BranchConflict>,
+}
+
+/// A branch that two operators changed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BranchConflict {
+    /// The branch; a root stands for the order of the branches below it, too.
+    pub branch: BranchPath,
+    /// What the other operator changed, which the second change would undo.
+    pub would_lose: Vec<ChangeLine>,
+}
+
+impl Display for MergeConflict {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        for (position, conflict) in self.branches.iter().enumerate() {
+            let separator = if position > 0 { "\n" } else { "" };
+            write!(formatter, "{separator}{} was changed meanwhile", conflict.branch)?;
+            for line in &conflict.would_lose {
+                write!(formatter, "\n  would be lost: {line}")?;
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Error for MergeConflict {}
+
+/// Applies the change from `base` to `mine` on top of `theirs`.
+///
+/// Fails if both changed one branch differently, or both changed the order of the branches below
+/// one root differently. The result still has to pass the checks of a tree.
+pub fn merge(
+    base: &TreeParts,
+    theirs: &TreeParts,
+    mine: &TreeParts,
+) -> Result<TreeParts, MergeConflict> {
+    let (base_parts, their_parts, my_parts) = (by_path(base), by_path(theirs), by_path(mine));
+    let mut merged = HashMap::new();
+    let mut conflicts = Vec::new();
+    for path in all_paths([base, theirs, mine]) {
+        let (old, other, own) = (base_parts.get(path), their_parts.get(path), my_parts.get(path));
+        let taken = if own == old || own == other {
+            other
+        } else if other == old {
+            own
+        } else {
+            conflicts.push(BranchConflict {
+                branch: path.clone(),
+                would_lose: lost_lines(old.copied(), other.copied()),
+            });
+            continue;
+        };
+        if let Some(part) = taken {
+            merged.insert(path.clone(), (*part).clone());
+        }
+    }
+    let mut order = Vec::new();
+    for kind in TreeKind::ALL {
+        match merged_order(kind, base, theirs, mine) {
+            Some(paths) => order.extend(paths),
+            None => conflicts.push(BranchConflict {
+                branch: kind.name().into(),
+                would_lose: vec![ChangeLine::order(kind.name(), &paths_of(kind, theirs))],
+            }),
+        }
+    }
+    if !conflicts.is_empty() {
+        return Err(MergeConflict { branches: conflicts });
+    }
+    Ok(TreeParts { parts: order.iter().filter_map(|path| merged.remove(path)).collect() })
+}
+
+fn by_path(parts: &TreeParts) -> HashMap<&BranchPath, &BranchPart> {
+    parts.iter().map(|part| (&part.path, part)).collect()
+}
+
+fn all_paths<const N: usize>(trees: [&TreeParts; N]) -> Vec<&BranchPath> {
+    let mut seen = HashSet::new();
+    let paths = trees.into_iter().flat_map(TreeParts::iter).map(|part| &part.path);
+    paths.filter(|path| seen.insert(*path)).collect()
+}
+
+fn lost_lines(old: Option<&BranchPart>, other: Option<&BranchPart>) -> Vec<ChangeLine> {
+    let single =
+        |part: Option<&BranchPart>| TreeParts { parts: part.into_iter().cloned().collect() };
+    diff_parts(&single(old), &single(other))
+}
+
+/// The paths of one tree's parts, in order.
+fn paths_of(kind: TreeKind, parts: &TreeParts) -> Vec<BranchPath> {
+    let below = format!("{}.", kind.name());
+    let paths = parts.iter().map(|part| &part.path);
+    paths.filter(|path| ***path == *kind.name() || path.starts_with(&below)).cloned().collect()
+}
+
+/// The order of one tree's parts; nothing where both sides changed it differently.
+fn merged_order(
+    kind: TreeKind,
+    base: &TreeParts,
+    theirs: &TreeParts,
+    mine: &TreeParts,
+) -> Option<Vec<BranchPath>> {
+    let (base, theirs, mine) = (paths_of(kind, base), paths_of(kind, theirs), paths_of(kind, mine));
+    let (i_moved, they_moved) = (moved(&base, &mine), moved(&base, &theirs));
+    if i_moved && they_moved && moved(&theirs, &mine) {
+        return None;
+    }
+    let (leading, following) = if i_moved { (mine, theirs) } else { (theirs, mine) };
+    Some(with_insertions(leading, &following))
+}
+
+/// Whether the paths that two orders share stand in different order.
+fn moved(before: &[BranchPath], after: &[BranchPath]) -> bool {
+    let shared: HashSet<_> = before.iter().filter(|path| after.contains(path)).collect();
+    let restrict = |paths: &[BranchPath]| -> Vec<BranchPath> {
+        paths.iter().filter(|path| shared.contains(path)).cloned().collect()
+    };
+    restrict(before) != restrict(after)
+}
+
+/// Adds the paths that `leading` lacks, each after the one that it follows in `following`.
+fn with_insertions(mut leading: Vec<BranchPath>, following: &[BranchPath]) -> Vec<BranchPath> {
+    let mut place = 0;
+    for path in following {
+        match leading.iter().position(|known| known == path) {
+            Some(position) => place = position + 1,
+            None => {
+                leading.insert(place, path.clone());
+                place += 1;
+            }
+        }
+    }
+    leading
+}
--- a/coltsfootgate_config/src/value.rs
+++ b/coltsfootgate_config/src/value.rs
@@ -86,8 +86,7 @@
                 formatter.write_str("{")?;
                 for (position, setting) in settings.iter().enumerate() {
                     formatter.write_str(if position > 0 { ", " } else { " " })?;
-                    write_key(formatter, &setting.key)?;
-                    write!(formatter, " = {}", setting.value)?;
+                    setting.fmt(formatter)?;
                 }
                 formatter.write_str(" }")
             }
@@ -95,9 +94,15 @@
     }
 }
 
-/// Writes a key of TOML, quoted where it must be.
-pub(crate) fn write_key(formatter: &mut Formatter<'_>, key: &str) -> fmt::Result {
-    if is_bare_key(key) { formatter.write_str(key) } else { write_quoted(formatter, key) }
+impl Display for Setting {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        if is_bare_key(&self.key) {
+            formatter.write_str(&self.key)?;
+        } else {
+            write_quoted(formatter, &self.key)?;
+        }
+        write!(formatter, " = {}", self.value)
+    }
 }
 
 /// Whether a key needs no quotes.
