Add the open-loop load generator

Arrivals, customers and prompts follow from the plan's seed, whatever becomes of earlier calls. Every token of every answer is checked against its own request, so that a truncated or crossed answer is counted. Reports histograms and reasons by class, and the useful tokens by second.

--- a/coltsfootgate_standins/src/lib.rs
+++ b/coltsfootgate_standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod engine;
 
 pub mod http_server;
+pub mod load;
 pub mod platform;
 pub mod proxy;
 pub mod runner;
--- /dev/null
+++ b/coltsfootgate_standins/src/load/call.rs
@@ -0,0 +1,235 @@
+//! One call of the load generator, from the request to the checked answer.
+
+use std::cell::RefCell;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+
+use super::arrivals::PlannedCall;
+use super::client::EntryClient;
+use super::report::LoadReport;
+use super::stream::StreamChecker;
+use super::{LoadPlan, LoadTarget};
+use crate::answer_text::PromptDigest;
+
+const OUTCOME_HEADER: &str = "coltsfootgate-outcome";
+const REASON_HEADER: &str = "coltsfootgate-reason";
+
+/// What became of a call, as its caller saw it.
+pub(super) struct CallResult<'a> {
+    run_begun: Instant,
+    report: &'a RefCell<LoadReport>,
+    pub(super) begun: Instant,
+    pub(super) first: Option<Instant>,
+    last: Instant,
+    pub(super) ended: Instant,
+    pub(super) tokens: u32,
+    /// Tokens by second since the start of the run.
+    pub(super) seconds: Vec<(usize, u32)>,
+    /// Whether the whole answer to this very request came.
+    pub(super) whole: bool,
+    /// Whether the answer claimed to be whole.
+    pub(super) claimed_whole: bool,
+    /// Whether something of another answer came.
+    pub(super) foreign: bool,
+    pub(super) outcome: String,
+    pub(super) reason: String,
+    /// The path with which a service saw the call.
+    pub(super) path: Option<String>,
+}
+
+impl<'a> CallResult<'a> {
+    pub(super) fn new(run_begun: Instant, report: &'a RefCell<LoadReport>) -> Self {
+        let now = Instant::now();
+        Self {
+            run_begun,
+            report,
+            begun: now,
+            first: None,
+            last: now,
+            ended: now,
+            tokens: 0,
+            seconds: Vec::new(),
+            whole: false,
+            claimed_whole: false,
+            foreign: false,
+            outcome: "unknown".to_owned(),
+            reason: "no-answer".to_owned(),
+            path: None,
+        }
+    }
+
+    /// Mean time between tokens in milliseconds, for two or more.
+    pub(super) fn between_tokens_ms(&self) -> Option<f64> {
+        let span = (self.last - self.first?).as_secs_f64() * 1e3;
+        (self.tokens > 1).then(|| span / f64::from(self.tokens - 1))
+    }
+
+    fn take_tokens(&mut self, class: &str, count: u32) {
+        let now = Instant::now();
+        let gap = self.first.is_some().then(|| now - self.last);
+        self.first.get_or_insert(now);
+        self.last = now;
+        self.tokens += count;
+        let second = (now - self.run_begun).as_secs() as usize;
+        match self.seconds.last_mut().filter(|(last, _)| *last == second) {
+            Some((_, tokens)) => *tokens += count,
+            None => self.seconds.push((second, count)),
+        }
+        self.report.borrow_mut().received(class, count, gap);
+    }
+
+    fn take_headers(&mut self, headers: &HeaderMap) {
+        let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+        self.outcome = text(OUTCOME_HEADER).unwrap_or("unknown").to_owned();
+        self.reason = text(REASON_HEADER).unwrap_or("no-reason").to_owned();
+    }
+}
+
+/// Makes a call and fills in its result.
+pub(super) async fn perform(
+    client: &EntryClient,
+    plan: &LoadPlan,
+    call: &PlannedCall,
+    result: &mut CallResult<'_>,
+) {
+    let class = &plan.classes[call.class];
+    let Some(mut connection) = client.connect().await else {
+        result.reason = "no-entry".to_owned();
+        result.outcome = "not-run".to_owned();
+        return;
+    };
+    let request = build_request(plan, call, result);
+    if let Ok(response) = connection.send(request).await {
+        result.take_headers(response.headers());
+        let is_read_whole = match &class.target {
+            LoadTarget::Model { max_tokens, stream, .. } => {
+                let digest = PromptDigest::of(&call.prompt);
+                let length = digest.answer_length(plan.engine_seed, *max_tokens);
+                if *stream && response.status().is_success() {
+                    read_stream(response, &class.name, digest, length, result).await
+                } else {
+                    let expected = digest.text(0, length);
+                    read_whole(response, &class.name, result, |body| {
+                        let is_own = body["choices"][0]["message"]["content"] == expected;
+                        is_own.then_some(length)
+                    })
+                    .await
+                }
+            }
+            LoadTarget::Service { .. } => {
+                let path = result.path.clone();
+                let is_own = |body: &Value| body["target"].as_str() == path.as_deref();
+                read_whole(response, &class.name, result, |body| is_own(body).then_some(0)).await
+            }
+        };
+        if is_read_whole {
+            client.give_back(connection);
+        }
+    }
+    result.ended = Instant::now();
+}
+
+fn build_request(
+    plan: &LoadPlan,
+    call: &PlannedCall,
+    result: &mut CallResult<'_>,
+) -> Request<Full<Bytes>> {
+    let class = &plan.classes[call.class];
+    let mut builder = Request::builder()
+        .header("host", "coltsfootgate")
+        .header("authorization", format!("Bearer {}", call.key));
+    for (name, value) in &class.headers {
+        builder = builder.header(name, value);
+    }
+    let body = match &class.target {
+        LoadTarget::Model { model, stream, max_tokens, .. } => {
+            builder = builder.method(Method::POST).uri("/v1/chat/completions");
+            builder = builder.header("content-type", "application/json");
+            let messages = json!([{"role": "user", "content": call.prompt}]);
+            let (stream, max_tokens) = (*stream, *max_tokens);
+            json!({
+                "model": model, "stream": stream, "max_tokens": max_tokens, "messages": messages,
+            })
+            .to_string()
+        }
+        LoadTarget::Service { method, path, keyed, .. } => {
+            let number = format!("{}-{}", plan.seed, call.number);
+            let path = path.replace("{n}", &number);
+            builder = builder.method(method.as_str()).uri(&path);
+            if *keyed {
+                builder = builder.header("idempotency-key", format!("load-{number}"));
+            }
+            result.path = Some(path);
+            String::new()
+        }
+    };
+    builder.body(Full::from(body)).expect("a planned request is valid")
+}
+
+async fn read_stream(
+    response: Response<Incoming>,
+    class: &str,
+    digest: PromptDigest,
+    length: u32,
+    result: &mut CallResult<'_>,
+) -> bool {
+    let mut checker = StreamChecker::new(digest, length);
+    let mut body = response.into_body();
+    let is_read_whole = loop {
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                let tokens = frame.data_ref().map_or(0, |piece| checker.feed(piece));
+                if tokens > 0 {
+                    result.take_tokens(class, tokens);
+                }
+            }
+            Some(Err(_)) => break false,
+            None => break true,
+        }
+    };
+    result.foreign = checker.foreign;
+    result.whole = checker.is_whole();
+    match &checker.end {
+        Some(end) => {
+            result.outcome.clone_from(&end.outcome);
+            result.reason.clone_from(&end.reason);
+        }
+        None => {
+            result.outcome = "unknown".to_owned();
+            result.reason = checker.error_code.clone().unwrap_or("no-end-event".to_owned());
+        }
+    }
+    result.claimed_whole = checker.done || result.outcome == "completed";
+    is_read_whole
+}
+
+async fn read_whole(
+    response: Response<Incoming>,
+    class: &str,
+    result: &mut CallResult<'_>,
+    own_tokens: impl FnOnce(&Value) -> Option<u32>,
+) -> bool {
+    let is_success = response.status().is_success();
+    let Ok(body) = response.into_body().collect().await else {
+        result.reason = "broken-body".to_owned();
+        return false;
+    };
+    let now = Instant::now();
+    result.first.get_or_insert(now);
+    if is_success {
+        let body = serde_json::from_slice(&body.to_bytes()).unwrap_or(Value::Null);
+        let tokens = own_tokens(&body);
+        result.claimed_whole = true;
+        result.whole = tokens.is_some();
+        result.foreign = tokens.is_none();
+        result.tokens = tokens.unwrap_or(0);
+        result.seconds.push(((now - result.run_begun).as_secs() as usize, result.tokens));
+        result.report.borrow_mut().received(class, result.tokens, None);
+    }
+    true
+}
--- /dev/null
+++ b/coltsfootgate_standins/src/load/report.rs
@@ -0,0 +1,197 @@
+//! What the load generator saw, by class.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+use super::arrivals::PlannedCall;
+use super::call::CallResult;
+use super::{LoadClass, LoadPlan, LoadTarget};
+use crate::answer_text::PromptDigest;
+
+/// Histograms count microseconds up to this.
+const MICROS_MAX: u64 = 3_600_000_000;
+
+/// Quantiles of a latency, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+pub struct LatencySummary {
+    /// The median.
+    pub p50: f64,
+    /// 95 in 100 are below.
+    pub p95: f64,
+    /// 99 in 100 are below.
+    pub p99: f64,
+    /// The largest.
+    pub max: f64,
+}
+
+/// What one class met with.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct ClassReport {
+    /// The tier of the class.
+    pub tier: u8,
+    /// Calls sent, without repeats.
+    pub sent: u64,
+    /// Calls that ended with the whole answer.
+    pub completed: u64,
+    /// Completed calls within the targets.
+    pub attained: u64,
+    /// Completed calls that missed the target of the first token or the whole answer.
+    pub late: u64,
+    /// Completed calls that missed the target between tokens.
+    pub slow: u64,
+    /// Time to the first token, or to the answer of a service.
+    pub first_token: LatencySummary,
+    /// Time between tokens.
+    pub between_tokens: LatencySummary,
+    /// Time to the end of the answer.
+    pub whole: LatencySummary,
+    #[serde(skip)]
+    histograms: Option<ClassHistograms>,
+}
+
+#[derive(Clone, Debug)]
+struct ClassHistograms {
+    first_token: Histogram<u64>,
+    between_tokens: Histogram<u64>,
+    whole: Histogram<u64>,
+}
+
+/// What all calls met with.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct LoadReport {
+    /// By name of the class.
+    pub classes: BTreeMap<String, ClassReport>,
+    /// Calls that were not completed, by reason.
+    pub refusals: BTreeMap<String, u64>,
+    /// Calls by outcome.
+    pub outcomes: BTreeMap<String, u64>,
+    /// Calls that ended with the whole answer.
+    pub completed: u64,
+    /// Answers that claimed to be whole and were not.
+    pub truncated_as_whole: u64,
+    /// Answers with something of another answer.
+    pub foreign: u64,
+    /// Calls without an end when the load generator stopped.
+    pub unfinished: u64,
+    /// Tokens that callers received.
+    pub tokens_received: u64,
+    /// Tokens of completed answers, by second since the start.
+    pub useful_by_second: Vec<u64>,
+    /// Tokens received for answers that ended incomplete.
+    pub tokens_of_ended: u64,
+    /// Longest time to the first token or the refusal in the lowest tier, in milliseconds.
+    pub lowest_tier_longest_wait_ms: f64,
+    /// Digests of prompts and paths of services whose callers were told that nothing ran.
+    pub told_not_run: Vec<String>,
+}
+
+impl LoadReport {
+    pub(super) fn new(plan: &LoadPlan) -> Self {
+        let classes = plan.classes.iter().map(|class| {
+            let histogram = || {
+                Histogram::new_with_max(MICROS_MAX, 3).expect("the bounds of histograms are valid")
+            };
+            let histograms = Some(ClassHistograms {
+                first_token: histogram(),
+                between_tokens: histogram(),
+                whole: histogram(),
+            });
+            let report = ClassReport { tier: class.tier, histograms, ..ClassReport::default() };
+            (class.name.clone(), report)
+        });
+        Self { classes: classes.collect(), ..Self::default() }
+    }
+
+    fn class(&mut self, name: &str) -> &mut ClassReport {
+        self.classes.get_mut(name).expect("the report has every class of the plan")
+    }
+
+    pub(super) fn sent(&mut self, class: &LoadClass, is_repeat: bool) {
+        self.class(&class.name).sent += u64::from(!is_repeat);
+    }
+
+    pub(super) fn received(&mut self, class: &str, tokens: u32, gap: Option<Duration>) {
+        self.tokens_received += u64::from(tokens);
+        if let (Some(histograms), Some(gap)) = (&mut self.class(class).histograms, gap) {
+            histograms.between_tokens.saturating_record(gap.as_micros() as u64);
+        }
+    }
+
+    pub(super) fn ended(&mut self, class: &LoadClass, call: &PlannedCall, result: &CallResult<'_>) {
+        let first = result.first.unwrap_or(result.ended) - result.begun;
+        if class.tier == 7 {
+            let wait_ms = first.as_secs_f64() * 1e3;
+            self.lowest_tier_longest_wait_ms = self.lowest_tier_longest_wait_ms.max(wait_ms);
+        }
+        *self.outcomes.entry(result.outcome.clone()).or_default() += 1;
+        self.foreign += u64::from(result.foreign);
+        self.truncated_as_whole += u64::from(result.claimed_whole && !result.whole);
+        if !result.whole {
+            self.tokens_of_ended += u64::from(result.tokens);
+            self.note_refusal(call, result);
+        } else if !call.repeated {
+            self.note_completion(class, result, first);
+        }
+    }
+
+    fn note_refusal(&mut self, call: &PlannedCall, result: &CallResult<'_>) {
+        let reason = if call.repeated { "repeated: " } else { "" }.to_owned() + &result.reason;
+        *self.refusals.entry(reason).or_default() += 1;
+        if result.outcome == "not-run" && !call.repeated {
+            let digest = || PromptDigest::of(&call.prompt).to_string();
+            self.told_not_run.push(result.path.clone().unwrap_or_else(digest));
+        }
+    }
+
+    fn note_completion(&mut self, class: &LoadClass, result: &CallResult<'_>, first: Duration) {
+        self.completed += 1;
+        for (second, tokens) in &result.seconds {
+            if self.useful_by_second.len() <= *second {
+                self.useful_by_second.resize(second + 1, 0);
+            }
+            self.useful_by_second[*second] += u64::from(*tokens);
+        }
+        let whole = result.ended - result.begun;
+        let is_streamed = matches!(class.target, LoadTarget::Model { stream: true, .. });
+        let is_late = if is_streamed {
+            first.as_secs_f64() * 1e3 > class.first_token_ms
+        } else {
+            whole.as_secs_f64() * 1e3 > class.whole_answer_ms
+        };
+        let is_slow = result.between_tokens_ms().is_some_and(|gap| gap > class.between_tokens_ms);
+        let report = self.class(&class.name);
+        report.completed += 1;
+        report.late += u64::from(is_late);
+        report.slow += u64::from(is_slow);
+        report.attained += u64::from(!is_late && !is_slow);
+        if let Some(histograms) = &mut report.histograms {
+            histograms.first_token.saturating_record(first.as_micros() as u64);
+            histograms.whole.saturating_record(whole.as_micros() as u64);
+        }
+    }
+
+    pub(super) fn finish(mut self, unfinished: usize) -> Self {
+        self.unfinished = unfinished as u64;
+        for report in self.classes.values_mut() {
+            if let Some(histograms) = report.histograms.take() {
+                report.first_token = summarize(&histograms.first_token);
+                report.between_tokens = summarize(&histograms.between_tokens);
+                report.whole = summarize(&histograms.whole);
+            }
+        }
+        self
+    }
+}
+
+fn summarize(histogram: &Histogram<u64>) -> LatencySummary {
+    let milliseconds = |quantile| histogram.value_at_quantile(quantile) as f64 / 1e3;
+    LatencySummary {
+        p50: milliseconds(0.5),
+        p95: milliseconds(0.95),
+        p99: milliseconds(0.99),
+        max: histogram.max() as f64 / 1e3,
+    }
+}
