Decide which owner an entry asks, with two baselines

An entry asks the owner with a free slot that is nearest and warmest, then another one, and then waits where the expected wait of its tier is shortest. A refusal for capacity is final only when each owner last seen with a free slot or a lower tier waiting was tried. Round robin and least loaded choose an endpoint without asking anyone.

--- /dev/null
+++ b/coltsfootgate_core/src/routing/cooperative.rs
@@ -0,0 +1,264 @@
+//! Asks the owners of a pool for grants, so that tiers hold across all of them.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use super::view::OwnerView;
+use super::{OwnerPlace, RequestRoute, RoutePolicy, RouteReply, RouteStep};
+use crate::ids::{EndpointId, InstanceId, PoolId, ZoneName};
+use crate::owner::{OwnerPressure, PrefixAffinity};
+use crate::reason::ErrorKind;
+use crate::rendezvous::stable_hash;
+
+/// Owners that are asked without waiting before a request waits at one.
+const PROBES_MAX: usize = 2;
+/// Wait that an ask in another zone is worth.
+const ZONE_COST: Duration = Duration::from_millis(3);
+/// Wait that a warm cache is worth.
+const AFFINITY_WORTH: Duration = Duration::from_millis(20);
+/// Wait that asking a fully taken owner instead of an idle one is worth.
+const LOAD_COST: Duration = Duration::from_millis(10);
+/// Wait that an owner which did not answer lately is worth.
+const SILENCE_COST: Duration = Duration::from_secs(10);
+/// Largest random addition to the cost of an owner.
+const JITTER: Duration = Duration::from_millis(2);
+/// Time between two attempts to find a better owner for a waiting request.
+const RECONSIDER_PERIOD: Duration = Duration::from_millis(50);
+
+/// The owners of one pool.
+#[derive(Clone, Debug, Default)]
+struct PoolView {
+    owners: BTreeMap<InstanceId, OwnerView>,
+    affinity: PrefixAffinity<InstanceId>,
+    has_endpoints: bool,
+}
+
+/// Chooses owners by free slots, expected wait, zone and prefix.
+#[derive(Clone, Debug)]
+pub struct CooperativeRoutes {
+    zone: ZoneName,
+    pools: HashMap<PoolId, PoolView>,
+}
+
+impl CooperativeRoutes {
+    /// Makes the routes of an entry instance in a zone.
+    pub fn new(zone: ZoneName) -> Self {
+        Self { zone, pools: HashMap::new() }
+    }
+
+    /// The open owner of least cost among those that pass.
+    fn best_owner(
+        &self,
+        route: &RequestRoute,
+        now: Instant,
+        passes: impl Fn(&InstanceId, &OwnerView) -> bool,
+    ) -> Option<InstanceId> {
+        let pool = self.pools.get(&route.request.pool)?;
+        let hint = pool.affinity.hint(route.request.prefix);
+        let open = pool
+            .owners
+            .iter()
+            .filter(|(owner, view)| !route.is_closed(owner) && passes(owner, view));
+        let cost = |owner: &InstanceId, view: &OwnerView| {
+            let affinity = if hint == Some(owner) { AFFINITY_WORTH } else { Duration::ZERO };
+            self.cost(route, view, now) + jitter(route.request.random, owner)
+                - affinity.as_secs_f64()
+        };
+        let costs = open.map(|(owner, view)| (cost(owner, view), owner));
+        costs.min_by(|one, other| one.0.total_cmp(&other.0)).map(|(_, owner)| owner.clone())
+    }
+
+    /// What asking an owner is expected to cost, in seconds of waiting.
+    fn cost(&self, route: &RequestRoute, view: &OwnerView, now: Instant) -> f64 {
+        let mut cost = view.expected_wait(route.request.tier, now);
+        if view.place.zone != self.zone {
+            cost += ZONE_COST;
+        }
+        if view.is_silent(now) {
+            cost += SILENCE_COST;
+        }
+        cost.as_secs_f64() + LOAD_COST.as_secs_f64() * view.load(now)
+    }
+
+    /// Waits at the best of the owners that did not refuse.
+    fn wait_step(&mut self, route: &mut RequestRoute, now: Instant) -> RouteStep {
+        let Some(owner) = self.best_owner(route, now, |_, _| true) else {
+            return self.last_step(route);
+        };
+        self.wait_at(route, owner)
+    }
+
+    fn wait_at(&mut self, route: &mut RequestRoute, owner: InstanceId) -> RouteStep {
+        if let Some(view) = self.view(&route.request.pool, &owner) {
+            view.add_waiting(route.request.tier);
+        }
+        route.waits_at = Some(owner.clone());
+        RouteStep::Ask { owner, wait: true }
+    }
+
+    /// Another owner after a refusal for capacity, or the refusal itself.
+    fn after_refusal(&mut self, route: &mut RequestRoute, now: Instant) -> RouteStep {
+        let tier = route.request.tier;
+        let owner = self.best_owner(route, now, |_, view| view.may_yield(tier, now));
+        match owner {
+            Some(owner) => self.wait_at(route, owner),
+            None => self.last_step(route),
+        }
+    }
+
+    /// What is left when no owner is.
+    fn last_step(&self, route: &RequestRoute) -> RouteStep {
+        let has_endpoints =
+            self.pools.get(&route.request.pool).is_some_and(|pool| pool.has_endpoints);
+        let is_unheard = has_endpoints && (!route.silent.is_empty() || route.refused.is_empty());
+        match route.refusal {
+            None | Some(ErrorKind::NoEndpoint) if is_unheard => RouteStep::AskShare,
+            Some(kind) => RouteStep::Refuse(kind),
+            None => RouteStep::Refuse(ErrorKind::NoEndpoint),
+        }
+    }
+
+    fn view(&mut self, pool: &PoolId, owner: &InstanceId) -> Option<&mut OwnerView> {
+        self.pools.get_mut(pool)?.owners.get_mut(owner)
+    }
+}
+
+impl RoutePolicy for CooperativeRoutes {
+    fn set_pool(&mut self, pool: &PoolId, owners: Vec<OwnerPlace>, endpoints: Vec<EndpointId>) {
+        let pool = self.pools.entry(pool.clone()).or_default();
+        pool.has_endpoints = !endpoints.is_empty();
+        let mut known = std::mem::take(&mut pool.owners);
+        for place in owners {
+            let view = known.remove(&place.owner);
+            let view = view.unwrap_or_else(|| OwnerView::new(place.clone()));
+            pool.owners.insert(place.owner, view);
+        }
+    }
+
+    fn learn(
+        &mut self,
+        pool: &PoolId,
+        owner: &InstanceId,
+        pressure: OwnerPressure,
+        age: Duration,
+        now: Instant,
+    ) {
+        let seen = now.checked_sub(age).unwrap_or(now);
+        if let Some(view) = self.view(pool, owner) {
+            view.learn(pressure, seen);
+        }
+    }
+
+    fn first_step(&mut self, route: &mut RequestRoute, now: Instant) -> RouteStep {
+        match self.best_owner(route, now, |_, view| view.may_be_free(now)) {
+            Some(owner) => {
+                if let Some(view) = self.view(&route.request.pool, &owner) {
+                    view.take_slot();
+                }
+                RouteStep::Ask { owner, wait: false }
+            }
+            None => self.wait_step(route, now),
+        }
+    }
+
+    fn next_step(
+        &mut self,
+        route: &mut RequestRoute,
+        owner: &InstanceId,
+        reply: RouteReply,
+        now: Instant,
+    ) -> RouteStep {
+        if route.waits_at.as_ref() == Some(owner) {
+            route.waits_at = None;
+        }
+        match reply {
+            RouteReply::Busy(pressure) => {
+                self.learn(&route.request.pool.clone(), owner, pressure, Duration::ZERO, now);
+                route.busy.push(owner.clone());
+                let busy = route.busy.clone();
+                let is_free = |owner: &InstanceId, view: &OwnerView| {
+                    !busy.contains(owner) && view.may_be_free(now)
+                };
+                match self.best_owner(route, now, is_free) {
+                    Some(owner) if busy.len() < PROBES_MAX => RouteStep::Ask { owner, wait: false },
+                    _ => self.wait_step(route, now),
+                }
+            }
+            RouteReply::Refused(kind, pressure) => {
+                self.learn(&route.request.pool.clone(), owner, pressure, Duration::ZERO, now);
+                route.refused.push(owner.clone());
+                self.refused_step(route, kind, now)
+            }
+            RouteReply::Silent => {
+                if let Some(view) = self.view(&route.request.pool, owner) {
+                    view.set_silent(now);
+                }
+                route.silent.push(owner.clone());
+                match route.refusal {
+                    Some(kind) if kind != ErrorKind::NoEndpoint => self.after_refusal(route, now),
+                    _ => self.wait_step(route, now),
+                }
+            }
+        }
+    }
+
+    fn reconsider(&mut self, route: &mut RequestRoute, now: Instant) -> Option<InstanceId> {
+        let waits_at = route.waits_at.clone()?;
+        let is_due = route
+            .reconsidered
+            .is_none_or(|last| now.saturating_duration_since(last) >= RECONSIDER_PERIOD);
+        if !is_due {
+            return None;
+        }
+        let is_free = |owner: &InstanceId, view: &OwnerView| {
+            *owner != waits_at && view.pressure(now).is_some_and(|pressure| pressure.free_slots > 0)
+        };
+        let owner = self.best_owner(route, now, is_free)?;
+        route.reconsidered = Some(now);
+        if let Some(view) = self.view(&route.request.pool, &owner) {
+            view.take_slot();
+        }
+        Some(owner)
+    }
+
+    fn granted(&mut self, route: &RequestRoute, owner: Option<&InstanceId>, _: &EndpointId) {
+        if let Some(owner) = owner
+            && let Some(pool) = self.pools.get_mut(&route.request.pool)
+        {
+            pool.affinity.note(route.request.prefix, owner.clone());
+        }
+    }
+
+    fn ended(&mut self, _: &PoolId, _: &EndpointId) {}
+}
+
+impl CooperativeRoutes {
+    fn refused_step(
+        &mut self,
+        route: &mut RequestRoute,
+        kind: ErrorKind,
+        now: Instant,
+    ) -> RouteStep {
+        match kind {
+            ErrorKind::QueueFull | ErrorKind::Displaced | ErrorKind::DeadlineUnmeetable => {
+                route.refusal = Some(kind);
+                self.after_refusal(route, now)
+            }
+            ErrorKind::NoEndpoint => {
+                route.refusal.get_or_insert(kind);
+                match route.refusal {
+                    Some(ErrorKind::NoEndpoint) => self.wait_step(route, now),
+                    _ => self.after_refusal(route, now),
+                }
+            }
+            _ => RouteStep::Refuse(kind),
+        }
+    }
+}
+
+/// A small addition in seconds that differs by request and owner.
+fn jitter(random: u64, owner: &InstanceId) -> f64 {
+    let mixed = stable_hash(owner.as_bytes()) ^ random;
+    let hash = stable_hash(&mixed.to_le_bytes());
+    JITTER.as_secs_f64() * f64::from((hash >> 32) as u32) / f64::from(u32::MAX)
+}
--- /dev/null
+++ b/coltsfootgate_core/src/routing/mod.rs
@@ -0,0 +1,153 @@
+//! Decides which owner an entry instance asks for a grant, and when it gives up.
+
+mod cooperative;
+mod local;
+mod share;
+mod strategy;
+mod view;
+
+use std::time::{Duration, Instant};
+
+pub use cooperative::CooperativeRoutes;
+pub use local::{LeastLoadedRoutes, RoundRobinRoutes};
+pub use share::fallback_share;
+pub use strategy::StrategyRoutes;
+pub use view::OwnerView;
+
+use crate::ids::{EndpointId, InstanceId, PoolId, RequestTier, ZoneName};
+use crate::owner::OwnerPressure;
+use crate::reason::ErrorKind;
+
+/// An owner of endpoints of a pool and where it runs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OwnerPlace {
+    /// The instance.
+    pub owner: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneName,
+}
+
+/// What a routing decision needs to know of a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RouteRequest {
+    /// The pool that serves it.
+    pub pool: PoolId,
+    /// The tier of its class.
+    pub tier: RequestTier,
+    /// Digest of the start of the prompt.
+    pub prefix: Option<u64>,
+    /// When the caller gives up.
+    pub deadline: Instant,
+    /// Endpoints that already failed this request.
+    pub excluded: Vec<EndpointId>,
+    /// A random number, so that entries with the same view spread out.
+    pub random: u64,
+}
+
+/// One request on its way to a grant.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RequestRoute {
+    /// The request.
+    pub request: RouteRequest,
+    /// Owners that said they were busy.
+    pub busy: Vec<InstanceId>,
+    /// Owners that refused it.
+    pub refused: Vec<InstanceId>,
+    /// Owners that did not answer.
+    pub silent: Vec<InstanceId>,
+    /// The refusal that the caller gets if no owner serves the request.
+    pub refusal: Option<ErrorKind>,
+    /// The owner at which it waits.
+    pub waits_at: Option<InstanceId>,
+    /// When another owner was last asked beside the one at which it waits.
+    pub reconsidered: Option<Instant>,
+}
+
+impl RequestRoute {
+    /// Starts a route.
+    pub fn new(request: RouteRequest) -> Self {
+        Self {
+            request,
+            busy: Vec::new(),
+            refused: Vec::new(),
+            silent: Vec::new(),
+            refusal: None,
+            waits_at: None,
+            reconsidered: None,
+        }
+    }
+
+    /// Whether an owner refused the request or did not answer.
+    pub fn is_closed(&self, owner: &InstanceId) -> bool {
+        self.refused.contains(owner) || self.silent.contains(owner)
+    }
+}
+
+/// What to do next for a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RouteStep {
+    /// Ask an owner for a grant.
+    Ask {
+        /// The owner.
+        owner: InstanceId,
+        /// Whether to wait in its queue.
+        wait: bool,
+    },
+    /// Ask the queue that holds this instance's own share of the pool.
+    AskShare,
+    /// Send to this endpoint without asking anyone.
+    Send {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
+    /// Refuse the request.
+    Refuse(ErrorKind),
+}
+
+/// What an owner answered.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RouteReply {
+    /// It has no free slot.
+    Busy(OwnerPressure),
+    /// It will not serve the request.
+    Refused(ErrorKind, OwnerPressure),
+    /// It did not answer in time or its connection broke.
+    Silent,
+}
+
+/// Finds a way to an endpoint for each request.
+pub trait RoutePolicy {
+    /// Learns which owners and endpoints a pool has.
+    fn set_pool(&mut self, pool: &PoolId, owners: Vec<OwnerPlace>, endpoints: Vec<EndpointId>);
+
+    /// Learns how busy an owner is, and how long ago it was so.
+    fn learn(
+        &mut self,
+        pool: &PoolId,
+        owner: &InstanceId,
+        pressure: OwnerPressure,
+        age: Duration,
+        now: Instant,
+    );
+
+    /// The first step for a request.
+    fn first_step(&mut self, route: &mut RequestRoute, now: Instant) -> RouteStep;
+
+    /// The step after an owner's answer that was not a grant.
+    fn next_step(
+        &mut self,
+        route: &mut RequestRoute,
+        owner: &InstanceId,
+        reply: RouteReply,
+        now: Instant,
+    ) -> RouteStep;
+
+    /// An owner to ask, without waiting there, beside the one at which the request waits.
+    fn reconsider(&mut self, route: &mut RequestRoute, now: Instant) -> Option<InstanceId>;
+
+    /// Learns that a request was granted by an owner, or sent without one.
+    fn granted(&mut self, route: &RequestRoute, owner: Option<&InstanceId>, endpoint: &EndpointId);
+
+    /// Learns that a request at an endpoint ended.
+    fn ended(&mut self, pool: &PoolId, endpoint: &EndpointId);
+}
