Serve requests through the pipeline, from caller to endpoint and back

Change: the daemon starts its tasks; a request walks filters that are one module each; a task holds queue and ledger of the owned endpoints; the attempts of a request follow coltsfootgate_core::attempt; retries are counted by RetryReason, so the metrics' test now asks for each retry reason and each refusal reason by name. One instance owns all endpoints so far.

--- /dev/null
+++ b/coltsfootgate/src/daemon.rs
@@ -0,0 +1,237 @@
+//! Starts the tasks of one instance and ends them in order.
+
+use std::collections::HashMap;
+use std::fmt::{self, Display, Formatter};
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use error_stack::{Report, ResultExt};
+use futures_util::StreamExt;
+use gumdrop::Options;
+use log::info;
+use monoio::net::{ListenerOpts, TcpListener, UnixStream};
+use monoio::{LegacyDriver, RuntimeBuilder};
+use signal_hook::consts::{SIGINT, SIGTERM};
+
+use crate::entry::request::RequestBounds;
+use crate::entry::{EntryBounds, EntryListener};
+use crate::logging::{print_fault, start_logging};
+use crate::metrics::{ConnectionSide, DaemonMetrics};
+use crate::operators::{
+    OperatorsContext, OperatorsServer, ReadinessGate, RequestRecords, StatusBoard, UnreadyCause,
+};
+use crate::options::{DaemonFlags, DaemonSettings};
+use crate::owner::{OwnerHandle, OwnerMessage, OwnerTask};
+use crate::pipeline::{GateContext, RequestGate};
+use crate::platform::HttpPlatform;
+use crate::shutdown::{ShutdownTrigger, shutdown_pair};
+use crate::tree::{NoTreePeers, TreeHandle, TreeTask};
+
+/// Period at which the end of requests in flight is looked for.
+const DRAIN_PERIOD: Duration = Duration::from_millis(20);
+/// Exit code for settings that are missing or not allowed.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Why the daemon could not start or had to stop.
+#[derive(Debug)]
+pub enum DaemonFault {
+    /// The log could not be set up.
+    Logging,
+    /// The runtime could not be built.
+    Runtime,
+    /// An address could not be taken.
+    Address(&'static str, SocketAddr),
+    /// Signals could not be received.
+    Signals,
+}
+
+impl Display for DaemonFault {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Logging => formatter.write_str("the log cannot be set up"),
+            Self::Runtime => formatter.write_str("the runtime cannot be built"),
+            Self::Address(side, address) => {
+                write!(formatter, "the address {address} for {side} cannot be taken")
+            }
+            Self::Signals => formatter.write_str("signals cannot be received"),
+        }
+    }
+}
+
+impl std::error::Error for DaemonFault {}
+
+/// Runs the daemon with the process's flags and environment.
+pub fn run() -> ExitCode {
+    let flags = DaemonFlags::parse_args_default_or_exit();
+    if flags.version {
+        let _ = writeln!(io::stdout(), "coltsfootgate {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let environment: HashMap<String, String> = std::env::vars_os()
+        .filter_map(|(name, value)| Some((name.into_string().ok()?, value.into_string().ok()?)))
+        .collect();
+    let settings = match DaemonSettings::new(flags, &environment) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            print_fault(&faults.to_string());
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    match start(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            print_fault(&format!("{report:?}"));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(settings: DaemonSettings) -> Result<(), Report<DaemonFault>> {
+    start_logging(settings.log_level, settings.log_format).change_context(DaemonFault::Logging)?;
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .change_context(DaemonFault::Runtime)?;
+    runtime.block_on(serve(settings))
+}
+
+/// The tasks of one instance that others talk to.
+struct InstanceParts {
+    metrics: DaemonMetrics,
+    readiness: ReadinessGate,
+    board: StatusBoard,
+    records: RequestRecords,
+    tree: TreeHandle,
+    owner: OwnerHandle,
+}
+
+async fn serve(mut settings: DaemonSettings) -> Result<(), Report<DaemonFault>> {
+    let peers = bind("peers", settings.peer_listen)?;
+    let peers = peers.local_addr().change_context(DaemonFault::Runtime)?;
+    settings.take_peer_address(peers);
+    let signals = signal_stream()?;
+    let (trigger, shutdown) = shutdown_pair();
+    let parts = start_tasks(&settings);
+    let operators = start_operators(&settings, &parts)?;
+    let listener = bind("callers", settings.listen)?;
+    let callers = listener.local_addr().change_context(DaemonFault::Runtime)?;
+    let context = Rc::new(GateContext::new(
+        settings.instance.clone(),
+        parts.tree.clone(),
+        parts.owner.clone(),
+        parts.metrics.clone(),
+        parts.records.clone(),
+    ));
+    let bounds = entry_bounds(&settings);
+    let gate = Rc::new(RequestGate::new(context, bounds.request.clone()));
+    let metrics = parts.metrics.clone();
+    let entry = EntryListener::new(listener, gate, bounds, metrics, shutdown);
+    monoio::spawn(entry.run());
+    announce(callers, peers, operators);
+    wait_for_signal(signals).await;
+    drain(&settings, &parts, trigger).await;
+    Ok(())
+}
+
+fn start_tasks(settings: &DaemonSettings) -> InstanceParts {
+    let metrics = DaemonMetrics::new();
+    let readiness = ReadinessGate::default();
+    let platform = HttpPlatform::new(settings.platform, settings.platform_timeout);
+    let (tree, news) = TreeHandle::new();
+    // Alone, this instance has no peer that could know a newer tree than the store.
+    tree.listed(Vec::new());
+    let task = TreeTask::new(
+        platform,
+        NoTreePeers,
+        tree.clone(),
+        news,
+        metrics.clone(),
+        readiness.clone(),
+    );
+    monoio::spawn(task.run());
+    let (owner, messages) = OwnerHandle::new();
+    monoio::spawn(OwnerTask::new(settings.instance.clone(), owner.clone()).run(messages));
+    monoio::spawn(pass_trees(tree.clone(), owner.clone()));
+    let (board, records) = (StatusBoard::default(), RequestRecords::default());
+    InstanceParts { metrics, readiness, board, records, tree, owner }
+}
+
+/// Tells the owned endpoints of each tree that comes into force.
+async fn pass_trees(tree: TreeHandle, owner: OwnerHandle) {
+    let mut trees = tree.subscribe();
+    while let Some(active) = trees.next().await {
+        owner.tell(OwnerMessage::Settings(active));
+    }
+}
+
+fn start_operators(
+    settings: &DaemonSettings,
+    parts: &InstanceParts,
+) -> Result<SocketAddr, Report<DaemonFault>> {
+    let context = OperatorsContext {
+        metrics: parts.metrics.clone(),
+        board: parts.board.clone(),
+        records: parts.records.clone(),
+        readiness: parts.readiness.clone(),
+        tree: parts.tree.clone(),
+        connections_max: settings.operators_connections,
+    };
+    let fault = || DaemonFault::Address("operators", settings.operators_listen);
+    let server =
+        OperatorsServer::bind(settings.operators_listen, context).change_context_lazy(fault)?;
+    let address = server.local_address().change_context_lazy(fault)?;
+    monoio::spawn(server.serve());
+    Ok(address)
+}
+
+fn bind(side: &'static str, address: SocketAddr) -> Result<TcpListener, Report<DaemonFault>> {
+    let options = ListenerOpts::new().reuse_port(false);
+    TcpListener::bind_with_config(address, &options)
+        .change_context_lazy(|| DaemonFault::Address(side, address))
+}
+
+fn entry_bounds(settings: &DaemonSettings) -> EntryBounds {
+    EntryBounds {
+        connections_max: settings.connections,
+        head_max: settings.head_bytes,
+        head_timeout: settings.head_time,
+        request: RequestBounds { body_max: settings.body_bytes, body_timeout: settings.body_time },
+    }
+}
+
+/// Tells whoever started the process where it listens.
+fn announce(callers: SocketAddr, peers: SocketAddr, operators: SocketAddr) {
+    let mut output = io::stdout();
+    let _ = writeln!(output, "listening callers={callers} peers={peers} operators={operators}");
+    let _ = output.flush();
+}
+
+fn signal_stream() -> Result<UnixStream, Report<DaemonFault>> {
+    let (receiver, sender) =
+        std::os::unix::net::UnixStream::pair().change_context(DaemonFault::Signals)?;
+    for signal in [SIGTERM, SIGINT] {
+        let sender = sender.try_clone().change_context(DaemonFault::Signals)?;
+        signal_hook::low_level::pipe::register(signal, sender)
+            .change_context(DaemonFault::Signals)?;
+    }
+    UnixStream::from_std(receiver).change_context(DaemonFault::Signals)
+}
+
+async fn wait_for_signal(stream: UnixStream) {
+    let _ = stream.readable(false).await;
+}
+
+/// Lets the balancer notice, then ends the listener and every request in flight.
+async fn drain(settings: &DaemonSettings, parts: &InstanceParts, trigger: ShutdownTrigger) {
+    info!("shutting down: unready, new connections for {:?} more", settings.drain_time);
+    parts.readiness.close(UnreadyCause::Leaving);
+    monoio::time::sleep(settings.drain_time).await;
+    trigger.trigger();
+    while parts.metrics.open_connections(ConnectionSide::Callers) > 0 {
+        monoio::time::sleep(DRAIN_PERIOD).await;
+    }
+    info!("shut down: no request in flight");
+}
--- a/coltsfootgate/src/entry/listener.rs
+++ b/coltsfootgate/src/entry/listener.rs
@@ -1,6 +1,5 @@
 //! Accepts callers' connections and serves the requests on them.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
 use std::rc::Rc;
@@ -18,6 +17,7 @@
 
 use super::answer::{AnswerBody, OUTCOME, REASON, RULE, Refusal};
 use super::request::{ENTRY_RULE, RequestBounds};
+use crate::metrics::{ConnectionSide, DaemonMetrics};
 use crate::shutdown::ShutdownSignal;
 
 /// Bounds on what callers may use.
@@ -47,35 +47,20 @@
     listener: TcpListener,
     handler: Rc<H>,
     bounds: EntryBounds,
-    open: Rc<Cell<usize>>,
+    metrics: DaemonMetrics,
     shutdown: ShutdownSignal,
 }
 
-/// Counts a connection for as long as it is open.
-struct ConnectionCount(Rc<Cell<usize>>);
-
-impl ConnectionCount {
-    fn new(open: &Rc<Cell<usize>>) -> Self {
-        open.set(open.get() + 1);
-        Self(open.clone())
-    }
-}
-
-impl Drop for ConnectionCount {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 impl<H: RequestHandler> EntryListener<H> {
     /// Makes a listener on a bound socket.
     pub fn new(
         listener: TcpListener,
         handler: Rc<H>,
         bounds: EntryBounds,
+        metrics: DaemonMetrics,
         shutdown: ShutdownSignal,
     ) -> Self {
-        Self { listener, handler, bounds, open: Rc::default(), shutdown }
+        Self { listener, handler, bounds, metrics, shutdown }
     }
 
     /// Accepts connections until shutdown; those open then finish their request in flight.
@@ -98,18 +83,19 @@
     }
 
     async fn rest_after_error(&self, error: io::Error) {
-        log::warn!(target: "entry", "a connection could not be accepted: {error}");
+        log::warn!("a connection could not be accepted: {error}");
         // Out of descriptors: accepting again at once would spin.
         monoio::time::sleep(Duration::from_millis(50)).await;
     }
 
     fn start_connection(&self, stream: TcpStream) {
-        if self.open.get() >= self.bounds.connections_max {
+        if self.metrics.open_connections(ConnectionSide::Callers) >= self.bounds.connections_max {
+            self.metrics.connection_refused(ConnectionSide::Callers);
             self.handler.connection_failed(ErrorKind::TooManyConnections);
             monoio::spawn(refuse_connection(stream));
             return;
         }
-        let count = ConnectionCount::new(&self.open);
+        let count = self.metrics.connection_opened(ConnectionSide::Callers);
         let handler = self.handler.clone();
         let bounds = self.bounds.clone();
         let shutdown = self.shutdown.clone();
--- a/coltsfootgate/src/lib.rs
+++ b/coltsfootgate/src/lib.rs
@@ -1,12 +1,15 @@
 //! The daemon of coltsfootgate: sockets, tasks and the pipeline of requests.
 
 pub mod clock;
+pub mod daemon;
 pub mod endpoint;
 pub mod entry;
 pub mod logging;
 pub mod metrics;
 pub mod operators;
 pub mod options;
+pub mod owner;
+pub mod pipeline;
 pub mod platform;
 pub mod shutdown;
 pub mod tree;
--- a/coltsfootgate/src/main.rs
+++ b/coltsfootgate/src/main.rs
@@ -1,2 +1,7 @@
-//! Placeholder.
-fn main() {}
+//! The daemon's executable.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    coltsfootgate::daemon::run()
+}
--- a/coltsfootgate/src/metrics.rs
+++ b/coltsfootgate/src/metrics.rs
@@ -13,6 +13,7 @@
 use coltsfootgate_core::ids::ConfigVersion;
 use coltsfootgate_core::outcome::RequestOutcome;
 use coltsfootgate_core::reason::ErrorKind;
+use coltsfootgate_core::retry::RetryReason;
 
 /// Class label of requests that ended before they had a class.
 pub const NO_CLASS: &str = "-";
@@ -260,8 +261,8 @@
     }
 
     /// Counts a further attempt, with the reason for which the one before ended.
-    pub fn retried(&self, class: &str, reason: ErrorKind) {
-        self.retries.with_label_values(&[class, reason.code()]).inc();
+    pub fn retried(&self, class: &str, reason: RetryReason) {
+        self.retries.with_label_values(&[class, reason.name()]).inc();
     }
 
     /// Counts a latency target as met or missed.
@@ -373,9 +374,11 @@
 
     /// Shows a zero for every reason, so that a rate can be taken from the first one on.
     fn show_zeros(&self) {
+        for reason in RetryReason::ALL {
+            self.retries.with_label_values(&[NO_CLASS, reason.name()]).inc_by(0);
+        }
         for kind in ErrorKind::ALL {
             self.refusals.with_label_values(&[NO_CLASS, kind.code()]).inc_by(0);
-            self.retries.with_label_values(&[NO_CLASS, kind.code()]).inc_by(0);
         }
     }
 }
--- a/coltsfootgate/src/metrics/tests.rs
+++ b/coltsfootgate/src/metrics/tests.rs
@@ -9,11 +9,11 @@
 #[test]
 fn every_reason_is_shown_from_the_start() {
     let text = text(&DaemonMetrics::new());
-    for kind in ErrorKind::ALL {
-        for family in ["refusals", "retries"] {
-            let line = format!("coltsfootgate_{family}_total{{class=\"-\",reason=\"{kind}\"}} 0");
-            assert!(text.contains(&line), "{line}");
-        }
+    let refusals = ErrorKind::ALL.iter().map(|kind| ("refusals", kind.code()));
+    let retries = RetryReason::ALL.iter().map(|reason| ("retries", reason.name()));
+    for (family, reason) in refusals.chain(retries) {
+        let line = format!("coltsfootgate_{family}_total{{class=\"-\",reason=\"{reason}\"}} 0");
+        assert!(text.contains(&line), "{line}");
     }
 }
 
--- a/coltsfootgate/src/options.rs
+++ b/coltsfootgate/src/options.rs
@@ -297,4 +297,12 @@
         })();
         faults.finish(settings)
     }
+
+    /// Names the instance by the address that was taken, where the system chose its port.
+    pub fn take_peer_address(&mut self, taken: SocketAddr) {
+        if self.instance.ends_with(":0") {
+            self.instance = taken.to_string().into();
+        }
+        self.peer_listen = taken;
+    }
 }
--- /dev/null
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -0,0 +1,197 @@
+//! Walks one request through the filters, attempt by attempt, to its one end.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use coltsfootgate_core::attempt::{
+    AttemptFailure, AttemptHistory, AttemptTraits, FailureCause, FailureStage, SendPermit,
+};
+use coltsfootgate_core::owner::ReleaseResult;
+use coltsfootgate_core::prelude::{EndpointId, ErrorKind};
+use coltsfootgate_core::retry::RetryDecision;
+
+use super::admit::{AttemptFigures, GrantLease, admit_request, refusal};
+use super::classify::{AnswerForm, ClassifiedRequest, classify_request};
+use super::context::GateContext;
+use super::dispatch::{attempt_id, dispatch_request};
+use super::identify::identify_customer;
+use super::journal::RequestJournal;
+use super::relay::{RelayEnd, RelayTask};
+use super::settle::{RequestEnd, settle_request};
+use crate::endpoint::EndpointFailure;
+use crate::entry::{AcceptedRequest, CallerLink, Refusal};
+
+/// Works on one request until it has ended.
+pub async fn run_exchange(
+    context: Rc<GateContext>,
+    accepted: AcceptedRequest,
+    mut caller: CallerLink,
+) {
+    let mut journal = RequestJournal::of(&accepted, &context.own);
+    let request = match prepare(&context, accepted, &mut journal) {
+        Ok(request) => request,
+        Err(refusal) => {
+            let end = RequestEnd::Refused(refusal);
+            return settle_request(&context, None, journal, caller, end).await;
+        }
+    };
+    let end = attempt_request(&context, &request, &mut caller, &mut journal).await;
+    let end = end.unwrap_or_else(RequestEnd::Refused);
+    settle_request(&context, Some(&request), journal, caller, end).await;
+}
+
+/// The filters that decide without waiting.
+fn prepare(
+    context: &GateContext,
+    accepted: AcceptedRequest,
+    journal: &mut RequestJournal,
+) -> Result<ClassifiedRequest, Refusal> {
+    let Some(active) = context.tree.current() else {
+        let message = "the instance has no tree of settings in force yet";
+        return Err(Refusal::new(ErrorKind::NotReady, "process.tree", message));
+    };
+    journal.record.config_version = active.version;
+    let identified = identify_customer(Rc::new(accepted), active)?;
+    journal.record.customer = Some(identified.customer.id.to_string());
+    let request = classify_request(identified)?;
+    journal.classified(&request);
+    Ok(request)
+}
+
+/// The filters that wait, once for each attempt.
+async fn attempt_request(
+    context: &GateContext,
+    request: &ClassifiedRequest,
+    caller: &mut CallerLink,
+    journal: &mut RequestJournal,
+) -> Result<RequestEnd, Refusal> {
+    let mut excluded: Vec<EndpointId> = Vec::new();
+    let mut history = AttemptHistory::new(attempt_traits(request));
+    context.budgets.note_request(&request.class);
+    loop {
+        let admitted = admit_request(context, request, &excluded, caller, journal).await;
+        let lease = admitted.map_err(|refusal| soften(request, &history, refusal))?;
+        let endpoint = lease.endpoint.id.clone();
+        let permit = history.permit_send().map_err(|kind| end_refusal(request, kind))?;
+        journal.record.attempts = history.attempts();
+        let end = attempt_once(context, request, lease, permit, caller, journal).await;
+        if caller.has_started() {
+            history.note_relayed(journal.record.tokens - history.caller_tokens());
+        }
+        let failure = match end {
+            RelayEnd::StreamWhole => return Ok(RequestEnd::StreamWhole),
+            RelayEnd::BodyPassed => return Ok(RequestEnd::BodyPassed),
+            RelayEnd::BodyWhole { status, headers, body } => {
+                return Ok(RequestEnd::BodyWhole { status, headers, body });
+            }
+            RelayEnd::CallerGone => return Err(end_refusal(request, history.caller_left())),
+            RelayEnd::Failed(failure) => failure,
+        };
+        let has_tokens = journal.record.tokens > 0;
+        let failure = attempt_failure(failure, has_tokens);
+        let (after, reason) = match context.budgets.decide(&request.class, &mut history, failure) {
+            RetryDecision::Retry { after, reason } => (after, reason),
+            RetryDecision::Resume { after, reason, .. } => (after, reason),
+            RetryDecision::End(kind) => return Err(end_refusal(request, kind)),
+        };
+        context.metrics.retried(&request.class.id, reason);
+        journal.record.retries.push(reason.name());
+        excluded.push(endpoint);
+        monoio::time::sleep(after).await;
+    }
+}
+
+fn attempt_traits(request: &ClassifiedRequest) -> AttemptTraits {
+    let is_stream = request.form == AnswerForm::ModelStream;
+    AttemptTraits {
+        repeatable: request.repeatable,
+        claimed: false,
+        resumable: is_stream && request.class.resume && request.pool.resumes,
+        attempts: request.class.attempts,
+        deadline: request.deadline,
+    }
+}
+
+async fn attempt_once(
+    context: &GateContext,
+    request: &ClassifiedRequest,
+    lease: GrantLease,
+    permit: SendPermit,
+    caller: &mut CallerLink,
+    journal: &mut RequestJournal,
+) -> RelayEnd {
+    let attempt = attempt_id(request.accepted.id, journal.record.attempts);
+    let sent = Instant::now();
+    let offset = permit.resume_offset;
+    let answer = dispatch_request(context, request, &lease, attempt.clone(), offset).await;
+    let mut task =
+        RelayTask { request, attempt: &attempt, sent, figures: AttemptFigures::default() };
+    let end = match answer {
+        Ok(answer) => task.relay(answer, caller, journal).await,
+        Err(failure) => RelayEnd::Failed(failure),
+    };
+    let between = task.figures.between_tokens;
+    journal.record.between_tokens_ms = between.map(|between| between.as_secs_f64() * 1000.0);
+    lease.release(release_result(&end), task.figures);
+    end
+}
+
+fn release_result(end: &RelayEnd) -> ReleaseResult {
+    match end {
+        RelayEnd::StreamWhole | RelayEnd::BodyWhole { .. } | RelayEnd::BodyPassed => {
+            ReleaseResult::Completed
+        }
+        RelayEnd::CallerGone => ReleaseResult::Cancelled,
+        RelayEnd::Failed(EndpointFailure::NeverSent) => ReleaseResult::ConnectFailed,
+        RelayEnd::Failed(EndpointFailure::RefusedBeforeStart) => ReleaseResult::Refused,
+        RelayEnd::Failed(EndpointFailure::Silent) => ReleaseResult::Silent,
+        RelayEnd::Failed(
+            EndpointFailure::FailedAnswer(_)
+            | EndpointFailure::ConnectionLost
+            | EndpointFailure::Mismatched,
+        ) => ReleaseResult::Failed,
+    }
+}
+
+/// What a failure means for the request, beside what it means for the endpoint.
+fn attempt_failure(failure: EndpointFailure, has_tokens: bool) -> AttemptFailure {
+    let started = match has_tokens {
+        true => FailureStage::PartialAnswer,
+        false => FailureStage::SentNoAnswer,
+    };
+    let (stage, cause) = match failure {
+        EndpointFailure::NeverSent => (FailureStage::NeverSent, FailureCause::Unreachable),
+        EndpointFailure::RefusedBeforeStart => {
+            (FailureStage::RefusedBeforeStart, FailureCause::Refused)
+        }
+        EndpointFailure::FailedAnswer(_) => (started, FailureCause::ErrorAnswer),
+        EndpointFailure::ConnectionLost => (started, FailureCause::ConnectionLost),
+        EndpointFailure::Silent => (started, FailureCause::Stalled),
+        EndpointFailure::Mismatched => (started, FailureCause::WrongId),
+    };
+    AttemptFailure { stage, cause }
+}
+
+/// Lets what an earlier attempt left possible go before a refusal that says "not run".
+fn soften(request: &ClassifiedRequest, history: &AttemptHistory, refused: Refusal) -> Refusal {
+    let kind = history.refuse(refused.kind);
+    if kind == refused.kind { refused } else { end_refusal(request, kind) }
+}
+
+fn end_refusal(request: &ClassifiedRequest, kind: ErrorKind) -> Refusal {
+    let message = match kind {
+        ErrorKind::AnswerCutShort => "the endpoint's answer broke off before its end",
+        ErrorKind::CallerLeft => "the caller left before its answer was whole",
+        ErrorKind::CallerLeftWaiting => "the caller left while its request was waiting",
+        ErrorKind::EndpointRefused => "the endpoint refused the request before starting it",
+        ErrorKind::EndpointFailed => "the endpoint answered with an error",
+        ErrorKind::EndpointLost => "the connection to the endpoint broke after sending",
+        ErrorKind::EndpointStalled => "the endpoint went silent after the request was sent",
+        ErrorKind::AnswerMismatched => "the endpoint answered with the id of another request",
+        ErrorKind::RetriesSpent => "the retries are used up, and no endpoint ran the request",
+        ErrorKind::NoEndpoint => "no endpoint could be reached",
+        ErrorKind::DeadlinePassed => "the deadline passed before another attempt",
+        _ => "the request ended between two attempts",
+    };
+    refusal(request, kind, message)
+}
--- /dev/null
+++ b/coltsfootgate/src/pipeline/gate.rs
@@ -0,0 +1,106 @@
+//! Takes requests from callers' connections and starts a task for each.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use coltsfootgate_core::prelude::ErrorKind;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use serde_json::json;
+
+use super::context::GateContext;
+use super::exchange::run_exchange;
+use super::identify::identify_customer;
+use super::journal::RequestJournal;
+use super::settle::{RequestEnd, settle_request};
+use crate::entry::listener::RequestHandler;
+use crate::entry::request::{RequestBounds, accept_request, new_request_id};
+use crate::entry::{AcceptedRequest, AnswerBody, CallerLink, Refusal};
+
+/// The path that lists the models.
+const MODELS_PATH: &str = "/v1/models";
+
+/// Answers callers' requests by the pipeline.
+pub struct RequestGate {
+    context: Rc<GateContext>,
+    bounds: RequestBounds,
+}
+
+impl RequestGate {
+    /// Makes the gate of an instance.
+    pub fn new(context: Rc<GateContext>, bounds: RequestBounds) -> Self {
+        Self { context, bounds }
+    }
+
+    async fn start(&self, request: Request<Incoming>, caller: CallerLink) {
+        let id = new_request_id();
+        let arrived = Instant::now();
+        match accept_request(id, request, &self.bounds).await {
+            Ok(accepted) if is_model_list(&accepted) => {
+                self.list_models(accepted, caller).await;
+            }
+            Ok(accepted) => {
+                monoio::spawn(run_exchange(self.context.clone(), accepted, caller));
+            }
+            Err(refusal) => {
+                let journal = RequestJournal::new(id, arrived, &self.context.own);
+                self.refuse(journal, caller, refusal).await;
+            }
+        }
+    }
+
+    async fn list_models(&self, accepted: AcceptedRequest, caller: CallerLink) {
+        let journal = RequestJournal::of(&accepted, &self.context.own);
+        let Some(active) = self.context.tree.current() else {
+            let message = "the instance has no tree of settings in force yet";
+            let refusal = Refusal::new(ErrorKind::NotReady, "process.tree", message);
+            return self.refuse(journal, caller, refusal).await;
+        };
+        match identify_customer(Rc::new(accepted), active) {
+            Ok(identified) => {
+                let models = identified.active.tree.models();
+                let data: Vec<_> = models
+                    .iter()
+                    .map(|model| json!({"id": model, "object": "model", "owned_by": "pool"}))
+                    .collect();
+                let body = Bytes::from(json!({"object": "list", "data": data}).to_string());
+                let mut headers = HeaderMap::new();
+                let json_type = HeaderValue::from_static("application/json");
+                headers.insert(header::CONTENT_TYPE, json_type);
+                let end = RequestEnd::BodyWhole { status: StatusCode::OK, headers, body };
+                settle_request(&self.context, None, journal, caller, end).await;
+            }
+            Err(refusal) => self.refuse(journal, caller, refusal).await,
+        }
+    }
+
+    async fn refuse(&self, journal: RequestJournal, caller: CallerLink, refusal: Refusal) {
+        let end = RequestEnd::Refused(refusal);
+        settle_request(&self.context, None, journal, caller, end).await;
+    }
+}
+
+impl RequestHandler for RequestGate {
+    async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let (caller, side) = CallerLink::new();
+        self.start(request, caller).await;
+        match side.head.await {
+            Ok(response) => response.map(|body| body.holding(side.guard)),
+            // The task ends without an answer only when the process is ending.
+            Err(_) => {
+                let mut response = Response::new(AnswerBody::whole(Bytes::new()));
+                *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+                response
+            }
+        }
+    }
+
+    fn connection_failed(&self, kind: ErrorKind) {
+        log::debug!("a connection ended before a request was read: {kind}");
+    }
+}
+
+fn is_model_list(accepted: &AcceptedRequest) -> bool {
+    accepted.method == Method::GET && &*accepted.path == MODELS_PATH
+}
--- /dev/null
+++ b/coltsfootgate/src/pipeline/mod.rs
@@ -0,0 +1,20 @@
+//! The filters that a request walks through, each with one input and one output type.
+//!
+//! accept → identify → classify → limit → claim → admit → dispatch → relay → settle
+
+pub mod admit;
+pub mod budget;
+pub mod classify;
+pub mod context;
+pub mod dispatch;
+pub mod exchange;
+pub mod gate;
+pub mod identify;
+pub mod journal;
+pub mod record;
+pub mod relay;
+pub mod settle;
+
+pub use context::GateContext;
+pub use gate::RequestGate;
+pub use record::DecisionRecord;
--- /dev/null
+++ b/coltsfootgate/src/pipeline/relay.rs
@@ -0,0 +1,234 @@
+//! Passes an endpoint's answer on to the caller and checks that it is whole and its own.
+
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::future::{Either, select};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
+
+use super::admit::AttemptFigures;
+use super::classify::{AnswerForm, ClassifiedRequest};
+use super::dispatch::answer_headers;
+use super::journal::RequestJournal;
+use super::settle::{outcome_headers, stream_head};
+use crate::endpoint::event::{ChunkFacts, EventReader, StreamEvent};
+use crate::endpoint::{AnswerStream, EndpointAnswer, EndpointFailure};
+use crate::entry::CallerLink;
+
+/// Answers of up to this many bytes are held back until they are whole.
+const WHOLE_ANSWER_MAX: usize = 4 * 1024 * 1024;
+
+/// How the relaying of one attempt ended.
+#[derive(Debug)]
+pub enum RelayEnd {
+    /// A streamed answer was passed on to its last chunk; its end is yet to be told.
+    StreamWhole,
+    /// An answer that was held back is whole and yet to be given.
+    BodyWhole {
+        /// Its status.
+        status: StatusCode,
+        /// Its headers, without those of this system.
+        headers: HeaderMap,
+        /// Its body.
+        body: Bytes,
+    },
+    /// An answer too large to hold back was passed on whole.
+    BodyPassed,
+    /// The caller left.
+    CallerGone,
+    /// The endpoint failed before the answer was whole.
+    Failed(EndpointFailure),
+}
+
+/// What one attempt needs to know to relay its answer.
+pub struct RelayTask<'a> {
+    /// The request.
+    pub request: &'a ClassifiedRequest,
+    /// The id that the answer echoes.
+    pub attempt: &'a str,
+    /// When the request was sent.
+    pub sent: Instant,
+    /// What was seen of the endpoint.
+    pub figures: AttemptFigures,
+}
+
+impl RelayTask<'_> {
+    /// Relays an answer to its end.
+    pub async fn relay(
+        &mut self,
+        answer: EndpointAnswer,
+        caller: &mut CallerLink,
+        journal: &mut RequestJournal,
+    ) -> RelayEnd {
+        let is_model = self.request.form != AnswerForm::Service;
+        if is_failed_answer(answer.status, is_model) {
+            return RelayEnd::Failed(EndpointFailure::FailedAnswer(answer.status));
+        }
+        if self.request.form == AnswerForm::ModelStream && answer.status.is_success() {
+            self.relay_stream(answer.stream, caller, journal).await
+        } else {
+            self.relay_body(answer, caller, journal).await
+        }
+    }
+
+    async fn relay_stream(
+        &mut self,
+        mut stream: AnswerStream,
+        caller: &mut CallerLink,
+        journal: &mut RequestJournal,
+    ) -> RelayEnd {
+        let mut reader = EventReader::new();
+        loop {
+            match reader.next_event() {
+                Ok(Some(StreamEvent::Done)) => return self.finish_stream(stream).await,
+                Ok(Some(StreamEvent::Chunk(event))) => {
+                    if let Err(end) = self.pass_chunk(event, caller, journal).await {
+                        return end;
+                    }
+                }
+                Ok(None) => match self.next_piece(&mut stream, caller).await {
+                    Ok(Some(piece)) => reader.push(&piece),
+                    Ok(None) => return RelayEnd::Failed(EndpointFailure::ConnectionLost),
+                    Err(end) => return end,
+                },
+                Err(_) => return RelayEnd::Failed(EndpointFailure::Mismatched),
+            }
+        }
+    }
+
+    /// Reads the end of the transfer, so that the connection can be used again.
+    async fn finish_stream(&self, mut stream: AnswerStream) -> RelayEnd {
+        // The answer is whole already; a transfer that does not end costs the connection only.
+        let _ = stream.next(Duration::from_millis(20)).await;
+        RelayEnd::StreamWhole
+    }
+
+    async fn pass_chunk(
+        &mut self,
+        event: Bytes,
+        caller: &mut CallerLink,
+        journal: &mut RequestJournal,
+    ) -> Result<(), RelayEnd> {
+        let Some(facts) = ChunkFacts::parse(&event) else {
+            return Err(RelayEnd::Failed(EndpointFailure::Mismatched));
+        };
+        if facts.id != self.attempt {
+            return Err(RelayEnd::Failed(EndpointFailure::Mismatched));
+        }
+        if !caller.has_started() {
+            let (status, headers) = stream_head(self.request);
+            caller.start_stream(status, headers);
+        }
+        let is_token = facts.carries_token();
+        if is_token {
+            self.note_token(Instant::now(), journal);
+        }
+        if caller.send(event).await.is_err() {
+            return Err(RelayEnd::CallerGone);
+        }
+        if is_token {
+            journal.record.tokens += 1;
+        }
+        Ok(())
+    }
+
+    fn note_token(&mut self, now: Instant, journal: &mut RequestJournal) {
+        journal.first_token(now);
+        let since_sent = now.duration_since(self.sent);
+        let first = *self.figures.first_token.get_or_insert(since_sent);
+        if self.figures.tokens > 0 {
+            self.figures.between_tokens = Some((since_sent - first) / self.figures.tokens);
+        }
+        self.figures.tokens += 1;
+    }
+
+    async fn relay_body(
+        &mut self,
+        answer: EndpointAnswer,
+        caller: &mut CallerLink,
+        journal: &mut RequestJournal,
+    ) -> RelayEnd {
+        let EndpointAnswer { status, headers, mut stream } = answer;
+        let headers = answer_headers(&headers);
+        self.figures.first_token = Some(self.sent.elapsed());
+        let mut held = BytesMut::new();
+        loop {
+            match self.next_piece(&mut stream, caller).await {
+                Ok(Some(piece)) => held.extend_from_slice(&piece),
+                Ok(None) => break,
+                Err(end) => return end,
+            }
+            if held.len() > WHOLE_ANSWER_MAX {
+                let started = (status, headers);
+                return self.pass_body(started, held.freeze(), stream, caller, journal).await;
+            }
+        }
+        let body = held.freeze();
+        if self.request.form == AnswerForm::ModelWhole && !self.is_own_body(status, &body) {
+            return RelayEnd::Failed(EndpointFailure::Mismatched);
+        }
+        journal.first_token(Instant::now());
+        RelayEnd::BodyWhole { status, headers, body }
+    }
+
+    /// Passes on what is too large to hold back; the caller sees a broken transfer on failure.
+    async fn pass_body(
+        &mut self,
+        (status, mut headers): (StatusCode, HeaderMap),
+        held: Bytes,
+        mut stream: AnswerStream,
+        caller: &mut CallerLink,
+        journal: &mut RequestJournal,
+    ) -> RelayEnd {
+        journal.first_token(Instant::now());
+        headers.extend(outcome_headers(self.request, "streaming", "streaming", ""));
+        caller.start_stream(status, headers);
+        let mut piece = held;
+        loop {
+            if caller.send(piece).await.is_err() {
+                return RelayEnd::CallerGone;
+            }
+            match self.next_piece(&mut stream, caller).await {
+                Ok(Some(next)) => piece = next,
+                Ok(None) => return RelayEnd::BodyPassed,
+                Err(end) => return end,
+            }
+        }
+    }
+
+    /// The next piece of the answer, unless the caller leaves first.
+    async fn next_piece(
+        &self,
+        stream: &mut AnswerStream,
+        caller: &mut CallerLink,
+    ) -> Result<Option<Bytes>, RelayEnd> {
+        let next = stream.next(self.request.pool.silence);
+        match select(std::pin::pin!(next), std::pin::pin!(caller.gone())).await {
+            Either::Left((piece, _)) => piece.map_err(RelayEnd::Failed),
+            Either::Right(_) => Err(RelayEnd::CallerGone),
+        }
+    }
+
+    fn is_own_body(&self, status: StatusCode, body: &Bytes) -> bool {
+        if !status.is_success() {
+            return true;
+        }
+        let facts = serde_json::from_slice::<ChunkFacts>(body);
+        facts.is_ok_and(|facts| facts.id == self.attempt)
+    }
+}
+
+/// Whether a status stands for a failure of the endpoint rather than for its answer.
+fn is_failed_answer(status: StatusCode, is_model: bool) -> bool {
+    match status {
+        StatusCode::BAD_GATEWAY | StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT => {
+            true
+        }
+        _ => is_model && (status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS),
+    }
+}
+
+/// The content type of a streamed answer.
+pub fn event_stream_type() -> (header::HeaderName, HeaderValue) {
+    (header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream"))
+}
--- /dev/null
+++ b/coltsfootgate/src/pipeline/settle.rs
@@ -0,0 +1,217 @@
+//! Ends a request: the caller's last bytes, the record, the log line and the counters.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use serde_json::json;
+
+use coltsfootgate_config::RuleSubjects;
+use coltsfootgate_core::prelude::{ErrorKind, RequestOutcome};
+
+use super::classify::{AnswerForm, ClassifiedRequest};
+use super::context::GateContext;
+use super::journal::{RequestJournal, wall_milliseconds};
+use super::record::DecisionRecord;
+use super::relay::event_stream_type;
+use crate::entry::answer::{CONFIG_VERSION, OUTCOME, REASON, REQUEST_ID, RULE};
+use crate::entry::{CallerLink, Refusal};
+use crate::logging::DECISION_TARGET;
+use crate::metrics::{DaemonMetrics, LatencyTarget, NO_CLASS};
+
+/// The reason of a request that was served.
+const COMPLETED: &str = "completed";
+
+/// How a request ended, with what its caller is still to be given.
+#[derive(Debug)]
+pub enum RequestEnd {
+    /// The caller has the chunks of a streamed answer and lacks its end.
+    StreamWhole,
+    /// The caller is to be given a whole answer.
+    BodyWhole {
+        /// Its status.
+        status: StatusCode,
+        /// Its headers, without those of this system.
+        headers: HeaderMap,
+        /// Its body.
+        body: Bytes,
+    },
+    /// The caller has the whole answer.
+    BodyPassed,
+    /// The request was refused or broke off.
+    Refused(Refusal),
+}
+
+/// Ends a request.
+pub async fn settle_request(
+    context: &GateContext,
+    request: Option<&ClassifiedRequest>,
+    mut journal: RequestJournal,
+    mut caller: CallerLink,
+    end: RequestEnd,
+) {
+    conclude(&mut journal.record, request, &end);
+    let record = journal.record;
+    count_end(&context.metrics, request, &record, &end);
+    if let Ok(line) = serde_json::to_string(&record) {
+        log::info!(target: DECISION_TARGET, "{line}");
+        context.records.insert(journal.id, line.into());
+    }
+    give_end(&record, &mut caller, end).await;
+}
+
+fn conclude(record: &mut DecisionRecord, request: Option<&ClassifiedRequest>, end: &RequestEnd) {
+    record.ended_ms = wall_milliseconds();
+    match end {
+        RequestEnd::Refused(refusal) => {
+            record.outcome = refusal.kind.outcome().name();
+            record.reason = refusal.kind.code();
+            record.rule = refusal.rule.to_string();
+            record.message = refusal.message.clone();
+        }
+        RequestEnd::StreamWhole | RequestEnd::BodyWhole { .. } | RequestEnd::BodyPassed => {
+            record.outcome = RequestOutcome::Completed.name();
+            record.reason = COMPLETED;
+            record.rule = request.map(serving_rule).unwrap_or_default();
+        }
+    }
+}
+
+fn count_end(
+    metrics: &DaemonMetrics,
+    request: Option<&ClassifiedRequest>,
+    record: &DecisionRecord,
+    end: &RequestEnd,
+) {
+    let class = record.class.as_deref().unwrap_or(NO_CLASS);
+    let refused = match end {
+        RequestEnd::Refused(refusal) => Some(refusal.kind),
+        RequestEnd::StreamWhole | RequestEnd::BodyWhole { .. } | RequestEnd::BodyPassed => None,
+    };
+    let outcome = refused.map_or(RequestOutcome::Completed, ErrorKind::outcome);
+    metrics.request_ended(class, outcome, refused);
+    let goodput = if refused.is_none() { record.tokens } else { 0 };
+    metrics.tokens_settled(class, goodput, record.wasted_tokens);
+    metrics.waited(class, milliseconds(record.wait_ms));
+    if let Some(request) = request.filter(|_| refused.is_none()) {
+        count_targets(metrics, request, record);
+    }
+}
+
+/// Counts which targets of its class a completed request met.
+fn count_targets(metrics: &DaemonMetrics, request: &ClassifiedRequest, record: &DecisionRecord) {
+    let class = &request.class;
+    let whole = milliseconds((record.ended_ms - record.arrived_ms) as f64);
+    metrics.whole_answer(&class.id, whole);
+    if request.form == AnswerForm::ModelStream {
+        let first = milliseconds(record.first_token_ms.unwrap_or_default());
+        metrics.first_token(&class.id, first);
+        metrics.target_settled(&class.id, LatencyTarget::FirstToken, first <= class.first_token);
+        let between = milliseconds(record.between_tokens_ms.unwrap_or_default());
+        let met = between <= class.between_tokens;
+        metrics.target_settled(&class.id, LatencyTarget::BetweenTokens, met);
+    } else {
+        metrics.target_settled(&class.id, LatencyTarget::WholeAnswer, whole <= class.whole_answer);
+    }
+}
+
+fn milliseconds(value: f64) -> Duration {
+    Duration::from_secs_f64(value.max(0.0) / 1000.0)
+}
+
+async fn give_end(record: &DecisionRecord, caller: &mut CallerLink, end: RequestEnd) {
+    match end {
+        RequestEnd::StreamWhole => {
+            let _ = caller.send(end_event(record)).await;
+            let _ = caller.send(Bytes::from_static(b"data: [DONE]\n\n")).await;
+            caller.finish();
+        }
+        RequestEnd::BodyWhole { status, mut headers, body } => {
+            headers.extend(record_headers(record));
+            caller.answer_whole(status, headers, body);
+        }
+        RequestEnd::BodyPassed => caller.finish(),
+        RequestEnd::Refused(refusal) if caller.has_started() => {
+            break_off(record, caller, &refusal).await;
+        }
+        RequestEnd::Refused(refusal) => {
+            let mut headers = refusal.headers();
+            headers.extend(record_headers(record));
+            caller.answer_whole(refusal.status(), headers, refusal.body());
+        }
+    }
+}
+
+/// Ends a started answer so that it cannot be taken for whole.
+async fn break_off(record: &DecisionRecord, caller: &mut CallerLink, refusal: &Refusal) {
+    let error = [b"data: ".as_slice(), &refusal.body(), b"\n\n"].concat();
+    let _ = caller.send(Bytes::from(error)).await;
+    let _ = caller.send(end_event(record)).await;
+    caller.break_off().await;
+}
+
+fn end_event(record: &DecisionRecord) -> Bytes {
+    let data = json!({
+        "request_id": record.request_id,
+        "outcome": record.outcome,
+        "reason": record.reason,
+        "rule": record.rule,
+        "config_version": record.config_version,
+    });
+    Bytes::from(format!("event: coltsfootgate.end\ndata: {data}\n\n"))
+}
+
+/// The branch that gave a served request its tier.
+fn serving_rule(request: &ClassifiedRequest) -> String {
+    let subjects = RuleSubjects {
+        class: Some(&request.class.id),
+        customer: Some(&request.customer.id),
+        pool: Some(&request.pool.id),
+    };
+    request.active.tree.rule(None, subjects).branch.to_string()
+}
+
+/// The head of a streamed answer.
+pub fn stream_head(request: &ClassifiedRequest) -> (StatusCode, HeaderMap) {
+    let mut headers = outcome_headers(request, "streaming", "streaming", &serving_rule(request));
+    let (name, value) = event_stream_type();
+    headers.insert(name, value);
+    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    (StatusCode::OK, headers)
+}
+
+/// The headers that tell why, for an answer whose end is not known yet.
+pub fn outcome_headers(
+    request: &ClassifiedRequest,
+    outcome: &'static str,
+    reason: &'static str,
+    rule: &str,
+) -> HeaderMap {
+    record_headers(&DecisionRecord {
+        request_id: request.accepted.id.to_string(),
+        outcome,
+        reason,
+        rule: rule.to_owned(),
+        config_version: request.active.version,
+        ..DecisionRecord::default()
+    })
+}
+
+fn record_headers(record: &DecisionRecord) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    let version = record.config_version.to_string();
+    let values = [
+        (REQUEST_ID, record.request_id.as_str()),
+        (OUTCOME, record.outcome),
+        (REASON, record.reason),
+        (RULE, record.rule.as_str()),
+        (CONFIG_VERSION, version.as_str()),
+    ];
+    for (name, value) in values {
+        // Branch names are checked when the tree is parsed, so every value is valid.
+        if let Ok(value) = HeaderValue::from_str(value) {
+            headers.insert(HeaderName::from_static(name), value);
+        }
+    }
+    headers
+}
