Prove the whole path with real processes

Cause: a path that no test walks breaks unseen. Change: test support that starts daemons beside the stand-ins; a streamed and an unstreamed answer, a plain service and the list of models.

--- /dev/null
+++ b/coltsfootgate/tests/support/daemon.rs
@@ -0,0 +1,198 @@
+//! A daemon as a process of its own.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use coltsfootgate_standins::control::blocking_call;
+use serde_json::Value;
+
+/// The secret that all daemons of a test share.
+pub const TEST_SECRET: &str = "a-secret-of-the-tests-only";
+/// Longest wait for something that a test waits for.
+const WAIT_MAX: Duration = Duration::from_secs(20);
+const POLL_PERIOD: Duration = Duration::from_millis(10);
+
+/// Where a daemon listens.
+#[derive(Clone, Debug)]
+pub struct DaemonPorts {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For peers.
+    pub peers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+}
+
+/// A running daemon, killed when dropped.
+#[derive(Debug)]
+pub struct TestDaemon {
+    /// Where it listens.
+    pub ports: DaemonPorts,
+    child: Child,
+    log: Arc<Mutex<Vec<String>>>,
+}
+
+impl TestDaemon {
+    /// Starts a daemon and waits until it listens.
+    pub fn start(platform: SocketAddr, zone: &str, more: &[&str]) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_coltsfootgate"))
+            .args(["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"])
+            .args(["--operators-listen", "127.0.0.1:0", "--drain-time", "100 ms"])
+            .args(["--platform", &platform.to_string(), "--availability-zone", zone])
+            .args(["--log-format", "json"])
+            .args(more)
+            .env("COLTSFOOTGATE_PEER_SECRET", TEST_SECRET)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the daemon starts");
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let stderr = child.stderr.take().expect("standard error is piped");
+        let lines = log.clone();
+        thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                lines.lock().expect("no reader panics").push(line);
+            }
+        });
+        let stdout = child.stdout.take().expect("standard output is piped");
+        let mut first = String::new();
+        let _ = BufReader::new(stdout).read_line(&mut first);
+        let ports = parse_ports(&first).unwrap_or_else(|| {
+            let _ = child.wait();
+            thread::sleep(POLL_PERIOD);
+            panic!("the daemon did not start: {:?}", log.lock().unwrap());
+        });
+        Self { ports, child, log }
+    }
+
+    /// The id of the process.
+    pub fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Waits until the daemon is ready for callers.
+    pub fn wait_ready(&self) {
+        self.wait_for("readiness", || {
+            let answer = blocking_call(self.ports.operators, "GET", "/readyz", b"").ok()?;
+            (answer.status == 200).then_some(())
+        });
+    }
+
+    /// Waits until a version of the tree is in force.
+    pub fn wait_version(&self, version: u64) {
+        self.wait_for("the version in force", || {
+            let answer = blocking_call(self.ports.operators, "GET", "/config/head", b"").ok()?;
+            let head: Value = serde_json::from_slice(&answer.body).ok()?;
+            (head["version"].as_u64()? >= version).then_some(())
+        });
+    }
+
+    /// Waits until the daemon wrote a log line that holds a text.
+    pub fn wait_log(&self, text: &str) -> String {
+        self.wait_for(text, || {
+            let lines = self.log.lock().expect("no writer panics");
+            lines.iter().find(|line| line.contains(text)).cloned()
+        })
+    }
+
+    /// All log lines so far.
+    pub fn log_lines(&self) -> Vec<String> {
+        self.log.lock().expect("no writer panics").clone()
+    }
+
+    /// The decision record of a request.
+    pub fn record(&self, request: &str) -> Value {
+        let path = format!("/requests/{request}");
+        self.wait_for("the decision record", || {
+            let answer = blocking_call(self.ports.operators, "GET", &path, b"").ok()?;
+            serde_json::from_slice(&answer.body).ok().filter(|_| answer.status == 200)
+        })
+    }
+
+    /// A sample of the metrics whose name and labels hold all texts.
+    pub fn metric(&self, name: &str, labels: &[&str]) -> f64 {
+        let answer = blocking_call(self.ports.operators, "GET", "/metrics", b"").expect("metrics");
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        text.lines()
+            .filter(|line| line.starts_with(name) && labels.iter().all(|text| line.contains(text)))
+            .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+            .sum()
+    }
+
+    /// Asks the daemon to shut down.
+    pub fn terminate(&self) {
+        self.signal(rustix::process::Signal::TERM);
+    }
+
+    /// Ends the daemon at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Pauses the daemon.
+    pub fn pause(&self) {
+        self.signal(rustix::process::Signal::STOP);
+    }
+
+    /// Lets a paused daemon go on.
+    pub fn resume(&self) {
+        self.signal(rustix::process::Signal::CONT);
+    }
+
+    /// Waits until the daemon has ended and tells whether it ended well.
+    pub fn wait_exit(&mut self) -> bool {
+        let started = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("the daemon can be waited for") {
+                return status.success();
+            }
+            assert!(started.elapsed() < WAIT_MAX, "the daemon did not end");
+            thread::sleep(POLL_PERIOD);
+        }
+    }
+
+    /// Waits until `found` gives something.
+    pub fn wait_for<T>(&self, what: &str, mut found: impl FnMut() -> Option<T>) -> T {
+        let started = Instant::now();
+        loop {
+            if let Some(value) = found() {
+                return value;
+            }
+            assert!(
+                started.elapsed() < WAIT_MAX,
+                "waited in vain for {what}; log: {:#?}",
+                self.log_lines(),
+            );
+            thread::sleep(POLL_PERIOD);
+        }
+    }
+
+    fn signal(&self, signal: rustix::process::Signal) {
+        let id = i32::try_from(self.child.id()).expect("a process id fits");
+        let id = rustix::process::Pid::from_raw(id).expect("a process id is not 0");
+        rustix::process::kill_process(id, signal).expect("the daemon can be signalled");
+    }
+}
+
+impl Drop for TestDaemon {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn parse_ports(line: &str) -> Option<DaemonPorts> {
+    let port = |side: &str| {
+        let text = line.split_whitespace().find_map(|word| word.strip_prefix(side))?;
+        text.parse().ok()
+    };
+    Some(DaemonPorts {
+        callers: port("callers=")?,
+        peers: port("peers=")?,
+        operators: port("operators=")?,
+    })
+}
--- /dev/null
+++ b/coltsfootgate/tests/support/mod.rs
@@ -0,0 +1,11 @@
+//! Starts real daemons beside the stand-ins and calls them as a caller would.
+
+#![allow(dead_code, unused_imports, reason = "each test file uses a part of it")]
+
+mod caller;
+mod daemon;
+mod tree;
+
+pub use caller::{TestAnswer, TestCall};
+pub use daemon::{DaemonPorts, TestDaemon};
+pub use tree::{SAMPLE_KEY, put_tree, sample_tree};
--- /dev/null
+++ b/coltsfootgate/tests/whole_path.rs
@@ -0,0 +1,80 @@
+//! A request walks the whole path: caller, daemon, engine or service, and back.
+
+mod support;
+
+use std::time::Duration;
+
+use coltsfootgate_standins::answer_text::PromptDigest;
+use coltsfootgate_standins::engine::{EngineSettings, start_engine};
+use coltsfootgate_standins::platform::start_platform;
+use coltsfootgate_standins::runner::{ANY_PORT, StandinHandle};
+use coltsfootgate_standins::service::start_plain_service;
+
+use support::{TestCall, TestDaemon, put_tree, sample_tree};
+
+struct PathSetup {
+    _platform: StandinHandle,
+    _engine: StandinHandle,
+    _service: StandinHandle,
+    daemon: TestDaemon,
+}
+
+fn start_path() -> PathSetup {
+    let platform = start_platform(ANY_PORT).unwrap();
+    let engine = start_engine(ANY_PORT, EngineSettings::default()).unwrap();
+    let service = start_plain_service(ANY_PORT, Duration::from_millis(1)).unwrap();
+    put_tree(platform.address, 1, &sample_tree(&[engine.address], &[service.address], ""));
+    let daemon = TestDaemon::start(platform.address, "a", &[]);
+    daemon.wait_ready();
+    PathSetup { _platform: platform, _engine: engine, _service: service, daemon }
+}
+
+fn expected_text(prompt: &str, max_tokens: u32) -> String {
+    let digest = PromptDigest::of(prompt);
+    let length = digest.answer_length(EngineSettings::default().seed, max_tokens);
+    digest.text(0, length)
+}
+
+#[test]
+fn a_streamed_answer_comes_back_whole() {
+    let setup = start_path();
+    let prompt = "which coupler fits a brass boxcar";
+    let answer = TestCall::stream(prompt, 64).send(setup.daemon.ports.callers);
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(answer.header("coltsfootgate-outcome"), "streaming");
+    assert!(answer.is_done(), "{answer:?}");
+    assert!(expected_text(prompt, 64).starts_with(&answer.stream_text()), "{answer:?}");
+    let end = answer.end_event();
+    assert_eq!(end["outcome"], "completed");
+    assert_eq!(end["rule"], "classes");
+    assert_eq!(end["config_version"], 1);
+    let record = setup.daemon.record(end["request_id"].as_str().unwrap());
+    assert_eq!(record["outcome"], "completed");
+    assert_eq!(record["class"], "classes");
+    assert_eq!(record["endpoint"], "pools.model.endpoints.e0");
+}
+
+#[test]
+fn an_unstreamed_answer_comes_back_whole() {
+    let setup = start_path();
+    let answer = TestCall::model("a short note", 32, false).send(setup.daemon.ports.callers);
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(answer.header("coltsfootgate-outcome"), "completed");
+    assert_eq!(answer.json()["id"], answer.header("coltsfootgate-request-id"));
+}
+
+#[test]
+fn a_plain_service_answers_by_its_path() {
+    let setup = start_path();
+    let answer = TestCall::new("POST", "/orders/7", b"{}").send(setup.daemon.ports.callers);
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(answer.header("coltsfootgate-outcome"), "completed");
+    assert_eq!(answer.header("coltsfootgate-rule"), "classes.once");
+}
+
+#[test]
+fn models_are_listed() {
+    let setup = start_path();
+    let answer = TestCall::new("GET", "/v1/models", b"").send(setup.daemon.ports.callers);
+    assert_eq!(answer.json()["data"][0]["id"], "parts");
+}
