Add the operators' tool: check, apply, get, diff, history, explain, status

Operators drive the system by the tree only. The tool checks a tree before it writes anything, stores branch texts, the root and the past head, and swaps the head by revision with a nonce. A lost answer is resolved by the nonce in the head or the history; a change made to an older version is put on top of the present one or ends in a conflict. It then hands the version to every listed instance and waits until it is in force on all live ones. Exit codes tell the cases apart.

--- /dev/null
+++ b/coltsfootctl/src/commands/apply.rs
@@ -0,0 +1,173 @@
+//! `apply`: stores a tree or one branch, and waits until it is in force on every live instance.
+
+use std::fmt::{self, Display, Formatter};
+use std::sync::Arc;
+
+use coltsfootgate_config::{BranchDocument, ChangeLine, EditError, TreeParts, diff};
+use coltsfootgate_core::ids::ConfigVersion;
+use error_stack::Report;
+use serde::Serialize;
+
+use crate::arguments::ApplyArguments;
+use crate::commands::ToolContext;
+use crate::commands::source::{
+    VersionedTree, read_document, read_file, read_tree, split, stated_version, stored_tree,
+};
+use crate::commit::{TreeChange, commit, rebase};
+use crate::error::{ExitStatus, ToolError, ToolResult};
+use crate::platform::PlatformService;
+use crate::report::CommandReport;
+use crate::rollout::{RolloutReport, roll_out};
+use crate::settings::duration_flag;
+use crate::tree_store::TreeStore;
+
+/// What became of a change.
+#[derive(Debug, Serialize)]
+pub struct ApplyReport {
+    /// The version that holds the change; the present one where nothing was stored.
+    pub version: ConfigVersion,
+    /// Whether a new version was stored.
+    pub stored: bool,
+    /// Whether the change was put on top of another operator's.
+    pub rebased: bool,
+    /// What changes against the version before.
+    pub changes: Vec<ChangeLine>,
+    /// Where the version is in force; none for a dry run.
+    pub rollout: Option<RolloutReport>,
+}
+
+impl CommandReport for ApplyReport {
+    fn exit_status(&self) -> ExitStatus {
+        match &self.rollout {
+            Some(rollout) if !rollout.is_complete() => ExitStatus::NotInForce,
+            _ => ExitStatus::Done,
+        }
+    }
+}
+
+impl Display for ApplyReport {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        for change in &self.changes {
+            writeln!(formatter, "{change}")?;
+        }
+        if self.rebased {
+            writeln!(formatter, "put on top of a version that another operator stored meanwhile")?;
+        }
+        match (&self.rollout, self.stored) {
+            (None, _) => write!(formatter, "changes: {}; nothing stored", self.changes.len()),
+            (Some(rollout), true) => {
+                write!(formatter, "stored as version {}\n{rollout}", self.version)
+            }
+            (Some(rollout), false) => {
+                write!(formatter, "version {} holds this already\n{rollout}", self.version)
+            }
+        }
+    }
+}
+
+pub(crate) async fn run(
+    context: &ToolContext,
+    arguments: &ApplyArguments,
+) -> ToolResult<ApplyReport> {
+    let store = context.store()?;
+    let wait = match &arguments.wait {
+        Some(text) => duration_flag("wait", text)?,
+        None => context.settings.wait,
+    };
+    let change = read_change(context, &store, arguments).await?;
+    if arguments.dry_run {
+        return dry_run(&store, &change).await;
+    }
+    let committed = commit(&store, &change).await?;
+    let platform = context.platform()?;
+    let rollout = roll_out(&platform, &context.instances(), committed.version, wait).await;
+    Ok(ApplyReport {
+        version: committed.version,
+        stored: committed.changed,
+        rebased: committed.rebased,
+        changes: changes(&committed.before, &committed.after)?,
+        rollout: Some(rollout),
+    })
+}
+
+async fn dry_run<P: PlatformService>(
+    store: &TreeStore<P>,
+    change: &TreeChange,
+) -> ToolResult<ApplyReport> {
+    let present = present_tree(store, None).await?;
+    let after = rebase(change, &present.parts)?;
+    Ok(ApplyReport {
+        version: present.version,
+        stored: false,
+        rebased: present.version != change.base_version,
+        changes: changes(&present.parts, &after)?,
+        rollout: None,
+    })
+}
+
+/// Reads what the operator wants to change, against the version that was edited.
+async fn read_change<P: PlatformService>(
+    context: &ToolContext,
+    store: &TreeStore<P>,
+    arguments: &ApplyArguments,
+) -> ToolResult<TreeChange> {
+    let text = match (&arguments.file, &arguments.remove) {
+        (Some(file), None) => Some((file, read_file(file)?)),
+        (None, Some(_)) if arguments.branch.is_none() => None,
+        _ => {
+            let message = "apply takes FILE, FILE with --branch, or --remove alone";
+            return Err(Report::new(ToolError::Usage(message.into())));
+        }
+    };
+    let stated = text.as_ref().and_then(|(_, text)| stated_version(text));
+    let base = present_tree(store, arguments.base.or(stated)).await?;
+    let document = match (&text, &arguments.branch, &arguments.remove) {
+        (Some((file, text)), None, _) => read_tree(file, text)?.document().clone(),
+        (Some((file, text)), Some(branch), _) => {
+            let replacement = read_document(file, text)?;
+            base.document()?.with_branch(branch, &replacement).map_err(edit_error)?
+        }
+        (None, _, remove) => {
+            let branch = remove.as_deref().unwrap_or_default();
+            base.document()?.without_branch(branch).map_err(edit_error)?
+        }
+    };
+    Ok(TreeChange {
+        base_version: base.version,
+        changed: split(&document)?,
+        base: base.parts,
+        author: arguments.author.as_deref().map(Arc::from).or(context.settings.author.clone()),
+        note: arguments.note.as_deref().map(Arc::from),
+    })
+}
+
+/// The tree of a version, or an empty one where the store holds none yet.
+async fn present_tree<P: PlatformService>(
+    store: &TreeStore<P>,
+    version: Option<ConfigVersion>,
+) -> ToolResult<VersionedTree> {
+    match stored_tree(store, version).await {
+        Err(error) if is_not_found(&error) && version.is_none() => {
+            Ok(VersionedTree { version: 0, parts: TreeParts::default() })
+        }
+        result => result,
+    }
+}
+
+fn is_not_found(error: &Report<ToolError>) -> bool {
+    matches!(error.current_context(), ToolError::NotFound(_))
+}
+
+fn edit_error(error: EditError) -> Report<ToolError> {
+    let message = error.to_string();
+    Report::new(match error {
+        EditError::UnknownBranch(_) => ToolError::NotFound(message),
+        EditError::NotInReplacement(_) | EditError::OtherBranch(_) => ToolError::Usage(message),
+    })
+}
+
+fn changes(before: &TreeParts, after: &TreeParts) -> ToolResult<Vec<ChangeLine>> {
+    let document =
+        |parts: &TreeParts| -> ToolResult<BranchDocument> { read_document("tree", &parts.text()) };
+    Ok(diff(&document(before)?, &document(after)?))
+}
--- /dev/null
+++ b/coltsfootctl/src/commands/history.rs
@@ -0,0 +1,76 @@
+//! `history`: lists versions, the newest first.
+
+use std::fmt::{self, Display, Formatter};
+
+use coltsfootgate_config::HeadObject;
+use serde::Serialize;
+
+use crate::arguments::HistoryArguments;
+use crate::commands::ToolContext;
+use crate::error::ToolResult;
+use crate::report::{CommandReport, table};
+
+const DEFAULT_LIMIT: u64 = 20;
+const ROOT_CHARACTERS: usize = 12;
+
+/// Past and present heads.
+#[derive(Debug, Serialize)]
+pub(crate) struct HistoryReport {
+    versions: Vec<HeadObject>,
+}
+
+impl CommandReport for HistoryReport {}
+
+impl Display for HistoryReport {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        let mut rows = vec![
+            ["version", "written", "author", "root", "nonce", "note"].map(String::from).to_vec(),
+        ];
+        rows.extend(self.versions.iter().map(|head| {
+            vec![
+                head.version.to_string(),
+                head.written_at.map(date_text).unwrap_or_default(),
+                head.author.as_deref().unwrap_or_default().into(),
+                head.root.chars().take(ROOT_CHARACTERS).collect(),
+                head.nonce.to_string(),
+                head.note.as_deref().unwrap_or_default().into(),
+            ]
+        }));
+        formatter.write_str(&table(&rows))
+    }
+}
+
+pub(crate) async fn run(
+    context: &ToolContext,
+    arguments: &HistoryArguments,
+) -> ToolResult<HistoryReport> {
+    let store = context.store()?;
+    let mut versions = Vec::new();
+    if let Some(stored) = store.head().await? {
+        let limit = arguments.limit.unwrap_or(DEFAULT_LIMIT);
+        let oldest = stored.head.version.saturating_sub(limit) + 1;
+        let past = (oldest..stored.head.version).rev();
+        versions.push(stored.head);
+        for version in past {
+            versions.extend(store.past_head(version).await?);
+        }
+    }
+    Ok(HistoryReport { versions })
+}
+
+/// A moment in UTC, from seconds since the Unix epoch.
+fn date_text(seconds: u64) -> String {
+    let (days, second) = (seconds / 86400, seconds % 86400);
+    // The civil calendar in eras of 400 years that start on 1 March.
+    let shifted = days + 719_468;
+    let (era, day_of_era) = (shifted / 146_097, shifted % 146_097);
+    let year_of_era =
+        (day_of_era - day_of_era / 1460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
+    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+    let shifted_month = (5 * day_of_year + 2) / 153;
+    let day = day_of_year - (153 * shifted_month + 2) / 5 + 1;
+    let month = if shifted_month < 10 { shifted_month + 3 } else { shifted_month - 9 };
+    let year = era * 400 + year_of_era + u64::from(month <= 2);
+    let (hour, minute, second) = (second / 3600, second / 60 % 60, second % 60);
+    format!("{year}-{month:02}-{day:02} {hour:02}:{minute:02}:{second:02}Z")
+}
--- /dev/null
+++ b/coltsfootctl/src/commands/source.rs
@@ -0,0 +1,101 @@
+//! Reads trees from files and from the store.
+
+use std::io::Read;
+
+use coltsfootgate_config::{BranchDocument, ConfigTree, TreeParts};
+use coltsfootgate_core::ids::ConfigVersion;
+use error_stack::Report;
+
+use crate::error::{ToolError, ToolResult};
+use crate::platform::PlatformService;
+use crate::tree_store::TreeStore;
+
+/// The start of the line by which `get` names the version that it prints.
+const VERSION_LINE: &str = "# coltsfootgate config version ";
+/// The name of the file that stands for standard input.
+const STANDARD_INPUT: &str = "-";
+
+/// A tree of a version.
+pub(crate) struct VersionedTree {
+    pub(crate) version: ConfigVersion,
+    pub(crate) parts: TreeParts,
+}
+
+impl VersionedTree {
+    /// The name of the tree in errors.
+    pub(crate) fn name(&self) -> String {
+        format!("version {}", self.version)
+    }
+
+    /// The text as `get` prints it, so that lines in errors and explanations are the same.
+    pub(crate) fn text(&self) -> String {
+        format!("{}\n\n{}", version_line(self.version), self.parts.text())
+    }
+
+    pub(crate) fn document(&self) -> ToolResult<BranchDocument> {
+        read_document(&self.name(), &self.text())
+    }
+
+    pub(crate) fn tree(&self) -> ToolResult<ConfigTree> {
+        read_tree(&self.name(), &self.text())
+    }
+}
+
+/// The line by which a text names the version that it was made from.
+pub(crate) fn version_line(version: ConfigVersion) -> String {
+    format!("{VERSION_LINE}{version}")
+}
+
+/// The version that a text names in its first line.
+pub(crate) fn stated_version(text: &str) -> Option<ConfigVersion> {
+    text.lines().next()?.strip_prefix(VERSION_LINE)?.trim().parse().ok()
+}
+
+/// Reads a file, or standard input for `-`.
+pub(crate) fn read_file(path: &str) -> ToolResult<String> {
+    let mut text = String::new();
+    let read = match path {
+        STANDARD_INPUT => std::io::stdin().read_to_string(&mut text).map(drop),
+        path => std::fs::read_to_string(path).map(|read| text = read),
+    };
+    let failed = |error: std::io::Error| {
+        Report::new(ToolError::File { path: path.into(), cause: error.to_string() })
+    };
+    read.map_err(failed)?;
+    Ok(text)
+}
+
+/// Reads the branches of a text, without checks of their settings.
+pub(crate) fn read_document(name: &str, text: &str) -> ToolResult<BranchDocument> {
+    BranchDocument::parse(name, text).map_err(|errors| Report::new(ToolError::InvalidTree(errors)))
+}
+
+/// Reads and checks a whole tree.
+pub(crate) fn read_tree(name: &str, text: &str) -> ToolResult<ConfigTree> {
+    ConfigTree::parse(name, text).map_err(|errors| Report::new(ToolError::InvalidTree(errors)))
+}
+
+/// Splits a document for the store.
+pub(crate) fn split(document: &BranchDocument) -> ToolResult<TreeParts> {
+    TreeParts::split(document).map_err(|error| Report::new(ToolError::Unstorable(error)))
+}
+
+/// Reads a version from the store, the present one if none is named.
+pub(crate) async fn stored_tree<P: PlatformService>(
+    store: &TreeStore<P>,
+    version: Option<ConfigVersion>,
+) -> ToolResult<VersionedTree> {
+    let head = match version {
+        Some(version) => store.head_of(version).await?,
+        None => store.head().await?.map(|stored| stored.head),
+    };
+    let Some(head) = head else {
+        let message = match version {
+            Some(version) => format!("there is no version {version}"),
+            None => "the store holds no tree yet; use `coltsfootctl apply FILE`".into(),
+        };
+        return Err(Report::new(ToolError::NotFound(message)));
+    };
+    let parts = store.parts(&head).await?;
+    Ok(VersionedTree { version: head.version, parts })
+}
--- /dev/null
+++ b/coltsfootctl/src/rollout.rs
@@ -0,0 +1,152 @@
+//! Hands a version to every instance and waits until it is in force there.
+
+use std::fmt::{self, Display, Formatter};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coltsfootgate_core::ids::ConfigVersion;
+use futures_util::future::join_all;
+use serde::Serialize;
+
+use crate::instance::InstanceClient;
+use crate::platform::{InstanceState, ListedInstance, PlatformService};
+
+/// Pause between two rounds of questions to the instances.
+const ROUND_PAUSE: Duration = Duration::from_millis(100);
+
+/// What is known of a version on one instance.
+#[derive(Clone, Debug, Serialize)]
+pub struct InstanceRollout {
+    /// The address for operators.
+    pub instance: SocketAddr,
+    /// The availability zone.
+    pub zone: Arc<str>,
+    /// What the platform's list says.
+    pub state: InstanceState,
+    /// The version that the instance named last.
+    pub version: Option<ConfigVersion>,
+    /// Whether the version that was waited for is in force.
+    pub in_force: bool,
+    /// Why nothing else is known.
+    pub error: Option<String>,
+}
+
+/// What is known of a version on all instances.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct RolloutReport {
+    /// The listed instances.
+    pub instances: Vec<InstanceRollout>,
+    /// Why the list could not be read.
+    pub list_error: Option<String>,
+    /// How long the wait took, in milliseconds.
+    pub waited_ms: u64,
+}
+
+impl RolloutReport {
+    /// Whether every live instance is known to have the version in force.
+    pub fn is_complete(&self) -> bool {
+        let live = |instance: &&InstanceRollout| instance.state == InstanceState::Live;
+        self.list_error.is_none()
+            && self.instances.iter().filter(live).all(|instance| instance.in_force)
+    }
+}
+
+impl Display for RolloutReport {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        if let Some(error) = &self.list_error {
+            writeln!(formatter, "the instance list could not be read: {error}")?;
+        }
+        for instance in &self.instances {
+            let state = match (instance.state, instance.in_force) {
+                (InstanceState::Leaving, _) => "leaving",
+                (InstanceState::Live, true) => "in force",
+                (InstanceState::Live, false) => "NOT in force",
+            };
+            write!(formatter, "  {}  {}  {state}", instance.instance, instance.zone)?;
+            match (&instance.error, instance.version) {
+                (Some(error), _) => writeln!(formatter, ": {error}")?,
+                (None, Some(version)) => writeln!(formatter, ", version {version}")?,
+                (None, None) => writeln!(formatter, ", no tree yet")?,
+            }
+        }
+        let live = self.instances.iter().filter(|instance| instance.state == InstanceState::Live);
+        let (in_force, count) = live.fold((0, 0), |(in_force, count), instance| {
+            (in_force + usize::from(instance.in_force), count + 1)
+        });
+        write!(
+            formatter,
+            "in force on {in_force} of {count} live instances after {} ms",
+            self.waited_ms
+        )
+    }
+}
+
+/// Hands a version to every listed instance, and waits for all live ones.
+///
+/// Ends when the version is in force on all live instances, or when the time is over. The list is
+/// read again in each round, so an instance that appears meanwhile is waited for, too.
+pub async fn roll_out<P: PlatformService>(
+    platform: &P,
+    instances: &InstanceClient,
+    version: ConfigVersion,
+    wait: Duration,
+) -> RolloutReport {
+    let start = Instant::now();
+    let mut announced = Vec::new();
+    loop {
+        let mut report = match platform.instances().await {
+            Ok(list) => ask_all(instances, &list, version, &mut announced).await,
+            Err(error) => {
+                RolloutReport { list_error: Some(error.to_string()), ..RolloutReport::default() }
+            }
+        };
+        let waited = start.elapsed();
+        report.waited_ms = waited.as_millis() as u64;
+        if report.is_complete() || waited >= wait {
+            return report;
+        }
+        monoio::time::sleep(ROUND_PAUSE).await;
+    }
+}
+
+/// Announces the version where that has not succeeded, and asks every instance for its version.
+async fn ask_all(
+    client: &InstanceClient,
+    list: &[ListedInstance],
+    version: ConfigVersion,
+    announced: &mut Vec<SocketAddr>,
+) -> RolloutReport {
+    let asked = list.iter().map(|instance| {
+        let is_new = !announced.contains(&instance.operators_address);
+        ask(client, instance, version, is_new)
+    });
+    let instances = join_all(asked).await;
+    let reached = instances.iter().filter(|instance| instance.error.is_none());
+    announced.extend(reached.map(|instance| instance.instance));
+    RolloutReport { instances, ..RolloutReport::default() }
+}
+
+async fn ask(
+    client: &InstanceClient,
+    listed: &ListedInstance,
+    version: ConfigVersion,
+    announce: bool,
+) -> InstanceRollout {
+    let address = listed.operators_address;
+    let announced = if announce { client.announce(address, version).await } else { Ok(()) };
+    let found = client.version(address).await;
+    let (found, error) = match (found, announced) {
+        (Ok(found), Ok(())) => (found, None),
+        (Ok(found), Err(error)) => (found, Some(error.to_string())),
+        (Err(error), _) => (None, Some(error.to_string())),
+    };
+    InstanceRollout {
+        instance: address,
+        zone: listed.zone.clone(),
+        state: listed.state,
+        version: found,
+        in_force: found.is_some_and(|found| found >= version),
+        error,
+    }
+}
--- /dev/null
+++ b/coltsfootctl/src/settings.rs
@@ -0,0 +1,93 @@
+//! The tool's own settings, from flags and environment variables.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootgate_config::parse_duration;
+use error_stack::Report;
+
+use crate::arguments::ToolArguments;
+use crate::error::{ToolError, ToolResult};
+
+/// The environment variable with the address of the platform's service.
+pub const PLATFORM_VARIABLE: &str = "COLTSFOOTGATE_PLATFORM";
+/// The environment variable with the time limit of each call.
+pub const TIMEOUT_VARIABLE: &str = "COLTSFOOTGATE_PLATFORM_TIMEOUT";
+/// The environment variable with the name of the operator.
+pub const AUTHOR_VARIABLE: &str = "COLTSFOOTCTL_AUTHOR";
+/// The environment variable with the time to wait until a change is in force.
+pub const WAIT_VARIABLE: &str = "COLTSFOOTCTL_WAIT";
+
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
+const DEFAULT_WAIT: Duration = Duration::from_secs(15);
+
+/// The checked settings of the tool.
+#[derive(Clone, Debug)]
+pub struct ToolSettings {
+    /// Address of the platform's service, if one is set.
+    pub platform: Option<SocketAddr>,
+    /// Time limit of each call.
+    pub timeout: Duration,
+    /// Who operates, unless the command says otherwise.
+    pub author: Option<Arc<str>>,
+    /// How long to wait until a change is in force, unless the command says otherwise.
+    pub wait: Duration,
+}
+
+impl ToolSettings {
+    /// Reads the settings; flags go before environment variables.
+    ///
+    /// Fails with every setting that is not allowed.
+    pub fn new(
+        arguments: &ToolArguments,
+        environment: impl Fn(&str) -> Option<String>,
+    ) -> ToolResult<Self> {
+        let mut faults = Vec::new();
+        let flag = |flag: &Option<String>, name: &str, variable: &str| match flag {
+            Some(value) => Some((format!("--{name}"), value.clone())),
+            None => environment(variable).map(|value| (variable.to_owned(), value)),
+        };
+        let platform = flag(&arguments.platform, "platform", PLATFORM_VARIABLE);
+        let platform =
+            read(platform, "an IP address and port", &mut faults, |text| text.parse().ok());
+        let timeout = flag(&arguments.platform_timeout, "platform-timeout", TIMEOUT_VARIABLE);
+        let timeout = read(timeout, DURATION_EXAMPLE, &mut faults, parse_duration);
+        let wait = flag(&None, "wait", WAIT_VARIABLE);
+        let wait = read(wait, DURATION_EXAMPLE, &mut faults, parse_duration);
+        if !faults.is_empty() {
+            return Err(Report::new(ToolError::Usage(faults.join("\n"))));
+        }
+        let author = environment(AUTHOR_VARIABLE).or_else(|| environment("USER"));
+        Ok(Self {
+            platform,
+            timeout: timeout.unwrap_or(DEFAULT_TIMEOUT),
+            author: author.map(Arc::from),
+            wait: wait.unwrap_or(DEFAULT_WAIT),
+        })
+    }
+}
+
+const DURATION_EXAMPLE: &str = "a duration with its unit, such as \"2 s\"";
+
+fn read<T>(
+    setting: Option<(String, String)>,
+    allowed: &str,
+    faults: &mut Vec<String>,
+    parse: impl Fn(&str) -> Option<T>,
+) -> Option<T> {
+    let (name, text) = setting?;
+    let value = parse(&text);
+    if value.is_none() {
+        faults.push(format!("{name}: found {text:?}; allowed: {allowed}"));
+    }
+    value
+}
+
+/// Reads a duration of a command's flag.
+pub fn duration_flag(name: &str, text: &str) -> ToolResult<Duration> {
+    parse_duration(text).ok_or_else(|| {
+        let message = format!("--{name}: found {text:?}; allowed: {DURATION_EXAMPLE}");
+        Report::new(ToolError::Usage(message))
+    })
+}
--- a/coltsfootgate_config/src/render.rs
+++ b/coltsfootgate_config/src/render.rs
@@ -17,6 +17,13 @@
         text
     }
 
+    /// A branch and all below it as TOML; `None` if there is no such branch.
+    pub fn render_path(&self, path: &str) -> Option<String> {
+        let mut text = String::new();
+        self.render_branch(self.position(path)?, &mut text);
+        Some(text)
+    }
+
     /// Appends a branch and all below it.
     pub(crate) fn render_branch(&self, position: usize, text: &mut String) {
         self.render_own(position, text);
