Add the measurement of the whole system with real processes

scripts/measure starts the platform, the engines and services of a sample tree and nine daemons, applies the tree with the tool, sends a load with a burst of twice what the engines can give, and brings about a fault in it. It prints a table by class and a result line: attainment, refusals, goodput, wasted tokens, inversions of tiers from the decision logs, double runs, and what the daemons used.

--- a/coltsfootgate_standins/src/lib.rs
+++ b/coltsfootgate_standins/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod http_server;
 pub mod load;
+pub mod measure;
 pub mod platform;
 pub mod proxy;
 pub mod runner;
--- a/coltsfootgate_standins/src/load/mod.rs
+++ b/coltsfootgate_standins/src/load/mod.rs
@@ -5,6 +5,8 @@
 mod client;
 mod report;
 mod stream;
+#[cfg(test)]
+mod tests;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- a/coltsfootgate_standins/src/load/report.rs
+++ b/coltsfootgate_standins/src/load/report.rs
@@ -1,6 +1,6 @@
 //! What the load generator saw, by class.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
@@ -86,6 +86,8 @@
     pub lowest_tier_longest_wait_ms: f64,
     /// Digests of prompts and paths of services whose callers were told that nothing ran.
     pub told_not_run: Vec<String>,
+    #[serde(skip)]
+    ran_repeats: HashSet<String>,
 }
 
 impl LoadReport {
@@ -126,6 +128,9 @@
             let wait_ms = first.as_secs_f64() * 1e3;
             self.lowest_tier_longest_wait_ms = self.lowest_tier_longest_wait_ms.max(wait_ms);
         }
+        if let Some(path) = result.path.as_ref().filter(|_| call.repeated) {
+            self.ran_repeats.extend((result.outcome != "not-run").then(|| path.clone()));
+        }
         *self.outcomes.entry(result.outcome.clone()).or_default() += 1;
         self.foreign += u64::from(result.foreign);
         self.truncated_as_whole += u64::from(result.claimed_whole && !result.whole);
@@ -175,6 +180,8 @@
 
     pub(super) fn finish(mut self, unfinished: usize) -> Self {
         self.unfinished = unfinished as u64;
+        // A repeat may run what its first call did not.
+        self.told_not_run.retain(|target| !self.ran_repeats.contains(target));
         for report in self.classes.values_mut() {
             if let Some(histograms) = report.histograms.take() {
                 report.first_token = summarize(&histograms.first_token);
--- /dev/null
+++ b/coltsfootgate_standins/src/measure/bench.rs
@@ -0,0 +1,338 @@
+//! Starts, steers and ends the processes of a measurement.
+
+use std::collections::HashMap;
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coltsfootgate_config::ConfigTree;
+use coltsfootgate_core::settings::RouteTarget;
+use serde_json::{Value, json};
+
+use super::decisions::{self, DecisionLine};
+use super::outcome::{DaemonUsage, EngineTotals, ServiceExecutions};
+use super::process::{ManagedProcess, free_addresses};
+use super::{MeasureFault, MeasureSettings, engine_order};
+use crate::control::{ControlClient, blocking_call};
+use crate::engine::EngineSettings;
+use crate::load::LoadPlan;
+
+const DAEMONS: usize = 9;
+const PEER_SECRET: &str = "a secret for measurements only";
+/// Prompt tokens and answers are drawn so that the engines' seed differs from the load's.
+const ENGINE_SEED_OFFSET: u64 = 1000;
+const SERVICE_WORK_MS: &str = "5";
+const READY_PATIENCE: Duration = Duration::from_secs(30);
+const STOP_PATIENCE: Duration = Duration::from_secs(8);
+const DRAIN_SECONDS: f64 = 40.0;
+
+struct EndpointProcess {
+    /// Held so that the process ends with the bench.
+    _process: ManagedProcess,
+    control: ControlClient,
+    address: SocketAddr,
+    zone: Arc<str>,
+    is_engine: bool,
+}
+
+struct DaemonProcess {
+    process: ManagedProcess,
+    callers: SocketAddr,
+    operators: SocketAddr,
+    zone: Arc<str>,
+    log: PathBuf,
+}
+
+/// All processes of a measurement.
+pub(super) struct MeasureBench {
+    platform: ManagedProcess,
+    platform_control: ControlClient,
+    endpoints: Vec<EndpointProcess>,
+    daemons: Vec<DaemonProcess>,
+    tree: ConfigTree,
+}
+
+impl MeasureBench {
+    pub(super) fn start(settings: &MeasureSettings) -> io::Result<Self> {
+        fs::create_dir_all(&settings.work)?;
+        let sample = settings.samples.join(format!("{}.toml", settings.profile.name()));
+        let mut text = fs::read_to_string(&sample)?;
+        let mut platform = start_standin(settings, "platform", "platform", &[])?;
+        let platform_address = platform.read_address("listening")?;
+        let platform_control = ControlClient::new(platform.read_address("control")?);
+        let tree = parse_tree(&text)?;
+        let endpoints = start_endpoints(settings, &tree, &mut text)?;
+        let strategy = format!("strategy = \"{}\"", settings.strategy);
+        text = text.replace("strategy = \"cooperative\"", &strategy);
+        let tree = parse_tree(&text)?;
+        let tree_file = settings.work.join("tree.toml");
+        fs::write(&tree_file, text)?;
+        let daemons = start_daemons(settings, &tree, platform_address)?;
+        let bench = Self { platform, platform_control, endpoints, daemons, tree };
+        bench.list_instances()?;
+        bench.apply_tree(settings, &tree_file, platform_address)?;
+        bench.wait_until_ready()?;
+        Ok(bench)
+    }
+
+    fn list_instances(&self) -> io::Result<()> {
+        let daemons = self.daemons.iter().map(|daemon| {
+            let (operators, zone) = (daemon.operators, &daemon.zone);
+            let address = daemon.process_address();
+            json!({"role": "router", "address": address, "operators_address": operators,
+                   "availability_zone": zone, "state": "live"})
+        });
+        let endpoints = self.endpoints.iter().map(|endpoint| {
+            let (address, zone) = (endpoint.address, &endpoint.zone);
+            json!({"role": "endpoint", "address": address, "availability_zone": zone,
+                   "state": "live"})
+        });
+        let instances: Vec<_> = daemons.chain(endpoints).collect();
+        self.platform_control.order(&json!({"instances": instances}))
+    }
+
+    fn apply_tree(
+        &self,
+        settings: &MeasureSettings,
+        tree_file: &Path,
+        platform: SocketAddr,
+    ) -> io::Result<()> {
+        let output = Command::new(settings.binaries.join("coltsfootctl"))
+            .args(["--platform", &platform.to_string(), "apply"])
+            .arg(tree_file)
+            .stdin(Stdio::null())
+            .output()?;
+        if output.status.success() {
+            return Ok(());
+        }
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        let printed = String::from_utf8_lossy(&output.stdout).into_owned();
+        Err(io::Error::other(format!("coltsfootctl apply: {said}{printed}")))
+    }
+
+    fn wait_until_ready(&self) -> io::Result<()> {
+        let deadline = Instant::now() + READY_PATIENCE;
+        for daemon in &self.daemons {
+            let is_ready = || {
+                blocking_call(daemon.operators, "GET", "/readyz", b"")
+                    .is_ok_and(|response| response.status == 200)
+            };
+            while !is_ready() {
+                if Instant::now() > deadline {
+                    return Err(io::Error::other(format!("{} isn't ready", daemon.log.display())));
+                }
+                std::thread::sleep(Duration::from_millis(50));
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts the load generator and returns when its first request is due.
+    pub(super) fn start_load(&self, settings: &MeasureSettings) -> io::Result<ManagedProcess> {
+        let engines = self.endpoints.iter().filter(|endpoint| endpoint.is_engine).count();
+        let capacity = EngineSettings::default().full_rate() * engines as f64;
+        let engine_seed = settings.seed + ENGINE_SEED_OFFSET;
+        let plan = LoadPlan {
+            seed: settings.seed,
+            engine_seed,
+            entries: self.daemons.iter().map(|daemon| daemon.callers).collect(),
+            phases: settings.phases(),
+            drain_seconds: DRAIN_SECONDS,
+            classes: settings.profile.classes(&self.tree, capacity, engine_seed),
+        };
+        let plan_file = settings.work.join("plan.json");
+        fs::write(&plan_file, serde_json::to_vec(&plan).map_err(io::Error::other)?)?;
+        let plan_file = plan_file.display().to_string();
+        let mut load = start_standin(settings, "load", "load", &["--plan", &plan_file])?;
+        load.read_line()?;
+        Ok(load)
+    }
+
+    pub(super) fn begin_fault(&mut self, fault: MeasureFault) -> io::Result<()> {
+        match fault {
+            MeasureFault::None => Ok(()),
+            MeasureFault::Straggler | MeasureFault::Crash => {
+                self.endpoints[0].control.order(&engine_order(fault, true))
+            }
+            MeasureFault::StoreOutage => self.platform_control.order(&json!({"outage": "hang"})),
+            MeasureFault::InstanceLoss => {
+                if let Some(daemon) = self.daemons.last_mut() {
+                    daemon.process.kill();
+                }
+                Ok(())
+            }
+            MeasureFault::ZoneLoss => self.lose_zone(),
+        }
+    }
+
+    pub(super) fn end_fault(&mut self, fault: MeasureFault) -> io::Result<()> {
+        match fault {
+            MeasureFault::None | MeasureFault::InstanceLoss | MeasureFault::ZoneLoss => Ok(()),
+            MeasureFault::Straggler | MeasureFault::Crash => {
+                self.endpoints[0].control.order(&engine_order(fault, false))
+            }
+            MeasureFault::StoreOutage => self.platform_control.order(&json!({"outage": "none"})),
+        }
+    }
+
+    fn lose_zone(&mut self) -> io::Result<()> {
+        let Some(zone) = self.daemons.last().map(|daemon| daemon.zone.clone()) else {
+            return Ok(());
+        };
+        for daemon in self.daemons.iter_mut().filter(|daemon| daemon.zone == zone) {
+            daemon.process.kill();
+        }
+        let mut lost = self.endpoints.iter().filter(|endpoint| endpoint.zone == zone);
+        lost.try_for_each(|endpoint| endpoint.control.order(&json!({"crash": true})))
+    }
+
+    /// What the engines generated and could have generated so far.
+    pub(super) fn engine_totals(&self) -> EngineTotals {
+        let mut totals = EngineTotals::default();
+        for endpoint in self.endpoints.iter().filter(|endpoint| endpoint.is_engine) {
+            if let Ok(counters) = endpoint.control.counters() {
+                totals.add(&counters);
+            }
+        }
+        totals
+    }
+
+    /// How often each keyed or unkeyed request of a service was executed, and each prompt.
+    pub(super) fn executions(&self) -> ServiceExecutions {
+        let mut executions = ServiceExecutions::default();
+        for endpoint in &self.endpoints {
+            if let Ok(counters) = endpoint.control.counters() {
+                executions.add(&counters);
+            }
+        }
+        executions
+    }
+
+    pub(super) fn daemon_usage(&self) -> DaemonUsage {
+        let usages = self.daemons.iter().enumerate().filter_map(|(index, daemon)| {
+            let processor = daemon.process.processor_time()?;
+            let memory_mb = daemon.process.peak_memory_mb()?;
+            let peer_bytes = peer_bytes(daemon.operators).unwrap_or(0.0);
+            Some((index, (processor, memory_mb, peer_bytes)))
+        });
+        DaemonUsage { at: Instant::now(), daemons: usages.collect() }
+    }
+
+    /// Ends the daemons gracefully and reads their decisions.
+    pub(super) fn stop_daemons(&mut self) -> Vec<DecisionLine> {
+        let mut decisions = Vec::new();
+        for daemon in &mut self.daemons {
+            daemon.process.terminate(STOP_PATIENCE);
+            decisions.extend(decisions::read_decisions(&daemon.log));
+        }
+        self.platform.kill();
+        decisions
+    }
+}
+
+impl DaemonProcess {
+    /// The peers' address, which is the instance's name.
+    fn process_address(&self) -> &str {
+        self.log.file_stem().and_then(|stem| stem.to_str()).unwrap_or_default()
+    }
+}
+
+fn parse_tree(text: &str) -> io::Result<ConfigTree> {
+    ConfigTree::parse("sample", text).map_err(|errors| io::Error::other(errors.to_string()))
+}
+
+fn start_standin(
+    settings: &MeasureSettings,
+    name: &str,
+    log: &str,
+    arguments: &[&str],
+) -> io::Result<ManagedProcess> {
+    let mut command = Command::new(settings.binaries.join(format!("standin-{name}")));
+    ManagedProcess::start(command.args(arguments), &settings.work.join(format!("{log}.log")))
+}
+
+/// Starts a stand-in for each endpoint of the tree and writes its address into the text.
+fn start_endpoints(
+    settings: &MeasureSettings,
+    tree: &ConfigTree,
+    text: &mut String,
+) -> io::Result<Vec<EndpointProcess>> {
+    let seed = (settings.seed + ENGINE_SEED_OFFSET).to_string();
+    let mut endpoints = Vec::new();
+    let mut addresses = HashMap::new();
+    for pool in tree.pools() {
+        let is_engine = matches!(pool.target, RouteTarget::Model(_));
+        for endpoint in &pool.endpoints {
+            let mut process = if is_engine {
+                start_standin(settings, "engine", &endpoint.id, &["--seed", &seed])?
+            } else {
+                start_standin(settings, "service", &endpoint.id, &["--work-ms", SERVICE_WORK_MS])?
+            };
+            let address = process.read_address("listening")?;
+            let control = ControlClient::new(process.read_address("control")?);
+            let zone = endpoint.zone.clone();
+            addresses.insert(endpoint.address.clone(), address);
+            endpoints.push(EndpointProcess {
+                _process: process,
+                control,
+                address,
+                zone,
+                is_engine,
+            });
+        }
+    }
+    for (old, new) in addresses {
+        *text = text.replace(&format!("\"{old}\""), &format!("\"{new}\""));
+    }
+    endpoints.sort_by_key(|endpoint| !endpoint.is_engine);
+    Ok(endpoints)
+}
+
+fn start_daemons(
+    settings: &MeasureSettings,
+    tree: &ConfigTree,
+    platform: SocketAddr,
+) -> io::Result<Vec<DaemonProcess>> {
+    let mut zones: Vec<Arc<str>> = Vec::new();
+    for endpoint in tree.pools().flat_map(|pool| &pool.endpoints) {
+        if !zones.contains(&endpoint.zone) {
+            zones.push(endpoint.zone.clone());
+        }
+    }
+    let addresses = free_addresses(3 * DAEMONS)?;
+    let mut daemons = Vec::new();
+    for (index, addresses) in addresses.chunks_exact(3).enumerate() {
+        let zone = zones[index % zones.len()].clone();
+        let [callers, peers, operators] = [addresses[0], addresses[1], addresses[2]];
+        let log = settings.work.join(format!("{peers}.log"));
+        let mut command = Command::new(settings.binaries.join("coltsfootgate"));
+        command
+            .env("COLTSFOOTGATE_PEER_SECRET", PEER_SECRET)
+            .args(["--listen", &callers.to_string()])
+            .args(["--peer-listen", &peers.to_string()])
+            .args(["--operators-listen", &operators.to_string()])
+            .args(["--availability-zone", &zone])
+            .args(["--platform", &platform.to_string()])
+            .args(["--log-format", "json", "--drain-time", "500 ms"]);
+        let process = ManagedProcess::start(&mut command, &log)?;
+        daemons.push(DaemonProcess { process, callers, operators, zone, log });
+    }
+    Ok(daemons)
+}
+
+/// Bytes that an instance exchanged with its peers, by its own count.
+fn peer_bytes(operators: SocketAddr) -> Option<f64> {
+    let response = blocking_call(operators, "GET", "/metrics", b"").ok()?;
+    let text = String::from_utf8(response.body).ok()?;
+    let lines = text.lines().filter(|line| line.starts_with("coltsfootgate_peer_bytes_total"));
+    Some(lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum())
+}
+
+/// The number under a name, or zero.
+pub(super) fn number(counters: &Value, name: &str) -> f64 {
+    counters[name].as_f64().unwrap_or(0.0)
+}
--- /dev/null
+++ b/coltsfootgate_standins/src/measure/outcome.rs
@@ -0,0 +1,229 @@
+//! Works out and prints what a measurement found.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use super::bench::number;
+use super::decisions::{self, DecisionLine};
+use super::{BurstWindow, MeasureSettings};
+use crate::load::{ClassReport, LoadReport};
+
+/// A class whose demand and that of all higher tiers is below this share of capacity fits.
+const FITTING_SHARE: f64 = 0.92;
+
+/// Tokens of all engines together.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct EngineTotals {
+    tokens: f64,
+    cancelled: f64,
+    capacity: f64,
+}
+
+impl EngineTotals {
+    pub(super) fn add(&mut self, counters: &Value) {
+        self.tokens += number(counters, "tokens");
+        self.cancelled += number(counters, "tokens_cancelled");
+        self.capacity += number(counters, "capacity_tokens");
+    }
+
+    pub(super) fn since(&self, before: &Self) -> Self {
+        Self {
+            tokens: self.tokens - before.tokens,
+            cancelled: self.cancelled - before.cancelled,
+            capacity: self.capacity - before.capacity,
+        }
+    }
+}
+
+/// How often things were executed, by key, path and prompt.
+#[derive(Debug, Default)]
+pub(super) struct ServiceExecutions {
+    by_key: HashMap<String, u64>,
+    by_target: HashMap<String, u64>,
+}
+
+impl ServiceExecutions {
+    pub(super) fn add(&mut self, counters: &Value) {
+        merge(&mut self.by_key, &counters["by_key"]);
+        merge(&mut self.by_target, &counters["by_target"]);
+        merge(&mut self.by_target, &counters["prompt_runs"]);
+    }
+}
+
+fn merge(counts: &mut HashMap<String, u64>, more: &Value) {
+    for (name, count) in more.as_object().into_iter().flatten() {
+        *counts.entry(name.clone()).or_default() += count.as_u64().unwrap_or(0);
+    }
+}
+
+/// Processor time, peak memory in megabytes and peer bytes of each daemon that runs.
+#[derive(Debug)]
+pub(super) struct DaemonUsage {
+    pub(super) at: Instant,
+    pub(super) daemons: HashMap<usize, (Duration, f64, f64)>,
+}
+
+/// The largest use by any daemon.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct UsageMaxima {
+    cpu_share: f64,
+    memory_mb: f64,
+    control_bytes_s: f64,
+}
+
+impl DaemonUsage {
+    pub(super) fn since(&self, before: &Self) -> UsageMaxima {
+        let elapsed = (self.at - before.at).as_secs_f64();
+        let mut maxima = UsageMaxima::default();
+        for (index, (processor, memory_mb, peer_bytes)) in &self.daemons {
+            let Some((old_processor, _, old_bytes)) = before.daemons.get(index) else { continue };
+            let processor = processor.saturating_sub(*old_processor).as_secs_f64();
+            maxima.cpu_share = maxima.cpu_share.max(processor / elapsed);
+            maxima.memory_mb = maxima.memory_mb.max(*memory_mb);
+            let bytes_s = (peer_bytes - old_bytes) / elapsed;
+            maxima.control_bytes_s = maxima.control_bytes_s.max(bytes_s);
+        }
+        maxima
+    }
+}
+
+/// Everything that a run has shown.
+pub(super) struct MeasureOutcome {
+    pub(super) report: LoadReport,
+    pub(super) window: BurstWindow,
+    pub(super) totals: EngineTotals,
+    pub(super) executions: ServiceExecutions,
+    pub(super) used: UsageMaxima,
+    pub(super) decisions: Vec<DecisionLine>,
+}
+
+impl MeasureOutcome {
+    fn goodput(&self) -> f64 {
+        let (first, last) = self.window.seconds;
+        let seconds = self.report.useful_by_second.iter().skip(first).take(last - first);
+        seconds.sum::<u64>() as f64 / self.window.totals.capacity.max(1.0)
+    }
+
+    /// Tokens that no caller could use, but for those of calls cut by the end of the run.
+    fn wasted(&self) -> f64 {
+        let useful: u64 = self.report.useful_by_second.iter().sum();
+        let unfinished =
+            self.report.tokens_received.saturating_sub(useful + self.report.tokens_of_ended);
+        let used = (useful + unfinished) as f64;
+        (self.totals.tokens - used).max(0.0) / self.totals.tokens.max(1.0)
+    }
+
+    fn double_runs(&self) -> u64 {
+        self.executions.by_key.values().map(|count| count.saturating_sub(1)).sum()
+    }
+
+    fn not_run_but_run(&self) -> usize {
+        let told = &self.report.told_not_run;
+        told.iter().filter(|target| self.executions.by_target.contains_key(*target)).count()
+    }
+}
+
+fn share(part: u64, whole: u64) -> f64 {
+    if whole == 0 { 1.0 } else { (part as f64 / whole as f64 * 1e4).round() / 1e4 }
+}
+
+/// The classes whose own demand fits in capacity after that of all higher tiers.
+fn fitting_classes<'a>(
+    settings: &MeasureSettings,
+    classes: &'a BTreeMap<String, ClassReport>,
+) -> Vec<&'a str> {
+    let shares: HashMap<_, _> = settings.profile.burst_shares().collect();
+    let demand_to = |tier: u8| -> f64 {
+        let higher = classes.iter().filter(|(_, report)| report.tier <= tier);
+        higher.filter_map(|(name, _)| shares.get(name.as_str())).sum()
+    };
+    let fits = |(name, report): &(&String, &ClassReport)| {
+        !shares.contains_key(name.as_str()) || demand_to(report.tier) <= FITTING_SHARE
+    };
+    classes.iter().filter(fits).map(|(name, _)| name.as_str()).collect()
+}
+
+/// Prints the table and, as the last line, the result.
+pub(super) fn print(settings: &MeasureSettings, outcome: &MeasureOutcome) {
+    let report = &outcome.report;
+    let fitting = fitting_classes(settings, &report.classes);
+    print_classes(&report.classes, &fitting);
+    println!("refusals: {:?}", report.refusals);
+    println!("outcomes: {:?}", report.outcomes);
+    let mut retries: BTreeMap<&str, u64> = BTreeMap::new();
+    for reason in outcome.decisions.iter().flat_map(|decision| &decision.retries) {
+        *retries.entry(reason).or_default() += 1;
+    }
+    println!("retries: {retries:?}");
+    let inversions = decisions::find_inversions(&outcome.decisions);
+    println!("inversions by refusal: {:?}", inversions.kinds);
+    for example in &inversions.examples {
+        println!("inversion: {example}");
+    }
+    let attainment: BTreeMap<_, _> = report
+        .classes
+        .iter()
+        .map(|(name, class)| (name, share(class.attained, class.sent)))
+        .collect();
+    let result = json!({
+        "profile": settings.profile.name(),
+        "strategy": settings.strategy,
+        "fault": format!("{:?}", settings.fault),
+        "seed": settings.seed,
+        "attainment": attainment,
+        "fitting": fitting,
+        "refusals": report.refusals,
+        "goodput": outcome.goodput(),
+        "wasted": outcome.wasted(),
+        "engine_use": outcome.window.totals.tokens / outcome.window.totals.capacity.max(1.0),
+        "tokens_cancelled": outcome.totals.cancelled,
+        "tier_inversions": inversions.count,
+        "tier_inversions_by_floor": inversions.by_floor,
+        "lowest_tier_longest_wait_ms": report.lowest_tier_longest_wait_ms,
+        "control_bytes_s_max": outcome.used.control_bytes_s,
+        "cpu_share_max": outcome.used.cpu_share,
+        "rss_mb_max": outcome.used.memory_mb,
+        "completed": report.completed,
+        "unfinished": report.unfinished,
+        "foreign": report.foreign,
+        "truncated_as_whole": report.truncated_as_whole,
+        "double_runs": outcome.double_runs(),
+        "not_run_but_run": outcome.not_run_but_run(),
+        "decisions": outcome.decisions.len(),
+    });
+    println!("result {result}");
+}
+
+fn print_classes(classes: &BTreeMap<String, ClassReport>, fitting: &[&str]) {
+    println!(
+        "{:<36} {:>4} {:>6} {:>9} {:>8} {:>5} {:>5} {:>26} {:>18}  fits",
+        "class",
+        "tier",
+        "sent",
+        "completed",
+        "attained",
+        "late",
+        "slow",
+        "first ms 50/95/99/max",
+        "between ms 50/95"
+    );
+    let mut classes: Vec<_> = classes.iter().collect();
+    classes.sort_by_key(|(_, class)| class.tier);
+    for (name, class) in classes {
+        let (first, between) = (class.first_token, class.between_tokens);
+        println!(
+            "{name:<36} {:>4} {:>6} {:>9} {:>8.4} {:>5} {:>5} {:>26} {:>18}  {}",
+            class.tier,
+            class.sent,
+            class.completed,
+            share(class.attained, class.sent),
+            class.late,
+            class.slow,
+            format!("{:.0}/{:.0}/{:.0}/{:.0}", first.p50, first.p95, first.p99, first.max),
+            format!("{:.1}/{:.1}", between.p50, between.p95),
+            if fitting.contains(&name.as_str()) { "yes" } else { "no" },
+        );
+    }
+}
