--- a/coltsfootgate/src/entry/listener.rs
+++ b/coltsfootgate/src/entry/listener.rs
@@ -1,5 +1,6 @@
 //! Accepts callers' connections and serves the requests on them.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
 use std::rc::Rc;
@@ -131,10 +132,13 @@
     let _ = stream.set_nodelay(true);
     let Ok(stream) = stream.into_poll_io() else { return };
     let service_handler = handler.clone();
+    let served = Rc::new(Cell::new(false));
+    let has_served = served.clone();
     let draining = shutdown.clone();
     let service = service_fn(move |request| {
         let handler = service_handler.clone();
         let draining = draining.clone();
+        has_served.set(true);
         async move {
             let mut response = handler.handle(request).await;
             if draining.is_triggered() {
@@ -159,6 +163,8 @@
     };
     if let Err(error) = ended
         && let Some(kind) = connection_error_kind(&error)
+        // Between two requests a connection may be idle; its end is no fault of the caller.
+        && !(served.get() && kind == ErrorKind::SlowRequest)
     {
         handler.connection_failed(kind);
     }
--- a/coltsfootgate/src/options.rs
+++ b/coltsfootgate/src/options.rs
@@ -86,14 +86,15 @@
     #[options(no_short, meta = "BYTES", help = "largest request body (1048576)")]
     pub body_bytes: Option<String>,
     /// Time in which a caller's head must arrive.
-    #[options(no_short, meta = "TIME", help = "time for a request head to arrive (5 s)")]
+    #[options(
+        no_short,
+        meta = "TIME",
+        help = "time for a request head to arrive, idle time included (60 s)"
+    )]
     pub head_time: Option<String>,
     /// Time in which a caller's body must arrive.
     #[options(no_short, meta = "TIME", help = "time for a request body to arrive (30 s)")]
     pub body_time: Option<String>,
-    /// How long a caller's connection may stay unused.
-    #[options(no_short, meta = "TIME", help = "time a connection may stay unused (60 s)")]
-    pub idle_time: Option<String>,
     /// How long new connections are accepted after SIGTERM.
     #[options(
         no_short,
@@ -176,8 +177,6 @@
     pub head_time: Duration,
     /// Time in which a caller's body must arrive.
     pub body_time: Duration,
-    /// How long a caller's connection may stay unused.
-    pub idle_time: Duration,
     /// How long new connections are accepted after SIGTERM.
     pub drain_time: Duration,
 }
@@ -250,9 +249,8 @@
         let mut duration =
             |name, flag, default| faults.required(name, flag, Some(default), parse_duration);
         let platform_timeout = duration("platform-timeout", flags.platform_timeout, "2 s");
-        let head_time = duration("head-time", flags.head_time, "5 s");
+        let head_time = duration("head-time", flags.head_time, "60 s");
         let body_time = duration("body-time", flags.body_time, "30 s");
-        let idle_time = duration("idle-time", flags.idle_time, "60 s");
         let drain_time = duration("drain-time", flags.drain_time, "3 s");
         let mut count =
             |name, flag, default| faults.required(name, flag, Some(default), parse_count);
@@ -291,7 +289,6 @@
                 body_bytes: body_bytes?,
                 head_time: head_time?,
                 body_time: body_time?,
-                idle_time: idle_time?,
                 drain_time: drain_time?,
             })
         })();
--- a/coltsfootgate/src/options/tests.rs
+++ b/coltsfootgate/src/options/tests.rs
@@ -43,7 +43,7 @@
 
 #[rstest]
 #[case::address_without_port(&["--listen", "127.0.0.1"], &[], &["--listen"])]
-#[case::duration_without_unit(&["--idle-time", "250"], &[], &["--idle-time"])]
+#[case::duration_without_unit(&["--head-time", "250"], &[], &["--head-time"])]
 #[case::duration_of_zero(&["--drain-time", "0 s"], &[], &["--drain-time"])]
 #[case::count_of_zero(&["--connections", "0"], &[], &["--connections"])]
 #[case::unknown_level(&["--log-level", "loud"], &[], &["--log-level"])]
--- a/coltsfootgate/src/pipeline/gate.rs
+++ b/coltsfootgate/src/pipeline/gate.rs
@@ -17,6 +17,7 @@
 use crate::entry::listener::RequestHandler;
 use crate::entry::request::{RequestBounds, accept_request, new_request_id};
 use crate::entry::{AcceptedRequest, AnswerBody, CallerLink, Refusal};
+use crate::metrics::NO_CLASS;
 
 /// The path that lists the models.
 const MODELS_PATH: &str = "/v1/models";
@@ -51,14 +52,16 @@
     }
 
     async fn list_models(&self, accepted: AcceptedRequest, caller: CallerLink) {
-        let journal = RequestJournal::of(&accepted, &self.context.own);
+        let mut journal = RequestJournal::of(&accepted, &self.context.own);
         let Some(active) = self.context.tree.current() else {
             let message = "the instance has no tree of settings in force yet";
             let refusal = Refusal::new(ErrorKind::NotReady, "process.tree", message);
             return self.refuse(journal, caller, refusal).await;
         };
+        journal.record.config_version = active.version;
         match identify_customer(Rc::new(accepted), active) {
             Ok(identified) => {
+                journal.record.customer = Some(identified.customer.id.to_string());
                 let models = identified.active.tree.models();
                 let data: Vec<_> = models
                     .iter()
@@ -98,6 +101,7 @@
 
     fn connection_failed(&self, kind: ErrorKind) {
         log::debug!("a connection ended before a request was read: {kind}");
+        self.context.metrics.request_ended(NO_CLASS, kind.outcome(), Some(kind));
     }
 }
 
--- a/coltsfootgate/src/pipeline/settle.rs
+++ b/coltsfootgate/src/pipeline/settle.rs
@@ -72,7 +72,7 @@
         RequestEnd::StreamWhole | RequestEnd::BodyWhole { .. } | RequestEnd::BodyPassed => {
             record.outcome = RequestOutcome::Completed.name();
             record.reason = COMPLETED;
-            record.rule = request.map(serving_rule).unwrap_or_default();
+            record.rule = request.map_or_else(|| "pools".to_owned(), serving_rule);
         }
     }
 }
--- /dev/null
+++ b/coltsfootgate/tests/callers.rs
@@ -0,0 +1,165 @@
+//! What callers meet at the entry: bad input, refusals and the headers that tell why.
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use coltsfootgate_standins::engine::{EngineSettings, start_engine};
+use coltsfootgate_standins::platform::start_platform;
+use coltsfootgate_standins::runner::{ANY_PORT, StandinHandle};
+use rstest::rstest;
+
+use support::{TestCall, TestDaemon, put_tree, sample_tree};
+
+struct EntrySetup {
+    _platform: StandinHandle,
+    _engine: StandinHandle,
+    daemon: TestDaemon,
+}
+
+/// One daemon with small bounds, shared by all cases of this file.
+fn daemon() -> &'static TestDaemon {
+    static SETUP: OnceLock<EntrySetup> = OnceLock::new();
+    let setup = SETUP.get_or_init(|| {
+        let platform = start_platform(ANY_PORT).unwrap();
+        let engine = start_engine(ANY_PORT, EngineSettings::default()).unwrap();
+        put_tree(platform.address, 1, &sample_tree(&[engine.address], &[], ""));
+        let bounds = ["--head-time", "300 ms", "--body-time", "300 ms", "--body-bytes", "4096"];
+        let daemon = TestDaemon::start(platform.address, "a", &bounds);
+        daemon.wait_ready();
+        EntrySetup { _platform: platform, _engine: engine, daemon }
+    });
+    &setup.daemon
+}
+
+fn model_call() -> TestCall {
+    TestCall::stream("hello", 8)
+}
+
+fn body(text: &str) -> TestCall {
+    TestCall::new("POST", "/v1/chat/completions", text.as_bytes())
+}
+
+#[rstest]
+#[case::no_key(model_call().header("authorization", ""), 401, "unauthorized")]
+#[case::wrong_key(model_call().header("authorization", "Bearer other"), 401, "unauthorized")]
+#[case::other_scheme(model_call().header("authorization", "Basic dGVzdA=="), 401, "unauthorized")]
+#[case::unknown_path(TestCall::new("GET", "/nowhere", b""), 404, "unknown-route")]
+#[case::wrong_method(TestCall::new("GET", "/v1/chat/completions", b""), 405, "method-not-allowed")]
+#[case::unknown_model(body(r#"{"model":"other"}"#), 404, "unknown-model")]
+#[case::no_model(body("{}"), 400, "malformed-request")]
+#[case::not_json(body("{\"model\":"), 400, "malformed-request")]
+#[case::empty_body(body(""), 400, "malformed-request")]
+#[case::large_body(body(&"x".repeat(5000)), 413, "body-too-large")]
+#[case::empty_idempotency_key(model_call().header("idempotency-key", ""), 400, "key-invalid")]
+#[case::long_idempotency_key(
+    model_call().header("idempotency-key", "k".repeat(256)), 400, "key-invalid"
+)]
+#[case::deadline_without_number(
+    model_call().header("coltsfootgate-deadline", "soon"), 400, "malformed-request"
+)]
+#[case::negative_deadline(
+    model_call().header("coltsfootgate-deadline", "-5 ms"), 400, "malformed-request"
+)]
+#[case::unclear_mark(
+    model_call().header("coltsfootgate-not-repeatable", "maybe"), 400, "malformed-request"
+)]
+fn bad_input_is_refused(#[case] call: TestCall, #[case] status: u16, #[case] reason: &str) {
+    let answer = call.send(daemon().ports.callers);
+    assert_eq!(answer.status, status, "{answer:?}");
+    assert_eq!(answer.header("coltsfootgate-reason"), reason);
+    assert_eq!(answer.header("coltsfootgate-outcome"), "not-run");
+    assert_eq!(answer.json()["error"]["code"], reason);
+    assert!(answer.json()["error"]["message"].is_string());
+    let record = daemon().record(answer.header("coltsfootgate-request-id"));
+    assert_eq!(record["reason"], reason);
+    assert!(daemon().metric("coltsfootgate_refusals_total", &[reason]) >= 1.0);
+}
+
+/// Sends bytes and reads until the other side closes.
+fn raw_exchange(address: SocketAddr, parts: &[&[u8]]) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    for part in parts {
+        // The other side may close before it has read all.
+        let _ = stream.write_all(part);
+    }
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[rstest]
+#[case::not_http(b"\x00\x01\x02 not http\r\n\r\n".to_vec(), "400", "malformed-request")]
+#[case::large_head(
+    [b"GET / HTTP/1.1\r\nx: ".as_slice(), &[b'a'; 100_000], b"\r\n\r\n"].concat(),
+    "431",
+    "head-too-large"
+)]
+#[case::slow_head(b"GET / HTTP/1.1\r\nhost: a".to_vec(), "", "slow-request")]
+#[case::slow_body(
+    b"POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n{".to_vec(),
+    "408",
+    "slow-request"
+)]
+fn broken_transfers_are_counted(
+    #[case] bytes: Vec<u8>,
+    #[case] status: &str,
+    #[case] reason: &str,
+) {
+    let before = daemon().metric("coltsfootgate_refusals_total", &[reason]);
+    let answer = raw_exchange(daemon().ports.callers, &[&bytes]);
+    assert_eq!(answer.split(' ').nth(1).unwrap_or_default(), status, "{answer}");
+    daemon().wait_for("the counter", || {
+        (daemon().metric("coltsfootgate_refusals_total", &[reason]) > before).then_some(())
+    });
+    assert!(model_call().send(daemon().ports.callers).is_done());
+}
+
+#[test]
+fn two_requests_share_a_connection() {
+    let request = format!(
+        "GET /v1/models HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {}\r\n",
+        support::SAMPLE_KEY,
+    );
+    let first = format!("{request}\r\n");
+    let last = format!("{request}connection: close\r\n\r\n");
+    let answer = raw_exchange(daemon().ports.callers, &[first.as_bytes(), last.as_bytes()]);
+    assert_eq!(answer.matches("\"id\":\"parts\"").count(), 2, "{answer}");
+}
+
+#[test]
+fn connections_above_the_bound_are_refused() {
+    let platform = start_platform(ANY_PORT).unwrap();
+    put_tree(platform.address, 1, &sample_tree(&[], &[], ""));
+    let daemon = TestDaemon::start(platform.address, "a", &["--connections", "1"]);
+    daemon.wait_ready();
+    let _held = TcpStream::connect(daemon.ports.callers).unwrap();
+    daemon.wait_for("the first connection", || {
+        (daemon.metric("coltsfootgate_connections", &["callers"]) >= 1.0).then_some(())
+    });
+    let answer = raw_exchange(daemon.ports.callers, &[]);
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("too-many-connections"), "{answer}");
+}
+
+#[test]
+fn keys_of_callers_stay_out_of_the_log() {
+    let call = model_call().header("authorization", "Bearer a-secret-bearer-key");
+    let answer = call.send(daemon().ports.callers);
+    daemon().wait_log(answer.header("coltsfootgate-request-id"));
+    assert!(daemon().log_lines().iter().all(|line| !line.contains("a-secret-bearer-key")));
+}
+
+#[test]
+fn no_tree_means_not_ready() {
+    let platform = start_platform(ANY_PORT).unwrap();
+    let daemon = TestDaemon::start(platform.address, "a", &[]);
+    let answer = model_call().send(daemon.ports.callers);
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.header("coltsfootgate-reason"), "not-ready");
+    assert_eq!(answer.header("coltsfootgate-outcome"), "not-run");
+}
--- a/coltsfootgate/tests/support/daemon.rs
+++ b/coltsfootgate/tests/support/daemon.rs
@@ -14,6 +14,8 @@
 pub const TEST_SECRET: &str = "a-secret-of-the-tests-only";
 /// Longest wait for something that a test waits for.
 const WAIT_MAX: Duration = Duration::from_secs(20);
+/// Lines of the log that a failed wait shows.
+const LOG_SHOWN: usize = 5;
 const POLL_PERIOD: Duration = Duration::from_millis(10);
 
 /// Where a daemon listens.
@@ -163,11 +165,11 @@
             if let Some(value) = found() {
                 return value;
             }
-            assert!(
-                started.elapsed() < WAIT_MAX,
-                "waited in vain for {what}; log: {:#?}",
-                self.log_lines(),
-            );
+            if started.elapsed() >= WAIT_MAX {
+                let lines = self.log_lines();
+                let last = &lines[lines.len().saturating_sub(LOG_SHOWN)..];
+                panic!("waited in vain for {what}; log: {last:#?}");
+            }
             thread::sleep(POLL_PERIOD);
         }
     }
