--- a/coltsfootctl/src/arguments.rs
+++ b/coltsfootctl/src/arguments.rs
@@ -3,7 +3,8 @@
 use gumdrop::Options;
 
 /// Drives coltsfootgate by its tree of settings.
-#[derive(Clone, Debug, Default, Options)]
+#[derive(Clone, Debug, Default)]
+#[derive(Options)]
 pub struct ToolArguments {
     /// Prints help.
     #[options(help = "print this help")]
@@ -26,7 +27,8 @@
 }
 
 /// The commands.
-#[derive(Clone, Debug, Options)]
+#[derive(Clone, Debug)]
+#[derive(Options)]
 pub enum ToolCommand {
     /// Checks files.
     #[options(help = "check tree files without touching the store")]
@@ -52,7 +54,8 @@
 }
 
 /// Finds every fault of tree files, without touching the store.
-#[derive(Clone, Debug, Default, Options)]
+#[derive(Clone, Debug, Default)]
+#[derive(Options)]
 pub struct CheckArguments {
     /// Prints help.
     #[options(help = "print this help")]
@@ -63,7 +66,8 @@
 }
 
 /// Stores a tree or one branch, and waits until it is in force on every live instance.
-#[derive(Clone, Debug, Default, Options)]
+#[derive(Clone, Debug, Default)]
+#[derive(Options)]
 pub struct ApplyArguments {
     /// Prints help.
     #[options(help = "print this help")]
@@ -99,7 +103,8 @@
 }
 
 /// Prints the tree or one branch.
-#[derive(Clone, Debug, Default, Options)]
+#[derive(Clone, Debug, Default)]
+#[derive(Options)]
 pub struct GetArguments {
     /// Prints help.
     #[options(help = "print this help")]
@@ -113,7 +118,8 @@
 }
 
 /// Shows what differs between two versions, or between the tree and a file.
-#[derive(Clone, Debug, Default, Options)]
+#[derive(Clone, Debug, Default)]
+#[derive(Options)]
 pub struct DiffArguments {
     /// Prints help.
     #[options(help = "print this help")]
@@ -130,7 +136,8 @@
 }
 
 /// Lists versions, the newest first.
-#[derive(Clone, Debug, Default, Options)]
+#[derive(Clone, Debug, Default)]
+#[derive(Options)]
 pub struct HistoryArguments {
     /// Prints help.
     #[options(help = "print this help")]
@@ -141,7 +148,8 @@
 }
 
 /// Says what holds for a request, and which branch set each value.
-#[derive(Clone, Debug, Default, Options)]
+#[derive(Clone, Debug, Default)]
+#[derive(Options)]
 pub struct ExplainArguments {
     /// Prints help.
     #[options(help = "print this help")]
@@ -173,7 +181,8 @@
 }
 
 /// Shows the instances, the versions in force, endpoints and queues.
-#[derive(Clone, Debug, Default, Options)]
+#[derive(Clone, Debug, Default)]
+#[derive(Options)]
 pub struct StatusArguments {
     /// Prints help.
     #[options(help = "print this help")]
--- a/coltsfootctl/src/commands/apply.rs
+++ b/coltsfootctl/src/commands/apply.rs
@@ -22,7 +22,8 @@
 use crate::tree_store::TreeStore;
 
 /// What became of a change.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub struct ApplyReport {
     /// The version that holds the change; the present one where nothing was stored.
     pub version: ConfigVersion,
--- a/coltsfootctl/src/commands/check.rs
+++ b/coltsfootctl/src/commands/check.rs
@@ -12,12 +12,14 @@
 use crate::report::CommandReport;
 
 /// The files that were checked and found without fault.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct CheckReport {
     files: Vec<CheckedFile>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct CheckedFile {
     file: String,
     classes: usize,
--- a/coltsfootctl/src/commands/diff.rs
+++ b/coltsfootctl/src/commands/diff.rs
@@ -12,7 +12,8 @@
 use crate::report::CommandReport;
 
 /// The differences between two trees.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct DiffReport {
     before: String,
     after: String,
--- a/coltsfootctl/src/commands/explain.rs
+++ b/coltsfootctl/src/commands/explain.rs
@@ -17,7 +17,8 @@
 const DEFAULT_PATH: &str = "/v1/chat/completions";
 
 /// What holds for a described request.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct ExplainReport {
     tree: String,
     class: BranchPath,
@@ -28,7 +29,8 @@
     values: Vec<BranchValues>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct BranchValues {
     branch: BranchPath,
     values: Vec<TracedValue>,
--- a/coltsfootctl/src/commands/get.rs
+++ b/coltsfootctl/src/commands/get.rs
@@ -13,7 +13,8 @@
 use crate::report::CommandReport;
 
 /// A tree or a branch as text.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct GetReport {
     version: ConfigVersion,
     text: String,
--- a/coltsfootctl/src/commands/history.rs
+++ b/coltsfootctl/src/commands/history.rs
@@ -14,7 +14,8 @@
 const ROOT_CHARACTERS: usize = 12;
 
 /// Past and present heads.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct HistoryReport {
     versions: Vec<HeadObject>,
 }
--- a/coltsfootctl/src/commands/request.rs
+++ b/coltsfootctl/src/commands/request.rs
@@ -15,7 +15,8 @@
 use crate::tree_store::platform_error;
 
 /// The decision record of a request.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct RequestReport {
     instance: SocketAddr,
     record: Value,
--- a/coltsfootctl/src/commands/status.rs
+++ b/coltsfootctl/src/commands/status.rs
@@ -19,13 +19,15 @@
 use crate::tree_store::platform_error;
 
 /// The state of the deployment as the tool sees it.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct StatusReport {
     head: Option<HeadObject>,
     instances: Vec<InstanceStatus>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct InstanceStatus {
     instance: SocketAddr,
     zone: Arc<str>,
--- a/coltsfootctl/src/platform.rs
+++ b/coltsfootctl/src/platform.rs
@@ -34,7 +34,8 @@
 }
 
 /// Whether a listed instance is meant to get work.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum InstanceState {
     /// It serves.
--- a/coltsfootctl/src/rollout.rs
+++ b/coltsfootctl/src/rollout.rs
@@ -16,7 +16,8 @@
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
 
 /// What is known of a version on one instance.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct InstanceRollout {
     /// The address for operators.
     pub instance: SocketAddr,
@@ -33,7 +34,8 @@
 }
 
 /// What is known of a version on all instances.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct RolloutReport {
     /// The listed instances.
     pub instances: Vec<InstanceRollout>,
--- a/coltsfootgate_config/src/diff.rs
+++ b/coltsfootgate_config/src/diff.rs
@@ -14,7 +14,8 @@
 const ORDER_KEY: &str = "order of branches";
 
 /// One change between two trees.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
 pub struct ChangeLine {
     /// The branch.
     pub branch: BranchPath,
--- a/coltsfootgate_config/src/trace.rs
+++ b/coltsfootgate_config/src/trace.rs
@@ -11,7 +11,8 @@
 use crate::value::Setting;
 
 /// A value in force for a branch, with its origin.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
 pub struct TracedValue {
     /// The key.
     pub key: Arc<str>,
--- a/coltsfootgate_config/src/version.rs
+++ b/coltsfootgate_config/src/version.rs
@@ -29,7 +29,8 @@
 ///
 /// Whoever replaces a head first keeps it under its [`history_key`], so that a writer whose answer
 /// was lost finds its own nonce either in the head or in the history.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct HeadObject {
     /// Rises by one with each accepted change.
     pub version: ConfigVersion,
@@ -49,14 +50,16 @@
 }
 
 /// The branches of one tree, in order, with the digests of their texts.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct RootObject {
     /// The branches.
     pub branches: Vec<RootEntry>,
 }
 
 /// One branch of a root.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct RootEntry {
     /// The path of the branch.
     pub path: BranchPath,
