--- a/coltsfootgate_core/src/owner/queue.rs
+++ b/coltsfootgate_core/src/owner/queue.rs
@@ -125,10 +125,11 @@
         let scale = self.floor_scale();
         let granted = request.tier.index();
         for (index, tier) in self.tiers.iter_mut().enumerate() {
+            if index == granted || !tier.line.is_empty() {
+                tier.credit = (tier.credit + tier.floor * scale).min(CREDIT_MAX);
+            }
             if index == granted {
                 tier.credit = (tier.credit - 1.0).max(0.0);
-            } else if !tier.line.is_empty() {
-                tier.credit = (tier.credit + tier.floor * scale).min(CREDIT_MAX);
             }
         }
         self.tiers[granted].line.charge(&request.customer, request.tokens, request.weight);
--- a/coltsfootgate_core/tests/support/mod.rs
+++ b/coltsfootgate_core/tests/support/mod.rs
@@ -122,6 +122,17 @@
         actions
     }
 
+    /// Sends an ask once more that was granted already.
+    pub fn repeat_ask(&mut self, asker: &InstanceId, grant: GrantId) -> Vec<OwnerAction> {
+        let request = self.asks[&(asker.clone(), grant)].clone();
+        self.event(OwnerEvent::Ask(request))
+    }
+
+    /// Drops the grants of an entry that is gone.
+    pub fn forget_held(&mut self, lost: &InstanceId) {
+        self.held.retain(|(asker, _, _)| asker != lost);
+    }
+
     /// Releases the grant that was given first.
     pub fn release_oldest(&mut self, result: ReleaseResult) -> Vec<OwnerAction> {
         self.release(0, result, Duration::from_millis(10))
@@ -156,6 +167,14 @@
             .collect()
     }
 
+    pub fn granted_ids(&self) -> Vec<GrantId> {
+        let grants = self.actions.iter().filter_map(|action| match action {
+            OwnerAction::Grant { grant, .. } => Some(*grant),
+            _ => None,
+        });
+        grants.collect()
+    }
+
     pub fn grant_messages(&self) -> usize {
         self.granted_tiers().len()
     }
