Code messages between instances and prove the shared secret

Instances need one protocol before any of them can ask another for a grant. Messages have wire types of their own, coded by bincode within a limit of one stored value; names, numbers and times are checked on the way in, since a weight that is not a number would upset a queue for good.

--- /dev/null
+++ b/coltsfootgate_wire/src/frame.rs
@@ -0,0 +1,81 @@
+//! Coding of messages by bincode, within a size limit.
+
+use std::time::Instant;
+
+use bincode::config::{Configuration, Limit, LittleEndian, Varint};
+use bincode::error::{DecodeError, EncodeError};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::WireError;
+use crate::message::{PeerReply, PeerRequest};
+use crate::names::TimedMessage;
+use crate::wire::{WireReply, WireRequest};
+
+/// Largest coded message in bytes: a value of the platform's store and its frame.
+pub const MESSAGE_BYTES_MAX: usize = (1 << 20) + 1024;
+
+type WireConfiguration = Configuration<LittleEndian, Varint, Limit<MESSAGE_BYTES_MAX>>;
+
+const CONFIGURATION: WireConfiguration = bincode::config::standard().with_limit();
+
+/// Codes a request; times are told as what is left of them at `now`.
+///
+/// # Errors
+///
+/// Fails if the message is too large.
+pub fn encode_request(request: PeerRequest, now: Instant) -> Result<Vec<u8>, WireError> {
+    encode(&WireRequest::from(TimedMessage { message: request, at: now }))
+}
+
+/// Reads a request that arrived at `now`.
+///
+/// # Errors
+///
+/// Fails for anything that is not exactly one valid request.
+pub fn decode_request(bytes: &[u8], now: Instant) -> Result<PeerRequest, WireError> {
+    let message = decode::<WireRequest>(bytes)?;
+    PeerRequest::try_from(TimedMessage { message, at: now })
+}
+
+/// Codes a reply.
+///
+/// # Errors
+///
+/// Fails if the message is too large.
+pub fn encode_reply(reply: PeerReply) -> Result<Vec<u8>, WireError> {
+    encode(&WireReply::from(reply))
+}
+
+/// Reads a reply.
+///
+/// # Errors
+///
+/// Fails for anything that is not exactly one valid reply.
+pub fn decode_reply(bytes: &[u8]) -> Result<PeerReply, WireError> {
+    decode::<WireReply>(bytes)?.try_into()
+}
+
+fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, WireError> {
+    let bytes = bincode::serde::encode_to_vec(message, CONFIGURATION)
+        .map_err(|error: EncodeError| WireError::Malformed(error.to_string()))?;
+    check_size(bytes.len())?;
+    Ok(bytes)
+}
+
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, WireError> {
+    check_size(bytes.len())?;
+    let (message, read) = bincode::serde::decode_from_slice(bytes, CONFIGURATION)
+        .map_err(|error: DecodeError| WireError::Malformed(error.to_string()))?;
+    if read < bytes.len() {
+        return Err(WireError::Malformed("bytes after the message".to_owned()));
+    }
+    Ok(message)
+}
+
+fn check_size(bytes: usize) -> Result<(), WireError> {
+    if bytes > MESSAGE_BYTES_MAX {
+        return Err(WireError::TooLarge(bytes));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/coltsfootgate_wire/src/grant.rs
@@ -0,0 +1,265 @@
+//! Wire types of grants and their release.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+use coltsfootgate_core::ids::{RequestTier, TIER_COUNT};
+use coltsfootgate_core::owner::{
+    GrantRequest, HeldGrant, OwnerPressure, ReleaseReport, ReleaseResult,
+};
+use coltsfootgate_core::reason::ErrorKind;
+
+use crate::error::WireError;
+use crate::message::PoolPressure;
+use crate::names::{
+    TimedMessage, check_instance, check_name, check_number, from_micros, time_left, to_micros,
+};
+
+/// Most endpoints that one ask may exclude.
+const EXCLUDED_MAX: usize = 64;
+
+#[derive(Deserialize, Serialize)]
+pub(crate) struct WireGrantRequest {
+    request: u128,
+    asker: Arc<str>,
+    grant: u64,
+    class: Arc<str>,
+    tier: u8,
+    customer: Arc<str>,
+    weight: f64,
+    floor: f64,
+    queue_requests: u32,
+    queue_tokens: u64,
+    tokens: u32,
+    micros_left: u64,
+    prefix: Option<u64>,
+    excluded: Vec<Arc<str>>,
+    wait: bool,
+}
+
+#[derive(Deserialize, Serialize)]
+pub(crate) struct WireRelease {
+    asker: Arc<str>,
+    grant: u64,
+    endpoint: Arc<str>,
+    tokens: u32,
+    first_token_micros: Option<u64>,
+    between_tokens_micros: Option<u64>,
+    result: WireResult,
+}
+
+#[derive(Clone, Copy, Deserialize, Serialize)]
+enum WireResult {
+    Completed,
+    Cancelled,
+    NotSent,
+    Refused,
+    ConnectFailed,
+    Silent,
+    Failed,
+}
+
+#[derive(Deserialize, Serialize)]
+pub(crate) struct WireHeldGrant {
+    grant: u64,
+    endpoint: Arc<str>,
+    class: Arc<str>,
+    tier: u8,
+}
+
+#[derive(Deserialize, Serialize)]
+pub(crate) struct WirePressure {
+    free_slots: u32,
+    slots: u32,
+    waiting_by_tier: [u32; TIER_COUNT],
+    estimate_micros: u64,
+    token_micros: Option<u64>,
+}
+
+#[derive(Deserialize, Serialize)]
+pub(crate) struct WirePoolPressure {
+    pool: Arc<str>,
+    pressure: WirePressure,
+}
+
+impl From<TimedMessage<GrantRequest>> for WireGrantRequest {
+    fn from(TimedMessage { message: request, at }: TimedMessage<GrantRequest>) -> Self {
+        Self {
+            request: request.request.as_u128(),
+            asker: request.asker,
+            grant: request.grant,
+            class: request.class,
+            tier: request.tier.number(),
+            customer: request.customer,
+            weight: request.weight,
+            floor: request.floor,
+            queue_requests: request.queue_requests,
+            queue_tokens: request.queue_tokens,
+            tokens: request.tokens,
+            micros_left: time_left(request.deadline, at),
+            prefix: request.prefix,
+            excluded: request.excluded,
+            wait: request.wait,
+        }
+    }
+}
+
+impl TryFrom<TimedMessage<WireGrantRequest>> for GrantRequest {
+    type Error = WireError;
+
+    fn try_from(timed: TimedMessage<WireGrantRequest>) -> Result<Self, WireError> {
+        let TimedMessage { message: request, at } = timed;
+        if request.excluded.len() > EXCLUDED_MAX {
+            return Err(WireError::WrongValue("excluded"));
+        }
+        let excluded = request.excluded.into_iter().map(|id| check_name(id, "excluded"));
+        Ok(Self {
+            request: Uuid::from_u128(request.request),
+            asker: check_instance(request.asker)?,
+            grant: request.grant,
+            class: check_name(request.class, "class")?,
+            tier: check_tier(request.tier)?,
+            customer: check_name(request.customer, "customer")?,
+            weight: check_number(request.weight, "weight")?,
+            floor: check_number(request.floor, "floor")?,
+            queue_requests: request.queue_requests,
+            queue_tokens: request.queue_tokens,
+            tokens: request.tokens,
+            deadline: at + from_micros(request.micros_left)?,
+            prefix: request.prefix,
+            excluded: excluded.collect::<Result<_, _>>()?,
+            wait: request.wait,
+        })
+    }
+}
+
+impl From<ReleaseReport> for WireRelease {
+    fn from(report: ReleaseReport) -> Self {
+        Self {
+            asker: report.asker,
+            grant: report.grant,
+            endpoint: report.endpoint,
+            tokens: report.tokens,
+            first_token_micros: report.first_token.map(to_micros),
+            between_tokens_micros: report.between_tokens.map(to_micros),
+            result: report.result.into(),
+        }
+    }
+}
+
+impl TryFrom<WireRelease> for ReleaseReport {
+    type Error = WireError;
+
+    fn try_from(report: WireRelease) -> Result<Self, WireError> {
+        Ok(Self {
+            asker: check_instance(report.asker)?,
+            grant: report.grant,
+            endpoint: check_name(report.endpoint, "endpoint")?,
+            tokens: report.tokens,
+            first_token: report.first_token_micros.map(from_micros).transpose()?,
+            between_tokens: report.between_tokens_micros.map(from_micros).transpose()?,
+            result: report.result.into(),
+        })
+    }
+}
+
+impl From<ReleaseResult> for WireResult {
+    fn from(result: ReleaseResult) -> Self {
+        match result {
+            ReleaseResult::Completed => Self::Completed,
+            ReleaseResult::Cancelled => Self::Cancelled,
+            ReleaseResult::NotSent => Self::NotSent,
+            ReleaseResult::Refused => Self::Refused,
+            ReleaseResult::ConnectFailed => Self::ConnectFailed,
+            ReleaseResult::Silent => Self::Silent,
+            ReleaseResult::Failed => Self::Failed,
+        }
+    }
+}
+
+impl From<WireResult> for ReleaseResult {
+    fn from(result: WireResult) -> Self {
+        match result {
+            WireResult::Completed => Self::Completed,
+            WireResult::Cancelled => Self::Cancelled,
+            WireResult::NotSent => Self::NotSent,
+            WireResult::Refused => Self::Refused,
+            WireResult::ConnectFailed => Self::ConnectFailed,
+            WireResult::Silent => Self::Silent,
+            WireResult::Failed => Self::Failed,
+        }
+    }
+}
+
+impl From<HeldGrant> for WireHeldGrant {
+    fn from(held: HeldGrant) -> Self {
+        let HeldGrant { grant, endpoint, class, tier } = held;
+        Self { grant, endpoint, class, tier: tier.number() }
+    }
+}
+
+impl TryFrom<WireHeldGrant> for HeldGrant {
+    type Error = WireError;
+
+    fn try_from(held: WireHeldGrant) -> Result<Self, WireError> {
+        Ok(Self {
+            grant: held.grant,
+            endpoint: check_name(held.endpoint, "endpoint")?,
+            class: check_name(held.class, "class")?,
+            tier: check_tier(held.tier)?,
+        })
+    }
+}
+
+impl From<OwnerPressure> for WirePressure {
+    fn from(pressure: OwnerPressure) -> Self {
+        Self {
+            free_slots: pressure.free_slots,
+            slots: pressure.slots,
+            waiting_by_tier: pressure.waiting_by_tier,
+            estimate_micros: to_micros(pressure.estimate),
+            token_micros: pressure.token_time.map(to_micros),
+        }
+    }
+}
+
+impl TryFrom<WirePressure> for OwnerPressure {
+    type Error = WireError;
+
+    fn try_from(pressure: WirePressure) -> Result<Self, WireError> {
+        Ok(Self {
+            free_slots: pressure.free_slots,
+            slots: pressure.slots,
+            waiting_by_tier: pressure.waiting_by_tier,
+            estimate: from_micros(pressure.estimate_micros)?,
+            token_time: pressure.token_micros.map(from_micros).transpose()?,
+        })
+    }
+}
+
+impl From<PoolPressure> for WirePoolPressure {
+    fn from(pressure: PoolPressure) -> Self {
+        Self { pool: pressure.pool, pressure: pressure.pressure.into() }
+    }
+}
+
+impl TryFrom<WirePoolPressure> for PoolPressure {
+    type Error = WireError;
+
+    fn try_from(pressure: WirePoolPressure) -> Result<Self, WireError> {
+        let pool = check_name(pressure.pool, "pool")?;
+        Ok(Self { pool, pressure: pressure.pressure.try_into()? })
+    }
+}
+
+fn check_tier(number: u8) -> Result<RequestTier, WireError> {
+    RequestTier::new(number).ok_or(WireError::WrongValue("tier"))
+}
+
+/// Finds a kind by its code, which unlike its position stays the same from release to release.
+pub(crate) fn check_kind(code: &str) -> Result<ErrorKind, WireError> {
+    let kind = ErrorKind::ALL.iter().find(|kind| kind.code() == code);
+    kind.copied().ok_or(WireError::WrongValue("kind"))
+}
--- a/coltsfootgate_wire/src/lib.rs
+++ b/coltsfootgate_wire/src/lib.rs
@@ -1,1 +1,21 @@
-//! Placeholder.
+//! The protocol between instances: proof of the shared secret, messages and their coding.
+
+mod error;
+mod frame;
+mod grant;
+mod member;
+mod message;
+mod names;
+mod proof;
+mod tree;
+mod wire;
+
+pub use self::error::WireError;
+pub use self::frame::{
+    MESSAGE_BYTES_MAX, decode_reply, decode_request, encode_reply, encode_request,
+};
+pub use self::message::{PeerReply, PeerRequest, PoolPressure};
+pub use self::proof::{
+    CHALLENGE_BYTES, ChallengeFrame, HELLO_BYTES, HelloFrame, PROOF_BYTES, PROTOCOL_VERSION,
+    ProofError, ProofTranscript,
+};
--- /dev/null
+++ b/coltsfootgate_wire/src/names.rs
@@ -0,0 +1,69 @@
+//! Checks of names, numbers and times that arrive from a peer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coltsfootgate_core::ids::InstanceId;
+
+use crate::error::WireError;
+
+/// Longest name of a branch, zone or the like, in bytes.
+const NAME_BYTES_MAX: usize = 512;
+/// Hexadecimal digits of a digest.
+const DIGEST_DIGITS: usize = 64;
+/// Longest time that a message may state.
+const TIME_MAX: Duration = Duration::from_secs(24 * 3600);
+
+/// A message together with the moment that its times count from.
+pub(crate) struct TimedMessage<T> {
+    pub(crate) message: T,
+    pub(crate) at: Instant,
+}
+
+pub(crate) fn check_name(name: Arc<str>, field: &'static str) -> Result<Arc<str>, WireError> {
+    if name.len() > NAME_BYTES_MAX || name.bytes().any(|byte| byte.is_ascii_control()) {
+        return Err(WireError::WrongValue(field));
+    }
+    Ok(name)
+}
+
+pub(crate) fn check_instance(id: Arc<str>) -> Result<InstanceId, WireError> {
+    match id.parse::<SocketAddr>() {
+        Ok(_) => Ok(id),
+        Err(_) => Err(WireError::WrongValue("instance")),
+    }
+}
+
+pub(crate) fn check_digest(digest: Arc<str>) -> Result<Arc<str>, WireError> {
+    let is_digit = |byte: u8| matches!(byte, b'0'..=b'9' | b'a'..=b'f');
+    if digest.len() != DIGEST_DIGITS || !digest.bytes().all(is_digit) {
+        return Err(WireError::WrongValue("digest"));
+    }
+    Ok(digest)
+}
+
+/// A finite number that is not negative.
+pub(crate) fn check_number(number: f64, field: &'static str) -> Result<f64, WireError> {
+    if number.is_finite() && number >= 0.0 {
+        return Ok(number);
+    }
+    Err(WireError::WrongValue(field))
+}
+
+pub(crate) fn to_micros(time: Duration) -> u64 {
+    u64::try_from(time.min(TIME_MAX).as_micros()).unwrap_or(u64::MAX)
+}
+
+pub(crate) fn from_micros(micros: u64) -> Result<Duration, WireError> {
+    let time = Duration::from_micros(micros);
+    if time > TIME_MAX {
+        return Err(WireError::WrongValue("time"));
+    }
+    Ok(time)
+}
+
+/// The time that is left; clocks of two instances cannot be compared.
+pub(crate) fn time_left(deadline: Instant, now: Instant) -> u64 {
+    to_micros(deadline.saturating_duration_since(now))
+}
--- /dev/null
+++ b/coltsfootgate_wire/src/wire.rs
@@ -0,0 +1,150 @@
+//! Wire types of whole messages.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::error::WireError;
+use crate::grant::{
+    WireGrantRequest, WireHeldGrant, WirePoolPressure, WirePressure, WireRelease, check_kind,
+};
+use crate::member::WireHeartbeat;
+use crate::message::{PeerReply, PeerRequest};
+use crate::names::{TimedMessage, check_digest, check_instance, check_name};
+use crate::tree::WireHead;
+
+#[derive(Deserialize, Serialize)]
+pub(crate) enum WireRequest {
+    Heartbeat { heartbeat: WireHeartbeat, pressures: Vec<WirePoolPressure> },
+    AskAbout(Arc<str>),
+    Ask { pool: Arc<str>, request: WireGrantRequest },
+    Release(Vec<(Arc<str>, WireRelease)>),
+    Cancel { pool: Arc<str>, asker: Arc<str>, grant: u64 },
+    Announce { pool: Arc<str>, asker: Arc<str>, held: Vec<WireHeldGrant> },
+    FetchHead,
+    FetchObject(Arc<str>),
+}
+
+#[derive(Deserialize, Serialize)]
+pub(crate) enum WireReply {
+    Heartbeat { heartbeat: WireHeartbeat, pressures: Vec<WirePoolPressure> },
+    Heard(bool),
+    Granted { endpoint: Arc<str>, by_floor: bool },
+    Busy(WirePressure),
+    Refused { kind: String, pressure: WirePressure },
+    Accepted,
+    Head(Option<WireHead>),
+    Object(Option<Vec<u8>>),
+}
+
+fn convert<T, U: From<T>>(items: Vec<T>) -> Vec<U> {
+    items.into_iter().map(U::from).collect()
+}
+
+fn check<T, U: TryFrom<T, Error = WireError>>(items: Vec<T>) -> Result<Vec<U>, WireError> {
+    items.into_iter().map(U::try_from).collect()
+}
+
+fn check_pool(pool: Arc<str>) -> Result<Arc<str>, WireError> {
+    check_name(pool, "pool")
+}
+
+impl From<TimedMessage<PeerRequest>> for WireRequest {
+    fn from(TimedMessage { message: request, at }: TimedMessage<PeerRequest>) -> Self {
+        match request {
+            PeerRequest::Heartbeat { heartbeat, pressures } => {
+                Self::Heartbeat { heartbeat: heartbeat.into(), pressures: convert(pressures) }
+            }
+            PeerRequest::AskAbout(instance) => Self::AskAbout(instance),
+            PeerRequest::Ask { pool, request } => {
+                Self::Ask { pool, request: TimedMessage { message: request, at }.into() }
+            }
+            PeerRequest::Release(reports) => {
+                let reports = reports.into_iter().map(|(pool, report)| (pool, report.into()));
+                Self::Release(reports.collect())
+            }
+            PeerRequest::Cancel { pool, asker, grant } => Self::Cancel { pool, asker, grant },
+            PeerRequest::Announce { pool, asker, held } => {
+                Self::Announce { pool, asker, held: convert(held) }
+            }
+            PeerRequest::FetchHead => Self::FetchHead,
+            PeerRequest::FetchObject(digest) => Self::FetchObject(digest),
+        }
+    }
+}
+
+impl TryFrom<TimedMessage<WireRequest>> for PeerRequest {
+    type Error = WireError;
+
+    fn try_from(timed: TimedMessage<WireRequest>) -> Result<Self, WireError> {
+        let TimedMessage { message: request, at } = timed;
+        Ok(match request {
+            WireRequest::Heartbeat { heartbeat, pressures } => {
+                Self::Heartbeat { heartbeat: heartbeat.try_into()?, pressures: check(pressures)? }
+            }
+            WireRequest::AskAbout(instance) => Self::AskAbout(check_instance(instance)?),
+            WireRequest::Ask { pool, request } => Self::Ask {
+                pool: check_pool(pool)?,
+                request: TimedMessage { message: request, at }.try_into()?,
+            },
+            WireRequest::Release(reports) => {
+                let reports = reports
+                    .into_iter()
+                    .map(|(pool, report)| Ok((check_pool(pool)?, report.try_into()?)));
+                Self::Release(reports.collect::<Result<_, WireError>>()?)
+            }
+            WireRequest::Cancel { pool, asker, grant } => {
+                Self::Cancel { pool: check_pool(pool)?, asker: check_instance(asker)?, grant }
+            }
+            WireRequest::Announce { pool, asker, held } => Self::Announce {
+                pool: check_pool(pool)?,
+                asker: check_instance(asker)?,
+                held: check(held)?,
+            },
+            WireRequest::FetchHead => Self::FetchHead,
+            WireRequest::FetchObject(digest) => Self::FetchObject(check_digest(digest)?),
+        })
+    }
+}
+
+impl From<PeerReply> for WireReply {
+    fn from(reply: PeerReply) -> Self {
+        match reply {
+            PeerReply::Heartbeat { heartbeat, pressures } => {
+                Self::Heartbeat { heartbeat: heartbeat.into(), pressures: convert(pressures) }
+            }
+            PeerReply::Heard(heard) => Self::Heard(heard),
+            PeerReply::Granted { endpoint, by_floor } => Self::Granted { endpoint, by_floor },
+            PeerReply::Busy(pressure) => Self::Busy(pressure.into()),
+            PeerReply::Refused { kind, pressure } => {
+                Self::Refused { kind: kind.code().to_owned(), pressure: pressure.into() }
+            }
+            PeerReply::Accepted => Self::Accepted,
+            PeerReply::Head(head) => Self::Head(head.map(WireHead::from)),
+            PeerReply::Object(object) => Self::Object(object),
+        }
+    }
+}
+
+impl TryFrom<WireReply> for PeerReply {
+    type Error = WireError;
+
+    fn try_from(reply: WireReply) -> Result<Self, WireError> {
+        Ok(match reply {
+            WireReply::Heartbeat { heartbeat, pressures } => {
+                Self::Heartbeat { heartbeat: heartbeat.try_into()?, pressures: check(pressures)? }
+            }
+            WireReply::Heard(heard) => Self::Heard(heard),
+            WireReply::Granted { endpoint, by_floor } => {
+                Self::Granted { endpoint: check_name(endpoint, "endpoint")?, by_floor }
+            }
+            WireReply::Busy(pressure) => Self::Busy(pressure.try_into()?),
+            WireReply::Refused { kind, pressure } => {
+                Self::Refused { kind: check_kind(&kind)?, pressure: pressure.try_into()? }
+            }
+            WireReply::Accepted => Self::Accepted,
+            WireReply::Head(head) => Self::Head(head.map(|head| head.try_into()).transpose()?),
+            WireReply::Object(object) => Self::Object(object),
+        })
+    }
+}
--- /dev/null
+++ b/coltsfootgate_wire/tests/messages.rs
@@ -0,0 +1,191 @@
+//! Every message survives its coding, and no bytes break the decoders.
+
+use std::time::{Duration, Instant};
+
+use coltsfootgate_core::head::TreeHead;
+use coltsfootgate_core::ids::{RequestTier, TIER_COUNT};
+use coltsfootgate_core::membership::{PeerHeartbeat, PeerProfile, PeerRumor, PeerState};
+use coltsfootgate_core::owner::{
+    GrantRequest, HeldGrant, OwnerPressure, ReleaseReport, ReleaseResult,
+};
+use coltsfootgate_core::reason::ErrorKind;
+use coltsfootgate_wire::{
+    MESSAGE_BYTES_MAX, PeerReply, PeerRequest, PoolPressure, WireError, decode_reply,
+    decode_request, encode_reply, encode_request,
+};
+use proptest::prelude::*;
+use rstest::rstest;
+use uuid::Uuid;
+
+const DIGEST: &str = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef";
+
+fn rumor(state: PeerState) -> PeerRumor {
+    let profile = PeerProfile {
+        id: "127.0.0.1:9100".into(),
+        incarnation: 7,
+        zone: "cluj-a".into(),
+        region: "center".into(),
+    };
+    PeerRumor { profile, state, refutation: 3 }
+}
+
+fn heartbeat() -> PeerHeartbeat {
+    let rumors = vec![rumor(PeerState::Suspect), rumor(PeerState::Leaving)];
+    PeerHeartbeat { sender: rumor(PeerState::Alive), config_version: 9, rumors }
+}
+
+fn pressure() -> OwnerPressure {
+    OwnerPressure {
+        free_slots: 1,
+        slots: 8,
+        waiting_by_tier: [1; TIER_COUNT],
+        estimate: Duration::from_millis(40),
+        token_time: Some(Duration::from_micros(2500)),
+    }
+}
+
+fn pressures() -> Vec<PoolPressure> {
+    vec![PoolPressure { pool: "pools.a".into(), pressure: pressure() }]
+}
+
+fn ask(now: Instant) -> GrantRequest {
+    GrantRequest {
+        request: Uuid::from_u128(5),
+        asker: "127.0.0.1:9101".into(),
+        grant: 11,
+        class: "classes.a".into(),
+        tier: RequestTier::HIGHEST,
+        customer: "customers.a".into(),
+        weight: 2.0,
+        floor: 0.1,
+        queue_requests: 10,
+        queue_tokens: 1000,
+        tokens: 128,
+        deadline: now + Duration::from_secs(3),
+        prefix: Some(4),
+        excluded: vec!["pools.a.one".into()],
+        wait: true,
+    }
+}
+
+fn release() -> ReleaseReport {
+    ReleaseReport {
+        asker: "127.0.0.1:9101".into(),
+        grant: 11,
+        endpoint: "pools.a.one".into(),
+        tokens: 40,
+        first_token: Some(Duration::from_millis(12)),
+        between_tokens: None,
+        result: ReleaseResult::Silent,
+    }
+}
+
+fn request(name: &str, now: Instant) -> PeerRequest {
+    let (pool, asker) = ("pools.a".into(), "127.0.0.1:9101".into());
+    match name {
+        "heartbeat" => PeerRequest::Heartbeat { heartbeat: heartbeat(), pressures: pressures() },
+        "ask about" => PeerRequest::AskAbout(asker),
+        "ask" => PeerRequest::Ask { pool, request: ask(now) },
+        "release" => PeerRequest::Release(vec![(pool, release())]),
+        "cancel" => PeerRequest::Cancel { pool, asker, grant: 4 },
+        "announce" => {
+            let (endpoint, class) = ("pools.a.one".into(), "classes.a".into());
+            let tier = RequestTier::LOWEST;
+            let held = vec![HeldGrant { grant: 1, endpoint, class, tier }];
+            PeerRequest::Announce { pool, asker, held }
+        }
+        "head" => PeerRequest::FetchHead,
+        _ => PeerRequest::FetchObject(DIGEST.into()),
+    }
+}
+
+#[rstest]
+fn a_request_survives_its_coding(
+    #[values("heartbeat", "ask about", "ask", "release", "cancel", "announce", "head", "object")]
+    name: &str,
+) {
+    let now = Instant::now();
+    let bytes = encode_request(request(name, now), now).unwrap();
+    assert_eq!(decode_request(&bytes, now).unwrap(), request(name, now));
+}
+
+#[rstest]
+#[case::heartbeat(PeerReply::Heartbeat { heartbeat: heartbeat(), pressures: pressures() })]
+#[case::heard(PeerReply::Heard(true))]
+#[case::granted(PeerReply::Granted { endpoint: "pools.a.one".into(), by_floor: true })]
+#[case::busy(PeerReply::Busy(pressure()))]
+#[case::refused(PeerReply::Refused { kind: ErrorKind::QueueFull, pressure: pressure() })]
+#[case::accepted(PeerReply::Accepted)]
+#[case::no_head(PeerReply::Head(None))]
+#[case::head(PeerReply::Head(Some(TreeHead { version: 3, root: DIGEST.into(), nonce: "n".into() })))]
+#[case::object(PeerReply::Object(Some(vec![7; 1 << 20])))]
+fn a_reply_survives_its_coding(#[case] reply: PeerReply) {
+    let bytes = encode_reply(reply.clone()).unwrap();
+    assert_eq!(decode_reply(&bytes).unwrap(), reply);
+}
+
+#[rstest]
+#[case::instance(PeerRequest::AskAbout("not an address".into()), "instance")]
+#[case::digest(PeerRequest::FetchObject("../../head".into()), "digest")]
+#[case::long_pool(
+    PeerRequest::Cancel { pool: "p".repeat(1000).into(), asker: "127.0.0.1:1".into(), grant: 1 },
+    "pool"
+)]
+fn a_wrong_value_is_refused(#[case] request: PeerRequest, #[case] field: &'static str) {
+    let now = Instant::now();
+    let bytes = encode_request(request, now).unwrap();
+    assert_eq!(decode_request(&bytes, now), Err(WireError::WrongValue(field)));
+}
+
+#[rstest]
+#[case::not_a_number(f64::NAN)]
+#[case::infinite(f64::INFINITY)]
+#[case::negative(-1.0)]
+fn a_weight_that_would_upset_the_queue_is_refused(#[case] weight: f64) {
+    let now = Instant::now();
+    let request = GrantRequest { weight, ..ask(now) };
+    let request = PeerRequest::Ask { pool: "pools.a".into(), request };
+    let bytes = encode_request(request, now).unwrap();
+    assert_eq!(decode_request(&bytes, now), Err(WireError::WrongValue("weight")));
+}
+
+#[test]
+fn a_message_above_the_limit_is_neither_sent_nor_read() {
+    let large = PeerReply::Object(Some(vec![0; MESSAGE_BYTES_MAX + 1]));
+    assert!(encode_reply(large).is_err());
+    let bytes = vec![0; MESSAGE_BYTES_MAX + 1];
+    assert_eq!(decode_reply(&bytes), Err(WireError::TooLarge(bytes.len())));
+    assert!(matches!(decode_request(&bytes, Instant::now()), Err(WireError::TooLarge(_))));
+}
+
+#[test]
+fn bytes_after_a_message_are_refused() {
+    let mut bytes = encode_reply(PeerReply::Accepted).unwrap();
+    bytes.push(0);
+    assert!(matches!(decode_reply(&bytes), Err(WireError::Malformed(_))));
+}
+
+proptest! {
+    #[test]
+    fn no_bytes_break_the_decoders(bytes in proptest::collection::vec(any::<u8>(), 0..512)) {
+        let _ = decode_request(&bytes, Instant::now());
+        let _ = decode_reply(&bytes);
+    }
+
+    #[test]
+    fn no_damaged_message_breaks_the_decoders(
+        name in prop::sample::select(vec!["heartbeat", "ask", "release", "announce", "object"]),
+        damages in proptest::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..8),
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let now = Instant::now();
+        let mut bytes = encode_request(request(name, now), now).unwrap();
+        for (place, value) in damages {
+            let place = place.index(bytes.len());
+            bytes[place] = value;
+        }
+        let _ = decode_request(&bytes, now);
+        bytes.truncate(cut.index(bytes.len()));
+        let _ = decode_request(&bytes, now);
+    }
+}
