Write the error and end events before a stream is broken off

Cause: at a body error hyper closes the connection with what it has not flushed, and the events that tell the end were still in its buffer. The body now lets the server write once before it gives the error. The new test failed before (no end event) and passes now, five runs in a row. A caller that does not read may still lose the events; its transfer is broken all the same.

--- a/coltsfootgate/src/entry/answer.rs
+++ b/coltsfootgate/src/entry/answer.rs
@@ -113,6 +113,8 @@
 enum AnswerContent {
     Whole(Option<Bytes>),
     Stream(mpsc::Receiver<Result<Bytes, BrokenTransfer>>),
+    /// The pieces before the break are being written.
+    Breaking,
 }
 
 impl AnswerBody {
@@ -146,9 +148,16 @@
             AnswerContent::Whole(body) => {
                 Poll::Ready(body.take().map(|body| Ok(Frame::data(body))))
             }
-            AnswerContent::Stream(pieces) => Pin::new(pieces)
-                .poll_next(context)
-                .map(|piece| piece.map(|piece| piece.map(Frame::data))),
+            AnswerContent::Stream(pieces) => match Pin::new(pieces).poll_next(context) {
+                // The server drops unwritten pieces at an error, so it gets a turn to write them.
+                Poll::Ready(Some(Err(BrokenTransfer))) => {
+                    self.content = AnswerContent::Breaking;
+                    context.waker().wake_by_ref();
+                    Poll::Pending
+                }
+                piece => piece.map(|piece| piece.map(|piece| piece.map(Frame::data))),
+            },
+            AnswerContent::Breaking => Poll::Ready(Some(Err(BrokenTransfer))),
         }
     }
 
@@ -160,7 +169,7 @@
         match &self.content {
             AnswerContent::Whole(Some(body)) => SizeHint::with_exact(body.len() as u64),
             AnswerContent::Whole(None) => SizeHint::with_exact(0),
-            AnswerContent::Stream(_) => SizeHint::default(),
+            AnswerContent::Stream(_) | AnswerContent::Breaking => SizeHint::default(),
         }
     }
 }
--- a/coltsfootgate/tests/whole_path.rs
+++ b/coltsfootgate/tests/whole_path.rs
@@ -10,11 +10,13 @@
 use coltsfootgate_standins::runner::{ANY_PORT, StandinHandle};
 use coltsfootgate_standins::service::start_plain_service;
 
+use serde_json::json;
+
 use support::{TestCall, TestDaemon, put_tree, sample_tree};
 
 struct PathSetup {
     _platform: StandinHandle,
-    _engine: StandinHandle,
+    engine: StandinHandle,
     _service: StandinHandle,
     daemon: TestDaemon,
 }
@@ -26,7 +28,7 @@
     put_tree(platform.address, 1, &sample_tree(&[engine.address], &[service.address], ""));
     let daemon = TestDaemon::start(platform.address, "a", &[]);
     daemon.wait_ready();
-    PathSetup { _platform: platform, _engine: engine, _service: service, daemon }
+    PathSetup { _platform: platform, engine, _service: service, daemon }
 }
 
 fn expected_text(prompt: &str, max_tokens: u32) -> String {
@@ -72,6 +74,19 @@
     assert_eq!(answer.header("coltsfootgate-rule"), "classes.once");
 }
 
+#[test]
+fn a_stream_that_breaks_off_tells_its_end() {
+    let setup = start_path();
+    setup.engine.control.order(&json!({"cut_after_tokens": 3})).unwrap();
+    let is_long = |prompt: &String| expected_text(prompt, 512).split(' ').count() > 100;
+    let prompt = (0..).map(|number| format!("long {number}")).find(is_long).unwrap();
+    let answer = TestCall::stream(&prompt, 512).send(setup.daemon.ports.callers);
+    assert!(!answer.is_done() && !answer.transfer_whole, "{answer:?}");
+    assert_eq!(answer.end_event()["outcome"], "partially-run");
+    assert_eq!(answer.end_event()["reason"], "answer-cut-short");
+    assert!(answer.events().iter().any(|data| data.starts_with("{\"error\":")), "{answer:?}");
+}
+
 #[test]
 fn models_are_listed() {
     let setup = start_path();
