Route each request over the owners of its pool

Change: a request walks from owner to owner by the RoutePolicy of the tree's strategy; while it waits it looks for an owner that turned idle; out of reach of owners it uses this instance's share of the pool; a book of held grants lets a new owner be told of them.

--- a/coltsfootgate/src/daemon.rs
+++ b/coltsfootgate/src/daemon.rs
@@ -27,6 +27,7 @@
 use crate::owner::{OwnerHandle, OwnerMessage, OwnerTask};
 use crate::pipeline::{GateContext, RequestGate};
 use crate::platform::HttpPlatform;
+use crate::routes::{OwnerLink, OwnerSet, RouteBoard};
 use crate::shutdown::{ShutdownTrigger, shutdown_pair};
 use crate::tree::{NoTreePeers, TreeHandle, TreeTask};
 
@@ -106,6 +107,7 @@
     records: RequestRecords,
     tree: TreeHandle,
     owner: OwnerHandle,
+    routes: RouteBoard,
 }
 
 async fn serve(mut settings: DaemonSettings) -> Result<(), Report<DaemonFault>> {
@@ -121,7 +123,8 @@
     let context = Rc::new(GateContext::new(
         settings.instance.clone(),
         parts.tree.clone(),
-        parts.owner.clone(),
+        parts.routes.clone(),
+        OwnerLink::new(settings.instance.clone(), parts.owner.clone()),
         parts.metrics.clone(),
         parts.records.clone(),
     ));
@@ -154,16 +157,21 @@
     monoio::spawn(task.run());
     let (owner, messages) = OwnerHandle::new();
     monoio::spawn(OwnerTask::new(settings.instance.clone(), owner.clone()).run(messages));
-    monoio::spawn(pass_trees(tree.clone(), owner.clone()));
+    let routes = RouteBoard::new(settings.zone.clone());
+    let owners = OwnerSet::new([(settings.instance.clone(), settings.zone.clone())].into());
+    owner.tell(OwnerMessage::Owners(owners.clone()));
+    routes.set_owners(owners);
+    monoio::spawn(pass_trees(tree.clone(), owner.clone(), routes.clone()));
     let (board, records) = (StatusBoard::default(), RequestRecords::default());
-    InstanceParts { metrics, readiness, board, records, tree, owner }
+    InstanceParts { metrics, readiness, board, records, tree, owner, routes }
 }
 
-/// Tells the owned endpoints of each tree that comes into force.
-async fn pass_trees(tree: TreeHandle, owner: OwnerHandle) {
+/// Tells the owned endpoints and the routes of each tree that comes into force.
+async fn pass_trees(tree: TreeHandle, owner: OwnerHandle, routes: RouteBoard) {
     let mut trees = tree.subscribe();
     while let Some(active) = trees.next().await {
-        owner.tell(OwnerMessage::Settings(active));
+        owner.tell(OwnerMessage::Settings(active.clone()));
+        routes.set_tree(active);
     }
 }
 
--- a/coltsfootgate/src/lib.rs
+++ b/coltsfootgate/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod owner;
 pub mod pipeline;
 pub mod platform;
+pub mod routes;
 pub mod shutdown;
 pub mod tree;
--- a/coltsfootgate/src/owner/mod.rs
+++ b/coltsfootgate/src/owner/mod.rs
@@ -2,7 +2,10 @@
 
 mod task;
 
+use std::collections::HashSet;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
 
 use futures_channel::{mpsc, oneshot};
 
@@ -10,12 +13,21 @@
     GrantRequest, HeldGrant, OwnerPressure, OwnerSnapshot, ReleaseReport,
 };
 use coltsfootgate_core::prelude::{EndpointId, ErrorKind, GrantId, InstanceId, PoolId};
-use coltsfootgate_core::rendezvous::OwnerTable;
 
+use crate::routes::OwnerSet;
 use crate::tree::ActiveTree;
 
 pub use task::OwnerTask;
 
+/// Which slots of a pool are meant.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum OwnerScope {
+    /// All slots of the endpoints that this instance owns.
+    Owned,
+    /// This instance's share of all endpoints, used while owners are out of reach.
+    Share,
+}
+
 /// What an owner answers to an ask.
 #[derive(Clone, Debug, PartialEq)]
 pub enum GrantAnswer {
@@ -44,6 +56,8 @@
     Ask {
         /// The pool.
         pool: PoolId,
+        /// Which of its slots.
+        scope: OwnerScope,
         /// The ask.
         request: GrantRequest,
         /// Where the answer goes.
@@ -53,6 +67,8 @@
     Release {
         /// The pool.
         pool: PoolId,
+        /// Which of its slots.
+        scope: OwnerScope,
         /// What the entry saw.
         report: ReleaseReport,
     },
@@ -60,6 +76,8 @@
     Cancel {
         /// The pool.
         pool: PoolId,
+        /// Which of its slots.
+        scope: OwnerScope,
         /// The entry instance.
         asker: InstanceId,
         /// The grant.
@@ -82,16 +100,22 @@
     /// A tree of settings came into force.
     Settings(Rc<ActiveTree>),
     /// The set of live instances changed.
-    Owners(OwnerTable),
-    /// An endpoint is leaving.
-    EndpointLeaving {
-        /// The endpoint.
-        endpoint: EndpointId,
+    Owners(OwnerSet),
+    /// The addresses of all endpoints that are leaving.
+    Leaving(HashSet<Arc<str>>),
+    /// Times between tokens at the other owners of a pool.
+    PoolSpeed {
+        /// The pool.
+        pool: PoolId,
+        /// One time for each of the other owners that has measured any.
+        token_times: Vec<Duration>,
     },
     /// A probe of an endpoint ended.
     ProbeResult {
         /// The pool.
         pool: PoolId,
+        /// Which of its slots.
+        scope: OwnerScope,
         /// The endpoint.
         endpoint: EndpointId,
         /// Whether it accepted a connection.
@@ -120,9 +144,14 @@
     }
 
     /// Asks for a grant and waits for the answer.
-    pub async fn ask(&self, pool: PoolId, request: GrantRequest) -> Option<GrantAnswer> {
+    pub async fn ask(
+        &self,
+        pool: PoolId,
+        scope: OwnerScope,
+        request: GrantRequest,
+    ) -> Option<GrantAnswer> {
         let (answer, receiver) = oneshot::channel();
-        self.tell(OwnerMessage::Ask { pool, request, answer });
+        self.tell(OwnerMessage::Ask { pool, scope, request, answer });
         receiver.await.ok()
     }
 
--- a/coltsfootgate/src/owner/task.rs
+++ b/coltsfootgate/src/owner/task.rs
@@ -12,11 +12,12 @@
 
 use coltsfootgate_core::owner::{GrantRequest, OwnerAction, OwnerEvent, OwnerSettings, PoolOwner};
 use coltsfootgate_core::prelude::{
-    EndpointId, ErrorKind, GrantId, InstanceId, PoolId, PoolSettings, RouteTarget,
+    EndpointId, EndpointSettings, ErrorKind, GrantId, InstanceId, PoolId, PoolSettings, RouteTarget,
 };
-use coltsfootgate_core::rendezvous::OwnerTable;
+use coltsfootgate_core::routing::fallback_share;
 
-use super::{GrantAnswer, OwnerHandle, OwnerMessage};
+use super::{GrantAnswer, OwnerHandle, OwnerMessage, OwnerScope};
+use crate::routes::OwnerSet;
 use crate::tree::ActiveTree;
 
 /// Longest rest of the task, so that floors and probes go on without events.
@@ -24,28 +25,28 @@
 /// Longest wait for a probed endpoint to accept a connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1000);
 
+type PoolKey = (PoolId, OwnerScope);
 type PendingAnswers = HashMap<(InstanceId, GrantId), oneshot::Sender<GrantAnswer>>;
 
 /// Owns the state of all pools at this instance.
 pub struct OwnerTask {
     own: InstanceId,
     handle: OwnerHandle,
-    owners: OwnerTable,
+    owners: OwnerSet,
     active: Option<Rc<ActiveTree>>,
-    pools: HashMap<PoolId, PoolOwner>,
+    pools: HashMap<PoolKey, PoolOwner>,
     addresses: HashMap<EndpointId, Arc<str>>,
-    leaving: HashSet<EndpointId>,
+    leaving: HashSet<Arc<str>>,
     pending: PendingAnswers,
 }
 
 impl OwnerTask {
-    /// Makes the task of an instance that is alone until told otherwise.
+    /// Makes the task of an instance that owns nothing until told otherwise.
     pub fn new(own: InstanceId, handle: OwnerHandle) -> Self {
-        let owners = OwnerTable::new([own.clone()]);
         Self {
             own,
             handle,
-            owners,
+            owners: OwnerSet::default(),
             active: None,
             pools: HashMap::new(),
             addresses: HashMap::new(),
@@ -72,25 +73,31 @@
     }
 
     fn tick(&mut self, now: Instant) {
-        let pools: Vec<PoolId> = self.pools.keys().cloned().collect();
-        for pool in pools {
-            self.handle_event(&pool, OwnerEvent::Tick, now);
+        for key in self.keys() {
+            self.handle_event(&key, OwnerEvent::Tick, now);
         }
     }
 
+    fn keys(&self) -> Vec<PoolKey> {
+        self.pools.keys().cloned().collect()
+    }
+
     fn take(&mut self, message: OwnerMessage, now: Instant) {
         match message {
-            OwnerMessage::Ask { pool, request, answer } => self.ask(&pool, request, answer, now),
-            OwnerMessage::Release { pool, report } => {
-                self.handle_event(&pool, OwnerEvent::Release(report), now);
+            OwnerMessage::Ask { pool, scope, request, answer } => {
+                self.ask(&(pool, scope), request, answer, now);
+            }
+            OwnerMessage::Release { pool, scope, report } => {
+                self.handle_event(&(pool, scope), OwnerEvent::Release(report), now);
             }
-            OwnerMessage::Cancel { pool, asker, grant } => {
+            OwnerMessage::Cancel { pool, scope, asker, grant } => {
                 self.pending.remove(&(asker.clone(), grant));
-                self.handle_event(&pool, OwnerEvent::Cancel { asker, grant }, now);
+                self.handle_event(&(pool, scope), OwnerEvent::Cancel { asker, grant }, now);
             }
             OwnerMessage::AskerLost { asker } => self.asker_lost(&asker, now),
             OwnerMessage::Announce { pool, asker, held } => {
-                self.handle_event(&pool, OwnerEvent::Announce { asker, held }, now);
+                let key = (pool, OwnerScope::Owned);
+                self.handle_event(&key, OwnerEvent::Announce { asker, held }, now);
             }
             OwnerMessage::Settings(active) => {
                 self.active = Some(active);
@@ -100,93 +107,106 @@
                 self.owners = owners;
                 self.distribute(now);
             }
-            OwnerMessage::EndpointLeaving { endpoint } => {
-                self.leaving.insert(endpoint);
-                self.distribute(now);
+            OwnerMessage::Leaving(addresses) => {
+                if self.leaving != addresses {
+                    self.leaving = addresses;
+                    self.distribute(now);
+                }
+            }
+            OwnerMessage::PoolSpeed { pool, token_times } => {
+                let key = (pool, OwnerScope::Owned);
+                self.handle_event(&key, OwnerEvent::PoolSpeed { token_times }, now);
             }
-            OwnerMessage::ProbeResult { pool, endpoint, alive } => {
-                self.handle_event(&pool, OwnerEvent::ProbeResult { endpoint, alive }, now);
+            OwnerMessage::ProbeResult { pool, scope, endpoint, alive } => {
+                let event = OwnerEvent::ProbeResult { endpoint, alive };
+                self.handle_event(&(pool, scope), event, now);
             }
             OwnerMessage::Snapshot(answer) => {
-                let snapshots = self.pools.values().map(|owner| owner.snapshot(now)).collect();
-                let _ = answer.send(snapshots);
+                let owned = self.pools.iter().filter(|((_, scope), _)| *scope == OwnerScope::Owned);
+                let _ = answer.send(owned.map(|(_, owner)| owner.snapshot(now)).collect());
             }
         }
     }
 
     fn ask(
         &mut self,
-        pool: &PoolId,
+        key: &PoolKey,
         request: GrantRequest,
         answer: oneshot::Sender<GrantAnswer>,
         now: Instant,
     ) {
-        if !self.pools.contains_key(pool) {
+        if !self.pools.contains_key(key) {
             let pressure = Default::default();
             let _ = answer.send(GrantAnswer::Refused { kind: ErrorKind::NoEndpoint, pressure });
             return;
         }
         self.pending.insert((request.asker.clone(), request.grant), answer);
-        self.handle_event(pool, OwnerEvent::Ask(request), now);
+        self.handle_event(key, OwnerEvent::Ask(request), now);
     }
 
     fn asker_lost(&mut self, asker: &InstanceId, now: Instant) {
         self.pending.retain(|(waiting, _), _| waiting != asker);
-        let pools: Vec<PoolId> = self.pools.keys().cloned().collect();
-        for pool in pools {
-            self.handle_event(&pool, OwnerEvent::AskerLost { asker: asker.clone() }, now);
+        for key in self.keys() {
+            self.handle_event(&key, OwnerEvent::AskerLost { asker: asker.clone() }, now);
         }
     }
 
-    /// Gives each pool the endpoints that this instance owns under the present tree and members.
+    /// Gives each pool the endpoints that this instance has under the present tree and members.
     fn distribute(&mut self, now: Instant) {
         let Some(active) = self.active.clone() else { return };
+        self.pools.retain(|(pool, _), _| active.tree.pool(pool).is_some());
         let between_tokens = active.tree.classes().map(|class| class.between_tokens).min();
-        self.pools.retain(|pool, _| active.tree.pool(pool).is_some());
+        let live: Vec<InstanceId> = self.owners.zones.keys().cloned().collect();
         for pool in active.tree.pools() {
-            let settings = OwnerSettings {
-                pool: pool.id.clone(),
-                between_tokens: between_tokens.filter(|_| is_model_pool(pool)),
-            };
-            let owner = self.pools.entry(pool.id.clone());
-            let owner = owner.or_insert_with(|| PoolOwner::new(settings.clone()));
-            owner.set_settings(settings);
-            self.distribute_pool(pool, now);
+            let between_tokens = between_tokens.filter(|_| is_model_pool(pool));
+            let owned = self.owned_endpoints(pool);
+            self.distribute_pool(pool, OwnerScope::Owned, owned, between_tokens, now);
+            let share = fallback_share(&pool.endpoints, &self.own, &live);
+            self.distribute_pool(pool, OwnerScope::Share, share, between_tokens, now);
         }
     }
 
-    fn distribute_pool(&mut self, pool: &PoolSettings, now: Instant) {
-        let owned: Vec<_> = pool
-            .endpoints
-            .iter()
-            .filter(|endpoint| self.owners.owner(&endpoint.id) == Some(&self.own))
-            .cloned()
-            .collect();
-        for endpoint in &owned {
+    fn owned_endpoints(&self, pool: &PoolSettings) -> Vec<EndpointSettings> {
+        let is_owned =
+            |endpoint: &&EndpointSettings| self.owners.table.owner(&endpoint.id) == Some(&self.own);
+        pool.endpoints.iter().filter(is_owned).cloned().collect()
+    }
+
+    fn distribute_pool(
+        &mut self,
+        pool: &PoolSettings,
+        scope: OwnerScope,
+        endpoints: Vec<EndpointSettings>,
+        between_tokens: Option<Duration>,
+        now: Instant,
+    ) {
+        let settings = OwnerSettings { pool: pool.id.clone(), between_tokens };
+        let key = (pool.id.clone(), scope);
+        let owner = self.pools.entry(key.clone());
+        owner.or_insert_with(|| PoolOwner::new(settings.clone())).set_settings(settings);
+        for endpoint in &endpoints {
             self.addresses.insert(endpoint.id.clone(), endpoint.address.clone());
         }
-        let leaving: Vec<EndpointId> = owned
-            .iter()
-            .map(|endpoint| endpoint.id.clone())
-            .filter(|endpoint| self.leaving.contains(endpoint))
-            .collect();
-        self.handle_event(&pool.id, OwnerEvent::Endpoints(owned), now);
+        let is_leaving = |endpoint: &&EndpointSettings| self.leaving.contains(&endpoint.address);
+        let leaving: Vec<EndpointId> =
+            endpoints.iter().filter(is_leaving).map(|endpoint| endpoint.id.clone()).collect();
+        self.handle_event(&key, OwnerEvent::Endpoints(endpoints), now);
         for endpoint in leaving {
-            self.handle_event(&pool.id, OwnerEvent::EndpointLeaving { endpoint }, now);
+            self.handle_event(&key, OwnerEvent::EndpointLeaving { endpoint }, now);
         }
     }
 
-    fn handle_event(&mut self, pool: &PoolId, event: OwnerEvent, now: Instant) {
-        let Some(owner) = self.pools.get_mut(pool) else { return };
+    fn handle_event(&mut self, key: &PoolKey, event: OwnerEvent, now: Instant) {
+        let Some(owner) = self.pools.get_mut(key) else { return };
         for action in owner.handle(event, now) {
-            self.act(pool, action);
+            self.act(key, action);
         }
     }
 
-    fn act(&mut self, pool: &PoolId, action: OwnerAction) {
+    fn act(&mut self, key: &PoolKey, action: OwnerAction) {
         match action {
             OwnerAction::Grant { asker, grant, endpoint, by_floor } => {
-                self.grant(pool, asker, grant, endpoint, by_floor);
+                self.grant(key, asker, grant, endpoint, by_floor);
             }
             OwnerAction::Refuse { asker, grant, kind, pressure } => {
                 self.answer(asker, grant, GrantAnswer::Refused { kind, pressure });
@@ -194,7 +214,7 @@
             OwnerAction::Busy { asker, grant, pressure } => {
                 self.answer(asker, grant, GrantAnswer::Busy(pressure));
             }
-            OwnerAction::Probe { endpoint } => self.probe(pool, endpoint),
+            OwnerAction::Probe { endpoint } => self.probe(key, endpoint),
         }
     }
 
@@ -207,7 +227,7 @@
     /// Hands a grant over, or takes it back at once when nobody waits for it any more.
     fn grant(
         &mut self,
-        pool: &PoolId,
+        (pool, scope): &PoolKey,
         asker: InstanceId,
         grant: GrantId,
         endpoint: EndpointId,
@@ -217,19 +237,19 @@
         let answer = GrantAnswer::Granted { endpoint, by_floor };
         let is_taken = sender.is_some_and(|sender| sender.send(answer).is_ok());
         if !is_taken {
-            let pool = pool.clone();
-            self.handle.tell(OwnerMessage::Cancel { pool, asker, grant });
+            let (pool, scope) = (pool.clone(), *scope);
+            self.handle.tell(OwnerMessage::Cancel { pool, scope, asker, grant });
         }
     }
 
-    fn probe(&self, pool: &PoolId, endpoint: EndpointId) {
+    fn probe(&self, (pool, scope): &PoolKey, endpoint: EndpointId) {
         let Some(address) = self.addresses.get(&endpoint).cloned() else { return };
-        let pool = pool.clone();
+        let (pool, scope) = (pool.clone(), *scope);
         let handle = self.handle.clone();
         monoio::spawn(async move {
             let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(&*address)).await;
             let alive = matches!(connected, Ok(Ok(_)));
-            handle.tell(OwnerMessage::ProbeResult { pool, endpoint, alive });
+            handle.tell(OwnerMessage::ProbeResult { pool, scope, endpoint, alive });
         });
     }
 }
--- a/coltsfootgate/src/pipeline/admit.rs
+++ b/coltsfootgate/src/pipeline/admit.rs
@@ -3,15 +3,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use coltsfootgate_core::owner::{GrantRequest, ReleaseReport, ReleaseResult};
-use coltsfootgate_core::prelude::{EndpointId, EndpointSettings, ErrorKind, PoolId, PoolSettings};
+use coltsfootgate_core::owner::{GrantRequest, HeldGrant, ReleaseReport, ReleaseResult};
+use coltsfootgate_core::prelude::{EndpointId, EndpointSettings, ErrorKind, PoolSettings};
 use futures_util::future::{Either, select};
 
 use super::classify::{AnswerForm, ClassifiedRequest};
 use super::context::GateContext;
 use super::journal::RequestJournal;
+use super::route::{RouteEnd, RouteWalk};
 use crate::entry::{CallerLink, Refusal};
-use crate::owner::{GrantAnswer, OwnerHandle, OwnerMessage};
+use crate::routes::{AskPlace, LeaseEntry, OwnerLink, RouteBoard};
 
 /// Estimated tokens of an answer before any was seen.
 const FIRST_ESTIMATE_TOKENS: u32 = 64;
@@ -21,8 +22,9 @@
 pub struct GrantLease {
     /// The endpoint.
     pub endpoint: EndpointSettings,
-    pool: PoolId,
-    owner: OwnerHandle,
+    entry: LeaseEntry,
+    routes: RouteBoard,
+    link: OwnerLink,
     report: ReleaseReport,
 }
 
@@ -49,29 +51,16 @@
 
 impl Drop for GrantLease {
     fn drop(&mut self) {
-        let message =
-            OwnerMessage::Release { pool: self.pool.clone(), report: self.report.clone() };
-        self.owner.tell(message);
-    }
-}
-
-/// Cancels an ask that is dropped before its answer.
-struct PendingAsk<'a> {
-    owner: &'a OwnerHandle,
-    pool: &'a PoolId,
-    request: &'a GrantRequest,
-    answered: bool,
-}
-
-impl Drop for PendingAsk<'_> {
-    fn drop(&mut self) {
-        if !self.answered {
-            self.owner.tell(OwnerMessage::Cancel {
-                pool: self.pool.clone(),
-                asker: self.request.asker.clone(),
-                grant: self.request.grant,
-            });
-        }
+        self.routes.ended(&self.entry);
+        let place = match &self.entry.place {
+            // Another instance may own the endpoint by now and was told of the grant.
+            AskPlace::Owner(owner) => {
+                let present = self.routes.owner_of(&self.endpoint.id);
+                AskPlace::Owner(present.unwrap_or_else(|| owner.clone()))
+            }
+            place => place.clone(),
+        };
+        self.link.release(&place, &self.entry.pool, self.report.clone());
     }
 }
 
@@ -84,42 +73,42 @@
     journal: &mut RequestJournal,
 ) -> Result<GrantLease, Refusal> {
     let asked = Instant::now();
-    let grant_request = grant_request(context, request, excluded);
-    let ask = wait_for_grant(&context.owner, &request.pool.id, &grant_request);
-    let answer = match select(std::pin::pin!(ask), std::pin::pin!(caller.gone())).await {
-        Either::Left((answer, _)) => answer,
+    let ask = grant_request(context, request, excluded);
+    let mut walk = RouteWalk::new(context, &request.pool.id, &ask);
+    let end = match select(std::pin::pin!(walk.run()), std::pin::pin!(caller.gone())).await {
+        Either::Left((end, _)) => end,
         Either::Right(_) => {
             journal.waited(asked.elapsed());
             let message = "the caller left while its request was waiting";
             return Err(refusal(request, ErrorKind::CallerLeftWaiting, message));
         }
     };
-    match answer {
-        Some(GrantAnswer::Granted { endpoint, by_floor }) => {
-            journal.granted(&endpoint, &context.own, asked.elapsed(), by_floor);
-            lease(context, request, &grant_request, endpoint)
+    match end {
+        RouteEnd::Granted { grant, endpoint, place, by_floor } => {
+            journal.granted(&endpoint, &place_name(&place), asked.elapsed(), by_floor);
+            let held = HeldGrant {
+                grant,
+                endpoint,
+                class: request.class.id.clone(),
+                tier: request.class.tier,
+            };
+            let entry = LeaseEntry { pool: request.pool.id.clone(), held, place };
+            lease(context, request, &walk, entry)
         }
-        Some(GrantAnswer::Refused { kind, pressure }) => {
+        RouteEnd::Refused { kind, pressure } => {
             journal.waited(asked.elapsed());
             let wait = pressure.expected_wait(request.class.tier);
             Err(refusal(request, kind, &capacity_message(kind, request)).after(wait))
         }
-        Some(GrantAnswer::Busy(_)) | None => {
-            journal.waited(asked.elapsed());
-            Err(refusal(request, ErrorKind::NoEndpoint, "no owner of an endpoint answered"))
-        }
     }
 }
 
-async fn wait_for_grant(
-    owner: &OwnerHandle,
-    pool: &PoolId,
-    request: &GrantRequest,
-) -> Option<GrantAnswer> {
-    let mut pending = PendingAsk { owner, pool, request, answered: false };
-    let answer = owner.ask(pool.clone(), request.clone()).await;
-    pending.answered = true;
-    answer
+fn place_name(place: &AskPlace) -> Arc<str> {
+    match place {
+        AskPlace::Owner(owner) => owner.clone(),
+        AskPlace::Share => "share".into(),
+        AskPlace::Nobody => "nobody".into(),
+    }
 }
 
 fn grant_request(
@@ -131,7 +120,7 @@
     GrantRequest {
         request: request.accepted.id,
         asker: context.own.clone(),
-        grant: context.next_grant(),
+        grant: 0,
         class: request.class.id.clone(),
         tier: request.class.tier,
         customer: request.customer.id.clone(),
@@ -150,26 +139,31 @@
 fn lease(
     context: &GateContext,
     request: &ClassifiedRequest,
-    asked: &GrantRequest,
-    endpoint: EndpointId,
+    walk: &RouteWalk<'_>,
+    entry: LeaseEntry,
 ) -> Result<GrantLease, Refusal> {
-    let report = ReleaseReport {
-        asker: asked.asker.clone(),
-        grant: asked.grant,
-        endpoint: endpoint.clone(),
+    let mut report = ReleaseReport {
+        asker: context.own.clone(),
+        grant: entry.held.grant,
+        endpoint: entry.held.endpoint.clone(),
         tokens: 0,
         first_token: None,
         between_tokens: None,
         result: ReleaseResult::Cancelled,
     };
-    let pool = request.pool.id.clone();
-    let Some(settings) = find_endpoint(&request.pool, &endpoint) else {
-        let report = ReleaseReport { result: ReleaseResult::NotSent, ..report };
-        context.owner.tell(OwnerMessage::Release { pool, report });
+    let Some(endpoint) = find_endpoint(&request.pool, &entry.held.endpoint) else {
+        report.result = ReleaseResult::NotSent;
+        context.link.release(&entry.place, &entry.pool, report);
         let message = "the granted endpoint is not in this request's version of the tree";
         return Err(refusal(request, ErrorKind::NoEndpoint, message));
     };
-    Ok(GrantLease { endpoint: settings, pool, owner: context.owner.clone(), report })
+    let owner = match &entry.place {
+        AskPlace::Owner(owner) => Some(owner),
+        AskPlace::Share | AskPlace::Nobody => None,
+    };
+    context.routes.granted(walk.route(), owner, entry.clone());
+    let (routes, link) = (context.routes.clone(), context.link.clone());
+    Ok(GrantLease { endpoint, entry, routes, link, report })
 }
 
 fn find_endpoint(pool: &Arc<PoolSettings>, id: &EndpointId) -> Option<EndpointSettings> {
--- a/coltsfootgate/src/pipeline/context.rs
+++ b/coltsfootgate/src/pipeline/context.rs
@@ -8,7 +8,7 @@
 use crate::endpoint::ConnectionPool;
 use crate::metrics::DaemonMetrics;
 use crate::operators::RequestRecords;
-use crate::owner::OwnerHandle;
+use crate::routes::{OwnerLink, RouteBoard};
 use crate::tree::TreeHandle;
 
 /// Handles to the tasks of this instance.
@@ -17,8 +17,10 @@
     pub own: InstanceId,
     /// The tree in force.
     pub tree: TreeHandle,
-    /// The owned endpoints.
-    pub owner: OwnerHandle,
+    /// What is known of the owners of endpoints.
+    pub routes: RouteBoard,
+    /// The way to the owners of endpoints.
+    pub link: OwnerLink,
     /// Connections to endpoints.
     pub endpoints: ConnectionPool,
     /// Decisions made lately.
@@ -35,14 +37,16 @@
     pub fn new(
         own: InstanceId,
         tree: TreeHandle,
-        owner: OwnerHandle,
+        routes: RouteBoard,
+        link: OwnerLink,
         metrics: DaemonMetrics,
         records: RequestRecords,
     ) -> Self {
         Self {
             own,
             tree,
-            owner,
+            routes,
+            link,
             endpoints: ConnectionPool::new(),
             records,
             metrics,
--- a/coltsfootgate/src/pipeline/mod.rs
+++ b/coltsfootgate/src/pipeline/mod.rs
@@ -13,6 +13,7 @@
 pub mod journal;
 pub mod record;
 pub mod relay;
+pub mod route;
 pub mod settle;
 
 pub use context::GateContext;
--- /dev/null
+++ b/coltsfootgate/src/routes/mod.rs
@@ -0,0 +1,172 @@
+//! What this entry knows of the owners of all pools, and the grants it holds from them.
+
+mod book;
+mod link;
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use coltsfootgate_core::owner::{HeldGrant, OwnerPressure};
+use coltsfootgate_core::prelude::{
+    EndpointId, InstanceId, PoolId, PoolSettings, RoutingStrategy, ZoneName,
+};
+use coltsfootgate_core::rendezvous::OwnerTable;
+use coltsfootgate_core::routing::{
+    OwnerPlace, RequestRoute, RoutePolicy, RouteReply, RouteStep, StrategyRoutes,
+};
+
+use crate::tree::ActiveTree;
+
+pub use book::{LeaseBook, LeaseEntry};
+pub use link::{AskPlace, OwnerLink, PendingAsk};
+
+/// The instances that may own endpoints.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct OwnerSet {
+    /// Which instance owns what.
+    pub table: OwnerTable,
+    /// Where each instance runs.
+    pub zones: BTreeMap<InstanceId, ZoneName>,
+}
+
+impl OwnerSet {
+    /// Makes the set of the given instances.
+    pub fn new(zones: BTreeMap<InstanceId, ZoneName>) -> Self {
+        let table = OwnerTable::new(zones.keys().cloned());
+        Self { table, zones }
+    }
+
+    /// The owners of a pool's endpoints.
+    pub fn places(&self, pool: &PoolSettings) -> Vec<OwnerPlace> {
+        let owners = pool.endpoints.iter().filter_map(|endpoint| self.table.owner(&endpoint.id));
+        let mut owners: Vec<&InstanceId> = owners.collect();
+        owners.sort();
+        owners.dedup();
+        owners
+            .into_iter()
+            .filter_map(|owner| {
+                let zone = self.zones.get(owner)?.clone();
+                Some(OwnerPlace { owner: owner.clone(), zone })
+            })
+            .collect()
+    }
+}
+
+/// Finds owners for the requests of this entry; clones share the same state.
+#[derive(Clone, Debug)]
+pub struct RouteBoard(Rc<RefCell<BoardState>>);
+
+#[derive(Debug)]
+struct BoardState {
+    zone: ZoneName,
+    strategy: RoutingStrategy,
+    routes: StrategyRoutes,
+    owners: OwnerSet,
+    active: Option<Rc<ActiveTree>>,
+    book: LeaseBook,
+}
+
+impl RouteBoard {
+    /// Makes the board of an entry in a zone, which knows no owner yet.
+    pub fn new(zone: ZoneName) -> Self {
+        let strategy = RoutingStrategy::default();
+        Self(Rc::new(RefCell::new(BoardState {
+            routes: StrategyRoutes::new(strategy, zone.clone()),
+            zone,
+            strategy,
+            owners: OwnerSet::default(),
+            active: None,
+            book: LeaseBook::default(),
+        })))
+    }
+
+    /// Takes over a tree of settings.
+    pub fn set_tree(&self, active: Rc<ActiveTree>) {
+        let mut state = self.0.borrow_mut();
+        let strategy = active.tree.deployment().strategy;
+        if strategy != state.strategy {
+            state.strategy = strategy;
+            state.routes = StrategyRoutes::new(strategy, state.zone.clone());
+        }
+        state.active = Some(active);
+        state.refresh();
+    }
+
+    /// Takes over a changed set of owners.
+    pub fn set_owners(&self, owners: OwnerSet) {
+        let mut state = self.0.borrow_mut();
+        state.owners = owners;
+        state.refresh();
+    }
+
+    /// The instance that owns an endpoint.
+    pub fn owner_of(&self, endpoint: &EndpointId) -> Option<InstanceId> {
+        self.0.borrow().owners.table.owner(endpoint).cloned()
+    }
+
+    /// Learns how busy an owner is.
+    pub fn learn(&self, pool: &PoolId, owner: &InstanceId, pressure: OwnerPressure) {
+        let now = Instant::now();
+        self.0.borrow_mut().routes.learn(pool, owner, pressure, Duration::ZERO, now);
+    }
+
+    /// The first step for a request.
+    pub fn first_step(&self, route: &mut RequestRoute) -> RouteStep {
+        self.0.borrow_mut().routes.first_step(route, Instant::now())
+    }
+
+    /// The step after an answer that was not a grant.
+    pub fn next_step(
+        &self,
+        route: &mut RequestRoute,
+        owner: &InstanceId,
+        reply: RouteReply,
+    ) -> RouteStep {
+        self.0.borrow_mut().routes.next_step(route, owner, reply, Instant::now())
+    }
+
+    /// An owner to ask beside the one at which the request waits.
+    pub fn reconsider(&self, route: &mut RequestRoute) -> Option<InstanceId> {
+        self.0.borrow_mut().routes.reconsider(route, Instant::now())
+    }
+
+    /// Notes a grant, or a request that is sent without one.
+    pub fn granted(&self, route: &RequestRoute, owner: Option<&InstanceId>, lease: LeaseEntry) {
+        let mut state = self.0.borrow_mut();
+        state.routes.granted(route, owner, &lease.held.endpoint);
+        state.book.note(lease);
+    }
+
+    /// Notes that a request at an endpoint ended, and tells where its grant belongs now.
+    pub fn ended(&self, lease: &LeaseEntry) {
+        let mut state = self.0.borrow_mut();
+        state.routes.ended(&lease.pool, &lease.held.endpoint);
+        state.book.remove(lease.held.grant);
+    }
+
+    /// The grants held of each owner and pool, by the owners of now.
+    pub fn held_by_owner(&self) -> HashMap<(InstanceId, PoolId), Vec<HeldGrant>> {
+        let state = self.0.borrow();
+        let mut held: HashMap<(InstanceId, PoolId), Vec<HeldGrant>> = HashMap::new();
+        for lease in state.book.owned() {
+            if let Some(owner) = state.owners.table.owner(&lease.held.endpoint) {
+                let key = (owner.clone(), lease.pool.clone());
+                held.entry(key).or_default().push(lease.held.clone());
+            }
+        }
+        held
+    }
+}
+
+impl BoardState {
+    /// Tells the routes of every pool again.
+    fn refresh(&mut self) {
+        let Some(active) = &self.active else { return };
+        for pool in active.tree.pools() {
+            let endpoints = pool.endpoints.iter().map(|endpoint| endpoint.id.clone()).collect();
+            self.routes.set_pool(&pool.id, self.owners.places(pool), endpoints);
+        }
+    }
+}
