Hold requests to their customer's limits

Cause: rate and concurrency of a customer were not looked at. Change: a task lends slices of the limits that this instance owns and holds this entry's own slices; the filter 'limit' waits for a slice and gives the permit back when the request ends.

--- a/coltsfootgate/src/daemon.rs
+++ b/coltsfootgate/src/daemon.rs
@@ -18,6 +18,7 @@
 
 use crate::entry::request::RequestBounds;
 use crate::entry::{EntryBounds, EntryListener};
+use crate::limits::{LimitHandle, LimitMessage, LimitTask};
 use crate::logging::{print_fault, start_logging};
 use crate::metrics::{ConnectionSide, DaemonMetrics};
 use crate::operators::{
@@ -108,6 +109,7 @@
     tree: TreeHandle,
     owner: OwnerHandle,
     routes: RouteBoard,
+    limits: LimitHandle,
 }
 
 async fn serve(mut settings: DaemonSettings) -> Result<(), Report<DaemonFault>> {
@@ -125,6 +127,7 @@
         parts.tree.clone(),
         parts.routes.clone(),
         OwnerLink::new(settings.instance.clone(), parts.owner.clone()),
+        parts.limits.clone(),
         parts.metrics.clone(),
         parts.records.clone(),
     ));
@@ -160,10 +163,14 @@
     let routes = RouteBoard::new(settings.zone.clone());
     let owners = OwnerSet::new([(settings.instance.clone(), settings.zone.clone())].into());
     owner.tell(OwnerMessage::Owners(owners.clone()));
+    let (limits, limit_messages) = LimitHandle::new();
+    limits.tell(LimitMessage::Owners(owners.clone()));
+    let task = LimitTask::new(settings.instance.clone(), limits.clone(), tree.clone());
+    monoio::spawn(task.run(limit_messages));
     routes.set_owners(owners);
     monoio::spawn(pass_trees(tree.clone(), owner.clone(), routes.clone()));
     let (board, records) = (StatusBoard::default(), RequestRecords::default());
-    InstanceParts { metrics, readiness, board, records, tree, owner, routes }
+    InstanceParts { metrics, readiness, board, records, tree, owner, routes, limits }
 }
 
 /// Tells the owned endpoints and the routes of each tree that comes into force.
--- a/coltsfootgate/src/lib.rs
+++ b/coltsfootgate/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod daemon;
 pub mod endpoint;
 pub mod entry;
+pub mod limits;
 pub mod logging;
 pub mod metrics;
 pub mod operators;
--- a/coltsfootgate/src/pipeline/context.rs
+++ b/coltsfootgate/src/pipeline/context.rs
@@ -6,6 +6,7 @@
 
 use super::budget::BudgetTable;
 use crate::endpoint::ConnectionPool;
+use crate::limits::LimitHandle;
 use crate::metrics::DaemonMetrics;
 use crate::operators::RequestRecords;
 use crate::routes::{OwnerLink, RouteBoard};
@@ -21,6 +22,8 @@
     pub routes: RouteBoard,
     /// The way to the owners of endpoints.
     pub link: OwnerLink,
+    /// The limits of customers.
+    pub limits: LimitHandle,
     /// Connections to endpoints.
     pub endpoints: ConnectionPool,
     /// Decisions made lately.
@@ -39,6 +42,7 @@
         tree: TreeHandle,
         routes: RouteBoard,
         link: OwnerLink,
+        limits: LimitHandle,
         metrics: DaemonMetrics,
         records: RequestRecords,
     ) -> Self {
@@ -47,6 +51,7 @@
             tree,
             routes,
             link,
+            limits,
             endpoints: ConnectionPool::new(),
             records,
             metrics,
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -16,6 +16,7 @@
 use super::dispatch::{attempt_id, dispatch_request};
 use super::identify::identify_customer;
 use super::journal::RequestJournal;
+use super::limit::limit_request;
 use super::relay::{RelayEnd, RelayTask};
 use super::settle::{RequestEnd, settle_request};
 use crate::endpoint::EndpointFailure;
@@ -35,7 +36,7 @@
             return settle_request(&context, None, journal, caller, end).await;
         }
     };
-    let end = attempt_request(&context, &request, &mut caller, &mut journal).await;
+    let end = serve_request(&context, &request, &mut caller, &mut journal).await;
     let end = end.unwrap_or_else(RequestEnd::Refused);
     settle_request(&context, Some(&request), journal, caller, end).await;
 }
@@ -58,6 +59,19 @@
     Ok(request)
 }
 
+/// The filters that wait, once for each request.
+async fn serve_request(
+    context: &GateContext,
+    request: &ClassifiedRequest,
+    caller: &mut CallerLink,
+    journal: &mut RequestJournal,
+) -> Result<RequestEnd, Refusal> {
+    let permit = limit_request(context, request, caller).await?;
+    let end = attempt_request(context, request, caller, journal).await;
+    drop(permit);
+    end
+}
+
 /// The filters that wait, once for each attempt.
 async fn attempt_request(
     context: &GateContext,
--- /dev/null
+++ b/coltsfootgate/src/pipeline/limit.rs
@@ -0,0 +1,43 @@
+//! Holds a request to the rate and the concurrency of its customer.
+
+use coltsfootgate_core::limit::LimitDecision;
+use coltsfootgate_core::prelude::ErrorKind;
+use futures_util::future::{Either, select};
+
+use super::admit::refusal;
+use super::classify::ClassifiedRequest;
+use super::context::GateContext;
+use crate::entry::{CallerLink, Refusal};
+use crate::limits::LimitPermit;
+
+/// Waits for leave to start the request, which is held until the permit is dropped.
+pub async fn limit_request(
+    context: &GateContext,
+    request: &ClassifiedRequest,
+    caller: &mut CallerLink,
+) -> Result<LimitPermit, Refusal> {
+    let acquire = context.limits.acquire(request.customer.clone());
+    match select(std::pin::pin!(acquire), std::pin::pin!(caller.gone())).await {
+        Either::Left((permit, _)) => permit.map_err(|decision| refused(request, decision)),
+        Either::Right(_) => {
+            let message = "the caller left while its request was waiting";
+            Err(refusal(request, ErrorKind::CallerLeftWaiting, message))
+        }
+    }
+}
+
+fn refused(request: &ClassifiedRequest, decision: LimitDecision) -> Refusal {
+    let customer = &request.customer;
+    match decision {
+        LimitDecision::Refuse { kind, retry_after } => {
+            let message = format!(
+                "the customer's limits are {} requests a second, {} at once, and {} in flight",
+                customer.rate, customer.burst, customer.concurrency,
+            );
+            refusal(request, kind, &message).after(retry_after)
+        }
+        LimitDecision::Admit | LimitDecision::Ask => {
+            refusal(request, ErrorKind::ShuttingDown, "the instance is shutting down")
+        }
+    }
+}
--- a/coltsfootgate/src/pipeline/mod.rs
+++ b/coltsfootgate/src/pipeline/mod.rs
@@ -11,6 +11,7 @@
 pub mod gate;
 pub mod identify;
 pub mod journal;
+pub mod limit;
 pub mod record;
 pub mod relay;
 pub mod route;
