--- /dev/null
+++ b/coltsfootgate_core/tests/owner_endpoints.rs
@@ -0,0 +1,135 @@
+//! Cases of endpoints that are slow, lost, leaving or adapted.
+
+mod support;
+
+use std::time::Duration;
+
+use coltsfootgate_core::owner::{EndpointState, OwnerAction, OwnerEvent, ReleaseResult};
+use coltsfootgate_core::prelude::*;
+use rstest::rstest;
+use support::{OwnerDriver, ask, endpoint};
+
+/// Mean time between tokens of a healthy endpoint.
+const USUAL: Duration = Duration::from_millis(10);
+/// Mean time between tokens of a straggler.
+const SLOW: Duration = Duration::from_millis(60);
+
+fn state(driver: &OwnerDriver, number: u32) -> EndpointState {
+    let id = endpoint(number, 1).id;
+    let endpoints = driver.snapshot().endpoints;
+    endpoints.iter().find(|endpoint| endpoint.endpoint == id).expect("a known endpoint").state
+}
+
+/// Serves requests, endpoint 0 at its own speed, until it has given this many answers.
+fn serve(driver: &mut OwnerDriver, answers: u32, speed: Duration, first_grant: GrantId) -> GrantId {
+    let straggler = endpoint(0, 1).id;
+    let mut grant = first_grant;
+    let mut given = 0;
+    while given < answers {
+        driver.ask(ask(grant, 3));
+        grant += 1;
+        let is_slow = driver.held()[0].2 == straggler;
+        given += u32::from(is_slow);
+        let between_tokens = if is_slow { speed } else { USUAL };
+        driver.release(0, ReleaseResult::Completed, between_tokens);
+        driver.advance(Duration::from_millis(100));
+    }
+    grant
+}
+
+#[test]
+fn straggler_is_reduced_then_probed_and_comes_back() {
+    let mut driver = OwnerDriver::new(3, 1);
+    let grant = serve(&mut driver, 5, SLOW, 0);
+    assert_eq!(state(&driver, 0), EndpointState::Reduced);
+    let grant = serve(&mut driver, 4, SLOW, grant);
+    assert_eq!(state(&driver, 0), EndpointState::Probing);
+    let grant = serve(&mut driver, 3, USUAL, grant);
+    assert_eq!(state(&driver, 0), EndpointState::Reduced);
+    serve(&mut driver, 3, USUAL, grant);
+    assert_eq!(state(&driver, 0), EndpointState::Healthy);
+    assert_eq!(state(&driver, 1), EndpointState::Healthy);
+}
+
+#[rstest]
+#[case::refused_connection(ReleaseResult::ConnectFailed, 1)]
+#[case::silence(ReleaseResult::Silent, 1)]
+#[case::three_failures(ReleaseResult::Failed, 3)]
+fn lost_endpoint_is_ejected_until_a_probe_succeeds(
+    #[case] result: ReleaseResult,
+    #[case] times: u64,
+) {
+    let mut driver = OwnerDriver::new(1, 1);
+    for grant in 0..times {
+        driver.ask(ask(grant, 3));
+        driver.release(0, result, USUAL);
+    }
+    assert_eq!(state(&driver, 0), EndpointState::Ejected);
+    driver.ask(ask(10, 3));
+    assert_eq!(driver.refusals().last().map(|(_, kind)| *kind), Some(ErrorKind::NoEndpoint));
+    let lost = endpoint(0, 1).id;
+    let probes = driver.advance(Duration::from_millis(250));
+    assert_eq!(probes, [OwnerAction::Probe { endpoint: lost.clone() }]);
+    driver.event(OwnerEvent::ProbeResult { endpoint: lost.clone(), alive: false });
+    assert_eq!(driver.advance(Duration::from_millis(250)), []);
+    assert_eq!(driver.advance(Duration::from_millis(250)).len(), 1);
+    driver.event(OwnerEvent::ProbeResult { endpoint: lost, alive: true });
+    assert_eq!(state(&driver, 0), EndpointState::Probing);
+    driver.ask(ask(11, 3));
+    assert_eq!(driver.in_flight(), 1);
+}
+
+#[test]
+fn waiting_requests_are_refused_when_the_last_endpoint_is_lost() {
+    let mut driver = OwnerDriver::new(1, 1);
+    driver.ask(ask(0, 1));
+    driver.ask(ask(1, 4));
+    driver.release(0, ReleaseResult::ConnectFailed, USUAL);
+    assert_eq!(driver.refusals(), [(RequestTier::new(4).unwrap(), ErrorKind::NoEndpoint)]);
+}
+
+#[test]
+fn leaving_endpoint_gets_nothing_and_finishes_what_it_has() {
+    let mut driver = OwnerDriver::new(2, 1);
+    driver.ask(ask(0, 1));
+    let leaving = driver.held()[0].2.clone();
+    driver.event(OwnerEvent::EndpointLeaving { endpoint: leaving.clone() });
+    for grant in 1..5 {
+        driver.ask(ask(grant, 1));
+        driver.release(1, ReleaseResult::Completed, USUAL);
+    }
+    assert_eq!(driver.granted_endpoints().iter().filter(|id| **id == leaving).count(), 1);
+    assert_eq!(driver.in_flight(), 1);
+}
+
+#[rstest]
+#[case::fast_engine_gets_more(10, 16)]
+#[case::slow_engine_gets_fewer(60, 4)]
+fn slots_follow_the_time_between_tokens(#[case] millis: u64, #[case] slots: u32) {
+    let mut driver = OwnerDriver::new(1, 8);
+    for grant in 0..400 {
+        let mut request = ask(grant, 3);
+        request.queue_requests = 1000;
+        driver.ask(request);
+    }
+    for _ in 0..300 {
+        driver.release(0, ReleaseResult::Completed, Duration::from_millis(millis));
+    }
+    assert_eq!(driver.snapshot().endpoints[0].slots, slots);
+}
+
+#[test]
+fn warm_endpoint_is_chosen_while_it_is_not_much_busier() {
+    let mut driver = OwnerDriver::new(2, 8);
+    let mut request = ask(0, 3);
+    request.prefix = Some(9);
+    driver.ask(request);
+    let warm = driver.held()[0].2.clone();
+    for grant in 1..8 {
+        let mut request = ask(grant, 3);
+        request.prefix = Some(9);
+        driver.ask(request);
+    }
+    let counts = driver.granted_endpoints().iter().filter(|id| **id == warm).count();
+    assert!((5..8).contains(&counts), "{counts} of 8 at the warm endpoint");
+}
--- a/coltsfootgate_core/tests/support/mod.rs
+++ b/coltsfootgate_core/tests/support/mod.rs
@@ -167,6 +167,14 @@
             .collect()
     }
 
+    pub fn granted_endpoints(&self) -> Vec<EndpointId> {
+        let endpoints = self.actions.iter().filter_map(|action| match action {
+            OwnerAction::Grant { endpoint, .. } => Some(endpoint.clone()),
+            _ => None,
+        });
+        endpoints.collect()
+    }
+
     pub fn granted_ids(&self) -> Vec<GrantId> {
         let grants = self.actions.iter().filter_map(|action| match action {
             OwnerAction::Grant { grant, .. } => Some(*grant),
