Connect instances over h2 and exchange heartbeats

Each instance keeps one connection to each peer that it calls: proof of the secret first, then one message each way per h2 stream. A dropped call resets its stream, so that the other side learns of it. While calls are in flight a ping must be answered within a second; a silent connection is dropped, its calls fail, and the next call opens a fresh one, which also ends the silent one at the accepting side.

Tests send strangers' bytes, other versions, wrong secrets and addresses, too large and invalid messages, and make a connection silent through the faulty proxy.

--- a/coltsfootgate/src/tree.rs
+++ b/coltsfootgate/src/tree.rs
@@ -19,7 +19,7 @@
 use coltsfootgate_core::head::{HeadEvent, TreeHead};
 use coltsfootgate_core::ids::{ConfigVersion, InstanceId};
 
-pub use self::source::{NoTreePeers, TreePeers};
+pub use self::source::{NoTreePeers, PeerUnanswered, TreePeers};
 pub use self::task::TreeTask;
 
 /// The immutable values that a tree is made of, by digest.
--- /dev/null
+++ b/coltsfootgate/tests/peers.rs
@@ -0,0 +1,284 @@
+//! Connections between instances: proof of the secret, bounds, silence and giving up.
+
+use std::io::{Read, Write};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use coltsfootgate::metrics::DaemonMetrics;
+use coltsfootgate::options::PeerSecret;
+use coltsfootgate::peer::{PeerCall, PeerError, PeerHandle, PeerIdentity, PeerListener};
+use coltsfootgate_core::ids::InstanceId;
+use coltsfootgate_standins::proxy::start_proxy;
+use coltsfootgate_wire::{MESSAGE_BYTES_MAX, PeerReply, PeerRequest, ProofError, WireError};
+use futures_channel::mpsc::{UnboundedReceiver, unbounded};
+use futures_util::StreamExt;
+use monoio::net::{ListenerOpts, TcpListener};
+use monoio::{LegacyDriver, RuntimeBuilder};
+use rstest::rstest;
+use serde_json::json;
+
+const SECRET: &str = "a secret of the tests";
+/// A bound on waiting for what must happen.
+const EVENTUALLY: Duration = Duration::from_secs(10);
+const ANY_PORT: &str = "127.0.0.1:0";
+
+/// An instance that listens, without its other parts.
+struct TestPeer {
+    instance: InstanceId,
+    metrics: DaemonMetrics,
+    calls: UnboundedReceiver<PeerCall>,
+}
+
+impl TestPeer {
+    /// Listens under its own address, or under that of a proxy in front of it.
+    fn start(proxy: impl FnOnce(SocketAddr) -> Option<SocketAddr>) -> Self {
+        let options = ListenerOpts::new().reuse_port(false);
+        let listener = TcpListener::bind_with_config(ANY_PORT, &options).unwrap();
+        let address = listener.local_addr().unwrap();
+        let instance: InstanceId = proxy(address).unwrap_or(address).to_string().into();
+        let identity = identity(&instance, SECRET);
+        let metrics = DaemonMetrics::new();
+        let (sender, calls) = unbounded();
+        let listener = PeerListener::new(listener, identity, metrics.clone(), sender, 8);
+        monoio::spawn(listener.serve());
+        Self { instance, metrics, calls }
+    }
+
+    /// Answers every call with "accepted".
+    fn accept_all(mut self) -> InstanceId {
+        let instance = self.instance.clone();
+        monoio::spawn(async move {
+            while let Some(call) = self.calls.next().await {
+                let _ = call.reply.send(PeerReply::Accepted);
+            }
+        });
+        instance
+    }
+
+    async fn next_call(&mut self) -> PeerCall {
+        monoio::time::timeout(EVENTUALLY, self.calls.next()).await.expect("a call").unwrap()
+    }
+
+    /// Waits until a fault was counted.
+    async fn wait_for_fault(&self, cause: &str) {
+        let line = format!("coltsfootgate_peer_faults_total{{cause=\"{cause}\"}}");
+        let counted = async {
+            while !String::from_utf8_lossy(&self.metrics.encode()).contains(&line) {
+                monoio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        monoio::time::timeout(EVENTUALLY, counted).await.expect(&line);
+    }
+}
+
+fn identity(instance: &InstanceId, secret: &str) -> PeerIdentity {
+    PeerIdentity::new(instance.clone(), PeerSecret::new(secret)).unwrap()
+}
+
+fn caller(secret: &str) -> PeerHandle {
+    PeerHandle::new(identity(&"127.0.0.1:9".into(), secret), DaemonMetrics::new())
+}
+
+fn soon() -> Instant {
+    Instant::now() + EVENTUALLY
+}
+
+fn block_on<F: Future>(future: F) -> F::Output {
+    RuntimeBuilder::<LegacyDriver>::new().enable_timer().build().unwrap().block_on(future)
+}
+
+#[test]
+fn a_call_is_answered_in_the_name_of_its_sender() {
+    block_on(async {
+        let mut peer = TestPeer::start(|_| None);
+        let instance = peer.instance.clone();
+        let call = monoio::spawn(async move {
+            caller(SECRET).call(&instance, PeerRequest::FetchHead, soon()).await
+        });
+        let asked = peer.next_call().await;
+        assert_eq!(&*asked.from, "127.0.0.1:9");
+        assert_eq!(asked.request, PeerRequest::FetchHead);
+        asked.reply.send(PeerReply::Head(None)).unwrap();
+        assert_eq!(call.await, Ok(PeerReply::Head(None)));
+    });
+}
+
+#[test]
+fn a_stored_value_of_the_largest_size_passes() {
+    block_on(async {
+        let mut peer = TestPeer::start(|_| None);
+        let instance = peer.instance.clone();
+        let request = PeerRequest::FetchObject("0".repeat(64).into());
+        let call =
+            monoio::spawn(async move { caller(SECRET).call(&instance, request, soon()).await });
+        let object = PeerReply::Object(Some(vec![7; 1 << 20]));
+        peer.next_call().await.reply.send(object.clone()).unwrap();
+        assert_eq!(call.await, Ok(object));
+    });
+}
+
+#[test]
+fn a_peer_with_another_secret_is_refused_on_both_sides() {
+    block_on(async {
+        let mut peer = TestPeer::start(|_| None);
+        let stranger = caller("another secret of tests");
+        let result = stranger.call(&peer.instance, PeerRequest::FetchHead, soon()).await;
+        // The accepting side closes without a proof of its own.
+        assert!(matches!(result, Err(PeerError::Unreachable(_))), "{result:?}");
+        peer.wait_for_fault("wrong-proof").await;
+        assert!(peer.calls.try_recv().is_err());
+    });
+}
+
+#[test]
+fn a_proof_meant_for_another_instance_is_refused() {
+    block_on(async {
+        // The listener is known under another address than the one that is called.
+        let other = "127.0.0.1:7".parse().unwrap();
+        let mut listens_at = None;
+        let peer = TestPeer::start(|address| {
+            listens_at = Some(address);
+            Some(other)
+        });
+        let called: InstanceId = listens_at.unwrap().to_string().into();
+        let result = caller(SECRET).call(&called, PeerRequest::FetchHead, soon()).await;
+        assert!(matches!(result, Err(PeerError::Unreachable(_))), "{result:?}");
+        peer.wait_for_fault(ProofError::WrongAddress.name()).await;
+    });
+}
+
+/// A hello of this protocol with a version.
+fn hello(version: u16) -> Vec<u8> {
+    [b"cfgpeer\n".as_slice(), &version.to_be_bytes(), &[0; 68]].concat()
+}
+
+#[rstest]
+#[case::http(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n".repeat(8), "wrong-magic")]
+#[case::random(vec![0xa5; 4096], "wrong-magic")]
+#[case::unknown_version(hello(77), "unknown-version")]
+#[case::cut_short(hello(1)[..20].to_vec(), "broken")]
+#[case::for_nobody([hello(1), vec![1; 32]].concat(), "wrong-address")]
+fn a_strangers_bytes_end_its_connection_only(#[case] bytes: Vec<u8>, #[case] cause: &str) {
+    block_on(async {
+        let peer = TestPeer::start(|_| None);
+        let address: SocketAddr = peer.instance.parse().unwrap();
+        let stranger = std::thread::spawn(move || {
+            let mut stream = std::net::TcpStream::connect(address).unwrap();
+            let _ = stream.write_all(&bytes);
+            let _ = stream.shutdown(std::net::Shutdown::Write);
+            let mut answer = Vec::new();
+            let _ = stream.read_to_end(&mut answer);
+            answer
+        });
+        peer.wait_for_fault(cause).await;
+        let instance = peer.accept_all();
+        let result = caller(SECRET).call(&instance, PeerRequest::FetchHead, soon()).await;
+        assert_eq!(result, Ok(PeerReply::Accepted));
+        // A stranger gets nothing that was computed from the secret.
+        assert!(stranger.join().unwrap().is_empty());
+    });
+}
+
+#[test]
+fn a_message_that_is_too_large_is_not_sent() {
+    block_on(async {
+        let instance = TestPeer::start(|_| None).accept_all();
+        let name = "x".repeat(MESSAGE_BYTES_MAX).into();
+        let result = caller(SECRET).call(&instance, PeerRequest::AskAbout(name), soon()).await;
+        assert!(matches!(result, Err(PeerError::Invalid(WireError::TooLarge(_)))), "{result:?}");
+    });
+}
+
+#[test]
+fn a_message_with_a_wrong_value_is_refused_and_the_connection_lives_on() {
+    block_on(async {
+        let peer = TestPeer::start(|_| None);
+        let metrics = peer.metrics.clone();
+        let instance = peer.accept_all();
+        let caller = caller(SECRET);
+        let wrong = PeerRequest::AskAbout("not an address".into());
+        assert_eq!(caller.call(&instance, wrong, soon()).await, Err(PeerError::Unhandled));
+        let result = caller.call(&instance, PeerRequest::FetchHead, soon()).await;
+        assert_eq!(result, Ok(PeerReply::Accepted));
+        let text = String::from_utf8(metrics.encode()).unwrap();
+        assert!(text.contains("peer_faults_total{cause=\"invalid-message\"} 1"), "{text}");
+    });
+}
+
+#[test]
+fn giving_a_call_up_reaches_the_other_side() {
+    block_on(async {
+        let mut peer = TestPeer::start(|_| None);
+        let (caller, instance) = (caller(SECRET), peer.instance.clone());
+        let mut call = Box::pin(caller.call(&instance, PeerRequest::FetchHead, soon()));
+        let asked = monoio::select! {
+            asked = peer.next_call() => asked,
+            _ = &mut call => unreachable!("nobody answered"),
+        };
+        drop(call);
+        let mut reply = asked.reply;
+        let told = monoio::time::timeout(EVENTUALLY, reply.cancellation()).await;
+        assert!(told.is_ok(), "the other side never learned that the call was given up");
+    });
+}
+
+#[test]
+fn a_silent_connection_is_dropped_and_a_fresh_one_serves() {
+    block_on(async {
+        let mut proxy = None;
+        let mut peer = TestPeer::start(|target| {
+            let started = start_proxy(ANY_PORT.parse().unwrap(), target).unwrap();
+            let address = started.address;
+            proxy = Some(started);
+            Some(address)
+        });
+        let proxy = proxy.unwrap();
+        let (caller, instance) = (caller(SECRET), peer.instance.clone());
+        let mut waiting = Box::pin(caller.call(&instance, PeerRequest::FetchHead, soon()));
+        let asked = monoio::select! {
+            asked = peer.next_call() => asked,
+            _ = &mut waiting => unreachable!("nobody answered"),
+        };
+        proxy.control.order(&json!({"silence_existing": true})).unwrap();
+        let result = waiting.await;
+        assert!(matches!(result, Err(PeerError::Broken(_))), "{result:?}");
+        let mut lost_reply = asked.reply;
+        let fresh =
+            monoio::spawn(
+                async move { caller.call(&instance, PeerRequest::FetchHead, soon()).await },
+            );
+        peer.next_call().await.reply.send(PeerReply::Accepted).unwrap();
+        assert_eq!(fresh.await, Ok(PeerReply::Accepted));
+        // The fresh connection takes the place of the silent one at the other side, too.
+        let told = monoio::time::timeout(EVENTUALLY, lost_reply.cancellation()).await;
+        assert!(told.is_ok(), "a call on the silent connection was kept");
+    });
+}
+
+#[test]
+fn a_call_to_nobody_proves_that_it_was_not_seen() {
+    block_on(async {
+        let listener = std::net::TcpListener::bind(ANY_PORT).unwrap();
+        let nobody: InstanceId = listener.local_addr().unwrap().to_string().into();
+        drop(listener);
+        let result = caller(SECRET).call(&nobody, PeerRequest::FetchHead, soon()).await;
+        assert!(matches!(result, Err(PeerError::Unreachable(_))), "{result:?}");
+    });
+}
+
+#[test]
+fn connections_above_the_bound_are_closed() {
+    block_on(async {
+        let peer = TestPeer::start(|_| None);
+        let address: SocketAddr = peer.instance.parse().unwrap();
+        let held: Vec<_> = (0..9).map(|_| std::net::TcpStream::connect(address).unwrap()).collect();
+        let line = "coltsfootgate_connections_refused_total{side=\"peers\"} 1";
+        let counted = async {
+            while !String::from_utf8_lossy(&peer.metrics.encode()).contains(line) {
+                monoio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        monoio::time::timeout(EVENTUALLY, counted).await.expect(line);
+        drop(held);
+    });
+}
