--- a/coltsfootgate_standins/src/bin/standin-measure.rs
+++ b/coltsfootgate_standins/src/bin/standin-measure.rs
@@ -3,6 +3,7 @@
 use std::env;
 use std::io;
 use std::path::PathBuf;
+use std::process::ExitCode;
 
 use coltsfootgate_standins::measure::{self, LoadProfile, MeasureFault, MeasureSettings};
 use gumdrop::Options;
@@ -33,9 +34,11 @@
     seed: u64,
     #[options(help = "directory of the sample trees", no_short, default = "samples")]
     samples: PathBuf,
+    #[options(help = "fail if a target was missed", no_short)]
+    check: bool,
 }
 
-fn main() -> io::Result<()> {
+fn main() -> io::Result<ExitCode> {
     let options = MeasureOptions::parse_args_default_or_exit();
     let unknown = |name: &str| io::Error::other(format!("unknown name: {name}"));
     let binary = env::current_exe()?;
@@ -52,5 +55,7 @@
         binaries,
         samples: options.samples,
     };
-    measure::measure(&settings)
+    let is_met = measure::measure(&settings)?;
+    let code = if options.check && !is_met { ExitCode::FAILURE } else { ExitCode::SUCCESS };
+    Ok(code)
 }
--- a/coltsfootgate_standins/src/measure/mod.rs
+++ b/coltsfootgate_standins/src/measure/mod.rs
@@ -87,8 +87,8 @@
     }
 }
 
-/// Runs one measurement and prints its table and its result.
-pub fn measure(settings: &MeasureSettings) -> io::Result<()> {
+/// Runs one measurement, prints its table and its result and tells whether all targets were met.
+pub fn measure(settings: &MeasureSettings) -> io::Result<bool> {
     let mut bench = MeasureBench::start(settings)?;
     let mut load = bench.start_load(settings)?;
     let begun = Instant::now();
@@ -100,11 +100,8 @@
     let totals = bench.engine_totals();
     let executions = bench.executions();
     let decisions = bench.stop_daemons();
-    outcome::print(
-        settings,
-        &outcome::MeasureOutcome { report, window, totals, executions, used, decisions },
-    );
-    Ok(())
+    let outcome = outcome::MeasureOutcome { report, window, totals, executions, used, decisions };
+    Ok(outcome::print(settings, &outcome))
 }
 
 /// What the engines gave and could have given in the burst.
