Explain a request with the setting behind its reason and all values that held

The record alone names a branch; an auditor also needs the key, its value and the line. The tool reads the tree of the version that judged the request and traces the deciding key and the settings of class, customer and pool. A key that isn't inherited is traced to the branch that the request met.

--- a/coltsfootctl/src/commands/explain.rs
+++ b/coltsfootctl/src/commands/explain.rs
@@ -29,9 +29,10 @@
     values: Vec<BranchValues>,
 }
 
+/// The values that hold for one branch.
 #[derive(Debug)]
 #[derive(Serialize)]
-struct BranchValues {
+pub(crate) struct BranchValues {
     branch: BranchPath,
     values: Vec<TracedValue>,
 }
@@ -47,22 +48,26 @@
         writeln!(formatter, "customer  {}", name(&self.customer))?;
         write!(formatter, "pool      {}", name(&self.pool))?;
         for group in &self.values {
-            write!(formatter, "\n\n{}\n{}", group.branch, value_table(&group.values))?;
+            write!(formatter, "\n\n{group}")?;
         }
         Ok(())
     }
 }
 
-fn value_table(values: &[TracedValue]) -> String {
-    let row = |value: &TracedValue| {
-        let origin = match (&value.branch, value.line) {
-            (Some(branch), Some(line)) => format!("set by {branch}, line {line}"),
-            (Some(branch), None) => format!("set by {branch}"),
-            (None, _) => "default".into(),
+impl Display for BranchValues {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        let row = |value: &TracedValue| {
+            vec![format!("  {}", value.key), value.value.to_string(), value.origin()]
         };
-        vec![format!("  {}", value.key), value.value.to_string(), origin]
-    };
-    table(&values.iter().map(row).collect::<Vec<_>>())
+        let rows: Vec<_> = self.values.iter().map(row).collect();
+        write!(formatter, "{}\n{}", self.branch, table(&rows))
+    }
+}
+
+/// Traces the values of a branch, but for the digests of keys.
+pub(crate) fn branch_values(tree: &ConfigTree, branch: &BranchPath) -> BranchValues {
+    let values = tree.traces(branch).into_iter().filter(|value| &*value.key != "keys");
+    BranchValues { branch: branch.clone(), values: values.collect() }
 }
 
 pub(crate) async fn run(
@@ -100,16 +105,12 @@
     };
     let pool = pool.map(|pool| pool.id.clone());
     let branches = [Some(&class.id), customer.as_ref(), pool.as_ref()].into_iter().flatten();
-    let traced = |branch: &BranchPath| BranchValues {
-        branch: branch.clone(),
-        values: tree.traces(branch).into_iter().filter(|value| &*value.key != "keys").collect(),
-    };
     Ok(ExplainReport {
         tree: name,
         class: class.id.clone(),
         tier: class.tier.number(),
         repeatable: class.repeatable,
-        values: branches.map(traced).collect(),
+        values: branches.map(|branch| branch_values(tree, branch)).collect(),
         customer: customer.clone(),
         pool: pool.clone(),
     })
--- a/coltsfootctl/src/commands/request.rs
+++ b/coltsfootctl/src/commands/request.rs
@@ -3,34 +3,67 @@
 use std::fmt::{self, Display, Formatter};
 use std::net::SocketAddr;
 
+use coltsfootgate_config::{ConfigTree, RuleSubjects, TracedValue};
+use coltsfootgate_core::ids::{BranchPath, ConfigVersion};
+use coltsfootgate_core::reason::ErrorKind;
 use error_stack::Report;
 use futures_util::future::join_all;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use crate::commands::ToolContext;
+use crate::commands::explain::{BranchValues, branch_values};
+use crate::commands::source::stored_tree;
 use crate::error::{ToolError, ToolResult};
 use crate::platform::PlatformService;
 use crate::report::{CommandReport, table};
 use crate::tree_store::platform_error;
 
-/// The decision record of a request.
+/// The decision record of a request, with the settings that decided.
 #[derive(Debug)]
 #[derive(Serialize)]
 pub(crate) struct RequestReport {
     instance: SocketAddr,
     record: Value,
+    /// The setting behind the outcome.
+    rule: Option<TracedValue>,
+    /// All settings that held for the request.
+    values: Vec<BranchValues>,
+    /// Why the settings could not be read.
+    tree_error: Option<String>,
+}
+
+/// What the tool reads from a record; the rest is passed on as it is.
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
+#[serde(default)]
+struct DecisionFacts {
+    class: Option<BranchPath>,
+    customer: Option<BranchPath>,
+    pool: Option<BranchPath>,
+    reason: Option<String>,
+    config_version: Option<ConfigVersion>,
 }
 
 impl CommandReport for RequestReport {}
 
 impl Display for RequestReport {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
-        let mut rows = vec![vec!["instance".to_owned(), self.instance.to_string()]];
+        let mut rows = vec![vec!["asked".to_owned(), self.instance.to_string()]];
         if let Value::Object(fields) = &self.record {
             rows.extend(fields.iter().map(|(name, value)| vec![name.clone(), plain(value)]));
         }
-        formatter.write_str(&table(&rows))
+        formatter.write_str(&table(&rows))?;
+        if let Some(rule) = &self.rule {
+            write!(formatter, "\n\ndecided by {} = {}, {}", rule.key, rule.value, rule.origin())?;
+        }
+        for group in &self.values {
+            write!(formatter, "\n\n{group}")?;
+        }
+        if let Some(error) = &self.tree_error {
+            write!(formatter, "\n\nthe settings could not be read: {error}")?;
+        }
+        Ok(())
     }
 }
 
@@ -44,6 +77,22 @@
         let message = format!("--request-id: found {request_id:?}; allowed: a UUID");
         return Err(Report::new(ToolError::Usage(message)));
     }
+    let (instance, record) = find_record(context, request_id).await?;
+    let facts = DecisionFacts::deserialize(&record).unwrap_or_default();
+    let (tree, tree_error) = match read_tree(context, facts.config_version).await {
+        Ok(tree) => (Some(tree), None),
+        Err(error) => (None, Some(error.current_context().to_string())),
+    };
+    let rule = tree.as_ref().and_then(|tree| deciding_rule(tree, &facts));
+    let values = tree.map_or_else(Vec::new, |tree| {
+        let branches = [&facts.class, &facts.customer, &facts.pool].into_iter().flatten();
+        branches.map(|branch| branch_values(&tree, branch)).collect()
+    });
+    Ok(RequestReport { instance, record, rule, values, tree_error })
+}
+
+/// Asks all listed instances for the record, as any of them may have taken the request.
+async fn find_record(context: &ToolContext, request_id: &str) -> ToolResult<(SocketAddr, Value)> {
     let instances = context.platform()?.instances().await.map_err(platform_error)?;
     let client = context.instances();
     let asked = instances.iter().map(|instance| async {
@@ -53,7 +102,7 @@
     let mut silent = Vec::new();
     for (instance, answer) in join_all(asked).await {
         match answer {
-            Ok(Some(record)) => return Ok(RequestReport { instance, record }),
+            Ok(Some(record)) => return Ok((instance, record)),
             Ok(None) => {}
             Err(error) => silent.push(error.to_string()),
         }
@@ -64,3 +113,24 @@
     }
     Err(Report::new(ToolError::NotFound(message)))
 }
+
+async fn read_tree(
+    context: &ToolContext,
+    version: Option<ConfigVersion>,
+) -> ToolResult<ConfigTree> {
+    stored_tree(&context.store()?, version).await?.tree()
+}
+
+/// The setting behind a reason; for a request that was served, the one that gave it its tier.
+fn deciding_rule(tree: &ConfigTree, facts: &DecisionFacts) -> Option<TracedValue> {
+    let code = facts.reason.as_deref()?;
+    let kind = ErrorKind::ALL.iter().copied().find(|kind| kind.code() == code);
+    let subjects = RuleSubjects {
+        class: facts.class.as_deref(),
+        customer: facts.customer.as_deref(),
+        pool: facts.pool.as_deref(),
+    };
+    let rule = tree.rule(kind, subjects);
+    let subject = subjects.of(rule.tree).unwrap_or(&rule.branch);
+    tree.trace(subject, rule.key)
+}
--- a/coltsfootctl/tests/apply.rs
+++ b/coltsfootctl/tests/apply.rs
@@ -171,11 +171,14 @@
 
 #[test]
 fn a_request_is_explained_by_the_instance_that_has_its_record() {
-    let bench = ToolBench::new();
+    let bench = ToolBench::with_sample();
     let id = "00000000-0000-4000-8000-000000000001";
     bench.list(&[(FakeInstance::Follows.start(), "live")]);
     let explained = bench.json(&["explain", "--request-id", id], "");
-    assert_eq!(explained["record"]["reason"], "queue-full");
+    assert_eq!(explained["record"]["reason"], "rate-limited");
+    assert_eq!(explained["rule"]["value"], "20.0");
+    assert_eq!(explained["rule"]["branch"], "customers.partners");
+    assert_eq!(explained["values"][0]["branch"], "classes.reservations");
     let unknown = bench.run(&["explain", "--request-id", &id.replace('1', "2")], "");
     assert_eq!(code(&unknown), 7);
     assert_eq!(code(&bench.run(&["explain", "--request-id", "../x"], "")), 2);
--- a/coltsfootctl/tests/support/mod.rs
+++ b/coltsfootctl/tests/support/mod.rs
@@ -123,7 +123,9 @@
                 json!({ "version": version.load(Ordering::SeqCst), "root": "", "nonce": "" }),
             )
         } else if head.starts_with("GET /requests/00000000-0000-4000-8000-000000000001 ") {
-            ("200 OK", json!({ "reason": "queue-full", "rule": "classes" }))
+            let customer = "customers.partners.school-league";
+            let class = "classes.reservations";
+            ("200 OK", json!({ "reason": "rate-limited", "customer": customer, "class": class }))
         } else {
             ("404 Not Found", Value::Null)
         };
--- a/coltsfootgate_config/src/rule.rs
+++ b/coltsfootgate_config/src/rule.rs
@@ -20,25 +20,36 @@
 /// A setting that decided about a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DecisionRule {
-    /// The branch that set it; where none did and the default holds, the root of its tree.
+    /// The branch that set it. Where none did, the root of its tree if the default holds, or else
+    /// the branch that the request met.
     pub branch: BranchPath,
+    /// The tree that the key belongs to.
+    pub tree: TreeKind,
     /// The key.
     pub key: &'static str,
 }
 
+impl<'a> RuleSubjects<'a> {
+    /// The branch that a request met in one tree.
+    pub fn of(&self, tree: TreeKind) -> Option<&'a str> {
+        match tree {
+            TreeKind::Classes => self.class,
+            TreeKind::Customers => self.customer,
+            TreeKind::Pools => self.pool,
+            TreeKind::Deployment => None,
+        }
+    }
+}
+
 impl ConfigTree {
     /// The rule behind a refusal or, without a reason, behind a request that was served.
     pub fn rule(&self, reason: Option<ErrorKind>, subjects: RuleSubjects<'_>) -> DecisionRule {
-        let (kind, key) = reason.map_or((TreeKind::Classes, "tier"), deciding_key);
-        let subject = match kind {
-            TreeKind::Classes => subjects.class,
-            TreeKind::Customers => subjects.customer,
-            TreeKind::Pools => subjects.pool,
-            TreeKind::Deployment => None,
-        };
-        let subject = subject.unwrap_or(kind.name());
-        let branch = self.setting_branch(subject, key).unwrap_or_else(|| kind.name().into());
-        DecisionRule { branch, key }
+        let (tree, key) = reason.map_or((TreeKind::Classes, "tier"), deciding_key);
+        let subject = subjects.of(tree).unwrap_or(tree.name());
+        let is_inherited = tree.key(key).is_some_and(|spec| spec.inherited);
+        let unset = if is_inherited { tree.name() } else { subject };
+        let branch = self.setting_branch(subject, key).unwrap_or_else(|| unset.into());
+        DecisionRule { branch, tree, key }
     }
 }
 
--- a/coltsfootgate_config/src/trace.rs
+++ b/coltsfootgate_config/src/trace.rs
@@ -24,6 +24,17 @@
     pub line: Option<usize>,
 }
 
+impl TracedValue {
+    /// The origin in words.
+    pub fn origin(&self) -> String {
+        match (&self.branch, self.line) {
+            (Some(branch), Some(line)) => format!("set by {branch}, line {line}"),
+            (Some(branch), None) => format!("set by {branch}"),
+            (None, _) => "default".into(),
+        }
+    }
+}
+
 impl ConfigTree {
     /// The value of a key for a branch, with its origin.
     ///
--- a/coltsfootgate_config/tests/inheritance.rs
+++ b/coltsfootgate_config/tests/inheritance.rs
@@ -78,6 +78,7 @@
     served: None => "classes.reservations.refund", "tier";
     queue_full: Some(ErrorKind::QueueFull) => "classes", "queue_requests";
     rate: Some(ErrorKind::RateLimited) => "customers.partners", "rate";
+    no_endpoint: Some(ErrorKind::NoEndpoint) => "pools.reservations", "address";
     stalled: Some(ErrorKind::EndpointStalled) => "pools.reservations", "silence";
     claims_full: Some(ErrorKind::ClaimsFull) => "deployment", "claim_pages";
 }
