Find the engine's own batch by its first tokens

Cause: an engine that is given more requests than its batch queues them itself; the time between tokens stays the same, so slots grew to their maximum and first tokens came late.

--- a/coltsfootgate_core/src/owner/endpoint.rs
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -200,7 +200,7 @@
         // A plain service has no tokens; the time to its answer stands in for their pace.
         let pace = if target.is_some() { report.between_tokens } else { report.first_token };
         if let Some(pace) = pace {
-            endpoint.slots.measured(pace, target);
+            endpoint.slots.measured(pace, report.first_token, target);
         }
         match (pace, pool) {
             (Some(pace), Some(pool)) => endpoint.health.measured(pace, pool, now),
--- a/coltsfootgate_core/tests/owner_endpoints.rs
+++ b/coltsfootgate_core/tests/owner_endpoints.rs
@@ -103,19 +103,51 @@
 }
 
 #[rstest]
-#[case::fast_engine_gets_more(10, 16)]
-#[case::slow_engine_gets_fewer(60, 4)]
-fn slots_follow_the_time_between_tokens(#[case] millis: u64, #[case] slots: u32) {
+#[case::fast_engine_gets_more(10, 20, 16)]
+#[case::slow_engine_gets_fewer(60, 120, 4)]
+fn slots_follow_the_time_between_tokens(
+    #[case] between_tokens: u64,
+    #[case] first_token: u64,
+    #[case] slots: u32,
+) {
+    let mut driver = busy_driver();
+    for _ in 0..300 {
+        driver.release_at(
+            0,
+            Duration::from_millis(first_token),
+            Duration::from_millis(between_tokens),
+        );
+    }
+    assert_eq!(driver.snapshot().endpoints[0].slots, slots);
+}
+
+#[test]
+fn slots_stay_at_what_the_engine_runs_at_once() {
+    const BATCH: u32 = 10;
+    let mut driver = busy_driver();
+    let mut counts = Vec::new();
+    for _ in 0..1000 {
+        let slots = driver.snapshot().endpoints[0].slots;
+        counts.push(slots);
+        // A request beyond the batch waits until one of the others ends.
+        let first_token = if slots > BATCH { 120 } else { 15 };
+        driver.release_at(0, Duration::from_millis(first_token), USUAL);
+    }
+    assert_eq!(counts.iter().max(), Some(&(BATCH + 1)));
+    let beyond = counts.iter().filter(|slots| **slots > BATCH).count();
+    assert!(beyond < 100, "{beyond} of 1000 answers with a slot too many");
+    assert!(counts[900..].iter().all(|slots| *slots >= BATCH - 1));
+}
+
+/// An owner of one endpoint of eight slots, with many requests waiting.
+fn busy_driver() -> OwnerDriver {
     let mut driver = OwnerDriver::new(1, 8);
-    for grant in 0..400 {
+    for grant in 0..1100 {
         let mut request = ask(grant, 3);
-        request.queue_requests = 1000;
+        request.queue_requests = 2000;
         driver.ask(request);
     }
-    for _ in 0..300 {
-        driver.release(0, ReleaseResult::Completed, Duration::from_millis(millis));
-    }
-    assert_eq!(driver.snapshot().endpoints[0].slots, slots);
+    driver
 }
 
 #[test]
--- a/coltsfootgate_core/tests/support/mod.rs
+++ b/coltsfootgate_core/tests/support/mod.rs
@@ -144,6 +144,21 @@
         index: usize,
         result: ReleaseResult,
         between_tokens: Duration,
+    ) -> Vec<OwnerAction> {
+        self.release_with(index, result, between_tokens, between_tokens)
+    }
+
+    /// Releases one of the held grants after a whole answer of a given pace.
+    pub fn release_at(&mut self, index: usize, first_token: Duration, between_tokens: Duration) {
+        self.release_with(index, ReleaseResult::Completed, first_token, between_tokens);
+    }
+
+    fn release_with(
+        &mut self,
+        index: usize,
+        result: ReleaseResult,
+        first_token: Duration,
+        between_tokens: Duration,
     ) -> Vec<OwnerAction> {
         let (asker, grant, endpoint) = self.held.remove(index);
         self.event(OwnerEvent::Release(ReleaseReport {
@@ -151,7 +166,7 @@
             grant,
             endpoint,
             tokens: 10,
-            first_token: Some(between_tokens),
+            first_token: Some(first_token),
             between_tokens: Some(between_tokens),
             result,
         }))
