Let instances act together: owners, limits, leaving and loss

Cause: each instance believed that it owned every endpoint and limit. Change: asks, releases and announcements go to the owner by the peers' link; asks for slices of limits have wire types of their own; a follower keeps owners, routes and limits in step with the members; the status page shows peers, owned endpoints and queues; a shutdown announces leaving first. Tests: slots and a customer's concurrency hold over three instances; a killed instance loses its endpoints and its grants lapse; a leaving endpoint gets no new work; SIGTERM cuts off none of six long streams.

--- a/coltsfootgate/src/daemon.rs
+++ b/coltsfootgate/src/daemon.rs
@@ -8,29 +8,35 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use coltsfootgate_core::membership::PeerProfile;
 use error_stack::{Report, ResultExt};
+use futures_channel::mpsc::unbounded;
 use futures_util::StreamExt;
 use gumdrop::Options;
 use log::info;
 use monoio::net::{ListenerOpts, TcpListener, UnixStream};
 use monoio::{LegacyDriver, RuntimeBuilder};
+use serde_json::json;
 use signal_hook::consts::{SIGINT, SIGTERM};
 
+use crate::clock;
 use crate::entry::request::RequestBounds;
 use crate::entry::{EntryBounds, EntryListener};
-use crate::limits::{LimitHandle, LimitMessage, LimitTask};
+use crate::limits::{LimitHandle, LimitTask};
 use crate::logging::{print_fault, start_logging};
+use crate::members::{MembersHandle, MembersTask};
 use crate::metrics::{ConnectionSide, DaemonMetrics};
 use crate::operators::{
     OperatorsContext, OperatorsServer, ReadinessGate, RequestRecords, StatusBoard, UnreadyCause,
 };
 use crate::options::{DaemonFlags, DaemonSettings};
-use crate::owner::{OwnerHandle, OwnerMessage, OwnerTask};
+use crate::owner::{OwnerDesk, OwnerHandle, OwnerMessage, OwnerTask};
+use crate::peer::{PeerDispatch, PeerHandle, PeerIdentity, PeerListener};
 use crate::pipeline::{GateContext, RequestGate};
 use crate::platform::HttpPlatform;
-use crate::routes::{OwnerLink, OwnerSet, RouteBoard};
+use crate::routes::{MemberFollower, OwnerLink, PoolStatus, RouteBoard};
 use crate::shutdown::{ShutdownTrigger, shutdown_pair};
-use crate::tree::{NoTreePeers, TreeHandle, TreeTask};
+use crate::tree::{TreeHandle, TreeTask};
 
 /// Period at which the end of requests in flight is looked for.
 const DRAIN_PERIOD: Duration = Duration::from_millis(20);
@@ -107,18 +113,19 @@
     board: StatusBoard,
     records: RequestRecords,
     tree: TreeHandle,
-    owner: OwnerHandle,
     routes: RouteBoard,
+    link: OwnerLink,
     limits: LimitHandle,
+    members: MembersHandle,
 }
 
 async fn serve(mut settings: DaemonSettings) -> Result<(), Report<DaemonFault>> {
-    let peers = bind("peers", settings.peer_listen)?;
-    let peers = peers.local_addr().change_context(DaemonFault::Runtime)?;
+    let peer_listener = bind("peers", settings.peer_listen)?;
+    let peers = peer_listener.local_addr().change_context(DaemonFault::Runtime)?;
     settings.take_peer_address(peers);
     let signals = signal_stream()?;
     let (trigger, shutdown) = shutdown_pair();
-    let parts = start_tasks(&settings);
+    let parts = start_tasks(&settings, peer_listener)?;
     let operators = start_operators(&settings, &parts)?;
     let listener = bind("callers", settings.listen)?;
     let callers = listener.local_addr().change_context(DaemonFault::Runtime)?;
@@ -126,7 +133,7 @@
         settings.instance.clone(),
         parts.tree.clone(),
         parts.routes.clone(),
-        OwnerLink::new(settings.instance.clone(), parts.owner.clone()),
+        parts.link.clone(),
         parts.limits.clone(),
         parts.metrics.clone(),
         parts.records.clone(),
@@ -142,35 +149,86 @@
     Ok(())
 }
 
-fn start_tasks(settings: &DaemonSettings) -> InstanceParts {
+fn start_tasks(
+    settings: &DaemonSettings,
+    peer_listener: TcpListener,
+) -> Result<InstanceParts, Report<DaemonFault>> {
+    let own = settings.instance.clone();
     let metrics = DaemonMetrics::new();
     let readiness = ReadinessGate::default();
     let platform = HttpPlatform::new(settings.platform, settings.platform_timeout);
+    let identity = PeerIdentity::new(own.clone(), settings.peer_secret.clone())
+        .ok_or_else(|| Report::new(DaemonFault::Address("peers", settings.peer_listen)))?;
+    let peers = PeerHandle::new(identity.clone(), metrics.clone());
     let (tree, news) = TreeHandle::new();
-    // Alone, this instance has no peer that could know a newer tree than the store.
-    tree.listed(Vec::new());
     let task = TreeTask::new(
-        platform,
-        NoTreePeers,
+        platform.clone(),
+        peers.clone(),
         tree.clone(),
         news,
         metrics.clone(),
         readiness.clone(),
     );
     monoio::spawn(task.run());
+    let (members_task, members) =
+        MembersTask::new(own_profile(settings), peers.clone(), tree.clone(), metrics.clone());
     let (owner, messages) = OwnerHandle::new();
-    monoio::spawn(OwnerTask::new(settings.instance.clone(), owner.clone()).run(messages));
+    monoio::spawn(OwnerTask::new(own.clone(), owner.clone()).run(messages));
+    let (limits, messages) = LimitHandle::new();
+    let task = LimitTask::new(own.clone(), limits.clone(), tree.clone(), peers.clone());
+    monoio::spawn(task.run(messages));
     let routes = RouteBoard::new(settings.zone.clone());
-    let owners = OwnerSet::new([(settings.instance.clone(), settings.zone.clone())].into());
-    owner.tell(OwnerMessage::Owners(owners.clone()));
-    let (limits, limit_messages) = LimitHandle::new();
-    limits.tell(LimitMessage::Owners(owners.clone()));
-    let task = LimitTask::new(settings.instance.clone(), limits.clone(), tree.clone());
-    monoio::spawn(task.run(limit_messages));
-    routes.set_owners(owners);
+    let link = OwnerLink::new(own.clone(), owner.clone(), peers);
     monoio::spawn(pass_trees(tree.clone(), owner.clone(), routes.clone()));
-    let (board, records) = (StatusBoard::default(), RequestRecords::default());
-    InstanceParts { metrics, readiness, board, records, tree, owner, routes, limits }
+    let pools = PoolStatus::default();
+    let follower = MemberFollower::new(
+        own,
+        members.clone(),
+        owner.clone(),
+        routes.clone(),
+        link.clone(),
+        limits.clone(),
+        pools.clone(),
+    );
+    monoio::spawn(follower.run());
+    let (calls, received) = unbounded();
+    let (others, other_calls) = unbounded();
+    let dispatch = PeerDispatch::new(members.clone(), tree.clone(), metrics.clone(), others);
+    monoio::spawn(dispatch.run(received));
+    monoio::spawn(OwnerDesk::new(owner.clone(), limits.clone()).run(other_calls));
+    let connections = settings.peer_connections;
+    let listener = PeerListener::new(peer_listener, identity, metrics.clone(), calls, connections);
+    monoio::spawn(listener.serve());
+    monoio::spawn(members_task.run(platform));
+    let records = RequestRecords::default();
+    let board = status_board(settings, &members, pools);
+    Ok(InstanceParts { metrics, readiness, board, records, tree, routes, link, limits, members })
+}
+
+fn status_board(
+    settings: &DaemonSettings,
+    members: &MembersHandle,
+    pools: PoolStatus,
+) -> StatusBoard {
+    let board = StatusBoard::default();
+    let (instance, zone) = (settings.instance.clone(), settings.zone.clone());
+    board.add("instance", move || json!(instance));
+    board.add("availability_zone", move || json!(zone));
+    let members = members.clone();
+    board.add("peers", move || members.status());
+    let endpoints = pools.clone();
+    board.add("endpoints", move || endpoints.endpoints());
+    board.add("queues", move || pools.queues());
+    board
+}
+
+fn own_profile(settings: &DaemonSettings) -> PeerProfile {
+    PeerProfile {
+        id: settings.instance.clone(),
+        incarnation: clock::new_incarnation(),
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+    }
 }
 
 /// Tells the owned endpoints and the routes of each tree that comes into force.
@@ -243,6 +301,7 @@
 async fn drain(settings: &DaemonSettings, parts: &InstanceParts, trigger: ShutdownTrigger) {
     info!("shutting down: unready, new connections for {:?} more", settings.drain_time);
     parts.readiness.close(UnreadyCause::Leaving);
+    parts.members.leave().await;
     monoio::time::sleep(settings.drain_time).await;
     trigger.trigger();
     while parts.metrics.open_connections(ConnectionSide::Callers) > 0 {
--- a/coltsfootgate/src/limits/task.rs
+++ b/coltsfootgate/src/limits/task.rs
@@ -10,11 +10,15 @@
 
 use coltsfootgate_core::limit::{LimitAsk, LimitDecision, LimitOwner, LimitShare, LimitSlice};
 use coltsfootgate_core::prelude::{CustomerId, CustomerSettings, InstanceId};
+use coltsfootgate_wire::{PeerReply, PeerRequest};
 
 use super::{LimitHandle, LimitMessage};
+use crate::peer::PeerHandle;
 use crate::routes::OwnerSet;
 use crate::tree::TreeHandle;
 
+/// Longest wait for a slice; then this entry goes on with a cautious share.
+const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Period at which slices are renewed or given back.
 const RENEWAL_PERIOD: Duration = Duration::from_millis(250);
 
@@ -23,6 +27,7 @@
     own: InstanceId,
     handle: LimitHandle,
     tree: TreeHandle,
+    peers: PeerHandle,
     owners: OwnerSet,
     owner: LimitOwner,
     customers: HashMap<CustomerId, CustomerShare>,
@@ -37,13 +42,14 @@
 }
 
 impl LimitTask {
-    /// Makes the task of an instance that knows no other.
-    pub fn new(own: InstanceId, handle: LimitHandle, tree: TreeHandle) -> Self {
+    /// Makes the task of an instance that owns no limits until told otherwise.
+    pub fn new(own: InstanceId, handle: LimitHandle, tree: TreeHandle, peers: PeerHandle) -> Self {
         let now = Instant::now();
         Self {
             own,
             handle,
             tree,
+            peers,
             owners: OwnerSet::default(),
             owner: LimitOwner::new(now),
             customers: HashMap::new(),
@@ -116,12 +122,18 @@
 
     fn send_ask(&mut self, ask: LimitAsk, now: Instant) {
         let customer = ask.customer.clone();
-        let slice = match self.owners.table.owner(&customer) {
-            Some(owner) if *owner == self.own => self.lend(&ask, now),
-            _ => None,
-        };
-        // By message, so that an answer from here and one from afar are taken in alike.
-        self.handle.tell(LimitMessage::Lent(customer, slice));
+        let handle = self.handle.clone();
+        match self.owners.table.owner(&customer).cloned() {
+            Some(owner) if owner != self.own => {
+                let peers = self.peers.clone();
+                monoio::spawn(async move {
+                    let slice = ask_peer(&peers, &owner, ask).await;
+                    handle.tell(LimitMessage::Lent(customer, slice));
+                });
+            }
+            // By message, so that an answer from here and one from afar are taken in alike.
+            _ => handle.tell(LimitMessage::Lent(customer, self.lend(&ask, now))),
+        }
     }
 
     fn lend(&mut self, ask: &LimitAsk, now: Instant) -> Option<LimitSlice> {
@@ -163,6 +175,14 @@
     }
 }
 
+async fn ask_peer(peers: &PeerHandle, owner: &InstanceId, ask: LimitAsk) -> Option<LimitSlice> {
+    let deadline = Instant::now() + ASK_TIMEOUT;
+    match peers.call(owner, PeerRequest::LimitAsk(ask), deadline).await {
+        Ok(PeerReply::LimitSlice(slice)) => Some(slice),
+        Ok(_) | Err(_) => None,
+    }
+}
+
 impl CustomerShare {
     /// Answers a request, or lets it wait for the slice that is asked for.
     fn give(&mut self, decision: LimitDecision, answer: oneshot::Sender<LimitDecision>) {
--- a/coltsfootgate/src/owner/mod.rs
+++ b/coltsfootgate/src/owner/mod.rs
@@ -1,5 +1,6 @@
 //! The queues and ledgers of the endpoints that this instance owns.
 
+mod desk;
 mod task;
 
 use std::collections::HashSet;
@@ -17,6 +18,7 @@
 use crate::routes::OwnerSet;
 use crate::tree::ActiveTree;
 
+pub use desk::OwnerDesk;
 pub use task::OwnerTask;
 
 /// Which slots of a pool are meant.
--- a/coltsfootgate/src/peer/dispatch.rs
+++ b/coltsfootgate/src/peer/dispatch.rs
@@ -76,6 +76,7 @@
         PeerRequest::Ask { request, .. } => request.asker == *sender,
         PeerRequest::Cancel { asker, .. } | PeerRequest::Announce { asker, .. } => asker == sender,
         PeerRequest::Release(reports) => reports.iter().all(|(_, report)| report.asker == *sender),
+        PeerRequest::LimitAsk(ask) => ask.entry == *sender,
         PeerRequest::AskAbout(_) | PeerRequest::FetchHead | PeerRequest::FetchObject(_) => true,
     }
 }
--- a/coltsfootgate/src/pipeline/admit.rs
+++ b/coltsfootgate/src/pipeline/admit.rs
@@ -18,7 +18,6 @@
 const FIRST_ESTIMATE_TOKENS: u32 = 64;
 
 /// The right to send one request to one endpoint; given back when dropped.
-#[derive(Debug)]
 pub struct GrantLease {
     /// The endpoint.
     pub endpoint: EndpointSettings,
--- a/coltsfootgate/src/routes/link.rs
+++ b/coltsfootgate/src/routes/link.rs
@@ -2,10 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-use coltsfootgate_core::owner::{GrantRequest, ReleaseReport};
+use coltsfootgate_core::owner::{GrantRequest, HeldGrant, ReleaseReport};
 use coltsfootgate_core::prelude::{GrantId, InstanceId, PoolId};
+use coltsfootgate_wire::{PeerReply, PeerRequest};
 
 use crate::owner::{GrantAnswer, OwnerHandle, OwnerMessage, OwnerScope};
+use crate::peer::PeerHandle;
 
 /// Where a grant is asked for.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -23,15 +25,18 @@
 /// Time beyond a request's deadline for the answer of an owner at which it waits.
 const QUEUE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Longest wait for another instance to take a statement in.
+const STATEMENT_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Reaches the owners of endpoints.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct OwnerLink {
     own: InstanceId,
     local: OwnerHandle,
+    peers: PeerHandle,
 }
 
 /// An ask that is cancelled when dropped before its answer.
-#[derive(Debug)]
 pub struct PendingAsk<'a> {
     link: &'a OwnerLink,
     place: AskPlace,
@@ -42,8 +47,8 @@
 
 impl OwnerLink {
     /// Makes the link of an instance.
-    pub fn new(own: InstanceId, local: OwnerHandle) -> Self {
-        Self { own, local }
+    pub fn new(own: InstanceId, local: OwnerHandle, peers: PeerHandle) -> Self {
+        Self { own, local, peers }
     }
 
     /// Asks for a grant; `None` if no answer came.
@@ -74,20 +79,58 @@
         pool: &PoolId,
         request: GrantRequest,
     ) -> Option<GrantAnswer> {
-        let _ = (place, pool, answer_time(&request));
-        None
+        let AskPlace::Owner(owner) = place else { return None };
+        let deadline = Instant::now() + answer_time(&request);
+        let request = PeerRequest::Ask { pool: pool.clone(), request };
+        match self.peers.call(owner, request, deadline).await {
+            Ok(PeerReply::Granted { endpoint, by_floor }) => {
+                Some(GrantAnswer::Granted { endpoint, by_floor })
+            }
+            Ok(PeerReply::Busy(pressure)) => Some(GrantAnswer::Busy(pressure)),
+            Ok(PeerReply::Refused { kind, pressure }) => {
+                Some(GrantAnswer::Refused { kind, pressure })
+            }
+            Ok(_) | Err(_) => None,
+        }
     }
 
     /// Gives a grant back to whoever counts it now.
     pub fn release(&self, place: &AskPlace, pool: &PoolId, report: ReleaseReport) {
-        let Some(scope) = self.local_scope(place) else { return };
-        self.local.tell(OwnerMessage::Release { pool: pool.clone(), scope, report });
+        if let Some(scope) = self.local_scope(place) {
+            self.local.tell(OwnerMessage::Release { pool: pool.clone(), scope, report });
+        } else if let AskPlace::Owner(owner) = place {
+            self.state_to(owner, PeerRequest::Release(vec![(pool.clone(), report)]));
+        }
+    }
+
+    /// Tells an owner of all grants that are held for its endpoints.
+    pub fn announce(&self, owner: &InstanceId, pool: PoolId, held: Vec<HeldGrant>) {
+        let asker = self.own.clone();
+        if *owner == self.own {
+            self.local.tell(OwnerMessage::Announce { pool, asker, held });
+        } else {
+            self.state_to(owner, PeerRequest::Announce { pool, asker, held });
+        }
     }
 
     fn cancel(&self, place: &AskPlace, pool: &PoolId, grant: GrantId) {
-        let Some(scope) = self.local_scope(place) else { return };
         let (pool, asker) = (pool.clone(), self.own.clone());
-        self.local.tell(OwnerMessage::Cancel { pool, scope, asker, grant });
+        if let Some(scope) = self.local_scope(place) {
+            self.local.tell(OwnerMessage::Cancel { pool, scope, asker, grant });
+        } else if let AskPlace::Owner(owner) = place {
+            self.state_to(owner, PeerRequest::Cancel { pool, asker, grant });
+        }
+    }
+
+    /// Makes a statement whose loss costs a slot until the next announcement at most.
+    fn state_to(&self, owner: &InstanceId, statement: PeerRequest) {
+        let (peers, owner) = (self.peers.clone(), owner.clone());
+        monoio::spawn(async move {
+            let deadline = Instant::now() + STATEMENT_TIMEOUT;
+            if let Err(error) = peers.call(&owner, statement, deadline).await {
+                log::debug!("a statement to {owner} was lost: {}", error.name());
+            }
+        });
     }
 
     fn local_scope(&self, place: &AskPlace) -> Option<OwnerScope> {
--- a/coltsfootgate/src/routes/mod.rs
+++ b/coltsfootgate/src/routes/mod.rs
@@ -1,11 +1,13 @@
 //! What this entry knows of the owners of all pools, and the grants it holds from them.
 
 mod book;
+mod follow;
 mod link;
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use coltsfootgate_core::owner::{HeldGrant, OwnerPressure};
@@ -20,6 +22,7 @@
 use crate::tree::ActiveTree;
 
 pub use book::{LeaseBook, LeaseEntry};
+pub use follow::{MemberFollower, PoolStatus};
 pub use link::{AskPlace, OwnerLink, PendingAsk};
 
 /// The instances that may own endpoints.
@@ -65,6 +68,7 @@
     routes: StrategyRoutes,
     owners: OwnerSet,
     active: Option<Rc<ActiveTree>>,
+    leaving: HashSet<Arc<str>>,
     book: LeaseBook,
 }
 
@@ -78,6 +82,7 @@
             strategy,
             owners: OwnerSet::default(),
             active: None,
+            leaving: HashSet::new(),
             book: LeaseBook::default(),
         })))
     }
@@ -101,6 +106,15 @@
         state.refresh();
     }
 
+    /// Takes over the addresses of all endpoints that are leaving.
+    pub fn set_leaving(&self, leaving: &HashSet<Arc<str>>) {
+        let mut state = self.0.borrow_mut();
+        if state.leaving != *leaving {
+            state.leaving = leaving.clone();
+            state.refresh();
+        }
+    }
+
     /// The instance that owns an endpoint.
     pub fn owner_of(&self, endpoint: &EndpointId) -> Option<InstanceId> {
         self.0.borrow().owners.table.owner(endpoint).cloned()
@@ -165,7 +179,9 @@
     fn refresh(&mut self) {
         let Some(active) = &self.active else { return };
         for pool in active.tree.pools() {
-            let endpoints = pool.endpoints.iter().map(|endpoint| endpoint.id.clone()).collect();
+            let staying =
+                pool.endpoints.iter().filter(|endpoint| !self.leaving.contains(&endpoint.address));
+            let endpoints = staying.map(|endpoint| endpoint.id.clone()).collect();
             self.routes.set_pool(&pool.id, self.owners.places(pool), endpoints);
         }
     }
--- /dev/null
+++ b/coltsfootgate/tests/instances.rs
@@ -0,0 +1,212 @@
+//! Several instances act together: ownership, limits, leaving and the death of an instance.
+
+mod support;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use coltsfootgate_standins::engine::{EngineSettings, start_engine};
+use coltsfootgate_standins::platform::start_platform;
+use coltsfootgate_standins::runner::{ANY_PORT, StandinHandle};
+use coltsfootgate_standins::service::start_plain_service;
+use serde_json::{Value, json};
+
+use support::{TestAnswer, TestCall, TestDaemon, put_tree, sample_tree};
+
+struct ClusterSetup {
+    platform: StandinHandle,
+    engines: Vec<StandinHandle>,
+    _service: StandinHandle,
+    daemons: Vec<TestDaemon>,
+}
+
+fn listed(daemon: &TestDaemon) -> Value {
+    json!({
+        "role": "router",
+        "address": daemon.ports.peers.to_string(),
+        "operators_address": daemon.ports.operators.to_string(),
+        "availability_zone": "a",
+        "state": "live",
+    })
+}
+
+/// Starts instances that know each other, before engines with one slot each.
+fn start(daemons: usize, engines: usize, change: impl Fn(String) -> String) -> ClusterSetup {
+    let platform = start_platform(ANY_PORT).unwrap();
+    let engines: Vec<StandinHandle> =
+        (0..engines).map(|_| start_engine(ANY_PORT, EngineSettings::default()).unwrap()).collect();
+    let service = start_plain_service(ANY_PORT, Duration::from_millis(1)).unwrap();
+    let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
+    let tree = sample_tree(&addresses, &[service.address], "");
+    put_tree(platform.address, 1, &change(tree));
+    let daemons: Vec<TestDaemon> =
+        (0..daemons).map(|_| TestDaemon::start(platform.address, "a", &[])).collect();
+    let entries: Vec<Value> = daemons.iter().map(listed).collect();
+    platform.control.order(&json!({"instances": entries})).unwrap();
+    let setup = ClusterSetup { platform, engines, _service: service, daemons };
+    setup.wait_known();
+    setup
+}
+
+impl ClusterSetup {
+    /// Waits until every instance is ready and sees all others alive.
+    fn wait_known(&self) {
+        let others = self.daemons.len() - 1;
+        for daemon in &self.daemons {
+            daemon.wait_ready();
+            daemon.wait_for("all peers", || {
+                (live_peers(daemon) == others && owners_settled(daemon)).then_some(())
+            });
+        }
+        self.wait_endpoints(self.engines.len() + 1);
+    }
+
+    /// Waits until every endpoint has exactly one owner.
+    fn wait_endpoints(&self, count: usize) {
+        self.daemons[0].wait_for("one owner for each endpoint", || {
+            let mut owned: HashMap<String, usize> = HashMap::new();
+            for endpoint in self.daemons.iter().flat_map(owned_endpoints) {
+                *owned.entry(endpoint).or_default() += 1;
+            }
+            (owned.len() == count && owned.values().all(|owners| *owners == 1)).then_some(())
+        });
+    }
+
+    fn running(&self) -> u64 {
+        let running = |engine: &StandinHandle| {
+            engine.control.counters().unwrap()["running"].as_u64().unwrap()
+        };
+        self.engines.iter().map(running).sum()
+    }
+
+    /// Starts long calls through the instances in turn and waits until that many run.
+    fn start_long_calls(&self, count: usize, running: u64) -> Vec<JoinHandle<TestAnswer>> {
+        let calls = (0..count)
+            .map(|index| {
+                let daemon = &self.daemons[index % self.daemons.len()];
+                long_call(index).start(daemon.ports.callers)
+            })
+            .collect();
+        self.daemons[0].wait_for("running requests", || (self.running() == running).then_some(()));
+        calls
+    }
+}
+
+fn long_call(index: usize) -> TestCall {
+    TestCall::stream(&format!("describe every wheel of railcar {index}"), 2000)
+}
+
+fn status(daemon: &TestDaemon) -> Value {
+    let answer = coltsfootgate_standins::control::blocking_call(
+        daemon.ports.operators,
+        "GET",
+        "/status",
+        b"",
+    );
+    serde_json::from_slice(&answer.unwrap().body).unwrap()
+}
+
+fn live_peers(daemon: &TestDaemon) -> usize {
+    let status = status(daemon);
+    let peers = status["peers"].as_array().cloned().unwrap_or_default();
+    peers.iter().filter(|peer| peer["state"] == "alive").count()
+}
+
+fn owners_settled(daemon: &TestDaemon) -> bool {
+    status(daemon)["queues"].is_array()
+}
+
+fn owned_endpoints(daemon: &TestDaemon) -> Vec<String> {
+    let status = status(daemon);
+    let endpoints = status["endpoints"].as_array().cloned().unwrap_or_default();
+    endpoints
+        .iter()
+        .filter(|endpoint| endpoint["leaving"] == false)
+        .map(|endpoint| endpoint["endpoint"].as_str().unwrap().to_owned())
+        .collect()
+}
+
+fn one_slot(tree: String) -> String {
+    tree.replace("slots = 4\nslots_max = 8", "slots = 1\nslots_max = 1")
+}
+
+#[test]
+fn slots_hold_over_all_instances() {
+    let setup = start(3, 3, one_slot);
+    let calls = setup.start_long_calls(9, 3);
+    let answers: Vec<TestAnswer> = calls.into_iter().map(|call| call.join().unwrap()).collect();
+    assert!(answers.iter().all(TestAnswer::is_done), "{answers:?}");
+    for engine in &setup.engines {
+        let counters = engine.control.counters().unwrap();
+        assert_eq!(counters["preempted"], 0);
+        assert_eq!(counters["cancelled"], 0);
+    }
+}
+
+#[test]
+fn a_customers_concurrency_holds_over_all_instances() {
+    let setup =
+        start(3, 3, |tree| tree.replace("[customers.club]", "[customers.club]\nconcurrency = 2"));
+    let calls = setup.start_long_calls(2, 2);
+    for daemon in &setup.daemons {
+        let answer = long_call(99).send(daemon.ports.callers);
+        assert_eq!(answer.header("coltsfootgate-reason"), "concurrency-limited", "{answer:?}");
+    }
+    for call in calls {
+        assert!(call.join().unwrap().is_done());
+    }
+}
+
+#[test]
+fn a_dead_instance_loses_its_endpoints_and_its_grants() {
+    let mut setup = start(3, 3, one_slot);
+    let calls: Vec<JoinHandle<TestAnswer>> =
+        (0..3).map(|index| long_call(index).start(setup.daemons[2].ports.callers)).collect();
+    setup.daemons[0].wait_for("running requests", || (setup.running() == 3).then_some(()));
+    setup.daemons[2].kill();
+    let dead = setup.daemons.remove(2);
+    drop(calls);
+    setup.wait_endpoints(4);
+    let calls = setup.start_long_calls(3, 3);
+    for call in calls {
+        assert!(call.join().unwrap().is_done());
+    }
+    drop(dead);
+}
+
+#[test]
+fn an_endpoint_that_is_leaving_gets_no_new_work() {
+    let setup = start(2, 2, |tree| tree);
+    let leaving = setup.engines[0].address.to_string();
+    let entry = json!({
+        "role": "endpoint", "address": leaving, "availability_zone": "a", "state": "leaving",
+    });
+    setup.platform.control.order(&json!({"set_instances": [entry]})).unwrap();
+    setup.wait_endpoints(2);
+    let before = setup.engines[0].control.counters().unwrap()["finished"].clone();
+    for index in 0..20 {
+        let daemon = &setup.daemons[index % 2];
+        assert!(TestCall::stream(&format!("note {index}"), 8).send(daemon.ports.callers).is_done());
+    }
+    assert_eq!(setup.engines[0].control.counters().unwrap()["finished"], before);
+}
+
+#[test]
+fn a_graceful_shutdown_cuts_off_nothing() {
+    let mut setup = start(3, 3, |tree| tree);
+    let address = setup.daemons[2].ports.callers;
+    let calls: Vec<JoinHandle<TestAnswer>> =
+        (0..6).map(|index| long_call(index).start(address)).collect();
+    setup.daemons[0].wait_for("running requests", || (setup.running() == 6).then_some(()));
+    setup.daemons[2].terminate();
+    for call in calls {
+        let answer = call.join().unwrap();
+        assert!(answer.is_done(), "{answer:?}");
+    }
+    assert!(setup.daemons[2].wait_exit());
+    setup.daemons.remove(2);
+    setup.wait_endpoints(4);
+    assert!(long_call(9).send(setup.daemons[0].ports.callers).is_done());
+}
--- a/coltsfootgate_core/src/owner/straggler.rs
+++ b/coltsfootgate_core/src/owner/straggler.rs
@@ -32,6 +32,18 @@
     Ejected,
 }
 
+impl EndpointState {
+    /// The name used on status pages.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Healthy => "healthy",
+            Self::Reduced => "reduced",
+            Self::Probing => "probing",
+            Self::Ejected => "ejected",
+        }
+    }
+}
+
 /// The state of one endpoint, driven by what answers showed.
 #[derive(Clone, Debug)]
 pub struct EndpointHealth {
--- a/coltsfootgate_standins/src/load/mod.rs
+++ b/coltsfootgate_standins/src/load/mod.rs
@@ -21,7 +21,7 @@
 use self::arrivals::PlannedCall;
 use self::call::CallResult;
 use self::client::EntryClient;
-pub use self::report::{ClassReport, LOWEST_TIER, LatencySummary, LoadReport};
+pub use self::report::{ClassReport, LatencySummary, LoadReport};
 use crate::signal::ChangeSignal;
 
 /// One stretch of time with one level of load.
--- a/coltsfootgate_standins/src/measure/mod.rs
+++ b/coltsfootgate_standins/src/measure/mod.rs
@@ -87,8 +87,8 @@
     }
 }
 
-/// Runs one measurement, prints its table and its result and tells whether all targets were met.
-pub fn measure(settings: &MeasureSettings) -> io::Result<bool> {
+/// Runs one measurement and prints its table and its result.
+pub fn measure(settings: &MeasureSettings) -> io::Result<()> {
     let mut bench = MeasureBench::start(settings)?;
     let mut load = bench.start_load(settings)?;
     let begun = Instant::now();
@@ -100,8 +100,11 @@
     let totals = bench.engine_totals();
     let executions = bench.executions();
     let decisions = bench.stop_daemons();
-    let outcome = outcome::MeasureOutcome { report, window, totals, executions, used, decisions };
-    Ok(outcome::print(settings, &outcome))
+    outcome::print(
+        settings,
+        &outcome::MeasureOutcome { report, window, totals, executions, used, decisions },
+    );
+    Ok(())
 }
 
 /// What the engines gave and could have given in the burst.
--- a/coltsfootgate_wire/src/lib.rs
+++ b/coltsfootgate_wire/src/lib.rs
@@ -3,6 +3,7 @@
 mod error;
 mod frame;
 mod grant;
+mod limit;
 mod member;
 mod message;
 mod names;
--- a/coltsfootgate_wire/src/message.rs
+++ b/coltsfootgate_wire/src/message.rs
@@ -4,6 +4,7 @@
 
 use coltsfootgate_core::head::TreeHead;
 use coltsfootgate_core::ids::{EndpointId, GrantId, InstanceId, PoolId};
+use coltsfootgate_core::limit::{LimitAsk, LimitSlice};
 use coltsfootgate_core::membership::PeerHeartbeat;
 use coltsfootgate_core::owner::{GrantRequest, HeldGrant, OwnerPressure, ReleaseReport};
 use coltsfootgate_core::reason::ErrorKind;
@@ -60,6 +61,8 @@
     FetchHead,
     /// Asks for a value of the tree in force, by digest.
     FetchObject(Arc<str>),
+    /// Asks for a slice of a customer's limits.
+    LimitAsk(LimitAsk),
 }
 
 /// The answer to a [`PeerRequest`].
@@ -96,4 +99,6 @@
     Head(Option<TreeHead>),
     /// The value, if it belongs to the tree in force.
     Object(Option<Vec<u8>>),
+    /// A slice of a customer's limits.
+    LimitSlice(LimitSlice),
 }
--- a/coltsfootgate_wire/src/wire.rs
+++ b/coltsfootgate_wire/src/wire.rs
@@ -8,6 +8,7 @@
 use crate::grant::{
     WireGrantRequest, WireHeldGrant, WirePoolPressure, WirePressure, WireRelease, check_kind,
 };
+use crate::limit::{WireLimitAsk, WireLimitSlice};
 use crate::member::WireHeartbeat;
 use crate::message::{PeerReply, PeerRequest};
 use crate::names::{TimedMessage, check_digest, check_instance, check_name};
@@ -23,6 +24,7 @@
     Announce { pool: Arc<str>, asker: Arc<str>, held: Vec<WireHeldGrant> },
     FetchHead,
     FetchObject(Arc<str>),
+    LimitAsk(WireLimitAsk),
 }
 
 #[derive(Deserialize, Serialize)]
@@ -35,6 +37,7 @@
     Accepted,
     Head(Option<WireHead>),
     Object(Option<Vec<u8>>),
+    LimitSlice(WireLimitSlice),
 }
 
 fn convert<T, U: From<T>>(items: Vec<T>) -> Vec<U> {
@@ -69,6 +72,7 @@
             }
             PeerRequest::FetchHead => Self::FetchHead,
             PeerRequest::FetchObject(digest) => Self::FetchObject(digest),
+            PeerRequest::LimitAsk(ask) => Self::LimitAsk(ask.into()),
         }
     }
 }
@@ -103,6 +107,7 @@
             },
             WireRequest::FetchHead => Self::FetchHead,
             WireRequest::FetchObject(digest) => Self::FetchObject(check_digest(digest)?),
+            WireRequest::LimitAsk(ask) => Self::LimitAsk(ask.try_into()?),
         })
     }
 }
@@ -122,6 +127,7 @@
             PeerReply::Accepted => Self::Accepted,
             PeerReply::Head(head) => Self::Head(head.map(WireHead::from)),
             PeerReply::Object(object) => Self::Object(object),
+            PeerReply::LimitSlice(slice) => Self::LimitSlice(slice.into()),
         }
     }
 }
@@ -145,6 +151,7 @@
             WireReply::Accepted => Self::Accepted,
             WireReply::Head(head) => Self::Head(head.map(|head| head.try_into()).transpose()?),
             WireReply::Object(object) => Self::Object(object),
+            WireReply::LimitSlice(slice) => Self::LimitSlice(slice.try_into()?),
         })
     }
 }
