--- a/coltsfootctl/src/tree_store.rs
+++ b/coltsfootctl/src/tree_store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use coltsfootgate_config::{
@@ -16,8 +17,12 @@
 use crate::http::CallError;
 use crate::platform::{PlatformService, SwapResult, ValueRevision};
 
-/// How many calls of the store are made at once.
+/// How many calls of the store are made at once, and before they are paced.
 const PARALLEL_CALLS: usize = 16;
+/// Least time between two reads of many, so that instances keep most of what the store can take.
+const READ_INTERVAL: Duration = Duration::from_millis(2);
+/// Least time between two writes of many.
+const WRITE_INTERVAL: Duration = Duration::from_millis(10);
 
 /// The head with the revision that a swap needs.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -28,6 +33,29 @@
     pub head: HeadObject,
 }
 
+/// Spreads many calls over time.
+#[derive(Clone, Copy, Debug)]
+struct CallPace {
+    start: Instant,
+    interval: Duration,
+}
+
+impl CallPace {
+    fn new(interval: Duration) -> Self {
+        Self { start: Instant::now(), interval }
+    }
+
+    /// Waits until the turn of a call, counted from 0.
+    async fn wait(self, position: usize) {
+        let paced = position.saturating_sub(PARALLEL_CALLS);
+        let turn = self.interval * u32::try_from(paced).unwrap_or(u32::MAX);
+        let early = turn.saturating_sub(self.start.elapsed());
+        if !early.is_zero() {
+            monoio::time::sleep(early).await;
+        }
+    }
+}
+
 /// The trees in the platform's store.
 #[derive(Clone, Copy, Debug)]
 pub struct TreeStore<P> {
@@ -74,8 +102,12 @@
         let bytes = self.content(&key, &head.root).await?;
         let root = RootObject::from_bytes(&bytes).map_err(|error| damaged(&key, error))?;
         let digests = root.branches.iter().map(|entry| entry.digest.clone());
-        let texts: HashMap<ContentDigest, Arc<str>> = stream::iter(digests)
-            .map(|digest| self.branch_text(digest))
+        let pace = CallPace::new(READ_INTERVAL);
+        let texts: HashMap<ContentDigest, Arc<str>> = stream::iter(digests.enumerate())
+            .map(|(position, digest)| async move {
+                pace.wait(position).await;
+                self.branch_text(digest).await
+            })
             .buffer_unordered(PARALLEL_CALLS)
             .try_collect()
             .await?;
@@ -93,8 +125,12 @@
             known.is_some_and(|known| known.iter().any(|part| part.digest == *digest))
         };
         let missing = parts.iter().filter(|part| !is_known(&part.digest));
-        stream::iter(missing)
-            .map(|part| self.create(branch_key(&part.digest), part.text.as_bytes()))
+        let pace = CallPace::new(WRITE_INTERVAL);
+        stream::iter(missing.enumerate())
+            .map(|(position, part)| async move {
+                pace.wait(position).await;
+                self.create(branch_key(&part.digest), part.text.as_bytes()).await
+            })
             .buffer_unordered(PARALLEL_CALLS)
             .try_collect::<()>()
             .await?;
