--- a/coltsfootgate_wire/src/frame.rs
+++ b/coltsfootgate_wire/src/frame.rs
@@ -56,14 +56,14 @@
     decode::<WireReply>(bytes)?.try_into()
 }
 
-fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, WireError> {
+pub(crate) fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, WireError> {
     let bytes = bincode::serde::encode_to_vec(message, CONFIGURATION)
         .map_err(|error: EncodeError| WireError::Malformed(error.to_string()))?;
     check_size(bytes.len())?;
     Ok(bytes)
 }
 
-fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, WireError> {
+pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, WireError> {
     check_size(bytes.len())?;
     let (message, read) = bincode::serde::decode_from_slice(bytes, CONFIGURATION)
         .map_err(|error: DecodeError| WireError::Malformed(error.to_string()))?;
--- a/coltsfootgate_wire/src/lib.rs
+++ b/coltsfootgate_wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! The protocol between instances: proof of the shared secret, messages and their coding.
 
+mod claim;
 mod error;
 mod frame;
 mod grant;
@@ -11,6 +12,7 @@
 mod tree;
 mod wire;
 
+pub use self::claim::{decode_claim_page, encode_claim_page};
 pub use self::error::WireError;
 pub use self::frame::{
     MESSAGE_BYTES_MAX, decode_reply, decode_request, encode_reply, encode_request,
--- a/coltsfootgate_wire/src/message.rs
+++ b/coltsfootgate_wire/src/message.rs
@@ -1,7 +1,9 @@
 //! What instances ask each other.
 
 use std::sync::Arc;
+use std::time::Instant;
 
+use coltsfootgate_core::claim::page::{ClaimChange, ClaimVerdict};
 use coltsfootgate_core::head::TreeHead;
 use coltsfootgate_core::ids::{EndpointId, GrantId, InstanceId, PoolId};
 use coltsfootgate_core::limit::{LimitAsk, LimitSlice};
@@ -63,6 +65,13 @@
     FetchObject(Arc<str>),
     /// Asks for a slice of a customer's limits.
     LimitAsk(LimitAsk),
+    /// Asks for a change of a page of claims.
+    Claim {
+        /// The change.
+        change: ClaimChange,
+        /// When the sender gives it up.
+        deadline: Instant,
+    },
 }
 
 /// The answer to a [`PeerRequest`].
@@ -101,4 +110,6 @@
     Object(Option<Vec<u8>>),
     /// A slice of a customer's limits.
     LimitSlice(LimitSlice),
+    /// What became of a change of a page of claims.
+    Claim(ClaimVerdict),
 }
--- a/coltsfootgate_wire/src/wire.rs
+++ b/coltsfootgate_wire/src/wire.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::claim::{WireChange, WireVerdict};
 use crate::error::WireError;
 use crate::grant::{
     WireGrantRequest, WireHeldGrant, WirePoolPressure, WirePressure, WireRelease, check_kind,
@@ -11,7 +12,9 @@
 use crate::limit::{WireLimitAsk, WireLimitSlice};
 use crate::member::WireHeartbeat;
 use crate::message::{PeerReply, PeerRequest};
-use crate::names::{TimedMessage, check_digest, check_instance, check_name};
+use crate::names::{
+    TimedMessage, check_digest, check_instance, check_name, from_micros, time_left,
+};
 use crate::tree::WireHead;
 
 #[derive(Deserialize, Serialize)]
@@ -25,6 +28,7 @@
     FetchHead,
     FetchObject(Arc<str>),
     LimitAsk(WireLimitAsk),
+    Claim { change: WireChange, micros_left: u64 },
 }
 
 #[derive(Deserialize, Serialize)]
@@ -38,6 +42,7 @@
     Head(Option<WireHead>),
     Object(Option<Vec<u8>>),
     LimitSlice(WireLimitSlice),
+    Claim(WireVerdict),
 }
 
 fn convert<T, U: From<T>>(items: Vec<T>) -> Vec<U> {
@@ -73,6 +78,9 @@
             PeerRequest::FetchHead => Self::FetchHead,
             PeerRequest::FetchObject(digest) => Self::FetchObject(digest),
             PeerRequest::LimitAsk(ask) => Self::LimitAsk(ask.into()),
+            PeerRequest::Claim { change, deadline } => {
+                Self::Claim { change: change.into(), micros_left: time_left(deadline, at) }
+            }
         }
     }
 }
@@ -108,6 +116,9 @@
             WireRequest::FetchHead => Self::FetchHead,
             WireRequest::FetchObject(digest) => Self::FetchObject(check_digest(digest)?),
             WireRequest::LimitAsk(ask) => Self::LimitAsk(ask.try_into()?),
+            WireRequest::Claim { change, micros_left } => {
+                Self::Claim { change: change.try_into()?, deadline: at + from_micros(micros_left)? }
+            }
         })
     }
 }
@@ -128,6 +139,7 @@
             PeerReply::Head(head) => Self::Head(head.map(WireHead::from)),
             PeerReply::Object(object) => Self::Object(object),
             PeerReply::LimitSlice(slice) => Self::LimitSlice(slice.into()),
+            PeerReply::Claim(verdict) => Self::Claim(verdict.into()),
         }
     }
 }
@@ -152,6 +164,7 @@
             WireReply::Head(head) => Self::Head(head.map(|head| head.try_into()).transpose()?),
             WireReply::Object(object) => Self::Object(object),
             WireReply::LimitSlice(slice) => Self::LimitSlice(slice.try_into()?),
+            WireReply::Claim(verdict) => Self::Claim(verdict.try_into()?),
         })
     }
 }
