Claim the key of a request that must not repeat before it is sent

Cause: a keyed request that must not repeat ran again when it was repeated through any instance, and an unkeyed one was sent once only because the attempt history says so.

Change: a task per page carries out what its owner decides; the claim filter asks for the key before the grant, checks the age of the claim on a clock that counts pauses before each send, and records the end in the background. A claim that was given up is withdrawn. A process that is ending waits up to 5 s for open settlements.

GateContext is now filled in field by field, since its handles outgrew the arguments of a function.

--- a/coltsfootgate/src/daemon.rs
+++ b/coltsfootgate/src/daemon.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use coltsfootgate_core::membership::PeerProfile;
 use error_stack::{Report, ResultExt};
@@ -19,7 +19,9 @@
 use serde_json::json;
 use signal_hook::consts::{SIGINT, SIGTERM};
 
+use crate::claims::{ClaimsHandle, ClaimsTask, follow_owners};
 use crate::clock;
+use crate::endpoint::ConnectionPool;
 use crate::entry::request::RequestBounds;
 use crate::entry::{EntryBounds, EntryListener};
 use crate::limits::{LimitHandle, LimitTask};
@@ -32,7 +34,7 @@
 use crate::options::{DaemonFlags, DaemonSettings};
 use crate::owner::{OwnerDesk, OwnerHandle, OwnerMessage, OwnerTask};
 use crate::peer::{PeerDispatch, PeerHandle, PeerIdentity, PeerListener};
-use crate::pipeline::{GateContext, RequestGate};
+use crate::pipeline::{BudgetTable, GateContext, GrantCounter, RequestGate};
 use crate::platform::HttpPlatform;
 use crate::routes::{MemberFollower, OwnerLink, PoolStatus, RouteBoard};
 use crate::shutdown::{ShutdownTrigger, shutdown_pair};
@@ -40,6 +42,8 @@
 
 /// Period at which the end of requests in flight is looked for.
 const DRAIN_PERIOD: Duration = Duration::from_millis(20);
+/// How long a process that is ending waits until the ends of claimed requests are recorded.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
 /// Exit code for settings that are missing or not allowed.
 const EXIT_SETTINGS: u8 = 2;
 
@@ -116,6 +120,7 @@
     routes: RouteBoard,
     link: OwnerLink,
     limits: LimitHandle,
+    claims: ClaimsHandle,
     members: MembersHandle,
 }
 
@@ -129,15 +134,7 @@
     let operators = start_operators(&settings, &parts)?;
     let listener = bind("callers", settings.listen)?;
     let callers = listener.local_addr().change_context(DaemonFault::Runtime)?;
-    let context = Rc::new(GateContext::new(
-        settings.instance.clone(),
-        parts.tree.clone(),
-        parts.routes.clone(),
-        parts.link.clone(),
-        parts.limits.clone(),
-        parts.metrics.clone(),
-        parts.records.clone(),
-    ));
+    let context = Rc::new(gate_context(&settings, &parts));
     let bounds = entry_bounds(&settings);
     let gate = Rc::new(RequestGate::new(context, bounds.request.clone()));
     let metrics = parts.metrics.clone();
@@ -149,6 +146,22 @@
     Ok(())
 }
 
+fn gate_context(settings: &DaemonSettings, parts: &InstanceParts) -> GateContext {
+    GateContext {
+        own: settings.instance.clone(),
+        tree: parts.tree.clone(),
+        routes: parts.routes.clone(),
+        link: parts.link.clone(),
+        limits: parts.limits.clone(),
+        claims: parts.claims.clone(),
+        endpoints: ConnectionPool::new(),
+        records: parts.records.clone(),
+        metrics: parts.metrics.clone(),
+        budgets: BudgetTable::default(),
+        grants: GrantCounter::default(),
+    }
+}
+
 fn start_tasks(
     settings: &DaemonSettings,
     peer_listener: TcpListener,
@@ -172,6 +185,10 @@
     monoio::spawn(task.run());
     let (members_task, members) =
         MembersTask::new(own_profile(settings), peers.clone(), tree.clone(), metrics.clone());
+    let (claims_task, claims) =
+        ClaimsTask::new(own.clone(), platform.clone(), peers.clone(), tree.clone());
+    monoio::spawn(claims_task.run());
+    monoio::spawn(follow_owners(members.clone(), claims.clone()));
     let (owner, messages) = OwnerHandle::new();
     monoio::spawn(OwnerTask::new(own.clone(), owner.clone()).run(messages));
     let (limits, messages) = LimitHandle::new();
@@ -193,7 +210,8 @@
     monoio::spawn(follower.run());
     let (calls, received) = unbounded();
     let (others, other_calls) = unbounded();
-    let dispatch = PeerDispatch::new(members.clone(), tree.clone(), metrics.clone(), others);
+    let dispatch =
+        PeerDispatch::new(members.clone(), tree.clone(), claims.clone(), metrics.clone(), others);
     monoio::spawn(dispatch.run(received));
     monoio::spawn(OwnerDesk::new(owner.clone(), limits.clone()).run(other_calls));
     let connections = settings.peer_connections;
@@ -202,7 +220,18 @@
     monoio::spawn(members_task.run(platform));
     let records = RequestRecords::default();
     let board = status_board(settings, &members, pools);
-    Ok(InstanceParts { metrics, readiness, board, records, tree, routes, link, limits, members })
+    Ok(InstanceParts {
+        metrics,
+        readiness,
+        board,
+        records,
+        tree,
+        routes,
+        link,
+        limits,
+        claims,
+        members,
+    })
 }
 
 fn status_board(
@@ -308,4 +337,8 @@
         monoio::time::sleep(DRAIN_PERIOD).await;
     }
     info!("shut down: no request in flight");
+    let settle_until = Instant::now() + SETTLE_TIME;
+    while parts.claims.open_settlements() > 0 && Instant::now() < settle_until {
+        monoio::time::sleep(DRAIN_PERIOD).await;
+    }
 }
--- a/coltsfootgate/src/entry/answer.rs
+++ b/coltsfootgate/src/entry/answer.rs
@@ -26,6 +26,9 @@
 /// Header with the version of the tree.
 pub const CONFIG_VERSION: &str = "coltsfootgate-config-version";
 
+/// Header of an answer that was recorded when the request first ran.
+pub const REPLAYED: &str = "coltsfootgate-replayed";
+
 /// A request that is answered with an error, and why.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Refusal {
--- a/coltsfootgate/src/owner/desk.rs
+++ b/coltsfootgate/src/owner/desk.rs
@@ -69,7 +69,8 @@
             PeerRequest::Heartbeat { .. }
             | PeerRequest::AskAbout(_)
             | PeerRequest::FetchHead
-            | PeerRequest::FetchObject(_) => false,
+            | PeerRequest::FetchObject(_)
+            | PeerRequest::Claim { .. } => false,
         };
         if statement {
             let _ = reply.send(PeerReply::Accepted);
--- a/coltsfootgate/src/peer/dispatch.rs
+++ b/coltsfootgate/src/peer/dispatch.rs
@@ -8,6 +8,8 @@
 use coltsfootgate_wire::{PeerReply, PeerRequest};
 
 use super::PeerCall;
+use crate::claims::ClaimsHandle;
+use crate::clock;
 use crate::members::{MemberMessage, MembersHandle};
 use crate::metrics::DaemonMetrics;
 use crate::tree::TreeHandle;
@@ -16,20 +18,22 @@
 pub struct PeerDispatch {
     members: MembersHandle,
     tree: TreeHandle,
+    claims: ClaimsHandle,
     metrics: DaemonMetrics,
-    /// Takes what concerns grants, claims and limits.
+    /// Takes what concerns grants and limits.
     others: UnboundedSender<PeerCall>,
 }
 
 impl PeerDispatch {
-    /// Makes a dispatch; what concerns neither members nor the tree goes to `others`.
+    /// Makes a dispatch; what concerns neither members, the tree nor claims goes to `others`.
     pub fn new(
         members: MembersHandle,
         tree: TreeHandle,
+        claims: ClaimsHandle,
         metrics: DaemonMetrics,
         others: UnboundedSender<PeerCall>,
     ) -> Self {
-        Self { members, tree, metrics, others }
+        Self { members, tree, claims, metrics, others }
     }
 
     /// Passes requests on until the listener is gone.
@@ -62,6 +66,14 @@
                 let object = self.tree.object(&digest).map(|object| object.to_vec());
                 let _ = reply.send(PeerReply::Object(object));
             }
+            PeerRequest::Claim { change, deadline } => {
+                let claims = self.claims.clone();
+                monoio::spawn(async move {
+                    let wait = deadline.saturating_duration_since(clock::now());
+                    let verdict = claims.change_here(change, wait).await;
+                    let _ = reply.send(PeerReply::Claim(verdict));
+                });
+            }
             request => {
                 let _ = self.others.unbounded_send(PeerCall { from, request, reply });
             }
@@ -77,6 +89,9 @@
         PeerRequest::Cancel { asker, .. } | PeerRequest::Announce { asker, .. } => asker == sender,
         PeerRequest::Release(reports) => reports.iter().all(|(_, report)| report.asker == *sender),
         PeerRequest::LimitAsk(ask) => ask.entry == *sender,
-        PeerRequest::AskAbout(_) | PeerRequest::FetchHead | PeerRequest::FetchObject(_) => true,
+        PeerRequest::AskAbout(_)
+        | PeerRequest::FetchHead
+        | PeerRequest::FetchObject(_)
+        | PeerRequest::Claim { .. } => true,
     }
 }
--- /dev/null
+++ b/coltsfootgate/src/pipeline/claim.rs
@@ -0,0 +1,197 @@
+//! Claims the idempotency key of a request that must not repeat, before anything is sent.
+
+use std::time::{Duration, SystemTime};
+
+use bytes::Bytes;
+use futures_util::future::{Either, select};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use uuid::Uuid;
+
+use coltsfootgate_core::claim::hold::ClaimHold;
+use coltsfootgate_core::claim::key::{ClaimKey, RequestFingerprint};
+use coltsfootgate_core::claim::page::{
+    ClaimChange, ClaimRequest, ClaimSettlement, ClaimVerdict, KeptAnswer,
+};
+use coltsfootgate_core::prelude::{ErrorKind, RequestOutcome};
+
+use super::admit::refusal;
+use super::classify::ClassifiedRequest;
+use super::context::GateContext;
+use super::settle::RequestEnd;
+use crate::claims::ClaimsHandle;
+use crate::clock;
+use crate::entry::answer::REPLAYED;
+use crate::entry::{CallerLink, Refusal};
+
+/// What the claim filter lets a request do.
+#[derive(Debug)]
+pub enum ClaimStep {
+    /// The request needs no claim.
+    Free,
+    /// The request holds a claim and may be sent.
+    Held(ClaimLease),
+    /// The request completed before; this is its answer.
+    Replayed(RequestEnd),
+}
+
+/// A claim of a request; settled when it is dropped.
+#[derive(Debug)]
+pub struct ClaimLease {
+    claims: ClaimsHandle,
+    claim: ClaimRequest,
+    hold: ClaimHold,
+    kept_answer_bytes: usize,
+    outcome: RequestOutcome,
+    answer: Option<KeptAnswer>,
+    is_open: bool,
+}
+
+impl ClaimLease {
+    /// Checks that the request may be sent at this moment, and notes that it is.
+    pub fn begin_send(&mut self, request: &ClassifiedRequest) -> Result<(), Refusal> {
+        self.hold.check_send(clock::boot_time()).map_err(|kind| claim_refusal(request, kind))?;
+        self.outcome = RequestOutcome::Unknown;
+        Ok(())
+    }
+
+    /// Records how the request ended.
+    pub fn settle(mut self, end: &Result<RequestEnd, Refusal>) {
+        match end {
+            Ok(RequestEnd::BodyWhole { status, headers, body }) => {
+                self.outcome = RequestOutcome::Completed;
+                self.answer = self.kept_answer(*status, headers, body);
+            }
+            Ok(RequestEnd::StreamWhole | RequestEnd::BodyPassed) => {
+                self.outcome = RequestOutcome::Completed;
+            }
+            Ok(RequestEnd::Refused(refused)) | Err(refused) => {
+                self.outcome = refused.kind.outcome();
+            }
+        }
+    }
+
+    /// Drops a lease whose claim was refused, so that there is nothing to settle.
+    fn forget(mut self) {
+        self.is_open = false;
+    }
+
+    fn kept_answer(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+        body: &Bytes,
+    ) -> Option<KeptAnswer> {
+        if body.len() > self.kept_answer_bytes {
+            return None;
+        }
+        let content_type = headers.get(header::CONTENT_TYPE);
+        let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or_default();
+        Some(KeptAnswer {
+            status: status.as_u16(),
+            content_type: content_type.into(),
+            body: body.as_ref().into(),
+        })
+    }
+}
+
+impl Drop for ClaimLease {
+    fn drop(&mut self) {
+        if !self.is_open {
+            return;
+        }
+        self.claims.settle(ClaimSettlement {
+            digest: self.claim.key.digest,
+            fingerprint: self.claim.fingerprint,
+            nonce: self.claim.nonce,
+            outcome: self.outcome,
+            answer: self.answer.take(),
+        });
+    }
+}
+
+/// Claims the key of a request that needs it, waiting until its deadline.
+pub async fn claim_request(
+    context: &GateContext,
+    request: &ClassifiedRequest,
+    caller: &mut CallerLink,
+) -> Result<ClaimStep, Refusal> {
+    let Some(key) = request.accepted.idempotency_key.as_ref().filter(|_| !request.repeatable)
+    else {
+        return Ok(ClaimStep::Free);
+    };
+    let key = ClaimKey::parse(&request.customer.id, key, SystemTime::now())
+        .map_err(|kind| claim_refusal(request, kind))?;
+    let lease = new_lease(context, request, key);
+    let change = ClaimChange::Claim(lease.claim.clone());
+    let verdict = context.claims.change(change, request.deadline);
+    let verdict = match select(std::pin::pin!(verdict), std::pin::pin!(caller.gone())).await {
+        Either::Left((verdict, _)) => verdict,
+        // The lease is dropped as not run, which takes back a claim that is still under way.
+        Either::Right(_) => return Err(claim_refusal(request, ErrorKind::CallerLeftWaiting)),
+    };
+    match verdict {
+        ClaimVerdict::Granted => Ok(ClaimStep::Held(lease)),
+        ClaimVerdict::Refused(ErrorKind::ClaimUnavailable) | ClaimVerdict::Settled => {
+            Err(claim_refusal(request, ErrorKind::ClaimUnavailable))
+        }
+        ClaimVerdict::Replayed(answer) => {
+            lease.forget();
+            Ok(ClaimStep::Replayed(replay(answer)))
+        }
+        ClaimVerdict::Refused(kind) => {
+            lease.forget();
+            Err(claim_refusal(request, kind))
+        }
+    }
+}
+
+fn new_lease(context: &GateContext, request: &ClassifiedRequest, key: ClaimKey) -> ClaimLease {
+    let accepted = &request.accepted;
+    let deployment = request.active.tree.deployment();
+    let method = accepted.method.as_str();
+    let fingerprint = RequestFingerprint::of_request(method, &accepted.target, &accepted.body);
+    ClaimLease {
+        claims: context.claims.clone(),
+        claim: ClaimRequest { key, fingerprint, nonce: Uuid::new_v4() },
+        hold: ClaimHold::new(clock::boot_time(), deployment.claim_window),
+        kept_answer_bytes: deployment.kept_answer_bytes as usize,
+        outcome: RequestOutcome::NotRun,
+        answer: None,
+        is_open: true,
+    }
+}
+
+fn replay(answer: KeptAnswer) -> RequestEnd {
+    let mut headers = HeaderMap::new();
+    if let Ok(content_type) = HeaderValue::from_str(&answer.content_type) {
+        headers.insert(header::CONTENT_TYPE, content_type);
+    }
+    headers.insert(HeaderName::from_static(REPLAYED), HeaderValue::from_static("true"));
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    RequestEnd::BodyWhole { status, headers, body: Bytes::copy_from_slice(&answer.body) }
+}
+
+fn claim_refusal(request: &ClassifiedRequest, kind: ErrorKind) -> Refusal {
+    let message = match kind {
+        ErrorKind::KeyInvalid => {
+            "the idempotency key holds characters that are not allowed, or its time lies ahead"
+        }
+        ErrorKind::KeyTooOld => "the idempotency key is older than claims are kept",
+        ErrorKind::KeyReused => "the idempotency key was used before for another request",
+        ErrorKind::KeyInFlight => {
+            "a request with this idempotency key is in flight, or its outcome is not known"
+        }
+        ErrorKind::KeyCompleted => {
+            "the request with this idempotency key completed; its answer was not kept"
+        }
+        ErrorKind::ClaimsFull => "no room is left for idempotency keys within their window",
+        ErrorKind::ClaimExpired => "the claim on the idempotency key took too long to confirm",
+        ErrorKind::CallerLeftWaiting => "the caller left while its key was being claimed",
+        _ => "the idempotency key could not be claimed before the deadline",
+    };
+    let refused = refusal(request, kind, message);
+    match kind {
+        ErrorKind::ClaimsFull => refused.after(Duration::from_secs(60)),
+        _ => refused,
+    }
+}
--- a/coltsfootgate/src/pipeline/context.rs
+++ b/coltsfootgate/src/pipeline/context.rs
@@ -5,6 +5,7 @@
 use coltsfootgate_core::prelude::{GrantId, InstanceId};
 
 use super::budget::BudgetTable;
+use crate::claims::ClaimsHandle;
 use crate::endpoint::ConnectionPool;
 use crate::limits::LimitHandle;
 use crate::metrics::DaemonMetrics;
@@ -24,6 +25,8 @@
     pub link: OwnerLink,
     /// The limits of customers.
     pub limits: LimitHandle,
+    /// The claims on idempotency keys.
+    pub claims: ClaimsHandle,
     /// Connections to endpoints.
     pub endpoints: ConnectionPool,
     /// Decisions made lately.
@@ -32,38 +35,19 @@
     pub metrics: DaemonMetrics,
     /// The retry budgets of all classes.
     pub budgets: BudgetTable,
-    next_grant: Cell<GrantId>,
+    /// The ids of grants.
+    pub grants: GrantCounter,
 }
 
-impl GateContext {
-    /// Gathers the handles of an instance.
-    pub fn new(
-        own: InstanceId,
-        tree: TreeHandle,
-        routes: RouteBoard,
-        link: OwnerLink,
-        limits: LimitHandle,
-        metrics: DaemonMetrics,
-        records: RequestRecords,
-    ) -> Self {
-        Self {
-            own,
-            tree,
-            routes,
-            link,
-            limits,
-            endpoints: ConnectionPool::new(),
-            records,
-            metrics,
-            budgets: BudgetTable::default(),
-            next_grant: Cell::new(1),
-        }
-    }
+/// Counts the grants that this process asked for.
+#[derive(Debug, Default)]
+pub struct GrantCounter(Cell<GrantId>);
 
+impl GrantCounter {
     /// An id for a new grant, never used before by this process.
-    pub fn next_grant(&self) -> GrantId {
-        let grant = self.next_grant.get();
-        self.next_grant.set(grant + 1);
+    pub fn next(&self) -> GrantId {
+        let grant = self.0.get() + 1;
+        self.0.set(grant);
         grant
     }
 }
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -11,6 +11,7 @@
 use coltsfootgate_core::retry::RetryDecision;
 
 use super::admit::{AttemptFigures, GrantLease, admit_request, refusal};
+use super::claim::{ClaimLease, ClaimStep, claim_request};
 use super::classify::{AnswerForm, ClassifiedRequest, classify_request};
 use super::context::GateContext;
 use super::dispatch::{attempt_id, dispatch_request};
@@ -67,7 +68,15 @@
     journal: &mut RequestJournal,
 ) -> Result<RequestEnd, Refusal> {
     let permit = limit_request(context, request, caller).await?;
-    let end = attempt_request(context, request, caller, journal).await;
+    let end = match claim_request(context, request, caller).await? {
+        ClaimStep::Free => attempt_request(context, request, None, caller, journal).await,
+        ClaimStep::Held(mut lease) => {
+            let end = attempt_request(context, request, Some(&mut lease), caller, journal).await;
+            lease.settle(&end);
+            end
+        }
+        ClaimStep::Replayed(end) => Ok(end),
+    };
     drop(permit);
     end
 }
@@ -76,16 +85,20 @@
 async fn attempt_request(
     context: &GateContext,
     request: &ClassifiedRequest,
+    mut claim: Option<&mut ClaimLease>,
     caller: &mut CallerLink,
     journal: &mut RequestJournal,
 ) -> Result<RequestEnd, Refusal> {
     let mut excluded: Vec<EndpointId> = Vec::new();
-    let mut history = AttemptHistory::new(attempt_traits(request));
+    let mut history = AttemptHistory::new(attempt_traits(request, claim.is_some()));
     context.budgets.note_request(&request.class);
     loop {
         let admitted = admit_request(context, request, &excluded, caller, journal).await;
         let lease = admitted.map_err(|refusal| soften(request, &history, refusal))?;
         let endpoint = lease.endpoint.id.clone();
+        if let Some(claim) = &mut claim {
+            claim.begin_send(request)?;
+        }
         let permit = history.permit_send().map_err(|kind| end_refusal(request, kind))?;
         journal.record.attempts = history.attempts();
         let end = attempt_once(context, request, lease, permit, caller, journal).await;
@@ -115,11 +128,11 @@
     }
 }
 
-fn attempt_traits(request: &ClassifiedRequest) -> AttemptTraits {
+fn attempt_traits(request: &ClassifiedRequest, claimed: bool) -> AttemptTraits {
     let is_stream = request.form == AnswerForm::ModelStream;
     AttemptTraits {
         repeatable: request.repeatable,
-        claimed: false,
+        claimed,
         resumable: is_stream && request.class.resume && request.pool.resumes,
         attempts: request.class.attempts,
         deadline: request.deadline,
--- a/coltsfootgate/src/pipeline/mod.rs
+++ b/coltsfootgate/src/pipeline/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod admit;
 pub mod budget;
+pub mod claim;
 pub mod classify;
 pub mod context;
 pub mod dispatch;
@@ -17,6 +18,7 @@
 pub mod route;
 pub mod settle;
 
-pub use context::GateContext;
+pub use budget::BudgetTable;
+pub use context::{GateContext, GrantCounter};
 pub use gate::RequestGate;
 pub use record::DecisionRecord;
--- a/coltsfootgate/src/pipeline/route.rs
+++ b/coltsfootgate/src/pipeline/route.rs
@@ -72,7 +72,7 @@
                 RouteStep::Ask { owner, wait } => (AskPlace::Owner(owner), wait),
                 RouteStep::AskShare => (AskPlace::Share, true),
                 RouteStep::Send { endpoint } => {
-                    let grant = self.context.next_grant();
+                    let grant = self.context.grants.next();
                     return RouteEnd::Granted {
                         grant,
                         endpoint,
@@ -163,6 +163,6 @@
     }
 
     fn request(&self, wait: bool) -> GrantRequest {
-        GrantRequest { grant: self.context.next_grant(), wait, ..self.ask.clone() }
+        GrantRequest { grant: self.context.grants.next(), wait, ..self.ask.clone() }
     }
 }
--- a/coltsfootgate/tests/support/mod.rs
+++ b/coltsfootgate/tests/support/mod.rs
@@ -5,7 +5,9 @@
 mod caller;
 mod daemon;
 mod tree;
+mod wait;
 
 pub use caller::{TestAnswer, TestCall};
 pub use daemon::{DaemonPorts, TestDaemon};
 pub use tree::{SAMPLE_KEY, put_tree, sample_tree};
+pub use wait::eventually;
