--- a/coltsfootgate_config/src/schema.rs
+++ b/coltsfootgate_config/src/schema.rs
@@ -173,7 +173,8 @@
     !text.is_empty() && text.len() <= TEXT_BYTES && !text.chars().any(char::is_control)
 }
 
-fn is_digest(text: &str) -> bool {
+/// Whether a text is a SHA-256 digest in hexadecimal.
+pub(crate) fn is_digest(text: &str) -> bool {
     text.len() == DIGEST_HEX_BYTES && text.bytes().all(|byte| byte.is_ascii_hexdigit())
 }
 
--- a/coltsfootgate_config/src/version.rs
+++ b/coltsfootgate_config/src/version.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 
 use coltsfootgate_core::ids::{BranchPath, ConfigVersion};
+use serde::de::Error;
 use serde::{Deserialize, Serialize};
 
 use crate::parts::{ContentDigest, content_digest};
+use crate::schema::is_digest;
 
 /// The key of the head.
 pub const HEAD_KEY: &str = "coltsfootgate/head";
@@ -75,7 +77,9 @@
 
     /// Reads stored bytes; fails if they are not a root.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, serde_json::Error> {
-        serde_json::from_slice(bytes)
+        let root: Self = serde_json::from_slice(bytes)?;
+        root.branches.iter().try_for_each(|entry| check_digest(&entry.digest))?;
+        Ok(root)
     }
 
     /// The digest by which the root is named.
@@ -92,10 +96,20 @@
 
     /// Reads stored bytes; fails if they are not a head.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, serde_json::Error> {
-        serde_json::from_slice(bytes)
+        let head: Self = serde_json::from_slice(bytes)?;
+        check_digest(&head.root)?;
+        Ok(head)
     }
 }
 
+/// Digests become parts of keys in the store, so nothing else may pass for one.
+fn check_digest(digest: &str) -> Result<(), serde_json::Error> {
+    if is_digest(digest) {
+        return Ok(());
+    }
+    Err(serde_json::Error::custom(format!("{digest:?} is not a SHA-256 digest")))
+}
+
 /// Serialises a value made of texts and numbers only, which cannot fail.
 fn json_bytes(value: &impl Serialize) -> Vec<u8> {
     serde_json::to_vec(value).unwrap_or_default()
--- a/coltsfootgate_config/tests/properties.rs
+++ b/coltsfootgate_config/tests/properties.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 
 use coltsfootgate_config::{
-    BranchDocument, ConfigTree, RootObject, SettingValue, TreeParts, diff, merge,
+    BranchDocument, ConfigTree, HeadObject, RootObject, SettingValue, TreeParts, diff, merge,
 };
 use proptest::prelude::*;
 
@@ -70,6 +70,12 @@
         let _ = ConfigTree::parse("damaged", &text);
     }
 
+    #[test]
+    fn any_stored_bytes_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..64)) {
+        let _ = HeadObject::from_bytes(&bytes);
+        let _ = RootObject::from_bytes(&bytes);
+    }
+
     #[test]
     fn splitting_and_joining_keep_the_document(text in document_text()) {
         let document = BranchDocument::parse("text", &text).unwrap();
--- a/coltsfootgate_config/tests/versions.rs
+++ b/coltsfootgate_config/tests/versions.rs
@@ -1,7 +1,8 @@
 //! Trees in parts: what two operators change is merged, or the second one gets a conflict.
 
 use coltsfootgate_config::{
-    BranchDocument, ConfigTree, PartsError, RootObject, TreeParts, content_digest, diff, merge,
+    BranchDocument, ConfigTree, HeadObject, PartsError, RootObject, TreeParts, content_digest,
+    diff, merge,
 };
 use rstest::rstest;
 
@@ -123,3 +124,14 @@
     };
     assert_eq!(&*branch, "customers.big");
 }
+
+#[rstest]
+#[case::head_of_another_shape("{\"version\":1}")]
+#[case::root_outside_its_prefix("{\"version\":1,\"root\":\"../claims/0\",\"nonce\":\"n\"}")]
+#[case::root_of_other_length("{\"version\":1,\"root\":\"00\",\"nonce\":\"n\"}")]
+#[case::negative_version("{\"version\":-1,\"root\":\"00\",\"nonce\":\"n\"}")]
+fn heads_that_name_no_root_are_refused(#[case] text: &str) {
+    assert!(HeadObject::from_bytes(text.as_bytes()).is_err());
+    let root = format!("{{\"branches\":[{{\"path\":\"classes\",\"digest\":{text:?}}}]}}");
+    assert!(RootObject::from_bytes(root.as_bytes()).is_err());
+}
