--- a/coltsfootgate_standins/src/load/mod.rs
+++ b/coltsfootgate_standins/src/load/mod.rs
@@ -78,7 +78,7 @@
     pub target: LoadTarget,
     /// Further headers.
     pub headers: BTreeMap<String, String>,
-    /// Bearer keys of its customers; each sends half as much as the one before it.
+    /// Bearer keys of its customers; each sends less than the one before it.
     pub keys: Vec<String>,
     /// Target for the time to the first token, in milliseconds.
     pub first_token_ms: f64,
--- a/coltsfootgate_standins/src/measure/profile.rs
+++ b/coltsfootgate_standins/src/measure/profile.rs
@@ -115,7 +115,7 @@
         path: "/reservations/{n}",
         rates: (2.0, 4.0),
         keyed: false,
-        customers: TERENURI_CLUBS,
+        customers: &["player-app", "parent-app"],
     },
     ServiceMix {
         class: "classes.reservations",
@@ -123,7 +123,7 @@
         path: "/reservations/courts/{n}",
         rates: (10.0, 20.0),
         keyed: false,
-        customers: TERENURI_CLUBS,
+        customers: &["player-app", "parent-app"],
     },
 ];
 
@@ -194,7 +194,7 @@
         path: "/registry/entries/{n}",
         rates: (5.0, 10.0),
         keyed: false,
-        customers: SAMAHANG_CLUBS,
+        customers: &["member-app", "parts-counter"],
     },
 ];
 
