Refuse what cannot end in time, and learn of slow answers while they run

Cause: a request was granted at any moment before its deadline, also when a short answer of its class would end after it; its tokens were wasted. And a straggler showed only when its answers had ended, which takes longest at a straggler. Now a request is refused on arrival or at its turn when a short answer would be late, and entries may tell of a slow answer in progress.

--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -30,6 +30,8 @@
 const PASSED_OVER_MAX: usize = 8;
 /// Share of a class's answers that its estimated length covers.
 const LENGTH_QUANTILE: f64 = 0.5;
+/// Share of a class's answers that are shorter than what a request is expected to need at least.
+const SHORT_QUANTILE: f64 = 0.25;
 
 /// What an owner knows of its pool.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -91,6 +93,9 @@
         match event {
             OwnerEvent::Ask(request) => self.ask(request, now, &mut actions),
             OwnerEvent::Release(report) => self.release(&report, now),
+            OwnerEvent::SlowAnswer { endpoint, between_tokens } => {
+                self.endpoints.slow_answer(&endpoint, between_tokens, now);
+            }
             OwnerEvent::Cancel { asker, grant } => self.cancel(&asker, grant),
             OwnerEvent::AskerLost { asker } => self.asker_lost(&asker),
             OwnerEvent::Announce { asker, held } => self.announce(&asker, held, now),
@@ -184,12 +189,12 @@
         if !self.endpoints.can_ever_serve(request) {
             return Some(ErrorKind::NoEndpoint);
         }
-        None
+        self.is_too_late(request, now).then_some(ErrorKind::DeadlineUnmeetable)
     }
 
     fn enqueue(&mut self, request: GrantRequest, now: Instant, actions: &mut Vec<OwnerAction>) {
         let wait = self.pressure(now).expected_wait(request.tier);
-        if now + wait > request.deadline {
+        if self.is_too_late(&request, now + wait) {
             actions.push(self.refuse(&request, ErrorKind::DeadlineUnmeetable, now));
             return;
         }
@@ -267,6 +272,11 @@
         let mut passed_over = Vec::new();
         while passed_over.len() < PASSED_OVER_MAX && self.endpoints.is_any_free(now) {
             let Some(queued) = self.queue.take() else { break };
+            if self.is_too_late(&queued.request, now) {
+                let kind = ErrorKind::DeadlineUnmeetable;
+                actions.push(self.refuse(&queued.request, kind, now));
+                continue;
+            }
             match self.choose(&queued.request, now) {
                 Some(endpoint) => {
                     self.queue.charge(&queued.request);
@@ -282,6 +292,13 @@
         }
     }
 
+    /// Whether even a short answer, begun now, would end after the deadline.
+    fn is_too_late(&self, request: &GrantRequest, now: Instant) -> bool {
+        let token_time = self.endpoints.token_time().unwrap_or_default();
+        let tokens = self.answers.tokens(&request.class, SHORT_QUANTILE, 0);
+        now + token_time.saturating_mul(tokens) > request.deadline
+    }
+
     fn choose(&self, request: &GrantRequest, now: Instant) -> Option<EndpointId> {
         let hint = self.affinity.hint(request.prefix);
         self.endpoints.choose(request, hint, now)
--- a/coltsfootgate_core/tests/owner.rs
+++ b/coltsfootgate_core/tests/owner.rs
@@ -77,3 +77,25 @@
     let tier = RequestTier::new(2).unwrap();
     assert_eq!(driver.refusals(), [(tier, ErrorKind::DeadlinePassed)]);
 }
+
+#[rstest]
+#[case::time_is_left(5_000, None)]
+#[case::too_short_for_an_answer(1_000, Some(ErrorKind::DeadlineUnmeetable))]
+fn waiting_request_is_refused_when_its_answer_would_be_late(
+    #[case] patience: u64,
+    #[case] kind: Option<ErrorKind>,
+) {
+    let mut driver = OwnerDriver::new(1, 1);
+    for grant in 0..10 {
+        driver.ask(ask(grant, 2));
+        driver.release(0, ReleaseResult::Completed, Duration::from_millis(100));
+    }
+    // Answers of this class had 10 tokens, and so take about one second.
+    driver.ask(ask(10, 2));
+    let mut request = ask(11, 2);
+    request.deadline = driver.now() + Duration::from_millis(patience);
+    driver.ask(request);
+    driver.advance(Duration::from_millis(100));
+    driver.release_oldest(ReleaseResult::Completed);
+    assert_eq!(driver.refusals().first().map(|(_, kind)| *kind), kind);
+}
