Count floors in tokens, corrected by what answers turned out to be

Cause: a floor was a share of grants, and the lowest tiers have the longest answers. Now a grant is charged by its estimated tokens and corrected on release.

--- a/coltsfootgate_core/src/owner/event.rs
+++ b/coltsfootgate_core/src/owner/event.rs
@@ -24,7 +24,7 @@
     pub customer: CustomerId,
     /// The customer's weight against others of the same tier.
     pub weight: f64,
-    /// The share of grants that the tier gets at least while it waits, 0 to 1.
+    /// The share of tokens that the tier gets at least while it waits, 0 to 1.
     pub floor: f64,
     /// How many requests of the tier may wait.
     pub queue_requests: u32,
--- a/coltsfootgate_core/src/owner/ledger.rs
+++ b/coltsfootgate_core/src/owner/ledger.rs
@@ -24,6 +24,8 @@
     pub since: Instant,
     /// Whether a floor decided.
     pub by_floor: bool,
+    /// Estimated tokens of the answer; none if another owner gave the grant.
+    pub tokens: Option<u32>,
 }
 
 /// All grants in flight at the endpoints of one owner.
@@ -118,6 +120,7 @@
                 tier: held.tier,
                 since: now,
                 by_floor: false,
+                tokens: None,
             };
             change.added.push(record.clone());
             self.grants.insert(key, record);
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -213,6 +213,9 @@
         let Some(record) = self.ledger.end(&report.asker, report.grant) else { return };
         self.endpoints.learn(report, self.settings.between_tokens, now);
         self.endpoints.ended(&record.endpoint);
+        if let Some(estimated) = record.tokens {
+            self.queue.settle(record.tier, record.by_floor, estimated, report.tokens);
+        }
         if report.result == ReleaseResult::Completed {
             self.answers.note(&record.class, report.tokens);
         }
@@ -279,7 +282,7 @@
             }
             match self.choose(&queued.request, now) {
                 Some(endpoint) => {
-                    self.queue.charge(&queued.request);
+                    self.queue.charge(&queued);
                     let action = self.grant(&queued.request, endpoint, queued.by_floor, now);
                     actions.push(action);
                 }
@@ -317,6 +320,7 @@
             tier: request.tier,
             since: now,
             by_floor,
+            tokens: Some(request.tokens),
         };
         self.ledger.insert(&request.asker, request.grant, record);
         self.endpoints.granted(&endpoint, now);
--- a/coltsfootgate_core/src/owner/queue.rs
+++ b/coltsfootgate_core/src/owner/queue.rs
@@ -7,12 +7,14 @@
 use super::fair::{ArrivalNumber, FairQueue};
 use crate::ids::{GrantId, InstanceId, RequestTier, TIER_COUNT};
 
-/// Largest share of grants that all floors together may claim.
+/// Largest share of service that all floors together may claim.
 const FLOORS_SHARE_MAX: f64 = 0.9;
-/// Most grants that a tier can be owed.
+/// Most requests of mean length that a tier can be owed.
 const CREDIT_MAX: f64 = 2.0;
-/// Credit at which a tier is owed a grant; below one by what summing floors may lose.
-const CREDIT_DUE: f64 = 1.0 - 1e-9;
+/// Most requests of mean length that a tier can have had beyond its floor.
+const DEBT_MAX: f64 = 8.0;
+/// Part of a request by which rounding may keep a credit below what it should be.
+const CREDIT_SLACK: f64 = 1e-9;
 
 /// A request in the queue.
 #[derive(Clone, Debug)]
@@ -40,9 +42,42 @@
     line: FairQueue,
     tokens: u64,
     floor: f64,
+    /// Tokens of service that the tier is owed by its floor; negative if it had more.
     credit: f64,
 }
 
+impl TierQueue {
+    fn is_waiting(&self) -> bool {
+        !self.line.is_empty()
+    }
+
+    fn mean_tokens(&self) -> f64 {
+        self.tokens as f64 / self.line.len().max(1) as f64
+    }
+
+    /// Whether the floor owes the tier a request of mean length.
+    fn is_due(&self) -> bool {
+        self.is_waiting() && self.credit >= self.mean_tokens() * (1.0 - CREDIT_SLACK)
+    }
+
+    /// Adds the floor's part of some service to the credit.
+    fn earn(&mut self, tokens: f64) {
+        let most = self.mean_tokens() * CREDIT_MAX;
+        self.credit = (self.credit + tokens * self.floor).min(most.max(self.credit));
+    }
+
+    /// Takes service that the floor gave from the credit.
+    fn pay(&mut self, tokens: f64) {
+        let least = -DEBT_MAX * self.mean_tokens().max(tokens.abs());
+        self.credit = (self.credit - tokens).max(least.min(self.credit));
+    }
+
+    /// Takes service that no floor was needed for from what the tier is owed.
+    fn use_up(&mut self, tokens: f64) {
+        self.credit = (self.credit - tokens).max(self.credit.min(0.0));
+    }
+}
+
 /// The queue of one owner.
 #[derive(Clone, Debug, Default)]
 pub struct AdmissionQueue {
@@ -121,18 +156,36 @@
     }
 
     /// Charges the tier and the customer of a taken request that was granted.
-    pub fn charge(&mut self, request: &GrantRequest) {
-        let scale = self.floor_scale();
+    pub fn charge(&mut self, queued: &QueuedRequest) {
+        let request = &queued.request;
+        let tokens = f64::from(request.tokens.max(1));
         let granted = request.tier.index();
+        self.earn(tokens, Some(granted));
+        let tier = &mut self.tiers[granted];
+        match queued.by_floor {
+            true => tier.pay(tokens),
+            false => tier.use_up(tokens),
+        }
+        tier.line.charge(&request.customer, request.tokens, request.weight);
+    }
+
+    /// Corrects the credits once the length of an answer is known.
+    pub fn settle(&mut self, tier: RequestTier, by_floor: bool, estimated: u32, actual: u32) {
+        let difference = f64::from(actual) - f64::from(estimated);
+        self.earn(difference, None);
+        if by_floor {
+            self.tiers[tier.index()].pay(difference);
+        }
+    }
+
+    /// Adds to the credits of all tiers that wait, and of the one that is served.
+    fn earn(&mut self, tokens: f64, served: Option<usize>) {
+        let scale = self.floor_scale();
         for (index, tier) in self.tiers.iter_mut().enumerate() {
-            if index == granted || !tier.line.is_empty() {
-                tier.credit = (tier.credit + tier.floor * scale).min(CREDIT_MAX);
-            }
-            if index == granted {
-                tier.credit = (tier.credit - 1.0).max(0.0);
+            if Some(index) == served || tier.is_waiting() {
+                tier.earn(tokens * scale);
             }
         }
-        self.tiers[granted].line.charge(&request.customer, request.tokens, request.weight);
     }
 
     /// Removes one request.
@@ -176,18 +229,16 @@
 
     /// The tier that is served next, and whether a floor puts it before a higher one.
     fn next_tier(&self) -> Option<(usize, bool)> {
-        let is_waiting = |tier: &TierQueue| !tier.line.is_empty();
-        let highest = self.tiers.iter().position(is_waiting)?;
-        let owed = self.tiers.iter().position(|tier| is_waiting(tier) && tier.credit >= CREDIT_DUE);
-        match owed {
-            Some(owed) if owed > highest => Some((owed, true)),
+        let highest = self.tiers.iter().position(TierQueue::is_waiting)?;
+        match self.tiers.iter().position(TierQueue::is_due) {
+            Some(due) if due > highest => Some((due, true)),
             _ => Some((highest, false)),
         }
     }
 
     /// Keeps the floors of all waiting tiers together below the share they may claim.
     fn floor_scale(&self) -> f64 {
-        let waiting = self.tiers.iter().filter(|tier| !tier.line.is_empty());
+        let waiting = self.tiers.iter().filter(|tier| tier.is_waiting());
         let total: f64 = waiting.map(|tier| tier.floor).sum();
         if total > FLOORS_SHARE_MAX { FLOORS_SHARE_MAX / total } else { 1.0 }
     }
--- a/coltsfootgate_core/src/settings.rs
+++ b/coltsfootgate_core/src/settings.rs
@@ -33,7 +33,7 @@
     pub between_tokens: Duration,
     /// Target for the whole answer, counted for plain services and unstreamed answers.
     pub whole_answer: Duration,
-    /// Share of a pool's grants that the class's tier gets at least while it waits, 0 to 1.
+    /// Share of a pool's tokens that the class's tier gets at least while it waits, 0 to 1.
     pub floor: f64,
     /// How many requests of its tier may wait at one owner.
     pub queue_requests: u32,
--- a/coltsfootgate_core/tests/owner_properties.rs
+++ b/coltsfootgate_core/tests/owner_properties.rs
@@ -292,6 +292,30 @@
         prop_assert!(lowest <= 200 * floor_percent / 100 + 1);
     }
 
+    /// A floor is a share of tokens, so long answers of the lowest tier do not make it larger.
+    #[test]
+    fn floor_counts_tokens(floor_percent in 2u32..20, length in 1u32..40) {
+        let mut driver = OwnerDriver::new(1, 1);
+        driver.ask(ask(0, 1));
+        for grant in 1..4000 {
+            let mut request = ask(grant, if grant % 8 == 0 { 7 } else { 1 });
+            request.floor = if grant % 8 == 0 { f64::from(floor_percent) / 100.0 } else { 0.0 };
+            request.queue_requests = 10_000;
+            driver.ask(request);
+        }
+        let mut tokens = [0, 0];
+        for _ in 0..3000 {
+            let is_lowest = driver.held_tier(0) == 7;
+            let answer = if is_lowest { 10 * length } else { 10 };
+            tokens[usize::from(is_lowest)] += answer;
+            driver.release_tokens(0, answer);
+        }
+        let share = f64::from(tokens[1]) / f64::from(tokens[0] + tokens[1]);
+        let floor = f64::from(floor_percent) / 100.0;
+        let longest = f64::from(length) * 10.0 / f64::from(tokens[0] + tokens[1]);
+        prop_assert!((share - floor).abs() <= 3.0 * longest + 0.01, "{} of {}", share, floor);
+    }
+
     /// Customers that always wait get tokens in proportion to their weights.
     #[test]
     fn customers_share_by_weight(heavy in 2u32..6, tokens in 1u32..200) {
--- a/coltsfootgate_core/tests/support/mod.rs
+++ b/coltsfootgate_core/tests/support/mod.rs
@@ -145,12 +145,24 @@
         result: ReleaseResult,
         between_tokens: Duration,
     ) -> Vec<OwnerAction> {
-        self.release_with(index, result, between_tokens, between_tokens)
+        self.release_with(index, result, between_tokens, between_tokens, 10)
     }
 
     /// Releases one of the held grants after a whole answer of a given pace.
     pub fn release_at(&mut self, index: usize, first_token: Duration, between_tokens: Duration) {
-        self.release_with(index, ReleaseResult::Completed, first_token, between_tokens);
+        self.release_with(index, ReleaseResult::Completed, first_token, between_tokens, 10);
+    }
+
+    /// Releases one of the held grants after a whole answer of a given length.
+    pub fn release_tokens(&mut self, index: usize, tokens: u32) {
+        let pace = Duration::from_millis(10);
+        self.release_with(index, ReleaseResult::Completed, pace, pace, tokens);
+    }
+
+    /// The tier of one of the held grants.
+    pub fn held_tier(&self, index: usize) -> u8 {
+        let (asker, grant, _) = &self.held[index];
+        self.tier(asker, *grant).number()
     }
 
     fn release_with(
@@ -159,13 +171,14 @@
         result: ReleaseResult,
         first_token: Duration,
         between_tokens: Duration,
+        tokens: u32,
     ) -> Vec<OwnerAction> {
         let (asker, grant, endpoint) = self.held.remove(index);
         self.event(OwnerEvent::Release(ReleaseReport {
             asker,
             grant,
             endpoint,
-            tokens: 10,
+            tokens,
             first_token: Some(first_token),
             between_tokens: Some(between_tokens),
             result,
