--- a/coltsfootctl/src/commands/request.rs
+++ b/coltsfootctl/src/commands/request.rs
@@ -68,7 +68,7 @@
 }
 
 /// A value without the quotes of JSON around a text.
-pub(crate) fn plain(value: &Value) -> String {
+fn plain(value: &Value) -> String {
     value.as_str().map_or_else(|| value.to_string(), str::to_owned)
 }
 
--- a/coltsfootctl/src/commands/status.rs
+++ b/coltsfootctl/src/commands/status.rs
@@ -1,23 +1,26 @@
 //! `status`: shows the instances, the versions in force, endpoints and queues.
 
+use std::collections::BTreeMap;
 use std::fmt::{self, Display, Formatter};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use coltsfootgate_config::HeadObject;
-use coltsfootgate_core::ids::ConfigVersion;
+use coltsfootgate_core::ids::{ConfigVersion, TIER_COUNT};
 use futures_util::future::join_all;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use crate::commands::ToolContext;
-use crate::commands::request::plain;
 use crate::error::ToolResult;
 use crate::instance::InstanceClient;
 use crate::platform::{InstanceState, ListedInstance, PlatformService};
 use crate::report::{CommandReport, table};
 use crate::tree_store::platform_error;
 
+/// How an instance names the state of a peer that answers.
+const PEER_ALIVE: &str = "alive";
+
 /// The state of the deployment as the tool sees it.
 #[derive(Debug)]
 #[derive(Serialize)]
@@ -39,55 +42,127 @@
 
 impl CommandReport for StatusReport {}
 
+/// What the tool reads from the status of an instance; the rest is passed on as it is.
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
+#[serde(default)]
+struct InstanceView {
+    peers: Vec<PeerView>,
+    endpoints: Vec<EndpointView>,
+    queues: Vec<QueueView>,
+}
+
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
+#[serde(default)]
+struct PeerView {
+    state: String,
+}
+
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
+#[serde(default)]
+struct EndpointView {
+    endpoint: String,
+    state: String,
+    leaving: bool,
+    in_flight: u64,
+    slots: u64,
+}
+
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
+#[serde(default)]
+struct QueueView {
+    pool: String,
+    grants: u64,
+    free_slots: u64,
+    waiting_by_tier: [u64; TIER_COUNT],
+}
+
+impl InstanceStatus {
+    fn view(&self) -> InstanceView {
+        let status = self.status.as_ref();
+        status.and_then(|status| InstanceView::deserialize(status).ok()).unwrap_or_default()
+    }
+}
+
 impl Display for StatusReport {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         match &self.head {
             Some(head) => writeln!(formatter, "stored version {}", head.version)?,
             None => writeln!(formatter, "no tree is stored")?,
         }
-        let mut rows =
-            vec![["instance", "zone", "listed", "version", "notes"].map(String::from).to_vec()];
-        for instance in &self.instances {
-            let state = match instance.state {
-                InstanceState::Live => "live",
-                InstanceState::Leaving => "leaving",
-            };
-            let version = instance.version.map_or_else(|| "none".into(), |v| v.to_string());
-            let error = instance.error.clone().unwrap_or_default();
-            let address = instance.instance.to_string();
-            rows.push(vec![address, instance.zone.to_string(), state.into(), version, error]);
-        }
-        formatter.write_str(&table(&rows))?;
-        for instance in &self.instances {
-            if let Some(Value::Object(fields)) = &instance.status {
-                write!(formatter, "\n\n{}", instance.instance)?;
-                for (name, value) in fields {
-                    write_field(formatter, name, value)?;
-                }
+        let views: Vec<_> = self.instances.iter().map(|status| (status, status.view())).collect();
+        for rows in [instance_rows(&views), queue_rows(&views), endpoint_rows(&views)] {
+            if rows.len() > 1 {
+                write!(formatter, "\n{}\n", table(&rows))?;
             }
         }
         Ok(())
     }
 }
 
-/// Writes one field; a list gets a line for each entry.
-fn write_field(formatter: &mut Formatter<'_>, name: &str, value: &Value) -> fmt::Result {
-    let Value::Array(entries) = value else {
-        return write!(formatter, "\n  {name}: {}", plain(value));
-    };
-    write!(formatter, "\n  {name}: {}", entries.len())?;
-    for entry in entries {
-        write!(formatter, "\n    {}", entry_text(entry))?;
+fn heading<const N: usize>(names: [&str; N]) -> Vec<String> {
+    names.map(String::from).to_vec()
+}
+
+fn instance_rows(views: &[(&InstanceStatus, InstanceView)]) -> Vec<Vec<String>> {
+    let mut rows = vec![heading(["instance", "zone", "listed", "version", "peers alive", "notes"])];
+    for (status, view) in views {
+        let state = match status.state {
+            InstanceState::Live => "live",
+            InstanceState::Leaving => "leaving",
+        };
+        let alive = view.peers.iter().filter(|peer| peer.state == PEER_ALIVE).count();
+        rows.push(vec![
+            status.instance.to_string(),
+            status.zone.to_string(),
+            state.into(),
+            status.version.map_or_else(|| "none".into(), |version| version.to_string()),
+            format!("{alive} of {}", view.peers.len()),
+            status.error.clone().unwrap_or_default(),
+        ]);
+    }
+    rows
+}
+
+/// One row for each pool, summed over the instances that own a part of it.
+fn queue_rows(views: &[(&InstanceStatus, InstanceView)]) -> Vec<Vec<String>> {
+    let mut sums: BTreeMap<&str, QueueView> = BTreeMap::new();
+    for queue in views.iter().flat_map(|(_, view)| &view.queues) {
+        let sum = sums.entry(&queue.pool).or_default();
+        sum.grants += queue.grants;
+        sum.free_slots += queue.free_slots;
+        for (total, waiting) in sum.waiting_by_tier.iter_mut().zip(queue.waiting_by_tier) {
+            *total += waiting;
+        }
     }
-    Ok(())
+    let mut rows = vec![heading(["pool", "granted", "free slots", "waiting by tier, 1 to 7"])];
+    rows.extend(sums.into_iter().map(|(pool, sum)| {
+        let waiting = sum.waiting_by_tier.map(|count| count.to_string()).join(" ");
+        vec![pool.into(), sum.grants.to_string(), sum.free_slots.to_string(), waiting]
+    }));
+    rows
 }
 
-fn entry_text(entry: &Value) -> String {
-    let Value::Object(fields) = entry else {
-        return plain(entry);
+/// One row for each endpoint and instance that takes itself for its owner.
+fn endpoint_rows(views: &[(&InstanceStatus, InstanceView)]) -> Vec<Vec<String>> {
+    let owned = |(status, view): &(&InstanceStatus, InstanceView)| {
+        let owner = status.instance.to_string();
+        let row = |endpoint: &EndpointView| {
+            let leaving = if endpoint.leaving { ", leaving" } else { "" };
+            let state = format!("{}{leaving}", endpoint.state);
+            let in_flight = format!("{} of {}", endpoint.in_flight, endpoint.slots);
+            vec![endpoint.endpoint.clone(), owner.clone(), state, in_flight]
+        };
+        view.endpoints.iter().map(row).collect::<Vec<_>>()
     };
-    let fields = fields.iter().map(|(name, value)| format!("{name}={}", plain(value)));
-    fields.collect::<Vec<_>>().join(" ")
+    let mut endpoints: Vec<_> = views.iter().flat_map(owned).collect();
+    endpoints.sort();
+    let mut rows = vec![heading(["endpoint", "owner", "state", "in flight"])];
+    rows.append(&mut endpoints);
+    rows
 }
 
 pub(crate) async fn run(context: &ToolContext) -> ToolResult<StatusReport> {
--- a/coltsfootctl/tests/apply.rs
+++ b/coltsfootctl/tests/apply.rs
@@ -183,3 +183,25 @@
     assert_eq!(code(&unknown), 7);
     assert_eq!(code(&bench.run(&["explain", "--request-id", "../x"], "")), 2);
 }
+
+#[test]
+fn status_shows_instances_queues_and_endpoints() {
+    let bench = ToolBench::with_sample();
+    let (first, second) = (FakeInstance::Follows.start(), FakeInstance::Follows.start());
+    let silent = "127.0.0.1:1".parse().unwrap();
+    bench.list(&[(first, "live"), (second, "leaving"), (silent, "live")]);
+    let printed = text(&bench.run(&["status"], ""));
+    let words: Vec<Vec<_>> =
+        printed.lines().map(|line| line.split_whitespace().collect()).collect();
+    let expected = [
+        "stored version 1".to_owned(),
+        format!("{second} cluj-a leaving 0 1 of 2"),
+        "pools.p 0 0 0 0 0 0 0 0 4".to_owned(),
+        format!("pools.p.e1 {first} healthy 3 of 8"),
+    ];
+    for line in expected {
+        let line: Vec<_> = line.split_whitespace().collect();
+        assert!(words.contains(&line), "{line:?} in {printed}");
+    }
+    assert!(printed.contains("is unreachable"), "{printed}");
+}
--- a/coltsfootctl/tests/support/mod.rs
+++ b/coltsfootctl/tests/support/mod.rs
@@ -126,6 +126,13 @@
             let customer = "customers.partners.school-league";
             let class = "classes.reservations";
             ("200 OK", json!({ "reason": "rate-limited", "customer": customer, "class": class }))
+        } else if head.starts_with("GET /status ") && self == Self::Follows {
+            let endpoint = json!({
+                "endpoint": "pools.p.e1", "state": "healthy", "in_flight": 3, "slots": 8,
+            });
+            let queue = json!({ "pool": "pools.p", "waiting_by_tier": [0, 0, 0, 0, 0, 0, 2] });
+            let peers = json!([{ "state": "alive" }, { "state": "dead" }]);
+            ("200 OK", json!({ "peers": peers, "endpoints": [endpoint], "queues": [queue] }))
         } else {
             ("404 Not Found", Value::Null)
         };
