--- a/coltsfootgate/src/metrics.rs
+++ b/coltsfootgate/src/metrics.rs
@@ -99,6 +99,8 @@
     connections: IntGaugeVec,
     connections_refused: IntCounterVec,
     peer_bytes: IntCounterVec,
+    peer_messages: IntCounterVec,
+    peer_message_bytes: IntCounterVec,
     peer_faults: IntCounterVec,
     platform_calls: IntCounterVec,
     config_version: IntGauge,
@@ -205,6 +207,16 @@
                 "Bytes of messages between instances, by direction.",
                 &["direction"],
             ),
+            peer_messages: registrar.counters(
+                "peer_messages",
+                "Messages sent to other instances, by kind.",
+                &["kind"],
+            ),
+            peer_message_bytes: registrar.counters(
+                "peer_message_bytes",
+                "Bytes of messages sent to other instances, without framing, by kind.",
+                &["kind"],
+            ),
             peer_faults: registrar.counters(
                 "peer_faults",
                 "Connections between instances that were refused or dropped, by cause.",
@@ -324,6 +336,12 @@
         self.peer_bytes.with_label_values(&["received"]).inc_by(bytes as u64);
     }
 
+    /// Counts a message to another instance.
+    pub fn peer_message_sent(&self, kind: &str, bytes: usize) {
+        self.peer_messages.with_label_values(&[kind]).inc();
+        self.peer_message_bytes.with_label_values(&[kind]).inc_by(bytes as u64);
+    }
+
     /// Counts a connection between instances that was refused or dropped.
     pub fn peer_fault(&self, cause: &str) {
         self.peer_faults.with_label_values(&[cause]).inc();
--- a/coltsfootgate/src/peer/client.rs
+++ b/coltsfootgate/src/peer/client.rs
@@ -53,7 +53,9 @@
         deadline: Instant,
     ) -> Result<PeerReply, PeerError> {
         let now = clock::now();
+        let kind = request.name();
         let message = Bytes::from(encode_request(request, now)?);
+        self.0.metrics.peer_message_sent(kind, message.len());
         let (reply, receiver) = oneshot::channel();
         self.send(instance, LinkCall { message, reply });
         let left = deadline.saturating_duration_since(now);
--- a/coltsfootgate_wire/src/message.rs
+++ b/coltsfootgate_wire/src/message.rs
@@ -74,6 +74,23 @@
     },
 }
 
+impl PeerRequest {
+    /// The name used in metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Heartbeat { .. } => "heartbeat",
+            Self::AskAbout(_) => "ask-about",
+            Self::Ask { .. } => "ask",
+            Self::Release(_) => "release",
+            Self::Cancel { .. } => "cancel",
+            Self::Announce { .. } => "announce",
+            Self::FetchHead => "fetch-head",
+            Self::FetchObject(_) => "fetch-object",
+            Self::LimitAsk(_) => "limit-ask",
+        }
+    }
+}
+
 /// The answer to a [`PeerRequest`].
 #[derive(Clone, Debug, PartialEq)]
 pub enum PeerReply {
