Show the control bytes of a measurement by kind of message

Cause: a daemon spent 69 KB/s on control at twice capacity and nothing told on what. Change: messages between instances are counted by kind, and the measurement prints the mean over the daemons.

--- a/coltsfootgate_standins/src/measure/bench.rs
+++ b/coltsfootgate_standins/src/measure/bench.rs
@@ -1,6 +1,6 @@
 //! Starts, steers and ends the processes of a measurement.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fs;
 use std::io;
 use std::net::SocketAddr;
@@ -213,13 +213,19 @@
     }
 
     pub(super) fn daemon_usage(&self) -> DaemonUsage {
+        let mut message_bytes_sum = BTreeMap::new();
         let usages = self.daemons.iter().enumerate().filter_map(|(index, daemon)| {
             let processor = daemon.process.processor_time()?;
             let memory_mb = daemon.process.peak_memory_mb()?;
-            let peer_bytes = peer_bytes(daemon.operators).unwrap_or(0.0);
+            let metrics = metrics_text(daemon.operators).unwrap_or_default();
+            let peer_bytes = metric_sum(&metrics, "coltsfootgate_peer_bytes_total");
+            for (kind, bytes) in message_bytes(&metrics) {
+                *message_bytes_sum.entry(kind).or_default() += bytes;
+            }
             Some((index, (processor, memory_mb, peer_bytes)))
         });
-        DaemonUsage { at: Instant::now(), daemons: usages.collect() }
+        let daemons = usages.collect();
+        DaemonUsage { at: Instant::now(), daemons, message_bytes: message_bytes_sum }
     }
 
     /// Ends the daemons gracefully and reads their decisions.
@@ -324,12 +330,27 @@
     Ok(daemons)
 }
 
-/// Bytes that an instance exchanged with its peers, by its own count.
-fn peer_bytes(operators: SocketAddr) -> Option<f64> {
+fn metrics_text(operators: SocketAddr) -> Option<String> {
     let response = blocking_call(operators, "GET", "/metrics", b"").ok()?;
-    let text = String::from_utf8(response.body).ok()?;
-    let lines = text.lines().filter(|line| line.starts_with("coltsfootgate_peer_bytes_total"));
-    Some(lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum())
+    String::from_utf8(response.body).ok()
+}
+
+/// The sum of a metric over all its labels.
+fn metric_sum(metrics: &str, name: &str) -> f64 {
+    let lines = metrics.lines().filter(|line| line.starts_with(name));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+}
+
+/// Bytes of messages that an instance sent to its peers, by kind.
+fn message_bytes(metrics: &str) -> Vec<(String, f64)> {
+    let prefix = "coltsfootgate_peer_message_bytes_total{kind=\"";
+    let lines = metrics.lines().filter_map(|line| line.strip_prefix(prefix));
+    lines
+        .filter_map(|line| {
+            let (kind, bytes) = line.split_once("\"} ")?;
+            Some((kind.to_owned(), bytes.parse().ok()?))
+        })
+        .collect()
 }
 
 /// The number under a name, or zero.
--- a/coltsfootgate_standins/src/measure/outcome.rs
+++ b/coltsfootgate_standins/src/measure/outcome.rs
@@ -63,14 +63,18 @@
 pub(super) struct DaemonUsage {
     pub(super) at: Instant,
     pub(super) daemons: HashMap<usize, (Duration, f64, f64)>,
+    /// Bytes of messages sent, by kind, over all daemons.
+    pub(super) message_bytes: BTreeMap<String, f64>,
 }
 
 /// The largest use by any daemon.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct UsageMaxima {
     cpu_share: f64,
     memory_mb: f64,
     control_bytes_s: f64,
+    /// Bytes a second of messages sent by a daemon on average, by kind.
+    message_bytes_s: BTreeMap<String, f64>,
 }
 
 impl DaemonUsage {
@@ -85,6 +89,11 @@
             let bytes_s = (peer_bytes - old_bytes) / elapsed;
             maxima.control_bytes_s = maxima.control_bytes_s.max(bytes_s);
         }
+        let seconds = elapsed * self.daemons.len().max(1) as f64;
+        for (kind, bytes) in &self.message_bytes {
+            let old_bytes = before.message_bytes.get(kind).copied().unwrap_or_default();
+            maxima.message_bytes_s.insert(kind.clone(), ((bytes - old_bytes) / seconds).round());
+        }
         maxima
     }
 }
@@ -157,6 +166,7 @@
         *retries.entry(reason).or_default() += 1;
     }
     println!("retries: {retries:?}");
+    println!("control by kind, bytes/s a daemon: {:?}", outcome.used.message_bytes_s);
     let inversions = decisions::find_inversions(&outcome.decisions);
     println!("inversions by refusal: {:?}", inversions.kinds);
     for example in &inversions.examples {
