Fetch limits ahead, keep a part of them for higher tiers, halve heartbeats

Cause: nearly each request asked the limits' owner for its one permit; a customer's queued lower tiers used up its concurrency, so its bookings and cancellations were refused; a pair of instances exchanged two heartbeats, each with an answer. Change: an ask fetches what arrives in half a second at the present rate; the last quarter of a customer's concurrency is open to higher tiers only, by tier; a neighbour that sent a heartbeat just now gets none. Ruled out: batching releases, since a held-back release idles a slot.

--- a/coltsfootgate/src/limits/mod.rs
+++ b/coltsfootgate/src/limits/mod.rs
@@ -7,7 +7,7 @@
 use futures_channel::{mpsc, oneshot};
 
 use coltsfootgate_core::limit::{LimitAsk, LimitDecision, LimitSlice};
-use coltsfootgate_core::prelude::{CustomerId, CustomerSettings};
+use coltsfootgate_core::prelude::{CustomerId, CustomerSettings, RequestTier};
 
 use crate::routes::OwnerSet;
 
@@ -20,6 +20,8 @@
     Acquire {
         /// The customer.
         customer: Arc<CustomerSettings>,
+        /// The tier of the request.
+        tier: RequestTier,
         /// Where the decision goes; never [`LimitDecision::Ask`].
         answer: oneshot::Sender<LimitDecision>,
     },
@@ -71,10 +73,11 @@
     pub async fn acquire(
         &self,
         customer: Arc<CustomerSettings>,
+        tier: RequestTier,
     ) -> Result<LimitPermit, LimitDecision> {
         let (answer, receiver) = oneshot::channel();
         let id = customer.id.clone();
-        self.tell(LimitMessage::Acquire { customer, answer });
+        self.tell(LimitMessage::Acquire { customer, tier, answer });
         match receiver.await {
             Ok(LimitDecision::Admit) => Ok(LimitPermit { customer: id, handle: self.clone() }),
             Ok(decision) => Err(decision),
--- a/coltsfootgate/src/limits/task.rs
+++ b/coltsfootgate/src/limits/task.rs
@@ -9,7 +9,7 @@
 use monoio::time::timeout;
 
 use coltsfootgate_core::limit::{LimitAsk, LimitDecision, LimitOwner, LimitShare, LimitSlice};
-use coltsfootgate_core::prelude::{CustomerId, CustomerSettings, InstanceId};
+use coltsfootgate_core::prelude::{CustomerId, CustomerSettings, InstanceId, RequestTier};
 use coltsfootgate_wire::{PeerReply, PeerRequest};
 
 use super::{LimitHandle, LimitMessage};
@@ -34,11 +34,17 @@
     renewed: Instant,
 }
 
+/// A request that waits for a slice.
+struct WaitingRequest {
+    tier: RequestTier,
+    answer: oneshot::Sender<LimitDecision>,
+}
+
 /// What this entry holds of one customer's limits, and the requests that wait for more.
 struct CustomerShare {
     settings: Arc<CustomerSettings>,
     share: LimitShare,
-    waiting: Vec<oneshot::Sender<LimitDecision>>,
+    waiting: Vec<WaitingRequest>,
 }
 
 impl LimitTask {
@@ -75,7 +81,9 @@
 
     fn take(&mut self, message: LimitMessage, now: Instant) {
         match message {
-            LimitMessage::Acquire { customer, answer } => self.acquire(customer, answer, now),
+            LimitMessage::Acquire { customer, tier, answer } => {
+                self.acquire(customer, WaitingRequest { tier, answer }, now);
+            }
             LimitMessage::Finish(customer) => {
                 if let Some(customer) = self.customers.get_mut(&customer) {
                     customer.share.finish();
@@ -91,12 +99,7 @@
         }
     }
 
-    fn acquire(
-        &mut self,
-        settings: Arc<CustomerSettings>,
-        answer: oneshot::Sender<LimitDecision>,
-        now: Instant,
-    ) {
+    fn acquire(&mut self, settings: Arc<CustomerSettings>, request: WaitingRequest, now: Instant) {
         let id = settings.id.clone();
         let own = &self.own;
         let customer = self.customers.entry(id.clone()).or_insert_with(|| CustomerShare {
@@ -105,8 +108,8 @@
             waiting: Vec::new(),
         });
         customer.settings = settings;
-        let decision = customer.share.decide(now);
-        customer.give(decision, answer);
+        let decision = customer.share.decide(request.tier, now);
+        customer.give(decision, request);
         self.ask_if_wanted(&id, now);
     }
 
@@ -148,9 +151,11 @@
             Some(slice) => customer.share.accept(&slice, now),
             None => customer.share.owner_unreachable(&customer.settings, live, now),
         }
-        for answer in std::mem::take(&mut customer.waiting) {
-            let decision = customer.share.decide_again(now);
-            customer.give(decision, answer);
+        let mut waiting = std::mem::take(&mut customer.waiting);
+        waiting.sort_by_key(|request| request.tier);
+        for request in waiting {
+            let decision = customer.share.decide_again(request.tier, now);
+            customer.give(decision, request);
         }
         self.ask_if_wanted(id, now);
     }
@@ -185,17 +190,17 @@
 
 impl CustomerShare {
     /// Answers a request, or lets it wait for the slice that is asked for.
-    fn give(&mut self, decision: LimitDecision, answer: oneshot::Sender<LimitDecision>) {
+    fn give(&mut self, decision: LimitDecision, request: WaitingRequest) {
         match decision {
-            LimitDecision::Ask => self.waiting.push(answer),
+            LimitDecision::Ask => self.waiting.push(request),
             LimitDecision::Admit => {
                 // A request whose caller left meanwhile is not in flight.
-                if answer.send(decision).is_err() {
+                if request.answer.send(decision).is_err() {
                     self.share.finish();
                 }
             }
             LimitDecision::Refuse { .. } => {
-                let _ = answer.send(decision);
+                let _ = request.answer.send(decision);
             }
         }
     }
--- a/coltsfootgate/src/pipeline/limit.rs
+++ b/coltsfootgate/src/pipeline/limit.rs
@@ -16,7 +16,7 @@
     request: &ClassifiedRequest,
     caller: &mut CallerLink,
 ) -> Result<LimitPermit, Refusal> {
-    let acquire = context.limits.acquire(request.customer.clone());
+    let acquire = context.limits.acquire(request.customer.clone(), request.class.tier);
     match select(std::pin::pin!(acquire), std::pin::pin!(caller.gone())).await {
         Either::Left((permit, _)) => permit.map_err(|decision| refused(request, decision)),
         Either::Right(_) => {
--- a/coltsfootgate_core/src/limit/mod.rs
+++ b/coltsfootgate_core/src/limit/mod.rs
@@ -10,7 +10,7 @@
 pub use owner::LimitOwner;
 pub use share::{LimitDecision, LimitShare};
 
-use crate::ids::{CustomerId, InstanceId};
+use crate::ids::{CustomerId, InstanceId, RequestTier};
 
 /// How long a slice of a limit may be used.
 pub const SLICE_LIFE: Duration = Duration::from_secs(2);
@@ -34,6 +34,8 @@
     pub wanted: u32,
     /// Permits to start a request that it would like to have.
     pub permits_wanted: u32,
+    /// The highest tier among the requests that it asks for.
+    pub tier: RequestTier,
     /// Permits that it gives back.
     pub permits_returned: u32,
 }
@@ -51,4 +53,6 @@
     pub valid_for: Duration,
     /// When the next permit is expected, if none was left.
     pub next_permit: Duration,
+    /// The lowest tier that may start requests, as what is left is kept for those above.
+    pub open_to: RequestTier,
 }
--- a/coltsfootgate_core/src/limit/owner.rs
+++ b/coltsfootgate_core/src/limit/owner.rs
@@ -4,9 +4,12 @@
 use std::time::Instant;
 
 use super::{LimitAsk, LimitSlice, SLICE_LIFE, SLICE_MARGIN, TokenBucket};
-use crate::ids::{CustomerId, InstanceId};
+use crate::ids::{CustomerId, InstanceId, RequestTier, TIER_COUNT};
 use crate::settings::CustomerSettings;
 
+/// The part of a customer's concurrency that the lowest tier leaves to those above.
+const KEPT_FOR_HIGHER: f64 = 0.25;
+
 /// The limits of the customers that one instance owns.
 #[derive(Clone, Debug)]
 pub struct LimitOwner {
@@ -98,7 +101,8 @@
         let counted = old.as_ref().map_or(0, |old| old.still_counted(ask));
         let sequence = old.map_or(ask.sequence, |old| old.sequence.max(ask.sequence)) + 1;
         let free = self.concurrency.saturating_sub(self.lent);
-        let granted = ask.wanted.min(most).min(self.fair_most(ask)).min(free);
+        let open = self.open_slots(ask.tier).saturating_sub(self.lent).max(ask.in_use);
+        let granted = ask.wanted.min(most).min(self.fair_most(ask)).min(free).min(open);
         self.put_holder(
             &ask.entry,
             SliceHolder {
@@ -116,9 +120,25 @@
             permits,
             valid_for: SLICE_LIFE,
             next_permit: self.bucket.until_next(now),
+            open_to: self.open_to(self.lent - granted.max(counted) + ask.in_use),
         }
     }
 
+    /// The lowest tier that may start requests while this many are in flight or lent elsewhere.
+    fn open_to(&self, taken: u32) -> RequestTier {
+        let open = |tier: &RequestTier| taken < self.open_slots(*tier);
+        RequestTier::all().rev().find(open).unwrap_or(RequestTier::HIGHEST)
+    }
+
+    /// How many requests may be in flight while one of this tier starts.
+    ///
+    /// The last part of the limit is open to the higher tiers only, so that a customer's lower
+    /// tiers cannot keep its higher ones out.
+    fn open_slots(&self, tier: RequestTier) -> u32 {
+        let kept = KEPT_FOR_HIGHER * tier.index() as f64 / (TIER_COUNT - 1) as f64;
+        (f64::from(self.concurrency) * (1.0 - kept)).ceil() as u32
+    }
+
     /// While others want more, a holder keeps its even part or what it has in flight.
     fn fair_most(&self, ask: &LimitAsk) -> u32 {
         if self.unmet == 0 {
--- a/coltsfootgate_core/src/limit/share.rs
+++ b/coltsfootgate_core/src/limit/share.rs
@@ -3,14 +3,18 @@
 use std::time::{Duration, Instant};
 
 use super::{LimitAsk, LimitSlice, TokenBucket};
-use crate::ids::{CustomerId, InstanceId};
+use crate::ids::{CustomerId, InstanceId, RequestTier};
 use crate::reason::ErrorKind;
 use crate::settings::CustomerSettings;
 
 /// Share of a slice's life after which it is renewed while in use.
 const RENEW_SHARE: f64 = 0.5;
 /// Time without requests after which what is not in use goes back to the owner.
-const IDLE_RETURN: Duration = Duration::from_millis(200);
+const IDLE_RETURN: Duration = Duration::from_secs(1);
+/// Time for which an ask fetches ahead what arrives at the present rate.
+const FETCH_AHEAD: Duration = Duration::from_millis(500);
+/// Requests that an ask fetches ahead at most.
+const AHEAD_MAX: u32 = 64;
 /// Time for which a reply that left nothing stands for new requests as well.
 const EXHAUSTED_LIFE: Duration = Duration::from_millis(50);
 /// Time to wait that is stated when the concurrency is used up.
@@ -45,10 +49,16 @@
     in_use: u32,
     /// Requests that arrived since the last ask.
     demand: u32,
+    /// The highest tier among them.
+    demand_tier: RequestTier,
     last_request: Option<Instant>,
     asked: Option<PendingAsk>,
     valid_until: Option<Instant>,
     valid_for: Duration,
+    open_to: RequestTier,
+    /// Until when the owner's word stands that tiers below are kept out.
+    closed_until: Option<Instant>,
+    last_ask: Option<Instant>,
     exhausted: Option<ExhaustedSlice>,
     cautious: Option<CautiousShare>,
 }
@@ -57,8 +67,8 @@
 #[derive(Clone, Copy, Debug)]
 struct PendingAsk {
     sent: Instant,
-    wanted: u32,
-    permits_wanted: u32,
+    in_use: u32,
+    demand: u32,
 }
 
 /// The owner's word that nothing is left, for a moment.
@@ -87,10 +97,14 @@
             permits: 0,
             in_use: 0,
             demand: 0,
+            demand_tier: RequestTier::LOWEST,
             last_request: None,
             asked: None,
             valid_until: None,
             valid_for: Duration::ZERO,
+            open_to: RequestTier::LOWEST,
+            closed_until: None,
+            last_ask: None,
             exhausted: None,
             cautious: None,
         }
@@ -101,23 +115,26 @@
         self.in_use
     }
 
-    /// Decides on a new request.
-    pub fn decide(&mut self, now: Instant) -> LimitDecision {
+    /// Decides on a new request of a tier.
+    pub fn decide(&mut self, tier: RequestTier, now: Instant) -> LimitDecision {
         self.demand = self.demand.saturating_add(1);
+        self.demand_tier = self.demand_tier.min(tier);
         self.last_request = Some(now);
-        self.decide_again(now)
+        self.decide_again(tier, now)
     }
 
     /// Decides on a request once more, after an ask was answered or its owner was out of reach.
     ///
     /// Another ask may be needed when requests that came later used up what was lent.
-    pub fn decide_again(&mut self, now: Instant) -> LimitDecision {
-        if self.try_admit(now) {
+    pub fn decide_again(&mut self, tier: RequestTier, now: Instant) -> LimitDecision {
+        if self.try_admit(tier, now) {
             return LimitDecision::Admit;
         }
         let is_exhausted = self.exhausted.is_some_and(|exhausted| exhausted.until > now);
-        if is_exhausted || self.is_cautious(now) {
-            return self.refusal(now);
+        let is_closed =
+            self.open_to.is_above(tier) && self.closed_until.is_some_and(|until| until > now);
+        if is_exhausted || is_closed || self.is_cautious(now) {
+            return self.refusal(tier, now);
         }
         LimitDecision::Ask
     }
@@ -152,10 +169,12 @@
 
     /// Makes an ask; permits in hand go back with it, and so does what is no longer wanted.
     pub fn ask(&mut self, now: Instant) -> LimitAsk {
-        let permits_wanted = std::mem::take(&mut self.demand);
+        let demand = std::mem::take(&mut self.demand);
+        let permits_wanted = demand.saturating_add(self.ahead(demand, now));
         let wanted = self.in_use.saturating_add(permits_wanted);
+        self.last_ask = Some(now);
         self.concurrency = self.concurrency.min(wanted);
-        self.asked = Some(PendingAsk { sent: now, wanted, permits_wanted });
+        self.asked = Some(PendingAsk { sent: now, in_use: self.in_use, demand });
         LimitAsk {
             customer: self.customer.clone(),
             entry: self.entry.clone(),
@@ -164,6 +183,7 @@
             in_use: self.in_use,
             wanted,
             permits_wanted,
+            tier: std::mem::replace(&mut self.demand_tier, RequestTier::LOWEST),
             permits_returned: std::mem::take(&mut self.permits),
         }
     }
@@ -180,7 +200,11 @@
         self.valid_until = Some(asked.sent + slice.valid_for);
         self.valid_for = slice.valid_for;
         self.cautious = None;
-        let is_short = slice.permits < asked.permits_wanted || slice.concurrency < asked.wanted;
+        self.open_to = slice.open_to;
+        let is_short =
+            slice.permits < asked.demand || slice.concurrency < asked.in_use + asked.demand;
+        let is_closed = slice.open_to != RequestTier::LOWEST;
+        self.closed_until = is_closed.then_some(now + EXHAUSTED_LIFE);
         self.exhausted = is_short.then(|| ExhaustedSlice {
             until: now + EXHAUSTED_LIFE,
             next_permit: slice.next_permit,
@@ -215,8 +239,17 @@
         }
     }
 
-    fn try_admit(&mut self, now: Instant) -> bool {
-        let is_admitted = self.try_slice(now) || self.try_cautious(now);
+    /// What is expected to arrive soon, going by what arrived since the last ask.
+    fn ahead(&self, demand: u32, now: Instant) -> u32 {
+        let Some(last) = self.last_ask.filter(|_| demand > 0) else { return 0 };
+        let elapsed = now.saturating_duration_since(last).max(FETCH_AHEAD);
+        let ahead = f64::from(demand) * FETCH_AHEAD.as_secs_f64() / elapsed.as_secs_f64();
+        (ahead.ceil() as u32).min(AHEAD_MAX)
+    }
+
+    fn try_admit(&mut self, tier: RequestTier, now: Instant) -> bool {
+        let is_open = !self.open_to.is_above(tier);
+        let is_admitted = (is_open && self.try_slice(now)) || self.try_cautious(now);
         self.in_use += u32::from(is_admitted);
         is_admitted
     }
@@ -236,12 +269,12 @@
         })
     }
 
-    fn refusal(&self, now: Instant) -> LimitDecision {
+    fn refusal(&self, tier: RequestTier, now: Instant) -> LimitDecision {
         let concurrency = match &self.cautious {
             Some(cautious) if cautious.until > now => cautious.concurrency,
             _ => self.concurrency,
         };
-        if self.in_use >= concurrency {
+        if self.in_use >= concurrency || self.open_to.is_above(tier) {
             let kind = ErrorKind::ConcurrencyLimited;
             return LimitDecision::Refuse { kind, retry_after: CONCURRENCY_RETRY };
         }
--- a/coltsfootgate_core/src/membership.rs
+++ b/coltsfootgate_core/src/membership.rs
@@ -15,6 +15,8 @@
 
 /// How often a heartbeat goes to each neighbour.
 pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(500);
+/// Time after a heartbeat in which no other is sent to the same peer.
+pub const HEARTBEAT_REST: Duration = Duration::from_millis(300);
 /// Silence after which a neighbour is suspected.
 pub const SUSPECT_AFTER: Duration = Duration::from_millis(1500);
 /// Time under suspicion after which a neighbour counts as dead, if nobody heard from it.
@@ -500,7 +502,7 @@
         }
         self.forget_dead(now);
         self.choose_neighbours(now);
-        for id in self.heartbeat_targets() {
+        for id in self.heartbeat_targets(now) {
             let heartbeat = self.heartbeat_for(&id);
             actions.push(PeerAction::Send(id, heartbeat));
         }
@@ -549,8 +551,16 @@
     }
 
     /// The neighbours, and in turn one of the dead, so that a healed network is noticed.
-    fn heartbeat_targets(&mut self) -> Vec<InstanceId> {
-        let mut targets: Vec<_> = self.neighbours.iter().cloned().collect();
+    ///
+    /// A heartbeat is answered by one, so a neighbour that sent one just now needs no other.
+    fn heartbeat_targets(&mut self, now: Instant) -> Vec<InstanceId> {
+        let is_due = |id: &&InstanceId| {
+            self.peers.get(*id).is_none_or(|peer| {
+                peer.state != PeerState::Alive
+                    || now.saturating_duration_since(peer.heard) >= HEARTBEAT_REST
+            })
+        };
+        let mut targets: Vec<_> = self.neighbours.iter().filter(is_due).cloned().collect();
         let dead: Vec<_> =
             self.peers.iter().filter(|(_, peer)| peer.state == PeerState::Dead).collect();
         if !dead.is_empty() {
--- a/coltsfootgate_wire/src/limit.rs
+++ b/coltsfootgate_wire/src/limit.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use coltsfootgate_core::ids::RequestTier;
 use coltsfootgate_core::limit::{LimitAsk, LimitSlice};
 
 use crate::error::WireError;
@@ -18,6 +19,7 @@
     in_use: u32,
     wanted: u32,
     permits_wanted: u32,
+    tier: u8,
     permits_returned: u32,
 }
 
@@ -28,6 +30,7 @@
     permits: u32,
     valid_micros: u64,
     next_permit_micros: u64,
+    open_to: u8,
 }
 
 impl From<LimitAsk> for WireLimitAsk {
@@ -42,6 +45,7 @@
             in_use,
             wanted,
             permits_wanted,
+            tier: ask.tier.number(),
             permits_returned,
         }
     }
@@ -59,6 +63,7 @@
             in_use: ask.in_use,
             wanted: ask.wanted,
             permits_wanted: ask.permits_wanted,
+            tier: RequestTier::new(ask.tier).ok_or(WireError::WrongValue("tier"))?,
             permits_returned: ask.permits_returned,
         })
     }
@@ -72,6 +77,7 @@
             permits: slice.permits,
             valid_micros: to_micros(slice.valid_for),
             next_permit_micros: to_micros(slice.next_permit),
+            open_to: slice.open_to.number(),
         }
     }
 }
@@ -86,6 +92,7 @@
             permits: slice.permits,
             valid_for: from_micros(slice.valid_micros)?,
             next_permit: from_micros(slice.next_permit_micros)?,
+            open_to: RequestTier::new(slice.open_to).ok_or(WireError::WrongValue("tier"))?,
         })
     }
 }
