--- a/coltsfootgate_wire/src/message.rs
+++ b/coltsfootgate_wire/src/message.rs
@@ -87,6 +87,7 @@
             Self::FetchHead => "fetch-head",
             Self::FetchObject(_) => "fetch-object",
             Self::LimitAsk(_) => "limit-ask",
+            Self::Claim { .. } => "claim",
         }
     }
 }
