Prove claims among instances that know each other

A dead owner, a paused one, a lost reply of the owner and a connection to it that went silent each leave one execution.

--- /dev/null
+++ b/coltsfootgate/tests/shared_claims.rs
@@ -0,0 +1,145 @@
+//! Claims among instances that know each other: one owner per page, and what its failure costs.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coltsfootgate_core::rendezvous::OwnerTable;
+use coltsfootgate_standins::platform::start_platform;
+use coltsfootgate_standins::runner::{ANY_PORT, StandinHandle};
+use coltsfootgate_standins::service::start_plain_service;
+use serde_json::json;
+
+use support::{
+    LinkedDaemon, TestAnswer, TestCall, eventually, list_instances, put_tree, sample_tree,
+    wait_known,
+};
+
+const COMPLETED: (u16, &str) = (200, "completed");
+
+struct SharedSetup {
+    platform: StandinHandle,
+    service: StandinHandle,
+    instances: Vec<LinkedDaemon>,
+    /// Position of the instance that owns the one page.
+    owner: usize,
+}
+
+fn start(instances: usize) -> SharedSetup {
+    let platform = start_platform(ANY_PORT).unwrap();
+    let service = start_plain_service(ANY_PORT, Duration::ZERO).unwrap();
+    let tree = sample_tree(&[], &[service.address], "")
+        .replace("[deployment]\n", "[deployment]\nclaim_pages = 1\n")
+        .replace("slots = 4\nslots_max = 8", "slots = 64\nslots_max = 64");
+    put_tree(platform.address, 1, &tree);
+    let instances: Vec<_> =
+        (0..instances).map(|_| LinkedDaemon::start(platform.address, "a", &[])).collect();
+    let known: Vec<_> = instances.iter().collect();
+    list_instances(platform.control, &known);
+    wait_known(&known);
+    let table = OwnerTable::new(instances.iter().map(|instance| instance.id().into()));
+    let owner = table.owner("coltsfootgate/claims/0").unwrap().to_string();
+    let owner = instances.iter().position(|instance| instance.id() == owner).unwrap();
+    SharedSetup { platform, service, instances, owner }
+}
+
+impl SharedSetup {
+    fn callers(&self, instance: usize) -> SocketAddr {
+        self.instances[instance].daemon.ports.callers
+    }
+
+    fn call(&self, instance: usize, key: &str) -> TestAnswer {
+        order(key).send(self.callers(instance))
+    }
+
+    /// An instance that does not own the page.
+    fn other(&self) -> usize {
+        (self.owner + 1) % self.instances.len()
+    }
+
+    fn executions(&self, key: &str) -> u64 {
+        self.service.control.counters().unwrap()["by_key"][key].as_u64().unwrap_or(0)
+    }
+
+    fn writes(&self) -> u64 {
+        self.platform.control.counters().unwrap()["writes"].as_u64().unwrap()
+    }
+
+    /// Calls until the recorded answer comes, and checks that the request ran once.
+    fn assert_replayed(&self, instance: usize, key: &str) {
+        eventually("the recorded answer", || {
+            let answer = self.call(instance, key);
+            assert!(matches!(answer.status, 200 | 409), "{answer:?}");
+            answer.header("coltsfootgate-replayed") == "true"
+        });
+        assert_eq!(self.executions(key), 1);
+    }
+}
+
+fn order(key: &str) -> TestCall {
+    let call = TestCall::new("POST", "/orders/7", b"one coupler");
+    call.header("idempotency-key", key).header("coltsfootgate-deadline", "15 s")
+}
+
+fn end(answer: &TestAnswer) -> (u16, &str) {
+    (answer.status, answer.header("coltsfootgate-outcome"))
+}
+
+#[test]
+fn claims_through_all_instances_are_committed_together() {
+    const CALLS: usize = 30;
+    let setup = start(3);
+    setup.assert_replayed(0, "k");
+    setup.platform.control.order(&json!({"delay_ms": 40})).unwrap();
+    let before = setup.writes();
+    let calls: Vec<_> = (0..CALLS)
+        .map(|number| order(&format!("k{number}")).start(setup.callers(number % 3)))
+        .collect();
+    for call in calls {
+        assert_eq!(end(&call.join().unwrap()), COMPLETED);
+    }
+    let writes = setup.writes() - before;
+    assert!(writes <= CALLS as u64 / 5, "{writes} writes for {CALLS} claims");
+}
+
+#[test]
+fn a_dead_owner_is_followed_by_another() {
+    let mut setup = start(3);
+    setup.assert_replayed(setup.other(), "k0");
+    let owner = setup.owner;
+    setup.instances[owner].daemon.kill();
+    setup.assert_replayed(setup.other(), "k0");
+    assert_eq!(end(&setup.call(setup.other(), "k1")), COMPLETED);
+    assert_eq!(setup.executions("k1"), 1);
+}
+
+#[test]
+fn a_paused_owner_comes_back_to_a_page_that_moved_on() {
+    let setup = start(3);
+    setup.assert_replayed(setup.owner, "k0");
+    setup.instances[setup.owner].daemon.pause();
+    assert_eq!(end(&setup.call(setup.other(), "k1")), COMPLETED);
+    setup.instances[setup.owner].daemon.resume();
+    setup.assert_replayed(setup.owner, "k1");
+}
+
+#[test]
+fn a_lost_reply_of_the_owner_claims_once() {
+    let setup = start(3);
+    setup.assert_replayed(setup.other(), "k0");
+    let owner = &setup.instances[setup.owner];
+    owner.order_proxy(json!({"mode": "swallow_down"}));
+    assert_eq!(end(&setup.call(setup.other(), "k1")), COMPLETED);
+    owner.order_proxy(json!({"mode": "pass"}));
+    setup.assert_replayed(setup.owner, "k1");
+}
+
+#[test]
+fn a_silent_connection_to_the_owner_is_replaced() {
+    let setup = start(3);
+    setup.assert_replayed(setup.other(), "k0");
+    setup.instances[setup.owner].order_proxy(json!({"silence_existing": true}));
+    assert_eq!(end(&setup.call(setup.other(), "k1")), COMPLETED);
+    assert_eq!(setup.executions("k1"), 1);
+}
