Prove the tree in force and membership with real processes

An instance started in an outage of the store serves the tree of its peers; one whose store is behind takes the higher version of a peer and never goes below it; new versions arrive though watches or connections to the store went silent, and through a peer where the store is out of reach. A paused instance is dropped and comes back, one is reborn at its address, two cut from each other serve apart without running a key twice and find each other again, and a leaver is seen at once.

The stand-in platform's instance list goes on while its store hangs, since the two are separate services.

--- /dev/null
+++ b/coltsfootgate/tests/membership_faults.rs
@@ -0,0 +1,112 @@
+//! Membership of real instances: pauses, rebirth, cuts, and what they leave behind.
+
+mod support;
+
+use std::time::Duration;
+
+use coltsfootgate_standins::platform::start_platform;
+use coltsfootgate_standins::runner::{ANY_PORT, StandinHandle};
+use coltsfootgate_standins::service::start_plain_service;
+use serde_json::{Value, json};
+
+use support::{
+    LinkedDaemon, TestCall, eventually, list_instances, put_tree, sample_tree, wait_known,
+};
+
+struct MemberSetup {
+    platform: StandinHandle,
+    service: StandinHandle,
+    instances: Vec<LinkedDaemon>,
+}
+
+fn start(instances: usize) -> MemberSetup {
+    let platform = start_platform(ANY_PORT).unwrap();
+    let service = start_plain_service(ANY_PORT, Duration::ZERO).unwrap();
+    let tree = sample_tree(&[], &[service.address], "")
+        .replace("[deployment]\n", "[deployment]\nclaim_pages = 1\n");
+    put_tree(platform.address, 1, &tree);
+    let instances: Vec<_> =
+        (0..instances).map(|_| LinkedDaemon::start(platform.address, "a", &[])).collect();
+    let known: Vec<_> = instances.iter().collect();
+    list_instances(platform.control, &known);
+    wait_known(&known);
+    MemberSetup { platform, service, instances }
+}
+
+impl MemberSetup {
+    fn order_proxies(&self, order: &Value) {
+        self.instances.iter().for_each(|instance| instance.order_proxy(order.clone()));
+    }
+
+    fn wait_known(&self) {
+        wait_known(&self.instances.iter().collect::<Vec<_>>());
+    }
+
+    fn call(&self, instance: usize, key: &str) -> u16 {
+        let call = TestCall::new("POST", "/orders/7", b"").header("idempotency-key", key);
+        call.send(self.instances[instance].daemon.ports.callers).status
+    }
+
+    fn executions(&self, key: &str) -> u64 {
+        self.service.control.counters().unwrap()["by_key"][key].as_u64().unwrap_or(0)
+    }
+}
+
+#[test]
+fn a_paused_instance_is_dropped_and_comes_back() {
+    let setup = start(3);
+    let [first, second, paused] = &setup.instances[..] else { unreachable!() };
+    paused.daemon.pause();
+    first.wait_state(paused, "dead");
+    second.wait_state(paused, "dead");
+    assert_eq!(setup.call(0, "k1"), 200);
+    paused.daemon.resume();
+    setup.wait_known();
+    assert_eq!(setup.call(2, "k2"), 200);
+}
+
+#[test]
+fn an_instance_reborn_at_its_address_takes_part_again() {
+    let mut setup = start(3);
+    assert_eq!(setup.call(2, "k1"), 200);
+    // Killed before the end is recorded, an instance would leave it unknown for good.
+    eventually("the recorded answer", || setup.call(0, "k1") == 200);
+    let platform = setup.platform.address;
+    setup.instances[2].replace(platform, "a", &[]);
+    setup.wait_known();
+    eventually("the recorded answer", || setup.call(2, "k1") == 200);
+    assert_eq!(setup.executions("k1"), 1);
+}
+
+#[test]
+fn instances_cut_from_each_other_serve_apart_and_find_each_other_again() {
+    let setup = start(2);
+    setup.order_proxies(&json!({"mode": "swallow"}));
+    setup.instances[0].wait_state(&setup.instances[1], "dead");
+    setup.instances[1].wait_state(&setup.instances[0], "dead");
+    // Each takes itself for the owner of everything; the page's revision keeps them apart.
+    for round in 0..5 {
+        let key = format!("k{round}");
+        let calls = [0, 1].map(|at| {
+            let call = TestCall::new("POST", "/orders/7", b"").header("idempotency-key", &*key);
+            call.start(setup.instances[at].daemon.ports.callers)
+        });
+        let statuses = calls.map(|call| call.join().unwrap().status);
+        assert!(statuses.contains(&200), "{statuses:?}");
+        assert_eq!(setup.executions(&key), 1);
+    }
+    setup.order_proxies(&json!({"mode": "pass", "cut": true}));
+    setup.wait_known();
+}
+
+#[test]
+fn a_leaver_is_seen_leaving_at_once_and_its_claims_are_taken_over() {
+    let mut setup = start(3);
+    assert_eq!(setup.call(2, "k1"), 200);
+    setup.instances[2].daemon.terminate();
+    setup.instances[0].wait_state(&setup.instances[2], "leaving");
+    setup.instances[1].wait_state(&setup.instances[2], "leaving");
+    assert!(setup.instances[2].daemon.wait_exit());
+    eventually("the recorded answer", || setup.call(0, "k1") == 200);
+    assert_eq!(setup.executions("k1"), 1);
+}
--- /dev/null
+++ b/coltsfootgate/tests/tree_in_force.rs
@@ -0,0 +1,111 @@
+//! The tree in force at real instances: outages, stale replicas, silent watches and connections.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use coltsfootgate_standins::engine::{EngineSettings, start_engine};
+use coltsfootgate_standins::platform::start_platform;
+use coltsfootgate_standins::proxy::start_proxy;
+use coltsfootgate_standins::runner::{ANY_PORT, StandinHandle};
+use serde_json::{Value, json};
+
+use support::{
+    LinkedDaemon, TestCall, TestDaemon, eventually, list_instances, put_tree, sample_tree,
+};
+
+fn put_versions(platform: &StandinHandle, engine: SocketAddr, versions: &[u64]) {
+    for version in versions {
+        put_tree(platform.address, *version, &sample_tree(&[engine], &[], ""));
+    }
+}
+
+fn version_at(daemon: &TestDaemon) -> u64 {
+    let path = "/config/head";
+    let answer =
+        coltsfootgate_standins::control::blocking_call(daemon.ports.operators, "GET", path, b"");
+    let head: Option<Value> = serde_json::from_slice(&answer.unwrap().body).ok();
+    head.and_then(|head| head["version"].as_u64()).unwrap_or(0)
+}
+
+fn assert_serves(daemon: &TestDaemon, version: u64) {
+    let answer = TestCall::model("a short note", 8, false).send(daemon.ports.callers);
+    assert_eq!(answer.header("coltsfootgate-outcome"), "completed", "{answer:?}");
+    assert_eq!(answer.header("coltsfootgate-config-version"), version.to_string());
+}
+
+#[test]
+fn an_instance_started_in_an_outage_serves_the_tree_of_its_peers() {
+    let platform = start_platform(ANY_PORT).unwrap();
+    let engine = start_engine(ANY_PORT, EngineSettings::default()).unwrap();
+    put_versions(&platform, engine.address, &[1, 2]);
+    let old = LinkedDaemon::start(platform.address, "a", &[]);
+    list_instances(platform.control, &[&old]);
+    old.daemon.wait_ready();
+    platform.control.order(&json!({"outage": "hang"})).unwrap();
+    let new = LinkedDaemon::start(platform.address, "a", &[]);
+    new.daemon.wait_ready();
+    assert_serves(&new.daemon, 2);
+    assert_serves(&old.daemon, 2);
+}
+
+#[test]
+fn an_instance_whose_store_is_behind_takes_the_higher_version_of_its_peers() {
+    let (ahead, behind) = (start_platform(ANY_PORT).unwrap(), start_platform(ANY_PORT).unwrap());
+    let engine = start_engine(ANY_PORT, EngineSettings::default()).unwrap();
+    put_versions(&ahead, engine.address, &[1, 2, 3]);
+    put_versions(&behind, engine.address, &[1]);
+    let old = LinkedDaemon::start(ahead.address, "a", &[]);
+    list_instances(behind.control, &[&old]);
+    old.daemon.wait_ready();
+    let new = LinkedDaemon::start(behind.address, "a", &[]);
+    new.daemon.wait_ready();
+    assert_serves(&new.daemon, 3);
+    put_versions(&behind, engine.address, &[2, 4]);
+    eventually("the highest version", || {
+        let version = version_at(&new.daemon);
+        assert!(version >= 3, "version {version} after 3");
+        version == 4
+    });
+}
+
+#[test]
+fn a_new_version_arrives_though_the_watch_is_silent() {
+    let platform = start_platform(ANY_PORT).unwrap();
+    let engine = start_engine(ANY_PORT, EngineSettings::default()).unwrap();
+    put_versions(&platform, engine.address, &[1]);
+    let daemon = TestDaemon::start(platform.address, "a", &[]);
+    daemon.wait_ready();
+    platform.control.order(&json!({"silent_watches": true})).unwrap();
+    put_versions(&platform, engine.address, &[2]);
+    daemon.wait_version(2);
+}
+
+#[test]
+fn a_new_version_arrives_though_connections_to_the_store_went_silent() {
+    let platform = start_platform(ANY_PORT).unwrap();
+    let proxy = start_proxy(ANY_PORT, platform.address).unwrap();
+    let engine = start_engine(ANY_PORT, EngineSettings::default()).unwrap();
+    put_versions(&platform, engine.address, &[1]);
+    let daemon = TestDaemon::start(proxy.address, "a", &["--platform-timeout", "1 s"]);
+    daemon.wait_ready();
+    proxy.control.order(&json!({"silence_existing": true})).unwrap();
+    put_versions(&platform, engine.address, &[2]);
+    daemon.wait_version(2);
+}
+
+#[test]
+fn a_version_learnt_by_one_instance_reaches_those_cut_off_from_the_store() {
+    let platform = start_platform(ANY_PORT).unwrap();
+    let proxy = start_proxy(ANY_PORT, platform.address).unwrap();
+    let engine = start_engine(ANY_PORT, EngineSettings::default()).unwrap();
+    put_versions(&platform, engine.address, &[1]);
+    let near = LinkedDaemon::start(platform.address, "a", &[]);
+    let far = LinkedDaemon::start(proxy.address, "a", &[]);
+    list_instances(platform.control, &[&near, &far]);
+    support::wait_known(&[&near, &far]);
+    proxy.control.order(&json!({"mode": "swallow", "silence_existing": true})).unwrap();
+    put_versions(&platform, engine.address, &[2]);
+    eventually("the version in force", || version_at(&far.daemon) == 2);
+    assert_serves(&far.daemon, 2);
+}
--- a/coltsfootgate_standins/src/platform.rs
+++ b/coltsfootgate_standins/src/platform.rs
@@ -48,7 +48,7 @@
     None,
     /// It closes all connections and takes no new one.
     Refuse,
-    /// It takes requests and answers them when the outage has ended.
+    /// It takes requests and answers them when the outage has ended; the list goes on.
     Hang,
 }
 
@@ -135,7 +135,9 @@
         let query = request.uri().query().unwrap_or_default().to_owned();
         let body = whole_body(request).await?;
         self.count(&method, &path, &query);
-        self.changed.until(|| self.outage.get() != StoreOutage::Hang).await;
+        if path != "/instances" {
+            self.changed.until(|| self.outage.get() != StoreOutage::Hang).await;
+        }
         if !self.delay.get().is_zero() {
             monoio::time::sleep(self.delay.get()).await;
         }
