--- a/coltsfootgate_core/src/routing/cooperative.rs
+++ b/coltsfootgate_core/src/routing/cooperative.rs
@@ -109,12 +109,14 @@
     }
 
     /// What is left when no owner is.
+    ///
+    /// Owners that know of no endpoint may hold another list of members than this entry, which
+    /// then uses its own share.
     fn last_step(&self, route: &RequestRoute) -> RouteStep {
         let has_endpoints =
             self.pools.get(&route.request.pool).is_some_and(|pool| pool.has_endpoints);
-        let is_unheard = has_endpoints && (!route.silent.is_empty() || route.refused.is_empty());
         match route.refusal {
-            None | Some(ErrorKind::NoEndpoint) if is_unheard => RouteStep::AskShare,
+            None | Some(ErrorKind::NoEndpoint) if has_endpoints => RouteStep::AskShare,
             Some(kind) => RouteStep::Refuse(kind),
             None => RouteStep::Refuse(ErrorKind::NoEndpoint),
         }
--- a/coltsfootgate_core/tests/routing.rs
+++ b/coltsfootgate_core/tests/routing.rs
@@ -102,15 +102,17 @@
     assert_eq!(step, expected);
 }
 
-#[test]
-fn silent_owners_leave_the_own_share() {
+#[rstest]
+#[case::silent(RouteReply::Silent)]
+#[case::other_members(RouteReply::Refused(ErrorKind::NoEndpoint, OwnerPressure::default()))]
+fn owners_out_of_reach_leave_the_own_share(#[case] reply: RouteReply) {
     let now = Instant::now();
     let mut routes = routes();
     let mut route = route(3, None, now);
     let mut step = routes.first_step(&mut route, now);
     let mut asked = Vec::new();
     while let RouteStep::Ask { owner, .. } = step {
-        step = routes.next_step(&mut route, &owner, RouteReply::Silent, now);
+        step = routes.next_step(&mut route, &owner, reply.clone(), now);
         asked.push(owner);
     }
     asked.sort();
