Deal endpoints out to owners in even parts

Cause: by rendezvous hash alone one of nine instances owned 6 of 18 engines, so its control bytes were the largest, 107,000 a second. Change: the endpoints of a pool go in order of their names to the first instance of their ranking that has room.

--- a/coltsfootgate/src/owner/task.rs
+++ b/coltsfootgate/src/owner/task.rs
@@ -167,8 +167,8 @@
     }
 
     fn owned_endpoints(&self, pool: &PoolSettings) -> Vec<EndpointSettings> {
-        let is_owned =
-            |endpoint: &&EndpointSettings| self.owners.table.owner(&endpoint.id) == Some(&self.own);
+        let owners = self.owners.endpoint_owners(pool);
+        let is_owned = |endpoint: &&EndpointSettings| owners.get(&endpoint.id) == Some(&self.own);
         pool.endpoints.iter().filter(is_owned).cloned().collect()
     }
 
--- a/coltsfootgate/src/routes/mod.rs
+++ b/coltsfootgate/src/routes/mod.rs
@@ -5,7 +5,7 @@
 mod link;
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -41,12 +41,14 @@
         Self { table, zones }
     }
 
-    /// The owners of a pool's endpoints.
-    pub fn places(&self, pool: &PoolSettings) -> Vec<OwnerPlace> {
-        let owners = pool.endpoints.iter().filter_map(|endpoint| self.table.owner(&endpoint.id));
-        let mut owners: Vec<&InstanceId> = owners.collect();
-        owners.sort();
-        owners.dedup();
+    /// The owner of each endpoint of a pool.
+    pub fn endpoint_owners(&self, pool: &PoolSettings) -> BTreeMap<EndpointId, InstanceId> {
+        self.table.balanced(pool.endpoints.iter().map(|endpoint| &endpoint.id))
+    }
+
+    /// Where the owners of some endpoints run.
+    fn places(&self, endpoint_owners: &BTreeMap<EndpointId, InstanceId>) -> Vec<OwnerPlace> {
+        let owners: BTreeSet<&InstanceId> = endpoint_owners.values().collect();
         owners
             .into_iter()
             .filter_map(|owner| {
@@ -67,6 +69,7 @@
     strategy: RoutingStrategy,
     routes: StrategyRoutes,
     owners: OwnerSet,
+    endpoint_owners: BTreeMap<EndpointId, InstanceId>,
     active: Option<Rc<ActiveTree>>,
     leaving: HashSet<Arc<str>>,
     book: LeaseBook,
@@ -81,6 +84,7 @@
             zone,
             strategy,
             owners: OwnerSet::default(),
+            endpoint_owners: BTreeMap::new(),
             active: None,
             leaving: HashSet::new(),
             book: LeaseBook::default(),
@@ -117,7 +121,7 @@
 
     /// The instance that owns an endpoint.
     pub fn owner_of(&self, endpoint: &EndpointId) -> Option<InstanceId> {
-        self.0.borrow().owners.table.owner(endpoint).cloned()
+        self.0.borrow().endpoint_owners.get(endpoint).cloned()
     }
 
     /// Learns how busy an owner is.
@@ -165,7 +169,7 @@
         let state = self.0.borrow();
         let mut held: HashMap<(InstanceId, PoolId), Vec<HeldGrant>> = HashMap::new();
         for lease in state.book.owned() {
-            if let Some(owner) = state.owners.table.owner(&lease.held.endpoint) {
+            if let Some(owner) = state.endpoint_owners.get(&lease.held.endpoint) {
                 let key = (owner.clone(), lease.pool.clone());
                 held.entry(key).or_default().push(lease.held.clone());
             }
@@ -178,11 +182,15 @@
     /// Tells the routes of every pool again.
     fn refresh(&mut self) {
         let Some(active) = &self.active else { return };
+        self.endpoint_owners.clear();
         for pool in active.tree.pools() {
+            let mut owners = self.owners.endpoint_owners(pool);
+            let places = self.owners.places(&owners);
+            self.endpoint_owners.append(&mut owners);
             let staying =
                 pool.endpoints.iter().filter(|endpoint| !self.leaving.contains(&endpoint.address));
             let endpoints = staying.map(|endpoint| endpoint.id.clone()).collect();
-            self.routes.set_pool(&pool.id, self.owners.places(pool), endpoints);
+            self.routes.set_pool(&pool.id, places, endpoints);
         }
     }
 }
--- a/coltsfootgate_core/src/rendezvous.rs
+++ b/coltsfootgate_core/src/rendezvous.rs
@@ -1,6 +1,8 @@
 //! Ownership of keys among instances by highest random weight.
 
 use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 
 use crate::ids::InstanceId;
 
@@ -62,6 +64,32 @@
         ranked.into_iter().map(|(_, id)| id).collect()
     }
 
+    /// An owner for each key, none of them with more than its even part, rounded up.
+    ///
+    /// Every instance that holds the same set and names the same keys gets the same owners. A key
+    /// goes to the first in its ranking that has room, so more keys change hands than with
+    /// [`OwnerTable::owner`] when an instance joins or leaves.
+    pub fn balanced<'a>(
+        &self,
+        keys: impl IntoIterator<Item = &'a Arc<str>>,
+    ) -> BTreeMap<Arc<str>, InstanceId> {
+        let mut keys: Vec<&Arc<str>> = keys.into_iter().collect();
+        keys.sort();
+        keys.dedup();
+        let most = keys.len().div_ceil(self.len().max(1));
+        let mut counts: HashMap<&InstanceId, usize> = HashMap::new();
+        let mut owners = BTreeMap::new();
+        for key in keys {
+            let ranked = self.ranked(key);
+            let Some(owner) = ranked.into_iter().find(|id| counts.get(id) < Some(&most)) else {
+                continue;
+            };
+            *counts.entry(owner).or_default() += 1;
+            owners.insert(key.clone(), owner.clone());
+        }
+        owners
+    }
+
     /// How many instances the table holds.
     pub fn len(&self) -> usize {
         self.instances.len()
--- a/coltsfootgate_core/tests/rendezvous.rs
+++ b/coltsfootgate_core/tests/rendezvous.rs
@@ -41,6 +41,24 @@
     }
 }
 
+proptest! {
+    #[test]
+    fn balanced_keys_have_owners_with_even_parts(
+        count in 1usize..20,
+        keys in prop::collection::btree_set("[a-z]{1,12}", 1..60),
+    ) {
+        let keys: Vec<Arc<str>> = keys.into_iter().map(Arc::from).collect();
+        let owners = OwnerTable::new(instances(count)).balanced(&keys);
+        let reversed = OwnerTable::new(instances(count).into_iter().rev());
+        prop_assert_eq!(&owners, &reversed.balanced(keys.iter().rev()));
+        prop_assert_eq!(owners.len(), keys.len());
+        for id in instances(count) {
+            let owned = owners.values().filter(|owner| **owner == id).count();
+            prop_assert!(owned <= keys.len().div_ceil(count));
+        }
+    }
+}
+
 #[test]
 fn keys_spread_evenly() {
     let table = OwnerTable::new(instances(9));
