Count only an instance's own statements as having heard it

Two survivors could keep a dead instance alive for good: one suspected it, the other vouched because it had heard a moment later, the first took that as hearing, and vouched in turn when the other suspected. Seen in the test with real processes (instances_find_each_other_and_notice_a_death: suspect and alive in turn every 1.5 s); ruled out were late heartbeats and the list. A voucher still clears a suspicion, but hearing now means a statement of the instance itself. The model test ticks the survivors apart; it gave Alive before and Dead after.

--- a/coltsfootgate_core/src/membership.rs
+++ b/coltsfootgate_core/src/membership.rs
@@ -165,8 +165,10 @@
     listed: bool,
     /// Whether it announced its leaving in this incarnation.
     left: bool,
-    /// When it was last heard, or since when it should have been.
+    /// When it was last heard or vouched for, or since when it should have been heard.
     heard: Instant,
+    /// When its last statement arrived here.
+    stated: Option<Instant>,
     /// When it entered its state.
     since: Instant,
     silent_for: BTreeSet<InstanceId>,
@@ -254,8 +256,11 @@
         if *about == self.own.profile.id {
             return true;
         }
+        // Only its own statements count: two instances that took each other's vouching for having
+        // heard would keep a dead one alive between them.
         self.peers.get(about).is_some_and(|peer| {
-            peer.state.is_live() && now.saturating_duration_since(peer.heard) < SUSPECT_AFTER
+            let is_recent = |stated| now.saturating_duration_since(stated) < SUSPECT_AFTER;
+            peer.state.is_live() && peer.stated.is_some_and(is_recent)
         })
     }
 
@@ -356,6 +361,7 @@
             return;
         }
         peer.heard = now;
+        peer.stated = Some(now);
         peer.silent_for.clear();
         let reborn = said.profile.incarnation > peer.profile.incarnation;
         let was_known = peer.profile.incarnation != 0;
@@ -600,6 +606,7 @@
             listed: false,
             left: false,
             heard: now,
+            stated: None,
             since: now,
             silent_for: BTreeSet::new(),
         }
--- a/coltsfootgate_core/tests/membership.rs
+++ b/coltsfootgate_core/tests/membership.rs
@@ -145,6 +145,25 @@
     }
 }
 
+/// Survivors that heard last at different times must not take each other's vouching for hearing.
+#[test]
+fn two_survivors_do_not_keep_a_dead_instance_alive() {
+    let mut fleet = ModelFleet::new(3);
+    fleet.run(2);
+    for period in 0..40 {
+        // Timers fire a little late, and those of the survivors not at the same time.
+        for (survivor, pause) in [(0, HEARTBEAT_PERIOD * 7 / 10), (1, HEARTBEAT_PERIOD * 4 / 10)] {
+            fleet.now += pause;
+            fleet.event(&id(survivor), PeerEvent::Tick);
+        }
+        if period == 0 {
+            fleet.tables.remove(&id(2));
+        }
+    }
+    assert_eq!(fleet.state(0, 2), Some(PeerState::Dead));
+    assert_eq!(fleet.state(1, 2), Some(PeerState::Dead));
+}
+
 #[test]
 fn a_link_cut_one_way_is_no_death() {
     let mut fleet = ModelFleet::new(5);
