--- a/coltsfootgate_standins/src/lib.rs
+++ b/coltsfootgate_standins/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod runner;
 pub mod service;
 pub mod signal;
+pub mod slopes;
