Give up callers that stop reading their answers

Cause: a caller that stopped reading held its endpoint's slot and its connection for as long as the system kept the connection, and a process that was shutting down waited for it without end. No rule bounded a write toward a caller.

--- a/coltsfootgate/src/entry/listener.rs
+++ b/coltsfootgate/src/entry/listener.rs
@@ -18,6 +18,7 @@
 
 use super::answer::{AnswerBody, OUTCOME, REASON, RULE, Refusal};
 use super::request::{ENTRY_RULE, RequestBounds};
+use super::stall::StallGuard;
 use crate::metrics::{ConnectionSide, DaemonMetrics};
 use crate::shutdown::ShutdownSignal;
 
@@ -148,11 +149,12 @@
             Ok::<_, Infallible>(response)
         }
     });
+    let stream = StallGuard::new(MonoioIo::new(stream), bounds.request.body_timeout);
     let connection = http1::Builder::new()
         .timer(MonoioTimer)
         .header_read_timeout(bounds.head_timeout)
         .max_buf_size(bounds.head_max)
-        .serve_connection(MonoioIo::new(stream), service);
+        .serve_connection(stream, service);
     let mut connection = std::pin::pin!(connection);
     let ended = match select(connection.as_mut(), std::pin::pin!(shutdown.triggered())).await {
         Either::Left((ended, _)) => ended,
--- a/coltsfootgate/src/entry/mod.rs
+++ b/coltsfootgate/src/entry/mod.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod listener;
 pub mod request;
+mod stall;
 
 pub use answer::{AnswerBody, Refusal};
 pub use caller::{CallerGone, CallerLink};
--- a/coltsfootgate/src/entry/request.rs
+++ b/coltsfootgate/src/entry/request.rs
@@ -56,7 +56,7 @@
 pub struct RequestBounds {
     /// Largest body, in bytes.
     pub body_max: usize,
-    /// Longest time for the whole body.
+    /// Longest time for the whole body, and for a caller to take a piece of its answer.
     pub body_timeout: Duration,
 }
 
