Start the tasks of an instance in a module of their own

A lost and a reborn instance are forgotten alike. Behaviour is unchanged but for the pressure of a reborn instance, which is forgotten too.

--- a/coltsfootgate/src/daemon.rs
+++ b/coltsfootgate/src/daemon.rs
@@ -8,37 +8,23 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use coltsfootgate_core::membership::PeerProfile;
 use error_stack::{Report, ResultExt};
-use futures_channel::mpsc::unbounded;
-use futures_util::StreamExt;
 use gumdrop::Options;
 use log::info;
 use monoio::net::{ListenerOpts, TcpListener, UnixStream};
 use monoio::{LegacyDriver, RuntimeBuilder};
-use serde_json::json;
 use signal_hook::consts::{SIGINT, SIGTERM};
 
-use crate::claims::{ClaimsHandle, ClaimsTask, follow_owners};
-use crate::clock;
-use crate::endpoint::ConnectionPool;
 use crate::entry::request::RequestBounds;
 use crate::entry::{EntryBounds, EntryListener};
-use crate::limits::{LimitHandle, LimitTask};
+use crate::instance::{InstanceParts, start_instance};
 use crate::logging::{print_fault, start_logging};
-use crate::members::{MembersHandle, MembersTask};
-use crate::metrics::{ConnectionSide, DaemonMetrics};
-use crate::operators::{
-    OperatorsContext, OperatorsServer, ReadinessGate, RequestRecords, StatusBoard, UnreadyCause,
-};
+use crate::metrics::ConnectionSide;
+use crate::operators::{OperatorsContext, OperatorsServer, UnreadyCause};
 use crate::options::{DaemonFlags, DaemonSettings};
-use crate::owner::{OwnerDesk, OwnerHandle, OwnerMessage, OwnerTask};
-use crate::peer::{PeerDispatch, PeerHandle, PeerIdentity, PeerListener};
-use crate::pipeline::{BudgetTable, GateContext, GrantCounter, RequestGate};
-use crate::platform::HttpPlatform;
-use crate::routes::{MemberFollower, OwnerLink, PoolStatus, RouteBoard};
+use crate::peer::PeerIdentity;
+use crate::pipeline::RequestGate;
 use crate::shutdown::{ShutdownTrigger, shutdown_pair};
-use crate::tree::{TreeHandle, TreeTask};
 
 /// Period at which the end of requests in flight is looked for.
 const DRAIN_PERIOD: Duration = Duration::from_millis(20);
@@ -110,34 +96,21 @@
     runtime.block_on(serve(settings))
 }
 
-/// The tasks of one instance that others talk to.
-struct InstanceParts {
-    metrics: DaemonMetrics,
-    readiness: ReadinessGate,
-    board: StatusBoard,
-    records: RequestRecords,
-    tree: TreeHandle,
-    routes: RouteBoard,
-    link: OwnerLink,
-    limits: LimitHandle,
-    claims: ClaimsHandle,
-    members: MembersHandle,
-}
-
 async fn serve(mut settings: DaemonSettings) -> Result<(), Report<DaemonFault>> {
     let peer_listener = bind("peers", settings.peer_listen)?;
     let peers = peer_listener.local_addr().change_context(DaemonFault::Runtime)?;
     settings.take_peer_address(peers);
     let signals = signal_stream()?;
     let (trigger, shutdown) = shutdown_pair();
-    let parts = start_tasks(&settings, peer_listener)?;
+    let identity = PeerIdentity::new(settings.instance.clone(), settings.peer_secret.clone())
+        .ok_or_else(|| Report::new(DaemonFault::Address("peers", settings.peer_listen)))?;
+    let parts = start_instance(&settings, identity, peer_listener);
     let operators = start_operators(&settings, &parts)?;
     let listener = bind("callers", settings.listen)?;
     let callers = listener.local_addr().change_context(DaemonFault::Runtime)?;
-    let context = Rc::new(gate_context(&settings, &parts));
     let bounds = entry_bounds(&settings);
-    let gate = Rc::new(RequestGate::new(context, bounds.request.clone()));
-    let metrics = parts.metrics.clone();
+    let gate = Rc::new(RequestGate::new(parts.context.clone(), bounds.request.clone()));
+    let metrics = parts.context.metrics.clone();
     let entry = EntryListener::new(listener, gate, bounds, metrics, shutdown);
     monoio::spawn(entry.run());
     announce(callers, peers, operators);
@@ -146,139 +119,16 @@
     Ok(())
 }
 
-fn gate_context(settings: &DaemonSettings, parts: &InstanceParts) -> GateContext {
-    GateContext {
-        own: settings.instance.clone(),
-        tree: parts.tree.clone(),
-        routes: parts.routes.clone(),
-        link: parts.link.clone(),
-        limits: parts.limits.clone(),
-        claims: parts.claims.clone(),
-        endpoints: ConnectionPool::new(),
-        records: parts.records.clone(),
-        metrics: parts.metrics.clone(),
-        budgets: BudgetTable::default(),
-        grants: GrantCounter::default(),
-    }
-}
-
-fn start_tasks(
-    settings: &DaemonSettings,
-    peer_listener: TcpListener,
-) -> Result<InstanceParts, Report<DaemonFault>> {
-    let own = settings.instance.clone();
-    let metrics = DaemonMetrics::new();
-    let readiness = ReadinessGate::default();
-    let platform = HttpPlatform::new(settings.platform, settings.platform_timeout);
-    let identity = PeerIdentity::new(own.clone(), settings.peer_secret.clone())
-        .ok_or_else(|| Report::new(DaemonFault::Address("peers", settings.peer_listen)))?;
-    let peers = PeerHandle::new(identity.clone(), metrics.clone());
-    let (tree, news) = TreeHandle::new();
-    let task = TreeTask::new(
-        platform.clone(),
-        peers.clone(),
-        tree.clone(),
-        news,
-        metrics.clone(),
-        readiness.clone(),
-    );
-    monoio::spawn(task.run());
-    let (members_task, members) =
-        MembersTask::new(own_profile(settings), peers.clone(), tree.clone(), metrics.clone());
-    let (claims_task, claims) =
-        ClaimsTask::new(own.clone(), platform.clone(), peers.clone(), tree.clone());
-    monoio::spawn(claims_task.run());
-    monoio::spawn(follow_owners(members.clone(), claims.clone()));
-    let (owner, messages) = OwnerHandle::new();
-    monoio::spawn(OwnerTask::new(own.clone(), owner.clone()).run(messages));
-    let (limits, messages) = LimitHandle::new();
-    let task = LimitTask::new(own.clone(), limits.clone(), tree.clone(), peers.clone());
-    monoio::spawn(task.run(messages));
-    let routes = RouteBoard::new(settings.zone.clone());
-    let link = OwnerLink::new(own.clone(), owner.clone(), peers);
-    monoio::spawn(pass_trees(tree.clone(), owner.clone(), routes.clone()));
-    let pools = PoolStatus::default();
-    let follower = MemberFollower::new(
-        own,
-        members.clone(),
-        owner.clone(),
-        routes.clone(),
-        link.clone(),
-        limits.clone(),
-        pools.clone(),
-    );
-    monoio::spawn(follower.run());
-    let (calls, received) = unbounded();
-    let (others, other_calls) = unbounded();
-    let dispatch =
-        PeerDispatch::new(members.clone(), tree.clone(), claims.clone(), metrics.clone(), others);
-    monoio::spawn(dispatch.run(received));
-    monoio::spawn(OwnerDesk::new(owner.clone(), limits.clone()).run(other_calls));
-    let connections = settings.peer_connections;
-    let listener = PeerListener::new(peer_listener, identity, metrics.clone(), calls, connections);
-    monoio::spawn(listener.serve());
-    monoio::spawn(members_task.run(platform));
-    let records = RequestRecords::default();
-    let board = status_board(settings, &members, pools);
-    Ok(InstanceParts {
-        metrics,
-        readiness,
-        board,
-        records,
-        tree,
-        routes,
-        link,
-        limits,
-        claims,
-        members,
-    })
-}
-
-fn status_board(
-    settings: &DaemonSettings,
-    members: &MembersHandle,
-    pools: PoolStatus,
-) -> StatusBoard {
-    let board = StatusBoard::default();
-    let (instance, zone) = (settings.instance.clone(), settings.zone.clone());
-    board.add("instance", move || json!(instance));
-    board.add("availability_zone", move || json!(zone));
-    let members = members.clone();
-    board.add("peers", move || members.status());
-    let endpoints = pools.clone();
-    board.add("endpoints", move || endpoints.endpoints());
-    board.add("queues", move || pools.queues());
-    board
-}
-
-fn own_profile(settings: &DaemonSettings) -> PeerProfile {
-    PeerProfile {
-        id: settings.instance.clone(),
-        incarnation: clock::new_incarnation(),
-        zone: settings.zone.clone(),
-        region: settings.region.clone(),
-    }
-}
-
-/// Tells the owned endpoints and the routes of each tree that comes into force.
-async fn pass_trees(tree: TreeHandle, owner: OwnerHandle, routes: RouteBoard) {
-    let mut trees = tree.subscribe();
-    while let Some(active) = trees.next().await {
-        owner.tell(OwnerMessage::Settings(active.clone()));
-        routes.set_tree(active);
-    }
-}
-
 fn start_operators(
     settings: &DaemonSettings,
     parts: &InstanceParts,
 ) -> Result<SocketAddr, Report<DaemonFault>> {
     let context = OperatorsContext {
-        metrics: parts.metrics.clone(),
+        metrics: parts.context.metrics.clone(),
         board: parts.board.clone(),
-        records: parts.records.clone(),
+        records: parts.context.records.clone(),
         readiness: parts.readiness.clone(),
-        tree: parts.tree.clone(),
+        tree: parts.context.tree.clone(),
         connections_max: settings.operators_connections,
     };
     let fault = || DaemonFault::Address("operators", settings.operators_listen);
@@ -333,12 +183,12 @@
     parts.members.leave().await;
     monoio::time::sleep(settings.drain_time).await;
     trigger.trigger();
-    while parts.metrics.open_connections(ConnectionSide::Callers) > 0 {
+    while parts.context.metrics.open_connections(ConnectionSide::Callers) > 0 {
         monoio::time::sleep(DRAIN_PERIOD).await;
     }
     info!("shut down: no request in flight");
     let settle_until = Instant::now() + SETTLE_TIME;
-    while parts.claims.open_settlements() > 0 && Instant::now() < settle_until {
+    while parts.context.claims.open_settlements() > 0 && Instant::now() < settle_until {
         monoio::time::sleep(DRAIN_PERIOD).await;
     }
 }
--- a/coltsfootgate/src/lib.rs
+++ b/coltsfootgate/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod daemon;
 pub mod endpoint;
 pub mod entry;
+pub mod instance;
 pub mod limits;
 pub mod logging;
 pub mod members;
--- a/coltsfootgate/src/routes/follow.rs
+++ b/coltsfootgate/src/routes/follow.rs
@@ -107,15 +107,12 @@
     fn take(&mut self, change: MemberChange) {
         match change {
             MemberChange::View(view) => self.take_view(&view),
-            MemberChange::Lost(instance) => {
+            MemberChange::Lost(instance) | MemberChange::Reborn(instance) => {
                 for owners in self.pressures.values_mut() {
                     owners.remove(&instance);
                 }
                 self.owner.tell(OwnerMessage::AskerLost { asker: instance });
             }
-            MemberChange::Reborn(instance) => {
-                self.owner.tell(OwnerMessage::AskerLost { asker: instance });
-            }
             MemberChange::Pressure(instance, pressures) => {
                 self.take_pressures(&instance, pressures);
             }
