--- a/coltsfootgate_core/src/estimate.rs
+++ b/coltsfootgate_core/src/estimate.rs
@@ -13,8 +13,6 @@
 const SAMPLES_MAX: u32 = 512;
 /// Weight of a new sample in a running mean.
 const SAMPLE_WEIGHT: f64 = 0.1;
-/// Estimate in tokens for a class of which no answer was seen yet.
-pub const FIRST_ESTIMATE: u32 = 256;
 
 /// A running histogram of answer lengths with buckets that grow by a constant ratio.
 #[derive(Clone, Debug)]
--- a/coltsfootgate_core/src/owner/endpoint.rs
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -209,16 +209,6 @@
         }
     }
 
-    /// Learns of an answer in progress that is slow.
-    pub fn slow_answer(&mut self, id: &EndpointId, between_tokens: Duration, now: Instant) {
-        let pool = self.pool_time_without(id);
-        if let Some(endpoint) = self.endpoints.get_mut(id)
-            && let Some(pool) = pool
-        {
-            endpoint.health.measured(between_tokens, pool, now);
-        }
-    }
-
     /// Learns from an endpoint's own late view of its load.
     pub fn load_report(&mut self, endpoint: &EndpointId, waiting: u32) {
         if let Some(endpoint) = self.endpoints.get_mut(endpoint)
--- a/coltsfootgate_core/src/owner/event.rs
+++ b/coltsfootgate_core/src/owner/event.rs
@@ -100,13 +100,6 @@
     Ask(GrantRequest),
     /// An entry gives a grant back.
     Release(ReleaseReport),
-    /// An answer in progress is slower than its endpoint's pool; later ones may be avoided.
-    SlowAnswer {
-        /// The endpoint.
-        endpoint: EndpointId,
-        /// Mean time between its last tokens.
-        between_tokens: Duration,
-    },
     /// An entry no longer wants a grant, whether it was given already or not.
     Cancel {
         /// The entry instance that asked.
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -93,9 +93,6 @@
         match event {
             OwnerEvent::Ask(request) => self.ask(request, now, &mut actions),
             OwnerEvent::Release(report) => self.release(&report, now),
-            OwnerEvent::SlowAnswer { endpoint, between_tokens } => {
-                self.endpoints.slow_answer(&endpoint, between_tokens, now);
-            }
             OwnerEvent::Cancel { asker, grant } => self.cancel(&asker, grant),
             OwnerEvent::AskerLost { asker } => self.asker_lost(&asker),
             OwnerEvent::Announce { asker, held } => self.announce(&asker, held, now),
--- a/coltsfootgate_core/src/owner/queue.rs
+++ b/coltsfootgate_core/src/owner/queue.rs
@@ -109,11 +109,6 @@
         std::array::from_fn(|index| self.tiers[index].line.len() as u32)
     }
 
-    /// Estimated tokens that wait in this tier and those above.
-    pub fn tokens_before(&self, tier: RequestTier) -> u64 {
-        self.tiers[..=tier.index()].iter().map(|tier| tier.tokens).sum()
-    }
-
     /// The next moment at which a waiting request reaches its deadline.
     pub fn next_deadline(&self) -> Option<Instant> {
         self.deadlines.first().map(|(deadline, _)| *deadline)
