--- a/coltsfootgate/src/routes/link.rs
+++ b/coltsfootgate/src/routes/link.rs
@@ -5,6 +5,7 @@
 use coltsfootgate_core::owner::{GrantRequest, HeldGrant, ReleaseReport};
 use coltsfootgate_core::prelude::{GrantId, InstanceId, PoolId};
 use coltsfootgate_wire::{PeerReply, PeerRequest};
+use monoio::time::sleep;
 
 use crate::owner::{GrantAnswer, OwnerHandle, OwnerMessage, OwnerScope};
 use crate::peer::PeerHandle;
@@ -27,6 +28,10 @@
 
 /// Longest wait for another instance to take a statement in.
 const STATEMENT_TIMEOUT: Duration = Duration::from_secs(2);
+/// How often a statement is made at most.
+const STATEMENT_ATTEMPTS: u32 = 5;
+/// Time after the first loss of a statement; it doubles with each one.
+const STATEMENT_BACKOFF: Duration = Duration::from_millis(200);
 
 /// Reaches the owners of endpoints.
 #[derive(Clone)]
@@ -122,13 +127,26 @@
         }
     }
 
-    /// Makes a statement whose loss costs a slot until the next announcement at most.
+    /// Makes a statement and repeats it while it is lost; the owner takes it in once.
+    ///
+    /// Without a release or a cancel the owner would count the slot as taken for as long as both
+    /// instances live. An announcement is made once, since it is out of date soon.
     fn state_to(&self, owner: &InstanceId, statement: PeerRequest) {
+        let attempts = match statement {
+            PeerRequest::Announce { .. } => 1,
+            _ => STATEMENT_ATTEMPTS,
+        };
         let (peers, owner) = (self.peers.clone(), owner.clone());
         monoio::spawn(async move {
-            let deadline = Instant::now() + STATEMENT_TIMEOUT;
-            if let Err(error) = peers.call(&owner, statement, deadline).await {
-                log::debug!("a statement to {owner} was lost: {}", error.name());
+            for attempt in 0..attempts {
+                let deadline = Instant::now() + STATEMENT_TIMEOUT;
+                match peers.call(&owner, statement.clone(), deadline).await {
+                    Ok(_) => return,
+                    Err(error) => {
+                        log::debug!("a statement to {owner} was lost: {}", error.name());
+                    }
+                }
+                sleep(STATEMENT_BACKOFF * 2_u32.pow(attempt)).await;
             }
         });
     }
