Measure what daemons add to a call

scripts/overhead starts an engine, twelve fast engines and two daemons, calls the same prompts directly, through the owner of the endpoint and one hop from it in turn, and then counts how many tokens one daemon passes on for each second of its processor time.

--- /dev/null
+++ b/coltsfootgate_standins/src/bin/standin-overhead.rs
@@ -0,0 +1,36 @@
+//! Measures what daemons add to a call with real processes; see `scripts/overhead`.
+
+use std::env;
+use std::io;
+use std::time::Duration;
+
+use coltsfootgate_standins::measure::{OverheadSettings, measure_overhead};
+use gumdrop::Options;
+
+#[derive(Debug, Options)]
+struct OverheadOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "calls on each route", no_short, default = "200", meta = "NUMBER")]
+    calls: u32,
+    #[options(help = "seconds of each level of load", no_short, default = "4", meta = "NUMBER")]
+    seconds: u64,
+    #[options(help = "streams at once, one level each", no_short, meta = "NUMBER")]
+    streams: Vec<usize>,
+}
+
+fn main() -> io::Result<()> {
+    let mut options = OverheadOptions::parse_args_default_or_exit();
+    if options.streams.is_empty() {
+        options.streams = vec![32, 64, 128];
+    }
+    let binary = env::current_exe()?;
+    let binaries = binary.parent().unwrap_or(&binary).to_owned();
+    measure_overhead(&OverheadSettings {
+        calls: options.calls,
+        window: Duration::from_secs(options.seconds),
+        levels: options.streams,
+        work: binaries.join("overhead"),
+        binaries,
+    })
+}
--- a/coltsfootgate_standins/src/measure/mod.rs
+++ b/coltsfootgate_standins/src/measure/mod.rs
@@ -3,6 +3,7 @@
 mod bench;
 pub mod decisions;
 mod outcome;
+mod overhead;
 pub mod process;
 mod profile;
 
@@ -15,6 +16,7 @@
 
 use self::bench::MeasureBench;
 use self::outcome::EngineTotals;
+pub use self::overhead::{OverheadSettings, measure_overhead};
 pub use self::profile::LoadProfile;
 use crate::load::{LoadPhase, LoadReport};
 
--- a/coltsfootgate_standins/src/measure/process.rs
+++ b/coltsfootgate_standins/src/measure/process.rs
@@ -78,6 +78,13 @@
         Some(Duration::from_secs_f64(ticks / TICKS_PER_SECOND))
     }
 
+    /// Time so far for which the main thread was ready to run and other processes had the cores.
+    pub fn core_wait(&self) -> Option<Duration> {
+        let times = fs::read_to_string(format!("/proc/{}/schedstat", self.child.id())).ok()?;
+        let nanoseconds = times.split_whitespace().nth(1)?.parse().ok()?;
+        Some(Duration::from_nanos(nanoseconds))
+    }
+
     /// Largest resident memory so far, in megabytes.
     pub fn peak_memory_mb(&self) -> Option<f64> {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
