--- a/coltsfootgate/src/pipeline/limit.rs
+++ b/coltsfootgate/src/pipeline/limit.rs
@@ -37,7 +37,7 @@
             refusal(request, kind, &message).after(retry_after)
         }
         LimitDecision::Admit | LimitDecision::Ask => {
-            refusal(request, ErrorKind::ShuttingDown, "the instance is shutting down")
+            refusal(request, ErrorKind::NotReady, "the limits of customers are not served")
         }
     }
 }
--- /dev/null
+++ b/coltsfootgate/tests/reasons.rs
@@ -0,0 +1,174 @@
+//! Reasons that need a situation of their own: each is brought about and read back by its name.
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread::{self, JoinHandle};
+
+use coltsfootgate_standins::engine::{EngineSettings, start_engine};
+use coltsfootgate_standins::platform::start_platform;
+use coltsfootgate_standins::runner::{ANY_PORT, StandinHandle};
+use rstest::rstest;
+use serde_json::json;
+
+use support::{TestAnswer, TestCall, TestDaemon, put_tree, sample_tree};
+
+/// Two classes beside the one of the sample tree, by the header `X-Kind`.
+const KINDS: &str = "\n[classes.urgent]\nmatch = { header = { X-Kind = \"urgent\" } }\ntier = 1\n\
+    [classes.low]\nmatch = { header = { X-Kind = \"low\" } }\ntier = 7\n";
+
+struct ReasonSetup {
+    _platform: StandinHandle,
+    engine: StandinHandle,
+    daemon: TestDaemon,
+}
+
+fn start(service: Option<SocketAddr>, change: impl Fn(String) -> String) -> ReasonSetup {
+    let platform = start_platform(ANY_PORT).unwrap();
+    let engine = start_engine(ANY_PORT, EngineSettings::default()).unwrap();
+    let services: Vec<SocketAddr> = service.into_iter().collect();
+    let tree = sample_tree(&[engine.address], &services, KINDS);
+    put_tree(platform.address, 1, &change(tree));
+    let daemon = TestDaemon::start(platform.address, "a", &[]);
+    daemon.wait_ready();
+    ReasonSetup { _platform: platform, engine, daemon }
+}
+
+/// One slot at the engine and one place in the queue for each tier.
+fn narrow(tree: String) -> String {
+    tree.replace("slots = 4\nslots_max = 8", "slots = 1\nslots_max = 1")
+        .replace("tier = 4", "tier = 4\nqueue_requests = 1")
+        .replace("silence = \"2 s\"", "silence = \"30 s\"")
+}
+
+impl ReasonSetup {
+    /// Starts a call that holds the only slot until the engine is let go on.
+    fn hold_the_slot(&self) -> JoinHandle<TestAnswer> {
+        let call = TestCall::stream("a long description", 2000).start(self.daemon.ports.callers);
+        self.daemon.wait_for("a running request", || {
+            let counters = self.engine.control.counters().ok()?;
+            (counters["running"] == 1).then_some(())
+        });
+        self.engine.control.order(&json!({"stall": true})).unwrap();
+        call
+    }
+
+    /// Lets the engine go on.
+    fn free_the_slot(&self) {
+        self.engine.control.order(&json!({"stall": false})).unwrap();
+    }
+
+    /// Waits until that many requests wait for a slot.
+    fn wait_queued(&self, count: u64) {
+        self.daemon.wait_for("waiting requests", || {
+            let status = self.daemon.status();
+            let queues = status["queues"].as_array()?;
+            let waiting = queues.iter().flat_map(|queue| queue["waiting_by_tier"].as_array());
+            let waiting: u64 = waiting.flatten().filter_map(|tier| tier.as_u64()).sum();
+            (waiting == count).then_some(())
+        });
+    }
+}
+
+#[test]
+fn displaced_is_told_to_a_lower_tier_that_gives_its_place() {
+    let setup = start(None, |tree| {
+        narrow(tree).replace("queue_requests = 1", "queue_requests = 1\nqueue_tokens = 100")
+    });
+    let running = setup.hold_the_slot();
+    let low = TestCall::stream("low", 8).header("x-kind", "low");
+    let low = low.start(setup.daemon.ports.callers);
+    setup.wait_queued(1);
+    let urgent = || TestCall::stream("urgent", 8).header("x-kind", "urgent");
+    let first = urgent().start(setup.daemon.ports.callers);
+    let second = urgent().start(setup.daemon.ports.callers);
+    let answer = low.join().unwrap();
+    assert_eq!(answer.header("coltsfootgate-reason"), "displaced", "{answer:?}");
+    assert_eq!(answer.header("coltsfootgate-outcome"), "not-run");
+    assert!(!answer.header("retry-after").is_empty());
+    setup.free_the_slot();
+    assert!([first, second].into_iter().all(|call| call.join().unwrap().is_done()));
+    assert!(running.join().unwrap().is_done());
+}
+
+#[test]
+fn caller_left_waiting_is_recorded_for_a_caller_that_gives_up() {
+    let setup = start(None, narrow);
+    let running = setup.hold_the_slot();
+    let body = json!({"model": "parts", "stream": true, "prompt": "x"}).to_string();
+    let mut stream = TcpStream::connect(setup.daemon.ports.callers).unwrap();
+    let key = support::SAMPLE_KEY;
+    let length = body.len();
+    write!(
+        stream,
+        "POST /v1/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {key}\r\n\
+         content-length: {length}\r\n\r\n{body}",
+    )
+    .unwrap();
+    setup.wait_queued(1);
+    drop(stream);
+    let line = setup.daemon.wait_log("caller-left-waiting");
+    assert!(line.contains("not-run"), "{line}");
+    setup.free_the_slot();
+    assert!(running.join().unwrap().is_done());
+}
+
+#[test]
+fn rate_limited_is_told_with_the_time_to_come_back() {
+    let setup = start(None, |tree| {
+        tree.replace("[customers.club]", "[customers.club]\nrate = 0.5\nburst = 1")
+    });
+    let call = || TestCall::stream("note", 8).send(setup.daemon.ports.callers);
+    assert!(call().is_done());
+    let answer = call();
+    assert_eq!(answer.status, 429, "{answer:?}");
+    assert_eq!(answer.header("coltsfootgate-reason"), "rate-limited");
+    assert_eq!(answer.header("coltsfootgate-rule"), "customers.club");
+    assert_eq!(answer.header("retry-after"), "2");
+}
+
+/// Answers every request with these bytes.
+fn start_fixed_answer(answer: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let mut head = [0; 4096];
+            let _ = stream.read(&mut head);
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    });
+    address
+}
+
+#[rstest]
+#[case::bad_gateway("HTTP/1.1 502 Bad Gateway\r\ncontent-length: 0\r\nconnection: close\r\n\r\n")]
+#[case::unavailable("HTTP/1.1 503 Oh\r\ncontent-length: 0\r\nconnection: close\r\n\r\n")]
+fn endpoint_failed_is_told_when_nothing_proves_that_it_did_not_run(#[case] answer: &'static str) {
+    let setup = start(Some(start_fixed_answer(answer)), |tree| tree);
+    let answer = TestCall::new("POST", "/orders/1", b"{}").send(setup.daemon.ports.callers);
+    assert_eq!(answer.header("coltsfootgate-reason"), "endpoint-failed", "{answer:?}");
+    assert_eq!(answer.header("coltsfootgate-outcome"), "partially-run");
+}
+
+#[test]
+fn no_endpoint_is_told_for_a_pool_without_any() {
+    let setup = start(None, |tree| tree);
+    let answer = TestCall::new("POST", "/orders/1", b"{}").send(setup.daemon.ports.callers);
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.header("coltsfootgate-reason"), "no-endpoint", "{answer:?}");
+    assert_eq!(answer.header("coltsfootgate-outcome"), "not-run");
+}
+
+#[test]
+fn retries_spent_is_told_when_the_budget_is_used_up() {
+    let setup = start(None, |tree| {
+        let more = "\n[pools.model.endpoints.e1]\naddress = \"127.0.0.1:9\"\nzone = \"a\"\n";
+        tree.replace("attempts = 3", "attempts = 2") + more
+    });
+    setup.engine.control.order(&json!({"refuse": true})).unwrap();
+    let answer = TestCall::stream("note", 8).send(setup.daemon.ports.callers);
+    assert_eq!(answer.header("coltsfootgate-reason"), "retries-spent", "{answer:?}");
+    assert_eq!(answer.header("coltsfootgate-outcome"), "not-run");
+}
--- a/coltsfootgate/tests/support/daemon.rs
+++ b/coltsfootgate/tests/support/daemon.rs
@@ -106,6 +106,12 @@
         self.log.lock().expect("no writer panics").clone()
     }
 
+    /// The status page.
+    pub fn status(&self) -> Value {
+        let answer = blocking_call(self.ports.operators, "GET", "/status", b"").expect("a status");
+        serde_json::from_slice(&answer.body).expect("the status is JSON")
+    }
+
     /// The decision record of a request.
     pub fn record(&self, request: &str) -> Value {
         let path = format!("/requests/{request}");
--- a/coltsfootgate_config/src/rule.rs
+++ b/coltsfootgate_config/src/rule.rs
@@ -88,7 +88,6 @@
         | ErrorKind::CallerLeft
         | ErrorKind::CallerLeftWaiting
         | ErrorKind::KeyInvalid
-        | ErrorKind::NotReady
-        | ErrorKind::ShuttingDown => (TreeKind::Classes, "tier"),
+        | ErrorKind::NotReady => (TreeKind::Classes, "tier"),
     }
 }
--- a/coltsfootgate_core/src/reason.rs
+++ b/coltsfootgate_core/src/reason.rs
@@ -119,8 +119,6 @@
     ClaimExpired => "claim-expired", 503, "server_error", NotRun, true;
     /// The instance has no tree of settings in force yet.
     NotReady => "not-ready", 503, "server_error", NotRun, true;
-    /// The instance is shutting down.
-    ShuttingDown => "shutting-down", 503, "server_error", NotRun, true;
 }
 
 impl ErrorKind {
