--- a/coltsfootgate/tests/operators_page.rs
+++ b/coltsfootgate/tests/operators_page.rs
@@ -39,6 +39,7 @@
     metrics.peer_fault("silent");
     metrics.connection_refused(ConnectionSide::Callers);
     metrics.peer_bytes_sent(1);
+    metrics.peer_message_sent("ask", 1);
     metrics.instances_known("alive", 1);
     let text = String::from_utf8(metrics.encode()).unwrap();
     for name in text.lines().filter_map(|line| line.strip_prefix("# TYPE ")) {
