--- a/coltsfootgate_standins/src/measure/bench.rs
+++ b/coltsfootgate_standins/src/measure/bench.rs
@@ -58,6 +58,10 @@
 
 impl MeasureBench {
     pub(super) fn start(settings: &MeasureSettings) -> io::Result<Self> {
+        // Logs of an earlier run would be taken for those of this one.
+        if settings.work.exists() {
+            fs::remove_dir_all(&settings.work)?;
+        }
         fs::create_dir_all(&settings.work)?;
         let sample = settings.samples.join(format!("{}.toml", settings.profile.name()));
         let mut text = fs::read_to_string(&sample)?;
