Let a request wait in up to three queues, but in no long one more

Cause: in samahang tier 3 alone needs 0.75 of 12 engines, and two queues of 8 slots are a small system still; the wait for a grant was 101/608 ms of a first token of 114/620. Ruled out: use of the engines (8.0 to 8.2 in flight at each) and floors (0.14 of the tokens, as set). Change: a third queue, and a further queue only where the expected wait of the tier is at most 500 ms, since the low tiers wait for seconds in any and their asks only cost bytes and fill bounds.

--- a/coltsfootgate_core/src/routing/cooperative.rs
+++ b/coltsfootgate_core/src/routing/cooperative.rs
@@ -23,7 +23,9 @@
 /// Largest random addition to the cost of an owner.
 const JITTER: Duration = Duration::from_millis(2);
 /// Owners at which a request waits at once.
-const QUEUES_MAX: usize = 2;
+const QUEUES_MAX: usize = 3;
+/// Expected wait above which a further queue gains nothing.
+const FURTHER_WAIT_MAX: Duration = Duration::from_millis(500);
 /// Time between two attempts to find a better owner for a waiting request.
 const RECONSIDER_PERIOD: Duration = Duration::from_millis(50);
 
@@ -208,8 +210,11 @@
             }
             return RouteStep::Ask { owner, wait: false };
         }
+        let tier = route.request.tier;
         let is_other = |owner: &InstanceId, view: &OwnerView| {
-            !waits_at.contains(owner) && !view.is_silent(now)
+            !waits_at.contains(owner)
+                && !view.is_silent(now)
+                && view.expected_wait(tier, now) <= FURTHER_WAIT_MAX
         };
         match self.best_owner(route, now, is_other) {
             Some(owner) if waits_at.len() < QUEUES_MAX => self.wait_at(route, owner),
