--- a/coltsfootgate/tests/reasons.rs
+++ b/coltsfootgate/tests/reasons.rs
@@ -5,10 +5,19 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread::{self, JoinHandle};
-
+use std::time::{Duration, SystemTime};
+
+use coltsfootgate_core::claim::key::{KeyDigest, RequestFingerprint};
+use coltsfootgate_core::claim::page::{
+    ClaimEntry, ClaimPage, ClaimState, ENTRY_BYTES, HEAD_BYTES, PAGE_BYTES_MAX,
+};
+use coltsfootgate_core::outcome::RequestOutcome;
+use coltsfootgate_standins::control::blocking_call;
 use coltsfootgate_standins::engine::{EngineSettings, start_engine};
 use coltsfootgate_standins::platform::start_platform;
 use coltsfootgate_standins::runner::{ANY_PORT, StandinHandle};
+use coltsfootgate_standins::service::start_plain_service;
+use coltsfootgate_wire::encode_claim_page;
 use rstest::rstest;
 use serde_json::json;
 
@@ -19,7 +28,7 @@
     [classes.low]\nmatch = { header = { X-Kind = \"low\" } }\ntier = 7\n";
 
 struct ReasonSetup {
-    _platform: StandinHandle,
+    platform: StandinHandle,
     engine: StandinHandle,
     daemon: TestDaemon,
 }
@@ -32,7 +41,7 @@
     put_tree(platform.address, 1, &change(tree));
     let daemon = TestDaemon::start(platform.address, "a", &[]);
     daemon.wait_ready();
-    ReasonSetup { _platform: platform, engine, daemon }
+    ReasonSetup { platform, engine, daemon }
 }
 
 /// One slot at the engine and one place in the queue for each tier.
@@ -172,3 +181,63 @@
     assert_eq!(answer.header("coltsfootgate-reason"), "retries-spent", "{answer:?}");
     assert_eq!(answer.header("coltsfootgate-outcome"), "not-run");
 }
+
+#[test]
+fn every_reason_is_named_by_a_case_of_these_tests() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests");
+    let files = std::fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path());
+    let sources = files.filter(|path| path.extension().is_some_and(|suffix| suffix == "rs"));
+    let text: String = sources.map(|path| std::fs::read_to_string(path).unwrap()).collect();
+    let is_missing = |code: &&str| !text.contains(&format!("\"{code}\""));
+    let codes = coltsfootgate_core::reason::ErrorKind::ALL.iter().map(|kind| kind.code());
+    assert_eq!(codes.filter(is_missing).collect::<Vec<_>>(), Vec::<&str>::new());
+}
+
+fn keyed_call(key: &str) -> TestCall {
+    TestCall::new("POST", "/orders/1", b"{}").header("idempotency-key", key)
+}
+
+#[test]
+fn key_too_old_is_told_for_a_key_whose_own_time_is_past_the_window() {
+    let service = start_plain_service(ANY_PORT, Duration::from_millis(1)).unwrap();
+    let setup = start(Some(service.address), |tree| tree);
+    let key = "017f22e2-79b0-7cc3-98c4-dc0c0c07398f";
+    let answer = keyed_call(key).send(setup.daemon.ports.callers);
+    assert_eq!(answer.header("coltsfootgate-reason"), "key-too-old", "{answer:?}");
+    assert_eq!(answer.header("coltsfootgate-outcome"), "not-run");
+    assert_eq!(service.control.counters().unwrap()["executed"], 0);
+}
+
+/// A page of claims without room, all of them inside their window.
+fn full_page() -> Vec<u8> {
+    let now = SystemTime::now();
+    let entry = |number: u32| {
+        let mut digest = [0; 16];
+        digest[..4].copy_from_slice(&number.to_be_bytes());
+        let entry = ClaimEntry {
+            fingerprint: RequestFingerprint::from_bytes(digest),
+            claimed_at: now,
+            kept_until: now + Duration::from_secs(3600),
+            state: ClaimState::Done { outcome: RequestOutcome::Completed, answer: None },
+        };
+        (KeyDigest::from_bytes(digest), entry)
+    };
+    let count = (PAGE_BYTES_MAX - HEAD_BYTES) / ENTRY_BYTES;
+    let entries = (0..count as u32).map(entry).collect();
+    encode_claim_page(ClaimPage::new(entries, SystemTime::UNIX_EPOCH)).unwrap()
+}
+
+#[test]
+fn claims_full_is_told_when_the_page_has_no_room_in_its_window() {
+    let service = start_plain_service(ANY_PORT, Duration::from_millis(1)).unwrap();
+    let setup = start(Some(service.address), |tree| {
+        tree.replace("name = \"test\"", "name = \"test\"\nclaim_pages = 1")
+    });
+    let path = "/kv/coltsfootgate/claims/0?revision=0";
+    let put = blocking_call(setup.platform.address, "PUT", path, &full_page()).unwrap();
+    assert_eq!(put.status, 200, "{put:?}");
+    let answer = keyed_call("one-more").send(setup.daemon.ports.callers);
+    assert_eq!(answer.header("coltsfootgate-reason"), "claims-full", "{answer:?}");
+    assert_eq!(answer.header("coltsfootgate-outcome"), "not-run");
+    assert_eq!(service.control.counters().unwrap()["executed"], 0);
+}
