Refuse a dated key whose dropped claim was followed by a withdrawal

Cause: a withdrawal of a claim that the page does not hold leaves a free entry. When it came after the window, the next claim found that entry and was granted without a look at the key's own time, so a key that carries its time ran twice. Change: a free entry gives way only if the key cannot have been forgotten.

--- a/coltsfootgate_core/src/claim/page.rs
+++ b/coltsfootgate_core/src/claim/page.rs
@@ -225,6 +225,8 @@
         if let Some(verdict) = self.lasting_verdict(request, wall) {
             return AppliedChange::unchanged(verdict);
         }
+        // A withdrawn claim leaves an entry that says nothing of one dropped before it.
+        let is_forgotten = self.is_forgotten(&request.key, wall, window);
         if let Some(entry) = self.entries.get_mut(&request.key.digest) {
             return match &entry.state {
                 ClaimState::InFlight { nonce } if *nonce == request.nonce => {
@@ -236,13 +238,16 @@
                 ClaimState::Free { nonce } if *nonce == request.nonce => {
                     AppliedChange::refused(ErrorKind::ClaimExpired)
                 }
+                ClaimState::Free { .. } if is_forgotten => {
+                    AppliedChange::refused(ErrorKind::KeyTooOld)
+                }
                 ClaimState::Free { .. } => {
                     *entry = new_entry(request, wall, window);
                     AppliedChange::changed(ClaimVerdict::Granted)
                 }
             };
         }
-        if self.is_forgotten(&request.key, wall, window) {
+        if is_forgotten {
             return AppliedChange::refused(ErrorKind::KeyTooOld);
         }
         if self.size + ENTRY_BYTES > PAGE_BYTES_MAX {
--- a/coltsfootgate_core/tests/claim_page.rs
+++ b/coltsfootgate_core/tests/claim_page.rs
@@ -124,6 +124,18 @@
     assert_eq!(verdict, ClaimVerdict::Refused(ErrorKind::KeyTooOld));
 }
 
+#[test]
+fn a_withdrawal_after_the_window_does_not_let_a_dated_key_run_again() {
+    let mut page = ClaimPage::default();
+    let dated = ClaimKey { time: Some(*WALL), ..key(1) };
+    apply(&mut page, ClaimChange::Claim(claim(dated, 1, "a")), Duration::ZERO);
+    let after = WINDOW + 3 * CLOCK_TOLERANCE;
+    let late = claim(dated, 2, "a");
+    apply(&mut page, settlement(&late, RequestOutcome::NotRun, 0), after);
+    let verdict = apply(&mut page, ClaimChange::Claim(claim(dated, 3, "a")), after);
+    assert_eq!(verdict, ClaimVerdict::Refused(ErrorKind::KeyTooOld));
+}
+
 #[test]
 fn a_full_page_refuses_new_keys_and_still_settles_old_ones() {
     let mut page = ClaimPage::default();
