Let the stand-in engine write its tokens before it cuts

Cause: another_engine_serves_when_one::breaks_off and a_stream_that_breaks_off_tells_its_end failed once each in a landing on a busy machine: the HTTP server drops unwritten pieces at an error of the body, so at times no token of the three left the engine, and the router rightly said connection-lost and unknown. Change: the stand-in's body gives the server a turn before the error.

--- a/coltsfootgate_standins/src/body.rs
+++ b/coltsfootgate_standins/src/body.rs
@@ -29,6 +29,8 @@
     Whole(Option<Bytes>),
     /// Pieces until the sender is dropped; an error cuts the connection.
     Pieces(UnboundedReceiver<Result<Bytes, ConnectionCut>>),
+    /// A body whose pieces are being written before the connection is cut.
+    Cutting,
 }
 
 impl From<Bytes> for StandinBody {
@@ -47,10 +49,16 @@
     ) -> Poll<Option<Result<Frame<Bytes>, ConnectionCut>>> {
         match &mut *self {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Pieces(receiver) => {
-                let piece = Pin::new(receiver).poll_next(context);
-                piece.map(|piece| piece.map(|piece| piece.map(Frame::data)))
-            }
+            Self::Pieces(receiver) => match Pin::new(receiver).poll_next(context) {
+                // The server drops unwritten pieces at an error, so it gets a turn to write them.
+                Poll::Ready(Some(Err(ConnectionCut))) => {
+                    *self = Self::Cutting;
+                    context.waker().wake_by_ref();
+                    Poll::Pending
+                }
+                piece => piece.map(|piece| piece.map(|piece| piece.map(Frame::data))),
+            },
+            Self::Cutting => Poll::Ready(Some(Err(ConnectionCut))),
         }
     }
 
@@ -63,7 +71,7 @@
             Self::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Self::Pieces(_) => SizeHint::default(),
+            Self::Pieces(_) | Self::Cutting => SizeHint::default(),
         }
     }
 }
