--- a/coltsfootgate_standins/src/engine/mod.rs
+++ b/coltsfootgate_standins/src/engine/mod.rs
@@ -153,10 +153,6 @@
         monoio::spawn(note_loads(self.clone()));
     }
 
-    fn gate(&self) -> &ServerGate {
-        &self.gate
-    }
-
     async fn answer(
         self: Rc<Self>,
         request: Request<Incoming>,
@@ -177,6 +173,10 @@
 }
 
 impl ControlTarget for EngineService {
+    fn gate(&self) -> &ServerGate {
+        &self.gate
+    }
+
     fn take_order(&self, order: &[u8]) -> Result<(), String> {
         let order: EngineOrder =
             serde_json::from_slice(order).map_err(|error| error.to_string())?;
--- a/coltsfootgate_standins/src/http_server.rs
+++ b/coltsfootgate_standins/src/http_server.rs
@@ -33,6 +33,9 @@
 
     /// What was counted so far.
     fn counters(&self) -> Value;
+
+    /// The gate that faults close.
+    fn gate(&self) -> &ServerGate;
 }
 
 /// What a stand-in answers; the server around it is shared.
@@ -40,9 +43,6 @@
     /// Starts tasks that run beside the requests.
     fn start(self: &Rc<Self>) {}
 
-    /// The gate that faults close.
-    fn gate(&self) -> &ServerGate;
-
     /// Answers one request, or has the connection cut.
     fn answer(
         self: Rc<Self>,
@@ -72,7 +72,9 @@
     loop {
         gate.until_open().await;
         if let Some(listener) = bound.take().or_else(|| bind(address).ok()) {
+            gate.set_listening(true);
             accept_until_closed(gate, listener, &mut accepted).await;
+            gate.set_listening(false);
         } else {
             monoio::time::sleep(REBIND_PAUSE).await;
         }
@@ -143,7 +145,11 @@
         return empty_response(StatusCode::BAD_REQUEST);
     };
     match service.take_order(&order) {
-        Ok(()) => empty_response(StatusCode::OK),
+        Ok(()) => {
+            // Whoever gave the order finds the listener as ordered.
+            service.gate().until_settled().await;
+            empty_response(StatusCode::OK)
+        }
         Err(cause) => json_response(StatusCode::BAD_REQUEST, &Value::String(cause)),
     }
 }
--- a/coltsfootgate_standins/src/platform.rs
+++ b/coltsfootgate_standins/src/platform.rs
@@ -122,10 +122,6 @@
 }
 
 impl StandinService for PlatformService {
-    fn gate(&self) -> &ServerGate {
-        &self.gate
-    }
-
     async fn answer(
         self: Rc<Self>,
         request: Request<Incoming>,
@@ -163,6 +159,10 @@
 }
 
 impl ControlTarget for PlatformService {
+    fn gate(&self) -> &ServerGate {
+        &self.gate
+    }
+
     fn take_order(&self, order: &[u8]) -> Result<(), String> {
         let order: PlatformOrder =
             serde_json::from_slice(order).map_err(|error| error.to_string())?;
--- a/coltsfootgate_standins/src/proxy.rs
+++ b/coltsfootgate_standins/src/proxy.rs
@@ -91,6 +91,10 @@
 }
 
 impl ControlTarget for ProxyState {
+    fn gate(&self) -> &ServerGate {
+        &self.gate
+    }
+
     fn take_order(&self, order: &[u8]) -> Result<(), String> {
         let order: ProxyOrder = serde_json::from_slice(order).map_err(|error| error.to_string())?;
         if let Some(mode) = order.mode {
--- a/coltsfootgate_standins/src/service.rs
+++ b/coltsfootgate_standins/src/service.rs
@@ -90,10 +90,6 @@
 }
 
 impl StandinService for PlainService {
-    fn gate(&self) -> &ServerGate {
-        &self.gate
-    }
-
     async fn answer(
         self: Rc<Self>,
         request: Request<Incoming>,
@@ -144,6 +140,10 @@
 }
 
 impl ControlTarget for PlainService {
+    fn gate(&self) -> &ServerGate {
+        &self.gate
+    }
+
     fn take_order(&self, order: &[u8]) -> Result<(), String> {
         let order: ServiceOrder =
             serde_json::from_slice(order).map_err(|error| error.to_string())?;
--- a/coltsfootgate_standins/src/signal.rs
+++ b/coltsfootgate_standins/src/signal.rs
@@ -42,12 +42,13 @@
 #[derive(Debug)]
 pub struct ServerGate {
     open: Cell<bool>,
+    listening: Cell<bool>,
     changed: ChangeSignal,
 }
 
 impl Default for ServerGate {
     fn default() -> Self {
-        Self { open: Cell::new(true), changed: ChangeSignal::default() }
+        Self { open: Cell::new(true), listening: Cell::new(true), changed: ChangeSignal::default() }
     }
 }
 
@@ -58,6 +59,17 @@
         self.changed.notify();
     }
 
+    /// Tells whether the listener is there.
+    pub(crate) fn set_listening(&self, listening: bool) {
+        self.listening.set(listening);
+        self.changed.notify();
+    }
+
+    /// Waits until the listener is as the gate wants it.
+    pub(crate) async fn until_settled(&self) {
+        self.changed.until(|| self.open.get() == self.listening.get()).await;
+    }
+
     /// Waits until the gate is open.
     pub async fn until_open(&self) {
         self.changed.until(|| self.open.get()).await;
