--- a/coltsfootgate/tests/cluster.rs
+++ b/coltsfootgate/tests/cluster.rs
@@ -30,18 +30,8 @@
 }
 
 fn list(platform: &StandinHandle, daemons: &[&TestDaemon]) {
-    let entries: Vec<Value> = daemons
-        .iter()
-        .map(|daemon| {
-            json!({
-                "role": "router",
-                "address": daemon.ports.peers.to_string(),
-                "operators_address": daemon.ports.operators.to_string(),
-                "availability_zone": "a",
-                "state": "live",
-            })
-        })
-        .collect();
+    let entry = |daemon: &&TestDaemon| daemon.list_entry(daemon.ports.peers);
+    let entries: Vec<Value> = daemons.iter().map(entry).collect();
     platform.control.order(&json!({"instances": entries})).unwrap();
 }
 
--- a/coltsfootgate/tests/instances.rs
+++ b/coltsfootgate/tests/instances.rs
@@ -22,16 +22,6 @@
     daemons: Vec<TestDaemon>,
 }
 
-fn listed(daemon: &TestDaemon) -> Value {
-    json!({
-        "role": "router",
-        "address": daemon.ports.peers.to_string(),
-        "operators_address": daemon.ports.operators.to_string(),
-        "availability_zone": "a",
-        "state": "live",
-    })
-}
-
 /// Starts instances that know each other, before engines with one slot each.
 fn start(daemons: usize, engines: usize, change: impl Fn(String) -> String) -> ClusterSetup {
     let platform = start_platform(ANY_PORT).unwrap();
@@ -43,7 +33,8 @@
     put_tree(platform.address, 1, &change(tree));
     let daemons: Vec<TestDaemon> =
         (0..daemons).map(|_| TestDaemon::start(platform.address, "a", &[])).collect();
-    let entries: Vec<Value> = daemons.iter().map(listed).collect();
+    let entries: Vec<Value> =
+        daemons.iter().map(|daemon| daemon.list_entry(daemon.ports.peers)).collect();
     platform.control.order(&json!({"instances": entries})).unwrap();
     let setup = ClusterSetup { platform, engines, _service: service, daemons };
     setup.wait_known();
@@ -98,28 +89,18 @@
     TestCall::stream(&format!("describe every wheel of railcar {index}"), 2000)
 }
 
-fn status(daemon: &TestDaemon) -> Value {
-    let answer = coltsfootgate_standins::control::blocking_call(
-        daemon.ports.operators,
-        "GET",
-        "/status",
-        b"",
-    );
-    serde_json::from_slice(&answer.unwrap().body).unwrap()
-}
-
 fn live_peers(daemon: &TestDaemon) -> usize {
-    let status = status(daemon);
+    let status = daemon.status();
     let peers = status["peers"].as_array().cloned().unwrap_or_default();
     peers.iter().filter(|peer| peer["state"] == "alive").count()
 }
 
 fn owners_settled(daemon: &TestDaemon) -> bool {
-    status(daemon)["queues"].is_array()
+    daemon.status()["queues"].is_array()
 }
 
 fn owned_endpoints(daemon: &TestDaemon) -> Vec<String> {
-    let status = status(daemon);
+    let status = daemon.status();
     let endpoints = status["endpoints"].as_array().cloned().unwrap_or_default();
     endpoints
         .iter()
--- a/coltsfootgate/tests/support/cluster.rs
+++ b/coltsfootgate/tests/support/cluster.rs
@@ -56,13 +56,7 @@
     }
 
     fn entry(&self) -> Value {
-        json!({
-            "role": "router",
-            "address": self.id(),
-            "operators_address": self.daemon.ports.operators.to_string(),
-            "availability_zone": "a",
-            "state": "live",
-        })
+        self.daemon.list_entry(self.proxy.address)
     }
 }
 
--- a/coltsfootgate/tests/support/daemon.rs
+++ b/coltsfootgate/tests/support/daemon.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use coltsfootgate_standins::control::blocking_call;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 /// The secret that all daemons of a test share.
 pub const TEST_SECRET: &str = "a-secret-of-the-tests-only";
@@ -106,6 +106,17 @@
         self.log.lock().expect("no writer panics").clone()
     }
 
+    /// Its entry of the instance list, by the address at which its peers reach it.
+    pub fn list_entry(&self, peers: SocketAddr) -> Value {
+        json!({
+            "role": "router",
+            "address": peers.to_string(),
+            "operators_address": self.ports.operators.to_string(),
+            "availability_zone": "a",
+            "state": "live",
+        })
+    }
+
     /// The status page.
     pub fn status(&self) -> Value {
         let answer = blocking_call(self.ports.operators, "GET", "/status", b"").expect("a status");
