Count the tokens of broken answers as wasted, and name a whole answer once

Cause: the counter of wasted tokens stayed at zero, since nothing set what the record of a request says of them; relay and settle each had their own list of the forms of a whole answer. Change: what a caller got of an answer that broke off is wasted; a claim too old for a second attempt no longer hides what the first one left possible; ServedAnswer is used by relay, claim and settle. Test: a caller that leaves amid its answer raises the counter; it stayed at zero before.

--- a/coltsfootgate/src/pipeline/claim.rs
+++ b/coltsfootgate/src/pipeline/claim.rs
@@ -17,7 +17,7 @@
 use super::admit::refusal;
 use super::classify::ClassifiedRequest;
 use super::context::GateContext;
-use super::settle::RequestEnd;
+use super::settle::{RequestEnd, ServedAnswer};
 use crate::claims::ClaimsHandle;
 use crate::clock;
 use crate::entry::answer::REPLAYED;
@@ -57,11 +57,11 @@
     /// Records how the request ended.
     pub fn settle(mut self, end: &Result<RequestEnd, Refusal>) {
         match end {
-            Ok(RequestEnd::BodyWhole { status, headers, body }) => {
+            Ok(RequestEnd::Served(ServedAnswer::Body { status, headers, body })) => {
                 self.outcome = RequestOutcome::Completed;
                 self.answer = self.kept_answer(*status, headers, body);
             }
-            Ok(RequestEnd::StreamWhole | RequestEnd::BodyPassed) => {
+            Ok(RequestEnd::Served(ServedAnswer::Stream | ServedAnswer::Passed)) => {
                 self.outcome = RequestOutcome::Completed;
             }
             Ok(RequestEnd::Refused(refused)) | Err(refused) => {
@@ -168,7 +168,11 @@
     }
     headers.insert(HeaderName::from_static(REPLAYED), HeaderValue::from_static("true"));
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
-    RequestEnd::BodyWhole { status, headers, body: Bytes::copy_from_slice(&answer.body) }
+    RequestEnd::Served(ServedAnswer::Body {
+        status,
+        headers,
+        body: Bytes::copy_from_slice(&answer.body),
+    })
 }
 
 fn claim_refusal(request: &ClassifiedRequest, kind: ErrorKind) -> Refusal {
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -97,7 +97,8 @@
         let lease = admitted.map_err(|refusal| soften(request, &history, refusal))?;
         let endpoint = lease.endpoint.id.clone();
         if let Some(claim) = &mut claim {
-            claim.begin_send(request)?;
+            let begun = claim.begin_send(request);
+            begun.map_err(|refusal| soften(request, &history, refusal))?;
         }
         let permit = history.permit_send().map_err(|kind| end_refusal(request, kind))?;
         journal.record.attempts = history.attempts();
@@ -106,11 +107,7 @@
             history.note_relayed(journal.record.tokens - history.caller_tokens());
         }
         let failure = match end {
-            RelayEnd::StreamWhole => return Ok(RequestEnd::StreamWhole),
-            RelayEnd::BodyPassed => return Ok(RequestEnd::BodyPassed),
-            RelayEnd::BodyWhole { status, headers, body } => {
-                return Ok(RequestEnd::BodyWhole { status, headers, body });
-            }
+            RelayEnd::Served(answer) => return Ok(RequestEnd::Served(answer)),
             RelayEnd::CallerGone => return Err(end_refusal(request, history.caller_left())),
             RelayEnd::Failed(failure) => failure,
         };
@@ -165,9 +162,7 @@
 
 fn release_result(end: &RelayEnd) -> ReleaseResult {
     match end {
-        RelayEnd::StreamWhole | RelayEnd::BodyWhole { .. } | RelayEnd::BodyPassed => {
-            ReleaseResult::Completed
-        }
+        RelayEnd::Served(_) => ReleaseResult::Completed,
         RelayEnd::CallerGone => ReleaseResult::Cancelled,
         RelayEnd::Failed(EndpointFailure::NeverSent) => ReleaseResult::ConnectFailed,
         RelayEnd::Failed(EndpointFailure::RefusedBeforeStart) => ReleaseResult::Refused,
--- a/coltsfootgate/src/pipeline/gate.rs
+++ b/coltsfootgate/src/pipeline/gate.rs
@@ -13,7 +13,7 @@
 use super::exchange::run_exchange;
 use super::identify::identify_customer;
 use super::journal::RequestJournal;
-use super::settle::{RequestEnd, settle_request};
+use super::settle::{RequestEnd, ServedAnswer, settle_request};
 use crate::entry::listener::RequestHandler;
 use crate::entry::request::{RequestBounds, accept_request, new_request_id};
 use crate::entry::{AcceptedRequest, AnswerBody, CallerLink, Refusal};
@@ -71,7 +71,11 @@
                 let mut headers = HeaderMap::new();
                 let json_type = HeaderValue::from_static("application/json");
                 headers.insert(header::CONTENT_TYPE, json_type);
-                let end = RequestEnd::BodyWhole { status: StatusCode::OK, headers, body };
+                let end = RequestEnd::Served(ServedAnswer::Body {
+                    status: StatusCode::OK,
+                    headers,
+                    body,
+                });
                 settle_request(&self.context, None, journal, caller, end).await;
             }
             Err(refusal) => self.refuse(journal, caller, refusal).await,
--- a/coltsfootgate/src/pipeline/relay.rs
+++ b/coltsfootgate/src/pipeline/relay.rs
@@ -10,7 +10,7 @@
 use super::classify::{AnswerForm, ClassifiedRequest};
 use super::dispatch::answer_headers;
 use super::journal::RequestJournal;
-use super::settle::{outcome_headers, stream_head};
+use super::settle::{ServedAnswer, outcome_headers, stream_head};
 use crate::endpoint::event::{ChunkFacts, EventReader, StreamEvent};
 use crate::endpoint::{AnswerStream, EndpointAnswer, EndpointFailure};
 use crate::entry::CallerLink;
@@ -21,19 +21,8 @@
 /// How the relaying of one attempt ended.
 #[derive(Debug)]
 pub enum RelayEnd {
-    /// A streamed answer was passed on to its last chunk; its end is yet to be told.
-    StreamWhole,
-    /// An answer that was held back is whole and yet to be given.
-    BodyWhole {
-        /// Its status.
-        status: StatusCode,
-        /// Its headers, without those of this system.
-        headers: HeaderMap,
-        /// Its body.
-        body: Bytes,
-    },
-    /// An answer too large to hold back was passed on whole.
-    BodyPassed,
+    /// The endpoint gave its whole answer.
+    Served(ServedAnswer),
     /// The caller left.
     CallerGone,
     /// The endpoint failed before the answer was whole.
@@ -100,7 +89,7 @@
     async fn finish_stream(&self, mut stream: AnswerStream) -> RelayEnd {
         // The answer is whole already; a transfer that does not end costs the connection only.
         let _ = stream.next(Duration::from_millis(20)).await;
-        RelayEnd::StreamWhole
+        RelayEnd::Served(ServedAnswer::Stream)
     }
 
     async fn pass_chunk(
@@ -168,7 +157,7 @@
             return RelayEnd::Failed(EndpointFailure::Mismatched);
         }
         journal.first_token(Instant::now());
-        RelayEnd::BodyWhole { status, headers, body }
+        RelayEnd::Served(ServedAnswer::Body { status, headers, body })
     }
 
     /// Passes on what is too large to hold back; the caller sees a broken transfer on failure.
@@ -190,7 +179,7 @@
             }
             match self.next_piece(&mut stream, caller).await {
                 Ok(Some(next)) => piece = next,
-                Ok(None) => return RelayEnd::BodyPassed,
+                Ok(None) => return RelayEnd::Served(ServedAnswer::Passed),
                 Err(end) => return end,
             }
         }
--- a/coltsfootgate/src/pipeline/settle.rs
+++ b/coltsfootgate/src/pipeline/settle.rs
@@ -22,13 +22,13 @@
 /// The reason of a request that was served.
 const COMPLETED: &str = "completed";
 
-/// How a request ended, with what its caller is still to be given.
+/// A whole answer of an endpoint, with what its caller is still to be given.
 #[derive(Debug)]
-pub enum RequestEnd {
+pub enum ServedAnswer {
     /// The caller has the chunks of a streamed answer and lacks its end.
-    StreamWhole,
-    /// The caller is to be given a whole answer.
-    BodyWhole {
+    Stream,
+    /// The answer was held back until it was whole.
+    Body {
         /// Its status.
         status: StatusCode,
         /// Its headers, without those of this system.
@@ -36,8 +36,15 @@
         /// Its body.
         body: Bytes,
     },
-    /// The caller has the whole answer.
-    BodyPassed,
+    /// The caller has an answer that was too large to hold back.
+    Passed,
+}
+
+/// How a request ended.
+#[derive(Debug)]
+pub enum RequestEnd {
+    /// The request was served.
+    Served(ServedAnswer),
     /// The request was refused or broke off.
     Refused(Refusal),
 }
@@ -64,12 +71,14 @@
     record.ended_ms = wall_milliseconds();
     match end {
         RequestEnd::Refused(refusal) => {
+            // No caller can use a part of an answer.
+            record.wasted_tokens = record.tokens;
             record.outcome = refusal.kind.outcome().name();
             record.reason = refusal.kind.code();
             record.rule = refusal.rule.to_string();
             record.message = refusal.message.clone();
         }
-        RequestEnd::StreamWhole | RequestEnd::BodyWhole { .. } | RequestEnd::BodyPassed => {
+        RequestEnd::Served(_) => {
             record.outcome = RequestOutcome::Completed.name();
             record.reason = COMPLETED;
             record.rule = request.map_or_else(|| "pools".to_owned(), serving_rule);
@@ -86,7 +95,7 @@
     let class = record.class.as_deref().unwrap_or(NO_CLASS);
     let refused = match end {
         RequestEnd::Refused(refusal) => Some(refusal.kind),
-        RequestEnd::StreamWhole | RequestEnd::BodyWhole { .. } | RequestEnd::BodyPassed => None,
+        RequestEnd::Served(_) => None,
     };
     let outcome = refused.map_or(RequestOutcome::Completed, ErrorKind::outcome);
     metrics.request_ended(class, outcome, refused);
@@ -121,16 +130,16 @@
 
 async fn give_end(record: &DecisionRecord, caller: &mut CallerLink, end: RequestEnd) {
     match end {
-        RequestEnd::StreamWhole => {
+        RequestEnd::Served(ServedAnswer::Stream) => {
             let _ = caller.send(end_event(record)).await;
             let _ = caller.send(Bytes::from_static(b"data: [DONE]\n\n")).await;
             caller.finish();
         }
-        RequestEnd::BodyWhole { status, mut headers, body } => {
+        RequestEnd::Served(ServedAnswer::Body { status, mut headers, body }) => {
             headers.extend(record_headers(record));
             caller.answer_whole(status, headers, body);
         }
-        RequestEnd::BodyPassed => caller.finish(),
+        RequestEnd::Served(ServedAnswer::Passed) => caller.finish(),
         RequestEnd::Refused(refusal) if caller.has_started() => {
             break_off(record, caller, &refusal).await;
         }
--- a/coltsfootgate/tests/endpoints.rs
+++ b/coltsfootgate/tests/endpoints.rs
@@ -229,6 +229,8 @@
     drop(caller);
     let line = setup.daemon.wait_log("caller-left");
     assert!(line.contains("partially-run"), "{line}");
+    let wasted = setup.daemon.metric("coltsfootgate_tokens_total", &["classes", "wasted"]);
+    assert!(wasted >= 1.0, "{line}");
     setup.daemon.wait_for("the engine to be free", || {
         let counters = setup.engines[0].control.counters().ok()?;
         (counters["cancelled"].as_u64()? == 1 && counters["running"] == 0).then_some(())
