--- a/coltsfootgate/src/entry/listener.rs
+++ b/coltsfootgate/src/entry/listener.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,6 +18,7 @@
 use super::answer::{AnswerBody, OUTCOME, REASON, RULE, Refusal};
 use super::request::{ENTRY_RULE, RequestBounds};
 use super::stall::StallGuard;
+use crate::accept::accept_connections;
 use crate::metrics::{ConnectionSide, DaemonMetrics};
 use crate::shutdown::ShutdownSignal;
 
@@ -67,27 +67,10 @@
 
     /// Accepts connections until shutdown; those open then finish their request in flight.
     pub async fn run(self) {
-        loop {
-            let accepted = match select(
-                std::pin::pin!(self.listener.accept()),
-                std::pin::pin!(self.shutdown.clone().triggered()),
-            )
-            .await
-            {
-                Either::Left((accepted, _)) => accepted,
-                Either::Right(_) => return,
-            };
-            match accepted {
-                Ok((stream, _)) => self.start_connection(stream),
-                Err(error) => self.rest_after_error(error).await,
-            }
-        }
-    }
-
-    async fn rest_after_error(&self, error: io::Error) {
-        log::warn!("a connection could not be accepted: {error}");
-        // Out of descriptors: accepting again at once would spin.
-        monoio::time::sleep(Duration::from_millis(50)).await;
+        let start = |stream| self.start_connection(stream);
+        let accepting = accept_connections(&self.listener, "callers", start);
+        let stopping = self.shutdown.clone().triggered();
+        select(std::pin::pin!(accepting), std::pin::pin!(stopping)).await;
     }
 
     fn start_connection(&self, stream: TcpStream) {
--- a/coltsfootgate/src/lib.rs
+++ b/coltsfootgate/src/lib.rs
@@ -1,5 +1,6 @@
 //! The daemon of coltsfootgate: sockets, tasks and the pipeline of requests.
 
+pub mod accept;
 pub mod claims;
 pub mod clock;
 pub mod daemon;
--- a/coltsfootgate/src/operators/server.rs
+++ b/coltsfootgate/src/operators/server.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_TYPE};
 use http::{Method, StatusCode};
-use log::{debug, info, warn};
+use log::{debug, info};
 use monoio::io::Splitable;
 use monoio::io::sink::SinkExt;
 use monoio::io::stream::Stream;
@@ -25,6 +25,7 @@
 
 use super::bounded::BoundedReader;
 use super::{ReadinessGate, RequestRecords, StatusBoard};
+use crate::accept::accept_connections;
 use crate::metrics::{ConnectionSide, DaemonMetrics};
 use crate::tree::TreeHandle;
 
@@ -34,8 +35,6 @@
 const REQUEST_TIME: Duration = Duration::from_secs(5);
 /// Time for an answer to be taken by the other side.
 const ANSWER_TIME: Duration = Duration::from_secs(10);
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 const JSON: &str = "application/json";
 const TEXT: &str = "text/plain; version=0.0.4";
@@ -99,15 +98,8 @@
 
     /// Serves until the future is dropped.
     pub async fn serve(self) {
-        loop {
-            match self.listener.accept().await {
-                Ok((stream, _)) => self.start(stream),
-                Err(error) => {
-                    warn!("could not accept a connection: {error}");
-                    monoio::time::sleep(ACCEPT_PAUSE).await;
-                }
-            }
-        }
+        let start = |stream| self.start(stream);
+        accept_connections(&self.listener, "operators", start).await;
     }
 
     fn start(&self, stream: TcpStream) {
--- a/coltsfootgate/src/peer/server.rs
+++ b/coltsfootgate/src/peer/server.rs
@@ -12,7 +12,7 @@
 use h2::RecvStream;
 use h2::server::{self, Connection, SendResponse};
 use http::{Request, Response, StatusCode};
-use log::{debug, warn};
+use log::debug;
 use monoio::net::{TcpListener, TcpStream};
 use monoio_compat::StreamWrapper;
 
@@ -23,6 +23,7 @@
 use super::exchange::{read_message, send_message};
 use super::handshake::prove_as_server;
 use super::{PeerError, PeerIdentity};
+use crate::accept::accept_connections;
 use crate::clock;
 use crate::metrics::{ConnectionSide, DaemonMetrics};
 
@@ -36,8 +37,6 @@
 const IDLE_TIME: Duration = Duration::from_secs(90);
 /// Requests that one connection may have open at once.
 const STREAMS_MAX: u32 = 4096;
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 type PeerConnection = Connection<StreamWrapper<CountedStream>, Bytes>;
 
@@ -87,15 +86,8 @@
 
     /// Serves until the future is dropped.
     pub async fn serve(self) {
-        loop {
-            match self.listener.accept().await {
-                Ok((stream, _)) => self.start(stream),
-                Err(error) => {
-                    warn!("could not accept a connection: {error}");
-                    monoio::time::sleep(ACCEPT_PAUSE).await;
-                }
-            }
-        }
+        let start = |stream| self.start(stream);
+        accept_connections(&self.listener, "peers", start).await;
     }
 
     fn start(&self, stream: TcpStream) {
