--- a/coltsfootctl/src/commands/history.rs
+++ b/coltsfootctl/src/commands/history.rs
@@ -3,6 +3,7 @@
 use std::fmt::{self, Display, Formatter};
 
 use coltsfootgate_config::HeadObject;
+use coltsfootgate_core::calendar::{DAY_SECONDS, civil_date};
 use serde::Serialize;
 
 use crate::arguments::HistoryArguments;
@@ -61,17 +62,8 @@
 
 /// A moment in UTC, from seconds since the Unix epoch.
 fn date_text(seconds: u64) -> String {
-    let (days, second) = (seconds / 86400, seconds % 86400);
-    // The civil calendar in eras of 400 years that start on 1 March.
-    let shifted = days + 719_468;
-    let (era, day_of_era) = (shifted / 146_097, shifted % 146_097);
-    let year_of_era =
-        (day_of_era - day_of_era / 1460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
-    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
-    let shifted_month = (5 * day_of_year + 2) / 153;
-    let day = day_of_year - (153 * shifted_month + 2) / 5 + 1;
-    let month = if shifted_month < 10 { shifted_month + 3 } else { shifted_month - 9 };
-    let year = era * 400 + year_of_era + u64::from(month <= 2);
+    let (days, second) = (seconds / DAY_SECONDS, seconds % DAY_SECONDS);
+    let (year, month, day) = civil_date(days);
     let (hour, minute, second) = (second / 3600, second / 60 % 60, second % 60);
     format!("{year}-{month:02}-{day:02} {hour:02}:{minute:02}:{second:02}Z")
 }
--- a/coltsfootgate_core/src/lib.rs
+++ b/coltsfootgate_core/src/lib.rs
@@ -1,6 +1,7 @@
 //! Every decision of coltsfootgate, as pure functions of state, event and time.
 
 pub mod attempt;
+pub mod calendar;
 pub mod claim;
 pub mod estimate;
 pub mod gossip;
