--- a/coltsfootgate/src/lib.rs
+++ b/coltsfootgate/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod entry;
 pub mod logging;
 pub mod metrics;
+pub mod operators;
 pub mod options;
 pub mod platform;
 pub mod shutdown;
+pub mod tree;
--- /dev/null
+++ b/coltsfootgate/src/operators/bounded.rs
@@ -0,0 +1,45 @@
+//! A reader that gives up after a number of bytes.
+
+use std::io::{Error, ErrorKind};
+
+use monoio::BufResult;
+use monoio::buf::{IoBufMut, IoVecBufMut};
+use monoio::io::AsyncReadRent;
+
+/// Reads from a connection until the bound is reached, then fails.
+///
+/// The decoder of monoio-http reads a head of any size, and panics on a header name above 64 KiB.
+#[derive(Debug)]
+pub(super) struct BoundedReader<R> {
+    reader: R,
+    bytes_left: usize,
+}
+
+impl<R> BoundedReader<R> {
+    pub(super) fn new(reader: R, bytes_max: usize) -> Self {
+        Self { reader, bytes_left: bytes_max }
+    }
+
+    fn spend<T>(&mut self, (result, buffer): BufResult<usize, T>) -> BufResult<usize, T> {
+        let result = result.and_then(|bytes| match self.bytes_left.checked_sub(bytes) {
+            Some(left) => {
+                self.bytes_left = left;
+                Ok(bytes)
+            }
+            None => Err(Error::new(ErrorKind::InvalidData, "request too large")),
+        });
+        (result, buffer)
+    }
+}
+
+impl<R: AsyncReadRent> AsyncReadRent for BoundedReader<R> {
+    async fn read<T: IoBufMut>(&mut self, buffer: T) -> BufResult<usize, T> {
+        let result = self.reader.read(buffer).await;
+        self.spend(result)
+    }
+
+    async fn readv<T: IoVecBufMut>(&mut self, buffer: T) -> BufResult<usize, T> {
+        let result = self.reader.readv(buffer).await;
+        self.spend(result)
+    }
+}
--- /dev/null
+++ b/coltsfootgate/src/tree.rs
@@ -0,0 +1,127 @@
+//! The tree of settings in force, followed from the platform's store and from peers.
+
+mod load;
+mod source;
+mod task;
+#[cfg(test)]
+mod tests;
+mod watch;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fmt::{self, Debug, Formatter};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+
+use coltsfootgate_config::ConfigTree;
+use coltsfootgate_core::head::{HeadEvent, TreeHead};
+use coltsfootgate_core::ids::{ConfigVersion, InstanceId};
+
+pub use self::source::{NoTreePeers, TreePeers};
+pub use self::task::TreeTask;
+
+/// Digest of an immutable value: SHA-256 in lower-case hexadecimal digits.
+pub type ObjectDigest = Arc<str>;
+/// The immutable values that a tree is made of, by digest.
+pub type TreeObjects = BTreeMap<ObjectDigest, Bytes>;
+
+/// Key of the head value in the platform's store.
+pub const HEAD_KEY: &str = "coltsfootgate/head";
+/// Prefix of the keys of root values.
+pub const ROOT_PREFIX: &str = "coltsfootgate/root/";
+/// Prefix of the keys of branch values.
+pub const BRANCH_PREFIX: &str = "coltsfootgate/branch/";
+
+/// A tree of settings in force here.
+pub struct ActiveTree {
+    /// The version.
+    pub version: ConfigVersion,
+    /// The head value that names the tree.
+    pub head: TreeHead,
+    /// The settings.
+    pub tree: Rc<ConfigTree>,
+    /// The values that the tree was read from, for peers that cannot reach the store.
+    pub objects: TreeObjects,
+}
+
+impl Debug for ActiveTree {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("ActiveTree").field("head", &self.head).finish_non_exhaustive()
+    }
+}
+
+/// Gives out the tree in force and takes news about versions; clones share the same tree.
+#[derive(Clone, Debug)]
+pub struct TreeHandle(Rc<TreeShared>);
+
+#[derive(Debug)]
+struct TreeShared {
+    current: RefCell<Option<Rc<ActiveTree>>>,
+    subscribers: RefCell<Vec<UnboundedSender<Rc<ActiveTree>>>>,
+    events: UnboundedSender<HeadEvent>,
+}
+
+impl TreeHandle {
+    /// Makes a handle without a tree, and the receiver that its task reads news from.
+    pub fn new() -> (Self, UnboundedReceiver<HeadEvent>) {
+        let (events, receiver) = unbounded();
+        let (current, subscribers) = (RefCell::default(), RefCell::default());
+        (Self(Rc::new(TreeShared { current, subscribers, events })), receiver)
+    }
+
+    /// The tree in force, if there is one.
+    pub fn current(&self) -> Option<Rc<ActiveTree>> {
+        self.0.current.borrow().clone()
+    }
+
+    /// Receives the tree in force and every one that comes into force later.
+    pub fn subscribe(&self) -> UnboundedReceiver<Rc<ActiveTree>> {
+        let (sender, receiver) = unbounded();
+        if let Some(tree) = self.current() {
+            let _ = sender.unbounded_send(tree);
+        }
+        self.0.subscribers.borrow_mut().push(sender);
+        receiver
+    }
+
+    /// Tells that a version is said to be in the store.
+    pub fn hint(&self, version: ConfigVersion) {
+        self.tell(HeadEvent::Hinted(version));
+    }
+
+    /// Tells that a peer has a version in force.
+    pub fn peer_version(&self, peer: InstanceId, version: ConfigVersion) {
+        self.tell(HeadEvent::PeerVersion(peer, version));
+    }
+
+    /// Tells which other instances the platform lists.
+    pub fn listed(&self, peers: Vec<InstanceId>) {
+        self.tell(HeadEvent::Listed(peers));
+    }
+
+    /// A value of the tree in force, for a peer.
+    pub fn object(&self, digest: &str) -> Option<Bytes> {
+        self.0.current.borrow().as_ref()?.objects.get(digest).cloned()
+    }
+
+    /// Puts a tree in force, unless its version is not above the present one.
+    pub(crate) fn publish(&self, tree: Rc<ActiveTree>) {
+        let version = self.current().map_or(0, |current| current.version);
+        if tree.version <= version {
+            return;
+        }
+        *self.0.current.borrow_mut() = Some(tree.clone());
+        self.0
+            .subscribers
+            .borrow_mut()
+            .retain(|subscriber| subscriber.unbounded_send(tree.clone()).is_ok());
+    }
+
+    fn tell(&self, event: HeadEvent) {
+        // Fails only while the process is ending.
+        let _ = self.0.events.unbounded_send(event);
+    }
+}
--- /dev/null
+++ b/coltsfootgate/src/tree/tests.rs
@@ -0,0 +1,228 @@
+//! Tests of following the head, with a store and peers held in memory.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::future::pending;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use monoio::{LegacyDriver, RuntimeBuilder};
+use rstest::rstest;
+
+use super::load::object_digest;
+use super::source::PeerUnanswered;
+use super::*;
+use crate::metrics::DaemonMetrics;
+use crate::operators::ReadinessGate;
+use crate::platform::{PlatformError, PlatformStore, StoredValue, SwapResult, ValueRevision};
+
+/// A bound on waiting for what must happen.
+const EVENTUALLY: Duration = Duration::from_secs(10);
+
+#[derive(Clone, Default)]
+struct MemoryStore(Rc<MemoryState>);
+
+#[derive(Default)]
+struct MemoryState {
+    values: RefCell<HashMap<String, Bytes>>,
+    is_down: Cell<bool>,
+}
+
+impl MemoryStore {
+    fn set(&self, key: &str, value: impl Into<Bytes>) {
+        self.0.values.borrow_mut().insert(key.to_owned(), value.into());
+    }
+
+    /// Stores a tree and the head that names it.
+    fn put_tree(&self, version: ConfigVersion, text: &str) -> TreeHead {
+        let root = object_digest(text.as_bytes());
+        self.set(&format!("{ROOT_PREFIX}{root}"), text.to_owned());
+        let head = TreeHead { version, root: root.into(), nonce: "n".into() };
+        self.set(HEAD_KEY, serde_json::to_vec(&head).unwrap());
+        head
+    }
+}
+
+impl PlatformStore for MemoryStore {
+    async fn read(&self, key: &str) -> Result<Option<StoredValue>, PlatformError> {
+        if self.0.is_down.get() {
+            return Err(PlatformError::TimedOut);
+        }
+        let value = self.0.values.borrow().get(key).cloned();
+        Ok(value.map(|value| StoredValue { revision: 1, value }))
+    }
+
+    async fn watch(
+        &self,
+        _key: &str,
+        _after: ValueRevision,
+        _wait: Duration,
+    ) -> Result<Option<StoredValue>, PlatformError> {
+        pending().await
+    }
+
+    async fn swap(
+        &self,
+        _key: &str,
+        _revision: ValueRevision,
+        _value: Bytes,
+    ) -> Result<SwapResult, PlatformError> {
+        Err(PlatformError::Refused(400))
+    }
+
+    async fn list(&self, _prefix: &str) -> Result<Vec<Arc<str>>, PlatformError> {
+        Ok(Vec::new())
+    }
+}
+
+/// Each peer holds what a store of its own holds.
+#[derive(Clone, Default)]
+struct MemoryPeers(Rc<HashMap<InstanceId, MemoryStore>>);
+
+impl MemoryPeers {
+    fn value(&self, peer: &InstanceId, key: &str) -> Result<Option<Bytes>, PeerUnanswered> {
+        let store = self.0.get(peer).ok_or(PeerUnanswered)?;
+        Ok(store.0.values.borrow().get(key).cloned())
+    }
+}
+
+impl TreePeers for MemoryPeers {
+    async fn head(&self, peer: &InstanceId) -> Result<Option<TreeHead>, PeerUnanswered> {
+        let head = self.value(peer, HEAD_KEY)?;
+        Ok(head.map(|head| serde_json::from_slice(&head).unwrap()))
+    }
+
+    async fn object(
+        &self,
+        peer: &InstanceId,
+        digest: &str,
+    ) -> Result<Option<Bytes>, PeerUnanswered> {
+        self.value(peer, &format!("{ROOT_PREFIX}{digest}"))
+    }
+}
+
+struct Followed {
+    handle: TreeHandle,
+    readiness: ReadinessGate,
+    metrics: DaemonMetrics,
+    trees: UnboundedReceiver<Rc<ActiveTree>>,
+}
+
+impl Followed {
+    fn start(store: MemoryStore, peers: MemoryPeers) -> Self {
+        let (handle, news) = TreeHandle::new();
+        let (metrics, readiness) = (DaemonMetrics::new(), ReadinessGate::default());
+        let (task_metrics, gate) = (metrics.clone(), readiness.clone());
+        let task = TreeTask::new(store, peers, handle.clone(), news, task_metrics, gate);
+        monoio::spawn(task.run());
+        let trees = handle.subscribe();
+        Self { handle, readiness, metrics, trees }
+    }
+
+    async fn next_version(&mut self) -> ConfigVersion {
+        let tree = monoio::time::timeout(EVENTUALLY, self.trees.next()).await;
+        tree.expect("a tree came into force").unwrap().version
+    }
+
+    /// Waits until the metrics show a line.
+    async fn wait_for_metric(&self, line: &str) {
+        let shown = async {
+            while !String::from_utf8_lossy(&self.metrics.encode()).contains(line) {
+                monoio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        monoio::time::timeout(EVENTUALLY, shown).await.expect(line);
+    }
+}
+
+/// A valid tree with this name.
+fn tree_text(name: &str) -> String {
+    let sample = include_str!("../../../samples/samahang.toml");
+    sample.replacen("name = \"samahang\"", &format!("name = \"{name}\""), 1)
+}
+
+fn block_on<F: Future>(future: F) -> F::Output {
+    RuntimeBuilder::<LegacyDriver>::new().enable_timer().build().unwrap().block_on(future)
+}
+
+#[test]
+fn the_tree_in_the_store_comes_into_force() {
+    block_on(async {
+        let store = MemoryStore::default();
+        store.put_tree(3, &tree_text("one"));
+        let mut followed = Followed::start(store.clone(), MemoryPeers::default());
+        followed.handle.listed(Vec::new());
+        assert_eq!(followed.next_version().await, 3);
+        store.put_tree(4, &tree_text("two"));
+        followed.handle.hint(4);
+        assert_eq!(followed.next_version().await, 4);
+        let tree = followed.handle.current().unwrap();
+        assert_eq!(&*tree.tree.deployment().name, "two");
+        assert!(followed.readiness.is_ready());
+    });
+}
+
+#[test]
+fn a_lower_version_is_never_taken() {
+    block_on(async {
+        let store = MemoryStore::default();
+        store.put_tree(5, &tree_text("new"));
+        let mut followed = Followed::start(store.clone(), MemoryPeers::default());
+        followed.handle.listed(Vec::new());
+        assert_eq!(followed.next_version().await, 5);
+        store.put_tree(4, &tree_text("old"));
+        followed.handle.hint(6);
+        store.put_tree(6, &tree_text("newer"));
+        followed.handle.hint(7);
+        assert_eq!(followed.next_version().await, 6);
+    });
+}
+
+#[rstest]
+#[case::not_toml("[deployment", "invalid")]
+#[case::missing_settings("[deployment]\nname = \"x\"\n", "invalid")]
+fn an_invalid_tree_leaves_the_one_before_in_force(#[case] text: &str, #[case] cause: &str) {
+    block_on(async {
+        let store = MemoryStore::default();
+        store.put_tree(1, &tree_text("good"));
+        let mut followed = Followed::start(store.clone(), MemoryPeers::default());
+        followed.handle.listed(Vec::new());
+        assert_eq!(followed.next_version().await, 1);
+        store.put_tree(2, text);
+        followed.handle.hint(2);
+        let line = format!("coltsfootgate_config_refused_total{{cause=\"{cause}\"}} 1");
+        followed.wait_for_metric(&line).await;
+        assert_eq!(followed.handle.current().unwrap().version, 1);
+    });
+}
+
+#[test]
+fn a_value_with_another_digest_is_not_taken() {
+    block_on(async {
+        let store = MemoryStore::default();
+        let head = store.put_tree(1, &tree_text("good"));
+        store.set(&format!("{ROOT_PREFIX}{}", head.root), tree_text("forged"));
+        let followed = Followed::start(store, MemoryPeers::default());
+        followed.handle.listed(Vec::new());
+        followed.wait_for_metric("coltsfootgate_config_refused_total{cause=\"unfetched\"}").await;
+        assert!(followed.handle.current().is_none());
+        assert!(!followed.readiness.is_ready());
+    });
+}
+
+#[test]
+fn an_instance_started_in_an_outage_takes_the_highest_tree_of_its_peers() {
+    block_on(async {
+        let store = MemoryStore::default();
+        store.0.is_down.set(true);
+        let (old, new) = (MemoryStore::default(), MemoryStore::default());
+        old.put_tree(7, &tree_text("old"));
+        new.put_tree(8, &tree_text("new"));
+        let peers: Vec<InstanceId> = vec!["a:1".into(), "b:1".into(), "c:1".into()];
+        let held = HashMap::from([(peers[0].clone(), old), (peers[1].clone(), new)]);
+        let mut followed = Followed::start(store, MemoryPeers(Rc::new(held)));
+        followed.handle.listed(peers);
+        assert_eq!(followed.next_version().await, 8);
+        assert!(followed.handle.object(&followed.handle.current().unwrap().head.root).is_some());
+    });
+}
--- /dev/null
+++ b/coltsfootgate/src/tree/watch.rs
@@ -0,0 +1,104 @@
+//! Watches the head value in the platform's store.
+
+use std::time::Duration;
+
+use futures_channel::mpsc::UnboundedSender;
+use log::{info, warn};
+use rand::Rng;
+
+use coltsfootgate_core::head::{HeadEvent, HeadSource, TreeHead};
+
+use super::HEAD_KEY;
+use crate::platform::{PlatformError, PlatformStore, StoredValue, ValueRevision};
+
+/// How long the store may hold a watch. With the time limit of a call it bounds how long a silent
+/// watch goes unnoticed.
+const WATCH_WAIT: Duration = Duration::from_secs(3);
+/// After so many watches without news the head is read, in case a watch missed it.
+const WATCHES_PER_READ: u32 = 10;
+/// Shortest pause after an error.
+const PAUSE_MIN: Duration = Duration::from_millis(250);
+/// Longest pause after an error.
+const PAUSE_MAX: Duration = Duration::from_secs(2);
+
+/// Follows the head and reports what the store answers.
+pub(super) struct HeadWatch<S> {
+    store: S,
+    events: UnboundedSender<HeadEvent>,
+    revision: ValueRevision,
+    failures: u32,
+}
+
+impl<S: PlatformStore> HeadWatch<S> {
+    pub(super) fn new(store: S, events: UnboundedSender<HeadEvent>) -> Self {
+        Self { store, events, revision: 0, failures: 0 }
+    }
+
+    /// Watches until the receiver of events is gone.
+    pub(super) async fn run(mut self) {
+        loop {
+            let result = self.read_then_watch().await;
+            let Err(error) = result else { continue };
+            if !self.report_failure(&error) {
+                return;
+            }
+            monoio::time::sleep(self.pause()).await;
+        }
+    }
+
+    /// Reads the head once and then watches it for a while.
+    async fn read_then_watch(&mut self) -> Result<(), PlatformError> {
+        let value = self.store.read(HEAD_KEY).await?;
+        self.report(value)?;
+        for _ in 0..WATCHES_PER_READ {
+            let value = self.store.watch(HEAD_KEY, self.revision, WATCH_WAIT).await?;
+            if value.is_some() {
+                self.report(value)?;
+            } else if self.revision == 0 {
+                // A store may answer a watch of a missing value at once.
+                monoio::time::sleep(PAUSE_MIN).await;
+            }
+        }
+        Ok(())
+    }
+
+    fn report(&mut self, value: Option<StoredValue>) -> Result<(), PlatformError> {
+        if self.failures > 0 {
+            info!("the store answers again");
+            self.failures = 0;
+        }
+        let head = match &value {
+            Some(stored) => Some(parse_head(stored)?),
+            None => None,
+        };
+        // A replica that lags may answer with a lower revision, after which a watch returns at once.
+        self.revision = self.revision.max(value.map_or(0, |stored| stored.revision));
+        self.send(HeadEvent::Offered(HeadSource::Store, head));
+        Ok(())
+    }
+
+    /// Reports that the store did not answer; `false` if nobody listens any more.
+    fn report_failure(&mut self, error: &PlatformError) -> bool {
+        if self.failures == 0 {
+            warn!("could not follow the head in the store: {error}");
+        }
+        self.failures += 1;
+        self.send(HeadEvent::Unanswered(HeadSource::Store))
+    }
+
+    fn send(&self, event: HeadEvent) -> bool {
+        self.events.unbounded_send(event).is_ok()
+    }
+
+    /// A pause that doubles with each failure, with jitter.
+    fn pause(&self) -> Duration {
+        let longest = PAUSE_MIN.saturating_mul(1 << self.failures.min(4)).min(PAUSE_MAX);
+        longest.mul_f64(rand::rng().random_range(0.5..1.0))
+    }
+}
+
+/// Reads a head value.
+pub(super) fn parse_head(stored: &StoredValue) -> Result<TreeHead, PlatformError> {
+    serde_json::from_slice(&stored.value)
+        .map_err(|error| PlatformError::Malformed(format!("head: {error}").into()))
+}
