--- a/coltsfootgate/src/tree.rs
+++ b/coltsfootgate/src/tree.rs
@@ -11,29 +11,19 @@
 use std::collections::BTreeMap;
 use std::fmt::{self, Debug, Formatter};
 use std::rc::Rc;
-use std::sync::Arc;
 
 use bytes::Bytes;
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 
-use coltsfootgate_config::ConfigTree;
+use coltsfootgate_config::{ConfigTree, ContentDigest};
 use coltsfootgate_core::head::{HeadEvent, TreeHead};
 use coltsfootgate_core::ids::{ConfigVersion, InstanceId};
 
 pub use self::source::{NoTreePeers, TreePeers};
 pub use self::task::TreeTask;
 
-/// Digest of an immutable value: SHA-256 in lower-case hexadecimal digits.
-pub type ObjectDigest = Arc<str>;
 /// The immutable values that a tree is made of, by digest.
-pub type TreeObjects = BTreeMap<ObjectDigest, Bytes>;
-
-/// Key of the head value in the platform's store.
-pub const HEAD_KEY: &str = "coltsfootgate/head";
-/// Prefix of the keys of root values.
-pub const ROOT_PREFIX: &str = "coltsfootgate/root/";
-/// Prefix of the keys of branch values.
-pub const BRANCH_PREFIX: &str = "coltsfootgate/branch/";
+pub type TreeObjects = BTreeMap<ContentDigest, Bytes>;
 
 /// A tree of settings in force here.
 pub struct ActiveTree {
--- a/coltsfootgate/src/tree/load.rs
+++ b/coltsfootgate/src/tree/load.rs
@@ -1,16 +1,21 @@
 //! Fetches the values of a tree, checks their digests and reads the settings.
 
-use std::fmt::{self, Display, Formatter, Write};
+use std::fmt::{self, Display, Formatter};
 
 use bytes::Bytes;
-use sha2::{Digest, Sha256};
+use futures_util::{StreamExt, TryStreamExt, stream};
 
-use coltsfootgate_config::{ConfigErrors, ConfigTree};
+use coltsfootgate_config::{
+    ConfigErrors, PartsError, RootObject, TreeParts, branch_key, content_digest, root_key,
+};
 use coltsfootgate_core::head::{HeadSource, TreeHead};
 
-use super::{ActiveTree, ROOT_PREFIX, TreeObjects, TreePeers};
+use super::{ActiveTree, TreeObjects, TreePeers};
 use crate::platform::PlatformStore;
 
+/// Values that are fetched at once.
+const FETCHES_AT_ONCE: usize = 8;
+
 /// Why a tree could not be loaded.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum LoadError {
@@ -35,6 +40,12 @@
     }
 }
 
+impl From<PartsError> for LoadError {
+    fn from(error: PartsError) -> Self {
+        Self::Invalid(error.to_string())
+    }
+}
+
 /// Fetches values by digest from whichever source has them.
 pub(super) struct ObjectFetcher<'a, S, P> {
     pub(super) store: &'a S,
@@ -47,49 +58,45 @@
 impl<S: PlatformStore, P: TreePeers> ObjectFetcher<'_, S, P> {
     /// Loads the tree that a head names.
     pub(super) async fn load(&self, head: &TreeHead) -> Result<ActiveTree, LoadError> {
-        let root = self.object(ROOT_PREFIX, &head.root).await?;
-        let text = std::str::from_utf8(&root)
+        let root_bytes = self.object(&root_key(&head.root), &head.root).await?;
+        let root = RootObject::from_bytes(&root_bytes)
             .map_err(|error| LoadError::Invalid(format!("root: {error}")))?;
-        let tree = ConfigTree::parse(&format!("version {}", head.version), text)?;
-        let objects = TreeObjects::from([(head.root.clone(), root)]);
+        let mut objects = self.branches(&root).await?;
+        let parts = TreeParts::assemble(&root, |digest| {
+            let text = std::str::from_utf8(objects.get(digest)?).ok()?;
+            Some(text.into())
+        })?;
+        let tree = parts.join(&format!("version {}", head.version))?;
+        objects.insert(head.root.clone(), root_bytes);
         Ok(ActiveTree { version: head.version, head: head.clone(), tree: tree.into(), objects })
     }
 
-    async fn object(&self, prefix: &str, digest: &str) -> Result<Bytes, LoadError> {
+    async fn branches(&self, root: &RootObject) -> Result<TreeObjects, LoadError> {
+        let fetches = root.branches.iter().map(|entry| async {
+            let value = self.object(&branch_key(&entry.digest), &entry.digest).await?;
+            Ok((entry.digest.clone(), value))
+        });
+        stream::iter(fetches).buffer_unordered(FETCHES_AT_ONCE).try_collect().await
+    }
+
+    async fn object(&self, key: &str, digest: &str) -> Result<Bytes, LoadError> {
         if let Some(value) = self.held.get(digest) {
             return Ok(value.clone());
         }
-        for source in self.sources {
-            let value = self.offered_object(source, prefix, digest).await;
-            if let Some(value) = value.filter(|value| object_digest(value) == digest) {
+        // Peers go first, since the rate of the store is shared by all instances.
+        for source in self.sources.iter().rev() {
+            let value = self.offered_object(source, key, digest).await;
+            if let Some(value) = value.filter(|value| *content_digest(value) == *digest) {
                 return Ok(value);
             }
         }
         Err(LoadError::Unfetched(digest.to_owned()))
     }
 
-    async fn offered_object(
-        &self,
-        source: &HeadSource,
-        prefix: &str,
-        digest: &str,
-    ) -> Option<Bytes> {
+    async fn offered_object(&self, source: &HeadSource, key: &str, digest: &str) -> Option<Bytes> {
         match source {
-            HeadSource::Store => {
-                let stored = self.store.read(&format!("{prefix}{digest}")).await.ok()??;
-                Some(stored.value)
-            }
+            HeadSource::Store => Some(self.store.read(key).await.ok()??.value),
             HeadSource::Peer(peer) => self.peers.object(peer, digest).await.ok()?,
         }
     }
 }
-
-/// The digest by which an immutable value is named.
-pub fn object_digest(value: &[u8]) -> String {
-    let digest = Sha256::digest(value);
-    digest.iter().fold(String::with_capacity(64), |mut text, byte| {
-        // Writing to a string does not fail.
-        let _ = write!(text, "{byte:02x}");
-        text
-    })
-}
--- a/coltsfootgate/src/tree/task.rs
+++ b/coltsfootgate/src/tree/task.rs
@@ -8,11 +8,12 @@
 use futures_util::{StreamExt, pin_mut};
 use log::{error, info, warn};
 
+use coltsfootgate_config::HEAD_KEY;
 use coltsfootgate_core::head::{HeadAction, HeadEvent, HeadSource, HeadTracker, TreeHead};
 
 use super::load::{LoadError, ObjectFetcher};
 use super::watch::{HeadWatch, parse_head};
-use super::{ActiveTree, HEAD_KEY, TreeHandle, TreeObjects, TreePeers};
+use super::{ActiveTree, TreeHandle, TreeObjects, TreePeers};
 use crate::metrics::DaemonMetrics;
 use crate::operators::{ReadinessGate, UnreadyCause};
 use crate::platform::PlatformStore;
--- a/coltsfootgate/src/tree/tests.rs
+++ b/coltsfootgate/src/tree/tests.rs
@@ -3,13 +3,17 @@
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::future::pending;
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::StreamExt;
 use monoio::{LegacyDriver, RuntimeBuilder};
 use rstest::rstest;
 
-use super::load::object_digest;
+use coltsfootgate_config::{
+    BranchDocument, HEAD_KEY, RootObject, TreeParts, branch_key, content_digest, root_key,
+};
+
 use super::source::PeerUnanswered;
 use super::*;
 use crate::metrics::DaemonMetrics;
@@ -35,9 +39,17 @@
 
     /// Stores a tree and the head that names it.
     fn put_tree(&self, version: ConfigVersion, text: &str) -> TreeHead {
-        let root = object_digest(text.as_bytes());
-        self.set(&format!("{ROOT_PREFIX}{root}"), text.to_owned());
-        let head = TreeHead { version, root: root.into(), nonce: "n".into() };
+        let parts = TreeParts::split(&BranchDocument::parse("test", text).unwrap()).unwrap();
+        for part in parts.iter() {
+            self.set(&branch_key(&part.digest), part.text.to_string());
+        }
+        self.put_root(version, parts.root().to_bytes())
+    }
+
+    fn put_root(&self, version: ConfigVersion, root: Vec<u8>) -> TreeHead {
+        let digest = content_digest(&root);
+        self.set(&root_key(&digest), root);
+        let head = TreeHead { version, root: digest, nonce: "n".into() };
         self.set(HEAD_KEY, serde_json::to_vec(&head).unwrap());
         head
     }
@@ -97,7 +109,8 @@
         peer: &InstanceId,
         digest: &str,
     ) -> Result<Option<Bytes>, PeerUnanswered> {
-        self.value(peer, &format!("{ROOT_PREFIX}{digest}"))
+        let root = self.value(peer, &root_key(digest))?;
+        Ok(root.or(self.value(peer, &branch_key(digest))?))
     }
 }
 
@@ -179,19 +192,18 @@
 }
 
 #[rstest]
-#[case::not_toml("[deployment", "invalid")]
-#[case::missing_settings("[deployment]\nname = \"x\"\n", "invalid")]
-fn an_invalid_tree_leaves_the_one_before_in_force(#[case] text: &str, #[case] cause: &str) {
+#[case::no_root(b"{".to_vec())]
+#[case::no_branches(RootObject::default().to_bytes())]
+fn an_invalid_tree_leaves_the_one_before_in_force(#[case] root: Vec<u8>) {
     block_on(async {
         let store = MemoryStore::default();
         store.put_tree(1, &tree_text("good"));
         let mut followed = Followed::start(store.clone(), MemoryPeers::default());
         followed.handle.listed(Vec::new());
         assert_eq!(followed.next_version().await, 1);
-        store.put_tree(2, text);
+        store.put_root(2, root);
         followed.handle.hint(2);
-        let line = format!("coltsfootgate_config_refused_total{{cause=\"{cause}\"}} 1");
-        followed.wait_for_metric(&line).await;
+        followed.wait_for_metric("coltsfootgate_config_refused_total{cause=\"invalid\"} 1").await;
         assert_eq!(followed.handle.current().unwrap().version, 1);
     });
 }
@@ -200,8 +212,11 @@
 fn a_value_with_another_digest_is_not_taken() {
     block_on(async {
         let store = MemoryStore::default();
-        let head = store.put_tree(1, &tree_text("good"));
-        store.set(&format!("{ROOT_PREFIX}{}", head.root), tree_text("forged"));
+        store.put_tree(1, &tree_text("good"));
+        let forged = "[deployment]\nname = \"forged\"\n";
+        let document = BranchDocument::parse("test", &tree_text("good")).unwrap();
+        let part = TreeParts::split(&document).unwrap().part("deployment").unwrap().clone();
+        store.set(&branch_key(&part.digest), forged);
         let followed = Followed::start(store, MemoryPeers::default());
         followed.handle.listed(Vec::new());
         followed.wait_for_metric("coltsfootgate_config_refused_total{cause=\"unfetched\"}").await;
--- a/coltsfootgate/src/tree/watch.rs
+++ b/coltsfootgate/src/tree/watch.rs
@@ -6,9 +6,9 @@
 use log::{info, warn};
 use rand::Rng;
 
+use coltsfootgate_config::HEAD_KEY;
 use coltsfootgate_core::head::{HeadEvent, HeadSource, TreeHead};
 
-use super::HEAD_KEY;
 use crate::platform::{PlatformError, PlatformStore, StoredValue, ValueRevision};
 
 /// How long the store may hold a watch. With the time limit of a call it bounds how long a silent
