--- a/coltsfootctl/src/commands/explain.rs
+++ b/coltsfootctl/src/commands/explain.rs
@@ -93,6 +93,7 @@
     let customer = arguments.customer.as_deref().map(|id| find_customer(tree, id)).transpose()?;
     let path = arguments.path.as_deref().unwrap_or(DEFAULT_PATH);
     let class = tree.classify(&RequestFacts {
+        host: None,
         customer: customer.as_deref().unwrap_or_default(),
         method: arguments.method.as_deref().unwrap_or(DEFAULT_METHOD),
         path,
--- a/coltsfootgate/src/daemon.rs
+++ b/coltsfootgate/src/daemon.rs
@@ -1,6 +1,7 @@
 //! Starts the tasks of one instance and ends them in order.
 
 use std::collections::HashMap;
+use std::ffi::c_int;
 use std::fmt::{self, Display, Formatter};
 use std::io::{self, Write};
 use std::net::SocketAddr;
@@ -11,10 +12,12 @@
 use error_stack::{Report, ResultExt};
 use gumdrop::Options;
 use log::info;
+use monoio::io::AsyncReadRent;
 use monoio::net::{ListenerOpts, TcpListener, UnixStream};
 use monoio::{LegacyDriver, RuntimeBuilder};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
+use crate::dialect::Dialect;
 use crate::entry::request::RequestBounds;
 use crate::entry::{EntryBounds, EntryListener};
 use crate::instance::{InstanceParts, start_instance};
@@ -44,6 +47,8 @@
     Address(&'static str, SocketAddr),
     /// Signals could not be received.
     Signals,
+    /// The adapter for the platform could not be made.
+    Platform,
 }
 
 impl Display for DaemonFault {
@@ -54,6 +59,7 @@
             Self::Address(side, address) => {
                 write!(formatter, "the address {address} for {side} cannot be taken")
             }
+            Self::Platform => formatter.write_str("the adapter for the platform cannot be made"),
             Self::Signals => formatter.write_str("signals cannot be received"),
         }
     }
@@ -62,7 +68,7 @@
 impl std::error::Error for DaemonFault {}
 
 /// Runs the daemon with the process's flags and environment.
-pub fn run() -> ExitCode {
+pub fn run<D: Dialect>() -> ExitCode {
     let flags = DaemonFlags::parse_args_default_or_exit();
     if flags.version {
         let _ = writeln!(io::stdout(), "coltsfootgate {}", env!("CARGO_PKG_VERSION"));
@@ -78,7 +84,7 @@
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
-    match start(settings) {
+    match start::<D>(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             print_fault(&format!("{report:?}"));
@@ -87,16 +93,16 @@
     }
 }
 
-fn start(settings: DaemonSettings) -> Result<(), Report<DaemonFault>> {
+fn start<D: Dialect>(settings: DaemonSettings) -> Result<(), Report<DaemonFault>> {
     start_logging(settings.log_level, settings.log_format).change_context(DaemonFault::Logging)?;
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
         .enable_timer()
         .build()
         .change_context(DaemonFault::Runtime)?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve::<D>(settings))
 }
 
-async fn serve(mut settings: DaemonSettings) -> Result<(), Report<DaemonFault>> {
+async fn serve<D: Dialect>(mut settings: DaemonSettings) -> Result<(), Report<DaemonFault>> {
     let peer_listener = bind("peers", settings.peer_listen)?;
     let peers = peer_listener.local_addr().change_context(DaemonFault::Runtime)?;
     settings.take_peer_address(peers);
@@ -104,16 +110,19 @@
     let (trigger, shutdown) = shutdown_pair();
     let identity = PeerIdentity::new(settings.instance.clone(), settings.peer_secret.clone())
         .ok_or_else(|| Report::new(DaemonFault::Address("peers", settings.peer_listen)))?;
-    let parts = start_instance(&settings, identity, peer_listener);
+    let platform =
+        D::platform(&settings).map_err(|fault| Report::new(DaemonFault::Platform).attach(fault))?;
+    let parts = start_instance::<D>(&settings, platform, identity, peer_listener);
     let operators = start_operators(&settings, &parts)?;
     let listener = bind("callers", settings.listen)?;
     let callers = listener.local_addr().change_context(DaemonFault::Runtime)?;
     let bounds = entry_bounds(&settings);
-    let gate = Rc::new(RequestGate::new(parts.context.clone(), bounds.request.clone()));
+    let gate = Rc::new(RequestGate::<D>::new(parts.context.clone(), bounds.request.clone()));
     let metrics = parts.context.metrics.clone();
     let entry = EntryListener::new(listener, gate, bounds, metrics, shutdown);
     monoio::spawn(entry.run());
     announce(callers, peers, operators);
+    monoio::spawn(follow_reloads(reload_stream()?));
     wait_for_signal(signals).await;
     drain(&settings, &parts, trigger).await;
     Ok(())
@@ -130,6 +139,7 @@
         readiness: parts.readiness.clone(),
         tree: parts.context.tree.clone(),
         connections_max: settings.operators_connections,
+        readiness_path: settings.readiness_path.clone(),
     };
     let fault = || DaemonFault::Address("operators", settings.operators_listen);
     let server =
@@ -162,11 +172,32 @@
 }
 
 fn signal_stream() -> Result<UnixStream, Report<DaemonFault>> {
+    signals_as_stream(&[SIGTERM, SIGINT])
+}
+
+fn reload_stream() -> Result<UnixStream, Report<DaemonFault>> {
+    signals_as_stream(&[SIGHUP])
+}
+
+/// Tells of each SIGHUP. Flags and environment of a process do not change while it runs.
+async fn follow_reloads(mut stream: UnixStream) {
+    let mut buffer = vec![0; 1];
+    loop {
+        let (read, taken) = stream.read(buffer).await;
+        buffer = taken;
+        if !matches!(read, Ok(1..)) {
+            return;
+        }
+        info!("reload: the settings of this process are those of its start");
+    }
+}
+
+fn signals_as_stream(signals: &[c_int]) -> Result<UnixStream, Report<DaemonFault>> {
     let (receiver, sender) =
         std::os::unix::net::UnixStream::pair().change_context(DaemonFault::Signals)?;
-    for signal in [SIGTERM, SIGINT] {
+    for signal in signals {
         let sender = sender.try_clone().change_context(DaemonFault::Signals)?;
-        signal_hook::low_level::pipe::register(signal, sender)
+        signal_hook::low_level::pipe::register(*signal, sender)
             .change_context(DaemonFault::Signals)?;
     }
     UnixStream::from_std(receiver).change_context(DaemonFault::Signals)
--- /dev/null
+++ b/coltsfootgate/src/dialect/native.rs
@@ -0,0 +1,189 @@
+//! The product's own interface to callers and endpoints.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::request::Parts;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+
+use coltsfootgate_core::prelude::ErrorKind;
+
+use super::{AttemptFacts, CallerDialect, Dialect, EndpointDialect, PromptFacts, StatedRequest};
+use crate::endpoint::{
+    EndpointFailure, NOT_STARTED_HEADER, PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_HEADER,
+};
+use crate::entry::Refusal;
+use crate::entry::answer::{CONFIG_VERSION, OUTCOME, REASON, REQUEST_ID, RULE};
+use crate::entry::head::{bearer_key, header_text, malformed};
+use crate::entry::request::{
+    DEADLINE, ENTRY_RULE, IDEMPOTENCY_KEY, IDEMPOTENCY_KEY_MAX, NOT_REPEATABLE,
+};
+use crate::options::DaemonSettings;
+use crate::pipeline::DecisionRecord;
+use crate::pipeline::classify::{AnswerForm, ClassifiedRequest};
+use crate::pipeline::dispatch::passed_headers;
+use crate::platform::HttpPlatform;
+
+/// Headers of callers that are not passed on, beside those that belong to one connection.
+const WITHHELD_HEADERS: &[&str] = &[
+    "authorization",
+    "content-length",
+    "expect",
+    "host",
+    "x-request-id",
+    PRIORITY_HEADER,
+    RESUME_HEADER,
+    NOT_STARTED_HEADER,
+    DEADLINE,
+    NOT_REPEATABLE,
+];
+
+/// The product's own interface.
+#[derive(Debug)]
+pub struct NativeDialect;
+
+/// Callers that speak the product's own interface.
+#[derive(Debug)]
+pub struct NativeCallers;
+
+/// Endpoints that speak the product's own interface.
+#[derive(Debug)]
+pub struct NativeEndpoints;
+
+impl Dialect for NativeDialect {
+    type Callers = NativeCallers;
+    type Endpoints = NativeEndpoints;
+    type Platform = HttpPlatform;
+
+    fn platform(settings: &DaemonSettings) -> Result<HttpPlatform, String> {
+        Ok(HttpPlatform::new(settings.platform, settings.platform_timeout))
+    }
+}
+
+impl CallerDialect for NativeCallers {
+    fn read_head(head: &Parts) -> Result<StatedRequest, Refusal> {
+        Ok(StatedRequest {
+            caller_id: None,
+            bearer: bearer_key(&head.headers)?,
+            idempotency_key: idempotency_key(&head.headers)?,
+            not_repeatable: not_repeatable(&head.headers)?,
+            deadline: deadline(&head.headers)?,
+            prompt: PromptFacts::default(),
+        })
+    }
+
+    fn record_headers(record: &DecisionRecord) -> HeaderMap {
+        let mut headers = HeaderMap::new();
+        let version = record.config_version.to_string();
+        let values = [
+            (REQUEST_ID, record.request_id.as_str()),
+            (OUTCOME, record.outcome),
+            (REASON, record.reason),
+            (RULE, record.rule.as_str()),
+            (CONFIG_VERSION, version.as_str()),
+        ];
+        for (name, value) in values {
+            // Branch names are checked when the tree is parsed, so every value is valid.
+            if let Ok(value) = HeaderValue::from_str(value) {
+                headers.insert(HeaderName::from_static(name), value);
+            }
+        }
+        headers
+    }
+
+    fn retry_after(delay: Duration) -> HeaderValue {
+        HeaderValue::from(delay.as_secs_f64().ceil().max(1.0) as u64)
+    }
+}
+
+impl EndpointDialect for NativeEndpoints {
+    /// The first attempt has the id of the request.
+    fn attempt_id(request: &ClassifiedRequest, attempt: u32) -> Arc<str> {
+        let request = request.accepted.id;
+        match attempt {
+            0 | 1 => request.to_string().into(),
+            later => format!("{request}-{later}").into(),
+        }
+    }
+
+    fn attempt_headers(attempt: &AttemptFacts<'_>) -> HeaderMap {
+        let AttemptFacts { request, endpoint, id, resume_offset, .. } = *attempt;
+        let keeps_key = request.form == AnswerForm::Service;
+        let mut headers = passed_headers(&request.accepted.headers, |name| {
+            WITHHELD_HEADERS.contains(&name) || (name == IDEMPOTENCY_KEY && !keeps_key)
+        });
+        // An address and a request id are visible ASCII, so both are valid values.
+        if let Ok(host) = HeaderValue::from_str(&endpoint.address) {
+            headers.insert(header::HOST, host);
+        }
+        if let Ok(id) = HeaderValue::from_str(id) {
+            headers.insert(REQUEST_ID_HEADER, id);
+        }
+        if request.form != AnswerForm::Service {
+            let tier = HeaderValue::from(u16::from(request.class.tier.number()));
+            headers.insert(HeaderName::from_static(PRIORITY_HEADER), tier);
+        }
+        if resume_offset > 0 {
+            headers
+                .insert(HeaderName::from_static(RESUME_HEADER), HeaderValue::from(resume_offset));
+        }
+        headers
+    }
+
+    fn check_head(
+        status: StatusCode,
+        headers: &HeaderMap,
+        attempt: &str,
+    ) -> Result<(), EndpointFailure> {
+        // A refusal may come from in front of the endpoint, where no id is known.
+        if headers.get(NOT_STARTED_HEADER).is_some_and(|value| value == "true") {
+            return Err(EndpointFailure::RefusedBeforeStart);
+        }
+        match headers.get(REQUEST_ID_HEADER) {
+            Some(echoed) if echoed.as_bytes() == attempt.as_bytes() => Ok(()),
+            Some(_) => Err(EndpointFailure::Mismatched),
+            None if status.is_success() => Err(EndpointFailure::Mismatched),
+            None => Err(EndpointFailure::FailedAnswer(status)),
+        }
+    }
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<Arc<str>>, Refusal> {
+    let Some(text) = header_text(headers, IDEMPOTENCY_KEY)? else { return Ok(None) };
+    let is_valid = (1..=IDEMPOTENCY_KEY_MAX).contains(&text.len())
+        && text.bytes().all(|byte| byte.is_ascii_graphic());
+    if !is_valid {
+        let message =
+            format!("an idempotency key has 1 to {IDEMPOTENCY_KEY_MAX} visible ASCII characters");
+        return Err(Refusal::new(ErrorKind::KeyInvalid, ENTRY_RULE, message));
+    }
+    Ok(Some(text.into()))
+}
+
+fn not_repeatable(headers: &HeaderMap) -> Result<bool, Refusal> {
+    match header_text(headers, NOT_REPEATABLE)? {
+        None | Some("false") => Ok(false),
+        Some("true") => Ok(true),
+        Some(found) => {
+            Err(malformed(format!("{NOT_REPEATABLE} is \"{found}\", not \"true\" or \"false\"")))
+        }
+    }
+}
+
+fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, Refusal> {
+    let Some(text) = header_text(headers, DEADLINE)? else { return Ok(None) };
+    let milliseconds = if let Some(number) = text.strip_suffix("ms") {
+        number.trim().parse::<f64>().ok()
+    } else if let Some(number) = text.strip_suffix('s') {
+        number.trim().parse::<f64>().ok().map(|seconds| seconds * 1000.0)
+    } else {
+        text.parse::<f64>().ok()
+    };
+    milliseconds
+        .filter(|milliseconds| milliseconds.is_finite() && *milliseconds > 0.0)
+        .and_then(|milliseconds| Duration::try_from_secs_f64(milliseconds / 1000.0).ok())
+        .map(Some)
+        .ok_or_else(|| {
+            malformed(format!("{DEADLINE} is \"{text}\", not a time such as \"1500 ms\""))
+        })
+}
--- a/coltsfootgate/src/endpoint/connection.rs
+++ b/coltsfootgate/src/endpoint/connection.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request, Response, header};
+use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -16,10 +16,7 @@
 use monoio::time::timeout;
 use monoio_compat::hyper::MonoioIo;
 
-use super::{
-    EndpointAnswer, EndpointClient, EndpointFailure, EndpointRequest, NOT_STARTED_HEADER,
-    REQUEST_ID_HEADER,
-};
+use super::{EndpointAnswer, EndpointClient, EndpointFailure, EndpointRequest};
 
 /// Longest wait for a connection to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -117,7 +114,6 @@
 impl EndpointClient for ConnectionPool {
     async fn send(&self, request: EndpointRequest) -> Result<EndpointAnswer, EndpointFailure> {
         let address = request.address.clone();
-        let attempt = request.attempt.clone();
         let head_timeout = request.head_timeout;
         let message = build_message(request)?;
         let sent = match timeout(head_timeout, self.send_once(&address, message)).await {
@@ -129,42 +125,19 @@
         };
         let (response, sender) = sent;
         let (head, body) = response.into_parts();
-        check_head(&head.headers, head.status, &attempt)?;
         let stream = AnswerStream { body, sender: Some(sender), address, pool: self.clone() };
         Ok(EndpointAnswer { status: head.status, headers: head.headers, stream })
     }
 }
 
 fn build_message(request: EndpointRequest) -> Result<Request<Full<Bytes>>, EndpointFailure> {
-    let mut headers = request.headers;
-    let host = HeaderValue::from_str(&request.address).map_err(|_| EndpointFailure::NeverSent)?;
-    headers.insert(header::HOST, host);
-    let id = HeaderValue::from_str(&request.attempt).map_err(|_| EndpointFailure::NeverSent)?;
-    headers.insert(REQUEST_ID_HEADER, id);
     let mut message = Request::new(Full::new(request.body));
     *message.method_mut() = request.method;
     *message.uri_mut() = request.path.parse().map_err(|_| EndpointFailure::NeverSent)?;
-    *message.headers_mut() = headers;
+    *message.headers_mut() = request.headers;
     Ok(message)
 }
 
-fn check_head(
-    headers: &HeaderMap,
-    status: http::StatusCode,
-    attempt: &str,
-) -> Result<(), EndpointFailure> {
-    // A refusal may come from in front of the endpoint, where no id is known.
-    if headers.get(NOT_STARTED_HEADER).is_some_and(|value| value == "true") {
-        return Err(EndpointFailure::RefusedBeforeStart);
-    }
-    match headers.get(REQUEST_ID_HEADER) {
-        Some(echoed) if echoed.as_bytes() == attempt.as_bytes() => Ok(()),
-        Some(_) => Err(EndpointFailure::Mismatched),
-        None if status.is_success() => Err(EndpointFailure::Mismatched),
-        None => Err(EndpointFailure::FailedAnswer(status)),
-    }
-}
-
 /// The body of an answer; dropping it before its end closes the connection.
 pub struct AnswerStream {
     body: Incoming,
--- a/coltsfootgate/src/endpoint/mod.rs
+++ b/coltsfootgate/src/endpoint/mod.rs
@@ -33,8 +33,6 @@
     pub headers: HeaderMap,
     /// The caller's body.
     pub body: Bytes,
-    /// The id that the answer must echo.
-    pub attempt: Arc<str>,
     /// The longest wait for the head of the answer.
     pub head_timeout: Duration,
 }
--- a/coltsfootgate/src/entry/answer.rs
+++ b/coltsfootgate/src/entry/answer.rs
@@ -14,6 +14,7 @@
 use serde_json::json;
 
 use super::caller::PresenceGuard;
+use crate::dialect::CallerDialect;
 
 /// Header with the id of the request.
 pub const REQUEST_ID: &str = "coltsfootgate-request-id";
@@ -73,13 +74,12 @@
     }
 
     /// The headers of the answer that depend on the kind alone.
-    pub fn headers(&self) -> HeaderMap {
+    pub fn headers<D: CallerDialect>(&self) -> HeaderMap {
         let mut headers = HeaderMap::new();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
         if self.kind.answer().may_retry {
             let delay = self.retry_after.unwrap_or(Duration::from_secs(1));
-            let seconds = delay.as_secs_f64().ceil().max(1.0) as u64;
-            headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+            headers.insert(header::RETRY_AFTER, D::retry_after(delay));
         }
         headers
     }
--- /dev/null
+++ b/coltsfootgate/src/entry/head.rs
@@ -0,0 +1,41 @@
+//! Reading single headers of a request.
+
+use std::sync::Arc;
+
+use coltsfootgate_core::prelude::ErrorKind;
+use http::{HeaderMap, header};
+
+use super::answer::Refusal;
+use super::request::ENTRY_RULE;
+
+/// Refuses a request that cannot be understood.
+pub fn malformed(message: impl Into<String>) -> Refusal {
+    Refusal::new(ErrorKind::MalformedRequest, ENTRY_RULE, message)
+}
+
+/// The trimmed text of a header that may be given once.
+///
+/// # Errors
+///
+/// Refuses a header that is given twice or is not text.
+pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    if values.next().is_some() {
+        return Err(malformed(format!("the header {name} is given more than once")));
+    }
+    let text = value.to_str().map_err(|_| malformed(format!("the header {name} is not text")))?;
+    Ok(Some(text.trim()))
+}
+
+/// The bearer key of a request.
+///
+/// # Errors
+///
+/// Refuses an authorization that is given twice or is not text.
+pub fn bearer_key(headers: &HeaderMap) -> Result<Option<Arc<str>>, Refusal> {
+    let Some(text) = header_text(headers, header::AUTHORIZATION.as_str())? else { return Ok(None) };
+    let Some((scheme, key)) = text.split_once(' ') else { return Ok(None) };
+    let is_bearer = scheme.eq_ignore_ascii_case("bearer");
+    Ok(is_bearer.then(|| key.trim().into()))
+}
--- a/coltsfootgate/src/entry/mod.rs
+++ b/coltsfootgate/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 pub mod caller;
+pub mod head;
 pub mod listener;
 pub mod request;
 mod stall;
--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -4,23 +4,26 @@
 
 use coltsfootgate_core::membership::PeerProfile;
 use futures_channel::mpsc::unbounded;
-use futures_util::StreamExt;
 use monoio::net::TcpListener;
 use serde_json::json;
 
 use crate::claims::{ClaimsHandle, ClaimsTask, follow_owners};
 use crate::clock;
+use crate::dialect::Dialect;
 use crate::endpoint::ConnectionPool;
+use crate::endpoints::{EndpointDirectory, EndpointsTask};
 use crate::limits::{LimitHandle, LimitTask};
 use crate::members::{MembersHandle, MembersTask};
 use crate::metrics::DaemonMetrics;
 use crate::operators::{ReadinessGate, RequestRecords, StatusBoard};
 use crate::options::DaemonSettings;
-use crate::owner::{OwnerDesk, OwnerHandle, OwnerMessage, OwnerTask};
+use crate::owner::{OwnerDesk, OwnerHandle, OwnerTask};
 use crate::peer::{PeerDispatch, PeerHandle, PeerIdentity, PeerListener};
 use crate::pipeline::budget::BudgetTable;
 use crate::pipeline::context::{GateContext, GrantCounter};
-use crate::platform::HttpPlatform;
+use crate::platform::{
+    InstanceDirectory, InstanceRole, InstanceState, ListedInstance, PlatformStore,
+};
 use crate::routes::{MemberFollower, OwnerLink, PoolStatus, RouteBoard};
 use crate::tree::{TreeHandle, TreeTask};
 
@@ -37,24 +40,25 @@
 }
 
 /// What several tasks are started with.
-struct TaskGround<'a> {
+struct TaskGround<'a, P> {
     settings: &'a DaemonSettings,
-    platform: HttpPlatform,
+    platform: P,
     peers: PeerHandle,
     metrics: DaemonMetrics,
     readiness: ReadinessGate,
 }
 
 /// Starts all tasks of an instance but those that serve callers and operators.
-pub fn start_instance(
+pub fn start_instance<D: Dialect>(
     settings: &DaemonSettings,
+    platform: D::Platform,
     identity: PeerIdentity,
     peer_listener: TcpListener,
 ) -> InstanceParts {
     let metrics = DaemonMetrics::new();
     let ground = TaskGround {
         settings,
-        platform: HttpPlatform::new(settings.platform, settings.platform_timeout),
+        platform,
         peers: PeerHandle::new(identity.clone(), metrics.clone()),
         metrics,
         readiness: ReadinessGate::default(),
@@ -70,7 +74,10 @@
     InstanceParts { context: Rc::new(context), members, readiness: ground.readiness, board }
 }
 
-impl TaskGround<'_> {
+impl<P> TaskGround<'_, P>
+where
+    P: PlatformStore + InstanceDirectory + EndpointDirectory + Clone + 'static,
+{
     fn start_tree(&self) -> TreeHandle {
         let (tree, news) = TreeHandle::new();
         let task = TreeTask::new(
@@ -80,6 +87,7 @@
             news,
             self.metrics.clone(),
             self.readiness.clone(),
+            self.settings.watch_time,
         );
         monoio::spawn(task.run());
         tree
@@ -94,7 +102,15 @@
         };
         let (task, members) =
             MembersTask::new(own, self.peers.clone(), tree.clone(), self.metrics.clone());
-        monoio::spawn(task.run(self.platform.clone()));
+        let listed = ListedInstance {
+            role: InstanceRole::Router,
+            address: self.settings.instance.clone(),
+            operators_address: Some(self.settings.operators_address.clone()),
+            availability_zone: self.settings.zone.clone(),
+            state: InstanceState::Live,
+        };
+        let seeds = self.settings.seeds.clone();
+        monoio::spawn(task.run(self.platform.clone(), listed, seeds));
         members
     }
 
@@ -125,7 +141,9 @@
         let (owner, messages) = OwnerHandle::new();
         monoio::spawn(OwnerTask::new(own.clone(), owner.clone()).run(messages));
         let routes = RouteBoard::new(self.settings.zone.clone());
-        monoio::spawn(pass_trees(tree.clone(), owner.clone(), routes.clone()));
+        let (endpoints, readiness) = (owner.clone(), self.readiness.clone());
+        let task = EndpointsTask::new(tree.clone(), endpoints, routes.clone(), readiness);
+        monoio::spawn(task.run(self.platform.clone(), self.metrics.clone()));
         let link = OwnerLink::new(own.clone(), owner.clone(), self.peers.clone());
         let context = GateContext {
             own,
@@ -138,6 +156,7 @@
             records: RequestRecords::default(),
             metrics: self.metrics.clone(),
             budgets: BudgetTable::default(),
+            config_age_max: self.settings.config_age_max,
             grants: GrantCounter::default(),
         };
         (owner, context)
@@ -205,12 +224,3 @@
     board.add("queues", move || pools.queues());
     board
 }
-
-/// Tells the owned endpoints and the routes of each tree that comes into force.
-async fn pass_trees(tree: TreeHandle, owner: OwnerHandle, routes: RouteBoard) {
-    let mut trees = tree.subscribe();
-    while let Some(active) = trees.next().await {
-        owner.tell(OwnerMessage::Settings(active.clone()));
-        routes.set_tree(active);
-    }
-}
--- a/coltsfootgate/src/main.rs
+++ b/coltsfootgate/src/main.rs
@@ -3,5 +3,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    coltsfootgate::daemon::run()
+    coltsfootgate::daemon::run::<coltsfootgate::dialect::NativeDialect>()
 }
--- a/coltsfootgate/src/members/list.rs
+++ b/coltsfootgate/src/members/list.rs
@@ -15,6 +15,11 @@
 /// Period at which the list is read. A leaving endpoint is noticed within it and the list's lag.
 const LIST_PERIOD: Duration = Duration::from_secs(1);
 
+/// How long an entry of an instance holds after it was renewed last.
+const ENTRY_TIME: Duration = Duration::from_secs(10);
+/// Period at which an instance renews its entry.
+const ENTRY_PERIOD: Duration = Duration::from_secs(3);
+
 /// The parts of the list that matter here.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ListedMembers {
@@ -70,3 +75,19 @@
         monoio::time::sleep(LIST_PERIOD).await;
     }
 }
+
+/// Keeps this instance in the list until the process ends.
+pub(super) async fn keep_listed<D: InstanceDirectory>(directory: D, own: ListedInstance) {
+    let mut was_answered = true;
+    loop {
+        match directory.keep_listed(&own, ENTRY_TIME).await {
+            Ok(()) => was_answered = true,
+            Err(error) if was_answered => {
+                warn!("could not keep this instance in the list: {error}");
+                was_answered = false;
+            }
+            Err(_) => (),
+        }
+        monoio::time::sleep(ENTRY_PERIOD).await;
+    }
+}
--- a/coltsfootgate/src/members/task.rs
+++ b/coltsfootgate/src/members/task.rs
@@ -12,6 +12,7 @@
 use log::info;
 use serde_json::{Value, json};
 
+use coltsfootgate_core::freshness::VersionProof;
 use coltsfootgate_core::ids::InstanceId;
 use coltsfootgate_core::membership::{
     HEARTBEAT_PERIOD, PeerAction, PeerEvent, PeerHeartbeat, PeerProfile, PeerState, PeerTable,
@@ -20,12 +21,12 @@
 use coltsfootgate_core::routing::OwnerPlace;
 use coltsfootgate_wire::{PeerReply, PeerRequest, PoolPressure};
 
-use super::list::follow_list;
+use super::list::{follow_list, keep_listed};
 use super::{MemberChange, MemberMessage, MemberView, MembersHandle};
 use crate::clock;
 use crate::metrics::DaemonMetrics;
 use crate::peer::PeerHandle;
-use crate::platform::InstanceDirectory;
+use crate::platform::{InstanceDirectory, ListedInstance};
 use crate::tree::TreeHandle;
 
 /// Time for a peer to answer a heartbeat or a question about another instance.
@@ -72,7 +73,16 @@
     }
 
     /// Exchanges heartbeats until the process ends.
-    pub async fn run<D: InstanceDirectory + 'static>(mut self, directory: D) {
+    pub async fn run<D>(mut self, directory: D, own: ListedInstance, seeds: Vec<InstanceId>)
+    where
+        D: InstanceDirectory + Clone + 'static,
+    {
+        if !seeds.is_empty() {
+            let zone = self.table.own_profile().zone.clone();
+            let seeds = seeds.into_iter().map(|seed| (seed, zone.clone()));
+            self.take_event(PeerEvent::Listed(seeds.collect()));
+        }
+        monoio::spawn(keep_listed(directory.clone(), own));
         monoio::spawn(follow_list(directory, self.handle.clone(), self.metrics.clone()));
         let mut trees = self.tree.subscribe();
         let mut next_tick = clock::now();
@@ -101,8 +111,9 @@
             MemberMessage::Heartbeat { heartbeat, pressures, reply } => {
                 let from = heartbeat.sender.profile.id.clone();
                 self.take_heartbeat(heartbeat, pressures);
-                let (heartbeat, pressures) =
+                let (mut heartbeat, pressures) =
                     (self.table.heartbeat_for(&from), self.handle.pressures());
+                heartbeat.config_age = self.tree.age();
                 let _ = reply.send(PeerReply::Heartbeat { heartbeat, pressures });
             }
             MemberMessage::Answered { heartbeat, pressures } => {
@@ -193,14 +204,20 @@
         to: InstanceId,
         heartbeat: PeerHeartbeat,
     ) -> impl Future<Output = ()> + use<> {
-        let (peers, handle) = (self.peers.clone(), self.handle.clone());
+        let (peers, handle, tree) = (self.peers.clone(), self.handle.clone(), self.tree.clone());
         let request = PeerRequest::Heartbeat { heartbeat, pressures: handle.pressures() };
         async move {
             let deadline = clock::now() + ANSWER_TIME;
+            let sent = clock::boot_time();
             let reply = peers.call(&to, request, deadline).await;
             if let Ok(PeerReply::Heartbeat { heartbeat, pressures }) = reply
                 && heartbeat.sender.profile.id == to
             {
+                if let Some(age) = heartbeat.config_age {
+                    // The peer knew its age after the question was sent.
+                    let at = sent.saturating_sub(age);
+                    tree.prove(VersionProof { version: heartbeat.config_version, at });
+                }
                 handle.tell(MemberMessage::Answered { heartbeat, pressures });
             }
         }
--- a/coltsfootgate/src/operators/server.rs
+++ b/coltsfootgate/src/operators/server.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -54,6 +55,8 @@
     pub tree: TreeHandle,
     /// Connections held at once.
     pub connections_max: usize,
+    /// Another path at which readiness is told.
+    pub readiness_path: Option<Arc<str>>,
 }
 
 /// Listens on the operators' port.
@@ -153,6 +156,9 @@
 impl OperatorsContext {
     fn answer(&self, request: &Request<()>, body: &Bytes) -> OperatorsAnswer {
         let path = request.uri().path();
+        if self.readiness_path.as_deref() == Some(path) {
+            return self.readiness_answer();
+        }
         match (request.method(), path) {
             (&Method::GET, "/healthz") => OperatorsAnswer::text(StatusCode::OK, "ok"),
             (&Method::GET, "/readyz") => self.readiness_answer(),
--- a/coltsfootgate/src/operators/status.rs
+++ b/coltsfootgate/src/operators/status.rs
@@ -39,6 +39,8 @@
 pub enum UnreadyCause {
     /// No tree of settings is in force, or it may be an old one.
     NoTree,
+    /// The list of endpoints was not read yet.
+    NoEndpoints,
     /// The instance is shutting down.
     Leaving,
 }
@@ -47,6 +49,7 @@
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
             Self::NoTree => "no tree of settings that is known to be current",
+            Self::NoEndpoints => "the list of endpoints was not read yet",
             Self::Leaving => "shutting down",
         })
     }
--- a/coltsfootgate/src/operators/tests.rs
+++ b/coltsfootgate/src/operators/tests.rs
@@ -19,6 +19,7 @@
     runtime.block_on(async {
         let (tree, _news) = TreeHandle::new();
         let context = OperatorsContext {
+            readiness_path: Some("/own/readiness".into()),
             metrics: DaemonMetrics::new(),
             board: StatusBoard::default(),
             records: RequestRecords::default(),
--- a/coltsfootgate/src/options/mod.rs
+++ b/coltsfootgate/src/options/mod.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 use std::fmt::{self, Debug, Display, Formatter};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,12 +16,17 @@
 
 use coltsfootgate_core::ids::{InstanceId, ZoneName};
 
-use self::parse::{FaultList, parse_advertised, parse_count, parse_duration};
+use self::parse::{
+    FaultList, parse_addresses, parse_advertised, parse_count, parse_duration, parse_file,
+    parse_path,
+};
 
 /// Prefix of the environment variables that the daemon reads.
 pub const ENVIRONMENT_PREFIX: &str = "COLTSFOOTGATE_";
 /// Name of the environment variable that holds the secret shared by all instances.
 pub const PEER_SECRET_VARIABLE: &str = "COLTSFOOTGATE_PEER_SECRET";
+/// Name of a variable that platforms set for all programs and that this one has no use for.
+pub const PLATFORM_SETTINGS_VARIABLE: &str = "COLTSFOOTGATE_SETTINGS";
 /// Shortest secret that is accepted, in bytes.
 pub const PEER_SECRET_BYTES_MIN: usize = 16;
 
@@ -95,6 +101,33 @@
     /// Time in which a caller's body must arrive.
     #[options(no_short, meta = "TIME", help = "time for a request body to arrive (30 s)")]
     pub body_time: Option<String>,
+    /// Path at which the platform asks for readiness, beside `/readyz`.
+    #[options(no_short, meta = "PATH", help = "path for readiness beside /readyz (none)")]
+    pub readiness_path: Option<String>,
+    /// Instances to try before the list of instances was read.
+    #[options(
+        no_short,
+        meta = "IP:PORT,..",
+        help = "peers to try before the list is known (none)"
+    )]
+    pub seeds: Option<String>,
+    /// How long a watch of the settings waits.
+    #[options(no_short, meta = "TIME", help = "time that a watch of the settings waits (3 s)")]
+    pub watch_time: Option<String>,
+    /// Age of the settings beyond which keys are not trusted.
+    #[options(
+        no_short,
+        meta = "TIME",
+        help = "requests with keys are refused once the settings were not confirmed for so long (1440 min)"
+    )]
+    pub config_age_max: Option<String>,
+    /// The project's own tree, where operators state only a part of the settings.
+    #[options(
+        no_short,
+        meta = "FILE",
+        help = "tree that operators' settings are put below (none)"
+    )]
+    pub base_tree: Option<String>,
     /// How long new connections are accepted after SIGTERM.
     #[options(
         no_short,
@@ -179,6 +212,16 @@
     pub body_time: Duration,
     /// How long new connections are accepted after SIGTERM.
     pub drain_time: Duration,
+    /// How long a watch of the settings waits.
+    pub watch_time: Duration,
+    /// Age of the settings beyond which keys are not trusted.
+    pub config_age_max: Duration,
+    /// Instances to try before the list of instances was read.
+    pub seeds: Vec<InstanceId>,
+    /// Path at which the platform asks for readiness, beside `/readyz`.
+    pub readiness_path: Option<Arc<str>>,
+    /// The file with the project's own tree, where operators state only a part of the settings.
+    pub base_tree: Option<PathBuf>,
 }
 
 /// One setting that is missing or not allowed.
@@ -252,6 +295,11 @@
         let head_time = duration("head-time", flags.head_time, "60 s");
         let body_time = duration("body-time", flags.body_time, "30 s");
         let drain_time = duration("drain-time", flags.drain_time, "3 s");
+        let watch_time = duration("watch-time", flags.watch_time, "3 s");
+        let config_age_max = duration("config-age-max", flags.config_age_max, "1440 min");
+        let seeds = faults.required("seeds", flags.seeds, Some(""), parse_addresses);
+        let readiness_path = faults.value("readiness-path", flags.readiness_path, None, parse_path);
+        let base_tree = faults.value("base-tree", flags.base_tree, None, parse_file);
         let mut count =
             |name, flag, default| faults.required(name, flag, Some(default), parse_count);
         let connections = count("connections", flags.connections, "4096");
@@ -290,6 +338,11 @@
                 head_time: head_time?,
                 body_time: body_time?,
                 drain_time: drain_time?,
+                watch_time: watch_time?,
+                config_age_max: config_age_max?,
+                seeds: seeds?,
+                readiness_path,
+                base_tree,
             })
         })();
         faults.finish(settings)
--- a/coltsfootgate/src/options/parse.rs
+++ b/coltsfootgate/src/options/parse.rs
@@ -2,14 +2,17 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
 use log::LevelFilter;
 
+use coltsfootgate_core::ids::InstanceId;
+
 use super::{
-    ENVIRONMENT_PREFIX, LogFormat, PEER_SECRET_BYTES_MIN, PEER_SECRET_VARIABLE, PeerSecret,
-    SettingFault, SettingFaults,
+    ENVIRONMENT_PREFIX, LogFormat, PEER_SECRET_BYTES_MIN, PEER_SECRET_VARIABLE,
+    PLATFORM_SETTINGS_VARIABLE, PeerSecret, SettingFault, SettingFaults,
 };
 
 /// Longest name of an availability zone or region, in bytes.
@@ -24,7 +27,7 @@
 
 impl<'a> FaultList<'a> {
     pub(super) fn new(environment: &'a HashMap<String, String>) -> Self {
-        let known = vec![PEER_SECRET_VARIABLE.to_owned()];
+        let known = [PEER_SECRET_VARIABLE, PLATFORM_SETTINGS_VARIABLE].map(str::to_owned).to_vec();
         Self { environment, known, faults: Vec::new() }
     }
 
@@ -181,6 +184,25 @@
     Ok(Duration::from_millis(milliseconds))
 }
 
+/// Parses addresses that are joined by commas.
+pub(super) fn parse_addresses(text: &str) -> Result<Vec<InstanceId>, &'static str> {
+    let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+    parts.map(|part| parse_advertised(part).map(|address| address.to_string().into())).collect()
+}
+
+/// Parses the path of a page.
+pub(super) fn parse_path(text: &str) -> Result<Arc<str>, &'static str> {
+    if !text.starts_with('/') || !text.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err("a path that begins with \"/\"");
+    }
+    Ok(text.into())
+}
+
+/// Parses the name of a file.
+pub(super) fn parse_file(text: &str) -> Result<PathBuf, &'static str> {
+    if text.is_empty() { Err("the name of a file") } else { Ok(text.into()) }
+}
+
 /// Parses a count above 0.
 pub(super) fn parse_count(text: &str) -> Result<usize, &'static str> {
     match text.parse() {
--- a/coltsfootgate/src/owner/mod.rs
+++ b/coltsfootgate/src/owner/mod.rs
@@ -15,8 +15,8 @@
 };
 use coltsfootgate_core::prelude::{EndpointId, ErrorKind, GrantId, InstanceId, PoolId};
 
+use crate::endpoints::ActivePools;
 use crate::routes::OwnerSet;
-use crate::tree::ActiveTree;
 
 pub use desk::OwnerDesk;
 pub use task::OwnerTask;
@@ -101,8 +101,8 @@
         /// The grants.
         held: Vec<HeldGrant>,
     },
-    /// A tree of settings came into force.
-    Settings(Rc<ActiveTree>),
+    /// The pools or their endpoints changed.
+    Settings(Rc<ActivePools>),
     /// The set of live instances changed.
     Owners(OwnerSet),
     /// The addresses of all endpoints that are leaving.
--- a/coltsfootgate/src/owner/task.rs
+++ b/coltsfootgate/src/owner/task.rs
@@ -12,13 +12,13 @@
 
 use coltsfootgate_core::owner::{GrantRequest, OwnerAction, OwnerEvent, OwnerSettings, PoolOwner};
 use coltsfootgate_core::prelude::{
-    EndpointId, EndpointSettings, ErrorKind, GrantId, InstanceId, PoolId, PoolSettings, RouteTarget,
+    EndpointId, EndpointSettings, ErrorKind, GrantId, InstanceId, PoolId, PoolSettings,
 };
 use coltsfootgate_core::routing::fallback_share;
 
 use super::{GrantAnswer, OwnerHandle, OwnerMessage, OwnerScope};
+use crate::endpoints::ActivePools;
 use crate::routes::OwnerSet;
-use crate::tree::ActiveTree;
 
 /// Longest rest of the task, so that floors and probes go on without events.
 const REST_MAX: Duration = Duration::from_secs(1);
@@ -33,7 +33,7 @@
     own: InstanceId,
     handle: OwnerHandle,
     owners: OwnerSet,
-    active: Option<Rc<ActiveTree>>,
+    pools_of_now: Option<Rc<ActivePools>>,
     pools: HashMap<PoolKey, PoolOwner>,
     addresses: HashMap<EndpointId, Arc<str>>,
     leaving: HashSet<Arc<str>>,
@@ -47,7 +47,7 @@
             own,
             handle,
             owners: OwnerSet::default(),
-            active: None,
+            pools_of_now: None,
             pools: HashMap::new(),
             addresses: HashMap::new(),
             leaving: HashSet::new(),
@@ -99,8 +99,8 @@
                 let key = (pool, OwnerScope::Owned);
                 self.handle_event(&key, OwnerEvent::Announce { asker, held }, now);
             }
-            OwnerMessage::Settings(active) => {
-                self.active = Some(active);
+            OwnerMessage::Settings(pools) => {
+                self.pools_of_now = Some(pools);
                 self.distribute(now);
             }
             OwnerMessage::Owners(owners) => {
@@ -153,12 +153,12 @@
 
     /// Gives each pool the endpoints that this instance has under the present tree and members.
     fn distribute(&mut self, now: Instant) {
-        let Some(active) = self.active.clone() else { return };
-        self.pools.retain(|(pool, _), _| active.tree.pool(pool).is_some());
-        let between_tokens = active.tree.classes().map(|class| class.between_tokens).min();
+        let Some(pools) = self.pools_of_now.clone() else { return };
+        self.pools.retain(|(pool, _), _| pools.pool(pool).is_some());
+        let between_tokens = pools.active.tree.classes().map(|class| class.between_tokens).min();
         let live: Vec<InstanceId> = self.owners.zones.keys().cloned().collect();
-        for pool in active.tree.pools() {
-            let between_tokens = between_tokens.filter(|_| is_model_pool(pool));
+        for pool in pools.pools() {
+            let between_tokens = between_tokens.filter(|_| pool.is_engine());
             let owned = self.owned_endpoints(pool);
             self.distribute_pool(pool, OwnerScope::Owned, owned, between_tokens, now);
             let share = fallback_share(&pool.endpoints, &self.own, &live);
@@ -252,7 +252,3 @@
         });
     }
 }
-
-fn is_model_pool(pool: &PoolSettings) -> bool {
-    matches!(pool.target, RouteTarget::Model(_))
-}
--- a/coltsfootgate/src/pipeline/admit.rs
+++ b/coltsfootgate/src/pipeline/admit.rs
@@ -4,10 +4,10 @@
 use std::time::{Duration, Instant};
 
 use coltsfootgate_core::owner::{GrantRequest, HeldGrant, ReleaseReport, ReleaseResult};
-use coltsfootgate_core::prelude::{EndpointId, EndpointSettings, ErrorKind, PoolSettings};
+use coltsfootgate_core::prelude::{EndpointId, EndpointSettings, ErrorKind};
 use futures_util::future::{Either, select};
 
-use super::classify::{AnswerForm, ClassifiedRequest};
+use super::classify::ClassifiedRequest;
 use super::context::GateContext;
 use super::journal::RequestJournal;
 use super::route::{RouteEnd, RouteWalk};
@@ -115,7 +115,7 @@
     request: &ClassifiedRequest,
     excluded: &[EndpointId],
 ) -> GrantRequest {
-    let is_model = request.form != AnswerForm::Service;
+    let is_model = request.pool.is_engine();
     GrantRequest {
         request: request.accepted.id,
         asker: context.own.clone(),
@@ -150,10 +150,10 @@
         between_tokens: None,
         result: ReleaseResult::Cancelled,
     };
-    let Some(endpoint) = find_endpoint(&request.pool, &entry.held.endpoint) else {
+    let Some(endpoint) = context.routes.endpoint(&request.pool.id, &entry.held.endpoint) else {
         report.result = ReleaseResult::NotSent;
         context.link.release(&entry.place, &entry.pool, report);
-        let message = "the granted endpoint is not in this request's version of the tree";
+        let message = "the granted endpoint is no longer in the pool";
         return Err(refusal(request, ErrorKind::NoEndpoint, message));
     };
     let owner = match &entry.place {
@@ -165,10 +165,6 @@
     Ok(GrantLease { endpoint, entry, routes, link, report })
 }
 
-fn find_endpoint(pool: &Arc<PoolSettings>, id: &EndpointId) -> Option<EndpointSettings> {
-    pool.endpoints.iter().find(|endpoint| endpoint.id == *id).cloned()
-}
-
 fn capacity_message(kind: ErrorKind, request: &ClassifiedRequest) -> String {
     let class = &request.class;
     match kind {
--- a/coltsfootgate/src/pipeline/claim.rs
+++ b/coltsfootgate/src/pipeline/claim.rs
@@ -115,7 +115,8 @@
     request: &ClassifiedRequest,
     caller: &mut CallerLink,
 ) -> Result<ClaimStep, Refusal> {
-    let Some(key) = request.accepted.idempotency_key.as_ref().filter(|_| !request.repeatable)
+    let Some(key) =
+        request.accepted.stated.idempotency_key.as_ref().filter(|_| !request.repeatable)
     else {
         return Ok(ClaimStep::Free);
     };
--- a/coltsfootgate/src/pipeline/classify.rs
+++ b/coltsfootgate/src/pipeline/classify.rs
@@ -10,10 +10,12 @@
     ClassSettings, CustomerSettings, ErrorKind, PoolSettings, RouteTarget,
 };
 use http::{HeaderMap, Method};
+use rand::Rng;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
 use super::identify::IdentifiedRequest;
+use crate::dialect::PromptFacts;
 use crate::entry::{AcceptedRequest, Refusal};
 use crate::tree::ActiveTree;
 
@@ -29,6 +31,8 @@
     ModelWhole,
     /// A plain service's answer.
     Service,
+    /// Events that are passed on as they come, of whatever kind.
+    EventStream,
 }
 
 /// A request with the rules that hold for it.
@@ -50,6 +54,8 @@
     pub repeatable: bool,
     /// When it is no longer started.
     pub deadline: Instant,
+    /// When it is no longer worked on.
+    pub cut_off: Instant,
     /// Digest of the start of its prompt.
     pub prefix: Option<u64>,
 }
@@ -83,20 +89,23 @@
 }
 
 /// Classifies a request and finds its pool.
+///
+/// # Errors
+///
+/// Refuses a request that lacks a key it needs, or that no pool serves.
 pub fn classify_request(identified: IdentifiedRequest) -> Result<ClassifiedRequest, Refusal> {
-    let IdentifiedRequest { accepted, active, customer } = identified;
-    let demand = find_demand(&accepted, &active)?;
-    let headers = HeaderView(&accepted.headers);
-    let class = active.tree.classify(&RequestFacts {
-        customer: &customer.id,
-        method: accepted.method.as_str(),
-        path: &accepted.path,
-        model: demand.model.as_deref(),
-        headers: &headers,
-    });
-    let time: Duration = accepted.deadline.unwrap_or(class.deadline);
+    let customer = find_customer(&identified)?;
+    let IdentifiedRequest { accepted, active, .. } = identified;
+    let demand = find_demand(&accepted, &active, &customer)?;
+    let class = classify(&accepted, &active, &customer.id, demand.model.as_deref());
+    let class = match customer.tier {
+        Some(tier) if tier != class.tier => Arc::new(ClassSettings { tier, ..(*class).clone() }),
+        _ => class,
+    };
+    let time: Duration = accepted.stated.deadline.unwrap_or(class.deadline).min(class.timeout);
     let deadline = accepted.arrived + time;
-    let repeatable = class.repeatable && !accepted.not_repeatable;
+    let cut_off = accepted.arrived + class.timeout;
+    let repeatable = class.repeatable && !accepted.stated.not_repeatable;
     Ok(ClassifiedRequest {
         accepted,
         active,
@@ -106,17 +115,83 @@
         form: demand.form,
         repeatable,
         deadline,
+        cut_off,
         prefix: demand.prefix,
     })
 }
 
-fn find_demand(accepted: &AcceptedRequest, active: &ActiveTree) -> Result<RequestDemand, Refusal> {
+/// The customer of a request, or whoever calls a public class without a known key.
+fn find_customer(identified: &IdentifiedRequest) -> Result<Arc<CustomerSettings>, Refusal> {
+    let IdentifiedRequest { accepted, active, customer } = identified;
+    if let Some(customer) = customer {
+        return Ok(customer.clone());
+    }
+    let anonymous = active.tree.anonymous_customer();
+    if classify(accepted, active, &anonymous.id, None).is_public {
+        return Ok(anonymous);
+    }
+    identified.required_customer()
+}
+
+fn classify(
+    accepted: &AcceptedRequest,
+    active: &ActiveTree,
+    customer: &str,
+    model: Option<&str>,
+) -> Arc<ClassSettings> {
+    let headers = HeaderView(&accepted.headers);
+    active.tree.classify(&RequestFacts {
+        customer,
+        method: accepted.method.as_str(),
+        host: headers.header("host"),
+        path: &accepted.path,
+        model,
+        headers: &headers,
+    })
+}
+
+fn find_demand(
+    accepted: &AcceptedRequest,
+    active: &ActiveTree,
+    customer: &CustomerSettings,
+) -> Result<RequestDemand, Refusal> {
+    let class = classify(accepted, active, &customer.id, None);
+    if let Some(pool) = choose_pool(&class, active) {
+        let form = if class.is_stream { AnswerForm::EventStream } else { AnswerForm::Service };
+        let prefix = shared_prefix(&accepted.stated.prompt);
+        return Ok(RequestDemand { model: None, form, pool, prefix });
+    }
     match &*accepted.path {
         "/v1/chat/completions" | "/v1/completions" => find_model(accepted, active),
         _ => find_service(accepted, active),
     }
 }
 
+/// One of the pools that a class names, by their weights.
+fn choose_pool(class: &ClassSettings, active: &ActiveTree) -> Option<Arc<PoolSettings>> {
+    let sum: u32 = class.pools.iter().map(|share| share.weight).sum();
+    let mut rest = rand::rng().random_range(0..sum.max(1));
+    let chosen = class.pools.iter().find(|share| {
+        let is_chosen = rest < share.weight;
+        rest = rest.saturating_sub(share.weight);
+        is_chosen
+    });
+    active.tree.pool(&chosen?.pool)
+}
+
+/// Digest of the parts of a prompt that other requests share; the last part is a request's own.
+fn shared_prefix(prompt: &PromptFacts) -> Option<u64> {
+    let (_, shared) = prompt.parts.split_last()?;
+    if shared.is_empty() {
+        return None;
+    }
+    let mut hasher = DefaultHasher::new();
+    for part in shared {
+        part.id.hash(&mut hasher);
+    }
+    Some(hasher.finish())
+}
+
 fn find_model(accepted: &AcceptedRequest, active: &ActiveTree) -> Result<RequestDemand, Refusal> {
     if accepted.method != Method::POST {
         let message = format!("{} takes POST, not {}", accepted.path, accepted.method);
--- a/coltsfootgate/src/pipeline/context.rs
+++ b/coltsfootgate/src/pipeline/context.rs
@@ -1,6 +1,7 @@
 //! What every request of this instance shares.
 
 use std::cell::Cell;
+use std::time::Duration;
 
 use coltsfootgate_core::prelude::{GrantId, InstanceId};
 
@@ -35,6 +36,8 @@
     pub metrics: DaemonMetrics,
     /// The retry budgets of all classes.
     pub budgets: BudgetTable,
+    /// Age of the settings beyond which keys are not trusted.
+    pub config_age_max: Duration,
     /// The ids of grants.
     pub grants: GrantCounter,
 }
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -1,5 +1,6 @@
 //! Walks one request through the filters, attempt by attempt, to its one end.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -9,22 +10,24 @@
 use coltsfootgate_core::owner::ReleaseResult;
 use coltsfootgate_core::prelude::{EndpointId, ErrorKind};
 use coltsfootgate_core::retry::RetryDecision;
+use futures_util::future::{Either, select};
 
 use super::admit::{AttemptFigures, GrantLease, admit_request, refusal};
 use super::claim::{ClaimLease, ClaimStep, claim_request};
 use super::classify::{AnswerForm, ClassifiedRequest, classify_request};
 use super::context::GateContext;
-use super::dispatch::{attempt_id, dispatch_request};
-use super::identify::identify_customer;
+use super::dispatch::dispatch_request;
+use super::identify::{check_settings_age, identify_customer};
 use super::journal::RequestJournal;
 use super::limit::limit_request;
 use super::relay::{RelayEnd, RelayTask};
 use super::settle::{RequestEnd, settle_request};
+use crate::dialect::{Dialect, EndpointDialect};
 use crate::endpoint::EndpointFailure;
 use crate::entry::{AcceptedRequest, CallerLink, Refusal};
 
 /// Works on one request until it has ended.
-pub async fn run_exchange(
+pub async fn run_exchange<D: Dialect>(
     context: Rc<GateContext>,
     accepted: AcceptedRequest,
     mut caller: CallerLink,
@@ -34,12 +37,12 @@
         Ok(request) => request,
         Err(refusal) => {
             let end = RequestEnd::Refused(refusal);
-            return settle_request(&context, None, journal, caller, end).await;
+            return settle_request::<D::Callers>(&context, None, journal, caller, end).await;
         }
     };
-    let end = serve_request(&context, &request, &mut caller, &mut journal).await;
+    let end = serve_request::<D>(&context, &request, &mut caller, &mut journal).await;
     let end = end.unwrap_or_else(RequestEnd::Refused);
-    settle_request(&context, Some(&request), journal, caller, end).await;
+    settle_request::<D::Callers>(&context, Some(&request), journal, caller, end).await;
 }
 
 /// The filters that decide without waiting.
@@ -53,15 +56,17 @@
         return Err(Refusal::new(ErrorKind::NotReady, "process.tree", message));
     };
     journal.record.config_version = active.version;
-    let identified = identify_customer(Rc::new(accepted), active)?;
-    journal.record.customer = Some(identified.customer.id.to_string());
+    let identified = identify_customer(Rc::new(accepted), active);
+    if identified.accepted.stated.bearer.is_some() {
+        check_settings_age(context.tree.age(), context.config_age_max)?;
+    }
     let request = classify_request(identified)?;
     journal.classified(&request);
     Ok(request)
 }
 
 /// The filters that wait, once for each request.
-async fn serve_request(
+async fn serve_request<D: Dialect>(
     context: &GateContext,
     request: &ClassifiedRequest,
     caller: &mut CallerLink,
@@ -69,9 +74,10 @@
 ) -> Result<RequestEnd, Refusal> {
     let permit = limit_request(context, request, caller).await?;
     let end = match claim_request(context, request, caller).await? {
-        ClaimStep::Free => attempt_request(context, request, None, caller, journal).await,
+        ClaimStep::Free => attempt_request::<D>(context, request, None, caller, journal).await,
         ClaimStep::Held(mut lease) => {
-            let end = attempt_request(context, request, Some(&mut lease), caller, journal).await;
+            let end =
+                attempt_request::<D>(context, request, Some(&mut lease), caller, journal).await;
             lease.settle(&end);
             end
         }
@@ -82,7 +88,7 @@
 }
 
 /// The filters that wait, once for each attempt.
-async fn attempt_request(
+async fn attempt_request<D: Dialect>(
     context: &GateContext,
     request: &ClassifiedRequest,
     mut claim: Option<&mut ClaimLease>,
@@ -102,7 +108,7 @@
         }
         let permit = history.permit_send().map_err(|kind| end_refusal(request, kind))?;
         journal.record.attempts = history.attempts();
-        let end = attempt_once(context, request, lease, permit, caller, journal).await;
+        let end = attempt_once::<D>(context, request, lease, permit, caller, journal).await;
         if caller.has_started() {
             history.note_relayed(journal.record.tokens - history.caller_tokens());
         }
@@ -136,7 +142,7 @@
     }
 }
 
-async fn attempt_once(
+async fn attempt_once<D: Dialect>(
     context: &GateContext,
     request: &ClassifiedRequest,
     lease: GrantLease,
@@ -144,15 +150,24 @@
     caller: &mut CallerLink,
     journal: &mut RequestJournal,
 ) -> RelayEnd {
-    let attempt = attempt_id(request.accepted.id, journal.record.attempts);
+    let attempt = D::Endpoints::attempt_id(request, journal.record.attempts);
     let sent = Instant::now();
     let offset = permit.resume_offset;
-    let answer = dispatch_request(context, request, &lease, attempt.clone(), offset).await;
     let mut task =
         RelayTask { request, attempt: &attempt, sent, figures: AttemptFigures::default() };
+    let sending = dispatch_request::<D::Endpoints>(context, request, &lease, &attempt, offset);
+    let answer = match select(pin!(sending), pin!(caller.gone())).await {
+        Either::Left((answer, _)) => answer.map_err(RelayEnd::Failed),
+        Either::Right(_) => Err(RelayEnd::CallerGone),
+    };
     let end = match answer {
-        Ok(answer) => task.relay(answer, caller, journal).await,
-        Err(failure) => RelayEnd::Failed(failure),
+        Ok(answer) => {
+            let relaying = task.relay::<D::Callers>(answer, caller, journal);
+            let rest = request.cut_off.saturating_duration_since(Instant::now());
+            let relayed = monoio::time::timeout(rest, relaying).await;
+            relayed.unwrap_or(RelayEnd::Failed(EndpointFailure::Silent))
+        }
+        Err(end) => end,
     };
     let between = task.figures.between_tokens;
     journal.record.between_tokens_ms = between.map(|between| between.as_secs_f64() * 1000.0);
--- a/coltsfootgate/src/pipeline/gate.rs
+++ b/coltsfootgate/src/pipeline/gate.rs
@@ -1,5 +1,6 @@
 //! Takes requests from callers' connections and starts a task for each.
 
+use std::marker::PhantomData;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -14,6 +15,7 @@
 use super::identify::identify_customer;
 use super::journal::RequestJournal;
 use super::settle::{RequestEnd, ServedAnswer, settle_request};
+use crate::dialect::Dialect;
 use crate::entry::listener::RequestHandler;
 use crate::entry::request::{RequestBounds, accept_request, new_request_id};
 use crate::entry::{AcceptedRequest, AnswerBody, CallerLink, Refusal};
@@ -23,26 +25,27 @@
 const MODELS_PATH: &str = "/v1/models";
 
 /// Answers callers' requests by the pipeline.
-pub struct RequestGate {
+pub struct RequestGate<D> {
+    dialect: PhantomData<D>,
     context: Rc<GateContext>,
     bounds: RequestBounds,
 }
 
-impl RequestGate {
+impl<D: Dialect> RequestGate<D> {
     /// Makes the gate of an instance.
     pub fn new(context: Rc<GateContext>, bounds: RequestBounds) -> Self {
-        Self { context, bounds }
+        Self { dialect: PhantomData, context, bounds }
     }
 
     async fn start(&self, request: Request<Incoming>, caller: CallerLink) {
         let id = new_request_id();
         let arrived = Instant::now();
-        match accept_request(id, request, &self.bounds).await {
+        match accept_request::<D::Callers>(id, request, &self.bounds).await {
             Ok(accepted) if is_model_list(&accepted) => {
                 self.list_models(accepted, caller).await;
             }
             Ok(accepted) => {
-                monoio::spawn(run_exchange(self.context.clone(), accepted, caller));
+                monoio::spawn(run_exchange::<D>(self.context.clone(), accepted, caller));
             }
             Err(refusal) => {
                 let journal = RequestJournal::new(id, arrived, &self.context.own);
@@ -59,9 +62,10 @@
             return self.refuse(journal, caller, refusal).await;
         };
         journal.record.config_version = active.version;
-        match identify_customer(Rc::new(accepted), active) {
-            Ok(identified) => {
-                journal.record.customer = Some(identified.customer.id.to_string());
+        let identified = identify_customer(Rc::new(accepted), active);
+        match identified.required_customer() {
+            Ok(customer) => {
+                journal.record.customer = Some(customer.id.to_string());
                 let models = identified.active.tree.models();
                 let data: Vec<_> = models
                     .iter()
@@ -76,7 +80,7 @@
                     headers,
                     body,
                 });
-                settle_request(&self.context, None, journal, caller, end).await;
+                settle_request::<D::Callers>(&self.context, None, journal, caller, end).await;
             }
             Err(refusal) => self.refuse(journal, caller, refusal).await,
         }
@@ -84,11 +88,11 @@
 
     async fn refuse(&self, journal: RequestJournal, caller: CallerLink, refusal: Refusal) {
         let end = RequestEnd::Refused(refusal);
-        settle_request(&self.context, None, journal, caller, end).await;
+        settle_request::<D::Callers>(&self.context, None, journal, caller, end).await;
     }
 }
 
-impl RequestHandler for RequestGate {
+impl<D: Dialect> RequestHandler for RequestGate<D> {
     async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
         let (caller, side) = CallerLink::new();
         self.start(request, caller).await;
--- a/coltsfootgate/src/pipeline/journal.rs
+++ b/coltsfootgate/src/pipeline/journal.rs
@@ -34,7 +34,9 @@
 
     /// Starts the journal of a request that arrived whole.
     pub fn of(accepted: &AcceptedRequest, own: &InstanceId) -> Self {
-        Self::new(accepted.id, accepted.arrived, own)
+        let mut journal = Self::new(accepted.id, accepted.arrived, own);
+        journal.record.caller_id = accepted.stated.caller_id.as_ref().map(ToString::to_string);
+        journal
     }
 
     /// Notes the rules that hold for the request.
--- a/coltsfootgate/src/pipeline/record.rs
+++ b/coltsfootgate/src/pipeline/record.rs
@@ -7,6 +7,8 @@
 pub struct DecisionRecord {
     /// The id of the request.
     pub request_id: String,
+    /// The id that its caller gave to it.
+    pub caller_id: Option<String>,
     /// The instance that accepted it.
     pub instance: String,
     /// Its customer, once known.
--- a/coltsfootgate/src/pipeline/relay.rs
+++ b/coltsfootgate/src/pipeline/relay.rs
@@ -11,6 +11,7 @@
 use super::dispatch::answer_headers;
 use super::journal::RequestJournal;
 use super::settle::{ServedAnswer, outcome_headers, stream_head};
+use crate::dialect::CallerDialect;
 use crate::endpoint::event::{ChunkFacts, EventReader, StreamEvent};
 use crate::endpoint::{AnswerStream, EndpointAnswer, EndpointFailure};
 use crate::entry::CallerLink;
@@ -43,24 +44,27 @@
 
 impl RelayTask<'_> {
     /// Relays an answer to its end.
-    pub async fn relay(
+    pub async fn relay<D: CallerDialect>(
         &mut self,
         answer: EndpointAnswer,
         caller: &mut CallerLink,
         journal: &mut RequestJournal,
     ) -> RelayEnd {
+        if self.request.form == AnswerForm::EventStream {
+            return self.relay_events(answer, caller, journal).await;
+        }
         let is_model = self.request.form != AnswerForm::Service;
         if is_failed_answer(answer.status, is_model) {
             return RelayEnd::Failed(EndpointFailure::FailedAnswer(answer.status));
         }
         if self.request.form == AnswerForm::ModelStream && answer.status.is_success() {
-            self.relay_stream(answer.stream, caller, journal).await
+            self.relay_stream::<D>(answer.stream, caller, journal).await
         } else {
-            self.relay_body(answer, caller, journal).await
+            self.relay_body::<D>(answer, caller, journal).await
         }
     }
 
-    async fn relay_stream(
+    async fn relay_stream<D: CallerDialect>(
         &mut self,
         mut stream: AnswerStream,
         caller: &mut CallerLink,
@@ -71,7 +75,7 @@
             match reader.next_event() {
                 Ok(Some(StreamEvent::Done)) => return self.finish_stream(stream).await,
                 Ok(Some(StreamEvent::Chunk(event))) => {
-                    if let Err(end) = self.pass_chunk(event, caller, journal).await {
+                    if let Err(end) = self.pass_chunk::<D>(event, caller, journal).await {
                         return end;
                     }
                 }
@@ -92,7 +96,7 @@
         RelayEnd::Served(ServedAnswer::Stream)
     }
 
-    async fn pass_chunk(
+    async fn pass_chunk<D: CallerDialect>(
         &mut self,
         event: Bytes,
         caller: &mut CallerLink,
@@ -105,7 +109,7 @@
             return Err(RelayEnd::Failed(EndpointFailure::Mismatched));
         }
         if !caller.has_started() {
-            let (status, headers) = stream_head(self.request);
+            let (status, headers) = stream_head::<D>(self.request);
             caller.start_stream(status, headers);
         }
         let is_token = facts.carries_token();
@@ -131,7 +135,38 @@
         self.figures.tokens += 1;
     }
 
-    async fn relay_body(
+    /// Passes events on as they come, from the first one on; a head alone commits to nothing.
+    async fn relay_events(
+        &mut self,
+        answer: EndpointAnswer,
+        caller: &mut CallerLink,
+        journal: &mut RequestJournal,
+    ) -> RelayEnd {
+        let EndpointAnswer { status, headers, mut stream } = answer;
+        let headers = answer_headers(&headers);
+        loop {
+            match self.next_piece(&mut stream, caller).await {
+                Ok(Some(piece)) => {
+                    if !caller.has_started() {
+                        caller.start_stream(status, headers.clone());
+                    }
+                    self.note_token(Instant::now(), journal);
+                    if caller.send(piece).await.is_err() {
+                        return RelayEnd::CallerGone;
+                    }
+                    journal.record.tokens += 1;
+                }
+                Ok(None) if caller.has_started() => return RelayEnd::Served(ServedAnswer::Passed),
+                Ok(None) => {
+                    let body = Bytes::new();
+                    return RelayEnd::Served(ServedAnswer::Body { status, headers, body });
+                }
+                Err(end) => return end,
+            }
+        }
+    }
+
+    async fn relay_body<D: CallerDialect>(
         &mut self,
         answer: EndpointAnswer,
         caller: &mut CallerLink,
@@ -149,7 +184,7 @@
             }
             if held.len() > WHOLE_ANSWER_MAX {
                 let started = (status, headers);
-                return self.pass_body(started, held.freeze(), stream, caller, journal).await;
+                return self.pass_body::<D>(started, held.freeze(), stream, caller, journal).await;
             }
         }
         let body = held.freeze();
@@ -161,7 +196,7 @@
     }
 
     /// Passes on what is too large to hold back; the caller sees a broken transfer on failure.
-    async fn pass_body(
+    async fn pass_body<D: CallerDialect>(
         &mut self,
         (status, mut headers): (StatusCode, HeaderMap),
         held: Bytes,
@@ -170,7 +205,7 @@
         journal: &mut RequestJournal,
     ) -> RelayEnd {
         journal.first_token(Instant::now());
-        headers.extend(outcome_headers(self.request, "streaming", "streaming", ""));
+        headers.extend(outcome_headers::<D>(self.request, "streaming", "streaming", ""));
         caller.start_stream(status, headers);
         let mut piece = held;
         loop {
--- a/coltsfootgate/src/pipeline/settle.rs
+++ b/coltsfootgate/src/pipeline/settle.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
 use serde_json::json;
 
 use coltsfootgate_config::RuleSubjects;
@@ -14,7 +14,7 @@
 use super::journal::{RequestJournal, wall_milliseconds};
 use super::record::DecisionRecord;
 use super::relay::event_stream_type;
-use crate::entry::answer::{CONFIG_VERSION, OUTCOME, REASON, REQUEST_ID, RULE};
+use crate::dialect::CallerDialect;
 use crate::entry::{CallerLink, Refusal};
 use crate::logging::DECISION_TARGET;
 use crate::metrics::{DaemonMetrics, LatencyTarget, NO_CLASS};
@@ -50,7 +50,7 @@
 }
 
 /// Ends a request.
-pub async fn settle_request(
+pub async fn settle_request<D: CallerDialect>(
     context: &GateContext,
     request: Option<&ClassifiedRequest>,
     mut journal: RequestJournal,
@@ -64,7 +64,8 @@
         log::info!(target: DECISION_TARGET, "{line}");
         context.records.insert(journal.id, line.into());
     }
-    give_end(&record, &mut caller, end).await;
+    let is_own_stream = request.is_none_or(|request| request.form == AnswerForm::ModelStream);
+    give_end::<D>(&record, &mut caller, is_own_stream, end).await;
 }
 
 fn conclude(record: &mut DecisionRecord, request: Option<&ClassifiedRequest>, end: &RequestEnd) {
@@ -112,7 +113,7 @@
     let class = &request.class;
     let whole = milliseconds((record.ended_ms - record.arrived_ms) as f64);
     metrics.whole_answer(&class.id, whole);
-    if request.form == AnswerForm::ModelStream {
+    if matches!(request.form, AnswerForm::ModelStream | AnswerForm::EventStream) {
         let first = milliseconds(record.first_token_ms.unwrap_or_default());
         metrics.first_token(&class.id, first);
         metrics.target_settled(&class.id, LatencyTarget::FirstToken, first <= class.first_token);
@@ -128,7 +129,12 @@
     Duration::from_secs_f64(value.max(0.0) / 1000.0)
 }
 
-async fn give_end(record: &DecisionRecord, caller: &mut CallerLink, end: RequestEnd) {
+async fn give_end<D: CallerDialect>(
+    record: &DecisionRecord,
+    caller: &mut CallerLink,
+    is_own_stream: bool,
+    end: RequestEnd,
+) {
     match end {
         RequestEnd::Served(ServedAnswer::Stream) => {
             let _ = caller.send(end_event(record)).await;
@@ -136,27 +142,29 @@
             caller.finish();
         }
         RequestEnd::Served(ServedAnswer::Body { status, mut headers, body }) => {
-            headers.extend(record_headers(record));
+            headers.extend(D::record_headers(record));
             caller.answer_whole(status, headers, body);
         }
         RequestEnd::Served(ServedAnswer::Passed) => caller.finish(),
         RequestEnd::Refused(refusal) if caller.has_started() => {
-            break_off(record, caller, &refusal).await;
+            if is_own_stream {
+                tell_break(record, caller, &refusal).await;
+            }
+            caller.break_off().await;
         }
         RequestEnd::Refused(refusal) => {
-            let mut headers = refusal.headers();
-            headers.extend(record_headers(record));
+            let mut headers = refusal.headers::<D>();
+            headers.extend(D::record_headers(record));
             caller.answer_whole(refusal.status(), headers, refusal.body());
         }
     }
 }
 
-/// Ends a started answer so that it cannot be taken for whole.
-async fn break_off(record: &DecisionRecord, caller: &mut CallerLink, refusal: &Refusal) {
+/// Tells in a stream of the product's own events that it breaks off.
+async fn tell_break(record: &DecisionRecord, caller: &mut CallerLink, refusal: &Refusal) {
     let error = [b"data: ".as_slice(), &refusal.body(), b"\n\n"].concat();
     let _ = caller.send(Bytes::from(error)).await;
     let _ = caller.send(end_event(record)).await;
-    caller.break_off().await;
 }
 
 fn end_event(record: &DecisionRecord) -> Bytes {
@@ -181,8 +189,9 @@
 }
 
 /// The head of a streamed answer.
-pub fn stream_head(request: &ClassifiedRequest) -> (StatusCode, HeaderMap) {
-    let mut headers = outcome_headers(request, "streaming", "streaming", &serving_rule(request));
+pub fn stream_head<D: CallerDialect>(request: &ClassifiedRequest) -> (StatusCode, HeaderMap) {
+    let mut headers =
+        outcome_headers::<D>(request, "streaming", "streaming", &serving_rule(request));
     let (name, value) = event_stream_type();
     headers.insert(name, value);
     headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
@@ -190,13 +199,13 @@
 }
 
 /// The headers that tell why, for an answer whose end is not known yet.
-pub fn outcome_headers(
+pub fn outcome_headers<D: CallerDialect>(
     request: &ClassifiedRequest,
     outcome: &'static str,
     reason: &'static str,
     rule: &str,
 ) -> HeaderMap {
-    record_headers(&DecisionRecord {
+    D::record_headers(&DecisionRecord {
         request_id: request.accepted.id.to_string(),
         outcome,
         reason,
@@ -205,22 +214,3 @@
         ..DecisionRecord::default()
     })
 }
-
-fn record_headers(record: &DecisionRecord) -> HeaderMap {
-    let mut headers = HeaderMap::new();
-    let version = record.config_version.to_string();
-    let values = [
-        (REQUEST_ID, record.request_id.as_str()),
-        (OUTCOME, record.outcome),
-        (REASON, record.reason),
-        (RULE, record.rule.as_str()),
-        (CONFIG_VERSION, version.as_str()),
-    ];
-    for (name, value) in values {
-        // Branch names are checked when the tree is parsed, so every value is valid.
-        if let Ok(value) = HeaderValue::from_str(value) {
-            headers.insert(HeaderName::from_static(name), value);
-        }
-    }
-    headers
-}
--- a/coltsfootgate/src/platform/client.rs
+++ b/coltsfootgate/src/platform/client.rs
@@ -32,13 +32,14 @@
 }
 
 /// Calls one HTTP server and keeps a few connections to it.
-pub(super) struct BoundedClient {
+pub struct BoundedClient {
     address: SocketAddr,
     idle: RefCell<Vec<OpenConnection>>,
 }
 
 impl BoundedClient {
-    pub(super) fn new(address: SocketAddr) -> Self {
+    /// Makes a client of the server at an address.
+    pub fn new(address: SocketAddr) -> Self {
         Self { address, idle: RefCell::default() }
     }
 
@@ -46,7 +47,11 @@
     ///
     /// A call that passes its time limit closes its connection, so a connection that has gone
     /// silent is never used again.
-    pub(super) async fn call(
+    ///
+    /// # Errors
+    ///
+    /// Tells how far the call came; an answer of any status is no error.
+    pub async fn call(
         &self,
         request: Request<Full<Bytes>>,
         limit: Duration,
--- a/coltsfootgate/src/platform/http.rs
+++ b/coltsfootgate/src/platform/http.rs
@@ -12,6 +12,8 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
+use crate::endpoints::{EndpointDirectory, EndpointList, EndpointNotice};
+
 use super::client::BoundedClient;
 use super::{
     InstanceDirectory, ListedInstance, PlatformError, PlatformStore, StoredValue, SwapResult,
@@ -135,6 +137,32 @@
         let list: InstanceList = self.get_list("/instances").await?;
         Ok(list.instances)
     }
+
+    /// The platform itself enters instances.
+    async fn keep_listed(
+        &self,
+        _own: &ListedInstance,
+        _time: Duration,
+    ) -> Result<(), PlatformError> {
+        Ok(())
+    }
+}
+
+impl EndpointDirectory for HttpPlatform {
+    const ANNOUNCES: bool = false;
+
+    async fn endpoints(&self) -> Result<EndpointList, PlatformError> {
+        Ok(EndpointList::default())
+    }
+
+    async fn endpoint_changes(
+        &self,
+        after: ValueRevision,
+        wait: Duration,
+    ) -> Result<(Vec<EndpointNotice>, ValueRevision), PlatformError> {
+        monoio::time::sleep(wait).await;
+        Ok((Vec::new(), after))
+    }
 }
 
 fn stored_value(response: Response<Bytes>) -> Result<StoredValue, PlatformError> {
--- a/coltsfootgate/src/platform/mod.rs
+++ b/coltsfootgate/src/platform/mod.rs
@@ -14,6 +14,7 @@
 
 use coltsfootgate_core::ids::{InstanceId, ZoneName};
 
+pub use self::client::BoundedClient;
 pub use self::http::HttpPlatform;
 
 /// Largest value of the key-value service, in bytes.
@@ -55,13 +56,15 @@
     Malformed(Arc<str>),
     /// The service answered with this HTTP status.
     Refused(u16),
+    /// The changes that were asked for are no longer kept.
+    HistoryGone,
 }
 
 impl PlatformError {
     /// Whether a write that ended with this error may still have taken effect.
     pub fn may_have_written(&self) -> bool {
         match self {
-            Self::Unreachable(_) => false,
+            Self::Unreachable(_) | Self::HistoryGone => false,
             Self::Broken(_) | Self::TimedOut | Self::TooLarge | Self::Malformed(_) => true,
             Self::Refused(status) => *status >= 500,
         }
@@ -77,6 +80,7 @@
             Self::TooLarge => formatter.write_str("answer too large"),
             Self::Malformed(what) => write!(formatter, "answer not understood: {what}"),
             Self::Refused(status) => write!(formatter, "refused with status {status}"),
+            Self::HistoryGone => formatter.write_str("the changes asked for are no longer kept"),
         }
     }
 }
@@ -152,4 +156,7 @@
 pub trait InstanceDirectory {
     /// Reads the whole list.
     async fn instances(&self) -> Result<Vec<ListedInstance>, PlatformError>;
+
+    /// Keeps this instance in the list for `time`, where instances enter themselves.
+    async fn keep_listed(&self, own: &ListedInstance, time: Duration) -> Result<(), PlatformError>;
 }
--- a/coltsfootgate/src/routes/mod.rs
+++ b/coltsfootgate/src/routes/mod.rs
@@ -12,14 +12,14 @@
 
 use coltsfootgate_core::owner::{HeldGrant, OwnerPressure};
 use coltsfootgate_core::prelude::{
-    EndpointId, InstanceId, PoolId, PoolSettings, RoutingStrategy, ZoneName,
+    EndpointId, EndpointSettings, InstanceId, PoolId, PoolSettings, RoutingStrategy, ZoneName,
 };
 use coltsfootgate_core::rendezvous::OwnerTable;
 use coltsfootgate_core::routing::{
     OwnerPlace, RequestRoute, RoutePolicy, RouteReply, RouteStep, StrategyRoutes,
 };
 
-use crate::tree::ActiveTree;
+use crate::endpoints::ActivePools;
 
 pub use book::{LeaseBook, LeaseEntry};
 pub use follow::{MemberFollower, PoolStatus};
@@ -70,7 +70,7 @@
     routes: StrategyRoutes,
     owners: OwnerSet,
     endpoint_owners: BTreeMap<EndpointId, InstanceId>,
-    active: Option<Rc<ActiveTree>>,
+    pools: Option<Rc<ActivePools>>,
     leaving: HashSet<Arc<str>>,
     book: LeaseBook,
 }
@@ -85,21 +85,21 @@
             strategy,
             owners: OwnerSet::default(),
             endpoint_owners: BTreeMap::new(),
-            active: None,
+            pools: None,
             leaving: HashSet::new(),
             book: LeaseBook::default(),
         })))
     }
 
-    /// Takes over a tree of settings.
-    pub fn set_tree(&self, active: Rc<ActiveTree>) {
+    /// Takes over the pools and endpoints of now.
+    pub fn set_pools(&self, pools: Rc<ActivePools>) {
         let mut state = self.0.borrow_mut();
-        let strategy = active.tree.deployment().strategy;
+        let strategy = pools.active.tree.deployment().strategy;
         if strategy != state.strategy {
             state.strategy = strategy;
             state.routes = StrategyRoutes::new(strategy, state.zone.clone());
         }
-        state.active = Some(active);
+        state.pools = Some(pools);
         state.refresh();
     }
 
@@ -119,6 +119,13 @@
         }
     }
 
+    /// An endpoint of a pool, if it may serve now.
+    pub fn endpoint(&self, pool: &str, endpoint: &EndpointId) -> Option<EndpointSettings> {
+        let state = self.0.borrow();
+        let pool = state.pools.as_ref()?.pool(pool)?;
+        pool.endpoints.iter().find(|one| one.id == *endpoint).cloned()
+    }
+
     /// The instance that owns an endpoint.
     pub fn owner_of(&self, endpoint: &EndpointId) -> Option<InstanceId> {
         self.0.borrow().endpoint_owners.get(endpoint).cloned()
@@ -181,9 +188,9 @@
 impl BoardState {
     /// Tells the routes of every pool again.
     fn refresh(&mut self) {
-        let Some(active) = &self.active else { return };
+        let Some(pools) = &self.pools else { return };
         self.endpoint_owners.clear();
-        for pool in active.tree.pools() {
+        for pool in pools.pools() {
             let mut owners = self.owners.endpoint_owners(pool);
             let places = self.owners.places(&owners);
             self.endpoint_owners.append(&mut owners);
--- a/coltsfootgate/src/tree/mod.rs
+++ b/coltsfootgate/src/tree/mod.rs
@@ -11,14 +11,18 @@
 use std::collections::BTreeMap;
 use std::fmt::{self, Debug, Formatter};
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 
 use coltsfootgate_config::{ConfigTree, ContentDigest};
+use coltsfootgate_core::freshness::{SettingsFreshness, VersionProof};
 use coltsfootgate_core::head::{HeadEvent, TreeHead};
 use coltsfootgate_core::ids::{ConfigVersion, InstanceId};
 
+use crate::clock;
+
 pub use self::source::{NoTreePeers, PeerUnanswered, TreePeers};
 pub use self::task::TreeTask;
 
@@ -49,6 +53,7 @@
 
 #[derive(Debug)]
 struct TreeShared {
+    freshness: RefCell<SettingsFreshness>,
     current: RefCell<Option<Rc<ActiveTree>>>,
     subscribers: RefCell<Vec<UnboundedSender<Rc<ActiveTree>>>>,
     events: UnboundedSender<HeadEvent>,
@@ -58,8 +63,9 @@
     /// Makes a handle without a tree, and the receiver that its task reads news from.
     pub fn new() -> (Self, UnboundedReceiver<HeadEvent>) {
         let (events, receiver) = unbounded();
-        let (current, subscribers) = (RefCell::default(), RefCell::default());
-        (Self(Rc::new(TreeShared { current, subscribers, events })), receiver)
+        let (freshness, current) = (RefCell::default(), RefCell::default());
+        let subscribers = RefCell::default();
+        (Self(Rc::new(TreeShared { freshness, current, subscribers, events })), receiver)
     }
 
     /// The tree in force, if there is one.
@@ -67,6 +73,17 @@
         self.0.current.borrow().clone()
     }
 
+    /// How long ago the tree in force was proved to be the newest; `None` if it never was.
+    pub fn age(&self) -> Option<Duration> {
+        let version = self.current()?.version;
+        self.0.freshness.borrow().age(version, clock::boot_time())
+    }
+
+    /// Takes in a proof that a version was the newest one.
+    pub fn prove(&self, proof: VersionProof) {
+        self.0.freshness.borrow_mut().prove(proof);
+    }
+
     /// Receives the tree in force and every one that comes into force later.
     pub fn subscribe(&self) -> UnboundedReceiver<Rc<ActiveTree>> {
         let (sender, receiver) = unbounded();
--- a/coltsfootgate/src/tree/task.rs
+++ b/coltsfootgate/src/tree/task.rs
@@ -29,6 +29,7 @@
     news: UnboundedReceiver<HeadEvent>,
     metrics: DaemonMetrics,
     readiness: ReadinessGate,
+    watch_wait: Duration,
     tracker: HeadTracker,
     loaded: UnboundedSender<LoadedTree>,
     loads: UnboundedReceiver<LoadedTree>,
@@ -53,16 +54,17 @@
         news: UnboundedReceiver<HeadEvent>,
         metrics: DaemonMetrics,
         readiness: ReadinessGate,
+        watch_wait: Duration,
     ) -> Self {
         let (loaded, loads) = unbounded();
         let tracker = HeadTracker::new(Instant::now());
-        Self { store, peers, handle, news, metrics, readiness, tracker, loaded, loads }
+        Self { store, peers, handle, news, metrics, readiness, watch_wait, tracker, loaded, loads }
     }
 
     /// Follows the head until the process ends.
     pub async fn run(mut self) {
-        let events = self.handle.0.events.clone();
-        monoio::spawn(HeadWatch::new(self.store.clone(), events).run());
+        let watch = HeadWatch::new(self.store.clone(), self.handle.clone(), self.watch_wait);
+        monoio::spawn(watch.run());
         loop {
             match self.next_step().await {
                 Some(TreeStep::News(event)) => self.take(event),
--- a/coltsfootgate/src/tree/tests.rs
+++ b/coltsfootgate/src/tree/tests.rs
@@ -21,6 +21,8 @@
 use crate::platform::{PlatformError, PlatformStore, StoredValue, SwapResult, ValueRevision};
 
 /// A bound on waiting for what must happen.
+/// How long a watch waits.
+const WATCH_WAIT: Duration = Duration::from_secs(3);
 const EVENTUALLY: Duration = Duration::from_secs(10);
 
 #[derive(Clone, Default)]
@@ -126,7 +128,8 @@
         let (handle, news) = TreeHandle::new();
         let (metrics, readiness) = (DaemonMetrics::new(), ReadinessGate::default());
         let (task_metrics, gate) = (metrics.clone(), readiness.clone());
-        let task = TreeTask::new(store, peers, handle.clone(), news, task_metrics, gate);
+        let task =
+            TreeTask::new(store, peers, handle.clone(), news, task_metrics, gate, WATCH_WAIT);
         monoio::spawn(task.run());
         let trees = handle.subscribe();
         Self { handle, readiness, metrics, trees }
--- a/coltsfootgate/src/tree/watch.rs
+++ b/coltsfootgate/src/tree/watch.rs
@@ -2,18 +2,19 @@
 
 use std::time::Duration;
 
-use futures_channel::mpsc::UnboundedSender;
 use log::{info, warn};
 use rand::Rng;
 
 use coltsfootgate_config::HEAD_KEY;
+use coltsfootgate_core::freshness::VersionProof;
 use coltsfootgate_core::head::{HeadEvent, HeadSource, TreeHead};
 
+use coltsfootgate_core::ids::ConfigVersion;
+
+use super::TreeHandle;
+use crate::clock;
 use crate::platform::{PlatformError, PlatformStore, StoredValue, ValueRevision};
 
-/// How long the store may hold a watch. With the time limit of a call it bounds how long a silent
-/// watch goes unnoticed.
-const WATCH_WAIT: Duration = Duration::from_secs(3);
 /// After so many watches without news the head is read, in case a watch missed it.
 const WATCHES_PER_READ: u32 = 10;
 /// Shortest pause after an error.
@@ -24,14 +25,18 @@
 /// Follows the head and reports what the store answers.
 pub(super) struct HeadWatch<S> {
     store: S,
-    events: UnboundedSender<HeadEvent>,
+    tree: TreeHandle,
+    /// How long the store may hold a watch. With the time limit of a call it bounds how long a
+    /// silent watch goes unnoticed.
+    wait: Duration,
     revision: ValueRevision,
+    version: ConfigVersion,
     failures: u32,
 }
 
 impl<S: PlatformStore> HeadWatch<S> {
-    pub(super) fn new(store: S, events: UnboundedSender<HeadEvent>) -> Self {
-        Self { store, events, revision: 0, failures: 0 }
+    pub(super) fn new(store: S, tree: TreeHandle, wait: Duration) -> Self {
+        Self { store, tree, wait, revision: 0, version: 0, failures: 0 }
     }
 
     /// Watches until the receiver of events is gone.
@@ -48,13 +53,20 @@
 
     /// Reads the head once and then watches it for a while.
     async fn read_then_watch(&mut self) -> Result<(), PlatformError> {
+        let sent = clock::boot_time();
         let value = self.store.read(HEAD_KEY).await?;
         self.report(value)?;
+        self.prove(sent);
         for _ in 0..WATCHES_PER_READ {
-            let value = self.store.watch(HEAD_KEY, self.revision, WATCH_WAIT).await?;
+            let sent = clock::boot_time();
+            let value = self.store.watch(HEAD_KEY, self.revision, self.wait).await?;
             if value.is_some() {
                 self.report(value)?;
-            } else if self.revision == 0 {
+                self.prove(sent);
+                continue;
+            }
+            self.prove(sent);
+            if self.revision == 0 {
                 // A store may answer a watch of a missing value at once.
                 monoio::time::sleep(PAUSE_MIN).await;
             }
@@ -71,12 +83,18 @@
             Some(stored) => Some(parse_head(stored)?),
             None => None,
         };
+        self.version = self.version.max(head.as_ref().map_or(0, |head| head.version));
         // A replica that lags may answer with a lower revision, after which a watch returns at once.
         self.revision = self.revision.max(value.map_or(0, |stored| stored.revision));
         self.send(HeadEvent::Offered(HeadSource::Store, head));
         Ok(())
     }
 
+    /// The version read last was the newest when the call that brought it was sent.
+    fn prove(&self, sent: Duration) {
+        self.tree.prove(VersionProof { version: self.version, at: sent });
+    }
+
     /// Reports that the store did not answer; `false` if nobody listens any more.
     fn report_failure(&mut self, error: &PlatformError) -> bool {
         if self.failures == 0 {
@@ -87,7 +105,7 @@
     }
 
     fn send(&self, event: HeadEvent) -> bool {
-        self.events.unbounded_send(event).is_ok()
+        self.tree.0.events.unbounded_send(event).is_ok()
     }
 
     /// A pause that doubles with each failure, with jitter.
--- a/coltsfootgate/tests/peers.rs
+++ b/coltsfootgate/tests/peers.rs
@@ -9,7 +9,9 @@
 use coltsfootgate::peer::{PeerCall, PeerError, PeerHandle, PeerIdentity, PeerListener};
 use coltsfootgate_core::ids::InstanceId;
 use coltsfootgate_standins::proxy::start_proxy;
-use coltsfootgate_wire::{MESSAGE_BYTES_MAX, PeerReply, PeerRequest, ProofError, WireError};
+use coltsfootgate_wire::{
+    MESSAGE_BYTES_MAX, PROTOCOL_VERSION, PeerReply, PeerRequest, ProofError, WireError,
+};
 use futures_channel::mpsc::{UnboundedReceiver, unbounded};
 use futures_util::StreamExt;
 use monoio::net::{ListenerOpts, TcpListener};
@@ -156,8 +158,8 @@
 #[case::http(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n".repeat(8), "wrong-magic")]
 #[case::random(vec![0xa5; 4096], "wrong-magic")]
 #[case::unknown_version(hello(77), "unknown-version")]
-#[case::cut_short(hello(1)[..20].to_vec(), "broken")]
-#[case::for_nobody([hello(1), vec![1; 32]].concat(), "wrong-address")]
+#[case::cut_short(hello(PROTOCOL_VERSION)[..20].to_vec(), "broken")]
+#[case::for_nobody([hello(PROTOCOL_VERSION), vec![1; 32]].concat(), "wrong-address")]
 fn a_strangers_bytes_end_its_connection_only(#[case] bytes: Vec<u8>, #[case] cause: &str) {
     block_on(async {
         let peer = TestPeer::start(|_| None);
--- a/coltsfootgate/tests/tree_in_force.rs
+++ b/coltsfootgate/tests/tree_in_force.rs
@@ -109,3 +109,28 @@
     eventually("the version in force", || version_at(&far.daemon) == 2);
     assert_serves(&far.daemon, 2);
 }
+
+/// A store that fails and comes back: whoever hears nothing for too long trusts no key.
+#[test]
+fn keys_are_not_trusted_once_nobody_confirms_the_settings() {
+    let platform = start_platform(ANY_PORT).unwrap();
+    let engine = start_engine(ANY_PORT, EngineSettings::default()).unwrap();
+    put_versions(&platform, engine.address, &[1]);
+    let flags = ["--config-age-max", "1500 ms", "--watch-time", "200 ms"];
+    let flags = [flags.as_slice(), &["--platform-timeout", "200 ms"]].concat();
+    let daemon = TestDaemon::start(platform.address, "a", &flags);
+    daemon.wait_ready();
+    assert_serves(&daemon, 1);
+    platform.control.order(&json!({"outage": "hang"})).unwrap();
+    let refused = daemon.wait_for("a refusal", || {
+        let answer = TestCall::model("a short note", 8, false).send(daemon.ports.callers);
+        (answer.status == 503).then_some(answer)
+    });
+    assert_eq!(refused.header("coltsfootgate-reason"), "settings-stale");
+    assert_eq!(refused.header("coltsfootgate-outcome"), "not-run");
+    platform.control.order(&json!({"outage": "none"})).unwrap();
+    daemon.wait_for("service", || {
+        let answer = TestCall::model("a short note", 8, false).send(daemon.ports.callers);
+        (answer.status == 200).then_some(())
+    });
+}
--- a/coltsfootgate_config/benches/tree.rs
+++ b/coltsfootgate_config/benches/tree.rs
@@ -57,6 +57,7 @@
         criterion.bench_with_input(id("classify, last of 40"), &(), |bencher, ()| {
             bencher.iter(|| {
                 tree.classify(&RequestFacts {
+                    host: None,
                     customer: black_box(&customer),
                     method: "POST",
                     path: "/v1/chat/completions",
--- a/coltsfootgate_config/src/class_match.rs
+++ b/coltsfootgate_config/src/class_match.rs
@@ -49,6 +49,8 @@
     pub customer: &'a str,
     /// The HTTP method, in upper case.
     pub method: &'a str,
+    /// The host that the request is addressed to, with or without a port.
+    pub host: Option<&'a str>,
     /// The path; a query is ignored.
     pub path: &'a str,
     /// The model that the request names.
@@ -63,6 +65,8 @@
     customers: Option<HashSet<BranchPath>>,
     models: Option<HashSet<Arc<str>>>,
     methods: Option<HashSet<Arc<str>>>,
+    hosts: Option<Vec<Arc<str>>>,
+    prefixes: Option<Vec<Arc<str>>>,
     paths: Option<Vec<PathPattern>>,
     headers: Vec<HeaderPattern>,
 }
@@ -104,10 +108,14 @@
             .as_ref()
             .is_none_or(|models| facts.model.is_some_and(|model| models.contains(model)));
         let method = self.methods.as_ref().is_none_or(|methods| methods.contains(facts.method));
+        let host = self.hosts.as_ref().is_none_or(|hosts| holds_host(hosts, facts.host));
+        let starts = |prefixes: &Vec<Arc<str>>| prefixes.iter().any(|p| path.starts_with(&**p));
         let path_matches = |patterns: &Vec<PathPattern>| patterns.iter().any(|p| p.matches(path));
         customer
             && model
             && method
+            && host
+            && self.prefixes.as_ref().is_none_or(starts)
             && self.paths.as_ref().is_none_or(path_matches)
             && self.headers.iter().all(|pattern| pattern.matches(facts.headers))
     }
@@ -118,6 +126,8 @@
             "customer" => self.customers = Some(texts()?.into_iter().collect()),
             "model" => self.models = Some(texts()?.into_iter().collect()),
             "method" => self.methods = Some(read_methods(&setting.value)?),
+            "host" => self.hosts = Some(texts()?),
+            "prefix" => self.prefixes = Some(read_prefixes(&setting.value)?),
             "path" => self.paths = Some(read_paths(&setting.value)?),
             "header" => self.headers = read_headers(&setting.value)?,
             unknown => return Err(ConfigFault::unknown_key(unknown, MATCH_KEYS)),
@@ -137,6 +147,20 @@
     texts.ok_or_else(|| wrong_value(value, "a text or a list of texts that is not empty"))
 }
 
+/// Whether a host, whose port is ignored, is among some names.
+fn holds_host(hosts: &[Arc<str>], host: Option<&str>) -> bool {
+    let name = host.map(|host| host.rsplit_once(':').map_or(host, |(name, _)| name));
+    name.is_some_and(|name| hosts.iter().any(|host| host.eq_ignore_ascii_case(name)))
+}
+
+fn read_prefixes(value: &SettingValue) -> Result<Vec<Arc<str>>, ConfigFault> {
+    let prefixes = read_texts(value)?;
+    if !prefixes.iter().all(|prefix| prefix.starts_with('/')) {
+        return Err(wrong_value(value, "starts of paths, such as \"/orders/\""));
+    }
+    Ok(prefixes)
+}
+
 fn read_methods(value: &SettingValue) -> Result<HashSet<Arc<str>>, ConfigFault> {
     let methods = read_texts(value)?;
     let is_method = |text: &Arc<str>| text.bytes().all(|byte| byte.is_ascii_uppercase());
--- a/coltsfootgate_config/src/classes.rs
+++ b/coltsfootgate_config/src/classes.rs
@@ -10,8 +10,8 @@
 use crate::class_match::{ClassMatch, HeaderLookup, MatchFault, RequestFacts};
 use crate::document::{BranchDocument, BranchNode};
 use crate::error::ConfigFault;
-use crate::resolve::SettingReader;
-use crate::schema::TreeKind;
+use crate::resolve::{SettingReader, pool_path};
+use crate::schema::{MATCH_DESCRIPTION, TreeKind};
 use crate::value::SettingValue;
 
 /// The classes as a tree of conditions.
@@ -33,6 +33,7 @@
         let mut index = Self { branches: Vec::new(), by_id: HashMap::new() };
         index.add(document, document.root(TreeKind::Classes), faults);
         index.check_floors(document, faults);
+        index.check_pools(document, faults);
         index
     }
 
@@ -74,6 +75,25 @@
         position
     }
 
+    /// The pools that classes name must exist.
+    fn check_pools(&self, document: &BranchDocument, faults: &mut FaultList) {
+        for node in &document.nodes {
+            let Some(setting) = node.setting("pools").filter(|_| node.kind == TreeKind::Classes)
+            else {
+                continue;
+            };
+            let SettingValue::Table(shares) = &setting.value else { continue };
+            for share in shares {
+                let known = document.branch(&pool_path(&share.key));
+                if known.is_none() {
+                    let found = format!("pool {:?}", share.key);
+                    let allowed = "a branch of `pools`".into();
+                    faults.setting(node, setting, ConfigFault::WrongValue { found, allowed });
+                }
+            }
+        }
+    }
+
     /// The floors of all tiers together must leave room for the order of tiers.
     fn check_floors(&self, document: &BranchDocument, faults: &mut FaultList) {
         let mut floors = [0.0_f64; TIER_COUNT];
@@ -98,7 +118,7 @@
 ) -> ClassMatch {
     let Some(setting) = node.setting("match") else {
         if node.parent.is_some() {
-            faults.missing(node, "match", "a table of customer, model, method, path and header");
+            faults.missing(node, "match", MATCH_DESCRIPTION);
         }
         return ClassMatch::default();
     };
--- a/coltsfootgate_config/src/customers.rs
+++ b/coltsfootgate_config/src/customers.rs
@@ -22,8 +22,9 @@
 type KeyDigest = [u8; DIGEST_BYTES];
 
 /// The customers by branch and by the digests of their keys.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct CustomerIndex {
+    anonymous: Arc<CustomerSettings>,
     customers: BTreeMap<CustomerId, Arc<CustomerSettings>>,
     by_digest: HashMap<[u8; BUCKET_BYTES], Vec<DigestEntry>>,
 }
@@ -36,7 +37,12 @@
 
 impl CustomerIndex {
     pub(crate) fn build(document: &BranchDocument, faults: &mut FaultList) -> Self {
-        let mut index = Self::default();
+        let root = document.root(TreeKind::Customers);
+        let mut index = Self {
+            anonymous: Arc::new(SettingReader::new(document, root).customer()),
+            customers: BTreeMap::new(),
+            by_digest: HashMap::new(),
+        };
         for (position, node) in document.nodes.iter().enumerate() {
             if node.kind == TreeKind::Customers && node.setting("keys").is_some() {
                 index.add(document, position, faults);
@@ -55,6 +61,11 @@
         self.entry(&digest).map(|entry| &entry.customer)
     }
 
+    /// Whoever calls without a key, with the settings of the root.
+    pub(crate) fn anonymous(&self) -> &Arc<CustomerSettings> {
+        &self.anonymous
+    }
+
     /// The customer with this branch.
     pub(crate) fn customer(&self, id: &str) -> Option<&Arc<CustomerSettings>> {
         self.customers.get(id)
--- a/coltsfootgate_config/src/pools.rs
+++ b/coltsfootgate_config/src/pools.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use coltsfootgate_core::ids::{BranchPath, PoolId};
-use coltsfootgate_core::settings::{EndpointSettings, PoolSettings, RouteTarget};
+use coltsfootgate_core::settings::{EndpointSettings, PoolKind, PoolSettings, RouteTarget};
 
 use crate::check::{FaultList, wrong_value};
 use crate::document::{BranchDocument, BranchNode};
@@ -86,7 +86,7 @@
         }
         if node.setting("address").is_some() {
             let found = "an `address` outside a pool".into();
-            let allowed = "below a branch with `model` or `service`".into();
+            let allowed = "below a branch with `model`, `service` or `kind`".into();
             self.faults.branch(node, ConfigFault::Misplaced { found, allowed });
         }
         for child in &node.children {
@@ -98,13 +98,14 @@
         let document = self.document;
         let node = &document.nodes[position];
         let reader = SettingReader::new(document, position);
-        let target = match (reader.text("model"), reader.text("service")) {
-            (Some(model), None) => RouteTarget::Model(model),
-            (None, Some(prefix)) => RouteTarget::Service(prefix),
-            (None, None) => return,
-            (Some(_), Some(_)) => {
-                let found = "both `model` and `service`".into();
-                let allowed = "one of the two".into();
+        let target = match (reader.text("model"), reader.text("service"), reader.text("kind")) {
+            (Some(model), None, None) => RouteTarget::Model(model),
+            (None, Some(prefix), None) => RouteTarget::Service(prefix),
+            (None, None, Some(kind)) => RouteTarget::Classes(pool_kind(&kind)),
+            (None, None, None) => return,
+            _ => {
+                let found = "more than one of `model`, `service` and `kind`".into();
+                let allowed = "one of the three".into();
                 self.faults.branch(node, ConfigFault::Misplaced { found, allowed });
                 return;
             }
@@ -122,6 +123,10 @@
         let (index, name, key) = match &pool.target {
             RouteTarget::Model(model) => (&mut self.index.by_model, model, "model"),
             RouteTarget::Service(prefix) => (&mut self.index.by_prefix, prefix, "service"),
+            RouteTarget::Classes(_) => {
+                self.index.pools.insert(pool.id.clone(), pool);
+                return;
+            }
         };
         if let (Some(other), Some(setting)) = (index.get(name), node.setting(key)) {
             let (found, first) = (setting.value.to_string(), other.id.clone());
@@ -185,7 +190,7 @@
     fn check_any(&mut self) {
         if self.index.pools.is_empty() {
             let root = &self.document.nodes[self.document.root(TreeKind::Pools)];
-            let allowed = "at least one pool, which is a branch with `model` or `service`";
+            let allowed = "at least one pool, which is a branch with `model`, `service` or `kind`";
             self.faults.missing(root, "model", allowed);
         }
         let zones: HashSet<_> = self.zones.iter().collect();
@@ -197,5 +202,9 @@
 }
 
 fn is_pool(node: &BranchNode) -> bool {
-    node.setting("model").is_some() || node.setting("service").is_some()
+    ["model", "service", "kind"].iter().any(|key| node.setting(key).is_some())
+}
+
+fn pool_kind(word: &str) -> PoolKind {
+    if word == "engine" { PoolKind::Engine } else { PoolKind::Service }
 }
--- a/coltsfootgate_config/src/resolve.rs
+++ b/coltsfootgate_config/src/resolve.rs
@@ -6,11 +6,13 @@
 
 use coltsfootgate_core::ids::{BranchPath, RequestTier};
 use coltsfootgate_core::settings::{
-    ClassSettings, CustomerSettings, DeploymentSettings, EndpointSettings, RoutingStrategy,
+    ClassSettings, CustomerSettings, DeploymentSettings, EndpointSettings, PoolShare,
+    RoutingStrategy,
 };
 
 use crate::document::BranchDocument;
-use crate::value::{SettingValue, parse_duration};
+use crate::schema::TreeKind;
+use crate::value::{Setting, SettingValue, parse_duration};
 
 /// Reads the settings of one branch; values that the checks reject read as zero.
 pub(crate) struct SettingReader<'a> {
@@ -38,6 +40,10 @@
             attempts: self.integer("attempts"),
             deadline: self.duration("deadline"),
             resume: self.boolean("resume"),
+            timeout: self.duration("timeout"),
+            is_public: self.boolean("public"),
+            is_stream: self.boolean("stream"),
+            pools: self.pool_shares(),
         }
     }
 
@@ -48,12 +54,14 @@
             rate: self.number("rate"),
             burst: self.integer("burst"),
             concurrency: self.integer("concurrency"),
+            tier: self.tier(),
         }
     }
 
     pub(crate) fn endpoint(&self) -> EndpointSettings {
         EndpointSettings {
             id: self.path(),
+            replica: None,
             address: self.text("address").unwrap_or_default(),
             zone: self.text("zone").unwrap_or_default(),
             slots: self.integer("slots"),
@@ -111,6 +119,26 @@
         }
     }
 
+    /// The tier that a branch states or inherits; there is no default.
+    fn tier(&self) -> Option<RequestTier> {
+        match self.value("tier")? {
+            SettingValue::Integer(number) => RequestTier::new(u8::try_from(*number).ok()?),
+            _ => None,
+        }
+    }
+
+    fn pool_shares(&self) -> Vec<PoolShare> {
+        let Some(SettingValue::Table(shares)) = self.value("pools") else { return Vec::new() };
+        let share = |setting: &Setting| match setting.value {
+            SettingValue::Integer(weight) => {
+                let pool = pool_path(&setting.key);
+                Some(PoolShare { pool, weight: u32::try_from(weight).ok()? })
+            }
+            _ => None,
+        };
+        shares.iter().filter_map(share).collect()
+    }
+
     fn strategy(&self) -> RoutingStrategy {
         match self.text("strategy").as_deref().unwrap_or_else(|| self.default_text("strategy")) {
             "round-robin" => RoutingStrategy::RoundRobin,
@@ -138,3 +166,8 @@
         spec.and_then(|spec| spec.default).unwrap_or_default()
     }
 }
+
+/// The branch of a pool that a class names.
+pub(crate) fn pool_path(name: &str) -> BranchPath {
+    format!("{}.{name}", TreeKind::Pools.name()).into()
+}
--- a/coltsfootgate_config/src/rule.rs
+++ b/coltsfootgate_config/src/rule.rs
@@ -88,6 +88,7 @@
         | ErrorKind::CallerLeft
         | ErrorKind::CallerLeftWaiting
         | ErrorKind::KeyInvalid
-        | ErrorKind::NotReady => (TreeKind::Classes, "tier"),
+        | ErrorKind::NotReady
+        | ErrorKind::SettingsStale => (TreeKind::Classes, "tier"),
     }
 }
--- a/coltsfootgate_config/src/schema.rs
+++ b/coltsfootgate_config/src/schema.rs
@@ -5,13 +5,19 @@
 
 use coltsfootgate_core::ids::TIER_COUNT;
 
-use crate::value::{SettingValue, parse_duration};
+use crate::value::{Setting, SettingValue, parse_duration};
 
 /// The bytes of a SHA-256 digest in hexadecimal.
 const DIGEST_HEX_BYTES: usize = 64;
 /// The longest text that a setting may hold, in bytes.
 const TEXT_BYTES: usize = 256;
 
+/// The largest weight of a pool in a class.
+const POOL_WEIGHT_MAX: i64 = 1_000_000;
+/// What the conditions of a class are made of.
+pub(crate) const MATCH_DESCRIPTION: &str =
+    "a table of customer, model, method, host, prefix, path and header";
+
 const MICROSECOND: Duration = Duration::from_micros(1);
 const MILLISECOND: Duration = Duration::from_millis(1);
 const MINUTE: Duration = Duration::from_secs(60);
@@ -72,7 +78,8 @@
 
     /// Whether a key holds a table that is no branch.
     pub(crate) fn is_table_key(self, name: &str) -> bool {
-        self.key(name).is_some_and(|spec| matches!(spec.kind, ValueKind::Match))
+        self.key(name)
+            .is_some_and(|spec| matches!(spec.kind, ValueKind::Match | ValueKind::PoolShares))
     }
 }
 
@@ -114,6 +121,8 @@
     PathPrefix,
     /// The conditions of a class.
     Match,
+    /// A table from the names of pools to weights.
+    PoolShares,
 }
 
 impl ValueKind {
@@ -144,6 +153,7 @@
             Self::Address => value.as_text().is_some_and(|text| text.parse::<SocketAddr>().is_ok()),
             Self::PathPrefix => value.as_text().is_some_and(|text| is_path_prefix(text)),
             Self::Match => matches!(value, SettingValue::Table(_)),
+            Self::PoolShares => are_pool_shares(value),
         }
     }
 
@@ -164,11 +174,27 @@
             Self::PathPrefix => {
                 "a path prefix that starts and ends with \"/\", outside \"/v1/\"".into()
             }
-            Self::Match => "a table of customer, model, method, path and header".into(),
+            Self::Match => MATCH_DESCRIPTION.into(),
+            Self::PoolShares => format!(
+                "a table from names of pools to weights from 0 to {POOL_WEIGHT_MAX}, one of them above 0"
+            ),
         }
     }
 }
 
+fn are_pool_shares(value: &SettingValue) -> bool {
+    let SettingValue::Table(shares) = value else { return false };
+    let weight = |setting: &Setting| match setting.value {
+        SettingValue::Integer(weight) => Some(weight),
+        _ => None,
+    };
+    let is_allowed =
+        |weight: Option<i64>| weight.is_some_and(|weight| (0..=POOL_WEIGHT_MAX).contains(&weight));
+    let is_any_above_zero =
+        shares.iter().any(|share| weight(share).is_some_and(|weight| weight > 0));
+    is_any_above_zero && shares.iter().map(weight).all(is_allowed)
+}
+
 fn is_plain_text(text: &str) -> bool {
     !text.is_empty() && text.len() <= TEXT_BYTES && !text.chars().any(char::is_control)
 }
@@ -218,6 +244,10 @@
     inherited("attempts", ValueKind::Integer(1, 10), "3"),
     inherited("deadline", ValueKind::Duration(MILLISECOND, DAY), "60 s"),
     inherited("resume", ValueKind::Boolean, "true"),
+    inherited("timeout", ValueKind::Duration(MILLISECOND, DAY), "24 h"),
+    inherited("public", ValueKind::Boolean, "false"),
+    inherited("stream", ValueKind::Boolean, "false"),
+    KeySpec { name: "pools", kind: ValueKind::PoolShares, default: None, inherited: true },
 ];
 
 const CUSTOMER_KEYS: &[KeySpec] = &[
@@ -226,11 +256,18 @@
     inherited("rate", ValueKind::Number(0.01, 1_000_000.0), "50.0"),
     inherited("burst", ValueKind::Integer(1, 1_000_000), "50"),
     inherited("concurrency", ValueKind::Integer(1, 1_000_000), "100"),
+    KeySpec {
+        name: "tier",
+        kind: ValueKind::Integer(1, TIER_COUNT as i64),
+        default: None,
+        inherited: true,
+    },
 ];
 
 const POOL_KEYS: &[KeySpec] = &[
     stated("model", ValueKind::Text),
     stated("service", ValueKind::PathPrefix),
+    stated("kind", ValueKind::Word(&["engine", "service"])),
     stated("address", ValueKind::Address),
     inherited("resumes", ValueKind::Boolean, "false"),
     inherited("silence", ValueKind::Duration(MILLISECOND, HOUR), "10 s"),
@@ -240,4 +277,5 @@
 ];
 
 /// The keys inside `match`.
-pub(crate) const MATCH_KEYS: [&str; 5] = ["customer", "model", "method", "path", "header"];
+pub(crate) const MATCH_KEYS: [&str; 7] =
+    ["customer", "model", "method", "host", "prefix", "path", "header"];
--- a/coltsfootgate_config/src/tree.rs
+++ b/coltsfootgate_config/src/tree.rs
@@ -81,6 +81,11 @@
         self.customers.by_key(key).cloned()
     }
 
+    /// Whoever calls a public class without a key, with the settings of the root.
+    pub fn anonymous_customer(&self) -> Arc<CustomerSettings> {
+        self.customers.anonymous().clone()
+    }
+
     /// The customer with this branch.
     pub fn customer(&self, id: &str) -> Option<Arc<CustomerSettings>> {
         self.customers.customer(id).cloned()
--- a/coltsfootgate_config/tests/faults.rs
+++ b/coltsfootgate_config/tests/faults.rs
@@ -48,7 +48,7 @@
     syntax: "tier = 3" => "tier 3",
         ["tree.toml:6: not valid TOML: key with no value, expected `=`"];
     unknown_key: "tier = 3" => "teir = 3",
-        ["tree.toml:6: classes: teir: unknown key; nearest is `tier`; allowed: match, tier, first_token, between_tokens, whole_answer, floor, queue_requests, queue_tokens, repeatable, retry_budget, attempts, deadline, resume"];
+        ["tree.toml:6: classes: teir: unknown key; nearest is `tier`; allowed: match, tier, first_token, between_tokens, whole_answer, floor, queue_requests, queue_tokens, repeatable, retry_budget, attempts, deadline, resume, timeout, public, stream, pools"];
     unknown_root: "[classes]" => "[clases.x]\n[classes]",
         ["tree.toml:5: clases: unknown key; nearest is `classes`; allowed: deployment, classes, customers, pools"];
     tier_out_of_bounds: "tier = 3" => "tier = 8",
@@ -68,9 +68,9 @@
     match_at_the_root: "tier = 3" => "match = { model = \"m\" }",
         ["tree.toml:6: classes: match: found `match` at the root; allowed: the root matches every request"];
     class_without_match: "match = { model = \"m\", customer = \"customers.one\" }" => "tier = 2",
-        ["tree.toml:8: classes.chat: match: stated neither here nor above; allowed: a table of customer, model, method, path and header"];
+        ["tree.toml:8: classes.chat: match: stated neither here nor above; allowed: a table of customer, model, method, host, prefix, path and header"];
     unknown_condition: "model = \"m\", cust" => "mode = \"m\", cust",
-        ["tree.toml:9: classes.chat: mode: unknown key; nearest is `model`; allowed: customer, model, method, path, header"];
+        ["tree.toml:9: classes.chat: mode: unknown key; nearest is `model`; allowed: customer, model, method, host, prefix, path, header"];
     unknown_model: "{ model = \"m\"" => "{ model = \"n\"",
         ["tree.toml:9: classes.chat: match: found model \"n\"; allowed: a model of a pool: m"];
     unknown_customer: "customers.one\" }" => "customers.two\" }",
@@ -92,7 +92,7 @@
     pool_in_pool: "zone = \"east\"" => "zone = \"east\"\n[pools.main.inner]\nmodel = \"n\"",
         ["tree.toml:20: pools.main.inner: found a pool inside a pool; allowed: pools side by side"];
     address_outside_a_pool: "[pools.main]" => "[pools.lone]\naddress = \"127.0.0.1:1\"\n[pools.main]",
-        ["tree.toml:14: pools.lone: found an `address` outside a pool; allowed: below a branch with `model` or `service`"];
+        ["tree.toml:14: pools.lone: found an `address` outside a pool; allowed: below a branch with `model`, `service` or `kind`"];
     slots_above_their_bound: "zone = \"east\"\n" => "zone = \"east\"\nslots = 9\nslots_max = 3\n",
         ["tree.toml:17: pools.main.e1: found slots = 9 above slots_max; allowed: 1 to slots_max, here 3"];
     service_of_the_callers_interface: "model = \"m\"\n" => "service = \"/v1/\"\n",
--- a/coltsfootgate_config/tests/samples.rs
+++ b/coltsfootgate_config/tests/samples.rs
@@ -22,6 +22,7 @@
             let kind: Option<&str> = $kind;
             let headers: Vec<_> = kind.map(|kind| ("x-kind", kind)).into_iter().collect();
             let class = tree.classify(&RequestFacts {
+                host: None,
                 customer: &customer,
                 method: $method,
                 path: $path,
--- a/coltsfootgate_core/src/membership/mod.rs
+++ b/coltsfootgate_core/src/membership/mod.rs
@@ -108,6 +108,8 @@
     pub sender: PeerRumor,
     /// The version of the tree that the sender has in force.
     pub config_version: ConfigVersion,
+    /// How long ago that version was proved to be the newest, if the sender knows.
+    pub config_age: Option<Duration>,
     /// What the sender passes on.
     pub rumors: Vec<PeerRumor>,
 }
--- a/coltsfootgate_core/src/membership/rumor.rs
+++ b/coltsfootgate_core/src/membership/rumor.rs
@@ -16,7 +16,7 @@
         now: Instant,
         actions: &mut Vec<PeerAction>,
     ) {
-        let PeerHeartbeat { sender, config_version, rumors } = heartbeat;
+        let PeerHeartbeat { sender, config_version, rumors, config_age: _ } = heartbeat;
         let id = sender.profile.id.clone();
         if id == self.own.profile.id {
             return;
--- a/coltsfootgate_core/src/membership/table.rs
+++ b/coltsfootgate_core/src/membership/table.rs
@@ -113,7 +113,13 @@
         let mut seen = BTreeSet::new();
         told.retain(|id| seen.insert(id.clone()));
         let rumors = told.iter().filter_map(|id| self.rumor_about(id)).collect();
-        PeerHeartbeat { sender: self.own.clone(), config_version: self.config_version, rumors }
+        PeerHeartbeat {
+            sender: self.own.clone(),
+            config_version: self.config_version,
+            // Known to whoever follows the settings, and filled in there.
+            config_age: None,
+            rumors,
+        }
     }
 
     fn rumor_about(&self, id: &InstanceId) -> Option<PeerRumor> {
--- a/coltsfootgate_core/src/prelude.rs
+++ b/coltsfootgate_core/src/prelude.rs
@@ -7,6 +7,6 @@
 pub use crate::outcome::RequestOutcome;
 pub use crate::reason::ErrorKind;
 pub use crate::settings::{
-    ClassSettings, CustomerSettings, DeploymentSettings, EndpointSettings, PoolSettings,
-    RouteTarget, RoutingStrategy,
+    ClassSettings, CustomerSettings, DeploymentSettings, EndpointSettings, PoolKind, PoolSettings,
+    PoolShare, RouteTarget, RoutingStrategy,
 };
--- a/coltsfootgate_core/src/reason.rs
+++ b/coltsfootgate_core/src/reason.rs
@@ -117,6 +117,8 @@
     ClaimUnavailable => "claim-unavailable", 503, "server_error", NotRun, true;
     /// The claim took too long to confirm, so the request was not sent.
     ClaimExpired => "claim-expired", 503, "server_error", NotRun, true;
+    /// Nobody confirmed lately that the settings here are the newest, so keys are not trusted.
+    SettingsStale => "settings-stale", 503, "server_error", NotRun, true;
     /// The instance has no tree of settings in force yet.
     NotReady => "not-ready", 503, "server_error", NotRun, true;
 }
--- a/coltsfootgate_core/src/settings.rs
+++ b/coltsfootgate_core/src/settings.rs
@@ -49,6 +49,23 @@
     pub deadline: Duration,
     /// Whether an interrupted stream is resumed at its offset where the pool can.
     pub resume: bool,
+    /// The longest time that a request is worked on, whatever deadline it states.
+    pub timeout: Duration,
+    /// Whether requests are served without a bearer key.
+    pub is_public: bool,
+    /// Whether answers are streams of events that are passed on as they come.
+    pub is_stream: bool,
+    /// The pools that serve the class; empty if the model or the path decides.
+    pub pools: Vec<PoolShare>,
+}
+
+/// The part of a class's requests that a pool serves.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PoolShare {
+    /// The pool.
+    pub pool: PoolId,
+    /// Its part, against the sum over the class's pools.
+    pub weight: u32,
 }
 
 /// What a customer is promised and allowed.
@@ -64,6 +81,8 @@
     pub burst: u32,
     /// Requests in flight over the whole deployment.
     pub concurrency: u32,
+    /// The tier of its requests, whatever their class says.
+    pub tier: Option<RequestTier>,
 }
 
 /// What a pool serves.
@@ -73,6 +92,17 @@
     Model(Arc<str>),
     /// A plain service, by the prefix of its paths.
     Service(Arc<str>),
+    /// Whatever the classes that name the pool send there.
+    Classes(PoolKind),
+}
+
+/// What the endpoints of a pool are, where classes lead to it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PoolKind {
+    /// Model engines, which run many requests together.
+    Engine,
+    /// Replicas of a plain service.
+    Service,
 }
 
 /// A pool of interchangeable endpoints.
@@ -90,11 +120,23 @@
     pub endpoints: Vec<EndpointSettings>,
 }
 
+impl PoolSettings {
+    /// Whether its endpoints are model engines.
+    pub fn is_engine(&self) -> bool {
+        match self.target {
+            RouteTarget::Model(_) | RouteTarget::Classes(PoolKind::Engine) => true,
+            RouteTarget::Service(_) | RouteTarget::Classes(PoolKind::Service) => false,
+        }
+    }
+}
+
 /// One endpoint of a pool.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EndpointSettings {
-    /// The branch that defines the endpoint.
+    /// The branch that defines the endpoint, or the incarnation of a replica that announced itself.
     pub id: EndpointId,
+    /// The name of the replica that is expected at the address, if replicas have names.
+    pub replica: Option<Arc<str>>,
     /// Its IP address and port.
     pub address: Arc<str>,
     /// Its availability zone.
--- a/coltsfootgate_core/tests/limit.rs
+++ b/coltsfootgate_core/tests/limit.rs
@@ -15,7 +15,7 @@
 
 fn customer(rate: f64, burst: u32, concurrency: u32) -> CustomerSettings {
     let id = CustomerId::from("customers.one");
-    CustomerSettings { id, weight: 1.0, rate, burst, concurrency }
+    CustomerSettings { id, weight: 1.0, rate, burst, concurrency, tier: None }
 }
 
 /// Entries that see requests of different tiers.
--- a/coltsfootgate_core/tests/support/mod.rs
+++ b/coltsfootgate_core/tests/support/mod.rs
@@ -27,6 +27,7 @@
 /// Endpoint settings by number.
 pub fn endpoint(number: u32, slots: u32) -> EndpointSettings {
     EndpointSettings {
+        replica: None,
         id: format!("endpoints.e{number}").into(),
         address: format!("127.0.0.1:{}", 8000 + number).into(),
         zone: "zone-a".into(),
--- a/coltsfootgate_standins/src/http_server.rs
+++ b/coltsfootgate_standins/src/http_server.rs
@@ -169,7 +169,12 @@
 
 /// A response with a JSON body.
 pub fn json_response(status: StatusCode, value: &Value) -> Response<StandinBody> {
-    let mut response = Response::new(StandinBody::from(Bytes::from(value.to_string())));
+    json_bytes(status, value.to_string().into())
+}
+
+/// An answer whose body is JSON already.
+pub fn json_bytes(status: StatusCode, body: Bytes) -> Response<StandinBody> {
+    let mut response = Response::new(StandinBody::from(body));
     *response.status_mut() = status;
     let content_type = http::HeaderValue::from_static("application/json");
     response.headers_mut().insert(http::header::CONTENT_TYPE, content_type);
--- a/coltsfootgate_standins/src/service.rs
+++ b/coltsfootgate_standins/src/service.rs
@@ -17,7 +17,7 @@
 
 use crate::body::{ConnectionCut, StandinBody};
 use crate::engine::not_started;
-use crate::http_server::{ControlTarget, StandinService, json_response, whole_body};
+use crate::http_server::{ControlTarget, StandinService, json_bytes, whole_body};
 use crate::runner::{self, StandinHandle};
 use crate::signal::ServerGate;
 
@@ -122,14 +122,14 @@
             "key": key,
             "execution": execution,
             "body": String::from_utf8_lossy(&body),
-            "padding": "x".repeat(self.padding.get()),
         });
+        let answer = self.padded(&answer);
         let mut response = match fault {
             ServiceFault::CutAfter => return Err(ConnectionCut),
             ServiceFault::HangAfter => future::pending().await,
-            ServiceFault::FailAfter => json_response(StatusCode::INTERNAL_SERVER_ERROR, &answer),
+            ServiceFault::FailAfter => json_bytes(StatusCode::INTERNAL_SERVER_ERROR, answer),
             ServiceFault::CutAmidAnswer => half_answer(&answer),
-            _ => json_response(StatusCode::OK, &answer),
+            _ => json_bytes(StatusCode::OK, answer),
         };
         let id = id.filter(|_| !self.wrong_id.get()).unwrap_or_else(|| "another".to_owned());
         if let Ok(id) = HeaderValue::from_str(&id) {
@@ -139,6 +139,15 @@
     }
 }
 
+impl PlainService {
+    /// The answer with as many blanks after it as ordered; coding them as JSON would take long.
+    fn padded(&self, answer: &Value) -> Bytes {
+        let mut bytes = answer.to_string().into_bytes();
+        bytes.resize(bytes.len() + self.padding.get(), b' ');
+        bytes.into()
+    }
+}
+
 impl ControlTarget for PlainService {
     fn gate(&self) -> &ServerGate {
         &self.gate
@@ -194,10 +203,9 @@
     }
 }
 
-fn half_answer(answer: &Value) -> Response<StandinBody> {
-    let text = answer.to_string();
+fn half_answer(text: &Bytes) -> Response<StandinBody> {
     let (pieces, receiver) = mpsc::unbounded();
-    let half = Bytes::copy_from_slice(&text.as_bytes()[..text.len() / 2]);
+    let half = text.slice(..text.len() / 2);
     let _ = pieces.unbounded_send(Ok(half));
     let _ = pieces.unbounded_send(Err(ConnectionCut));
     Response::new(StandinBody::Pieces(receiver))
--- a/coltsfootgate_wire/src/member.rs
+++ b/coltsfootgate_wire/src/member.rs
@@ -1,6 +1,7 @@
 //! Wire types of heartbeats.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -35,6 +36,7 @@
 pub(crate) struct WireHeartbeat {
     sender: WireRumor,
     config_version: u64,
+    config_age_ms: Option<u64>,
     rumors: Vec<WireRumor>,
 }
 
@@ -89,6 +91,8 @@
         Self {
             sender: heartbeat.sender.into(),
             config_version: heartbeat.config_version,
+            // Rounded up, so that a proof never seems younger than it is.
+            config_age_ms: heartbeat.config_age.map(|age| age.as_micros().div_ceil(1000) as u64),
             rumors: heartbeat.rumors.into_iter().map(WireRumor::from).collect(),
         }
     }
@@ -105,6 +109,7 @@
         Ok(Self {
             sender: heartbeat.sender.try_into()?,
             config_version: heartbeat.config_version,
+            config_age: heartbeat.config_age_ms.map(Duration::from_millis),
             rumors: rumors.collect::<Result<_, _>>()?,
         })
     }
--- a/coltsfootgate_wire/tests/messages.rs
+++ b/coltsfootgate_wire/tests/messages.rs
@@ -31,7 +31,8 @@
 
 fn heartbeat() -> PeerHeartbeat {
     let rumors = vec![rumor(PeerState::Suspect), rumor(PeerState::Leaving)];
-    PeerHeartbeat { sender: rumor(PeerState::Alive), config_version: 9, rumors }
+    let config_age = Some(Duration::from_millis(1_200));
+    PeerHeartbeat { sender: rumor(PeerState::Alive), config_version: 9, config_age, rumors }
 }
 
 fn pressure() -> OwnerPressure {
--- a/coltsfootgate_wire/tests/proof.rs
+++ b/coltsfootgate_wire/tests/proof.rs
@@ -1,7 +1,8 @@
 //! The proof of the shared secret holds only for the same secret and the same frames.
 
 use coltsfootgate_wire::{
-    CHALLENGE_BYTES, ChallengeFrame, HELLO_BYTES, HelloFrame, ProofError, ProofTranscript,
+    CHALLENGE_BYTES, ChallengeFrame, HELLO_BYTES, HelloFrame, PROTOCOL_VERSION, ProofError,
+    ProofTranscript,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -55,7 +56,7 @@
 
 #[rstest]
 #[case::magic(0, ProofError::WrongMagic)]
-#[case::version(9, ProofError::UnknownVersion(254))]
+#[case::version(9, ProofError::UnknownVersion(PROTOCOL_VERSION ^ 255))]
 fn another_protocol_is_refused(#[case] place: usize, #[case] error: ProofError) {
     let mut hello = transcript().hello.encode();
     hello[place] ^= 255;
