Give each life of an instance grants of its own, and blame no endpoint for a class's time

Grants now begin at a random number.

A call that is cut off at the time of its class counted as a silent endpoint, which was ejected; with three replicas the others' calls then waited in vain. It is told apart now.

Ruled out for the second: lost requests on kept connections (no attempt was made at all).

--- a/coltsfootgate/src/endpoint/mod.rs
+++ b/coltsfootgate/src/endpoint/mod.rs
@@ -61,6 +61,9 @@
     ConnectionLost,
     /// The endpoint was silent for longer than its bound after the request was sent.
     Silent,
+    /// The time of the request was up before its answer was whole, which says nothing against the
+    /// endpoint.
+    TimeUp,
     /// The answer carries the id of another request.
     Mismatched,
 }
--- a/coltsfootgate/src/pipeline/context.rs
+++ b/coltsfootgate/src/pipeline/context.rs
@@ -43,9 +43,18 @@
 }
 
 /// Counts the grants that this process asked for.
-#[derive(Debug, Default)]
+///
+/// It begins at a random number: owners remember the grants of an earlier life at this address, and
+/// take an ask that bears the id of one of them for a late copy.
+#[derive(Debug)]
 pub struct GrantCounter(Cell<GrantId>);
 
+impl Default for GrantCounter {
+    fn default() -> Self {
+        Self(Cell::new(rand::random::<GrantId>() >> 1))
+    }
+}
+
 impl GrantCounter {
     /// An id for a new grant, never used before by this process.
     pub fn next(&self) -> GrantId {
--- a/coltsfootgate/src/pipeline/dispatch.rs
+++ b/coltsfootgate/src/pipeline/dispatch.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use http::{HeaderMap, header};
+use monoio::time::timeout;
 
 use super::admit::GrantLease;
 use super::classify::{AnswerForm, ClassifiedRequest};
@@ -48,7 +49,9 @@
         body: request.accepted.body.clone(),
         head_timeout: head_timeout(request),
     };
-    let answer = context.endpoints.send(endpoint_request).await?;
+    let rest = request.cut_off.saturating_duration_since(Instant::now());
+    let sending = context.endpoints.send(endpoint_request);
+    let answer = timeout(rest, sending).await.unwrap_or(Err(EndpointFailure::TimeUp))?;
     D::check_head(answer.status, &answer.headers, attempt)?;
     Ok(answer)
 }
@@ -62,11 +65,8 @@
 
 fn head_timeout(request: &ClassifiedRequest) -> Duration {
     let silence = request.pool.silence;
-    let rest = request.cut_off.saturating_duration_since(Instant::now());
     match request.form {
-        AnswerForm::ModelStream | AnswerForm::Service | AnswerForm::EventStream => {
-            silence.min(rest)
-        }
+        AnswerForm::ModelStream | AnswerForm::Service | AnswerForm::EventStream => silence,
         // The head of an unstreamed answer comes only with its last token.
         AnswerForm::ModelWhole => {
             silence.max(request.deadline.saturating_duration_since(Instant::now()))
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -165,7 +165,7 @@
             let relaying = task.relay::<D::Callers>(answer, caller, journal);
             let rest = request.cut_off.saturating_duration_since(Instant::now());
             let relayed = monoio::time::timeout(rest, relaying).await;
-            relayed.unwrap_or(RelayEnd::Failed(EndpointFailure::Silent))
+            relayed.unwrap_or(RelayEnd::Failed(EndpointFailure::TimeUp))
         }
         Err(end) => end,
     };
@@ -178,7 +178,9 @@
 fn release_result(end: &RelayEnd) -> ReleaseResult {
     match end {
         RelayEnd::Served(_) => ReleaseResult::Completed,
-        RelayEnd::CallerGone => ReleaseResult::Cancelled,
+        RelayEnd::CallerGone | RelayEnd::Failed(EndpointFailure::TimeUp) => {
+            ReleaseResult::Cancelled
+        }
         RelayEnd::Failed(EndpointFailure::NeverSent) => ReleaseResult::ConnectFailed,
         RelayEnd::Failed(EndpointFailure::RefusedBeforeStart) => ReleaseResult::Refused,
         RelayEnd::Failed(EndpointFailure::Silent) => ReleaseResult::Silent,
@@ -203,7 +205,7 @@
         }
         EndpointFailure::FailedAnswer(_) => (started, FailureCause::ErrorAnswer),
         EndpointFailure::ConnectionLost => (started, FailureCause::ConnectionLost),
-        EndpointFailure::Silent => (started, FailureCause::Stalled),
+        EndpointFailure::Silent | EndpointFailure::TimeUp => (started, FailureCause::Stalled),
         EndpointFailure::Mismatched => (started, FailureCause::WrongId),
     };
     AttemptFailure { stage, cause }
--- a/coltsfootgate/tests/endpoints.rs
+++ b/coltsfootgate/tests/endpoints.rs
@@ -26,12 +26,17 @@
 }
 
 fn start(engines: usize, more: &str) -> EndpointSetup {
+    start_with(engines, |tree| tree + more)
+}
+
+fn start_with(engines: usize, change: impl Fn(String) -> String) -> EndpointSetup {
     let platform = start_platform(ANY_PORT).unwrap();
     let engines: Vec<StandinHandle> =
         (0..engines).map(|_| start_engine(ANY_PORT, EngineSettings::default()).unwrap()).collect();
     let service = start_plain_service(ANY_PORT, Duration::from_millis(1)).unwrap();
     let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
-    put_tree(platform.address, 1, &sample_tree(&addresses, &[service.address], more));
+    let tree = sample_tree(&addresses, &[service.address], "");
+    put_tree(platform.address, 1, &change(tree));
     let daemon = TestDaemon::start(platform.address, "a", &[]);
     daemon.wait_ready();
     EndpointSetup { _platform: platform, engines, service, daemon }
@@ -197,6 +202,23 @@
     assert_eq!(record["attempts"], 1);
 }
 
+/// The time of a class ends a call; its endpoint is not to blame and goes on serving.
+#[test]
+fn a_call_ends_with_the_time_of_its_class_and_its_endpoint_stays_in_service() {
+    let more = "\n[classes.brief]\nmatch = { path = [\"/orders/brief\"] }\ntimeout = \"200 ms\"\n";
+    let setup = start_with(1, |tree| {
+        let at = tree.find("[classes.once]").unwrap();
+        format!("{}{more}{}", &tree[..at], &tree[at..])
+    });
+    setup.service.control.order(&json!({"fault": "hang_after"})).unwrap();
+    let answer = setup.send(TestCall::new("POST", "/orders/brief", b"{}"));
+    assert_eq!(answer.status, 504, "{answer:?}");
+    assert_eq!(answer.header("coltsfootgate-outcome"), "unknown");
+    setup.service.control.order(&json!({"fault": "none"})).unwrap();
+    let answer = setup.send(TestCall::new("POST", "/orders/1", b"{}"));
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
+
 #[test]
 fn a_service_answer_with_another_id_is_dropped() {
     let setup = start(1, "");
--- a/coltsfootgate/tests/instances.rs
+++ b/coltsfootgate/tests/instances.rs
@@ -191,3 +191,10 @@
     setup.wait_endpoints(4);
     assert!(long_call(9).send(setup.daemons[0].ports.callers).is_done());
 }
+
+#[test]
+fn a_later_life_does_not_repeat_the_grants_of_an_earlier_one() {
+    let lives = [(); 8].map(|()| coltsfootgate::pipeline::GrantCounter::default().next());
+    let distinct: std::collections::BTreeSet<_> = lives.iter().collect();
+    assert_eq!(distinct.len(), lives.len(), "{lives:?}");
+}
