Place prompts by predicted reading time, at one owner for a pool of this size

An owner now keeps, for each engine, the prompts still to be read, the memory held, the running requests with what they allow between two tokens, and the parts that are probably kept; the rate of reading is learnt from first tokens, which entries report. A prompt goes where its own lateness, the delay of those beside it and the reading of shared parts cost least; a long one is held back rather than put beside running tight ones. A pool has as many owners as leave each 16 endpoints to choose among (owner_endpoints).

Ruled out: an owner for each one or two endpoints with more gossip about load (the views are half a second old, a first token is due in 300 ms).

Largest price left: shared parts that are read again.

--- a/coltsfootgate/src/dialect/mod.rs
+++ b/coltsfootgate/src/dialect/mod.rs
@@ -9,6 +9,7 @@
 use http::{HeaderMap, HeaderValue, StatusCode};
 
 use coltsfootgate_core::prelude::EndpointSettings;
+use coltsfootgate_core::prompt::PromptPart;
 
 pub use self::native::{NativeCallers, NativeDialect, NativeEndpoints};
 use crate::endpoint::EndpointFailure;
@@ -64,15 +65,6 @@
     pub answer_tokens: u32,
 }
 
-/// One part of a prompt.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct PromptPart {
-    /// Identifies the text of the part.
-    pub id: u64,
-    /// Its length, in tokens.
-    pub tokens: u32,
-}
-
 /// How callers state requests and are answered.
 pub trait CallerDialect: 'static {
     /// Reads what the head of a request states.
--- a/coltsfootgate/src/endpoints/mod.rs
+++ b/coltsfootgate/src/endpoints/mod.rs
@@ -40,6 +40,11 @@
         self.pools.values()
     }
 
+    /// Endpoints that one owner should have to choose among.
+    pub fn owner_endpoints(&self) -> u32 {
+        self.active.tree.deployment().owner_endpoints
+    }
+
     /// The pool with this branch.
     pub fn pool(&self, id: &str) -> Option<&Arc<PoolSettings>> {
         self.pools.get(id)
--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -147,6 +147,7 @@
         let link = OwnerLink::new(own.clone(), owner.clone(), self.peers.clone());
         let context = GateContext {
             own,
+            zone: self.settings.zone.clone(),
             tree,
             routes,
             link,
--- a/coltsfootgate/src/owner/desk.rs
+++ b/coltsfootgate/src/owner/desk.rs
@@ -56,6 +56,11 @@
                 }
                 true
             }
+            PeerRequest::FirstToken { pool, asker, grant } => {
+                let scope = OwnerScope::Owned;
+                self.owner.tell(OwnerMessage::FirstToken { pool, scope, asker, grant });
+                true
+            }
             PeerRequest::Cancel { pool, asker, grant } => {
                 let scope = OwnerScope::Owned;
                 self.owner.tell(OwnerMessage::Cancel { pool, scope, asker, grant });
--- a/coltsfootgate/src/owner/mod.rs
+++ b/coltsfootgate/src/owner/mod.rs
@@ -76,6 +76,17 @@
         /// What the entry saw.
         report: ReleaseReport,
     },
+    /// An entry saw the first token of the answer to a granted request.
+    FirstToken {
+        /// The pool.
+        pool: PoolId,
+        /// Which of its slots.
+        scope: OwnerScope,
+        /// The entry instance.
+        asker: InstanceId,
+        /// The grant.
+        grant: GrantId,
+    },
     /// An entry no longer wants a grant.
     Cancel {
         /// The pool.
--- a/coltsfootgate/src/owner/task.rs
+++ b/coltsfootgate/src/owner/task.rs
@@ -90,6 +90,10 @@
             OwnerMessage::Release { pool, scope, report } => {
                 self.handle_event(&(pool, scope), OwnerEvent::Release(report), now);
             }
+            OwnerMessage::FirstToken { pool, scope, asker, grant } => {
+                let event = OwnerEvent::FirstToken { asker, grant };
+                self.handle_event(&(pool, scope), event, now);
+            }
             OwnerMessage::Cancel { pool, scope, asker, grant } => {
                 self.pending.remove(&(asker.clone(), grant));
                 self.handle_event(&(pool, scope), OwnerEvent::Cancel { asker, grant }, now);
@@ -159,15 +163,15 @@
         let live: Vec<InstanceId> = self.owners.zones.keys().cloned().collect();
         for pool in pools.pools() {
             let between_tokens = between_tokens.filter(|_| pool.is_engine());
-            let owned = self.owned_endpoints(pool);
+            let owned = self.owned_endpoints(pool, pools.owner_endpoints());
             self.distribute_pool(pool, OwnerScope::Owned, owned, between_tokens, now);
             let share = fallback_share(&pool.endpoints, &self.own, &live);
             self.distribute_pool(pool, OwnerScope::Share, share, between_tokens, now);
         }
     }
 
-    fn owned_endpoints(&self, pool: &PoolSettings) -> Vec<EndpointSettings> {
-        let owners = self.owners.endpoint_owners(pool);
+    fn owned_endpoints(&self, pool: &PoolSettings, owner_endpoints: u32) -> Vec<EndpointSettings> {
+        let owners = self.owners.endpoint_owners(pool, owner_endpoints);
         let is_owned = |endpoint: &&EndpointSettings| owners.get(&endpoint.id) == Some(&self.own);
         pool.endpoints.iter().filter(is_owned).cloned().collect()
     }
@@ -180,7 +184,8 @@
         between_tokens: Option<Duration>,
         now: Instant,
     ) {
-        let settings = OwnerSettings { pool: pool.id.clone(), between_tokens };
+        let (id, memory) = (pool.id.clone(), pool.memory);
+        let settings = OwnerSettings { pool: id, between_tokens, memory };
         let key = (pool.id.clone(), scope);
         let owner = self.pools.entry(key.clone());
         owner.or_insert_with(|| PoolOwner::new(settings.clone())).set_settings(settings);
--- a/coltsfootgate/src/peer/dispatch.rs
+++ b/coltsfootgate/src/peer/dispatch.rs
@@ -86,6 +86,7 @@
     match request {
         PeerRequest::Heartbeat { heartbeat, .. } => heartbeat.sender.profile.id == *sender,
         PeerRequest::Ask { request, .. } => request.asker == *sender,
+        PeerRequest::FirstToken { asker, .. } => asker == sender,
         PeerRequest::Cancel { asker, .. } | PeerRequest::Announce { asker, .. } => asker == sender,
         PeerRequest::Release(reports) => reports.iter().all(|(_, report)| report.asker == *sender),
         PeerRequest::LimitAsk(ask) => ask.entry == *sender,
--- a/coltsfootgate/src/pipeline/admit.rs
+++ b/coltsfootgate/src/pipeline/admit.rs
@@ -5,6 +5,7 @@
 
 use coltsfootgate_core::owner::{GrantRequest, HeldGrant, ReleaseReport, ReleaseResult};
 use coltsfootgate_core::prelude::{EndpointId, EndpointSettings, ErrorKind};
+use coltsfootgate_core::prompt::PromptLoad;
 use futures_util::future::{Either, select};
 
 use super::classify::ClassifiedRequest;
@@ -48,18 +49,29 @@
     }
 }
 
-impl Drop for GrantLease {
-    fn drop(&mut self) {
-        self.routes.ended(&self.entry);
-        let place = match &self.entry.place {
+impl GrantLease {
+    /// Tells whoever counts the grant that the first token came.
+    pub fn first_token(&self) {
+        self.link.first_token(&self.place(), &self.entry.pool, self.report.grant);
+    }
+
+    /// Who counts the grant now.
+    fn place(&self) -> AskPlace {
+        match &self.entry.place {
             // Another instance may own the endpoint by now and was told of the grant.
             AskPlace::Owner(owner) => {
                 let present = self.routes.owner_of(&self.endpoint.id);
                 AskPlace::Owner(present.unwrap_or_else(|| owner.clone()))
             }
             place => place.clone(),
-        };
-        self.link.release(&place, &self.entry.pool, self.report.clone());
+        }
+    }
+}
+
+impl Drop for GrantLease {
+    fn drop(&mut self) {
+        self.routes.ended(&self.entry);
+        self.link.release(&self.place(), &self.entry.pool, self.report.clone());
     }
 }
 
@@ -128,6 +140,9 @@
         queue_requests: request.class.queue_requests,
         queue_tokens: request.class.queue_tokens,
         tokens: if is_model { FIRST_ESTIMATE_TOKENS } else { 1 },
+        prompt: prompt_load(request),
+        zone: context.zone.clone(),
+        arrived: request.accepted.arrived,
         deadline: request.deadline,
         prefix: request.prefix,
         excluded: excluded.to_vec(),
@@ -135,6 +150,21 @@
     }
 }
 
+/// What a request asks of an engine; nothing where the pool has none.
+fn prompt_load(request: &ClassifiedRequest) -> PromptLoad {
+    if !request.pool.is_engine() {
+        return PromptLoad::default();
+    }
+    let facts = &request.accepted.stated.prompt;
+    PromptLoad {
+        parts: facts.parts.clone(),
+        tokens: facts.prompt_tokens,
+        answer_tokens: facts.answer_tokens,
+        first_token: request.class.first_token,
+        between_tokens: request.class.between_tokens,
+    }
+}
+
 fn lease(
     context: &GateContext,
     request: &ClassifiedRequest,
--- a/coltsfootgate/src/pipeline/context.rs
+++ b/coltsfootgate/src/pipeline/context.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::time::Duration;
 
-use coltsfootgate_core::prelude::{GrantId, InstanceId};
+use coltsfootgate_core::prelude::{GrantId, InstanceId, ZoneName};
 
 use super::budget::BudgetTable;
 use crate::claims::ClaimsHandle;
@@ -18,6 +18,8 @@
 pub struct GateContext {
     /// The name of this instance.
     pub own: InstanceId,
+    /// The availability zone of this instance.
+    pub zone: ZoneName,
     /// The tree in force.
     pub tree: TreeHandle,
     /// What is known of the owners of endpoints.
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -153,8 +153,13 @@
     let attempt = D::Endpoints::attempt_id(request, journal.record.attempts);
     let sent = Instant::now();
     let offset = permit.resume_offset;
-    let mut task =
-        RelayTask { request, attempt: &attempt, sent, figures: AttemptFigures::default() };
+    let mut task = RelayTask {
+        request,
+        lease: &lease,
+        attempt: &attempt,
+        sent,
+        figures: AttemptFigures::default(),
+    };
     let sending = dispatch_request::<D::Endpoints>(context, request, &lease, &attempt, offset);
     let answer = match select(pin!(sending), pin!(caller.gone())).await {
         Either::Left((answer, _)) => answer.map_err(RelayEnd::Failed),
@@ -169,9 +174,10 @@
         }
         Err(end) => end,
     };
-    let between = task.figures.between_tokens;
+    let figures = task.figures;
+    let between = figures.between_tokens;
     journal.record.between_tokens_ms = between.map(|between| between.as_secs_f64() * 1000.0);
-    lease.release(release_result(&end), task.figures);
+    lease.release(release_result(&end), figures);
     end
 }
 
--- a/coltsfootgate/src/pipeline/relay.rs
+++ b/coltsfootgate/src/pipeline/relay.rs
@@ -6,7 +6,7 @@
 use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 
-use super::admit::AttemptFigures;
+use super::admit::{AttemptFigures, GrantLease};
 use super::classify::{AnswerForm, ClassifiedRequest};
 use super::dispatch::answer_headers;
 use super::journal::RequestJournal;
@@ -34,6 +34,8 @@
 pub struct RelayTask<'a> {
     /// The request.
     pub request: &'a ClassifiedRequest,
+    /// The grant by which it was sent.
+    pub lease: &'a GrantLease,
     /// The id that the answer echoes.
     pub attempt: &'a str,
     /// When the request was sent.
@@ -150,6 +152,9 @@
                     if !caller.has_started() {
                         caller.start_stream(status, headers.clone());
                     }
+                    if self.figures.tokens == 0 {
+                        self.lease.first_token();
+                    }
                     self.note_token(Instant::now(), journal);
                     if caller.send(piece).await.is_err() {
                         return RelayEnd::CallerGone;
--- a/coltsfootgate/src/routes/link.rs
+++ b/coltsfootgate/src/routes/link.rs
@@ -99,6 +99,16 @@
         }
     }
 
+    /// Tells whoever counts a grant that the first token came; made once, since it only informs.
+    pub fn first_token(&self, place: &AskPlace, pool: &PoolId, grant: GrantId) {
+        let (pool, asker) = (pool.clone(), self.own.clone());
+        if let Some(scope) = self.local_scope(place) {
+            self.local.tell(OwnerMessage::FirstToken { pool, scope, asker, grant });
+        } else if let AskPlace::Owner(owner) = place {
+            self.state_to(owner, PeerRequest::FirstToken { pool, asker, grant });
+        }
+    }
+
     /// Gives a grant back to whoever counts it now.
     pub fn release(&self, place: &AskPlace, pool: &PoolId, report: ReleaseReport) {
         if let Some(scope) = self.local_scope(place) {
@@ -133,7 +143,7 @@
     /// instances live. An announcement is made once, since it is out of date soon.
     fn state_to(&self, owner: &InstanceId, statement: PeerRequest) {
         let attempts = match statement {
-            PeerRequest::Announce { .. } => 1,
+            PeerRequest::Announce { .. } | PeerRequest::FirstToken { .. } => 1,
             _ => STATEMENT_ATTEMPTS,
         };
         let (peers, owner) = (self.peers.clone(), owner.clone());
--- a/coltsfootgate/src/routes/mod.rs
+++ b/coltsfootgate/src/routes/mod.rs
@@ -42,8 +42,16 @@
     }
 
     /// The owner of each endpoint of a pool.
-    pub fn endpoint_owners(&self, pool: &PoolSettings) -> BTreeMap<EndpointId, InstanceId> {
-        self.table.balanced(pool.endpoints.iter().map(|endpoint| &endpoint.id))
+    ///
+    /// A pool has as many owners as leave each of them `owner_endpoints` to choose among.
+    pub fn endpoint_owners(
+        &self,
+        pool: &PoolSettings,
+        owner_endpoints: u32,
+    ) -> BTreeMap<EndpointId, InstanceId> {
+        let owners = (pool.endpoints.len() / owner_endpoints.max(1) as usize).max(1);
+        let table = self.table.first_of(&pool.id, owners);
+        table.balanced(pool.endpoints.iter().map(|endpoint| &endpoint.id))
     }
 
     /// Where the owners of some endpoints run.
@@ -191,7 +199,7 @@
         let Some(pools) = &self.pools else { return };
         self.endpoint_owners.clear();
         for pool in pools.pools() {
-            let mut owners = self.owners.endpoint_owners(pool);
+            let mut owners = self.owners.endpoint_owners(pool, pools.owner_endpoints());
             let places = self.owners.places(&owners);
             self.endpoint_owners.append(&mut owners);
             let staying =
--- a/coltsfootgate_config/src/pools.rs
+++ b/coltsfootgate_config/src/pools.rs
@@ -114,8 +114,8 @@
         self.collect_endpoints(position, &mut endpoints);
         endpoints.sort_by(|left, right| left.id.cmp(&right.id));
         let (resumes, silence) = (reader.boolean("resumes"), reader.duration("silence"));
-        let id = reader.path();
-        let pool = Arc::new(PoolSettings { id, target, resumes, silence, endpoints });
+        let (id, memory) = (reader.path(), reader.memory());
+        let pool = Arc::new(PoolSettings { id, target, resumes, silence, memory, endpoints });
         self.insert(node, pool);
     }
 
--- a/coltsfootgate_config/src/resolve.rs
+++ b/coltsfootgate_config/src/resolve.rs
@@ -76,6 +76,7 @@
             claim_window: self.duration("claim_window"),
             claim_pages: self.integer("claim_pages"),
             kept_answer_bytes: self.integer("kept_answer_bytes"),
+            owner_endpoints: self.integer("owner_endpoints"),
         }
     }
 
@@ -127,6 +128,14 @@
         }
     }
 
+    /// Memory of each engine of a pool, in tokens; there is no default.
+    pub(crate) fn memory(&self) -> Option<u64> {
+        match self.value("memory_tokens")? {
+            SettingValue::Integer(tokens) => u64::try_from(*tokens).ok(),
+            _ => None,
+        }
+    }
+
     fn pool_shares(&self) -> Vec<PoolShare> {
         let Some(SettingValue::Table(shares)) = self.value("pools") else { return Vec::new() };
         let share = |setting: &Setting| match setting.value {
--- a/coltsfootgate_config/src/schema.rs
+++ b/coltsfootgate_config/src/schema.rs
@@ -228,6 +228,7 @@
     inherited("claim_window", ValueKind::Duration(MINUTE, Duration::from_secs(30 * 86400)), "24 h"),
     inherited("claim_pages", ValueKind::Integer(1, 4096), "64"),
     inherited("kept_answer_bytes", ValueKind::Integer(0, 65536), "4096"),
+    inherited("owner_endpoints", ValueKind::Integer(1, 65536), "1"),
 ];
 
 const CLASS_KEYS: &[KeySpec] = &[
@@ -272,6 +273,12 @@
     inherited("resumes", ValueKind::Boolean, "false"),
     inherited("silence", ValueKind::Duration(MILLISECOND, HOUR), "10 s"),
     KeySpec { name: "zone", kind: ValueKind::Text, default: None, inherited: true },
+    KeySpec {
+        name: "memory_tokens",
+        kind: ValueKind::Integer(1, 1_000_000_000),
+        default: None,
+        inherited: true,
+    },
     inherited("slots", ValueKind::Integer(1, 65536), "8"),
     inherited("slots_max", ValueKind::Integer(1, 65536), "64"),
 ];
--- a/coltsfootgate_core/benches/decision.rs
+++ b/coltsfootgate_core/benches/decision.rs
@@ -11,6 +11,7 @@
     GrantRequest, OwnerAction, OwnerEvent, OwnerSettings, PoolOwner, ReleaseReport, ReleaseResult,
 };
 use coltsfootgate_core::prelude::*;
+use coltsfootgate_core::prompt::PromptLoad;
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 
 const ENDPOINTS: u32 = 2;
@@ -32,6 +33,7 @@
         let settings = OwnerSettings {
             pool: "pools.model".into(),
             between_tokens: Some(Duration::from_millis(34)),
+            memory: None,
         };
         let mut busy = Self {
             owner: PoolOwner::new(settings),
@@ -64,6 +66,9 @@
             queue_requests: u32::MAX,
             queue_tokens: u64::MAX,
             tokens: 200,
+            prompt: PromptLoad::default(),
+            zone: "zone-a".into(),
+            arrived: self.start,
             deadline: self.start + Duration::from_secs(86_400),
             prefix: Some(grant % 5_000),
             excluded: Vec::new(),
--- a/coltsfootgate_core/src/lib.rs
+++ b/coltsfootgate_core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod outcome;
 pub mod owner;
 pub mod prelude;
+pub mod prompt;
 pub mod reason;
 pub mod rendezvous;
 pub mod retry;
--- a/coltsfootgate_core/src/owner/endpoint.rs
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -4,8 +4,10 @@
 use std::time::{Duration, Instant};
 
 use super::concurrency::AdaptiveSlots;
+use super::engine::{EngineLoad, GrantKey};
 use super::event::{GrantRequest, ReleaseReport, ReleaseResult};
 use super::ledger::GrantLedger;
+use super::placement::{EngineView, placement_cost};
 use super::straggler::{EndpointHealth, EndpointState};
 use crate::ids::EndpointId;
 use crate::settings::EndpointSettings;
@@ -13,12 +15,16 @@
 /// Extra load, as a share of its slots, that a warm cache is worth to an endpoint.
 const AFFINITY_WORTH: f64 = 0.25;
 
+/// Load, as a share of its slots, that an endpoint in the asker's availability zone may have more.
+const ZONE_WORTH: f64 = 0.05;
+
 /// One endpoint and what its owner knows of it.
 #[derive(Clone, Debug)]
 pub struct OwnedEndpoint {
     settings: EndpointSettings,
     slots: AdaptiveSlots,
     health: EndpointHealth,
+    load: EngineLoad,
     in_flight: u32,
     is_leaving: bool,
     is_owned: bool,
@@ -32,6 +38,7 @@
             settings,
             slots,
             health: EndpointHealth::default(),
+            load: EngineLoad::new(None),
             in_flight: 0,
             is_leaving: false,
             is_owned: true,
@@ -82,6 +89,7 @@
 pub struct EndpointTable {
     endpoints: BTreeMap<EndpointId, OwnedEndpoint>,
     pool_speeds: Vec<Duration>,
+    memory: Option<u64>,
     grants: u64,
 }
 
@@ -90,6 +98,7 @@
     ///
     /// Grants in flight are counted anew, since some may have been announced before.
     pub fn set_owned(&mut self, owned: Vec<EndpointSettings>, ledger: &GrantLedger) {
+        let memory = self.memory;
         for endpoint in self.endpoints.values_mut() {
             endpoint.is_owned = false;
         }
@@ -98,6 +107,7 @@
                 .endpoints
                 .entry(settings.id.clone())
                 .or_insert_with(|| OwnedEndpoint::new(settings.clone()));
+            endpoint.load.set_memory(memory);
             endpoint.slots.set_bounds(settings.slots, settings.slots_max);
             endpoint.settings = settings;
             endpoint.is_owned = true;
@@ -140,12 +150,54 @@
         self.endpoints.values().any(|endpoint| endpoint.free(now) > 0)
     }
 
-    /// The endpoint for a request: the least loaded, or the hinted one if nearly so.
+    /// Takes over the memory of the engines, in tokens.
+    pub fn set_memory(&mut self, memory: Option<u64>) {
+        self.memory = memory;
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.load.set_memory(memory);
+        }
+    }
+
+    /// The endpoint for a request; `None` if it has to wait.
     pub fn choose(
         &self,
         request: &GrantRequest,
         hint: Option<&EndpointId>,
         now: Instant,
+    ) -> Option<EndpointId> {
+        if request.prompt.is_known() {
+            self.choose_engine(request, now)
+        } else {
+            self.choose_least_loaded(request, hint, now)
+        }
+    }
+
+    /// The engine at which a prompt costs least.
+    fn choose_engine(&self, request: &GrantRequest, now: Instant) -> Option<EndpointId> {
+        let last = self.endpoints.len().saturating_sub(1).max(1) as f64;
+        let candidates =
+            self.endpoints.iter().enumerate().filter(|(_, (id, endpoint))| {
+                endpoint.free(now) > 0 && !request.excluded.contains(id)
+            });
+        let costs = candidates.filter_map(|(position, (id, endpoint))| {
+            let engine = EngineView {
+                load: &endpoint.load,
+                order: position as f64 / last,
+                taken: endpoint.load(now),
+                is_near: endpoint.settings.zone == request.zone,
+            };
+            Some((placement_cost(request, engine, now)?, id))
+        });
+        let chosen = costs.min_by(|one, other| one.0.total_cmp(&other.0));
+        chosen.map(|(_, id)| id.clone())
+    }
+
+    /// The least loaded endpoint, or the hinted one if nearly so; one in the same zone goes first.
+    fn choose_least_loaded(
+        &self,
+        request: &GrantRequest,
+        hint: Option<&EndpointId>,
+        now: Instant,
     ) -> Option<EndpointId> {
         let candidates = self
             .endpoints
@@ -153,7 +205,9 @@
             .filter(|(id, endpoint)| endpoint.free(now) > 0 && !request.excluded.contains(id));
         let cost = |(id, endpoint): &(&EndpointId, &OwnedEndpoint)| {
             let worth = if hint == Some(id) { AFFINITY_WORTH } else { 0.0 };
-            (endpoint.load(now) - worth, endpoint.last_grant)
+            let is_far = endpoint.settings.zone != request.zone;
+            let distance = if is_far { ZONE_WORTH } else { 0.0 };
+            (endpoint.load(now) - worth + distance, endpoint.last_grant)
         };
         let order = |one: &(f64, u64), other: &(f64, u64)| {
             one.0.total_cmp(&other.0).then(one.1.cmp(&other.1))
@@ -163,9 +217,13 @@
     }
 
     /// Counts a grant.
-    pub fn granted(&mut self, endpoint: &EndpointId, now: Instant) {
+    pub fn granted(&mut self, request: &GrantRequest, endpoint: &EndpointId, now: Instant) {
         self.grants += 1;
         let Some(endpoint) = self.endpoints.get_mut(endpoint) else { return };
+        if request.prompt.is_known() {
+            let key = (request.asker.clone(), request.grant);
+            endpoint.load.granted(key, &request.prompt, now);
+        }
         endpoint.last_grant = self.grants;
         endpoint.in_flight += 1;
         endpoint.health.granted(now);
@@ -181,6 +239,20 @@
         }
     }
 
+    /// Learns that the first token of a granted request came.
+    pub fn first_token(&mut self, endpoint: &EndpointId, grant: &GrantKey, now: Instant) {
+        if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
+            endpoint.load.first_token(grant, now);
+        }
+    }
+
+    /// Forgets the prompts of grants that the ledger does not hold any more.
+    pub fn retain_prompts(&mut self, ledger: &GrantLedger, now: Instant) {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.load.retain(|grant| ledger.holds(grant), now);
+        }
+    }
+
     /// Counts the end of a grant.
     pub fn ended(&mut self, endpoint: &EndpointId) {
         if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
--- a/coltsfootgate_core/src/owner/event.rs
+++ b/coltsfootgate_core/src/owner/event.rs
@@ -3,7 +3,10 @@
 use std::time::{Duration, Instant};
 
 use crate::ids::TIER_COUNT;
-use crate::ids::{ClassId, CustomerId, EndpointId, GrantId, InstanceId, RequestId, RequestTier};
+use crate::ids::{
+    ClassId, CustomerId, EndpointId, GrantId, InstanceId, RequestId, RequestTier, ZoneName,
+};
+use crate::prompt::PromptLoad;
 use crate::reason::ErrorKind;
 use crate::settings::EndpointSettings;
 
@@ -32,6 +35,12 @@
     pub queue_tokens: u64,
     /// Estimated tokens of the answer.
     pub tokens: u32,
+    /// What it asks of an engine.
+    pub prompt: PromptLoad,
+    /// The availability zone of the entry instance.
+    pub zone: ZoneName,
+    /// When it arrived at the entry instance.
+    pub arrived: Instant,
     /// When the caller gives up.
     pub deadline: Instant,
     /// Digest of the start of the prompt, for a hint at a warm cache.
@@ -98,6 +107,13 @@
 pub enum OwnerEvent {
     /// An entry asks for a grant.
     Ask(GrantRequest),
+    /// An entry saw the first token of the answer to a granted request.
+    FirstToken {
+        /// The entry instance that asked.
+        asker: InstanceId,
+        /// The grant.
+        grant: GrantId,
+    },
     /// An entry gives a grant back.
     Release(ReleaseReport),
     /// An entry no longer wants a grant, whether it was given already or not.
--- a/coltsfootgate_core/src/owner/ledger.rs
+++ b/coltsfootgate_core/src/owner/ledger.rs
@@ -61,6 +61,11 @@
         self.grants.get(&(asker.clone(), grant))
     }
 
+    /// Whether a grant is in flight.
+    pub fn holds(&self, key: &(InstanceId, GrantId)) -> bool {
+        self.grants.contains_key(key)
+    }
+
     /// Whether a grant or an ask with this id has ended lately.
     pub fn has_ended(&self, asker: &InstanceId, grant: GrantId) -> bool {
         self.ended.contains(&(asker.clone(), grant))
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -3,9 +3,11 @@
 mod affinity;
 mod concurrency;
 mod endpoint;
+mod engine;
 mod event;
 mod fair;
 mod ledger;
+mod placement;
 mod queue;
 mod straggler;
 
@@ -14,11 +16,13 @@
 pub use affinity::PrefixAffinity;
 pub use concurrency::AdaptiveSlots;
 pub use endpoint::{EndpointSnapshot, EndpointTable};
+pub use engine::{EngineLoad, GrantKey};
 pub use event::{
     GrantRequest, HeldGrant, OwnerAction, OwnerEvent, OwnerPressure, ReleaseReport, ReleaseResult,
 };
 pub use fair::{ArrivalNumber, FairQueue};
 pub use ledger::{GrantLedger, GrantRecord, LedgerChange};
+pub use placement::{EngineView, placement_cost};
 pub use queue::{AdmissionQueue, QueueAdmission, QueuedRequest};
 pub use straggler::{EndpointHealth, EndpointState};
 
@@ -33,6 +37,9 @@
 /// Share of a class's answers that are shorter than what a request is expected to need at least.
 const SHORT_QUANTILE: f64 = 0.25;
 
+/// Period at which requests that wait are looked at without news.
+const LOOK_PERIOD: Duration = Duration::from_millis(20);
+
 /// What an owner knows of its pool.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct OwnerSettings {
@@ -40,6 +47,8 @@
     pub pool: PoolId,
     /// Tightest target between two tokens over all classes; none for a plain service.
     pub between_tokens: Option<Duration>,
+    /// Memory of each of its engines, in tokens, if known.
+    pub memory: Option<u64>,
 }
 
 /// What status pages show of an owner.
@@ -58,6 +67,8 @@
 /// The queue, the ledger and the endpoints of one pool that one instance owns.
 #[derive(Clone, Debug)]
 pub struct PoolOwner {
+    /// When prompts were held back last, if any still are.
+    looked: Option<Instant>,
     settings: OwnerSettings,
     queue: AdmissionQueue,
     ledger: GrantLedger,
@@ -70,11 +81,14 @@
 impl PoolOwner {
     /// Makes an owner that has no endpoint yet.
     pub fn new(settings: OwnerSettings) -> Self {
+        let mut endpoints = EndpointTable::default();
+        endpoints.set_memory(settings.memory);
         Self {
+            looked: None,
             settings,
             queue: AdmissionQueue::new(),
             ledger: GrantLedger::default(),
-            endpoints: EndpointTable::default(),
+            endpoints,
             affinity: PrefixAffinity::default(),
             answers: AnswerEstimate::default(),
             service: ServiceEstimate::default(),
@@ -83,6 +97,7 @@
 
     /// Takes over changed settings.
     pub fn set_settings(&mut self, settings: OwnerSettings) {
+        self.endpoints.set_memory(settings.memory);
         self.settings = settings;
     }
 
@@ -92,9 +107,10 @@
         self.expire(now, &mut actions);
         match event {
             OwnerEvent::Ask(request) => self.ask(request, now, &mut actions),
+            OwnerEvent::FirstToken { asker, grant } => self.first_token(asker, grant, now),
             OwnerEvent::Release(report) => self.release(&report, now),
-            OwnerEvent::Cancel { asker, grant } => self.cancel(&asker, grant),
-            OwnerEvent::AskerLost { asker } => self.asker_lost(&asker),
+            OwnerEvent::Cancel { asker, grant } => self.cancel(&asker, grant, now),
+            OwnerEvent::AskerLost { asker } => self.asker_lost(&asker, now),
             OwnerEvent::Announce { asker, held } => self.announce(&asker, held, now),
             OwnerEvent::LoadReport { endpoint, waiting, .. } => {
                 self.endpoints.load_report(&endpoint, waiting);
@@ -125,7 +141,10 @@
 
     /// When `Tick` is wanted next.
     pub fn next_deadline(&self) -> Option<Instant> {
-        [self.queue.next_deadline(), self.endpoints.next_probe()].into_iter().flatten().min()
+        // Prompts that are held back may be sent once others were read.
+        let look = self.looked.map(|looked| looked + LOOK_PERIOD);
+        let (deadline, probe) = (self.queue.next_deadline(), self.endpoints.next_probe());
+        [look, deadline, probe].into_iter().flatten().min()
     }
 
     /// A view for status pages.
@@ -211,6 +230,7 @@
         let Some(record) = self.ledger.end(&report.asker, report.grant) else { return };
         self.endpoints.learn(report, self.settings.between_tokens, now);
         self.endpoints.ended(&record.endpoint);
+        self.endpoints.retain_prompts(&self.ledger, now);
         if let Some(estimated) = record.tokens {
             self.queue.settle(record.tier, record.by_floor, estimated, report.tokens);
         }
@@ -222,18 +242,25 @@
         }
     }
 
-    fn cancel(&mut self, asker: &InstanceId, grant: GrantId) {
+    fn first_token(&mut self, asker: InstanceId, grant: GrantId, now: Instant) {
+        let Some(record) = self.ledger.get(&asker, grant) else { return };
+        self.endpoints.first_token(&record.endpoint, &(asker, grant), now);
+    }
+
+    fn cancel(&mut self, asker: &InstanceId, grant: GrantId, now: Instant) {
         self.queue.remove(asker, grant);
         if let Some(record) = self.ledger.end(asker, grant) {
             self.endpoints.ended(&record.endpoint);
+            self.endpoints.retain_prompts(&self.ledger, now);
         }
     }
 
-    fn asker_lost(&mut self, asker: &InstanceId) {
+    fn asker_lost(&mut self, asker: &InstanceId, now: Instant) {
         self.queue.remove_asker(asker);
         for record in self.ledger.lapse(asker) {
             self.endpoints.ended(&record.endpoint);
         }
+        self.endpoints.retain_prompts(&self.ledger, now);
     }
 
     fn announce(&mut self, asker: &InstanceId, held: Vec<HeldGrant>, now: Instant) {
@@ -244,6 +271,7 @@
         for record in &change.removed {
             self.endpoints.ended(&record.endpoint);
         }
+        self.endpoints.retain_prompts(&self.ledger, now);
     }
 
     /// Refuses what has waited until its deadline.
@@ -255,6 +283,7 @@
 
     /// Gives free slots to what waits, or refuses all of it when no endpoint is left.
     fn settle(&mut self, now: Instant, actions: &mut Vec<OwnerAction>) {
+        self.looked = None;
         if !self.queue.is_empty() {
             if self.endpoints.is_any_in_service() {
                 self.dispatch(now, actions);
@@ -288,6 +317,8 @@
                 None => actions.push(self.refuse(&queued.request, ErrorKind::NoEndpoint, now)),
             }
         }
+        let is_prompt_held = passed_over.iter().any(|queued| queued.request.prompt.is_known());
+        self.looked = is_prompt_held.then_some(now);
         for queued in passed_over {
             self.queue.restore(queued);
         }
@@ -321,7 +352,7 @@
             tokens: Some(request.tokens),
         };
         self.ledger.insert(&request.asker, request.grant, record);
-        self.endpoints.granted(&endpoint, now);
+        self.endpoints.granted(request, &endpoint, now);
         self.affinity.note(request.prefix, endpoint.clone());
         OwnerAction::Grant {
             asker: request.asker.clone(),
--- a/coltsfootgate_core/src/rendezvous.rs
+++ b/coltsfootgate_core/src/rendezvous.rs
@@ -90,6 +90,11 @@
         owners
     }
 
+    /// The first instances in the ranking of a name.
+    pub fn first_of(&self, name: &str, count: usize) -> Self {
+        Self::new(self.ranked(name).into_iter().take(count).cloned())
+    }
+
     /// How many instances the table holds.
     pub fn len(&self) -> usize {
         self.instances.len()
--- a/coltsfootgate_core/src/settings.rs
+++ b/coltsfootgate_core/src/settings.rs
@@ -116,6 +116,8 @@
     pub resumes: bool,
     /// Longest silence between two tokens, or before an answer of a service.
     pub silence: Duration,
+    /// Memory of each engine, in tokens, if known.
+    pub memory: Option<u64>,
     /// Its endpoints, sorted by id.
     pub endpoints: Vec<EndpointSettings>,
 }
@@ -160,4 +162,6 @@
     pub claim_pages: u32,
     /// Answers of up to this many bytes are kept for repeats.
     pub kept_answer_bytes: u32,
+    /// Endpoints of a pool that one owner should have to choose among, as far as there are so many.
+    pub owner_endpoints: u32,
 }
--- /dev/null
+++ b/coltsfootgate_core/tests/placement.rs
@@ -0,0 +1,299 @@
+//! Long prompts and requests with tight targets arrive together at the engines of one owner.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+use coltsfootgate_core::owner::{
+    OwnerAction, OwnerEvent, OwnerSettings, PoolOwner, ReleaseReport, ReleaseResult,
+};
+use coltsfootgate_core::prelude::*;
+use coltsfootgate_core::prompt::{PromptLoad, PromptPart};
+
+use support::{START, ask, endpoint};
+
+/// Engines of the pool.
+const ENGINES: u32 = 12;
+/// Requests that each engine runs at once.
+const SLOTS: u32 = 64;
+/// Tokens that fit into the memory of an engine.
+const MEMORY: u64 = 500_000;
+/// Step of the replay.
+const STEP: Duration = Duration::from_millis(2);
+/// Length of the replay.
+const LENGTH: Duration = Duration::from_secs(20);
+/// Documents that long prompts are about.
+const DOCUMENTS: u64 = 100;
+
+/// A kind of request in the replay.
+#[derive(Clone, Copy, Debug)]
+struct RequestKind {
+    tier: u8,
+    per_second: f64,
+    shared: u32,
+    own: u32,
+    first_token: Duration,
+    between_tokens: Duration,
+    answer: Duration,
+}
+
+const LONG: RequestKind = RequestKind {
+    tier: 3,
+    per_second: 22.0,
+    shared: 5_000,
+    own: 6_600,
+    first_token: Duration::from_millis(2_500),
+    between_tokens: Duration::from_millis(1_000),
+    answer: Duration::from_millis(3_000),
+};
+const SHORT: RequestKind = RequestKind {
+    tier: 1,
+    per_second: 40.0,
+    shared: 200,
+    own: 630,
+    first_token: Duration::from_millis(300),
+    between_tokens: Duration::from_millis(250),
+    answer: Duration::from_millis(1_500),
+};
+
+/// One request at an engine of the replay, which reads one prompt after the other.
+#[derive(Clone, Debug)]
+struct EngineRequest {
+    grant: GrantId,
+    kind: u8,
+    document: u64,
+    arrived: Instant,
+    first_token: Option<Instant>,
+    ends: Instant,
+}
+
+#[derive(Default)]
+struct ReplayEngine {
+    busy_until: Option<Instant>,
+    kept: BTreeSet<u64>,
+    requests: Vec<EngineRequest>,
+}
+
+struct Replay {
+    owner: PoolOwner,
+    /// Prompt tokens that an engine reads in a second; the owner is not told.
+    rate: f64,
+    engines: BTreeMap<EndpointId, ReplayEngine>,
+    waiting: BTreeMap<GrantId, (u8, u64, Instant)>,
+    first_tokens: BTreeMap<u8, Vec<Duration>>,
+    stops_beside_short: u32,
+    shared_read: u64,
+    memory_most: u64,
+}
+
+fn prompt(kind: &RequestKind, document: u64, grant: GrantId) -> PromptLoad {
+    let shared = PromptPart { id: document, tokens: kind.shared };
+    let own = PromptPart { id: 1_000_000 + grant, tokens: kind.own };
+    PromptLoad {
+        parts: vec![shared, own],
+        tokens: kind.shared + kind.own,
+        answer_tokens: 400,
+        first_token: kind.first_token,
+        between_tokens: kind.between_tokens,
+    }
+}
+
+fn kind_of(tier: u8) -> RequestKind {
+    if tier == LONG.tier { LONG } else { SHORT }
+}
+
+impl Replay {
+    fn new(rate: f64) -> Self {
+        Self::with_memory(rate, MEMORY)
+    }
+
+    fn with_memory(rate: f64, memory: u64) -> Self {
+        let settings = OwnerSettings {
+            pool: "pools.model".into(),
+            between_tokens: Some(Duration::from_millis(250)),
+            memory: Some(memory),
+        };
+        let mut replay = Self {
+            owner: PoolOwner::new(settings),
+            rate,
+            engines: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            first_tokens: BTreeMap::new(),
+            stops_beside_short: 0,
+            shared_read: 0,
+            memory_most: 0,
+        };
+        let owned: Vec<_> = (0..ENGINES).map(|number| endpoint(number, SLOTS)).collect();
+        for engine in &owned {
+            replay.engines.insert(engine.id.clone(), ReplayEngine::default());
+        }
+        replay.event(OwnerEvent::Endpoints(owned), *START);
+        replay
+    }
+
+    fn event(&mut self, event: OwnerEvent, now: Instant) {
+        for action in self.owner.handle(event, now) {
+            match action {
+                OwnerAction::Grant { grant, endpoint, .. } => self.send(grant, &endpoint, now),
+                OwnerAction::Refuse { grant, .. } => {
+                    self.waiting.remove(&grant);
+                }
+                OwnerAction::Busy { .. } | OwnerAction::Probe { .. } => (),
+            }
+        }
+    }
+
+    /// Puts a granted request at its engine, behind the prompts that were sent before.
+    fn send(&mut self, grant: GrantId, endpoint: &EndpointId, now: Instant) {
+        let Some((tier, document, arrived)) = self.waiting.remove(&grant) else { return };
+        let kind = kind_of(tier);
+        let engine = self.engines.get_mut(endpoint).unwrap();
+        let mut tokens = kind.own;
+        if engine.kept.insert(document) {
+            tokens += kind.shared;
+            self.shared_read += u64::from(kind.shared);
+        }
+        let reading = Duration::from_secs_f64(f64::from(tokens) / self.rate);
+        if reading > SHORT.between_tokens {
+            let short = engine.requests.iter().filter(|request| request.kind == SHORT.tier);
+            self.stops_beside_short += short.count() as u32;
+        }
+        let first = engine.busy_until.map_or(now, |until| until.max(now)) + reading;
+        engine.busy_until = Some(first);
+        engine.requests.push(EngineRequest {
+            grant,
+            kind: tier,
+            document,
+            arrived,
+            first_token: Some(first),
+            ends: first + kind.answer,
+        });
+        let held = engine.requests.iter().map(|request| {
+            let kind = kind_of(request.kind);
+            u64::from(kind.shared + kind.own + 400)
+        });
+        self.memory_most = self.memory_most.max(held.sum());
+    }
+
+    fn arrive(&mut self, kind: &RequestKind, grant: GrantId, document: u64, now: Instant) {
+        self.waiting.insert(grant, (kind.tier, document, now));
+        let request = coltsfootgate_core::owner::GrantRequest {
+            prompt: prompt(kind, document, grant),
+            arrived: now,
+            deadline: now + Duration::from_secs(12),
+            ..ask(grant, kind.tier)
+        };
+        self.event(OwnerEvent::Ask(request), now);
+    }
+
+    /// Tells the owner of first tokens and ends that are due.
+    fn progress(&mut self, now: Instant) {
+        let asker = ask(0, 1).asker;
+        let mut events = Vec::new();
+        for (id, engine) in &mut self.engines {
+            for request in &mut engine.requests {
+                if request.first_token.is_some_and(|first| first <= now) {
+                    let first = request.first_token.take().unwrap();
+                    let times = self.first_tokens.entry(request.kind).or_default();
+                    times.push(first - request.arrived);
+                    let (asker, grant) = (asker.clone(), request.grant);
+                    events.push(OwnerEvent::FirstToken { asker, grant });
+                }
+            }
+            let (ended, running): (Vec<_>, Vec<_>) =
+                engine.requests.drain(..).partition(|request| request.ends <= now);
+            engine.requests = running;
+            for request in ended {
+                assert!(request.document < 2 * DOCUMENTS);
+                events.push(OwnerEvent::Release(ReleaseReport {
+                    asker: asker.clone(),
+                    grant: request.grant,
+                    endpoint: id.clone(),
+                    tokens: 64,
+                    first_token: None,
+                    between_tokens: Some(Duration::from_millis(20)),
+                    result: ReleaseResult::Completed,
+                }));
+            }
+        }
+        for event in events {
+            self.event(event, now);
+        }
+        self.event(OwnerEvent::Tick, now);
+    }
+
+    fn run(&mut self, seed: u64, load: f64) {
+        let mut random = StdRng::seed_from_u64(seed);
+        let (mut now, mut grant) = (*START, 0);
+        while now < *START + LENGTH {
+            for (number, kind) in [LONG, SHORT].iter().enumerate() {
+                let chance = kind.per_second * load * STEP.as_secs_f64();
+                if random.random_bool(chance.min(1.0)) {
+                    grant += 1;
+                    let first = number as u64 * DOCUMENTS;
+                    let document = random.random_range(first..first + DOCUMENTS);
+                    self.arrive(kind, grant, document, now);
+                }
+            }
+            self.progress(now);
+            now += STEP;
+        }
+    }
+
+    /// Share of a kind's first tokens that met the target.
+    fn attained(&self, kind: &RequestKind) -> f64 {
+        let times = &self.first_tokens[&kind.tier];
+        let met = times.iter().filter(|time| **time <= kind.first_token).count();
+        met as f64 / times.len() as f64
+    }
+}
+
+/// Long prompts at half of what the engines can read: everybody meets the target.
+#[rstest]
+#[case::slow_engines(1, 30_000.0, 0.6)]
+#[case::fast_engines(2, 60_000.0, 1.0)]
+#[case::a_burst_of_both(3, 60_000.0, 1.8)]
+#[case::calm(4, 45_000.0, 0.4)]
+fn short_prompts_meet_their_target_beside_long_ones(
+    #[case] seed: u64,
+    #[case] rate: f64,
+    #[case] load: f64,
+) {
+    let mut replay = Replay::new(rate);
+    replay.run(seed, load);
+    assert!(replay.attained(&SHORT) >= 0.95, "short {}", replay.attained(&SHORT));
+    assert!(replay.attained(&LONG) >= 0.95, "long {}", replay.attained(&LONG));
+}
+
+/// An engine whose memory is overcommitted breaks off running requests.
+#[test]
+fn the_memory_of_engines_is_not_overcommitted() {
+    let memory = 100_000;
+    let mut replay = Replay::with_memory(60_000.0, memory);
+    replay.run(5, 2.0);
+    assert!(replay.memory_most <= memory, "{}", replay.memory_most);
+}
+
+/// A shared part is read at few engines rather than at all of them.
+#[test]
+fn shared_parts_are_read_at_few_engines() {
+    let mut replay = Replay::new(60_000.0);
+    replay.run(6, 1.0);
+    let once = DOCUMENTS * u64::from(LONG.shared + SHORT.shared);
+    assert!(replay.shared_read <= 2 * once, "{} times", replay.shared_read as f64 / once as f64);
+}
+
+/// A long prompt stops the tokens of all that run beside it, so few short ones run there.
+#[test]
+fn long_prompts_are_kept_away_from_running_short_ones() {
+    let mut replay = Replay::new(30_000.0);
+    replay.run(7, 0.8);
+    let short = replay.first_tokens[&SHORT.tier].len() as f64;
+    let share = f64::from(replay.stops_beside_short) / short;
+    assert!(share <= 0.05, "{share} stops for each short request");
+}
--- a/coltsfootgate_core/tests/routing.rs
+++ b/coltsfootgate_core/tests/routing.rs
@@ -242,7 +242,7 @@
     fn new() -> Self {
         let now = Instant::now();
         let owner = |number: usize| {
-            let settings = OwnerSettings { pool: POOL.into(), between_tokens: None };
+            let settings = OwnerSettings { pool: POOL.into(), between_tokens: None, memory: None };
             let mut owner = PoolOwner::new(settings);
             owner.handle(OwnerEvent::Endpoints(vec![endpoint(number as u32, 1)]), now);
             owner
--- a/coltsfootgate_core/tests/support/mod.rs
+++ b/coltsfootgate_core/tests/support/mod.rs
@@ -11,9 +11,11 @@
     ReleaseResult,
 };
 use coltsfootgate_core::prelude::*;
+use coltsfootgate_core::prompt::PromptLoad;
 
 /// The moment at which every trial starts.
-static START: LazyLock<Instant> = LazyLock::new(Instant::now);
+/// The moment at which every replay begins.
+pub static START: LazyLock<Instant> = LazyLock::new(Instant::now);
 
 /// One owner with everything it was asked and answered.
 pub struct OwnerDriver {
@@ -50,6 +52,9 @@
         queue_requests: 100,
         queue_tokens: 1_000_000,
         tokens: 10,
+        prompt: PromptLoad::default(),
+        zone: "zone-a".into(),
+        arrived: *START,
         deadline: *START + Duration::from_secs(3600),
         prefix: None,
         excluded: Vec::new(),
@@ -62,6 +67,7 @@
         let settings = OwnerSettings {
             pool: "pools.model".into(),
             between_tokens: Some(Duration::from_millis(34)),
+            memory: None,
         };
         let mut driver = Self {
             owner: PoolOwner::new(settings),
--- a/coltsfootgate_wire/src/grant.rs
+++ b/coltsfootgate_wire/src/grant.rs
@@ -9,6 +9,7 @@
 use coltsfootgate_core::owner::{
     GrantRequest, HeldGrant, OwnerPressure, ReleaseReport, ReleaseResult,
 };
+use coltsfootgate_core::prompt::{PromptLoad, PromptPart};
 use coltsfootgate_core::reason::ErrorKind;
 
 use crate::error::WireError;
@@ -19,6 +20,8 @@
 
 /// Most endpoints that one ask may exclude.
 const EXCLUDED_MAX: usize = 64;
+/// Most parts that the prompt of one ask may have.
+pub const PARTS_MAX: usize = 64;
 
 #[derive(Deserialize, Serialize)]
 pub(crate) struct WireGrantRequest {
@@ -33,12 +36,55 @@
     queue_requests: u32,
     queue_tokens: u64,
     tokens: u32,
+    prompt: WirePrompt,
+    zone: Arc<str>,
+    micros_since: u64,
     micros_left: u64,
     prefix: Option<u64>,
     excluded: Vec<Arc<str>>,
     wait: bool,
 }
 
+/// A prompt; parts are pairs of id and tokens.
+#[derive(Deserialize, Serialize)]
+pub(crate) struct WirePrompt {
+    parts: Vec<(u64, u32)>,
+    tokens: u32,
+    answer_tokens: u32,
+    first_token_micros: u64,
+    between_tokens_micros: u64,
+}
+
+impl From<PromptLoad> for WirePrompt {
+    fn from(prompt: PromptLoad) -> Self {
+        Self {
+            parts: prompt.parts.iter().map(|part| (part.id, part.tokens)).collect(),
+            tokens: prompt.tokens,
+            answer_tokens: prompt.answer_tokens,
+            first_token_micros: to_micros(prompt.first_token),
+            between_tokens_micros: to_micros(prompt.between_tokens),
+        }
+    }
+}
+
+impl TryFrom<WirePrompt> for PromptLoad {
+    type Error = WireError;
+
+    fn try_from(prompt: WirePrompt) -> Result<Self, WireError> {
+        if prompt.parts.len() > PARTS_MAX {
+            return Err(WireError::WrongValue("prompt"));
+        }
+        let parts = prompt.parts.into_iter().map(|(id, tokens)| PromptPart { id, tokens });
+        Ok(Self {
+            parts: parts.collect(),
+            tokens: prompt.tokens,
+            answer_tokens: prompt.answer_tokens,
+            first_token: from_micros(prompt.first_token_micros)?,
+            between_tokens: from_micros(prompt.between_tokens_micros)?,
+        })
+    }
+}
+
 #[derive(Deserialize, Serialize)]
 pub(crate) struct WireRelease {
     asker: Arc<str>,
@@ -98,6 +144,9 @@
             queue_requests: request.queue_requests,
             queue_tokens: request.queue_tokens,
             tokens: request.tokens,
+            prompt: request.prompt.into(),
+            zone: request.zone,
+            micros_since: to_micros(at.saturating_duration_since(request.arrived)),
             micros_left: time_left(request.deadline, at),
             prefix: request.prefix,
             excluded: request.excluded,
@@ -127,6 +176,9 @@
             queue_requests: request.queue_requests,
             queue_tokens: request.queue_tokens,
             tokens: request.tokens,
+            prompt: request.prompt.try_into()?,
+            zone: check_name(request.zone, "zone")?,
+            arrived: at.checked_sub(from_micros(request.micros_since)?).unwrap_or(at),
             deadline: at + from_micros(request.micros_left)?,
             prefix: request.prefix,
             excluded: excluded.collect::<Result<_, _>>()?,
--- a/coltsfootgate_wire/src/message.rs
+++ b/coltsfootgate_wire/src/message.rs
@@ -39,6 +39,15 @@
         /// The ask.
         request: GrantRequest,
     },
+    /// Tells that the first token of a granted request came.
+    FirstToken {
+        /// The pool.
+        pool: PoolId,
+        /// The entry instance.
+        asker: InstanceId,
+        /// The grant.
+        grant: GrantId,
+    },
     /// Gives grants back.
     Release(Vec<(PoolId, ReleaseReport)>),
     /// Tells that a grant is no longer wanted, whether it was given or not.
@@ -81,6 +90,7 @@
             Self::Heartbeat { .. } => "heartbeat",
             Self::AskAbout(_) => "ask-about",
             Self::Ask { .. } => "ask",
+            Self::FirstToken { .. } => "first-token",
             Self::Release(_) => "release",
             Self::Cancel { .. } => "cancel",
             Self::Announce { .. } => "announce",
--- a/coltsfootgate_wire/src/wire.rs
+++ b/coltsfootgate_wire/src/wire.rs
@@ -23,6 +23,7 @@
     AskAbout(Arc<str>),
     Ask { pool: Arc<str>, request: WireGrantRequest },
     Release(Vec<(Arc<str>, WireRelease)>),
+    FirstToken { pool: Arc<str>, asker: Arc<str>, grant: u64 },
     Cancel { pool: Arc<str>, asker: Arc<str>, grant: u64 },
     Announce { pool: Arc<str>, asker: Arc<str>, held: Vec<WireHeldGrant> },
     FetchHead,
@@ -71,6 +72,9 @@
                 let reports = reports.into_iter().map(|(pool, report)| (pool, report.into()));
                 Self::Release(reports.collect())
             }
+            PeerRequest::FirstToken { pool, asker, grant } => {
+                Self::FirstToken { pool, asker, grant }
+            }
             PeerRequest::Cancel { pool, asker, grant } => Self::Cancel { pool, asker, grant },
             PeerRequest::Announce { pool, asker, held } => {
                 Self::Announce { pool, asker, held: convert(held) }
@@ -105,6 +109,9 @@
                     .map(|(pool, report)| Ok((check_pool(pool)?, report.try_into()?)));
                 Self::Release(reports.collect::<Result<_, WireError>>()?)
             }
+            WireRequest::FirstToken { pool, asker, grant } => {
+                Self::FirstToken { pool: check_pool(pool)?, asker: check_instance(asker)?, grant }
+            }
             WireRequest::Cancel { pool, asker, grant } => {
                 Self::Cancel { pool: check_pool(pool)?, asker: check_instance(asker)?, grant }
             }
--- a/coltsfootgate_wire/tests/messages.rs
+++ b/coltsfootgate_wire/tests/messages.rs
@@ -8,6 +8,7 @@
 use coltsfootgate_core::owner::{
     GrantRequest, HeldGrant, OwnerPressure, ReleaseReport, ReleaseResult,
 };
+use coltsfootgate_core::prompt::{PromptLoad, PromptPart};
 use coltsfootgate_core::reason::ErrorKind;
 use coltsfootgate_wire::{
     MESSAGE_BYTES_MAX, PeerReply, PeerRequest, PoolPressure, WireError, decode_reply,
@@ -62,6 +63,15 @@
         queue_requests: 10,
         queue_tokens: 1000,
         tokens: 128,
+        prompt: PromptLoad {
+            parts: vec![PromptPart { id: 0x5c1e_07a2, tokens: 800 }],
+            tokens: 1_460,
+            answer_tokens: 80,
+            first_token: Duration::from_millis(300),
+            between_tokens: Duration::from_millis(250),
+        },
+        zone: "zone-a".into(),
+        arrived: now - Duration::from_millis(40),
         deadline: now + Duration::from_secs(3),
         prefix: Some(4),
         excluded: vec!["pools.a.one".into()],
@@ -88,6 +98,7 @@
         "ask about" => PeerRequest::AskAbout(asker),
         "ask" => PeerRequest::Ask { pool, request: ask(now) },
         "release" => PeerRequest::Release(vec![(pool, release())]),
+        "first-token" => PeerRequest::FirstToken { pool, asker, grant: 4 },
         "cancel" => PeerRequest::Cancel { pool, asker, grant: 4 },
         "announce" => {
             let (endpoint, class) = ("pools.a.one".into(), "classes.a".into());
@@ -102,7 +113,17 @@
 
 #[rstest]
 fn a_request_survives_its_coding(
-    #[values("heartbeat", "ask about", "ask", "release", "cancel", "announce", "head", "object")]
+    #[values(
+        "heartbeat",
+        "ask about",
+        "ask",
+        "first-token",
+        "release",
+        "cancel",
+        "announce",
+        "head",
+        "object"
+    )]
     name: &str,
 ) {
     let now = Instant::now();
