Keep serving after SIGHUP, and end within the time to shut down

Cause: the second read of the descriptor that tells of SIGHUP waited in the kernel and stopped all tasks of the process. The descriptor does not block any more; the new test fails without that.

The durations of flags are read by the parser of the tree. An endpoint's proof that it did not start is told as 503, since callers repeat what must not run twice only after such a promise; 502 was a promise of nothing.

--- a/coltsfootgate/src/daemon.rs
+++ b/coltsfootgate/src/daemon.rs
@@ -11,7 +11,7 @@
 
 use error_stack::{Report, ResultExt};
 use gumdrop::Options;
-use log::info;
+use log::{info, warn};
 use monoio::io::AsyncReadRent;
 use monoio::net::{ListenerOpts, TcpListener, UnixStream};
 use monoio::{LegacyDriver, RuntimeBuilder};
@@ -31,6 +31,8 @@
 
 /// Period at which the end of requests in flight is looked for.
 const DRAIN_PERIOD: Duration = Duration::from_millis(20);
+/// Part of the time to shut down after which the process ends; whoever set it may kill it then.
+const GRACE_SHARE: f64 = 0.95;
 /// How long a process that is ending waits until the ends of claimed requests are recorded.
 const SETTLE_TIME: Duration = Duration::from_secs(5);
 /// Exit code for settings that are missing or not allowed.
@@ -195,6 +197,8 @@
 fn signals_as_stream(signals: &[c_int]) -> Result<UnixStream, Report<DaemonFault>> {
     let (receiver, sender) =
         std::os::unix::net::UnixStream::pair().change_context(DaemonFault::Signals)?;
+    // A read that waits in the kernel would stop all tasks of the process.
+    receiver.set_nonblocking(true).change_context(DaemonFault::Signals)?;
     for signal in signals {
         let sender = sender.try_clone().change_context(DaemonFault::Signals)?;
         signal_hook::low_level::pipe::register(*signal, sender)
@@ -209,16 +213,21 @@
 
 /// Lets the balancer notice, then ends the listener and every request in flight.
 async fn drain(settings: &DaemonSettings, parts: &InstanceParts, trigger: ShutdownTrigger) {
+    let end = Instant::now() + settings.grace_time.mul_f64(GRACE_SHARE);
     info!("shutting down: unready, new connections for {:?} more", settings.drain_time);
     parts.readiness.close(UnreadyCause::Leaving);
     parts.members.leave().await;
     monoio::time::sleep(settings.drain_time).await;
     trigger.trigger();
-    while parts.context.metrics.open_connections(ConnectionSide::Callers) > 0 {
+    let open = || parts.context.metrics.open_connections(ConnectionSide::Callers);
+    while open() > 0 && Instant::now() < end {
         monoio::time::sleep(DRAIN_PERIOD).await;
     }
-    info!("shut down: no request in flight");
-    let settle_until = Instant::now() + SETTLE_TIME;
+    match open() {
+        0 => info!("shut down: no request in flight"),
+        open => warn!("shut down: the time is up with {open} connections of callers open"),
+    }
+    let settle_until = (Instant::now() + SETTLE_TIME).min(end);
     while parts.context.claims.open_settlements() > 0 && Instant::now() < settle_until {
         monoio::time::sleep(DRAIN_PERIOD).await;
     }
--- a/coltsfootgate/src/options/mod.rs
+++ b/coltsfootgate/src/options/mod.rs
@@ -135,6 +135,9 @@
         help = "time for the balancer to notice SIGTERM; new connections are accepted until then (3 s)"
     )]
     pub drain_time: Option<String>,
+    /// How long after SIGTERM the process ends at the latest.
+    #[options(no_short, meta = "TIME", help = "time after SIGTERM for requests to end (1440 min)")]
+    pub grace_time: Option<String>,
 }
 
 /// The secret that instances prove to each other; never printed.
@@ -212,6 +215,8 @@
     pub body_time: Duration,
     /// How long new connections are accepted after SIGTERM.
     pub drain_time: Duration,
+    /// How long after SIGTERM the process ends at the latest.
+    pub grace_time: Duration,
     /// How long a watch of the settings waits.
     pub watch_time: Duration,
     /// Age of the settings beyond which keys are not trusted.
@@ -295,6 +300,7 @@
         let head_time = duration("head-time", flags.head_time, "60 s");
         let body_time = duration("body-time", flags.body_time, "30 s");
         let drain_time = duration("drain-time", flags.drain_time, "3 s");
+        let grace_time = duration("grace-time", flags.grace_time, "1440 min");
         let watch_time = duration("watch-time", flags.watch_time, "3 s");
         let config_age_max = duration("config-age-max", flags.config_age_max, "1440 min");
         let seeds = faults.required("seeds", flags.seeds, Some(""), parse_addresses);
@@ -338,6 +344,7 @@
                 head_time: head_time?,
                 body_time: body_time?,
                 drain_time: drain_time?,
+                grace_time: grace_time?,
                 watch_time: watch_time?,
                 config_age_max: config_age_max?,
                 seeds: seeds?,
--- a/coltsfootgate/src/options/parse.rs
+++ b/coltsfootgate/src/options/parse.rs
@@ -165,23 +165,11 @@
     Ok(text.into())
 }
 
-/// Parses a duration with its unit, such as `250 ms` or `3 s`.
+/// Parses a duration above 0 with its unit, such as `250 ms` or `3 s`.
 pub(super) fn parse_duration(text: &str) -> Result<Duration, &'static str> {
     const ALLOWED: &str = "a duration above 0 with unit ms, s or min, such as \"250 ms\"";
-    let split = text.find(|c: char| !c.is_ascii_digit()).ok_or(ALLOWED)?;
-    let (number, unit) = text.split_at(split);
-    let number: u64 = number.parse().map_err(|_| ALLOWED)?;
-    let unit_milliseconds = match unit.trim() {
-        "ms" => 1,
-        "s" => 1_000,
-        "min" => 60_000,
-        _ => return Err(ALLOWED),
-    };
-    let milliseconds = number.checked_mul(unit_milliseconds).ok_or(ALLOWED)?;
-    if milliseconds == 0 {
-        return Err(ALLOWED);
-    }
-    Ok(Duration::from_millis(milliseconds))
+    let duration = coltsfootgate_config::parse_duration(text).ok_or(ALLOWED)?;
+    if duration.is_zero() { Err(ALLOWED) } else { Ok(duration) }
 }
 
 /// Parses addresses that are joined by commas.
--- a/coltsfootgate/tests/claims.rs
+++ b/coltsfootgate/tests/claims.rs
@@ -326,7 +326,7 @@
 
 const LOST: (u16, &str, &str) = (502, "unknown", "endpoint-lost");
 const STALLED: (u16, &str, &str) = (504, "unknown", "endpoint-stalled");
-const REFUSED: (u16, &str, &str) = (502, "not-run", "endpoint-refused");
+const REFUSED: (u16, &str, &str) = (503, "not-run", "endpoint-refused");
 
 #[rstest]
 #[case::keyed_refused_with_proof("refuse_not_started", keyed(COMPLETED, 1, COMPLETED))]
--- a/coltsfootgate/tests/reasons.rs
+++ b/coltsfootgate/tests/reasons.rs
@@ -172,9 +172,12 @@
 
 #[test]
 fn retries_spent_is_told_when_the_budget_is_used_up() {
+    let second = start_engine(ANY_PORT, EngineSettings::default()).unwrap();
+    second.control.order(&json!({"refuse": true})).unwrap();
     let setup = start(None, |tree| {
-        let more = "\n[pools.model.endpoints.e1]\naddress = \"127.0.0.1:9\"\nzone = \"a\"\n";
-        tree.replace("attempts = 3", "attempts = 2") + more
+        let address = second.address;
+        let more = format!("\n[pools.model.endpoints.e1]\naddress = \"{address}\"\nzone = \"a\"\n");
+        tree.replace("attempts = 3", "attempts = 2") + &more
     });
     setup.engine.control.order(&json!({"refuse": true})).unwrap();
     let answer = TestCall::stream("note", 8).send(setup.daemon.ports.callers);
--- a/coltsfootgate/tests/support/daemon.rs
+++ b/coltsfootgate/tests/support/daemon.rs
@@ -147,6 +147,11 @@
         self.signal(rustix::process::Signal::TERM);
     }
 
+    /// Tells the daemon that its settings may have changed.
+    pub fn hang_up(&self) {
+        self.signal(rustix::process::Signal::HUP);
+    }
+
     /// Ends the daemon at once.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/coltsfootgate/tests/whole_path.rs
+++ b/coltsfootgate/tests/whole_path.rs
@@ -93,3 +93,18 @@
     let answer = TestCall::new("GET", "/v1/models", b"").send(setup.daemon.ports.callers);
     assert_eq!(answer.json()["data"][0]["id"], "parts");
 }
+
+#[test]
+fn signals_to_reload_do_not_disturb_the_service() {
+    let setup = start_path();
+    for number in 1..=2 {
+        setup.daemon.hang_up();
+        setup.daemon.wait_for("a line for each reload", || {
+            let lines = setup.daemon.log_lines();
+            let reloads = lines.iter().filter(|line| line.contains("reload:")).count();
+            (reloads == number).then_some(())
+        });
+        let answer = TestCall::model("a short note", 8, false).send(setup.daemon.ports.callers);
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
--- a/coltsfootgate_core/src/reason.rs
+++ b/coltsfootgate_core/src/reason.rs
@@ -86,7 +86,7 @@
     /// The retries of the class are used up; the last attempt was not run.
     RetriesSpent => "retries-spent", 503, "server_error", NotRun, true;
     /// The endpoint refused the request before starting it.
-    EndpointRefused => "endpoint-refused", 502, "server_error", NotRun, true;
+    EndpointRefused => "endpoint-refused", 503, "server_error", NotRun, true;
     /// The endpoint answered with an error of its own after starting the request.
     EndpointFailed => "endpoint-failed", 502, "server_error", PartiallyRun, false;
     /// The connection to the endpoint broke after the request was sent.
