Be ready once a current store answered

Cause: an instance that started with nothing waited up to a second for peers that had nothing either, after each loss of power. Where every read of the store is as new as its call, no other source needs to be waited for.

--- a/coltsfootgate/src/platform/http.rs
+++ b/coltsfootgate/src/platform/http.rs
@@ -87,6 +87,8 @@
 }
 
 impl PlatformStore for HttpPlatform {
+    const IS_CURRENT: bool = false;
+
     async fn read(&self, key: &str) -> Result<Option<StoredValue>, PlatformError> {
         let response = self.get(&format!("/kv/{key}"), self.limit, VALUE_BYTES_MAX).await?;
         match response.status() {
--- a/coltsfootgate/src/platform/mod.rs
+++ b/coltsfootgate/src/platform/mod.rs
@@ -127,6 +127,9 @@
 // Futures stay on the thread that made them.
 #[allow(async_fn_in_trait)]
 pub trait PlatformStore {
+    /// Whether every read is as new as its call; otherwise a replica that lags may answer.
+    const IS_CURRENT: bool;
+
     /// Reads a value; `None` if there is none.
     async fn read(&self, key: &str) -> Result<Option<StoredValue>, PlatformError>;
 
--- a/coltsfootgate/src/tree/task.rs
+++ b/coltsfootgate/src/tree/task.rs
@@ -57,7 +57,11 @@
         watch_wait: Duration,
     ) -> Self {
         let (loaded, loads) = unbounded();
-        let tracker = HeadTracker::new(Instant::now());
+        let now = Instant::now();
+        let tracker = match S::IS_CURRENT {
+            true => HeadTracker::with_current_store(now),
+            false => HeadTracker::new(now),
+        };
         Self { store, peers, handle, news, metrics, readiness, watch_wait, tracker, loaded, loads }
     }
 
--- a/coltsfootgate/src/tree/tests.rs
+++ b/coltsfootgate/src/tree/tests.rs
@@ -58,6 +58,8 @@
 }
 
 impl PlatformStore for MemoryStore {
+    const IS_CURRENT: bool = false;
+
     async fn read(&self, key: &str) -> Result<Option<StoredValue>, PlatformError> {
         if self.0.is_down.get() {
             return Err(PlatformError::TimedOut);
--- a/coltsfootgate_core/src/head.rs
+++ b/coltsfootgate_core/src/head.rs
@@ -82,6 +82,7 @@
     fetching: Option<ConfigVersion>,
     retry_at: Option<Instant>,
     ready: bool,
+    is_store_current: bool,
 }
 
 impl HeadTracker {
@@ -98,9 +99,16 @@
             fetching: None,
             retry_at: None,
             ready: false,
+            is_store_current: false,
         }
     }
 
+    /// Makes the tracker of an instance whose store never answers with an old head, so that no other
+    /// source needs to be waited for once it answered.
+    pub fn with_current_store(now: Instant) -> Self {
+        Self { is_store_current: true, ..Self::new(now) }
+    }
+
     /// The head in force here.
     pub fn in_force(&self) -> Option<&TreeHead> {
         self.in_force.as_ref()
@@ -246,6 +254,9 @@
     }
 
     fn has_gathered(&self, now: Instant) -> bool {
+        if self.is_store_current && self.answered.contains(&HeadSource::Store) {
+            return true;
+        }
         if now.saturating_duration_since(self.started) >= GATHER_TIME {
             return true;
         }
--- a/coltsfootgate_core/tests/head.rs
+++ b/coltsfootgate_core/tests/head.rs
@@ -157,3 +157,17 @@
         }
     }
 }
+
+/// All instances start at once after a loss of power: nobody has a tree, and many do not answer.
+#[test]
+fn a_current_store_is_enough_to_begin_with() {
+    let now = Instant::now();
+    let mut tracker = HeadTracker::with_current_store(now);
+    tracker.handle(HeadEvent::Listed(vec!["127.0.0.1:1".into(), "127.0.0.1:2".into()]), now);
+    let head = TreeHead { version: 7, root: "r".into(), nonce: "n".into() };
+    let offer = HeadEvent::Offered(HeadSource::Store, Some(head.clone()));
+    let actions = tracker.handle(offer, now);
+    assert!(actions.contains(&HeadAction::Fetch(head.clone(), vec![HeadSource::Store])));
+    let actions = tracker.handle(HeadEvent::Loaded(head), now);
+    assert!(actions.contains(&HeadAction::BecomeReady), "{actions:?}");
+}
