Let what was not sent try elsewhere, and ask again for an endpoint that is not known here

Causes: a refused connection used up the one attempt of a class though no endpoint saw the request; and the owner of a pool names a new endpoint some milliseconds before other instances have read of it, which refused the request. The first now counts separately (2 beyond the class's attempts, within the retry budget); the second asks for another endpoint.

Ruled out: crashed endpoints still in the owner's table (they were gone within the period of reading).

--- a/coltsfootgate/src/pipeline/admit.rs
+++ b/coltsfootgate/src/pipeline/admit.rs
@@ -18,6 +18,9 @@
 /// Estimated tokens of an answer before any was seen.
 const FIRST_ESTIMATE_TOKENS: u32 = 64;
 
+/// Grants of endpoints that are not known here, after which a request is given up.
+const UNKNOWN_ENDPOINTS_MAX: usize = 4;
+
 /// The right to send one request to one endpoint; given back when dropped.
 pub struct GrantLease {
     /// The endpoint.
@@ -76,6 +79,9 @@
 }
 
 /// Waits for a grant, for the deadline or for the caller to leave.
+///
+/// The owner may know of an endpoint a moment before this instance does; another one is asked for
+/// then.
 pub async fn admit_request(
     context: &GateContext,
     request: &ClassifiedRequest,
@@ -83,6 +89,27 @@
     caller: &mut CallerLink,
     journal: &mut RequestJournal,
 ) -> Result<GrantLease, Refusal> {
+    let mut excluded = excluded.to_vec();
+    for _ in 0..UNKNOWN_ENDPOINTS_MAX {
+        match admit_once(context, request, &excluded, caller, journal).await? {
+            Ok(lease) => return Ok(lease),
+            Err(UnknownEndpoint(endpoint)) => excluded.push(endpoint),
+        }
+    }
+    let message = "the granted endpoints are not known here";
+    Err(refusal(request, ErrorKind::NoEndpoint, message))
+}
+
+/// A grant named an endpoint that is not, or no longer, known here.
+struct UnknownEndpoint(EndpointId);
+
+async fn admit_once(
+    context: &GateContext,
+    request: &ClassifiedRequest,
+    excluded: &[EndpointId],
+    caller: &mut CallerLink,
+    journal: &mut RequestJournal,
+) -> Result<Result<GrantLease, UnknownEndpoint>, Refusal> {
     let asked = Instant::now();
     let ask = grant_request(context, request, excluded);
     let mut walk = RouteWalk::new(context, &request.pool.id, &ask);
@@ -104,7 +131,7 @@
                 tier: request.class.tier,
             };
             let entry = LeaseEntry { pool: request.pool.id.clone(), held, place };
-            lease(context, request, &walk, entry)
+            Ok(lease(context, request, &walk, entry))
         }
         RouteEnd::Refused { kind, pressure } => {
             journal.waited(asked.elapsed());
@@ -170,7 +197,7 @@
     request: &ClassifiedRequest,
     walk: &RouteWalk<'_>,
     entry: LeaseEntry,
-) -> Result<GrantLease, Refusal> {
+) -> Result<GrantLease, UnknownEndpoint> {
     let mut report = ReleaseReport {
         asker: context.own.clone(),
         grant: entry.held.grant,
@@ -183,8 +210,7 @@
     let Some(endpoint) = context.routes.endpoint(&request.pool.id, &entry.held.endpoint) else {
         report.result = ReleaseResult::NotSent;
         context.link.release(&entry.place, &entry.pool, report);
-        let message = "the granted endpoint is no longer in the pool";
-        return Err(refusal(request, ErrorKind::NoEndpoint, message));
+        return Err(UnknownEndpoint(entry.held.endpoint));
     };
     let owner = match &entry.place {
         AskPlace::Owner(owner) => Some(owner),
--- a/coltsfootgate_core/src/attempt.rs
+++ b/coltsfootgate_core/src/attempt.rs
@@ -6,6 +6,9 @@
 use crate::reason::ErrorKind;
 use crate::retry::{RetryBudget, RetryDecision, RetryReason, backoff};
 
+/// Attempts beyond those of the class that one request may make where nothing was sent.
+pub const UNSENT_MAX: u32 = 2;
+
 /// How far an attempt had come when it failed.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum FailureStage {
@@ -151,7 +154,7 @@
         if resumes && !(self.traits.resumable && self.caller_tokens > 0) {
             return RetryDecision::End(kind);
         }
-        if self.attempts >= self.traits.attempts || !budget.try_spend() {
+        if self.is_spent() || !budget.try_spend() {
             return RetryDecision::End(self.spent_kind(failure.stage));
         }
         let after = backoff(self.attempts, random);
@@ -165,6 +168,11 @@
         RetryDecision::Retry { after, reason: RetryReason::of_repeat(failure) }
     }
 
+    /// Whether no attempt is left. Attempts of which nothing was sent count for themselves.
+    fn is_spent(&self) -> bool {
+        self.sends >= self.traits.attempts || self.attempts >= self.traits.attempts + UNSENT_MAX
+    }
+
     /// Records what the failure leaves possible and names the error that tells it.
     fn note_failure(&mut self, failure: AttemptFailure) -> ErrorKind {
         self.in_attempt = false;
