--- a/coltsfootgate_core/src/owner/placement.rs
+++ b/coltsfootgate_core/src/owner/placement.rs
@@ -16,6 +16,10 @@
 /// Cost of reading a token of a shared part again that another engine has kept, or may keep for the
 /// next one.
 const READ_AGAIN_COST: f64 = 2e-4;
+/// Share of an engine's time that long prompts may take before running requests lag behind.
+const CROWD_START: f64 = 0.4;
+/// Cost of that share being whole.
+const CROWD_COST: f64 = 3.0;
 /// Part of its target at which a request's first token is at risk.
 const RISK_START: f64 = 0.6;
 /// Cost of a first token at its target.
@@ -70,7 +74,7 @@
     let order = if is_long { engine.order } else { 1.0 - engine.order };
     let cost = late_cost(expected)
         + DELAYED_COST * delayed
-        + if is_long { 0.0 } else { SHARE_COST * exposed }
+        + if is_long { crowd_cost(load.read_share(now)) } else { SHARE_COST * exposed }
         + READ_AGAIN_COST * f64::from(load.unread_shared(prompt))
         + SLOTS_COST * engine.taken
         + ORDER_COST * order
@@ -80,6 +84,11 @@
     (!is_held).then_some(cost)
 }
 
+/// What it costs a long request to run where its tokens have to wait for further prompts.
+fn crowd_cost(read_share: f64) -> f64 {
+    (read_share - CROWD_START).max(0.0) * CROWD_COST
+}
+
 /// What it costs to have the first token after this part of its target.
 fn late_cost(expected: f64) -> f64 {
     let risk = (expected - RISK_START).max(0.0) / (1.0 - RISK_START);
