Continue streams after a loss, and try errors of repeatable calls elsewhere

Causes: a stream whose replica crashed broke off though its route allows it to be continued elsewhere, and a repeatable call ended with the error of the replica that was chosen first.

A stream of a class with resume is passed on in whole events; after a loss another endpoint is asked to go on after the last one. With retry_errors (new key, set for idempotent routes) an answer that tells an error is kept while another endpoint is tried, and given if none is left.

--- a/coltsfootgate/src/dialect/mod.rs
+++ b/coltsfootgate/src/dialect/mod.rs
@@ -92,6 +92,8 @@
     pub id: &'a str,
     /// Tokens that the caller already has.
     pub resume_offset: u64,
+    /// The id of the last event that the caller already has.
+    pub last_event: Option<&'a str>,
     /// The time that is left for the request.
     pub time_left: Duration,
 }
--- a/coltsfootgate/src/endpoint/event.rs
+++ b/coltsfootgate/src/endpoint/event.rs
@@ -1,5 +1,7 @@
 //! Server-sent events of a streamed answer, cut out of the pieces that arrive.
 
+use std::sync::Arc;
+
 use bytes::{Bytes, BytesMut};
 use serde::Deserialize;
 
@@ -68,6 +70,28 @@
         self.buffer.extend_from_slice(piece);
     }
 
+    /// All whole events that arrived, as they are, and the id of the last one that bears an id.
+    pub fn take_whole(&mut self) -> Result<(Bytes, Option<Arc<str>>), EventTooLarge> {
+        let mut end = 0;
+        while let Some(position) = self.find_blank_line() {
+            end = position;
+            self.scanned = position;
+        }
+        self.scanned -= end;
+        if self.buffer.len() - end > EVENT_MAX {
+            return Err(EventTooLarge);
+        }
+        let events = self.buffer.split_to(end).freeze();
+        let last = last_event_id(&events);
+        Ok((events, last))
+    }
+
+    /// What arrived after the last whole event.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.scanned = 0;
+        self.buffer.split().freeze()
+    }
+
     /// The next whole event, or `None` until more of the stream arrives.
     pub fn next_event(&mut self) -> Result<Option<StreamEvent>, EventTooLarge> {
         let Some(end) = self.find_blank_line() else {
@@ -96,6 +120,15 @@
     }
 }
 
+/// The value of the last `id` line.
+fn last_event_id(events: &[u8]) -> Option<Arc<str>> {
+    let mut ids = events.split(|byte| *byte == b'\n').rev().filter_map(|line| {
+        let id = line.strip_prefix(b"id:")?;
+        std::str::from_utf8(id.trim_ascii()).ok()
+    });
+    ids.next().map(Arc::from)
+}
+
 fn event_data(event: &[u8]) -> Option<&[u8]> {
     event.split(|byte| *byte == b'\n').find_map(|line| {
         let data = line.strip_prefix(b"data:")?;
--- a/coltsfootgate/src/pipeline/dispatch.rs
+++ b/coltsfootgate/src/pipeline/dispatch.rs
@@ -24,21 +24,30 @@
     "upgrade",
 ];
 
+/// Where an attempt begins.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptStart<'a> {
+    /// The id that the answer must echo.
+    pub id: &'a str,
+    /// Tokens that the caller already has.
+    pub offset: u64,
+    /// The id of the last event that the caller already has.
+    pub last_event: Option<&'a str>,
+}
+
 /// Sends a request and waits for the head of its answer.
-///
-/// `resume_offset` is the number of tokens that the caller already has.
 pub async fn dispatch_request<D: EndpointDialect>(
     context: &GateContext,
     request: &ClassifiedRequest,
     lease: &GrantLease,
-    attempt: &str,
-    resume_offset: u64,
+    start: AttemptStart<'_>,
 ) -> Result<EndpointAnswer, EndpointFailure> {
     let facts = AttemptFacts {
         request,
         endpoint: &lease.endpoint,
-        id: attempt,
-        resume_offset,
+        id: start.id,
+        resume_offset: start.offset,
+        last_event: start.last_event,
         time_left: request.deadline.saturating_duration_since(Instant::now()),
     };
     let endpoint_request = EndpointRequest {
@@ -52,7 +61,7 @@
     let rest = request.cut_off.saturating_duration_since(Instant::now());
     let sending = context.endpoints.send(endpoint_request);
     let answer = timeout(rest, sending).await.unwrap_or(Err(EndpointFailure::TimeUp))?;
-    D::check_head(answer.status, &answer.headers, attempt)?;
+    D::check_head(answer.status, &answer.headers, start.id)?;
     Ok(answer)
 }
 
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -2,10 +2,11 @@
 
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Instant;
 
 use coltsfootgate_core::attempt::{
-    AttemptFailure, AttemptHistory, AttemptTraits, FailureCause, FailureStage, SendPermit,
+    AttemptFailure, AttemptHistory, AttemptTraits, FailureCause, FailureStage,
 };
 use coltsfootgate_core::owner::ReleaseResult;
 use coltsfootgate_core::prelude::{EndpointId, ErrorKind};
@@ -16,7 +17,7 @@
 use super::claim::{ClaimLease, ClaimStep, claim_request};
 use super::classify::{AnswerForm, ClassifiedRequest, classify_request};
 use super::context::GateContext;
-use super::dispatch::dispatch_request;
+use super::dispatch::{AttemptStart, dispatch_request};
 use super::identify::{check_settings_age, identify_customer};
 use super::journal::RequestJournal;
 use super::limit::limit_request;
@@ -97,6 +98,7 @@
 ) -> Result<RequestEnd, Refusal> {
     let mut excluded: Vec<EndpointId> = Vec::new();
     let mut history = AttemptHistory::new(attempt_traits(request, claim.is_some()));
+    let mut last_event = None;
     context.budgets.note_request(&request.class);
     loop {
         let admitted = admit_request(context, request, &excluded, caller, journal).await;
@@ -108,21 +110,29 @@
         }
         let permit = history.permit_send().map_err(|kind| end_refusal(request, kind))?;
         journal.record.attempts = history.attempts();
-        let end = attempt_once::<D>(context, request, lease, permit, caller, journal).await;
+        let place = ResumePlace { offset: permit.resume_offset, last_event: &mut last_event };
+        let end = attempt_once::<D>(context, request, lease, place, caller, journal).await;
         if caller.has_started() {
             history.note_relayed(journal.record.tokens - history.caller_tokens());
         }
-        let failure = match end {
+        let (failure, answer) = match end {
             RelayEnd::Served(answer) => return Ok(RequestEnd::Served(answer)),
             RelayEnd::CallerGone => return Err(end_refusal(request, history.caller_left())),
-            RelayEnd::Failed(failure) => failure,
+            RelayEnd::ErrorAnswer(answer) => {
+                (EndpointFailure::FailedAnswer(answer.status()), Some(answer))
+            }
+            RelayEnd::Failed(failure) => (failure, None),
         };
         let has_tokens = journal.record.tokens > 0;
         let failure = attempt_failure(failure, has_tokens);
         let (after, reason) = match context.budgets.decide(&request.class, &mut history, failure) {
             RetryDecision::Retry { after, reason } => (after, reason),
             RetryDecision::Resume { after, reason, .. } => (after, reason),
-            RetryDecision::End(kind) => return Err(end_refusal(request, kind)),
+            RetryDecision::End(kind) => {
+                // An answer that tells an error is the endpoint's own word, and better than ours.
+                let end = answer.map(RequestEnd::Served);
+                return end.ok_or_else(|| end_refusal(request, kind));
+            }
         };
         context.metrics.retried(&request.class.id, reason);
         journal.record.retries.push(reason.name());
@@ -132,35 +142,50 @@
 }
 
 fn attempt_traits(request: &ClassifiedRequest, claimed: bool) -> AttemptTraits {
-    let is_stream = request.form == AnswerForm::ModelStream;
+    let can_resume = match request.form {
+        AnswerForm::ModelStream => request.pool.resumes,
+        AnswerForm::EventStream => true,
+        AnswerForm::ModelWhole | AnswerForm::Service => false,
+    };
     AttemptTraits {
         repeatable: request.repeatable,
         claimed,
-        resumable: is_stream && request.class.resume && request.pool.resumes,
+        resumable: can_resume && request.class.resume,
         attempts: request.class.attempts,
         deadline: request.deadline,
     }
 }
 
+/// Where an answer goes on that an earlier attempt began.
+struct ResumePlace<'a> {
+    /// Tokens that the caller has.
+    offset: u64,
+    /// The id of the last event that the caller has.
+    last_event: &'a mut Option<Arc<str>>,
+}
+
 async fn attempt_once<D: Dialect>(
     context: &GateContext,
     request: &ClassifiedRequest,
     lease: GrantLease,
-    permit: SendPermit,
+    place: ResumePlace<'_>,
     caller: &mut CallerLink,
     journal: &mut RequestJournal,
 ) -> RelayEnd {
     let attempt = D::Endpoints::attempt_id(request, journal.record.attempts);
     let sent = Instant::now();
-    let offset = permit.resume_offset;
+    let ResumePlace { offset, last_event } = place;
+    let after = last_event.clone();
     let mut task = RelayTask {
         request,
         lease: &lease,
         attempt: &attempt,
         sent,
         figures: AttemptFigures::default(),
+        last_event: after.clone(),
     };
-    let sending = dispatch_request::<D::Endpoints>(context, request, &lease, &attempt, offset);
+    let from = AttemptStart { id: &attempt, offset, last_event: after.as_deref() };
+    let sending = dispatch_request::<D::Endpoints>(context, request, &lease, from);
     let answer = match select(pin!(sending), pin!(caller.gone())).await {
         Either::Left((answer, _)) => answer.map_err(RelayEnd::Failed),
         Either::Right(_) => Err(RelayEnd::CallerGone),
@@ -175,6 +200,7 @@
         Err(end) => end,
     };
     let figures = task.figures;
+    *last_event = task.last_event;
     let between = figures.between_tokens;
     journal.record.between_tokens_ms = between.map(|between| between.as_secs_f64() * 1000.0);
     lease.release(release_result(&end), figures);
@@ -183,7 +209,9 @@
 
 fn release_result(end: &RelayEnd) -> ReleaseResult {
     match end {
+        RelayEnd::Served(answer) if answer.status().is_server_error() => ReleaseResult::Failed,
         RelayEnd::Served(_) => ReleaseResult::Completed,
+        RelayEnd::ErrorAnswer(_) => ReleaseResult::Failed,
         RelayEnd::CallerGone | RelayEnd::Failed(EndpointFailure::TimeUp) => {
             ReleaseResult::Cancelled
         }
--- a/coltsfootgate/src/pipeline/relay.rs
+++ b/coltsfootgate/src/pipeline/relay.rs
@@ -1,5 +1,6 @@
 //! Passes an endpoint's answer on to the caller and checks that it is whole and its own.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -26,6 +27,8 @@
     Served(ServedAnswer),
     /// The caller left.
     CallerGone,
+    /// The endpoint gave a whole answer that tells an error of its own.
+    ErrorAnswer(ServedAnswer),
     /// The endpoint failed before the answer was whole.
     Failed(EndpointFailure),
 }
@@ -42,6 +45,8 @@
     pub sent: Instant,
     /// What was seen of the endpoint.
     pub figures: AttemptFigures,
+    /// The id of the last event that the caller got, over all attempts.
+    pub last_event: Option<Arc<str>>,
 }
 
 impl RelayTask<'_> {
@@ -145,32 +150,70 @@
         journal: &mut RequestJournal,
     ) -> RelayEnd {
         let EndpointAnswer { status, headers, mut stream } = answer;
+        if caller.has_started() && !status.is_success() {
+            return RelayEnd::Failed(EndpointFailure::FailedAnswer(status));
+        }
         let headers = answer_headers(&headers);
+        let mut reader = EventReader::new();
         loop {
-            match self.next_piece(&mut stream, caller).await {
-                Ok(Some(piece)) => {
-                    if !caller.has_started() {
-                        caller.start_stream(status, headers.clone());
-                    }
-                    if self.figures.tokens == 0 {
-                        self.lease.first_token();
-                    }
-                    self.note_token(Instant::now(), journal);
-                    if caller.send(piece).await.is_err() {
-                        return RelayEnd::CallerGone;
-                    }
-                    journal.record.tokens += 1;
+            let (events, is_end) = match self.next_piece(&mut stream, caller).await {
+                Ok(Some(piece)) => match self.whole_events(&mut reader, piece) {
+                    Ok(events) => (events, false),
+                    Err(failure) => return RelayEnd::Failed(failure),
+                },
+                Ok(None) => (reader.take_rest(), true),
+                Err(end) => return end,
+            };
+            if !events.is_empty() {
+                if !caller.has_started() {
+                    caller.start_stream(status, headers.clone());
                 }
-                Ok(None) if caller.has_started() => return RelayEnd::Served(ServedAnswer::Passed),
-                Ok(None) => {
-                    let body = Bytes::new();
-                    return RelayEnd::Served(ServedAnswer::Body { status, headers, body });
+                if let Err(end) = self.pass_events(events, caller, journal).await {
+                    return end;
                 }
-                Err(end) => return end,
+            }
+            if is_end && caller.has_started() {
+                return RelayEnd::Served(ServedAnswer::Passed);
+            }
+            if is_end {
+                let body = Bytes::new();
+                return RelayEnd::Served(ServedAnswer::Body { status, headers, body });
             }
         }
     }
 
+    /// What of a piece may be passed on: all of it, or whole events if the stream may be resumed.
+    fn whole_events(
+        &mut self,
+        reader: &mut EventReader,
+        piece: Bytes,
+    ) -> Result<Bytes, EndpointFailure> {
+        if !self.request.class.resume {
+            return Ok(piece);
+        }
+        reader.push(&piece);
+        let (events, last) = reader.take_whole().map_err(|_| EndpointFailure::Mismatched)?;
+        if last.is_some() {
+            self.last_event = last;
+        }
+        Ok(events)
+    }
+
+    async fn pass_events(
+        &mut self,
+        events: Bytes,
+        caller: &mut CallerLink,
+        journal: &mut RequestJournal,
+    ) -> Result<(), RelayEnd> {
+        if self.figures.tokens == 0 {
+            self.lease.first_token();
+        }
+        self.note_token(Instant::now(), journal);
+        caller.send(events).await.map_err(|_| RelayEnd::CallerGone)?;
+        journal.record.tokens += 1;
+        Ok(())
+    }
+
     async fn relay_body<D: CallerDialect>(
         &mut self,
         answer: EndpointAnswer,
@@ -197,7 +240,11 @@
             return RelayEnd::Failed(EndpointFailure::Mismatched);
         }
         journal.first_token(Instant::now());
-        RelayEnd::Served(ServedAnswer::Body { status, headers, body })
+        let answer = ServedAnswer::Body { status, headers, body };
+        if status.is_server_error() && self.request.class.retries_errors {
+            return RelayEnd::ErrorAnswer(answer);
+        }
+        RelayEnd::Served(answer)
     }
 
     /// Passes on what is too large to hold back; the caller sees a broken transfer on failure.
--- a/coltsfootgate/src/pipeline/settle.rs
+++ b/coltsfootgate/src/pipeline/settle.rs
@@ -40,6 +40,16 @@
     Passed,
 }
 
+impl ServedAnswer {
+    /// The status that the endpoint gave.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::Body { status, .. } => *status,
+            Self::Stream | Self::Passed => StatusCode::OK,
+        }
+    }
+}
+
 /// How a request ended.
 #[derive(Debug)]
 pub enum RequestEnd {
--- a/coltsfootgate_config/src/resolve.rs
+++ b/coltsfootgate_config/src/resolve.rs
@@ -42,6 +42,7 @@
             resume: self.boolean("resume"),
             timeout: self.duration("timeout"),
             is_public: self.boolean("public"),
+            retries_errors: self.boolean("retry_errors"),
             is_stream: self.boolean("stream"),
             pools: self.pool_shares(),
         }
--- a/coltsfootgate_config/src/schema.rs
+++ b/coltsfootgate_config/src/schema.rs
@@ -247,6 +247,7 @@
     inherited("resume", ValueKind::Boolean, "true"),
     inherited("timeout", ValueKind::Duration(MILLISECOND, DAY), "24 h"),
     inherited("public", ValueKind::Boolean, "false"),
+    inherited("retry_errors", ValueKind::Boolean, "false"),
     inherited("stream", ValueKind::Boolean, "false"),
     KeySpec { name: "pools", kind: ValueKind::PoolShares, default: None, inherited: true },
 ];
--- a/coltsfootgate_core/src/settings.rs
+++ b/coltsfootgate_core/src/settings.rs
@@ -53,6 +53,8 @@
     pub timeout: Duration,
     /// Whether requests are served without a bearer key.
     pub is_public: bool,
+    /// Whether a service's answer that tells an error of its own is tried for elsewhere first.
+    pub retries_errors: bool,
     /// Whether answers are streams of events that are passed on as they come.
     pub is_stream: bool,
     /// The pools that serve the class; empty if the model or the path decides.
