Pass over endpoints that fail more often than their pool

Cause: an endpoint that fails a part of its requests quickly looks idle, and three failures in a row are rare at a share of a half. The share of failed answers beyond the pool's median now counts as load; where most endpoints fail alike, none is taken out for it.

--- a/coltsfootgate_core/src/owner/endpoint.rs
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -5,6 +5,7 @@
 
 use super::concurrency::AdaptiveSlots;
 use super::engine::{EngineLoad, GrantKey};
+use super::errors::ErrorShare;
 use super::event::{GrantRequest, ReleaseReport, ReleaseResult};
 use super::ledger::GrantLedger;
 use super::placement::{EngineView, placement_cost};
@@ -15,6 +16,10 @@
 /// Extra load, as a share of its slots, that a warm cache is worth to an endpoint.
 const AFFINITY_WORTH: f64 = 0.25;
 
+/// Load, as a share of its slots, that failing all requests beyond the pool's share counts for.
+const ERRORS_WORTH: f64 = 2.5;
+/// Share of failed answers of the pool's median endpoint above which failures are common.
+const COMMON_ERRORS: f64 = 0.2;
 /// Load, as a share of its slots, that an endpoint in the asker's availability zone may have more.
 const ZONE_WORTH: f64 = 0.05;
 
@@ -25,6 +30,7 @@
     slots: AdaptiveSlots,
     health: EndpointHealth,
     load: EngineLoad,
+    errors: ErrorShare,
     in_flight: u32,
     is_leaving: bool,
     is_owned: bool,
@@ -39,6 +45,7 @@
             slots,
             health: EndpointHealth::default(),
             load: EngineLoad::new(None),
+            errors: ErrorShare::default(),
             in_flight: 0,
             is_leaving: false,
             is_owned: true,
@@ -174,6 +181,7 @@
 
     /// The engine at which a prompt costs least.
     fn choose_engine(&self, request: &GrantRequest, now: Instant) -> Option<EndpointId> {
+        let pool_errors = self.pool_errors(None, now);
         let last = self.endpoints.len().saturating_sub(1).max(1) as f64;
         let candidates =
             self.endpoints.iter().enumerate().filter(|(_, (id, endpoint))| {
@@ -185,6 +193,7 @@
                 order: position as f64 / last,
                 taken: endpoint.load(now),
                 is_near: endpoint.settings.zone == request.zone,
+                errors: (endpoint.errors.get(now) - pool_errors).max(0.0),
             };
             Some((placement_cost(request, engine, now)?, id))
         });
@@ -199,6 +208,7 @@
         hint: Option<&EndpointId>,
         now: Instant,
     ) -> Option<EndpointId> {
+        let pool_errors = self.pool_errors(None, now);
         let candidates = self
             .endpoints
             .iter()
@@ -207,7 +217,8 @@
             let worth = if hint == Some(id) { AFFINITY_WORTH } else { 0.0 };
             let is_far = endpoint.settings.zone != request.zone;
             let distance = if is_far { ZONE_WORTH } else { 0.0 };
-            (endpoint.load(now) - worth + distance, endpoint.last_grant)
+            let errors = (endpoint.errors.get(now) - pool_errors).max(0.0) * ERRORS_WORTH;
+            (endpoint.load(now) - worth + distance + errors, endpoint.last_grant)
         };
         let order = |one: &(f64, u64), other: &(f64, u64)| {
             one.0.total_cmp(&other.0).then(one.1.cmp(&other.1))
@@ -264,8 +275,13 @@
     /// Learns from what an entry saw.
     pub fn learn(&mut self, report: &ReleaseReport, target: Option<Duration>, now: Instant) {
         let pool = self.pool_time_without(&report.endpoint);
+        let pool_errors = self.pool_errors(Some(&report.endpoint), now);
         let Some(endpoint) = self.endpoints.get_mut(&report.endpoint) else { return };
-        endpoint.health.ended(report.result, now);
+        endpoint.errors.note(report.result, now);
+        // Where most endpoints fail, to take them out one by one would leave none.
+        if report.result != ReleaseResult::Failed || pool_errors < COMMON_ERRORS {
+            endpoint.health.ended(report.result, now);
+        }
         if report.result == ReleaseResult::Refused {
             endpoint.slots.queued_at_endpoint();
         }
@@ -341,6 +357,15 @@
             .collect()
     }
 
+    /// Median share of failed answers over the endpoints in service but one.
+    fn pool_errors(&self, judged: Option<&EndpointId>, now: Instant) -> f64 {
+        let endpoints = self.endpoints.iter();
+        let others = endpoints.filter(|(id, one)| one.is_in_service() && Some(*id) != judged);
+        let mut shares: Vec<f64> = others.map(|(_, one)| one.errors.get(now)).collect();
+        shares.sort_unstable_by(f64::total_cmp);
+        shares.get(shares.len().saturating_sub(1) / 2).copied().unwrap_or(0.0)
+    }
+
     /// Median time between tokens over all others that are known.
     fn pool_time_without(&self, judged: &EndpointId) -> Option<Duration> {
         let others = self.endpoints.iter().filter(|(id, _)| *id != judged);
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -4,6 +4,7 @@
 mod concurrency;
 mod endpoint;
 mod engine;
+mod errors;
 mod event;
 mod fair;
 mod ledger;
--- a/coltsfootgate_core/src/owner/placement.rs
+++ b/coltsfootgate_core/src/owner/placement.rs
@@ -29,6 +29,8 @@
 /// Cost of the engine at the wrong end of the order: long prompts gather at the start of the order
 /// and requests with tight targets at its end, so that both need few engines while load is low.
 const ORDER_COST: f64 = 0.6;
+/// Cost of an engine that fails all requests.
+const ERRORS_COST: f64 = 4.0;
 /// Cost of an engine in another availability zone.
 const ZONE_COST: f64 = 0.03;
 /// Part of its target for which a prompt may wait at an engine instead of at its owner.
@@ -54,6 +56,8 @@
     pub taken: f64,
     /// Whether it is in the availability zone of the instance that asks.
     pub is_near: bool,
+    /// Share of its answers that failed, beyond that of the pool, 0 to 1.
+    pub errors: f64,
 }
 
 /// What sending a request to an engine costs; `None` if the request is rather held back.
@@ -77,6 +81,7 @@
         + if is_long { crowd_cost(load.read_share(now)) } else { SHARE_COST * exposed }
         + READ_AGAIN_COST * f64::from(load.unread_shared(prompt))
         + SLOTS_COST * engine.taken
+        + ERRORS_COST * engine.errors
         + ORDER_COST * order
         + if engine.is_near { 0.0 } else { ZONE_COST };
     let held = now.saturating_duration_since(request.arrived).as_secs_f64() / target;
--- a/coltsfootgate_core/tests/owner_endpoints.rs
+++ b/coltsfootgate_core/tests/owner_endpoints.rs
@@ -165,3 +165,38 @@
     let counts = driver.granted_endpoints().iter().filter(|id| **id == warm).count();
     assert!((5..8).contains(&counts), "{counts} of 8 at the warm endpoint");
 }
+
+/// An endpoint that is quick and fails half of its requests gets less than its part.
+#[test]
+fn an_endpoint_that_fails_some_requests_is_passed_over() {
+    let mut driver = OwnerDriver::new(3, 6);
+    let mut grants = [0_u32; 2];
+    for number in 0..300 {
+        driver.advance(Duration::from_millis(40));
+        driver.ask(ask(number, 1));
+        let (_, _, endpoint) = driver.held()[0].clone();
+        let is_grey = &*endpoint == "endpoints.e0";
+        grants[usize::from(is_grey)] += 1;
+        let fails = is_grey && number % 2 == 0;
+        let result = if fails { ReleaseResult::Failed } else { ReleaseResult::Completed };
+        driver.release(0, result, Duration::from_millis(30));
+    }
+    assert!(grants[1] * 10 <= grants[0], "{grants:?}");
+    assert!(grants[1] > 0, "it is never tried again");
+}
+
+/// All endpoints fail half of their requests: none of them may be taken out for that.
+#[test]
+fn endpoints_that_all_fail_alike_stay_in_service() {
+    let mut driver = OwnerDriver::new(4, 6);
+    let mut random = 7_u64;
+    for number in 0..600 {
+        driver.advance(Duration::from_millis(10));
+        driver.ask(ask(number, 1));
+        assert!(!driver.held().is_empty(), "request {number} found no endpoint");
+        random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        let fails = number > 20 && (random >> 33) % 100 < 45;
+        let result = if fails { ReleaseResult::Failed } else { ReleaseResult::Completed };
+        driver.release(0, result, Duration::from_millis(30));
+    }
+}
