--- /dev/null
+++ b/coltsfootgate/tests/event_reader.rs
@@ -0,0 +1,41 @@
+//! Streams are continued after whole events only, however their bytes arrive.
+
+use coltsfootgate::endpoint::event::EventReader;
+use rstest::rstest;
+
+const STREAM: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+
+#[rstest]
+#[case::nothing("", "", None)]
+#[case::part_of_an_event("id: 1\nda", "", None)]
+#[case::one_and_a_part("id: 1\ndata: a\n\nid: 2\n", "id: 1\ndata: a\n\n", Some("1"))]
+#[case::all(STREAM, STREAM, Some("3"))]
+#[case::carriage_returns("id: 7\r\ndata: a\r\n\r\n", "id: 7\r\ndata: a\r\n\r\n", Some("7"))]
+#[case::no_id("data: a\n\n", "data: a\n\n", None)]
+#[case::an_id_in_the_data("id: 1\ndata: id: 9\n\n", "id: 1\ndata: id: 9\n\n", Some("1"))]
+fn whole_events_are_taken(
+    #[case] stream: &str,
+    #[case] expected: &str,
+    #[case] last: Option<&str>,
+) {
+    let mut reader = EventReader::new();
+    reader.push(stream.as_bytes());
+    let (events, id) = reader.take_whole().unwrap();
+    assert_eq!(events, expected.as_bytes());
+    assert_eq!(id.as_deref(), last);
+    assert_eq!(reader.take_rest(), stream.as_bytes()[expected.len()..]);
+}
+
+#[rstest]
+fn the_pieces_do_not_matter(#[values(1, 2, 3, 5, 7, 11, 100)] length: usize) {
+    let mut reader = EventReader::new();
+    let (mut events, mut last) = (Vec::new(), None);
+    for piece in STREAM.as_bytes().chunks(length) {
+        reader.push(piece);
+        let (whole, id) = reader.take_whole().unwrap();
+        events.extend_from_slice(&whole);
+        last = id.or(last);
+    }
+    assert_eq!(events, STREAM.as_bytes());
+    assert_eq!(last.as_deref(), Some("3"));
+}
