--- a/coltsfootgate_core/src/owner/placement.rs
+++ b/coltsfootgate_core/src/owner/placement.rs
@@ -15,7 +15,7 @@
 const SHARE_COST: f64 = 1.5;
 /// Cost of reading a token of a shared part again that another engine has kept, or may keep for the
 /// next one.
-const READ_AGAIN_COST: f64 = 2e-4;
+const READ_AGAIN_COST: f64 = 5e-4;
 /// Share of an engine's time that long prompts may take before running requests lag behind.
 const CROWD_START: f64 = 0.4;
 /// Cost of that share being whole.
