Spend less of an owner's time on each message

Each release looked through the running requests of all engines, and each message tried the held prompts at all of them.

No test without a clock shows it; the replay in tests/placement.rs holds the decisions as they were.

--- a/coltsfootgate_core/src/owner/endpoint.rs
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -257,6 +257,13 @@
         }
     }
 
+    /// Forgets the prompt of a grant that ended.
+    pub fn forget_prompt(&mut self, endpoint: &EndpointId, grant: &GrantKey, now: Instant) {
+        if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
+            endpoint.load.ended(grant, now);
+        }
+    }
+
     /// Forgets the prompts of grants that the ledger does not hold any more.
     pub fn retain_prompts(&mut self, ledger: &GrantLedger, now: Instant) {
         for endpoint in self.endpoints.values_mut() {
--- a/coltsfootgate_core/src/owner/engine.rs
+++ b/coltsfootgate_core/src/owner/engine.rs
@@ -48,7 +48,9 @@
     reading: VecDeque<ReadingPrompt>,
     /// When the first of the prompts began to be read.
     reading_since: Option<Instant>,
-    running: BTreeMap<GrantKey, RunningRequest>,
+    running: HashMap<GrantKey, RunningRequest>,
+    /// How many running requests allow each time between two tokens.
+    paces: BTreeMap<Duration, u32>,
     reserved: u64,
     cache: PartCache,
     read_share: f64,
@@ -63,7 +65,8 @@
             rate: FIRST_READ_RATE,
             reading: VecDeque::new(),
             reading_since: None,
-            running: BTreeMap::new(),
+            running: HashMap::new(),
+            paces: BTreeMap::new(),
             reserved: 0,
             cache: PartCache::default(),
             read_share: 0.0,
@@ -122,7 +125,9 @@
     ///
     /// A stop shorter than half of what a request allows between two tokens is not noticed.
     pub fn delayed_by(&self, stop: Duration) -> f64 {
-        self.running.values().map(|running| delay_share(stop, running.between_tokens)).sum()
+        let delayed =
+            |(pace, count): (&Duration, &u32)| delay_share(stop, *pace) * f64::from(*count);
+        self.paces.iter().map(delayed).sum()
     }
 
     /// Counts a request that is sent to the engine.
@@ -137,8 +142,9 @@
         let memory = prompt.memory_tokens();
         self.reserved += memory;
         let running = RunningRequest { between_tokens: prompt.between_tokens, memory };
+        *self.paces.entry(running.between_tokens).or_default() += 1;
         if let Some(before) = self.running.insert(grant, running) {
-            self.reserved -= before.memory;
+            self.forget_running(&before);
         }
         let room = self.memory.map_or(CACHED_TOKENS, |memory| memory.saturating_sub(self.reserved));
         self.cache.note(prompt, room);
@@ -167,7 +173,17 @@
             }
         }
         if let Some(running) = self.running.remove(grant) {
-            self.reserved = self.reserved.saturating_sub(running.memory);
+            self.forget_running(&running);
+        }
+    }
+
+    fn forget_running(&mut self, running: &RunningRequest) {
+        self.reserved = self.reserved.saturating_sub(running.memory);
+        if let Some(count) = self.paces.get_mut(&running.between_tokens) {
+            *count -= 1;
+            if *count == 0 {
+                self.paces.remove(&running.between_tokens);
+            }
         }
     }
 
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -230,8 +230,9 @@
         self.queue.remove(&report.asker, report.grant);
         let Some(record) = self.ledger.end(&report.asker, report.grant) else { return };
         self.endpoints.learn(report, self.settings.between_tokens, now);
+        let key = (report.asker.clone(), report.grant);
+        self.endpoints.forget_prompt(&record.endpoint, &key, now);
         self.endpoints.ended(&record.endpoint);
-        self.endpoints.retain_prompts(&self.ledger, now);
         if let Some(estimated) = record.tokens {
             self.queue.settle(record.tier, record.by_floor, estimated, report.tokens);
         }
@@ -251,8 +252,8 @@
     fn cancel(&mut self, asker: &InstanceId, grant: GrantId, now: Instant) {
         self.queue.remove(asker, grant);
         if let Some(record) = self.ledger.end(asker, grant) {
+            self.endpoints.forget_prompt(&record.endpoint, &(asker.clone(), grant), now);
             self.endpoints.ended(&record.endpoint);
-            self.endpoints.retain_prompts(&self.ledger, now);
         }
     }
 
@@ -284,7 +285,9 @@
 
     /// Gives free slots to what waits, or refuses all of it when no endpoint is left.
     fn settle(&mut self, now: Instant, actions: &mut Vec<OwnerAction>) {
-        self.looked = None;
+        if self.queue.is_empty() {
+            self.looked = None;
+        }
         if !self.queue.is_empty() {
             if self.endpoints.is_any_in_service() {
                 self.dispatch(now, actions);
@@ -300,6 +303,10 @@
     }
 
     fn dispatch(&mut self, now: Instant, actions: &mut Vec<OwnerAction>) {
+        // To look at held prompts with each message would take most of an owner's time in a burst.
+        if self.looked.is_some_and(|looked| now < looked + LOOK_PERIOD) {
+            return;
+        }
         let mut passed_over = Vec::new();
         while passed_over.len() < PASSED_OVER_MAX && self.endpoints.is_any_free(now) {
             let Some(queued) = self.queue.take() else { break };
