--- a/coltsfootgate/src/tree/watch.rs
+++ b/coltsfootgate/src/tree/watch.rs
@@ -18,9 +18,9 @@
 /// After so many watches without news the head is read, in case a watch missed it.
 const WATCHES_PER_READ: u32 = 10;
 /// Shortest pause after an error.
-const PAUSE_MIN: Duration = Duration::from_millis(250);
+const PAUSE_MIN: Duration = Duration::from_millis(200);
 /// Longest pause after an error.
-const PAUSE_MAX: Duration = Duration::from_secs(2);
+const PAUSE_MAX: Duration = Duration::from_millis(500);
 
 /// Follows the head and reports what the store answers.
 pub(super) struct HeadWatch<S> {
