Let peers tell of replicas while the platform's list does not answer

While its list does not answer, an instance asks one peer after the other what it knows; leaving binds from whoever tells it, and a peer that knows nothing proves nothing.

--- a/coltsfootgate/src/endpoints/mod.rs
+++ b/coltsfootgate/src/endpoints/mod.rs
@@ -1,6 +1,8 @@
 //! The endpoints that may serve now: those of the tree and those that announced themselves.
 
+mod board;
 mod directory;
+mod peers;
 mod task;
 
 use std::collections::BTreeMap;
@@ -9,7 +11,9 @@
 
 use coltsfootgate_core::prelude::{EndpointSettings, PoolId, PoolSettings};
 
+pub use self::board::ReplicaBoard;
 pub use self::directory::{EndpointDirectory, EndpointList, EndpointNotice};
+pub use self::peers::ReplicaPeers;
 pub use self::task::EndpointsTask;
 use crate::tree::ActiveTree;
 
--- a/coltsfootgate/src/endpoints/task.rs
+++ b/coltsfootgate/src/endpoints/task.rs
@@ -11,7 +11,7 @@
 
 use coltsfootgate_core::roster::{ReplicaRoster, RosterEvent};
 
-use super::{ActivePools, EndpointDirectory, EndpointNotice};
+use super::{ActivePools, EndpointDirectory, EndpointNotice, ReplicaBoard, ReplicaPeers};
 use crate::clock;
 use crate::metrics::DaemonMetrics;
 use crate::operators::{ReadinessGate, UnreadyCause};
@@ -34,6 +34,7 @@
     owner: OwnerHandle,
     routes: RouteBoard,
     readiness: ReadinessGate,
+    board: ReplicaBoard,
     roster: ReplicaRoster,
     active: Option<Rc<ActiveTree>>,
 }
@@ -45,19 +46,23 @@
         owner: OwnerHandle,
         routes: RouteBoard,
         readiness: ReadinessGate,
+        board: ReplicaBoard,
     ) -> Self {
-        Self { tree, owner, routes, readiness, roster: ReplicaRoster::default(), active: None }
+        let roster = ReplicaRoster::default();
+        Self { tree, owner, routes, readiness, board, roster, active: None }
     }
 
     /// Keeps the endpoints until the process ends.
     pub async fn run<D: EndpointDirectory + 'static>(
         mut self,
         directory: D,
+        peers: ReplicaPeers,
         metrics: DaemonMetrics,
     ) {
         let (events, mut news) = unbounded();
         if D::ANNOUNCES {
             self.readiness.close(UnreadyCause::NoEndpoints);
+            monoio::spawn(peers.follow(self.board.clone(), events.clone()));
             monoio::spawn(follow_directory(directory, events, metrics));
         } else {
             // Without a sender the receiver would end at once.
@@ -86,6 +91,7 @@
         if !was_known && self.roster.is_known() {
             self.readiness.open(UnreadyCause::NoEndpoints);
         }
+        self.board.set(self.roster.knowledge(), self.roster.is_source_lost());
         if !changes.is_empty() {
             self.publish();
         }
--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -11,7 +11,7 @@
 use crate::clock;
 use crate::dialect::Dialect;
 use crate::endpoint::ConnectionPool;
-use crate::endpoints::{EndpointDirectory, EndpointsTask};
+use crate::endpoints::{EndpointDirectory, EndpointsTask, ReplicaBoard, ReplicaPeers};
 use crate::limits::{LimitHandle, LimitTask};
 use crate::members::{MembersHandle, MembersTask};
 use crate::metrics::DaemonMetrics;
@@ -67,10 +67,11 @@
     let members = ground.start_members(&tree);
     let claims = ground.start_claims(&tree, &members);
     let limits = ground.start_limits(&tree);
-    let (owner, context) = ground.start_routing(tree, claims, limits);
+    let replicas = ReplicaBoard::default();
+    let (owner, context) = ground.start_routing(tree, &members, replicas.clone(), claims, limits);
     let pools = ground.follow_members(&members, &owner, &context);
     let board = status_board(settings, &members, pools);
-    ground.start_peer_side(identity, peer_listener, &members, owner, &context);
+    ground.start_peer_side(identity, peer_listener, &members, replicas, owner, &context);
     InstanceParts { context: Rc::new(context), members, readiness: ground.readiness, board }
 }
 
@@ -134,6 +135,8 @@
     fn start_routing(
         &self,
         tree: TreeHandle,
+        members: &MembersHandle,
+        replicas: ReplicaBoard,
         claims: ClaimsHandle,
         limits: LimitHandle,
     ) -> (OwnerHandle, GateContext) {
@@ -142,8 +145,9 @@
         monoio::spawn(OwnerTask::new(own.clone(), owner.clone()).run(messages));
         let routes = RouteBoard::new(self.settings.zone.clone());
         let (endpoints, readiness) = (owner.clone(), self.readiness.clone());
-        let task = EndpointsTask::new(tree.clone(), endpoints, routes.clone(), readiness);
-        monoio::spawn(task.run(self.platform.clone(), self.metrics.clone()));
+        let task = EndpointsTask::new(tree.clone(), endpoints, routes.clone(), readiness, replicas);
+        let peers = ReplicaPeers::new(own.clone(), members.clone(), self.peers.clone());
+        monoio::spawn(task.run(self.platform.clone(), peers, self.metrics.clone()));
         let link = OwnerLink::new(own.clone(), owner.clone(), self.peers.clone());
         let context = GateContext {
             own,
@@ -188,6 +192,7 @@
         identity: PeerIdentity,
         peer_listener: TcpListener,
         members: &MembersHandle,
+        replicas: ReplicaBoard,
         owner: OwnerHandle,
         context: &GateContext,
     ) {
@@ -196,6 +201,7 @@
         let dispatch = PeerDispatch::new(
             members.clone(),
             context.tree.clone(),
+            replicas,
             context.claims.clone(),
             self.metrics.clone(),
             others,
--- a/coltsfootgate/src/owner/desk.rs
+++ b/coltsfootgate/src/owner/desk.rs
@@ -75,6 +75,7 @@
             | PeerRequest::AskAbout(_)
             | PeerRequest::FetchHead
             | PeerRequest::FetchObject(_)
+            | PeerRequest::FetchReplicas
             | PeerRequest::Claim { .. } => false,
         };
         if statement {
--- a/coltsfootgate/src/peer/dispatch.rs
+++ b/coltsfootgate/src/peer/dispatch.rs
@@ -10,6 +10,7 @@
 use super::PeerCall;
 use crate::claims::ClaimsHandle;
 use crate::clock;
+use crate::endpoints::ReplicaBoard;
 use crate::members::{MemberMessage, MembersHandle};
 use crate::metrics::DaemonMetrics;
 use crate::tree::TreeHandle;
@@ -18,6 +19,7 @@
 pub struct PeerDispatch {
     members: MembersHandle,
     tree: TreeHandle,
+    replicas: ReplicaBoard,
     claims: ClaimsHandle,
     metrics: DaemonMetrics,
     /// Takes what concerns grants and limits.
@@ -29,11 +31,12 @@
     pub fn new(
         members: MembersHandle,
         tree: TreeHandle,
+        replicas: ReplicaBoard,
         claims: ClaimsHandle,
         metrics: DaemonMetrics,
         others: UnboundedSender<PeerCall>,
     ) -> Self {
-        Self { members, tree, claims, metrics, others }
+        Self { members, tree, replicas, claims, metrics, others }
     }
 
     /// Passes requests on until the listener is gone.
@@ -66,6 +69,9 @@
                 let object = self.tree.object(&digest).map(|object| object.to_vec());
                 let _ = reply.send(PeerReply::Object(object));
             }
+            PeerRequest::FetchReplicas => {
+                let _ = reply.send(PeerReply::Replicas(self.replicas.knowledge()));
+            }
             PeerRequest::Claim { change, deadline } => {
                 let claims = self.claims.clone();
                 monoio::spawn(async move {
@@ -93,6 +99,7 @@
         PeerRequest::AskAbout(_)
         | PeerRequest::FetchHead
         | PeerRequest::FetchObject(_)
+        | PeerRequest::FetchReplicas
         | PeerRequest::Claim { .. } => true,
     }
 }
--- a/coltsfootgate_core/src/roster.rs
+++ b/coltsfootgate_core/src/roster.rs
@@ -40,6 +40,15 @@
     }
 }
 
+/// What an instance knows of replicas, for those that cannot reach the source.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ReplicaKnowledge {
+    /// The last announcement of each replica that may serve.
+    pub announcements: Vec<ReplicaAnnouncement>,
+    /// The endpoints that left.
+    pub left: Vec<EndpointId>,
+}
+
 /// What a roster learns.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum RosterEvent {
@@ -51,8 +60,8 @@
     Withdrawn(Arc<str>),
     /// The source does not answer.
     SourceLost,
-    /// Another instance says that an endpoint is leaving.
-    LeavingElsewhere(EndpointId),
+    /// Another instance says what it knows, and which endpoints left.
+    HeardOf(ReplicaKnowledge),
     /// Time passed.
     Tick,
 }
@@ -119,7 +128,7 @@
                 self.withdraw(&replica, now, &mut changes);
             }
             RosterEvent::SourceLost => self.is_source_lost = true,
-            RosterEvent::LeavingElsewhere(endpoint) => self.leave(endpoint, now, &mut changes),
+            RosterEvent::HeardOf(knowledge) => self.hear_of(knowledge, now, &mut changes),
             RosterEvent::Tick => {}
         }
         self.expire(now, &mut changes);
@@ -146,9 +155,19 @@
         pools
     }
 
-    /// The endpoints that are known to be leaving.
-    pub fn leaving(&self) -> Vec<EndpointId> {
-        self.left.keys().cloned().collect()
+    /// Whether the source did not answer lately.
+    pub fn is_source_lost(&self) -> bool {
+        self.is_source_lost
+    }
+
+    /// What is known here, for other instances.
+    pub fn knowledge(&self) -> ReplicaKnowledge {
+        let announcements = self.entries.values().map(|entry| entry.announcement.clone());
+        let announcements = announcements.filter(|one| !self.left.contains_key(&one.endpoint_id()));
+        ReplicaKnowledge {
+            announcements: announcements.collect(),
+            left: self.left.keys().cloned().collect(),
+        }
     }
 
     fn list(
@@ -169,6 +188,22 @@
         }
     }
 
+    /// Takes in what another instance knows; whoever it does not name stays.
+    fn hear_of(
+        &mut self,
+        knowledge: ReplicaKnowledge,
+        now: Instant,
+        changes: &mut Vec<(EndpointId, ReplicaChange)>,
+    ) {
+        self.is_known |= !knowledge.announcements.is_empty();
+        for endpoint in knowledge.left {
+            self.leave(endpoint, now, changes);
+        }
+        for announcement in knowledge.announcements {
+            self.announce(announcement, now, changes);
+        }
+    }
+
     fn note_answer(&mut self, now: Instant) {
         if self.is_source_lost {
             self.is_source_lost = false;
--- a/coltsfootgate_core/tests/roster.rs
+++ b/coltsfootgate_core/tests/roster.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 
 use coltsfootgate_core::roster::{
-    RETURN_TIME, ReplicaAnnouncement, ReplicaChange, ReplicaRoster, RosterEvent,
+    RETURN_TIME, ReplicaAnnouncement, ReplicaChange, ReplicaKnowledge, ReplicaRoster, RosterEvent,
 };
 
 static START: LazyLock<Instant> = LazyLock::new(Instant::now);
@@ -28,6 +28,13 @@
     ReplicaAnnouncement { is_leaving: true, ..announcement }
 }
 
+fn heard(names: &[&str], left: &[&str]) -> ReplicaKnowledge {
+    ReplicaKnowledge {
+        announcements: names.iter().map(|name| replica(name, 1, 1)).collect(),
+        left: left.iter().map(|id| (*id).into()).collect(),
+    }
+}
+
 /// The names of the endpoints that may serve.
 fn serving(roster: &ReplicaRoster) -> Vec<String> {
     let pools = roster.endpoints();
@@ -46,7 +53,8 @@
 #[case::withdrawn(RosterEvent::Withdrawn("a".into()), &[])]
 #[case::listed_without(RosterEvent::Listed(Vec::new()), &[])]
 #[case::reborn(RosterEvent::Announced(replica("a", 2, 1)), &["a@2"])]
-#[case::told_by_a_peer(RosterEvent::LeavingElsewhere("a@1".into()), &[])]
+#[case::told_by_a_peer(RosterEvent::HeardOf(heard(&[], &["a@1"])), &[])]
+#[case::known_by_a_peer(RosterEvent::HeardOf(heard(&["b"], &[])), &["a@1", "b@1"])]
 #[case::an_older_life(RosterEvent::Announced(leaving(replica("a", 0, 9))), &["a@1"])]
 #[case::a_late_announcement(RosterEvent::Announced(leaving(replica("a", 1, 0))), &["a@1"])]
 fn one_event_leaves(#[case] event: RosterEvent, #[case] expected: &[&str]) {
@@ -101,3 +109,19 @@
     roster.handle(RosterEvent::Tick, *START + Duration::from_secs(600));
     assert_eq!(serving(&roster), ["a@1"]);
 }
+
+/// An instance that starts while the source is away lives on what its peers know.
+#[test]
+fn a_roster_that_was_never_read_is_filled_by_peers() {
+    let known = roster_of(vec![replica("a", 1, 1), replica("b", 1, 1)]);
+    let mut known = known;
+    known.handle(RosterEvent::Announced(leaving(replica("b", 1, 2))), *START);
+    let mut roster = ReplicaRoster::default();
+    roster.handle(RosterEvent::SourceLost, *START);
+    assert!(!roster.is_known());
+    roster.handle(RosterEvent::HeardOf(ReplicaKnowledge::default()), *START);
+    assert!(!roster.is_known(), "a peer that knows nothing proves nothing");
+    roster.handle(RosterEvent::HeardOf(known.knowledge()), *START);
+    assert!(roster.is_known() && roster.is_source_lost());
+    assert_eq!(serving(&roster), ["a@1"]);
+}
--- a/coltsfootgate_wire/src/lib.rs
+++ b/coltsfootgate_wire/src/lib.rs
@@ -9,6 +9,7 @@
 mod message;
 mod names;
 mod proof;
+mod replica;
 mod tree;
 mod wire;
 
--- a/coltsfootgate_wire/src/message.rs
+++ b/coltsfootgate_wire/src/message.rs
@@ -10,6 +10,7 @@
 use coltsfootgate_core::membership::PeerHeartbeat;
 use coltsfootgate_core::owner::{GrantRequest, HeldGrant, OwnerPressure, ReleaseReport};
 use coltsfootgate_core::reason::ErrorKind;
+use coltsfootgate_core::roster::ReplicaKnowledge;
 
 /// How busy an owner is with one pool.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -72,6 +73,8 @@
     FetchHead,
     /// Asks for a value of the tree in force, by digest.
     FetchObject(Arc<str>),
+    /// Asks what is known of replicas that announced themselves.
+    FetchReplicas,
     /// Asks for a slice of a customer's limits.
     LimitAsk(LimitAsk),
     /// Asks for a change of a page of claims.
@@ -96,6 +99,7 @@
             Self::Announce { .. } => "announce",
             Self::FetchHead => "fetch-head",
             Self::FetchObject(_) => "fetch-object",
+            Self::FetchReplicas => "fetch-replicas",
             Self::LimitAsk(_) => "limit-ask",
             Self::Claim { .. } => "claim",
         }
@@ -138,6 +142,8 @@
     Head(Option<TreeHead>),
     /// The value, if it belongs to the tree in force.
     Object(Option<Vec<u8>>),
+    /// What is known of replicas.
+    Replicas(ReplicaKnowledge),
     /// A slice of a customer's limits.
     LimitSlice(LimitSlice),
     /// What became of a change of a page of claims.
--- a/coltsfootgate_wire/src/wire.rs
+++ b/coltsfootgate_wire/src/wire.rs
@@ -15,6 +15,7 @@
 use crate::names::{
     TimedMessage, check_digest, check_instance, check_name, from_micros, time_left,
 };
+use crate::replica::WireKnowledge;
 use crate::tree::WireHead;
 
 #[derive(Deserialize, Serialize)]
@@ -28,6 +29,7 @@
     Announce { pool: Arc<str>, asker: Arc<str>, held: Vec<WireHeldGrant> },
     FetchHead,
     FetchObject(Arc<str>),
+    FetchReplicas,
     LimitAsk(WireLimitAsk),
     Claim { change: WireChange, micros_left: u64 },
 }
@@ -42,6 +44,7 @@
     Accepted,
     Head(Option<WireHead>),
     Object(Option<Vec<u8>>),
+    Replicas(WireKnowledge),
     LimitSlice(WireLimitSlice),
     Claim(WireVerdict),
 }
@@ -80,6 +83,7 @@
                 Self::Announce { pool, asker, held: convert(held) }
             }
             PeerRequest::FetchHead => Self::FetchHead,
+            PeerRequest::FetchReplicas => Self::FetchReplicas,
             PeerRequest::FetchObject(digest) => Self::FetchObject(digest),
             PeerRequest::LimitAsk(ask) => Self::LimitAsk(ask.into()),
             PeerRequest::Claim { change, deadline } => {
@@ -121,6 +125,7 @@
                 held: check(held)?,
             },
             WireRequest::FetchHead => Self::FetchHead,
+            WireRequest::FetchReplicas => Self::FetchReplicas,
             WireRequest::FetchObject(digest) => Self::FetchObject(check_digest(digest)?),
             WireRequest::LimitAsk(ask) => Self::LimitAsk(ask.try_into()?),
             WireRequest::Claim { change, micros_left } => {
@@ -147,6 +152,7 @@
             PeerReply::Accepted => Self::Accepted,
             PeerReply::Head(head) => Self::Head(head.map(WireHead::from)),
             PeerReply::Object(object) => Self::Object(object),
+            PeerReply::Replicas(knowledge) => Self::Replicas(knowledge.into()),
             PeerReply::LimitSlice(slice) => Self::LimitSlice(slice.into()),
             PeerReply::Claim(verdict) => Self::Claim(verdict.into()),
         }
@@ -173,6 +179,7 @@
             WireReply::Accepted => Self::Accepted,
             WireReply::Head(head) => Self::Head(head.map(|head| head.try_into()).transpose()?),
             WireReply::Object(object) => Self::Object(object),
+            WireReply::Replicas(knowledge) => Self::Replicas(knowledge.try_into()?),
             WireReply::LimitSlice(slice) => Self::LimitSlice(slice.try_into()?),
             WireReply::Claim(verdict) => Self::Claim(verdict.try_into()?),
         })
--- a/coltsfootgate_wire/tests/messages.rs
+++ b/coltsfootgate_wire/tests/messages.rs
@@ -10,6 +10,7 @@
 };
 use coltsfootgate_core::prompt::{PromptLoad, PromptPart};
 use coltsfootgate_core::reason::ErrorKind;
+use coltsfootgate_core::roster::{ReplicaAnnouncement, ReplicaKnowledge};
 use coltsfootgate_wire::{
     MESSAGE_BYTES_MAX, PeerReply, PeerRequest, PoolPressure, WireError, decode_reply,
     decode_request, encode_reply, encode_request,
@@ -107,6 +108,7 @@
             PeerRequest::Announce { pool, asker, held }
         }
         "head" => PeerRequest::FetchHead,
+        "replicas" => PeerRequest::FetchReplicas,
         _ => PeerRequest::FetchObject(DIGEST.into()),
     }
 }
@@ -122,7 +124,8 @@
         "cancel",
         "announce",
         "head",
-        "object"
+        "object",
+        "replicas"
     )]
     name: &str,
 ) {
@@ -145,6 +148,19 @@
 #[case::no_head(PeerReply::Head(None))]
 #[case::head(PeerReply::Head(Some(TreeHead { version: 3, root: DIGEST.into(), nonce: "n".into() })))]
 #[case::object(PeerReply::Object(Some(vec![7; 1 << 20])))]
+#[case::replicas(PeerReply::Replicas(ReplicaKnowledge {
+    announcements: vec![ReplicaAnnouncement {
+        replica: "i-1".into(),
+        born: 1_770_588_738_134,
+        sequence: 4,
+        pool: "pools.a".into(),
+        address: "10.0.0.1:8080".into(),
+        zone: "zone-a".into(),
+        slots: 64,
+        is_leaving: false,
+    }],
+    left: vec!["i-2@0".into()],
+}))]
 fn a_reply_survives_its_coding(#[case] reply: PeerReply) {
     let bytes = encode_reply(reply.clone()).unwrap();
     assert_eq!(decode_reply(&bytes).unwrap(), reply);
