--- a/coltsfootgate/src/daemon.rs
+++ b/coltsfootgate/src/daemon.rs
@@ -35,6 +35,8 @@
 const GRACE_SHARE: f64 = 0.95;
 /// How long a process that is ending waits until the ends of claimed requests are recorded.
 const SETTLE_TIME: Duration = Duration::from_secs(5);
+/// How long a process that ends waits until its last log lines were written.
+const LOG_TIME: Duration = Duration::from_millis(200);
 /// Exit code for settings that are missing or not allowed.
 const EXIT_SETTINGS: u8 = 2;
 
@@ -96,12 +98,15 @@
 }
 
 fn start<D: Dialect>(settings: DaemonSettings) -> Result<(), Report<DaemonFault>> {
-    start_logging(settings.log_level, settings.log_format).change_context(DaemonFault::Logging)?;
+    let (level, format, output) = (settings.log_level, settings.log_format, settings.log_output);
+    let log = start_logging(level, format, output).change_context(DaemonFault::Logging)?;
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
         .enable_timer()
         .build()
         .change_context(DaemonFault::Runtime)?;
-    runtime.block_on(serve::<D>(settings))
+    let served = runtime.block_on(serve::<D>(settings));
+    log.wait(LOG_TIME);
+    served
 }
 
 async fn serve<D: Dialect>(mut settings: DaemonSettings) -> Result<(), Report<DaemonFault>> {
--- a/coltsfootgate/src/logging.rs
+++ b/coltsfootgate/src/logging/mod.rs
@@ -1,5 +1,7 @@
 //! Log output as text or JSON lines, with a fixed prefix for each part.
 
+mod writer;
+
 use std::fmt::Arguments;
 use std::io::Write;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -10,9 +12,11 @@
 
 use coltsfootgate_core::calendar::{DAY_SECONDS, civil_date};
 
-use crate::options::LogFormat;
+pub use self::writer::LogDrain;
+use self::writer::QueuedWriter;
+use crate::options::{LogFormat, LogOutput};
 
-/// Target of the decision lines, whose message is a JSON object of its own.
+/// Target of the decision lines, whose message is the members of a JSON object.
 pub const DECISION_TARGET: &str = "decision";
 
 /// One line of the JSON log.
@@ -24,18 +28,28 @@
     message: String,
 }
 
-/// Sends the process's log to standard error.
+/// Sends the process's log to one of its outputs; the drain waits until it was written.
 ///
 /// # Errors
 ///
 /// Fails if a logger was installed before.
-pub fn start_logging(level: LevelFilter, format: LogFormat) -> Result<(), SetLoggerError> {
+pub fn start_logging(
+    level: LevelFilter,
+    format: LogFormat,
+    output: LogOutput,
+) -> Result<LogDrain, SetLoggerError> {
     let dispatch = Dispatch::new().level(level).filter(|metadata| is_own_target(metadata.target()));
     let dispatch = match format {
         LogFormat::Text => dispatch.format(write_text),
         LogFormat::Json => dispatch.format(write_json),
     };
-    dispatch.chain(std::io::stderr()).apply()
+    let (writer, drain) = match output {
+        LogOutput::Stdout => QueuedWriter::start(std::io::stdout()),
+        LogOutput::Stderr => QueuedWriter::start(std::io::stderr()),
+    };
+    let writer: Box<dyn Write + Send> = Box::new(writer);
+    dispatch.chain(writer).apply()?;
+    Ok(drain)
 }
 
 /// Whether a message comes from this system rather than from a library.
@@ -59,6 +73,16 @@
 }
 
 fn write_json(out: FormatCallback<'_>, message: &Arguments<'_>, record: &Record<'_>) {
+    if record.target() == DECISION_TARGET {
+        let (time, level) = (time_now(), record.level().as_str());
+        // The members of the record become members of the line.
+        let members = message.to_string();
+        let members = members.strip_prefix('{').unwrap_or(&members);
+        let head = format_args!(
+            "{{\"time\":\"{time}\",\"level\":\"{level}\",\"part\":\"decision\",{members}"
+        );
+        return out.finish(head);
+    }
     let line = LogLine {
         time: time_now(),
         level: record.level().as_str(),
--- a/coltsfootgate/src/options/mod.rs
+++ b/coltsfootgate/src/options/mod.rs
@@ -76,6 +76,9 @@
     /// Form of the log.
     #[options(no_short, meta = "FORMAT", help = "text or json (text)")]
     pub log_format: Option<String>,
+    /// Where the log goes.
+    #[options(no_short, meta = "OUTPUT", help = "stdout or stderr (stderr)")]
+    pub log_output: Option<String>,
     /// Connections of callers held at once.
     #[options(no_short, meta = "COUNT", help = "connections of callers held at once (4096)")]
     pub connections: Option<String>,
@@ -172,6 +175,16 @@
     Json,
 }
 
+/// Where the log goes.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum LogOutput {
+    /// Standard output, after the line that says where the process listens.
+    Stdout,
+    /// Standard error.
+    #[default]
+    Stderr,
+}
+
 /// The checked settings of one daemon.
 #[derive(Clone, Debug)]
 pub struct DaemonSettings {
@@ -199,6 +212,8 @@
     pub log_level: LevelFilter,
     /// Form of the log.
     pub log_format: LogFormat,
+    /// Where the log goes.
+    pub log_output: LogOutput,
     /// Connections of callers held at once.
     pub connections: usize,
     /// Connections of peers held at once.
@@ -316,6 +331,7 @@
         let body_bytes = count("body-bytes", flags.body_bytes, "1048576");
         let log_level = faults.level(flags.log_level);
         let log_format = faults.format(flags.log_format);
+        let log_output = faults.output(flags.log_output);
         let peer_secret = faults.secret();
         faults.unknown_variables();
         let settings = (|| {
@@ -336,6 +352,7 @@
                 peer_secret: peer_secret?,
                 log_level: log_level?,
                 log_format: log_format?,
+                log_output: log_output?,
                 connections: connections?,
                 peer_connections: peer_connections?,
                 operators_connections: operators_connections?,
--- a/coltsfootgate/src/options/parse.rs
+++ b/coltsfootgate/src/options/parse.rs
@@ -11,7 +11,7 @@
 use coltsfootgate_core::ids::InstanceId;
 
 use super::{
-    ENVIRONMENT_PREFIX, LogFormat, PEER_SECRET_BYTES_MIN, PEER_SECRET_VARIABLE,
+    ENVIRONMENT_PREFIX, LogFormat, LogOutput, PEER_SECRET_BYTES_MIN, PEER_SECRET_VARIABLE,
     PLATFORM_SETTINGS_VARIABLE, PeerSecret, SettingFault, SettingFaults,
 };
 
@@ -99,6 +99,10 @@
         self.required("log-format", flag, Some("text"), parse_format)
     }
 
+    pub(super) fn output(&mut self, flag: Option<String>) -> Option<LogOutput> {
+        self.required("log-output", flag, Some("stderr"), parse_output)
+    }
+
     /// Reads the secret from the environment; its text never appears in a fault.
     pub(super) fn secret(&mut self) -> Option<PeerSecret> {
         match self.environment.get(PEER_SECRET_VARIABLE) {
@@ -210,6 +214,14 @@
     }
 }
 
+fn parse_output(text: &str) -> Result<LogOutput, &'static str> {
+    match text {
+        "stdout" => Ok(LogOutput::Stdout),
+        "stderr" => Ok(LogOutput::Stderr),
+        _ => Err("stdout or stderr"),
+    }
+}
+
 fn parse_format(text: &str) -> Result<LogFormat, &'static str> {
     match text {
         "text" => Ok(LogFormat::Text),
