Take out at once what left after an outage, and count the memory of announced grants

Only what is missing when the list comes back is a lapse now; the new test fails without that. Grants are announced with their memory, and a share of the slots has a share of the memory.

--- a/coltsfootgate/src/owner/task.rs
+++ b/coltsfootgate/src/owner/task.rs
@@ -166,7 +166,9 @@
             let owned = self.owned_endpoints(pool, pools.owner_endpoints());
             self.distribute_pool(pool, OwnerScope::Owned, owned, between_tokens, now);
             let share = fallback_share(&pool.endpoints, &self.own, &live);
-            self.distribute_pool(pool, OwnerScope::Share, share, between_tokens, now);
+            let part =
+                PoolSettings { memory: memory_part(pool.memory, live.len()), ..(**pool).clone() };
+            self.distribute_pool(&part, OwnerScope::Share, share, between_tokens, now);
         }
     }
 
@@ -257,3 +259,8 @@
         });
     }
 }
+
+/// The part of an engine's memory that one of the live instances may use on its own.
+fn memory_part(memory: Option<u64>, live: usize) -> Option<u64> {
+    memory.map(|memory| memory / live.max(1) as u64)
+}
--- a/coltsfootgate/src/pipeline/admit.rs
+++ b/coltsfootgate/src/pipeline/admit.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use coltsfootgate_core::owner::{GrantRequest, HeldGrant, ReleaseReport, ReleaseResult};
+use coltsfootgate_core::owner::{
+    EngineShare, GrantRequest, HeldGrant, ReleaseReport, ReleaseResult,
+};
 use coltsfootgate_core::prelude::{EndpointId, EndpointSettings, ErrorKind};
 use coltsfootgate_core::prompt::PromptLoad;
 use futures_util::future::{Either, select};
@@ -129,6 +131,7 @@
                 endpoint,
                 class: request.class.id.clone(),
                 tier: request.class.tier,
+                share: EngineShare::from(&ask.prompt),
             };
             let entry = LeaseEntry { pool: request.pool.id.clone(), held, place };
             Ok(lease(context, request, &walk, entry))
--- a/coltsfootgate_core/src/owner/endpoint.rs
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -6,7 +6,7 @@
 use super::concurrency::AdaptiveSlots;
 use super::engine::{EngineLoad, GrantKey};
 use super::errors::ErrorShare;
-use super::event::{GrantRequest, ReleaseReport, ReleaseResult};
+use super::event::{EngineShare, GrantRequest, ReleaseReport, ReleaseResult};
 use super::ledger::GrantLedger;
 use super::placement::{EngineView, placement_cost};
 use super::straggler::{EndpointHealth, EndpointState};
@@ -244,9 +244,12 @@
     }
 
     /// Counts a grant that was given by an earlier owner.
-    pub fn announced(&mut self, endpoint: &EndpointId) {
+    pub fn announced(&mut self, endpoint: &EndpointId, grant: GrantKey, share: EngineShare) {
         if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
             endpoint.in_flight += 1;
+            if share != EngineShare::default() {
+                endpoint.load.note_running(grant, share);
+            }
         }
     }
 
--- a/coltsfootgate_core/src/owner/engine.rs
+++ b/coltsfootgate_core/src/owner/engine.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use super::event::EngineShare;
 use crate::ids::{GrantId, InstanceId};
 use crate::prompt::PromptLoad;
 
@@ -33,13 +34,6 @@
     expected: Duration,
 }
 
-/// A request between its grant and its end.
-#[derive(Clone, Debug)]
-struct RunningRequest {
-    between_tokens: Duration,
-    memory: u64,
-}
-
 /// The prompts, running requests and cached parts of one engine, by the owner's own grants.
 #[derive(Clone, Debug)]
 pub struct EngineLoad {
@@ -48,7 +42,7 @@
     reading: VecDeque<ReadingPrompt>,
     /// When the first of the prompts began to be read.
     reading_since: Option<Instant>,
-    running: HashMap<GrantKey, RunningRequest>,
+    running: HashMap<GrantKey, EngineShare>,
     /// How many running requests allow each time between two tokens.
     paces: BTreeMap<Duration, u32>,
     reserved: u64,
@@ -139,13 +133,7 @@
             self.reading_since = Some(now);
         }
         self.reading.push_back(ReadingPrompt { grant: grant.clone(), tokens, sent: now, expected });
-        let memory = prompt.memory_tokens();
-        self.reserved += memory;
-        let running = RunningRequest { between_tokens: prompt.between_tokens, memory };
-        *self.paces.entry(running.between_tokens).or_default() += 1;
-        if let Some(before) = self.running.insert(grant, running) {
-            self.forget_running(&before);
-        }
+        self.note_running(grant, prompt.into());
         let room = self.memory.map_or(CACHED_TOKENS, |memory| memory.saturating_sub(self.reserved));
         self.cache.note(prompt, room);
     }
@@ -177,7 +165,16 @@
         }
     }
 
-    fn forget_running(&mut self, running: &RunningRequest) {
+    /// Counts a running request that an earlier owner granted.
+    pub fn note_running(&mut self, grant: GrantKey, running: EngineShare) {
+        self.reserved += running.memory;
+        *self.paces.entry(running.between_tokens).or_default() += 1;
+        if let Some(before) = self.running.insert(grant, running) {
+            self.forget_running(&before);
+        }
+    }
+
+    fn forget_running(&mut self, running: &EngineShare) {
         self.reserved = self.reserved.saturating_sub(running.memory);
         if let Some(count) = self.paces.get_mut(&running.between_tokens) {
             *count -= 1;
--- a/coltsfootgate_core/src/owner/event.rs
+++ b/coltsfootgate_core/src/owner/event.rs
@@ -100,6 +100,23 @@
     pub class: ClassId,
     /// The tier of the class.
     pub tier: RequestTier,
+    /// What it holds at an engine; nothing for a plain service.
+    pub share: EngineShare,
+}
+
+/// What a running request holds at an engine.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct EngineShare {
+    /// Memory, in tokens.
+    pub memory: u64,
+    /// What it allows between two tokens.
+    pub between_tokens: Duration,
+}
+
+impl From<&PromptLoad> for EngineShare {
+    fn from(prompt: &PromptLoad) -> Self {
+        Self { memory: prompt.memory_tokens(), between_tokens: prompt.between_tokens }
+    }
 }
 
 /// Something an owner learns.
--- a/coltsfootgate_core/src/owner/ledger.rs
+++ b/coltsfootgate_core/src/owner/ledger.rs
@@ -127,7 +127,7 @@
                 by_floor: false,
                 tokens: None,
             };
-            change.added.push(record.clone());
+            change.added.push((held.grant, record.clone()));
             self.grants.insert(key, record);
         }
         change
@@ -143,7 +143,7 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct LedgerChange {
     /// Grants that were unknown.
-    pub added: Vec<GrantRecord>,
+    pub added: Vec<(GrantId, GrantRecord)>,
     /// Grants that the entry no longer holds.
     pub removed: Vec<GrantRecord>,
 }
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -12,6 +12,7 @@
 mod queue;
 mod straggler;
 
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 pub use affinity::PrefixAffinity;
@@ -19,7 +20,8 @@
 pub use endpoint::{EndpointSnapshot, EndpointTable};
 pub use engine::{EngineLoad, GrantKey};
 pub use event::{
-    GrantRequest, HeldGrant, OwnerAction, OwnerEvent, OwnerPressure, ReleaseReport, ReleaseResult,
+    EngineShare, GrantRequest, HeldGrant, OwnerAction, OwnerEvent, OwnerPressure, ReleaseReport,
+    ReleaseResult,
 };
 pub use fair::{ArrivalNumber, FairQueue};
 pub use ledger::{GrantLedger, GrantRecord, LedgerChange};
@@ -266,9 +268,12 @@
     }
 
     fn announce(&mut self, asker: &InstanceId, held: Vec<HeldGrant>, now: Instant) {
+        let shares: HashMap<GrantId, EngineShare> =
+            held.iter().map(|held| (held.grant, held.share)).collect();
         let change = self.ledger.reconcile(asker, held, now);
-        for record in &change.added {
-            self.endpoints.announced(&record.endpoint);
+        for (grant, record) in &change.added {
+            let share = shares.get(grant).copied().unwrap_or_default();
+            self.endpoints.announced(&record.endpoint, (asker.clone(), *grant), share);
         }
         for record in &change.removed {
             self.endpoints.ended(&record.endpoint);
--- a/coltsfootgate_core/src/roster.rs
+++ b/coltsfootgate_core/src/roster.rs
@@ -8,7 +8,7 @@
 use crate::settings::EndpointSettings;
 
 /// How long a replica that lapsed while the source was away may take to announce itself again.
-pub const RETURN_TIME: Duration = Duration::from_millis(2_200);
+pub const RETURN_TIME: Duration = Duration::from_secs(2);
 /// How long it is remembered that an incarnation left, so that an old announcement does not undo it.
 pub const LEFT_MEMORY: Duration = Duration::from_secs(120);
 
@@ -124,8 +124,9 @@
                 self.announce(announcement, now, &mut changes);
             }
             RosterEvent::Withdrawn(replica) => {
+                let is_lapse = self.is_source_lost;
                 self.note_answer(now);
-                self.withdraw(&replica, now, &mut changes);
+                self.withdraw(&replica, is_lapse, now, &mut changes);
             }
             RosterEvent::SourceLost => self.is_source_lost = true,
             RosterEvent::HeardOf(knowledge) => self.hear_of(knowledge, now, &mut changes),
@@ -178,13 +179,14 @@
     ) {
         self.is_known = true;
         self.note_answer(now);
+        let is_lapse = self.returned.is_some_and(|returned| now < returned + RETURN_TIME);
         let listed: Vec<Arc<str>> = announcements.iter().map(|one| one.replica.clone()).collect();
         for announcement in announcements {
             self.announce(announcement, now, changes);
         }
         let missing = self.entries.keys().filter(|replica| !listed.contains(replica)).cloned();
         for replica in missing.collect::<Vec<_>>() {
-            self.withdraw(&replica, now, changes);
+            self.withdraw(&replica, is_lapse, now, changes);
         }
     }
 
@@ -240,13 +242,14 @@
         }
     }
 
+    /// Takes a replica out whose announcement is gone; one that lapsed may still return.
     fn withdraw(
         &mut self,
         replica: &Arc<str>,
+        is_lapse: bool,
         now: Instant,
         changes: &mut Vec<(EndpointId, ReplicaChange)>,
     ) {
-        let is_lapse = self.returned.is_some_and(|returned| now < returned + RETURN_TIME);
         let Some(entry) = self.entries.get_mut(replica) else { return };
         if is_lapse && !self.left.contains_key(&entry.announcement.endpoint_id()) {
             let until = self.returned.map_or(now, |returned| returned + RETURN_TIME);
@@ -285,7 +288,7 @@
             .map(|(replica, _)| replica.clone())
             .collect();
         for replica in over {
-            self.withdraw(&replica, now, changes);
+            self.withdraw(&replica, false, now, changes);
         }
         self.left.retain(|_, since| now < *since + LEFT_MEMORY);
     }
--- a/coltsfootgate_core/tests/owner_properties.rs
+++ b/coltsfootgate_core/tests/owner_properties.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use coltsfootgate_core::owner::{HeldGrant, OwnerAction, OwnerEvent, ReleaseResult};
+use coltsfootgate_core::owner::{EngineShare, HeldGrant, OwnerAction, OwnerEvent, ReleaseResult};
 use coltsfootgate_core::prelude::*;
 use proptest::prelude::*;
 use support::{OwnerDriver, ask, endpoint};
@@ -168,6 +168,7 @@
         let held = self.driver.held().iter().filter(|(holder, _, _)| *holder == asker);
         let held = held
             .map(|(_, grant, endpoint)| HeldGrant {
+                share: EngineShare::default(),
                 grant: *grant,
                 endpoint: endpoint.clone(),
                 class: "classes.any".into(),
--- a/coltsfootgate_core/tests/placement.rs
+++ b/coltsfootgate_core/tests/placement.rs
@@ -10,7 +10,8 @@
 use rstest::rstest;
 
 use coltsfootgate_core::owner::{
-    OwnerAction, OwnerEvent, OwnerSettings, PoolOwner, ReleaseReport, ReleaseResult,
+    EngineShare, HeldGrant, OwnerAction, OwnerEvent, OwnerSettings, PoolOwner, ReleaseReport,
+    ReleaseResult,
 };
 use coltsfootgate_core::prelude::*;
 use coltsfootgate_core::prompt::{PromptLoad, PromptPart};
@@ -297,3 +298,34 @@
     let share = f64::from(replay.stops_beside_short) / short;
     assert!(share <= 0.05, "{share} stops for each short request");
 }
+
+/// An owner takes over engines that run requests already: their memory is taken.
+#[test]
+fn a_new_owner_counts_the_memory_of_announced_grants() {
+    let settings = OwnerSettings {
+        pool: "pools.model".into(),
+        between_tokens: Some(Duration::from_millis(250)),
+        memory: Some(100_000),
+    };
+    let mut owner = PoolOwner::new(settings);
+    owner.handle(OwnerEvent::Endpoints(vec![endpoint(0, SLOTS)]), *START);
+    let asker = ask(0, 1).asker;
+    let share = EngineShare { memory: 95_000, between_tokens: Duration::from_millis(1_000) };
+    let held = HeldGrant {
+        grant: 1,
+        endpoint: endpoint(0, SLOTS).id,
+        class: "classes.t3".into(),
+        tier: RequestTier::LOWEST,
+        share,
+    };
+    owner.handle(OwnerEvent::Announce { asker: asker.clone(), held: vec![held] }, *START);
+    let request = coltsfootgate_core::owner::GrantRequest {
+        prompt: prompt(&LONG, 7, 2),
+        ..ask(2, LONG.tier)
+    };
+    let is_grant = |action: &OwnerAction| matches!(action, OwnerAction::Grant { .. });
+    assert!(!owner.handle(OwnerEvent::Ask(request), *START).iter().any(is_grant));
+    let later = *START + Duration::from_millis(100);
+    let actions = owner.handle(OwnerEvent::Cancel { asker, grant: 1 }, later);
+    assert!(actions.iter().any(is_grant), "{actions:?}");
+}
--- a/coltsfootgate_core/tests/roster.rs
+++ b/coltsfootgate_core/tests/roster.rs
@@ -125,3 +125,14 @@
     assert!(roster.is_known() && roster.is_source_lost());
     assert_eq!(serving(&roster), ["a@1"]);
 }
+
+/// A replica that was still listed when the source came back left for good when it goes.
+#[test]
+fn a_removal_after_the_return_holds_at_once() {
+    let mut roster = roster_of(vec![replica("a", 1, 1), replica("b", 1, 1)]);
+    roster.handle(RosterEvent::SourceLost, *START);
+    let back = *START + Duration::from_secs(6);
+    roster.handle(RosterEvent::Listed(vec![replica("a", 1, 4), replica("b", 1, 4)]), back);
+    roster.handle(RosterEvent::Withdrawn("a".into()), back + Duration::from_millis(500));
+    assert_eq!(serving(&roster), ["b@1"]);
+}
--- a/coltsfootgate_wire/src/grant.rs
+++ b/coltsfootgate_wire/src/grant.rs
@@ -7,7 +7,7 @@
 
 use coltsfootgate_core::ids::{RequestTier, TIER_COUNT};
 use coltsfootgate_core::owner::{
-    GrantRequest, HeldGrant, OwnerPressure, ReleaseReport, ReleaseResult,
+    EngineShare, GrantRequest, HeldGrant, OwnerPressure, ReleaseReport, ReleaseResult,
 };
 use coltsfootgate_core::prompt::{PromptLoad, PromptPart};
 use coltsfootgate_core::reason::ErrorKind;
@@ -113,6 +113,8 @@
     endpoint: Arc<str>,
     class: Arc<str>,
     tier: u8,
+    memory: u64,
+    between_tokens_micros: u64,
 }
 
 #[derive(Deserialize, Serialize)]
@@ -247,8 +249,16 @@
 
 impl From<HeldGrant> for WireHeldGrant {
     fn from(held: HeldGrant) -> Self {
-        let HeldGrant { grant, endpoint, class, tier } = held;
-        Self { grant, endpoint, class, tier: tier.number() }
+        let HeldGrant { grant, endpoint, class, tier, share } = held;
+        let between_tokens_micros = to_micros(share.between_tokens);
+        Self {
+            grant,
+            endpoint,
+            class,
+            tier: tier.number(),
+            memory: share.memory,
+            between_tokens_micros,
+        }
     }
 }
 
@@ -261,6 +271,10 @@
             endpoint: check_name(held.endpoint, "endpoint")?,
             class: check_name(held.class, "class")?,
             tier: check_tier(held.tier)?,
+            share: EngineShare {
+                memory: held.memory,
+                between_tokens: from_micros(held.between_tokens_micros)?,
+            },
         })
     }
 }
--- a/coltsfootgate_wire/tests/messages.rs
+++ b/coltsfootgate_wire/tests/messages.rs
@@ -6,7 +6,7 @@
 use coltsfootgate_core::ids::{RequestTier, TIER_COUNT};
 use coltsfootgate_core::membership::{PeerHeartbeat, PeerProfile, PeerRumor, PeerState};
 use coltsfootgate_core::owner::{
-    GrantRequest, HeldGrant, OwnerPressure, ReleaseReport, ReleaseResult,
+    EngineShare, GrantRequest, HeldGrant, OwnerPressure, ReleaseReport, ReleaseResult,
 };
 use coltsfootgate_core::prompt::{PromptLoad, PromptPart};
 use coltsfootgate_core::reason::ErrorKind;
@@ -104,7 +104,9 @@
         "announce" => {
             let (endpoint, class) = ("pools.a.one".into(), "classes.a".into());
             let tier = RequestTier::LOWEST;
-            let held = vec![HeldGrant { grant: 1, endpoint, class, tier }];
+            let between_tokens = Duration::from_millis(250);
+            let share = EngineShare { memory: 12_000, between_tokens };
+            let held = vec![HeldGrant { grant: 1, endpoint, class, tier, share }];
             PeerRequest::Announce { pool, asker, held }
         }
         "head" => PeerRequest::FetchHead,
