--- a/coltsfootgate/src/endpoints/task.rs
+++ b/coltsfootgate/src/endpoints/task.rs
@@ -63,12 +63,11 @@
         if D::ANNOUNCES {
             self.readiness.close(UnreadyCause::NoEndpoints);
             monoio::spawn(peers.follow(self.board.clone(), events.clone()));
-            monoio::spawn(follow_directory(directory, events, metrics));
-        } else {
-            // Without a sender the receiver would end at once.
-            std::mem::forget(events);
+            monoio::spawn(follow_directory(directory, events.clone(), metrics));
         }
         let mut trees = self.tree.subscribe();
+        // Without a sender the receiver would end at once.
+        let _events = events;
         loop {
             let step = next_step(&mut trees, &mut news).await;
             match step {
--- a/coltsfootgate/src/pipeline/classify.rs
+++ b/coltsfootgate/src/pipeline/classify.rs
@@ -7,7 +7,7 @@
 
 use coltsfootgate_config::{HeaderLookup, RequestFacts};
 use coltsfootgate_core::prelude::{
-    ClassSettings, CustomerSettings, ErrorKind, PoolSettings, RouteTarget,
+    ClassSettings, CustomerSettings, ErrorKind, PoolSettings, RequestTier, RouteTarget,
 };
 use http::{HeaderMap, Method};
 use rand::Rng;
@@ -46,6 +46,8 @@
     pub customer: Arc<CustomerSettings>,
     /// Its class.
     pub class: Arc<ClassSettings>,
+    /// The tier that its class states, where the customer's tier goes before it.
+    pub stated_tier: RequestTier,
     /// The pool that serves it.
     pub pool: Arc<PoolSettings>,
     /// The form of its answer.
@@ -98,6 +100,7 @@
     let IdentifiedRequest { accepted, active, .. } = identified;
     let demand = find_demand(&accepted, &active, &customer)?;
     let class = classify(&accepted, &active, &customer.id, demand.model.as_deref());
+    let stated_tier = class.tier;
     let class = match customer.tier {
         Some(tier) if tier != class.tier => Arc::new(ClassSettings { tier, ..(*class).clone() }),
         _ => class,
@@ -111,6 +114,7 @@
         active,
         customer,
         class,
+        stated_tier,
         pool: demand.pool,
         form: demand.form,
         repeatable,
