Read each thing once: classes, what is known of replicas, the echoed id

- A request was classified a second time with the same facts unless it named a model of its own.
- Each announcement copied all that is known of replicas for peers that might ask; the board now shows the roster itself.
- The check of an answer's echoed id stood in the product's own dialect and in the platform's.

--- a/coltsfootgate/src/dialect/mod.rs
+++ b/coltsfootgate/src/dialect/mod.rs
@@ -117,3 +117,21 @@
         attempt: &str,
     ) -> Result<(), EndpointFailure>;
 }
+
+/// Checks the id that an answer echoes against the one of the attempt.
+///
+/// # Errors
+///
+/// An answer with another id, or a success without one, belongs to another request.
+pub fn check_echo(
+    status: StatusCode,
+    echoed: Option<&HeaderValue>,
+    attempt: &str,
+) -> Result<(), EndpointFailure> {
+    match echoed {
+        Some(echoed) if echoed.as_bytes() == attempt.as_bytes() => Ok(()),
+        Some(_) => Err(EndpointFailure::Mismatched),
+        None if status.is_success() => Err(EndpointFailure::Mismatched),
+        None => Err(EndpointFailure::FailedAnswer(status)),
+    }
+}
--- a/coltsfootgate/src/dialect/native.rs
+++ b/coltsfootgate/src/dialect/native.rs
@@ -8,7 +8,9 @@
 
 use coltsfootgate_core::prelude::ErrorKind;
 
-use super::{AttemptFacts, CallerDialect, Dialect, EndpointDialect, PromptFacts, StatedRequest};
+use super::{
+    AttemptFacts, CallerDialect, Dialect, EndpointDialect, PromptFacts, StatedRequest, check_echo,
+};
 use crate::endpoint::{
     EndpointFailure, NOT_STARTED_HEADER, PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_HEADER,
 };
@@ -139,12 +141,7 @@
         if headers.get(NOT_STARTED_HEADER).is_some_and(|value| value == "true") {
             return Err(EndpointFailure::RefusedBeforeStart);
         }
-        match headers.get(REQUEST_ID_HEADER) {
-            Some(echoed) if echoed.as_bytes() == attempt.as_bytes() => Ok(()),
-            Some(_) => Err(EndpointFailure::Mismatched),
-            None if status.is_success() => Err(EndpointFailure::Mismatched),
-            None => Err(EndpointFailure::FailedAnswer(status)),
-        }
+        check_echo(status, headers.get(REQUEST_ID_HEADER), attempt)
     }
 }
 
--- a/coltsfootgate/src/endpoints/board.rs
+++ b/coltsfootgate/src/endpoints/board.rs
@@ -1,33 +1,38 @@
-//! What this instance knows of replicas, for its peers.
+//! The replicas that announced themselves, as this instance knows them.
 
-use std::cell::RefCell;
+use std::cell::{Ref, RefCell};
 use std::rc::Rc;
+use std::time::Instant;
 
-use coltsfootgate_core::roster::ReplicaKnowledge;
+use coltsfootgate_core::ids::EndpointId;
+use coltsfootgate_core::roster::{ReplicaChange, ReplicaKnowledge, ReplicaRoster, RosterEvent};
 
-/// Gives out what is known; clones share the same state.
+/// Gives out what is known; clones share the same roster.
 #[derive(Clone, Debug, Default)]
-pub struct ReplicaBoard(Rc<RefCell<BoardState>>);
-
-#[derive(Debug, Default)]
-struct BoardState {
-    knowledge: ReplicaKnowledge,
-    is_source_lost: bool,
-}
+pub struct ReplicaBoard(Rc<RefCell<ReplicaRoster>>);
 
 impl ReplicaBoard {
-    /// What is known now.
+    /// What is known now, for a peer.
     pub fn knowledge(&self) -> ReplicaKnowledge {
-        self.0.borrow().knowledge.clone()
+        self.0.borrow().knowledge()
     }
 
     /// Whether the platform's list does not answer, so that peers have to be asked.
     pub fn is_source_lost(&self) -> bool {
-        self.0.borrow().is_source_lost
+        self.0.borrow().is_source_lost()
+    }
+
+    /// The roster, for the task that keeps it.
+    pub(super) fn roster(&self) -> Ref<'_, ReplicaRoster> {
+        self.0.borrow()
     }
 
-    /// Takes over what is known.
-    pub(super) fn set(&self, knowledge: ReplicaKnowledge, is_source_lost: bool) {
-        *self.0.borrow_mut() = BoardState { knowledge, is_source_lost };
+    /// Takes an event in; gives the replicas whose place changed.
+    pub(super) fn handle(
+        &self,
+        event: RosterEvent,
+        now: Instant,
+    ) -> Vec<(EndpointId, ReplicaChange)> {
+        self.0.borrow_mut().handle(event, now)
     }
 }
--- a/coltsfootgate/src/endpoints/task.rs
+++ b/coltsfootgate/src/endpoints/task.rs
@@ -9,7 +9,7 @@
 use log::{info, warn};
 use monoio::time::{sleep, timeout};
 
-use coltsfootgate_core::roster::{ReplicaRoster, RosterEvent};
+use coltsfootgate_core::roster::RosterEvent;
 
 use super::{ActivePools, EndpointDirectory, EndpointNotice, ReplicaBoard, ReplicaPeers};
 use crate::clock;
@@ -35,7 +35,6 @@
     routes: RouteBoard,
     readiness: ReadinessGate,
     board: ReplicaBoard,
-    roster: ReplicaRoster,
     active: Option<Rc<ActiveTree>>,
 }
 
@@ -48,8 +47,7 @@
         readiness: ReadinessGate,
         board: ReplicaBoard,
     ) -> Self {
-        let roster = ReplicaRoster::default();
-        Self { tree, owner, routes, readiness, board, roster, active: None }
+        Self { tree, owner, routes, readiness, board, active: None }
     }
 
     /// Keeps the endpoints until the process ends.
@@ -82,15 +80,14 @@
     }
 
     fn take(&mut self, event: RosterEvent) {
-        let was_known = self.roster.is_known();
-        let changes = self.roster.handle(event, clock::now());
+        let was_known = self.board.roster().is_known();
+        let changes = self.board.handle(event, clock::now());
         for (endpoint, change) in &changes {
             info!("endpoint {endpoint} {}", change.name());
         }
-        if !was_known && self.roster.is_known() {
+        if !was_known && self.board.roster().is_known() {
             self.readiness.open(UnreadyCause::NoEndpoints);
         }
-        self.board.set(self.roster.knowledge(), self.roster.is_source_lost());
         if !changes.is_empty() {
             self.publish();
         }
@@ -98,7 +95,7 @@
 
     fn publish(&self) {
         let Some(active) = self.active.clone() else { return };
-        let pools = Rc::new(ActivePools::new(active, &self.roster.endpoints()));
+        let pools = Rc::new(ActivePools::new(active, &self.board.roster().endpoints()));
         self.owner.tell(OwnerMessage::Settings(pools.clone()));
         self.routes.set_pools(pools);
     }
--- a/coltsfootgate/src/pipeline/classify.rs
+++ b/coltsfootgate/src/pipeline/classify.rs
@@ -98,8 +98,12 @@
 pub fn classify_request(identified: IdentifiedRequest) -> Result<ClassifiedRequest, Refusal> {
     let customer = find_customer(&identified)?;
     let IdentifiedRequest { accepted, active, .. } = identified;
-    let demand = find_demand(&accepted, &active, &customer)?;
-    let class = classify(&accepted, &active, &customer.id, demand.model.as_deref());
+    let class = classify(&accepted, &active, &customer.id, None);
+    let demand = find_demand(&accepted, &active, &class)?;
+    let class = match &demand.model {
+        Some(model) => classify(&accepted, &active, &customer.id, Some(model)),
+        None => class,
+    };
     let stated_tier = class.tier;
     let class = match customer.tier {
         Some(tier) if tier != class.tier => Arc::new(ClassSettings { tier, ..(*class).clone() }),
@@ -157,10 +161,9 @@
 fn find_demand(
     accepted: &AcceptedRequest,
     active: &ActiveTree,
-    customer: &CustomerSettings,
+    class: &ClassSettings,
 ) -> Result<RequestDemand, Refusal> {
-    let class = classify(accepted, active, &customer.id, None);
-    if let Some(pool) = choose_pool(&class, active) {
+    if let Some(pool) = choose_pool(class, active) {
         let form = if class.is_stream { AnswerForm::EventStream } else { AnswerForm::Service };
         let prefix = shared_prefix(&accepted.stated.prompt);
         return Ok(RequestDemand { model: None, form, pool, prefix });
