Bound callers' connections by the operator's limits

Cause: the operator's `limits` were not read; flags of the process held in their place, and one timer covered both a slow head and an idle connection.

The tree has a branch `connections` (head_bytes, body_bytes, head_time, idle_time); the operator's limits become it, a tree of one's own may state it, and where it is not stated the flags hold. A head is timed from its first byte, apart from the time without a request.

Ruled out: keys of the classes (the class is not known before the head is read).

--- a/coltsfootgate/src/daemon.rs
+++ b/coltsfootgate/src/daemon.rs
@@ -18,7 +18,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
 use crate::dialect::Dialect;
-use crate::entry::request::RequestBounds;
+use crate::entry::request::{ENTRY_RULE, RequestBounds};
 use crate::entry::{EntryBounds, EntryListener};
 use crate::instance::{InstanceParts, start_instance};
 use crate::logging::{print_fault, start_logging};
@@ -125,8 +125,8 @@
     let callers = listener.local_addr().change_context(DaemonFault::Runtime)?;
     let bounds = entry_bounds(&settings);
     let gate = Rc::new(RequestGate::<D>::new(parts.context.clone(), bounds.request.clone()));
-    let metrics = parts.context.metrics.clone();
-    let entry = EntryListener::new(listener, gate, bounds, metrics, shutdown);
+    let (metrics, tree) = (parts.context.metrics.clone(), parts.context.tree.clone());
+    let entry = EntryListener::new(listener, gate, bounds, metrics, tree, shutdown);
     monoio::spawn(entry.run());
     announce(callers, peers, operators);
     monoio::spawn(follow_reloads(reload_stream()?));
@@ -163,11 +163,13 @@
 }
 
 fn entry_bounds(settings: &DaemonSettings) -> EntryBounds {
+    let (body_max, body_timeout) = (settings.body_bytes, settings.body_time);
     EntryBounds {
         connections_max: settings.connections,
         head_max: settings.head_bytes,
         head_timeout: settings.head_time,
-        request: RequestBounds { body_max: settings.body_bytes, body_timeout: settings.body_time },
+        idle_timeout: settings.idle_time,
+        request: RequestBounds { body_max, body_timeout, rule: ENTRY_RULE },
     }
 }
 
--- a/coltsfootgate/src/entry/answer.rs
+++ b/coltsfootgate/src/entry/answer.rs
@@ -14,6 +14,7 @@
 use serde_json::json;
 
 use super::caller::PresenceGuard;
+use super::stall::RequestGuard;
 use crate::dialect::CallerDialect;
 
 /// Header with the id of the request.
@@ -110,6 +111,7 @@
 pub struct AnswerBody {
     content: AnswerContent,
     guard: Option<PresenceGuard>,
+    request: Option<RequestGuard>,
 }
 
 #[derive(Debug)]
@@ -124,12 +126,12 @@
     /// A body that is there at once.
     pub fn whole(body: Bytes) -> Self {
         let content = (!body.is_empty()).then_some(body);
-        Self { content: AnswerContent::Whole(content), guard: None }
+        Self { content: AnswerContent::Whole(content), guard: None, request: None }
     }
 
     /// A body whose pieces arrive one by one.
     pub fn stream(pieces: mpsc::Receiver<Result<Bytes, BrokenTransfer>>) -> Self {
-        Self { content: AnswerContent::Stream(pieces), guard: None }
+        Self { content: AnswerContent::Stream(pieces), guard: None, request: None }
     }
 
     /// Keeps the guard until the body is written or dropped.
@@ -137,6 +139,12 @@
         self.guard = Some(guard);
         self
     }
+
+    /// Marks the request as served until the body is written or dropped.
+    pub fn serving(mut self, request: RequestGuard) -> Self {
+        self.request = Some(request);
+        self
+    }
 }
 
 impl Body for AnswerBody {
--- a/coltsfootgate/src/entry/listener.rs
+++ b/coltsfootgate/src/entry/listener.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use coltsfootgate_core::prelude::ErrorKind;
+use coltsfootgate_core::settings::ConnectionSettings;
 use futures_util::future::{Either, select};
 use http::{Request, Response, header};
 use hyper::body::Incoming;
@@ -17,10 +18,11 @@
 
 use super::answer::{AnswerBody, OUTCOME, REASON, RULE, Refusal};
 use super::request::{ENTRY_RULE, RequestBounds};
-use super::stall::StallGuard;
+use super::stall::{HeadClock, StallGuard};
 use crate::accept::accept_connections;
 use crate::metrics::{ConnectionSide, DaemonMetrics};
 use crate::shutdown::ShutdownSignal;
+use crate::tree::TreeHandle;
 
 /// Bounds on what callers may use.
 #[derive(Clone, Debug)]
@@ -29,12 +31,27 @@
     pub connections_max: usize,
     /// Largest head, in bytes.
     pub head_max: usize,
-    /// Longest time for a head, idle time between two requests included.
+    /// Longest time from the first byte of a head to its end.
     pub head_timeout: Duration,
+    /// Longest time without a request.
+    pub idle_timeout: Duration,
     /// Bounds on the body.
     pub request: RequestBounds,
 }
 
+impl EntryBounds {
+    /// These bounds, and those that the tree states in their place.
+    pub fn stated_by(&self, settings: &ConnectionSettings) -> Self {
+        Self {
+            connections_max: self.connections_max,
+            head_max: settings.head_bytes.map_or(self.head_max, |bytes| bytes as usize),
+            head_timeout: settings.head_time.unwrap_or(self.head_timeout),
+            idle_timeout: settings.idle_time.unwrap_or(self.idle_timeout),
+            request: self.request.stated_by(settings),
+        }
+    }
+}
+
 /// Serves one request of a caller.
 pub trait RequestHandler: 'static {
     /// Answers a request; dropped when the caller leaves before the answer's head.
@@ -50,6 +67,7 @@
     handler: Rc<H>,
     bounds: EntryBounds,
     metrics: DaemonMetrics,
+    tree: TreeHandle,
     shutdown: ShutdownSignal,
 }
 
@@ -60,9 +78,10 @@
         handler: Rc<H>,
         bounds: EntryBounds,
         metrics: DaemonMetrics,
+        tree: TreeHandle,
         shutdown: ShutdownSignal,
     ) -> Self {
-        Self { listener, handler, bounds, metrics, shutdown }
+        Self { listener, handler, bounds, metrics, tree, shutdown }
     }
 
     /// Accepts connections until shutdown; those open then finish their request in flight.
@@ -73,6 +92,14 @@
         select(std::pin::pin!(accepting), std::pin::pin!(stopping)).await;
     }
 
+    fn present_bounds(&self) -> EntryBounds {
+        let active = self.tree.current();
+        active.map_or_else(
+            || self.bounds.clone(),
+            |active| self.bounds.stated_by(&active.tree.connections()),
+        )
+    }
+
     fn start_connection(&self, stream: TcpStream) {
         if self.metrics.open_connections(ConnectionSide::Callers) >= self.bounds.connections_max {
             self.metrics.connection_refused(ConnectionSide::Callers);
@@ -82,7 +109,7 @@
         }
         let count = self.metrics.connection_opened(ConnectionSide::Callers);
         let handler = self.handler.clone();
-        let bounds = self.bounds.clone();
+        let bounds = self.present_bounds();
         let shutdown = self.shutdown.clone();
         monoio::spawn(async move {
             serve_connection(stream, handler, bounds, shutdown).await;
@@ -119,23 +146,27 @@
     let served = Rc::new(Cell::new(false));
     let has_served = served.clone();
     let draining = shutdown.clone();
+    let clock = HeadClock::default();
+    let service_clock = clock.clone();
     let service = service_fn(move |request| {
         let handler = service_handler.clone();
         let draining = draining.clone();
         has_served.set(true);
+        let guard = service_clock.request_started();
         async move {
             let mut response = handler.handle(request).await;
             if draining.is_triggered() {
                 let close = header::HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| body.serving(guard)))
         }
     });
-    let stream = StallGuard::new(MonoioIo::new(stream), bounds.request.body_timeout);
+    let (stream, limit) = (MonoioIo::new(stream), bounds.request.body_timeout);
+    let stream = StallGuard::new(stream, limit, clock.clone(), bounds.head_timeout);
     let connection = http1::Builder::new()
         .timer(MonoioTimer)
-        .header_read_timeout(bounds.head_timeout)
+        .header_read_timeout(bounds.idle_timeout.max(bounds.head_timeout))
         .max_buf_size(bounds.head_max)
         .serve_connection(stream, service);
     let mut connection = std::pin::pin!(connection);
@@ -147,16 +178,18 @@
         }
     };
     if let Err(error) = ended
-        && let Some(kind) = connection_error_kind(&error)
+        && let Some(kind) = connection_error_kind(&error, &clock)
         // Between two requests a connection may be idle; its end is no fault of the caller.
-        && !(served.get() && kind == ErrorKind::SlowRequest)
+        && !(served.get() && error.is_timeout())
     {
         handler.connection_failed(kind);
     }
 }
 
-fn connection_error_kind(error: &hyper::Error) -> Option<ErrorKind> {
-    if error.is_parse_too_large() {
+fn connection_error_kind(error: &hyper::Error, clock: &HeadClock) -> Option<ErrorKind> {
+    if clock.was_too_slow() {
+        Some(ErrorKind::SlowRequest)
+    } else if error.is_parse_too_large() {
         Some(ErrorKind::HeadTooLarge)
     } else if error.is_parse() {
         Some(ErrorKind::MalformedRequest)
--- a/coltsfootgate/src/entry/request.rs
+++ b/coltsfootgate/src/entry/request.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use coltsfootgate_core::prelude::{ErrorKind, RequestId};
+use coltsfootgate_core::settings::ConnectionSettings;
 use http::{HeaderMap, Method, Request};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -25,6 +26,8 @@
 pub const IDEMPOTENCY_KEY_MAX: usize = 255;
 /// The rule named when the bounds of the process decide.
 pub const ENTRY_RULE: &str = "process.entry";
+/// The rule named when the tree's bounds on connections decide.
+pub const CONNECTIONS_RULE: &str = "connections";
 
 /// A request that arrived whole.
 #[derive(Clone, Debug)]
@@ -54,6 +57,18 @@
     pub body_max: usize,
     /// Longest time for the whole body, and for a caller to take a piece of its answer.
     pub body_timeout: Duration,
+    /// The rule that sets the largest body.
+    pub rule: &'static str,
+}
+
+impl RequestBounds {
+    /// These bounds, and those that the tree states in their place.
+    pub fn stated_by(&self, settings: &ConnectionSettings) -> Self {
+        match settings.body_bytes {
+            Some(bytes) => Self { body_max: bytes as usize, rule: CONNECTIONS_RULE, ..*self },
+            None => self.clone(),
+        }
+    }
 }
 
 /// Reads a request whole.
@@ -95,7 +110,7 @@
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) if error.is::<http_body_util::LengthLimitError>() => {
             let message = format!("the body is larger than {} bytes", bounds.body_max);
-            Err(Refusal::new(ErrorKind::BodyTooLarge, ENTRY_RULE, message))
+            Err(Refusal::new(ErrorKind::BodyTooLarge, bounds.rule, message))
         }
         Err(error) => Err(malformed(format!("the body cannot be read: {error}"))),
     }
--- a/coltsfootgate/src/entry/stall.rs
+++ b/coltsfootgate/src/entry/stall.rs
@@ -1,14 +1,57 @@
-//! Ends a caller's connection whose other side takes nothing for too long.
+//! Ends a caller's connection that makes no progress for too long.
 
+use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use monoio::time::{Sleep, sleep};
 
-/// A stream on which a write that makes no progress within the limit fails.
+/// Where a connection stands between two requests.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum HeadPhase {
+    /// No byte of the next head has arrived.
+    #[default]
+    Idle,
+    /// A part of a head has arrived.
+    Arriving,
+    /// A request is being served.
+    Served,
+    /// A head took too long.
+    TooSlow,
+}
+
+/// Tells the stream of a connection when a request starts and ends; clones share the same state.
+#[derive(Clone, Debug, Default)]
+pub struct HeadClock(Rc<Cell<HeadPhase>>);
+
+impl HeadClock {
+    /// A head was read whole; the request lasts until the guard is dropped.
+    pub fn request_started(&self) -> RequestGuard {
+        self.0.set(HeadPhase::Served);
+        RequestGuard(self.clone())
+    }
+
+    /// Whether the connection ended because a head took too long.
+    pub fn was_too_slow(&self) -> bool {
+        self.0.get() == HeadPhase::TooSlow
+    }
+}
+
+/// Held until the answer of a request was written.
+#[derive(Debug)]
+pub struct RequestGuard(HeadClock);
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.0.0.set(HeadPhase::Idle);
+    }
+}
+
+/// A stream on which a write, or the arrival of a head, that lasts too long fails.
 ///
 /// The failure ends the connection and with it the request whose answer it carried, so a caller
 /// that is silent for good holds neither an endpoint nor a process that is shutting down.
@@ -16,12 +59,28 @@
     stream: S,
     limit: Duration,
     timer: Option<Pin<Box<Sleep>>>,
+    clock: HeadClock,
+    head_limit: Duration,
+    head_timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl<S> StallGuard<S> {
-    /// Guards a stream.
-    pub fn new(stream: S, limit: Duration) -> Self {
-        Self { stream, limit, timer: None }
+    /// Guards a stream: a write may take `limit`, and a head, from its first byte, `head_limit`.
+    pub fn new(stream: S, limit: Duration, clock: HeadClock, head_limit: Duration) -> Self {
+        Self { stream, limit, timer: None, clock, head_limit, head_timer: None }
+    }
+
+    /// Fails once a head has been arriving for too long.
+    fn check_head(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.clock.0.get() != HeadPhase::Arriving {
+            self.head_timer = None;
+            return Poll::Pending;
+        }
+        let limit = self.head_limit;
+        let timer = self.head_timer.get_or_insert_with(|| Box::pin(sleep(limit)));
+        ready!(timer.as_mut().poll(context));
+        self.clock.0.set(HeadPhase::TooSlow);
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
     /// Passes progress on, and turns a wait that lasts too long into an error.
@@ -47,7 +106,14 @@
         context: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if read.is_pending() {
+            return self.check_head(context);
+        }
+        if self.clock.0.get() == HeadPhase::Idle {
+            self.clock.0.set(HeadPhase::Arriving);
+        }
+        read
     }
 }
 
--- a/coltsfootgate/src/options/mod.rs
+++ b/coltsfootgate/src/options/mod.rs
@@ -95,12 +95,11 @@
     #[options(no_short, meta = "BYTES", help = "largest request body (1048576)")]
     pub body_bytes: Option<String>,
     /// Time in which a caller's head must arrive.
-    #[options(
-        no_short,
-        meta = "TIME",
-        help = "time for a request head to arrive, idle time included (60 s)"
-    )]
+    #[options(no_short, meta = "TIME", help = "time for a request head to arrive (60 s)")]
     pub head_time: Option<String>,
+    /// Time that a caller's connection may be without a request.
+    #[options(no_short, meta = "TIME", help = "time without a request on a connection (60 s)")]
+    pub idle_time: Option<String>,
     /// Time in which a caller's body must arrive.
     #[options(no_short, meta = "TIME", help = "time for a request body to arrive (30 s)")]
     pub body_time: Option<String>,
@@ -226,6 +225,8 @@
     pub body_bytes: usize,
     /// Time in which a caller's head must arrive.
     pub head_time: Duration,
+    /// Time that a caller's connection may be without a request.
+    pub idle_time: Duration,
     /// Time in which a caller's body must arrive.
     pub body_time: Duration,
     /// How long new connections are accepted after SIGTERM.
@@ -313,6 +314,7 @@
             |name, flag, default| faults.required(name, flag, Some(default), parse_duration);
         let platform_timeout = duration("platform-timeout", flags.platform_timeout, "2 s");
         let head_time = duration("head-time", flags.head_time, "60 s");
+        let idle_time = duration("idle-time", flags.idle_time, "60 s");
         let body_time = duration("body-time", flags.body_time, "30 s");
         let drain_time = duration("drain-time", flags.drain_time, "3 s");
         let grace_time = duration("grace-time", flags.grace_time, "1440 min");
@@ -359,6 +361,7 @@
                 head_bytes: head_bytes?,
                 body_bytes: body_bytes?,
                 head_time: head_time?,
+                idle_time: idle_time?,
                 body_time: body_time?,
                 drain_time: drain_time?,
                 grace_time: grace_time?,
--- a/coltsfootgate/tests/callers.rs
+++ b/coltsfootgate/tests/callers.rs
@@ -5,7 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::OnceLock;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use coltsfootgate_standins::engine::{EngineSettings, start_engine};
 use coltsfootgate_standins::platform::start_platform;
@@ -163,3 +163,32 @@
     assert_eq!(answer.header("coltsfootgate-reason"), "not-ready");
     assert_eq!(answer.header("coltsfootgate-outcome"), "not-run");
 }
+
+/// Reads until the other side closes; gives how long that took.
+fn time_to_close(address: SocketAddr, bytes: &[u8]) -> Duration {
+    let start = Instant::now();
+    raw_exchange(address, &[bytes]);
+    start.elapsed()
+}
+
+#[test]
+fn the_trees_bounds_on_connections_go_before_the_flags() {
+    let platform = start_platform(ANY_PORT).unwrap();
+    let engine = start_engine(ANY_PORT, EngineSettings::default()).unwrap();
+    let bounds = "[connections]\nbody_bytes = 100\nhead_time = \"200 ms\"\nidle_time = \"2 s\"";
+    put_tree(platform.address, 1, &sample_tree(&[engine.address], &[], bounds));
+    let daemon = TestDaemon::start(platform.address, "a", &["--head-time", "60 s"]);
+    daemon.wait_ready();
+    let answer = body(&"x".repeat(101)).send(daemon.ports.callers);
+    assert_eq!(answer.header("coltsfootgate-reason"), "body-too-large");
+    assert_eq!(answer.header("coltsfootgate-rule"), "connections");
+    let slow_head = time_to_close(daemon.ports.callers, b"GET / HTTP/1.1\r\nhost: a");
+    let idle = time_to_close(daemon.ports.callers, b"");
+    let whole = b"GET /nowhere HTTP/1.1\r\nhost: a\r\n\r\n";
+    let idle_after_request = time_to_close(daemon.ports.callers, whole);
+    assert!(slow_head >= Duration::from_millis(200), "{slow_head:?}");
+    assert!(idle >= Duration::from_secs(2), "{idle:?}");
+    assert!(idle_after_request >= Duration::from_secs(2), "{idle_after_request:?}");
+    assert!(slow_head < idle, "{slow_head:?}, {idle:?}");
+    assert!(daemon.metric("coltsfootgate_refusals_total", &["slow-request"]) >= 1.0);
+}
--- a/coltsfootgate_config/src/resolve.rs
+++ b/coltsfootgate_config/src/resolve.rs
@@ -6,8 +6,8 @@
 
 use coltsfootgate_core::ids::{BranchPath, RequestTier};
 use coltsfootgate_core::settings::{
-    ClassSettings, CustomerSettings, DeploymentSettings, EndpointSettings, PoolShare,
-    RoutingStrategy,
+    ClassSettings, ConnectionSettings, CustomerSettings, DeploymentSettings, EndpointSettings,
+    PoolShare, RoutingStrategy,
 };
 
 use crate::document::BranchDocument;
@@ -81,6 +81,15 @@
         }
     }
 
+    pub(crate) fn connections(&self) -> ConnectionSettings {
+        ConnectionSettings {
+            head_bytes: self.stated_integer("head_bytes"),
+            body_bytes: self.stated_integer("body_bytes"),
+            head_time: self.stated_duration("head_time"),
+            idle_time: self.stated_duration("idle_time"),
+        }
+    }
+
     pub(crate) fn path(&self) -> BranchPath {
         self.document.nodes[self.position].path.clone()
     }
@@ -131,12 +140,22 @@
 
     /// Memory of each engine of a pool, in tokens; there is no default.
     pub(crate) fn memory(&self) -> Option<u64> {
-        match self.value("memory_tokens")? {
-            SettingValue::Integer(tokens) => u64::try_from(*tokens).ok(),
+        self.stated_integer("memory_tokens")
+    }
+
+    /// A number that has no default.
+    fn stated_integer<N: TryFrom<i64>>(&self, key: &str) -> Option<N> {
+        match self.value(key)? {
+            SettingValue::Integer(number) => N::try_from(*number).ok(),
             _ => None,
         }
     }
 
+    /// A duration that has no default.
+    fn stated_duration(&self, key: &str) -> Option<Duration> {
+        parse_duration(self.value(key)?.as_text()?)
+    }
+
     fn pool_shares(&self) -> Vec<PoolShare> {
         let Some(SettingValue::Table(shares)) = self.value("pools") else { return Vec::new() };
         let share = |setting: &Setting| match setting.value {
--- a/coltsfootgate_config/src/rule.rs
+++ b/coltsfootgate_config/src/rule.rs
@@ -36,7 +36,7 @@
             TreeKind::Classes => self.class,
             TreeKind::Customers => self.customer,
             TreeKind::Pools => self.pool,
-            TreeKind::Deployment => None,
+            TreeKind::Deployment | TreeKind::Connections => None,
         }
     }
 }
@@ -79,11 +79,11 @@
         }
         ErrorKind::ClaimsFull => (TreeKind::Deployment, "claim_pages"),
         ErrorKind::KeyCompleted => (TreeKind::Deployment, "kept_answer_bytes"),
+        ErrorKind::HeadTooLarge => (TreeKind::Connections, "head_bytes"),
+        ErrorKind::BodyTooLarge => (TreeKind::Connections, "body_bytes"),
+        ErrorKind::SlowRequest => (TreeKind::Connections, "head_time"),
         ErrorKind::Displaced
         | ErrorKind::MalformedRequest
-        | ErrorKind::HeadTooLarge
-        | ErrorKind::BodyTooLarge
-        | ErrorKind::SlowRequest
         | ErrorKind::TooManyConnections
         | ErrorKind::CallerLeft
         | ErrorKind::CallerLeftWaiting
--- a/coltsfootgate_config/src/schema.rs
+++ b/coltsfootgate_config/src/schema.rs
@@ -29,6 +29,8 @@
 pub enum TreeKind {
     /// Settings of the deployment as a whole; has no branches.
     Deployment,
+    /// Bounds on callers' connections; has no branches.
+    Connections,
     /// Classes of requests.
     Classes,
     /// Customers.
@@ -39,12 +41,14 @@
 
 impl TreeKind {
     /// Every tree, in the order of a rendered document.
-    pub const ALL: [Self; 4] = [Self::Deployment, Self::Classes, Self::Customers, Self::Pools];
+    pub const ALL: [Self; 5] =
+        [Self::Deployment, Self::Connections, Self::Classes, Self::Customers, Self::Pools];
 
     /// The name of the root.
     pub fn name(self) -> &'static str {
         match self {
             Self::Deployment => "deployment",
+            Self::Connections => "connections",
             Self::Classes => "classes",
             Self::Customers => "customers",
             Self::Pools => "pools",
@@ -60,6 +64,7 @@
     pub fn keys(self) -> &'static [KeySpec] {
         match self {
             Self::Deployment => DEPLOYMENT_KEYS,
+            Self::Connections => CONNECTION_KEYS,
             Self::Classes => CLASS_KEYS,
             Self::Customers => CUSTOMER_KEYS,
             Self::Pools => POOL_KEYS,
@@ -73,7 +78,7 @@
 
     /// Whether tables below the root are branches.
     pub(crate) fn has_branches(self) -> bool {
-        self != Self::Deployment
+        !matches!(self, Self::Deployment | Self::Connections)
     }
 
     /// Whether a key holds a table that is no branch.
@@ -231,6 +236,14 @@
     inherited("owner_endpoints", ValueKind::Integer(1, 65536), "1"),
 ];
 
+const CONNECTION_KEYS: &[KeySpec] = &[
+    // The HTTP library reads into a buffer of at least 8 KiB.
+    stated("head_bytes", ValueKind::Integer(8192, 1 << 20)),
+    stated("body_bytes", ValueKind::Integer(0, 1 << 30)),
+    stated("head_time", ValueKind::Duration(MILLISECOND, HOUR)),
+    stated("idle_time", ValueKind::Duration(MILLISECOND, DAY)),
+];
+
 const CLASS_KEYS: &[KeySpec] = &[
     stated("match", ValueKind::Match),
     inherited("tier", ValueKind::Integer(1, TIER_COUNT as i64), "4"),
--- a/coltsfootgate_config/src/tree.rs
+++ b/coltsfootgate_config/src/tree.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use coltsfootgate_core::settings::{
-    ClassSettings, CustomerSettings, DeploymentSettings, PoolSettings,
+    ClassSettings, ConnectionSettings, CustomerSettings, DeploymentSettings, PoolSettings,
 };
 
 use crate::check::{FaultList, check_keys};
@@ -21,6 +21,7 @@
 pub struct ConfigTree {
     document: BranchDocument,
     deployment: DeploymentSettings,
+    connections: ConnectionSettings,
     classes: ClassIndex,
     customers: CustomerIndex,
     pools: PoolIndex,
@@ -41,13 +42,14 @@
         let mut faults = FaultList::new(document.source.clone());
         check_keys(&document, &mut faults);
         check_name(&document, &mut faults);
-        let root = document.root(TreeKind::Deployment);
-        let deployment = SettingReader::new(&document, root).deployment();
+        let root = |kind| SettingReader::new(&document, document.root(kind));
+        let deployment = root(TreeKind::Deployment).deployment();
+        let connections = root(TreeKind::Connections).connections();
         let classes = ClassIndex::build(&document, &mut faults);
         let customers = CustomerIndex::build(&document, &mut faults);
         let pools = PoolIndex::build(&document, &mut faults);
         faults.finish()?;
-        Ok(Self { document, deployment, classes, customers, pools })
+        Ok(Self { document, deployment, connections, classes, customers, pools })
     }
 
     /// What holds for the deployment as a whole.
@@ -55,6 +57,11 @@
         &self.deployment
     }
 
+    /// Bounds on callers' connections.
+    pub fn connections(&self) -> ConnectionSettings {
+        self.connections
+    }
+
     /// The class that a request falls into.
     ///
     /// Goes down from the root of the classes, each time into the first branch, in the order of
--- a/coltsfootgate_config/tests/faults.rs
+++ b/coltsfootgate_config/tests/faults.rs
@@ -50,7 +50,7 @@
     unknown_key: "tier = 3" => "teir = 3",
         ["tree.toml:6: classes: teir: unknown key; nearest is `tier`; allowed: match, tier, first_token, between_tokens, whole_answer, floor, queue_requests, queue_tokens, repeatable, retry_budget, attempts, deadline, resume, timeout, public, retry_errors, stream, pools"];
     unknown_root: "[classes]" => "[clases.x]\n[classes]",
-        ["tree.toml:5: clases: unknown key; nearest is `classes`; allowed: deployment, classes, customers, pools"];
+        ["tree.toml:5: clases: unknown key; nearest is `classes`; allowed: deployment, connections, classes, customers, pools"];
     tier_out_of_bounds: "tier = 3" => "tier = 8",
         ["tree.toml:6: classes: tier: found 8; allowed: a whole number from 1 to 7"];
     every_fault_is_listed: "tier = 3" => "tier = 0\nfloor = 0.9\nresume = \"yes\"",
--- a/coltsfootgate_config/tests/manual.rs
+++ b/coltsfootgate_config/tests/manual.rs
@@ -15,7 +15,8 @@
 fn every_key_is_described() {
     for kind in TreeKind::ALL {
         for spec in kind.keys() {
-            let entry = match (spec.default, spec.inherited || kind == TreeKind::Deployment) {
+            let is_flat = matches!(kind, TreeKind::Deployment | TreeKind::Connections);
+            let entry = match (spec.default, spec.inherited || is_flat) {
                 (Some(default), _) => format!(".TP\n.BR {} \" ({default})\"\n", spec.name),
                 (None, true) => format!(".TP\n.B {}\n", spec.name),
                 (None, false) => format!(".TP\n.BR {} \" (own)\"\n", spec.name),
--- a/coltsfootgate_core/src/settings.rs
+++ b/coltsfootgate_core/src/settings.rs
@@ -151,6 +151,19 @@
     pub slots_max: u32,
 }
 
+/// Bounds on callers' connections; what is not stated is left to each process.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ConnectionSettings {
+    /// Largest head, in bytes.
+    pub head_bytes: Option<u32>,
+    /// Largest body, in bytes.
+    pub body_bytes: Option<u32>,
+    /// Longest time from the first byte of a head to its end.
+    pub head_time: Option<Duration>,
+    /// Longest time without a request.
+    pub idle_time: Option<Duration>,
+}
+
 /// What holds for the deployment as a whole.
 #[derive(Clone, Debug, PartialEq)]
 pub struct DeploymentSettings {
