--- a/coltsfootctl/src/arguments.rs
+++ b/coltsfootctl/src/arguments.rs
@@ -18,6 +18,13 @@
     /// Time limit of one call.
     #[options(no_short, meta = "TIME", help = "time limit of each call (2 s)")]
     pub platform_timeout: Option<String>,
+    /// The project's own tree.
+    #[options(
+        no_short,
+        meta = "FILE",
+        help = "the project's own tree, on a platform that adds to it"
+    )]
+    pub base_tree: Option<String>,
     /// Prints JSON.
     #[options(no_short, help = "print JSON")]
     pub json: bool,
@@ -157,6 +164,13 @@
     /// The request that was made.
     #[options(no_short, meta = "ID", help = "why this request was served, delayed or refused")]
     pub request_id: Option<String>,
+    /// Log files to look in.
+    #[options(
+        no_short,
+        meta = "FILE",
+        help = "look in this log file for the request; may be repeated"
+    )]
+    pub log: Vec<String>,
     /// The customer.
     #[options(no_short, meta = "BRANCH", help = "the customer of the described request")]
     pub customer: Option<String>,
@@ -166,6 +180,9 @@
     /// The path.
     #[options(no_short, meta = "PATH", help = "its path (/v1/chat/completions)")]
     pub path: Option<String>,
+    /// The host.
+    #[options(no_short, meta = "HOST", help = "the host that it is addressed to")]
+    pub host: Option<String>,
     /// The model.
     #[options(no_short, meta = "MODEL", help = "the model that it names")]
     pub model: Option<String>,
--- a/coltsfootctl/src/commands/apply.rs
+++ b/coltsfootctl/src/commands/apply.rs
@@ -3,6 +3,7 @@
 use std::fmt::{self, Display, Formatter};
 use std::sync::Arc;
 
+use coltsfootgate::platform::PlatformStore;
 use coltsfootgate_config::{BranchDocument, ChangeLine, EditError, TreeParts, diff};
 use coltsfootgate_core::ids::ConfigVersion;
 use error_stack::Report;
@@ -14,8 +15,8 @@
     VersionedTree, read_document, read_file, read_tree, split, stated_version, stored_tree,
 };
 use crate::commit::{TreeChange, commit, rebase};
+use crate::dialect::ToolDialect;
 use crate::error::{ExitStatus, ToolError, ToolResult};
-use crate::platform::PlatformService;
 use crate::report::CommandReport;
 use crate::rollout::{RolloutReport, roll_out};
 use crate::settings::duration_flag;
@@ -66,10 +67,15 @@
     }
 }
 
-pub(crate) async fn run(
-    context: &ToolContext,
+pub(crate) async fn run<D: ToolDialect>(
+    context: &ToolContext<D>,
     arguments: &ApplyArguments,
 ) -> ToolResult<ApplyReport> {
+    if !D::KEEPS_TREES {
+        let message = "the operator's settings are written to the platform itself, and the \
+                       project's own tree is a file of each deployment; `check` checks it";
+        return Err(Report::new(ToolError::Usage(message.into())));
+    }
     let store = context.store()?;
     let wait = match &arguments.wait {
         Some(text) => duration_flag("wait", text)?,
@@ -91,7 +97,7 @@
     })
 }
 
-async fn dry_run<P: PlatformService>(
+async fn dry_run<P: PlatformStore>(
     store: &TreeStore<P>,
     change: &TreeChange,
 ) -> ToolResult<ApplyReport> {
@@ -107,8 +113,8 @@
 }
 
 /// Reads what the operator wants to change, against the version that was edited.
-async fn read_change<P: PlatformService>(
-    context: &ToolContext,
+async fn read_change<D: ToolDialect, P: PlatformStore>(
+    context: &ToolContext<D>,
     store: &TreeStore<P>,
     arguments: &ApplyArguments,
 ) -> ToolResult<TreeChange> {
@@ -143,7 +149,7 @@
 }
 
 /// The tree of a version, or an empty one where the store holds none yet.
-async fn present_tree<P: PlatformService>(
+async fn present_tree<P: PlatformStore>(
     store: &TreeStore<P>,
     version: Option<ConfigVersion>,
 ) -> ToolResult<VersionedTree> {
--- a/coltsfootctl/src/commands/check.rs
+++ b/coltsfootctl/src/commands/check.rs
@@ -7,7 +7,8 @@
 use serde::Serialize;
 
 use crate::arguments::CheckArguments;
-use crate::commands::source::{read_file, read_tree, split};
+use crate::commands::source::{read_file, split};
+use crate::dialect::ToolDialect;
 use crate::error::{ToolError, ToolResult};
 use crate::report::CommandReport;
 
@@ -44,13 +45,13 @@
     }
 }
 
-pub(crate) fn run(arguments: &CheckArguments) -> ToolResult<CheckReport> {
+pub(crate) fn run<D: ToolDialect>(arguments: &CheckArguments) -> ToolResult<CheckReport> {
     let mut files = Vec::new();
     let mut errors = Vec::new();
     for file in &arguments.files {
         let text = read_file(file)?;
-        match ConfigTree::parse(file, &text) {
-            Ok(_) => files.push(check_file(file, &text)?),
+        match D::check(file, &text) {
+            Ok(tree) => files.push(check_file::<D>(file, &tree)?),
             Err(ConfigErrors(found)) => errors.extend(found),
         }
     }
@@ -60,14 +61,13 @@
     Ok(CheckReport { files })
 }
 
-fn check_file(file: &str, text: &str) -> ToolResult<CheckedFile> {
-    let tree = read_tree(file, text)?;
+fn check_file<D: ToolDialect>(file: &str, tree: &ConfigTree) -> ToolResult<CheckedFile> {
     split(tree.document())?;
     Ok(CheckedFile {
         file: file.into(),
         classes: tree.classes().count(),
         customers: tree.customers().count(),
-        pools: tree.pools().count(),
+        pools: tree.pools().count() - D::CHECK_POOLS,
         endpoints: tree.pools().map(|pool| pool.endpoints.len()).sum(),
     })
 }
--- a/coltsfootctl/src/commands/diff.rs
+++ b/coltsfootctl/src/commands/diff.rs
@@ -8,6 +8,7 @@
 use crate::arguments::DiffArguments;
 use crate::commands::ToolContext;
 use crate::commands::source::{read_document, read_file, stored_tree};
+use crate::dialect::ToolDialect;
 use crate::error::ToolResult;
 use crate::report::CommandReport;
 
@@ -33,8 +34,8 @@
     }
 }
 
-pub(crate) async fn run(
-    context: &ToolContext,
+pub(crate) async fn run<D: ToolDialect>(
+    context: &ToolContext<D>,
     arguments: &DiffArguments,
 ) -> ToolResult<DiffReport> {
     let store = context.store()?;
--- a/coltsfootctl/src/commands/explain.rs
+++ b/coltsfootctl/src/commands/explain.rs
@@ -10,6 +10,7 @@
 use crate::arguments::ExplainArguments;
 use crate::commands::ToolContext;
 use crate::commands::source::{read_file, read_tree, stored_tree};
+use crate::dialect::ToolDialect;
 use crate::error::{ToolError, ToolResult};
 use crate::report::{CommandReport, table};
 
@@ -70,8 +71,8 @@
     BranchValues { branch: branch.clone(), values: values.collect() }
 }
 
-pub(crate) async fn run(
-    context: &ToolContext,
+pub(crate) async fn run<D: ToolDialect>(
+    context: &ToolContext<D>,
     arguments: &ExplainArguments,
 ) -> ToolResult<ExplainReport> {
     let (name, tree) = match &arguments.file {
@@ -93,18 +94,15 @@
     let customer = arguments.customer.as_deref().map(|id| find_customer(tree, id)).transpose()?;
     let path = arguments.path.as_deref().unwrap_or(DEFAULT_PATH);
     let class = tree.classify(&RequestFacts {
-        host: None,
+        host: arguments.host.as_deref(),
         customer: customer.as_deref().unwrap_or_default(),
         method: arguments.method.as_deref().unwrap_or(DEFAULT_METHOD),
         path,
         model: arguments.model.as_deref(),
         headers: &headers,
     });
-    let pool = match &arguments.model {
-        Some(model) => tree.pool_for_model(model),
-        None => tree.pool_for_path(path),
-    };
-    let pool = pool.map(|pool| pool.id.clone());
+    let pool = class.pools.first().map(|share| share.pool.clone());
+    let pool = pool.or_else(|| pool_by_name(tree, arguments.model.as_deref(), path));
     let branches = [Some(&class.id), customer.as_ref(), pool.as_ref()].into_iter().flatten();
     Ok(ExplainReport {
         tree: name,
@@ -117,6 +115,15 @@
     })
 }
 
+/// The pool of a request whose class names none.
+fn pool_by_name(tree: &ConfigTree, model: Option<&str>, path: &str) -> Option<BranchPath> {
+    let pool = match model {
+        Some(model) => tree.pool_for_model(model),
+        None => tree.pool_for_path(path),
+    };
+    pool.map(|pool| pool.id.clone())
+}
+
 /// Finds a customer by its branch, or by the last part of it.
 fn find_customer(tree: &ConfigTree, id: &str) -> ToolResult<BranchPath> {
     let is_named = |customer: &BranchPath| {
--- a/coltsfootctl/src/commands/get.rs
+++ b/coltsfootctl/src/commands/get.rs
@@ -9,6 +9,7 @@
 use crate::arguments::GetArguments;
 use crate::commands::ToolContext;
 use crate::commands::source::{stored_tree, version_line};
+use crate::dialect::ToolDialect;
 use crate::error::{ToolError, ToolResult};
 use crate::report::CommandReport;
 
@@ -28,7 +29,10 @@
     }
 }
 
-pub(crate) async fn run(context: &ToolContext, arguments: &GetArguments) -> ToolResult<GetReport> {
+pub(crate) async fn run<D: ToolDialect>(
+    context: &ToolContext<D>,
+    arguments: &GetArguments,
+) -> ToolResult<GetReport> {
     let stored = stored_tree(&context.store()?, arguments.at).await?;
     let text = match &arguments.branch {
         None => stored.text(),
--- a/coltsfootctl/src/commands/history.rs
+++ b/coltsfootctl/src/commands/history.rs
@@ -8,6 +8,7 @@
 
 use crate::arguments::HistoryArguments;
 use crate::commands::ToolContext;
+use crate::dialect::ToolDialect;
 use crate::error::ToolResult;
 use crate::report::{CommandReport, table};
 
@@ -42,14 +43,15 @@
     }
 }
 
-pub(crate) async fn run(
-    context: &ToolContext,
+pub(crate) async fn run<D: ToolDialect>(
+    context: &ToolContext<D>,
     arguments: &HistoryArguments,
 ) -> ToolResult<HistoryReport> {
     let store = context.store()?;
     let mut versions = Vec::new();
     if let Some(stored) = store.head().await? {
         let limit = arguments.limit.unwrap_or(DEFAULT_LIMIT);
+        let limit = if D::KEEPS_TREES { limit } else { 1 };
         let oldest = stored.head.version.saturating_sub(limit) + 1;
         let past = (oldest..stored.head.version).rev();
         versions.push(stored.head);
--- a/coltsfootctl/src/commands/mod.rs
+++ b/coltsfootctl/src/commands/mod.rs
@@ -10,16 +10,16 @@
 mod source;
 mod status;
 
+use std::marker::PhantomData;
 use std::process::ExitCode;
 
 use error_stack::Report;
 use serde_json::json;
 
 use crate::arguments::{ToolArguments, ToolCommand};
+use crate::dialect::ToolDialect;
 use crate::error::{ExitStatus, ToolError, ToolResult};
-use crate::http::HttpClient;
 use crate::instance::InstanceClient;
-use crate::platform::HttpPlatform;
 use crate::report::CommandReport;
 use crate::settings::ToolSettings;
 use crate::tree_store::TreeStore;
@@ -27,30 +27,27 @@
 pub use apply::ApplyReport;
 
 /// What commands work with.
-pub(crate) struct ToolContext {
+pub(crate) struct ToolContext<D> {
     pub(crate) settings: ToolSettings,
     json: bool,
+    dialect: PhantomData<D>,
 }
 
-impl ToolContext {
-    pub(crate) fn platform(&self) -> ToolResult<HttpPlatform> {
+impl<D: ToolDialect> ToolContext<D> {
+    pub(crate) fn platform(&self) -> ToolResult<D::Platform> {
         let Some(address) = self.settings.platform else {
             let message = "no platform address: set --platform IP:PORT or COLTSFOOTGATE_PLATFORM";
             return Err(Report::new(ToolError::Usage(message.into())));
         };
-        Ok(HttpPlatform::new(address, self.client()))
+        D::platform(&self.settings, address)
     }
 
-    pub(crate) fn store(&self) -> ToolResult<TreeStore<HttpPlatform>> {
+    pub(crate) fn store(&self) -> ToolResult<TreeStore<D::Platform>> {
         self.platform().map(TreeStore::new)
     }
 
     pub(crate) fn instances(&self) -> InstanceClient {
-        InstanceClient::new(self.client())
-    }
-
-    fn client(&self) -> HttpClient {
-        HttpClient::new(self.settings.timeout)
+        InstanceClient::new(self.settings.timeout)
     }
 
     fn finish<R: CommandReport>(&self, result: ToolResult<R>) -> ExitCode {
@@ -63,16 +60,16 @@
                 }
                 ExitCode::from(report.exit_status() as u8)
             }
-            Err(error) => fail(&error, self.json),
+            Err(error) => fail::<D>(&error, self.json),
         }
     }
 }
 
 /// Runs a command and prints its report.
-pub async fn run(arguments: ToolArguments, settings: ToolSettings) -> ExitCode {
-    let context = ToolContext { settings, json: arguments.json };
+pub async fn run<D: ToolDialect>(arguments: ToolArguments, settings: ToolSettings) -> ExitCode {
+    let context = ToolContext::<D> { settings, json: arguments.json, dialect: PhantomData };
     match &arguments.command {
-        Some(ToolCommand::Check(check)) => context.finish(check::run(check)),
+        Some(ToolCommand::Check(check)) => context.finish(check::run::<D>(check)),
         Some(ToolCommand::Apply(apply)) => context.finish(apply::run(&context, apply).await),
         Some(ToolCommand::Get(get)) => context.finish(get::run(&context, get).await),
         Some(ToolCommand::Diff(diff)) => context.finish(diff::run(&context, diff).await),
@@ -80,26 +77,28 @@
             context.finish(history::run(&context, history).await)
         }
         Some(ToolCommand::Explain(explain)) => match &explain.request_id {
-            Some(request_id) => context.finish(request::run(&context, request_id).await),
+            Some(request_id) => {
+                context.finish(request::run(&context, request_id, &explain.log).await)
+            }
             None => context.finish(explain::run(&context, explain).await),
         },
         Some(ToolCommand::Status(_)) => context.finish(status::run(&context).await),
         None => {
-            let message = "no command; see coltsfootctl --help".to_owned();
-            fail(&Report::new(ToolError::Usage(message)), arguments.json)
+            let message = format!("no command; see {} --help", D::NAME);
+            fail::<D>(&Report::new(ToolError::Usage(message)), arguments.json)
         }
     }
 }
 
 /// Prints an error and gives the exit code that tells of it.
-pub fn fail(error: &Report<ToolError>, json: bool) -> ExitCode {
+pub fn fail<D: ToolDialect>(error: &Report<ToolError>, json: bool) -> ExitCode {
     let kind = error.current_context();
     let status: ExitStatus = kind.exit_status();
     if json {
         let error = json!({ "error": kind.to_string(), "exit_status": status as u8 });
         println!("{error}");
     } else {
-        eprintln!("coltsfootctl: {kind}");
+        eprintln!("{}: {kind}", D::NAME);
     }
     ExitCode::from(status as u8)
 }
--- a/coltsfootctl/src/commands/request.rs
+++ b/coltsfootctl/src/commands/request.rs
@@ -1,7 +1,6 @@
 //! `explain --request-id`: says why a request was served, delayed or refused.
 
 use std::fmt::{self, Display, Formatter};
-use std::net::SocketAddr;
 
 use coltsfootgate_config::{ConfigTree, RuleSubjects, TracedValue};
 use coltsfootgate_core::ids::{BranchPath, ConfigVersion};
@@ -14,16 +13,22 @@
 use crate::commands::ToolContext;
 use crate::commands::explain::{BranchValues, branch_values};
 use crate::commands::source::stored_tree;
+use crate::dialect::ToolDialect;
 use crate::error::{ToolError, ToolResult};
-use crate::platform::PlatformService;
+use crate::instance::listed_routers;
+use crate::log_reader::find_in_logs;
 use crate::report::{CommandReport, table};
 use crate::tree_store::platform_error;
 
+/// The longest id of a request, in bytes.
+const ID_BYTES: usize = 64;
+
 /// The decision record of a request, with the settings that decided.
 #[derive(Debug)]
 #[derive(Serialize)]
 pub(crate) struct RequestReport {
-    instance: SocketAddr,
+    /// The instance that was asked, or the file and line of its log.
+    source: String,
     record: Value,
     /// The setting behind the outcome.
     rule: Option<TracedValue>,
@@ -49,7 +54,7 @@
 
 impl Display for RequestReport {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
-        let mut rows = vec![vec!["asked".to_owned(), self.instance.to_string()]];
+        let mut rows = vec![vec!["found at".to_owned(), self.source.clone()]];
         if let Value::Object(fields) = &self.record {
             rows.extend(fields.iter().map(|(name, value)| vec![name.clone(), plain(value)]));
         }
@@ -67,17 +72,32 @@
     }
 }
 
+/// Whether a text may be the id of a request, be it ours or the caller's.
+fn is_request_id(text: &str) -> bool {
+    let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-';
+    (1..=ID_BYTES).contains(&text.len()) && text.bytes().all(is_allowed)
+}
+
 /// A value without the quotes of JSON around a text.
 fn plain(value: &Value) -> String {
     value.as_str().map_or_else(|| value.to_string(), str::to_owned)
 }
 
-pub(crate) async fn run(context: &ToolContext, request_id: &str) -> ToolResult<RequestReport> {
-    if uuid::Uuid::parse_str(request_id).is_err() {
-        let message = format!("--request-id: found {request_id:?}; allowed: a UUID");
+pub(crate) async fn run<D: ToolDialect>(
+    context: &ToolContext<D>,
+    request_id: &str,
+    logs: &[String],
+) -> ToolResult<RequestReport> {
+    if !is_request_id(request_id) {
+        let message = format!(
+            "--request-id: found {request_id:?}; allowed: 1 to {ID_BYTES} letters, digits and -"
+        );
         return Err(Report::new(ToolError::Usage(message)));
     }
-    let (instance, record) = find_record(context, request_id).await?;
+    let (source, record) = match logs {
+        [] => find_record(context, request_id).await?,
+        files => find_in_logs(files, request_id)?,
+    };
     let facts = DecisionFacts::deserialize(&record).unwrap_or_default();
     let (tree, tree_error) = match read_tree(context, facts.config_version).await {
         Ok(tree) => (Some(tree), None),
@@ -88,12 +108,15 @@
         let branches = [&facts.class, &facts.customer, &facts.pool].into_iter().flatten();
         branches.map(|branch| branch_values(&tree, branch)).collect()
     });
-    Ok(RequestReport { instance, record, rule, values, tree_error })
+    Ok(RequestReport { source, record, rule, values, tree_error })
 }
 
 /// Asks all listed instances for the record, as any of them may have taken the request.
-async fn find_record(context: &ToolContext, request_id: &str) -> ToolResult<(SocketAddr, Value)> {
-    let instances = context.platform()?.instances().await.map_err(platform_error)?;
+async fn find_record<D: ToolDialect>(
+    context: &ToolContext<D>,
+    request_id: &str,
+) -> ToolResult<(String, Value)> {
+    let instances = listed_routers(&context.platform()?).await.map_err(platform_error)?;
     let client = context.instances();
     let asked = instances.iter().map(|instance| async {
         let address = instance.operators_address;
@@ -102,9 +125,9 @@
     let mut silent = Vec::new();
     for (instance, answer) in join_all(asked).await {
         match answer {
-            Ok(Some(record)) => return Ok((instance, record)),
+            Ok(Some(record)) => return Ok((instance.to_string(), record)),
             Ok(None) => {}
-            Err(error) => silent.push(error.to_string()),
+            Err(error) => silent.push(format!("{instance}: {error}")),
         }
     }
     let mut message = format!("none of {} instances has a record of it", instances.len());
@@ -114,8 +137,8 @@
     Err(Report::new(ToolError::NotFound(message)))
 }
 
-async fn read_tree(
-    context: &ToolContext,
+async fn read_tree<D: ToolDialect>(
+    context: &ToolContext<D>,
     version: Option<ConfigVersion>,
 ) -> ToolResult<ConfigTree> {
     stored_tree(&context.store()?, version).await?.tree()
--- a/coltsfootctl/src/commands/source.rs
+++ b/coltsfootctl/src/commands/source.rs
@@ -2,12 +2,12 @@
 
 use std::io::Read;
 
+use coltsfootgate::platform::PlatformStore;
 use coltsfootgate_config::{BranchDocument, ConfigTree, TreeParts};
 use coltsfootgate_core::ids::ConfigVersion;
 use error_stack::Report;
 
 use crate::error::{ToolError, ToolResult};
-use crate::platform::PlatformService;
 use crate::tree_store::TreeStore;
 
 /// The start of the line by which `get` names the version that it prints.
@@ -81,7 +81,7 @@
 }
 
 /// Reads a version from the store, the present one if none is named.
-pub(crate) async fn stored_tree<P: PlatformService>(
+pub(crate) async fn stored_tree<P: PlatformStore>(
     store: &TreeStore<P>,
     version: Option<ConfigVersion>,
 ) -> ToolResult<VersionedTree> {
--- a/coltsfootctl/src/commands/status.rs
+++ b/coltsfootctl/src/commands/status.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use coltsfootgate::platform::InstanceState;
 use coltsfootgate_config::HeadObject;
 use coltsfootgate_core::ids::{ConfigVersion, TIER_COUNT};
 use futures_util::future::join_all;
@@ -12,9 +13,9 @@
 use serde_json::Value;
 
 use crate::commands::ToolContext;
+use crate::dialect::ToolDialect;
 use crate::error::ToolResult;
-use crate::instance::InstanceClient;
-use crate::platform::{InstanceState, ListedInstance, PlatformService};
+use crate::instance::{InstanceClient, ListedRouter, listed_routers};
 use crate::report::{CommandReport, table};
 use crate::tree_store::platform_error;
 
@@ -165,15 +166,15 @@
     rows
 }
 
-pub(crate) async fn run(context: &ToolContext) -> ToolResult<StatusReport> {
+pub(crate) async fn run<D: ToolDialect>(context: &ToolContext<D>) -> ToolResult<StatusReport> {
     let head = context.store()?.head().await?.map(|stored| stored.head);
-    let listed = context.platform()?.instances().await.map_err(platform_error)?;
+    let listed = listed_routers(&context.platform()?).await.map_err(platform_error)?;
     let client = context.instances();
     let instances = join_all(listed.iter().map(|listed| ask(&client, listed))).await;
     Ok(StatusReport { head, instances })
 }
 
-async fn ask(client: &InstanceClient, listed: &ListedInstance) -> InstanceStatus {
+async fn ask(client: &InstanceClient, listed: &ListedRouter) -> InstanceStatus {
     let address = listed.operators_address;
     let (version, status) = (client.version(address).await, client.status(address).await);
     let error = version.as_ref().err().or(status.as_ref().err()).map(ToString::to_string);
--- a/coltsfootctl/src/commit.rs
+++ b/coltsfootctl/src/commit.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use coltsfootgate::platform::{PlatformStore, SwapResult};
 use coltsfootgate_config::{HeadObject, TreeParts, merge};
 use coltsfootgate_core::ids::ConfigVersion;
 use error_stack::Report;
 use uuid::Uuid;
 
 use crate::error::{ToolError, ToolResult};
-use crate::platform::{PlatformService, SwapResult};
 use crate::tree_store::{StoredHead, TreeStore};
 
 /// How often a swap is tried before the tool gives up.
@@ -65,7 +65,7 @@
 /// Fails without a change if it conflicts with another operator's, if the result is invalid, or if
 /// the store is out of reach; fails with [`ToolError::Unknown`] if the answer to the swap was lost
 /// and nothing proves what became of it.
-pub async fn commit<P: PlatformService>(
+pub async fn commit<P: PlatformStore>(
     store: &TreeStore<P>,
     change: &TreeChange,
 ) -> ToolResult<CommittedChange> {
@@ -87,7 +87,7 @@
 }
 
 /// Tries to swap the head once; gives nothing if another head got there first.
-async fn try_commit<P: PlatformService>(
+async fn try_commit<P: PlatformStore>(
     store: &TreeStore<P>,
     change: &TreeChange,
     present: Option<StoredHead>,
@@ -126,13 +126,13 @@
 }
 
 /// Swaps the head, and finds out what became of the swap if its answer was lost.
-async fn swap_and_learn<P: PlatformService>(
+async fn swap_and_learn<P: PlatformStore>(
     store: &TreeStore<P>,
     revision: u64,
     head: &HeadObject,
 ) -> ToolResult<SwapFate> {
     match store.swap_head(revision, head).await {
-        Ok(SwapResult::Written) => return Ok(SwapFate::Written),
+        Ok(SwapResult::Written(_)) => return Ok(SwapFate::Written),
         Ok(SwapResult::Conflict(_)) => {
             monoio::time::sleep(LOOK_PAUSE).await;
             return Ok(SwapFate::Lost);
@@ -153,7 +153,7 @@
             }
         }
         // Swapping again at the same revision with the same head can write it once at most.
-        if let Ok(SwapResult::Written) = store.swap_head(revision, head).await {
+        if let Ok(SwapResult::Written(_)) = store.swap_head(revision, head).await {
             return Ok(SwapFate::Written);
         }
         monoio::time::sleep(LOOK_PAUSE).await;
@@ -162,7 +162,7 @@
 }
 
 /// Looks for a head by its nonce, in the present head and in the history.
-async fn fate<P: PlatformService>(store: &TreeStore<P>, head: &HeadObject) -> ToolResult<SwapFate> {
+async fn fate<P: PlatformStore>(store: &TreeStore<P>, head: &HeadObject) -> ToolResult<SwapFate> {
     let present = store.head().await?.map(|stored| stored.head);
     let found = match present {
         Some(present) if present.version > head.version => store.past_head(head.version).await?,
--- a/coltsfootctl/src/error.rs
+++ b/coltsfootctl/src/error.rs
@@ -7,7 +7,7 @@
 use coltsfootgate_core::ids::ConfigVersion;
 use error_stack::Report;
 
-use crate::http::CallError;
+use coltsfootgate::platform::PlatformError;
 
 /// A result of the tool.
 pub type ToolResult<T> = Result<T, Report<ToolError>>;
@@ -53,7 +53,7 @@
     /// Another operator changed the same branches.
     Conflict(MergeConflict),
     /// The platform gave no usable answer.
-    Platform(CallError),
+    Platform(PlatformError),
     /// A stored value cannot be understood or does not fit the one that names it.
     Damaged {
         /// The key of the value.
@@ -122,8 +122,8 @@
 
 impl std::error::Error for ToolError {}
 
-impl From<CallError> for ToolError {
-    fn from(error: CallError) -> Self {
+impl From<PlatformError> for ToolError {
+    fn from(error: PlatformError) -> Self {
         Self::Platform(error)
     }
 }
--- a/coltsfootctl/src/instance.rs
+++ b/coltsfootctl/src/instance.rs
@@ -1,31 +1,73 @@
 //! The operators' port of an instance.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
-use coltsfootgate_core::ids::ConfigVersion;
-use http::{Method, StatusCode};
+use coltsfootgate::platform::{
+    BoundedClient, InstanceDirectory, InstanceRole, InstanceState, PlatformError,
+};
+use coltsfootgate_core::ids::{ConfigVersion, ZoneName};
+use http::header::HOST;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 
-use crate::http::{CallError, HttpClient};
-
 #[derive(Deserialize)]
 struct HeadInForce {
     version: ConfigVersion,
 }
 
-/// Calls the operators' ports of instances.
+/// Largest answer of an instance, in bytes.
+const ANSWER_BYTES_MAX: usize = 8 << 20;
+
+/// An instance of the router that the platform lists.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ListedRouter {
+    /// The address for operators.
+    pub operators_address: SocketAddr,
+    /// The availability zone.
+    pub zone: ZoneName,
+    /// Whether it is meant to get work.
+    pub state: InstanceState,
+}
+
+/// The listed instances of the router that have a port for operators.
+///
+/// # Errors
+///
+/// Fails if the list cannot be read, or names an address that is none.
+pub async fn listed_routers<P: InstanceDirectory>(
+    platform: &P,
+) -> Result<Vec<ListedRouter>, PlatformError> {
+    let mut routers = Vec::new();
+    for listed in platform.instances().await? {
+        let Some(address) =
+            listed.operators_address.filter(|_| listed.role == InstanceRole::Router)
+        else {
+            continue;
+        };
+        let operators_address = address.parse().map_err(|_| {
+            PlatformError::Malformed(format!("{address:?} is no address of an instance").into())
+        })?;
+        let (zone, state) = (listed.availability_zone, listed.state);
+        routers.push(ListedRouter { operators_address, zone, state });
+    }
+    Ok(routers)
+}
+
+/// Calls the operators' ports of instances, each call on a connection of its own.
 #[derive(Clone, Copy, Debug)]
 pub struct InstanceClient {
-    client: HttpClient,
+    limit: Duration,
 }
 
 impl InstanceClient {
-    /// Calls with the bounds of this client.
-    pub fn new(client: HttpClient) -> Self {
-        Self { client }
+    /// Calls with a time limit for each whole call.
+    pub fn new(limit: Duration) -> Self {
+        Self { limit }
     }
 
     /// Tells an instance that a version is in the store.
@@ -33,23 +75,26 @@
         &self,
         address: SocketAddr,
         version: ConfigVersion,
-    ) -> Result<(), CallError> {
+    ) -> Result<(), PlatformError> {
         let body = Bytes::from(json!({ "version": version }).to_string());
-        let response = self.client.call(address, Method::POST, "/config/head", body).await?;
+        let response = self.call(address, Method::POST, "/config/head", body).await?;
         if response.status().is_success() {
             return Ok(());
         }
-        Err(CallError::Refused(address, response.status().as_u16()))
+        Err(PlatformError::Refused(response.status().as_u16()))
     }
 
     /// The version in force on an instance; `None` if it has no tree yet.
-    pub async fn version(&self, address: SocketAddr) -> Result<Option<ConfigVersion>, CallError> {
+    pub async fn version(
+        &self,
+        address: SocketAddr,
+    ) -> Result<Option<ConfigVersion>, PlatformError> {
         let head: Option<HeadInForce> = self.get(address, "/config/head").await?;
         Ok(head.map(|head| head.version))
     }
 
     /// The status of an instance.
-    pub async fn status(&self, address: SocketAddr) -> Result<Option<Value>, CallError> {
+    pub async fn status(&self, address: SocketAddr) -> Result<Option<Value>, PlatformError> {
         self.get(address, "/status").await
     }
 
@@ -58,22 +103,38 @@
         &self,
         address: SocketAddr,
         request_id: &str,
-    ) -> Result<Option<Value>, CallError> {
+    ) -> Result<Option<Value>, PlatformError> {
         self.get(address, &format!("/requests/{request_id}")).await
     }
 
+    async fn call(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Response<Bytes>, PlatformError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, address.to_string())
+            .body(Full::new(body))
+            .map_err(|error| PlatformError::Malformed(error.to_string().into()))?;
+        BoundedClient::new(address).call(request, self.limit, ANSWER_BYTES_MAX).await
+    }
+
     async fn get<T: DeserializeOwned>(
         &self,
         address: SocketAddr,
         path: &str,
-    ) -> Result<Option<T>, CallError> {
-        let response = self.client.call(address, Method::GET, path, Bytes::new()).await?;
+    ) -> Result<Option<T>, PlatformError> {
+        let response = self.call(address, Method::GET, path, Bytes::new()).await?;
         match response.status() {
             StatusCode::OK => serde_json::from_slice(response.body())
                 .map(Some)
-                .map_err(|error| CallError::Malformed(address, error.to_string())),
+                .map_err(|error| PlatformError::Malformed(error.to_string().into())),
             StatusCode::NOT_FOUND => Ok(None),
-            status => Err(CallError::Refused(address, status.as_u16())),
+            status => Err(PlatformError::Refused(status.as_u16())),
         }
     }
 }
--- a/coltsfootctl/src/lib.rs
+++ b/coltsfootctl/src/lib.rs
@@ -3,11 +3,14 @@
 pub mod arguments;
 pub mod commands;
 pub mod commit;
+pub mod dialect;
 pub mod error;
-pub mod http;
 pub mod instance;
-pub mod platform;
+mod log_reader;
 pub mod report;
 pub mod rollout;
+mod run;
 pub mod settings;
 pub mod tree_store;
+
+pub use self::run::run;
--- /dev/null
+++ b/coltsfootctl/src/log_reader.rs
@@ -0,0 +1,61 @@
+//! Finds the decision on a request in log files of instances.
+
+use std::fs::File;
+use std::io::{BufRead, BufReader, Read};
+
+use error_stack::Report;
+use serde_json::Value;
+
+use crate::error::{ToolError, ToolResult};
+
+/// The part of the log that tells of decisions.
+const DECISION_PART: &str = "decision";
+/// The members of a line that may hold the id of a request.
+const ID_MEMBERS: [&str; 2] = ["request_id", "caller_id"];
+/// Longest line that is read, in bytes; a longer one is read in pieces that match nothing.
+const LINE_BYTES: u64 = 1 << 20;
+
+/// Finds the latest decision on a request, by our id or the caller's; gives file and line with it.
+///
+/// Text before the first brace of a line is passed over, such as what a collector of logs put there.
+///
+/// # Errors
+///
+/// Fails if a file cannot be read, or no line tells of the request.
+pub fn find_in_logs(files: &[String], request_id: &str) -> ToolResult<(String, Value)> {
+    let mut found = None;
+    for path in files {
+        let failed = |error: std::io::Error| {
+            Report::new(ToolError::File { path: path.clone(), cause: error.to_string() })
+        };
+        let mut reader = BufReader::new(File::open(path).map_err(failed)?);
+        let mut line = Vec::new();
+        for number in 1u64.. {
+            line.clear();
+            let read = (&mut reader).take(LINE_BYTES).read_until(b'\n', &mut line);
+            if read.map_err(failed)? == 0 {
+                break;
+            }
+            if let Some(record) = decision_on(&line, request_id) {
+                found = Some((format!("{path}:{number}"), record));
+            }
+        }
+    }
+    found.ok_or_else(|| {
+        let message = format!("no decision on {request_id} in {}", files.join(", "));
+        Report::new(ToolError::NotFound(message))
+    })
+}
+
+/// The decision of a line, if it is one on the request.
+fn decision_on(line: &[u8], request_id: &str) -> Option<Value> {
+    let text = std::str::from_utf8(line).ok()?;
+    // Most lines are of other requests, and need no parsing.
+    if !text.contains(request_id) {
+        return None;
+    }
+    let record: Value = serde_json::from_str(&text[text.find('{')?..]).ok()?;
+    let holds = |member: &str| record[member].as_str() == Some(request_id);
+    let is_decision = record["part"].as_str() == Some(DECISION_PART);
+    (is_decision && ID_MEMBERS.into_iter().any(holds)).then_some(record)
+}
--- a/coltsfootctl/src/rollout.rs
+++ b/coltsfootctl/src/rollout.rs
@@ -5,12 +5,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use coltsfootgate::platform::{InstanceDirectory, InstanceState};
 use coltsfootgate_core::ids::ConfigVersion;
 use futures_util::future::join_all;
 use serde::Serialize;
 
-use crate::instance::InstanceClient;
-use crate::platform::{InstanceState, ListedInstance, PlatformService};
+use crate::instance::{InstanceClient, ListedRouter, listed_routers};
 
 /// Pause between two rounds of questions to the instances.
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
@@ -88,7 +88,7 @@
 ///
 /// Ends when the version is in force on all live instances, or when the time is over. The list is
 /// read again in each round, so an instance that appears meanwhile is waited for, too.
-pub async fn roll_out<P: PlatformService>(
+pub async fn roll_out<P: InstanceDirectory>(
     platform: &P,
     instances: &InstanceClient,
     version: ConfigVersion,
@@ -97,7 +97,7 @@
     let start = Instant::now();
     let mut announced = Vec::new();
     loop {
-        let mut report = match platform.instances().await {
+        let mut report = match listed_routers(platform).await {
             Ok(list) => ask_all(instances, &list, version, &mut announced).await,
             Err(error) => {
                 RolloutReport { list_error: Some(error.to_string()), ..RolloutReport::default() }
@@ -115,7 +115,7 @@
 /// Announces the version where that has not succeeded, and asks every instance for its version.
 async fn ask_all(
     client: &InstanceClient,
-    list: &[ListedInstance],
+    list: &[ListedRouter],
     version: ConfigVersion,
     announced: &mut Vec<SocketAddr>,
 ) -> RolloutReport {
@@ -131,7 +131,7 @@
 
 async fn ask(
     client: &InstanceClient,
-    listed: &ListedInstance,
+    listed: &ListedRouter,
     version: ConfigVersion,
     announce: bool,
 ) -> InstanceRollout {
--- /dev/null
+++ b/coltsfootctl/src/run.rs
@@ -0,0 +1,32 @@
+//! Runs the tool with the flags and environment of the process.
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use monoio::{LegacyDriver, RuntimeBuilder};
+
+use crate::arguments::ToolArguments;
+use crate::commands;
+use crate::dialect::ToolDialect;
+use crate::settings::ToolSettings;
+
+/// Runs one command; the exit code tells how it ended.
+pub fn run<D: ToolDialect>() -> ExitCode {
+    let arguments = ToolArguments::parse_args_default_or_exit();
+    if arguments.version {
+        println!("{} {}", D::NAME, env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let settings = match ToolSettings::new(&arguments, |name| std::env::var(name).ok()) {
+        Ok(settings) => settings,
+        Err(error) => return commands::fail::<D>(&error, arguments.json),
+    };
+    let mut runtime = match RuntimeBuilder::<LegacyDriver>::new().enable_timer().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("{}: no runtime: {error}", D::NAME);
+            return ExitCode::FAILURE;
+        }
+    };
+    runtime.block_on(commands::run::<D>(arguments, settings))
+}
--- a/coltsfootctl/src/settings.rs
+++ b/coltsfootctl/src/settings.rs
@@ -1,6 +1,7 @@
 //! The tool's own settings, from flags and environment variables.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +15,8 @@
 pub const PLATFORM_VARIABLE: &str = "COLTSFOOTGATE_PLATFORM";
 /// The environment variable with the time limit of each call.
 pub const TIMEOUT_VARIABLE: &str = "COLTSFOOTGATE_PLATFORM_TIMEOUT";
+/// The environment variable with the file of the project's own tree.
+pub const BASE_TREE_VARIABLE: &str = "COLTSFOOTGATE_BASE_TREE";
 /// The environment variable with the name of the operator.
 pub const AUTHOR_VARIABLE: &str = "COLTSFOOTCTL_AUTHOR";
 /// The environment variable with the time to wait until a change is in force.
@@ -27,6 +30,8 @@
 pub struct ToolSettings {
     /// Address of the platform's service, if one is set.
     pub platform: Option<SocketAddr>,
+    /// The project's own tree, on a platform that adds to it.
+    pub base_tree: Option<PathBuf>,
     /// Time limit of each call.
     pub timeout: Duration,
     /// Who operates, unless the command says otherwise.
@@ -53,6 +58,7 @@
             read(platform, "an IP address and port", &mut faults, |text| text.parse().ok());
         let timeout = flag(&arguments.platform_timeout, "platform-timeout", TIMEOUT_VARIABLE);
         let timeout = read(timeout, DURATION_EXAMPLE, &mut faults, parse_duration);
+        let base_tree = flag(&arguments.base_tree, "base-tree", BASE_TREE_VARIABLE);
         let wait = flag(&None, "wait", WAIT_VARIABLE);
         let wait = read(wait, DURATION_EXAMPLE, &mut faults, parse_duration);
         if !faults.is_empty() {
@@ -61,6 +67,7 @@
         let author = environment(AUTHOR_VARIABLE).or_else(|| environment("USER"));
         Ok(Self {
             platform,
+            base_tree: base_tree.map(|(_, path)| path.into()),
             timeout: timeout.unwrap_or(DEFAULT_TIMEOUT),
             author: author.map(Arc::from),
             wait: wait.unwrap_or(DEFAULT_WAIT),
--- a/coltsfootctl/src/tree_store.rs
+++ b/coltsfootctl/src/tree_store.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use coltsfootgate::platform::{PlatformError, PlatformStore, SwapResult, ValueRevision};
 use coltsfootgate_config::{
     ContentDigest, HEAD_KEY, HeadObject, RootObject, TreeParts, branch_key, content_digest,
     history_key, root_key,
@@ -14,8 +15,6 @@
 use futures_util::{StreamExt, TryStreamExt, stream};
 
 use crate::error::{ToolError, ToolResult};
-use crate::http::CallError;
-use crate::platform::{PlatformService, SwapResult, ValueRevision};
 
 /// How many calls of the store are made at once, and before they are paced.
 const PARALLEL_CALLS: usize = 16;
@@ -62,7 +61,7 @@
     platform: P,
 }
 
-impl<P: PlatformService> TreeStore<P> {
+impl<P: PlatformStore> TreeStore<P> {
     /// The trees that a platform keeps.
     pub fn new(platform: P) -> Self {
         Self { platform }
@@ -73,7 +72,7 @@
         let Some(value) = self.platform.read(HEAD_KEY).await.map_err(platform_error)? else {
             return Ok(None);
         };
-        let head = HeadObject::from_bytes(&value.bytes).map_err(|e| damaged(HEAD_KEY, e))?;
+        let head = HeadObject::from_bytes(&value.value).map_err(|e| damaged(HEAD_KEY, e))?;
         Ok(Some(StoredHead { revision: value.revision, head }))
     }
 
@@ -93,7 +92,7 @@
         let Some(value) = self.platform.read(&key).await.map_err(platform_error)? else {
             return Ok(None);
         };
-        HeadObject::from_bytes(&value.bytes).map(Some).map_err(|error| damaged(&key, error))
+        HeadObject::from_bytes(&value.value).map(Some).map_err(|error| damaged(&key, error))
     }
 
     /// The tree that a head names.
@@ -150,7 +149,7 @@
         &self,
         revision: ValueRevision,
         head: &HeadObject,
-    ) -> Result<SwapResult, CallError> {
+    ) -> Result<SwapResult, PlatformError> {
         self.platform.swap(HEAD_KEY, revision, head.to_bytes().into()).await
     }
 
@@ -177,15 +176,15 @@
         let Some(value) = value else {
             return Err(damaged(key, "it is missing"));
         };
-        if content_digest(&value.bytes) != *digest {
+        if content_digest(&value.value) != *digest {
             return Err(damaged(key, "it does not have the digest that names it"));
         }
-        Ok(value.bytes)
+        Ok(value.value)
     }
 }
 
 /// Wraps an error of a call to the platform.
-pub fn platform_error(error: CallError) -> Report<ToolError> {
+pub fn platform_error(error: PlatformError) -> Report<ToolError> {
     Report::new(ToolError::Platform(error))
 }
 
--- a/coltsfootctl/tests/commit.rs
+++ b/coltsfootctl/tests/commit.rs
@@ -3,15 +3,16 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use coltsfootctl::commit::{TreeChange, commit};
 use coltsfootctl::error::ToolError;
-use coltsfootctl::http::CallError;
-use coltsfootctl::platform::{
-    ListedInstance, PlatformService, StoredValue, SwapResult, ValueRevision,
-};
 use coltsfootctl::tree_store::TreeStore;
+use coltsfootgate::platform::{
+    PlatformError, PlatformStore, StoredValue, SwapResult, ValueRevision,
+};
 use coltsfootgate_config::{BranchDocument, HEAD_KEY, HeadObject, TreeParts, history_key};
 use monoio::{LegacyDriver, RuntimeBuilder};
 
@@ -64,13 +65,13 @@
             return SwapResult::Conflict(present);
         }
         self.revision.set(self.revision.get() + 1);
-        values.insert(key.into(), StoredValue { revision: self.revision.get(), bytes });
-        SwapResult::Written
+        values.insert(key.into(), StoredValue { revision: self.revision.get(), value: bytes });
+        SwapResult::Written(self.revision.get())
     }
 
     fn head(&self) -> Option<(ValueRevision, HeadObject)> {
         let value = self.values.borrow().get(HEAD_KEY)?.clone();
-        Some((value.revision, HeadObject::from_bytes(&value.bytes).unwrap()))
+        Some((value.revision, HeadObject::from_bytes(&value.value).unwrap()))
     }
 
     /// Another operator stores the present tree anew, as the tool would.
@@ -78,7 +79,8 @@
         let (revision, head) = self.head().unwrap();
         self.write(&history_key(head.version), 0, head.to_bytes().into());
         let other = HeadObject { version: head.version + 1, nonce: "other".into(), ..head };
-        assert_eq!(self.write(HEAD_KEY, revision, other.to_bytes().into()), SwapResult::Written);
+        let written = self.write(HEAD_KEY, revision, other.to_bytes().into());
+        assert!(matches!(written, SwapResult::Written(_)), "{written:?}");
     }
 
     fn swap_head(&self, fault: HeadFault, revision: ValueRevision, bytes: Bytes) {
@@ -99,12 +101,14 @@
     }
 }
 
-fn lost() -> CallError {
-    CallError::Broken("127.0.0.1:1".parse().unwrap(), "lost".into())
+fn lost() -> PlatformError {
+    PlatformError::Broken("lost".into())
 }
 
-impl PlatformService for &FaultyStore {
-    async fn read(&self, key: &str) -> Result<Option<StoredValue>, CallError> {
+impl PlatformStore for &FaultyStore {
+    const IS_CURRENT: bool = true;
+
+    async fn read(&self, key: &str) -> Result<Option<StoredValue>, PlatformError> {
         if self.outage.get() {
             return Err(lost());
         }
@@ -122,7 +126,7 @@
         key: &str,
         revision: ValueRevision,
         bytes: Bytes,
-    ) -> Result<SwapResult, CallError> {
+    ) -> Result<SwapResult, PlatformError> {
         if self.outage.get() {
             return Err(lost());
         }
@@ -136,7 +140,16 @@
         Ok(self.write(key, revision, bytes))
     }
 
-    async fn instances(&self) -> Result<Vec<ListedInstance>, CallError> {
+    async fn watch(
+        &self,
+        _key: &str,
+        _after: ValueRevision,
+        _wait: Duration,
+    ) -> Result<Option<StoredValue>, PlatformError> {
+        Ok(None)
+    }
+
+    async fn list(&self, _prefix: &str) -> Result<Vec<Arc<str>>, PlatformError> {
         Ok(Vec::new())
     }
 }
--- a/coltsfootctl/tests/http.rs
+++ b/coltsfootctl/tests/http.rs
@@ -5,10 +5,8 @@
 use std::thread;
 use std::time::Duration;
 
-use bytes::Bytes;
-use coltsfootctl::http::{CallError, HttpClient};
-use coltsfootctl::platform::{HttpPlatform, PlatformService};
-use http::Method;
+use coltsfootctl::instance::{InstanceClient, listed_routers};
+use coltsfootgate::platform::{HttpPlatform, PlatformError};
 use monoio::{LegacyDriver, RuntimeBuilder};
 
 const LIMIT: Duration = Duration::from_millis(300);
@@ -39,11 +37,11 @@
             let address = server($answer);
             let mut runtime =
                 RuntimeBuilder::<LegacyDriver>::new().enable_timer().build().unwrap();
-            let client = HttpClient::new(LIMIT);
-            let call = client.call(address, Method::GET, "/instances", Bytes::new());
-            let platform = HttpPlatform::new(server($answer), client);
+            let client = InstanceClient::new(LIMIT);
+            let call = client.status(address);
+            let platform = HttpPlatform::new(server($answer), LIMIT);
             let (called, listed) =
-                runtime.block_on(async { (call.await, platform.instances().await) });
+                runtime.block_on(async { (call.await, listed_routers(&platform).await) });
             let error = listed.unwrap_err();
             assert!(matches!(error, $error), "{error:?}");
             assert_eq!(error.may_have_written(), $may_have_written);
@@ -54,19 +52,19 @@
 }
 
 call_cases! {
-    silent: |_| {} => CallError::TimedOut(..), true;
-    silent_amid_the_body: |stream| send(stream, "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{") => CallError::TimedOut(..), true;
-    closed_before_the_answer: |stream| stream.shutdown(std::net::Shutdown::Both).unwrap() => CallError::Broken(..), true;
+    silent: |_| {} => PlatformError::TimedOut(LIMIT), true;
+    silent_amid_the_body: |stream| send(stream, "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{") => PlatformError::TimedOut(LIMIT), true;
+    closed_before_the_answer: |stream| stream.shutdown(std::net::Shutdown::Both).unwrap() => PlatformError::Broken(..), true;
     cut_amid_the_body: |stream| {
         send(stream, "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{");
         stream.shutdown(std::net::Shutdown::Both).unwrap();
-    } => CallError::Broken(..), true;
-    no_http: |stream| send(stream, "220 mail.example ESMTP\r\n\r\n") => CallError::Broken(..), true;
+    } => PlatformError::Broken(..), true;
+    no_http: |stream| send(stream, "220 mail.example ESMTP\r\n\r\n") => PlatformError::Broken(..), true;
     endless_body: |stream| {
         send(stream, "HTTP/1.1 200 OK\r\ncontent-length: 99999999\r\n\r\n");
         let chunk = vec![b' '; 1 << 16];
         while stream.write_all(&chunk).is_ok() {}
-    } => CallError::TooLarge(_), true;
-    other_json: |stream| send(stream, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n[]") => CallError::Malformed(..), true;
-    refused: |stream| send(stream, "HTTP/1.1 403 Forbidden\r\ncontent-length: 0\r\n\r\n") => CallError::Refused(_, 403), false;
+    } => PlatformError::TooLarge, true;
+    other_json: |stream| send(stream, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n[]") => PlatformError::Malformed(..), true;
+    refused: |stream| send(stream, "HTTP/1.1 403 Forbidden\r\ncontent-length: 0\r\n\r\n") => PlatformError::Refused(403), false;
 }
--- a/coltsfootgate/src/daemon.rs
+++ b/coltsfootgate/src/daemon.rs
@@ -113,6 +113,10 @@
     let peer_listener = bind("peers", settings.peer_listen)?;
     let peers = peer_listener.local_addr().change_context(DaemonFault::Runtime)?;
     settings.take_peer_address(peers);
+    let operators_listener = bind("operators", settings.operators_listen)?;
+    let operators = operators_listener.local_addr().change_context(DaemonFault::Runtime)?;
+    settings.take_operators_address(operators);
+    info!("listening on {operators} for operators");
     let signals = signal_stream()?;
     let (trigger, shutdown) = shutdown_pair();
     let identity = PeerIdentity::new(settings.instance.clone(), settings.peer_secret.clone())
@@ -120,7 +124,7 @@
     let platform =
         D::platform(&settings).map_err(|fault| Report::new(DaemonFault::Platform).attach(fault))?;
     let parts = start_instance::<D>(&settings, platform, identity, peer_listener);
-    let operators = start_operators(&settings, &parts)?;
+    start_operators(&settings, &parts, operators_listener);
     let listener = bind("callers", settings.listen)?;
     let callers = listener.local_addr().change_context(DaemonFault::Runtime)?;
     let bounds = entry_bounds(&settings);
@@ -135,10 +139,7 @@
     Ok(())
 }
 
-fn start_operators(
-    settings: &DaemonSettings,
-    parts: &InstanceParts,
-) -> Result<SocketAddr, Report<DaemonFault>> {
+fn start_operators(settings: &DaemonSettings, parts: &InstanceParts, listener: TcpListener) {
     let context = OperatorsContext {
         metrics: parts.context.metrics.clone(),
         board: parts.board.clone(),
@@ -148,12 +149,7 @@
         connections_max: settings.operators_connections,
         readiness_path: settings.readiness_path.clone(),
     };
-    let fault = || DaemonFault::Address("operators", settings.operators_listen);
-    let server =
-        OperatorsServer::bind(settings.operators_listen, context).change_context_lazy(fault)?;
-    let address = server.local_address().change_context_lazy(fault)?;
-    monoio::spawn(server.serve());
-    Ok(address)
+    monoio::spawn(OperatorsServer::new(listener, context).serve());
 }
 
 fn bind(side: &'static str, address: SocketAddr) -> Result<TcpListener, Report<DaemonFault>> {
--- a/coltsfootgate/src/operators/records.rs
+++ b/coltsfootgate/src/operators/records.rs
@@ -13,7 +13,8 @@
 #[derive(Debug, Default)]
 struct RecordTable {
     records: HashMap<RequestId, Arc<str>>,
-    order: VecDeque<RequestId>,
+    by_caller_id: HashMap<Arc<str>, RequestId>,
+    order: VecDeque<(RequestId, Option<Arc<str>>)>,
 }
 
 /// Keeps the latest decision records as JSON text; clones share the same records.
@@ -22,20 +23,39 @@
 
 impl RequestRecords {
     /// Keeps the record of a request and forgets the oldest beyond the bound.
-    pub fn insert(&self, id: RequestId, record: Arc<str>) {
+    pub fn insert(&self, id: RequestId, caller_id: Option<Arc<str>>, record: Arc<str>) {
         let mut table = self.0.borrow_mut();
+        if let Some(caller_id) = &caller_id {
+            table.by_caller_id.insert(caller_id.clone(), id);
+        }
         if table.records.insert(id, record).is_none() {
-            table.order.push_back(id);
+            table.order.push_back((id, caller_id));
         }
-        if table.order.len() > RECORDS_MAX
-            && let Some(oldest) = table.order.pop_front()
-        {
-            table.records.remove(&oldest);
+        if table.order.len() > RECORDS_MAX {
+            table.forget_oldest();
         }
     }
 
-    /// The record of a request, if it is still kept.
-    pub fn record(&self, id: RequestId) -> Option<Arc<str>> {
-        self.0.borrow().records.get(&id).cloned()
+    /// The record of a request, by our id or the caller's, if it is still kept.
+    pub fn record(&self, id: &str) -> Option<Arc<str>> {
+        let table = self.0.borrow();
+        let id = match table.by_caller_id.get(id) {
+            Some(id) => *id,
+            None => id.parse().ok()?,
+        };
+        table.records.get(&id).cloned()
+    }
+}
+
+impl RecordTable {
+    fn forget_oldest(&mut self) {
+        let Some((id, caller_id)) = self.order.pop_front() else { return };
+        self.records.remove(&id);
+        // A caller may have used the id again since.
+        if let Some(caller_id) = caller_id
+            && self.by_caller_id.get(&caller_id) == Some(&id)
+        {
+            self.by_caller_id.remove(&caller_id);
+        }
     }
 }
--- a/coltsfootgate/src/operators/server.rs
+++ b/coltsfootgate/src/operators/server.rs
@@ -8,11 +8,11 @@
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_TYPE};
 use http::{Method, StatusCode};
-use log::{debug, info};
+use log::debug;
 use monoio::io::Splitable;
 use monoio::io::sink::SinkExt;
 use monoio::io::stream::Stream;
-use monoio::net::{ListenerOpts, TcpListener, TcpStream};
+use monoio::net::{TcpListener, TcpStream};
 use monoio_http::common::body::BodyExt;
 use monoio_http::common::error::HttpError;
 use monoio_http::common::request::Request;
@@ -78,16 +78,9 @@
 }
 
 impl OperatorsServer {
-    /// Takes the address.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the address is in use or not of this machine.
-    pub fn bind(address: SocketAddr, context: OperatorsContext) -> io::Result<Self> {
-        let options = ListenerOpts::new().reuse_port(false);
-        let listener = TcpListener::bind_with_config(address, &options)?;
-        info!("listening on {}", listener.local_addr()?);
-        Ok(Self { listener, context })
+    /// Makes a server on a bound socket.
+    pub fn new(listener: TcpListener, context: OperatorsContext) -> Self {
+        Self { listener, context }
     }
 
     /// The address that was taken.
@@ -201,8 +194,7 @@
     }
 
     fn record_answer(&self, path: &str) -> OperatorsAnswer {
-        let id = path.trim_start_matches("/requests/").parse().ok();
-        match id.and_then(|id| self.records.record(id)) {
+        match self.records.record(path.trim_start_matches("/requests/")) {
             Some(record) => OperatorsAnswer::new(StatusCode::OK, JSON, record.to_string()),
             None => OperatorsAnswer::text(StatusCode::NOT_FOUND, "no such request"),
         }
--- a/coltsfootgate/src/operators/tests.rs
+++ b/coltsfootgate/src/operators/tests.rs
@@ -28,8 +28,9 @@
             connections_max: 4,
         };
         prepare(&context);
-        let server = OperatorsServer::bind("127.0.0.1:0".parse().unwrap(), context).unwrap();
-        let address = server.local_address().unwrap();
+        let listener = monoio::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let server = OperatorsServer::new(listener, context);
         let (sender, receiver) = futures_channel::oneshot::channel();
         let client = thread::spawn(move || {
             let answer = call(address, &request);
@@ -84,7 +85,7 @@
 fn a_record_is_found_by_id() {
     let id = Uuid::from_u128(7);
     let prepare = |context: &OperatorsContext| {
-        context.records.insert(id, r#"{"reason":"queue-full"}"#.into());
+        context.records.insert(id, Some("caller-7".into()), r#"{"reason":"queue-full"}"#.into());
     };
     let answer = exchange(prepare, get(&format!("/requests/{id}")));
     assert!(answer.ends_with(r#"{"reason":"queue-full"}"#), "{answer}");
--- a/coltsfootgate/src/options/mod.rs
+++ b/coltsfootgate/src/options/mod.rs
@@ -382,4 +382,12 @@
         }
         self.peer_listen = taken;
     }
+
+    /// Lists the instance with the address for operators that was taken, as above.
+    pub fn take_operators_address(&mut self, taken: SocketAddr) {
+        if self.operators_address.ends_with(":0") {
+            self.operators_address = taken.to_string().into();
+        }
+        self.operators_listen = taken;
+    }
 }
--- a/coltsfootgate/src/pipeline/settle.rs
+++ b/coltsfootgate/src/pipeline/settle.rs
@@ -1,5 +1,6 @@
 //! Ends a request: the caller's last bytes, the record, the log line and the counters.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -72,7 +73,8 @@
     count_end(&context.metrics, request, &record, &end);
     if let Ok(line) = serde_json::to_string(&record) {
         log::info!(target: DECISION_TARGET, "{line}");
-        context.records.insert(journal.id, line.into());
+        let caller_id = record.caller_id.as_deref().map(Arc::from);
+        context.records.insert(journal.id, caller_id, line.into());
     }
     let is_own_stream = request.is_none_or(|request| request.form == AnswerForm::ModelStream);
     give_end::<D>(&record, &mut caller, is_own_stream, end).await;
--- a/coltsfootgate/src/platform/client.rs
+++ b/coltsfootgate/src/platform/client.rs
@@ -59,7 +59,7 @@
     ) -> Result<Response<Bytes>, PlatformError> {
         monoio::time::timeout(limit, self.exchange(request, bytes_max))
             .await
-            .unwrap_or(Err(PlatformError::TimedOut))
+            .unwrap_or(Err(PlatformError::TimedOut(limit)))
     }
 
     async fn exchange(
--- a/coltsfootgate/src/platform/mod.rs
+++ b/coltsfootgate/src/platform/mod.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use coltsfootgate_core::ids::{InstanceId, ZoneName};
 
@@ -48,8 +48,8 @@
     Unreachable(Arc<str>),
     /// The connection broke before the answer was whole.
     Broken(Arc<str>),
-    /// No whole answer came in time.
-    TimedOut,
+    /// No whole answer came within this time.
+    TimedOut(Duration),
     /// The answer was larger than allowed.
     TooLarge,
     /// The answer could not be understood.
@@ -65,7 +65,7 @@
     pub fn may_have_written(&self) -> bool {
         match self {
             Self::Unreachable(_) | Self::HistoryGone => false,
-            Self::Broken(_) | Self::TimedOut | Self::TooLarge | Self::Malformed(_) => true,
+            Self::Broken(_) | Self::TimedOut(_) | Self::TooLarge | Self::Malformed(_) => true,
             Self::Refused(status) => *status >= 500,
         }
     }
@@ -74,9 +74,9 @@
 impl Display for PlatformError {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Unreachable(cause) => write!(formatter, "unreachable: {cause}"),
-            Self::Broken(cause) => write!(formatter, "connection broke: {cause}"),
-            Self::TimedOut => formatter.write_str("timed out"),
+            Self::Unreachable(cause) => write!(formatter, "the address is unreachable: {cause}"),
+            Self::Broken(cause) => write!(formatter, "the connection broke: {cause}"),
+            Self::TimedOut(limit) => write!(formatter, "no answer within {limit:?}"),
             Self::TooLarge => formatter.write_str("answer too large"),
             Self::Malformed(what) => write!(formatter, "answer not understood: {what}"),
             Self::Refused(status) => write!(formatter, "refused with status {status}"),
@@ -98,7 +98,8 @@
 }
 
 /// Whether an instance of the list is meant to get work.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum InstanceState {
     /// The instance serves.
--- a/coltsfootgate/src/platform/tests.rs
+++ b/coltsfootgate/src/platform/tests.rs
@@ -50,10 +50,10 @@
     format!("HTTP/1.1 200 OK\r\nx-revision: 7\r\ncontent-length: {}\r\n\r\n", VALUE_BYTES_MAX + 1).into_bytes(),
     Err(PlatformError::TooLarge)
 )]
-#[case::silent(Vec::new(), Err(PlatformError::TimedOut))]
+#[case::silent(Vec::new(), Err(PlatformError::TimedOut(LIMIT)))]
 #[case::silent_in_the_body(
     b"HTTP/1.1 200 OK\r\nx-revision: 7\r\ncontent-length: 9\r\n\r\nabc".to_vec(),
-    Err(PlatformError::TimedOut)
+    Err(PlatformError::TimedOut(LIMIT))
 )]
 fn a_read_tells(
     #[case] answer: Vec<u8>,
@@ -67,7 +67,7 @@
 #[rstest]
 #[case::written(answer("200 OK", "x-revision: 8\r\n", ""), Ok(SwapResult::Written(8)))]
 #[case::conflict(answer("409 Conflict", "x-revision: 9\r\n", ""), Ok(SwapResult::Conflict(9)))]
-#[case::silent(Vec::new(), Err(PlatformError::TimedOut))]
+#[case::silent(Vec::new(), Err(PlatformError::TimedOut(LIMIT)))]
 fn a_swap_tells(#[case] answer: Vec<u8>, #[case] expected: Result<SwapResult, PlatformError>) {
     let address = serve_bytes(answer);
     let result = block_on(async {
@@ -88,7 +88,7 @@
 
 #[rstest]
 #[case::broken(PlatformError::Broken("reset".into()), true)]
-#[case::timed_out(PlatformError::TimedOut, true)]
+#[case::timed_out(PlatformError::TimedOut(LIMIT), true)]
 #[case::server_error(PlatformError::Refused(503), true)]
 #[case::bad_request(PlatformError::Refused(400), false)]
 fn a_lost_answer_may_hide_a_write(#[case] error: PlatformError, #[case] expected: bool) {
--- a/coltsfootgate/src/tree/tests.rs
+++ b/coltsfootgate/src/tree/tests.rs
@@ -62,7 +62,7 @@
 
     async fn read(&self, key: &str) -> Result<Option<StoredValue>, PlatformError> {
         if self.0.is_down.get() {
-            return Err(PlatformError::TimedOut);
+            return Err(PlatformError::TimedOut(Duration::from_secs(1)));
         }
         let value = self.0.values.borrow().get(key).cloned();
         Ok(value.map(|value| StoredValue { revision: 1, value }))
--- a/extra/completions/coltsfootctl.bash
+++ b/extra/completions/coltsfootctl.bash
@@ -1,4 +1,4 @@
-# Completions of coltsfootctl for bash.
+# Completions of coltsfootctl and coltsfootctl-platform for bash.
 
 _coltsfootctl() {
     local current=${COMP_WORDS[COMP_CWORD]} previous=${COMP_WORDS[COMP_CWORD - 1]}
@@ -10,20 +10,21 @@
             break
         fi
     done
-    if [[ $previous == --file ]]; then
+    if [[ $previous =~ ^--(file|log|base-tree)$ ]]; then
         mapfile -t COMPREPLY < <(compgen -f -- "$current")
         return
     fi
     local words
     case $command in
-        "") words="$commands --platform --platform-timeout --json --help --version" ;;
+        "") words="$commands --platform --platform-timeout --base-tree --json --help --version" ;;
         check) words="--help" ;;
         apply) words="--branch --remove --base --note --author --wait --dry-run --help" ;;
         get) words="--at --help" ;;
         diff) words="--from --to --help" ;;
         history) words="--limit --help" ;;
         explain)
-            words="--request-id --customer --method --path --model --header --at --file --help"
+            words="--request-id --log --customer --method --host --path --model --header --at --file"
+            words="$words --help"
             ;;
         status) words="--help" ;;
     esac
@@ -35,4 +36,4 @@
     fi
 }
 
-complete -o filenames -F _coltsfootctl coltsfootctl
+complete -o filenames -F _coltsfootctl coltsfootctl coltsfootctl-platform
--- a/extra/completions/coltsfootctl.fish
+++ b/extra/completions/coltsfootctl.fish
@@ -6,6 +6,7 @@
 complete -c coltsfootctl -n $none -f
 complete -c coltsfootctl -n $none -l platform -x -d "address of the platform's service"
 complete -c coltsfootctl -n $none -l platform-timeout -x -d "time limit of each call"
+complete -c coltsfootctl -n $none -l base-tree -r -d "the project's own tree"
 complete -c coltsfootctl -n $none -l json -d "print JSON"
 complete -c coltsfootctl -n $none -l version -d "print the version of the tool"
 complete -c coltsfootctl -s h -l help -d "print help"
@@ -34,9 +35,13 @@
 
 set -l explain "__fish_seen_subcommand_from explain"
 complete -c coltsfootctl -n $explain -l request-id -x -d "a request that was made"
+complete -c coltsfootctl -n $explain -l log -r -d "a log file to look in"
+complete -c coltsfootctl -n $explain -l host -x -d "the host"
 complete -c coltsfootctl -n $explain -l customer -x -d "the customer"
 complete -c coltsfootctl -n $explain -l method -x -d "the method"
 complete -c coltsfootctl -n $explain -l path -x -d "the path"
 complete -c coltsfootctl -n $explain -l model -x -d "the model"
 complete -c coltsfootctl -n $explain -l header -x -d "a header, NAME:VALUE"
 complete -c coltsfootctl -n $explain -l file -r -d "a tree file"
+
+complete -c coltsfootctl-platform -w coltsfootctl
