Learn from errors that come in place of a stream, and try them elsewhere

Cause: an answer with an error status on a streaming route was passed on as if it were events and counted as a success. A replica that fails everything answers at once, so it looked like the idlest and drew all streams (200 of 200 in the test). Streams that may be resumed were not tried elsewhere after such an answer, though nothing had been passed on.

Ruled out: the weights of the error share (plain requests did learn from errors with the same weights).

--- a/coltsfootgate/src/pipeline/relay.rs
+++ b/coltsfootgate/src/pipeline/relay.rs
@@ -58,7 +58,7 @@
         journal: &mut RequestJournal,
     ) -> RelayEnd {
         if self.request.form == AnswerForm::EventStream {
-            return self.relay_events(answer, caller, journal).await;
+            return self.relay_events::<D>(answer, caller, journal).await;
         }
         let is_model = self.request.form != AnswerForm::Service;
         if is_failed_answer(answer.status, is_model) {
@@ -143,16 +143,20 @@
     }
 
     /// Passes events on as they come, from the first one on; a head alone commits to nothing.
-    async fn relay_events(
+    async fn relay_events<D: CallerDialect>(
         &mut self,
         answer: EndpointAnswer,
         caller: &mut CallerLink,
         journal: &mut RequestJournal,
     ) -> RelayEnd {
-        let EndpointAnswer { status, headers, mut stream } = answer;
-        if caller.has_started() && !status.is_success() {
-            return RelayEnd::Failed(EndpointFailure::FailedAnswer(status));
+        if !answer.status.is_success() {
+            if caller.has_started() {
+                return RelayEnd::Failed(EndpointFailure::FailedAnswer(answer.status));
+            }
+            // What came in place of events may be an error that another endpoint does not have.
+            return self.relay_body::<D>(answer, caller, journal).await;
         }
+        let EndpointAnswer { status, headers, mut stream } = answer;
         let headers = answer_headers(&headers);
         let mut reader = EventReader::new();
         loop {
