Give free engines to what can still be on time, tier by tier

Cause: a prompt that was held back was looked at again every 20 ms, but each later arrival was tried at once.

Now a later arrival waits behind held prompts of its tier or above that are no longer than it; in each tier those whose target can still be met go first; one held for long may delay others but does not join a backlog.

--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -2,6 +2,7 @@
 
 mod affinity;
 mod concurrency;
+mod dispatch;
 mod endpoint;
 mod engine;
 mod errors;
@@ -29,20 +30,16 @@
 pub use queue::{AdmissionQueue, QueueAdmission, QueuedRequest};
 pub use straggler::{EndpointHealth, EndpointState};
 
+use self::dispatch::{HeldLook, LOOK_PERIOD};
 use crate::estimate::{AnswerEstimate, ServiceEstimate};
 use crate::ids::{EndpointId, GrantId, InstanceId, PoolId};
 use crate::reason::ErrorKind;
 
-/// How many requests that exclude all free endpoints are passed over for later ones.
-const PASSED_OVER_MAX: usize = 8;
 /// Share of a class's answers that its estimated length covers.
 const LENGTH_QUANTILE: f64 = 0.5;
 /// Share of a class's answers that are shorter than what a request is expected to need at least.
 const SHORT_QUANTILE: f64 = 0.25;
 
-/// Period at which requests that wait are looked at without news.
-const LOOK_PERIOD: Duration = Duration::from_millis(20);
-
 /// What an owner knows of its pool.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct OwnerSettings {
@@ -71,7 +68,7 @@
 #[derive(Clone, Debug)]
 pub struct PoolOwner {
     /// When prompts were held back last, if any still are.
-    looked: Option<Instant>,
+    looked: Option<HeldLook>,
     settings: OwnerSettings,
     queue: AdmissionQueue,
     ledger: GrantLedger,
@@ -145,7 +142,7 @@
     /// When `Tick` is wanted next.
     pub fn next_deadline(&self) -> Option<Instant> {
         // Prompts that are held back may be sent once others were read.
-        let look = self.looked.map(|looked| looked + LOOK_PERIOD);
+        let look = self.looked.map(|looked| looked.at + LOOK_PERIOD);
         let (deadline, probe) = (self.queue.next_deadline(), self.endpoints.next_probe());
         [look, deadline, probe].into_iter().flatten().min()
     }
@@ -185,7 +182,9 @@
         }
         request.tokens = self.answers.tokens(&request.class, LENGTH_QUANTILE, request.tokens);
         self.dispatch(now, actions);
-        if let Some(endpoint) = self.choose(&request, now) {
+        let is_behind = self.looked.is_some_and(|looked| looked.goes_before(&request));
+        let chosen = if is_behind { None } else { self.choose(&request, now) };
+        if let Some(endpoint) = chosen {
             actions.push(self.grant(&request, endpoint, false, now));
         } else if request.wait {
             self.enqueue(request, now, actions);
@@ -307,36 +306,6 @@
         }
     }
 
-    fn dispatch(&mut self, now: Instant, actions: &mut Vec<OwnerAction>) {
-        // To look at held prompts with each message would take most of an owner's time in a burst.
-        if self.looked.is_some_and(|looked| now < looked + LOOK_PERIOD) {
-            return;
-        }
-        let mut passed_over = Vec::new();
-        while passed_over.len() < PASSED_OVER_MAX && self.endpoints.is_any_free(now) {
-            let Some(queued) = self.queue.take() else { break };
-            if self.is_too_late(&queued.request, now) {
-                let kind = ErrorKind::DeadlineUnmeetable;
-                actions.push(self.refuse(&queued.request, kind, now));
-                continue;
-            }
-            match self.choose(&queued.request, now) {
-                Some(endpoint) => {
-                    self.queue.charge(&queued);
-                    let action = self.grant(&queued.request, endpoint, queued.by_floor, now);
-                    actions.push(action);
-                }
-                None if self.endpoints.can_ever_serve(&queued.request) => passed_over.push(queued),
-                None => actions.push(self.refuse(&queued.request, ErrorKind::NoEndpoint, now)),
-            }
-        }
-        let is_prompt_held = passed_over.iter().any(|queued| queued.request.prompt.is_known());
-        self.looked = is_prompt_held.then_some(now);
-        for queued in passed_over {
-            self.queue.restore(queued);
-        }
-    }
-
     /// Whether even a short answer, begun now, would end after the deadline.
     fn is_too_late(&self, request: &GrantRequest, now: Instant) -> bool {
         let token_time = self.endpoints.token_time().unwrap_or_default();
--- a/coltsfootgate_core/src/owner/placement.rs
+++ b/coltsfootgate_core/src/owner/placement.rs
@@ -34,11 +34,11 @@
 /// Cost of an engine in another availability zone.
 const ZONE_COST: f64 = 0.03;
 /// Part of its target for which a prompt may wait at an engine instead of at its owner.
-const ENGINE_WAIT: f64 = 0.5;
+const ENGINE_WAIT: f64 = 0.25;
 /// Cost above which a request is rather held back, while it has time.
 const HOLD_COST: f64 = 1.5;
-/// Part of its target after which a held request is sent wherever it costs least.
-const HOLD_TIME: f64 = 2.0;
+/// Part of its target after which a held request is sent also where it delays others.
+const HOLD_TIME: f64 = 3.0;
 /// Prompts that are read faster than this are never held back.
 const SHORT_READ: Duration = Duration::from_millis(60);
 
@@ -85,8 +85,15 @@
         + ORDER_COST * order
         + if engine.is_near { 0.0 } else { ZONE_COST };
     let held = now.saturating_duration_since(request.arrived).as_secs_f64() / target;
-    let is_held = is_long && held < HOLD_TIME && (wait > ENGINE_WAIT || delayed > HOLD_COST);
-    (!is_held).then_some(cost)
+    (!is_long || !is_held(held, wait, delayed)).then_some(cost)
+}
+
+/// Whether a long prompt is rather held back; all are counted in its target.
+///
+/// One that was held back for long is sent also where it delays others, but never behind more prompts
+/// than any other: many that are sent at once would make all that follow late.
+fn is_held(held: f64, wait: f64, delayed: f64) -> bool {
+    wait > ENGINE_WAIT || (held < HOLD_TIME && delayed > HOLD_COST)
 }
 
 /// What it costs a long request to run where its tokens have to wait for further prompts.
--- a/coltsfootgate_core/tests/placement.rs
+++ b/coltsfootgate_core/tests/placement.rs
@@ -52,6 +52,8 @@
     between_tokens: Duration::from_millis(1_000),
     answer: Duration::from_millis(3_000),
 };
+/// Long prompts of a lower tier.
+const LOW: RequestKind = RequestKind { tier: 5, ..LONG };
 const SHORT: RequestKind = RequestKind {
     tier: 1,
     per_second: 40.0,
@@ -86,6 +88,7 @@
     rate: f64,
     engines: BTreeMap<EndpointId, ReplayEngine>,
     waiting: BTreeMap<GrantId, (u8, u64, Instant)>,
+    arrived: BTreeMap<u8, u32>,
     first_tokens: BTreeMap<u8, Vec<Duration>>,
     stops_beside_short: u32,
     shared_read: u64,
@@ -105,7 +108,11 @@
 }
 
 fn kind_of(tier: u8) -> RequestKind {
-    if tier == LONG.tier { LONG } else { SHORT }
+    match tier {
+        tier if tier == LONG.tier => LONG,
+        tier if tier == LOW.tier => LOW,
+        _ => SHORT,
+    }
 }
 
 impl Replay {
@@ -124,6 +131,7 @@
             rate,
             engines: BTreeMap::new(),
             waiting: BTreeMap::new(),
+            arrived: BTreeMap::new(),
             first_tokens: BTreeMap::new(),
             stops_beside_short: 0,
             shared_read: 0,
@@ -181,8 +189,14 @@
         self.memory_most = self.memory_most.max(held.sum());
     }
 
+    fn is_sent(&self, grant: GrantId) -> bool {
+        let mut requests = self.engines.values().flat_map(|engine| &engine.requests);
+        requests.any(|request| request.grant == grant)
+    }
+
     fn arrive(&mut self, kind: &RequestKind, grant: GrantId, document: u64, now: Instant) {
         self.waiting.insert(grant, (kind.tier, document, now));
+        *self.arrived.entry(kind.tier).or_default() += 1;
         let request = coltsfootgate_core::owner::GrantRequest {
             prompt: prompt(kind, document, grant),
             arrived: now,
@@ -246,11 +260,18 @@
         }
     }
 
+    /// Share of the long prompts that the engines can read beside all else that they read.
+    fn long_share_that_fits(&self) -> f64 {
+        let tokens = LENGTH.as_secs_f64() * self.rate * f64::from(ENGINES);
+        let own = |kind: &RequestKind| f64::from(self.arrived[&kind.tier] * kind.own);
+        (tokens - own(&SHORT) - self.shared_read as f64) / own(&LONG)
+    }
+
     /// Share of a kind's first tokens that met the target.
     fn attained(&self, kind: &RequestKind) -> f64 {
         let times = &self.first_tokens[&kind.tier];
         let met = times.iter().filter(|time| **time <= kind.first_token).count();
-        met as f64 / times.len() as f64
+        met as f64 / f64::from(self.arrived[&kind.tier])
     }
 }
 
@@ -329,3 +350,43 @@
     let actions = owner.handle(OwnerEvent::Cancel { asker, grant: 1 }, later);
     assert!(actions.iter().any(is_grant), "{actions:?}");
 }
+
+/// A burst of long prompts is held back; long prompts of a lower tier that arrive later wait, too.
+#[test]
+fn a_lower_tier_does_not_take_what_held_prompts_wait_for() {
+    let mut replay = Replay::new(60_000.0);
+    for grant in 1..=200 {
+        replay.arrive(&LONG, grant, grant % DOCUMENTS, *START);
+    }
+    let (mut now, mut grant) = (*START, 1000);
+    loop {
+        now += STEP;
+        grant += 1;
+        replay.progress(now);
+        replay.arrive(&LOW, grant, grant % DOCUMENTS, now);
+        let is_higher_waiting = || replay.waiting.values().any(|(tier, ..)| *tier == LONG.tier);
+        if !is_higher_waiting() {
+            break;
+        }
+        assert!(!replay.is_sent(grant), "granted after {:?}", now - *START);
+    }
+    assert!(now - *START > Duration::from_secs(1), "nothing was held back");
+}
+
+/// More long prompts than can be read: the engines' time goes to those that can still be on time.
+#[rstest]
+#[case::seed(11)]
+#[case::other_seed(12)]
+fn in_overload_late_prompts_do_not_make_others_late(#[case] seed: u64) {
+    let mut replay = Replay::new(20_000.0);
+    replay.run(seed, 1.6);
+    let fits = replay.long_share_that_fits();
+    assert!(fits < 0.9, "no overload: {fits} fit");
+    let read = replay.first_tokens[&LONG.tier].len() as f64;
+    let share_read = read / f64::from(replay.arrived[&LONG.tier]);
+    let attained = replay.attained(&LONG);
+    assert!(attained >= share_read * 0.9, "{attained} of {share_read} that were read");
+    // Engines that run short prompts of a higher tier are spared, so not all that fits is read.
+    assert!(attained >= fits * 0.5, "{attained} of {fits} that fit");
+    assert!(replay.attained(&SHORT) >= 0.9, "short {}", replay.attained(&SHORT));
+}
