Tell refused callers when to come back, spread over time

Cause: the time was the expected wait at the owner, which is 0 where no endpoint is in service: callers were told to come back after 1 ms, all at once and in vain (seen in platform/tests).

Ruled out: a spread by the caller's id, as callers repeat with new ones.

--- a/coltsfootgate/src/pipeline/admit.rs
+++ b/coltsfootgate/src/pipeline/admit.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use coltsfootgate_core::comeback::comeback_time;
 use coltsfootgate_core::owner::{
     EngineShare, GrantRequest, HeldGrant, ReleaseReport, ReleaseResult,
 };
@@ -138,7 +139,8 @@
         }
         RouteEnd::Refused { kind, pressure } => {
             journal.waited(asked.elapsed());
-            let wait = pressure.expected_wait(request.class.tier);
+            let drain = pressure.expected_wait(request.class.tier);
+            let wait = comeback_time(kind, drain, rand::random());
             Err(refusal(request, kind, &capacity_message(kind, request)).after(wait))
         }
     }
--- a/coltsfootgate_core/src/lib.rs
+++ b/coltsfootgate_core/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod attempt;
 pub mod calendar;
 pub mod claim;
+pub mod comeback;
 pub mod estimate;
 pub mod freshness;
 pub mod gossip;
