Pass over an engine whose first tokens are overdue

An engine whose oldest prompt has been due without a first token is expected to be silent for as long again.

--- a/coltsfootgate_core/src/owner/engine.rs
+++ b/coltsfootgate_core/src/owner/engine.rs
@@ -17,6 +17,9 @@
 const RATE_TOKENS_MIN: u32 = 500;
 /// Time that an engine needs for the first token beside reading.
 const FIRST_TOKEN_OVERHEAD: Duration = Duration::from_millis(15);
+/// Part of its expected time after which a first token is overdue, and the time added to that.
+const DUE_SHARE: f64 = 2.0;
+const DUE_TIME: Duration = Duration::from_millis(200);
 /// Time in which the share of long prompts fades to a third.
 const SHARE_FADE: Duration = Duration::from_millis(2_500);
 /// Tokens that an engine of unknown memory is taken to cache.
@@ -99,7 +102,16 @@
         let Some(since) = self.reading_since else { return Duration::ZERO };
         let first = self.reading.front().map_or(0, |prompt| prompt.tokens);
         let done = now.saturating_duration_since(since).min(self.read_time(first));
-        self.read_time(tokens).saturating_sub(done)
+        self.read_time(tokens).saturating_sub(done) + self.overdue(now)
+    }
+
+    /// For how long the first token of the oldest prompt has been due without coming.
+    ///
+    /// An engine that gave none for a while is expected to give none for as long again.
+    fn overdue(&self, now: Instant) -> Duration {
+        let Some(oldest) = self.reading.front() else { return Duration::ZERO };
+        let due = oldest.expected.mul_f64(DUE_SHARE) + DUE_TIME;
+        now.saturating_duration_since(oldest.sent).saturating_sub(due)
     }
 
     /// Whether the tokens of one more request fit into the memory beside those that run.
--- a/coltsfootgate_core/tests/placement.rs
+++ b/coltsfootgate_core/tests/placement.rs
@@ -91,6 +91,10 @@
     arrived: BTreeMap<u8, u32>,
     first_tokens: BTreeMap<u8, Vec<Duration>>,
     stops_beside_short: u32,
+    /// From when on an engine, the first that is sent a request then, gives no more tokens.
+    dark_from: Option<Instant>,
+    dark: Option<EndpointId>,
+    lost: usize,
     shared_read: u64,
     memory_most: u64,
 }
@@ -134,6 +138,9 @@
             arrived: BTreeMap::new(),
             first_tokens: BTreeMap::new(),
             stops_beside_short: 0,
+            dark_from: None,
+            dark: None,
+            lost: 0,
             shared_read: 0,
             memory_most: 0,
         };
@@ -161,6 +168,11 @@
     fn send(&mut self, grant: GrantId, endpoint: &EndpointId, now: Instant) {
         let Some((tier, document, arrived)) = self.waiting.remove(&grant) else { return };
         let kind = kind_of(tier);
+        let is_dark = self.dark_from.is_some_and(|from| now >= from);
+        if is_dark && self.dark.get_or_insert_with(|| endpoint.clone()) == endpoint {
+            self.lost += 1;
+            return;
+        }
         let engine = self.engines.get_mut(endpoint).unwrap();
         let mut tokens = kind.own;
         if engine.kept.insert(document) {
@@ -390,3 +402,16 @@
     assert!(attained >= fits * 0.5, "{attained} of {fits} that fit");
     assert!(replay.attained(&SHORT) >= 0.9, "short {}", replay.attained(&SHORT));
 }
+
+/// An engine goes dark: it takes requests and gives no token. Few are sent there before that shows.
+#[rstest]
+#[case::calm(21, 0.5)]
+#[case::busy(22, 1.0)]
+fn an_engine_that_gives_no_first_token_is_passed_over(#[case] seed: u64, #[case] load: f64) {
+    let mut replay = Replay::new(60_000.0);
+    replay.dark_from = Some(*START + Duration::from_secs(5));
+    replay.run(seed, load);
+    // No more than all short requests that arrive within their target of 0.3 s.
+    let most = (SHORT.per_second * load * 0.3) as usize;
+    assert!(replay.lost <= most, "{} requests were sent to the dark engine", replay.lost);
+}
