Explain three kinds of failed request; log how far endpoints are trusted

A test holds its counters, reasons, flags and quoted lines against the code.

What its logs could not tell is mended: changes of an endpoint's state are lines of the owner's part, and the line on dropped lines has a message.

--- a/coltsfootgate/src/logging/writer.rs
+++ b/coltsfootgate/src/logging/writer.rs
@@ -77,7 +77,7 @@
         if dropped > 0 {
             let _ = writeln!(
                 output,
-                "{{\"level\":\"WARN\",\"part\":\"logging\",\"dropped\":{dropped}}}"
+                "{{\"level\":\"WARN\",\"part\":\"logging\",\"dropped\":{dropped},\"message\":\"log lines were dropped\"}}"
             );
         }
         let _ = output.flush();
--- a/coltsfootgate/src/owner/task.rs
+++ b/coltsfootgate/src/owner/task.rs
@@ -7,6 +7,7 @@
 
 use futures_channel::{mpsc, oneshot};
 use futures_util::StreamExt;
+use log::info;
 use monoio::net::TcpStream;
 use monoio::time::timeout;
 
@@ -223,6 +224,9 @@
                 self.answer(asker, grant, GrantAnswer::Busy(pressure));
             }
             OwnerAction::Probe { endpoint } => self.probe(key, endpoint),
+            OwnerAction::StateChanged { endpoint, state } => {
+                info!("endpoint {endpoint} is {} now", state.name());
+            }
         }
     }
 
--- /dev/null
+++ b/coltsfootgate/tests/operations_page.rs
@@ -0,0 +1,67 @@
+//! The page on failed requests names only what there is.
+
+use std::collections::BTreeSet;
+
+use coltsfootgate::options::DaemonFlags;
+use coltsfootgate_core::outcome::RequestOutcome;
+use coltsfootgate_core::reason::ErrorKind;
+use gumdrop::Options;
+
+const PAGE: &str = include_str!("../../docs/OPERATIONS.md");
+const OPERATORS_PAGE: &str = include_str!("../../docs/OPERATORS.md");
+/// The outcomes that the page may name.
+const OUTCOMES: [RequestOutcome; 3] =
+    [RequestOutcome::NotRun, RequestOutcome::PartiallyRun, RequestOutcome::Unknown];
+/// Where the lines that the page quotes come from.
+const SOURCES: [&str; 6] = [
+    include_str!("../src/tree/watch.rs"),
+    include_str!("../src/tree/task.rs"),
+    include_str!("../src/owner/task.rs"),
+    include_str!("../src/pipeline/admit.rs"),
+    include_str!("../src/pipeline/identify.rs"),
+    include_str!("../src/logging/writer.rs"),
+];
+
+/// All words between backticks, without what follows a space.
+fn quoted_words() -> BTreeSet<&'static str> {
+    let quoted = PAGE.split('`').skip(1).step_by(2);
+    quoted.filter_map(|text| text.split_whitespace().next()).collect()
+}
+
+#[test]
+fn every_counter_is_one_of_the_operators_page() {
+    let counters = quoted_words().into_iter().filter(|word| word.starts_with("coltsfootgate_"));
+    let mut count = 0;
+    for counter in counters {
+        assert!(OPERATORS_PAGE.contains(&format!("| `{counter}` |")), "{counter}");
+        count += 1;
+    }
+    assert!(count >= 5, "only {count} are named");
+}
+
+#[test]
+fn every_word_with_a_dash_is_a_reason_an_outcome_or_a_flag() {
+    let words: BTreeSet<_> = quoted_words().into_iter().filter(|word| word.contains('-')).collect();
+    let usage = DaemonFlags::usage();
+    let tool_flags = ["--log", "--platform", "--base-tree"];
+    for word in words {
+        let is_reason = ErrorKind::ALL.iter().any(|kind| kind.code() == word);
+        let is_outcome = OUTCOMES.iter().any(|outcome| outcome.name() == word);
+        let is_flag = usage.contains(word) || tool_flags.contains(&word);
+        assert!(is_reason || is_outcome || is_flag, "{word}");
+    }
+}
+
+#[test]
+fn every_line_that_is_quoted_is_written() {
+    for line in [
+        "could not follow the head in the store",
+        "the store answers again",
+        "the settings were last confirmed",
+        "the expected wait is longer than the request's deadline",
+        "log lines were dropped",
+    ] {
+        assert!(PAGE.replace("\n   ", " ").contains(line), "the page lacks {line:?}");
+        assert!(SOURCES.iter().any(|source| source.contains(line)), "{line:?} is not written");
+    }
+}
--- a/coltsfootgate_core/src/owner/endpoint.rs
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -9,6 +9,7 @@
 use super::event::{EngineShare, GrantRequest, ReleaseReport, ReleaseResult};
 use super::ledger::GrantLedger;
 use super::placement::{EngineView, placement_cost};
+use super::snapshot::EndpointSnapshot;
 use super::straggler::{EndpointHealth, EndpointState};
 use crate::ids::EndpointId;
 use crate::settings::EndpointSettings;
@@ -74,23 +75,6 @@
     }
 }
 
-/// What status pages show of an endpoint.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct EndpointSnapshot {
-    /// The endpoint.
-    pub endpoint: EndpointId,
-    /// How far it is trusted.
-    pub state: EndpointState,
-    /// Whether it is leaving, or has passed to another owner.
-    pub is_leaving: bool,
-    /// Requests it may run at once.
-    pub slots: u32,
-    /// Grants in flight.
-    pub in_flight: u32,
-    /// Mean time between tokens, if measured.
-    pub token_time: Option<Duration>,
-}
-
 /// All endpoints of an owner, with those that still hold grants from before.
 #[derive(Clone, Debug, Default)]
 pub struct EndpointTable {
@@ -323,6 +307,14 @@
         }
     }
 
+    /// The endpoints that are trusted more or less than at the last call.
+    pub fn take_state_changes(&mut self) -> Vec<(EndpointId, EndpointState)> {
+        let changed = self.endpoints.iter_mut().filter_map(|(id, endpoint)| {
+            endpoint.health.take_change().map(|state| (id.clone(), state))
+        });
+        changed.collect()
+    }
+
     /// Learns the speeds of the pool's other owners.
     pub fn set_pool_speeds(&mut self, speeds: Vec<Duration>) {
         self.pool_speeds = speeds;
--- a/coltsfootgate_core/src/owner/event.rs
+++ b/coltsfootgate_core/src/owner/event.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::straggler::EndpointState;
 use crate::ids::TIER_COUNT;
 use crate::ids::{
     ClassId, CustomerId, EndpointId, GrantId, InstanceId, RequestId, RequestTier, ZoneName,
@@ -222,6 +223,13 @@
         /// What is waiting here.
         pressure: OwnerPressure,
     },
+    /// Note that an endpoint is trusted more or less than before.
+    StateChanged {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// How far it is trusted now.
+        state: EndpointState,
+    },
     /// Connect to the endpoint, read its load and report a `ProbeResult`.
     Probe {
         /// The endpoint.
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -11,6 +11,7 @@
 mod ledger;
 mod placement;
 mod queue;
+mod snapshot;
 mod straggler;
 
 use std::collections::HashMap;
@@ -18,7 +19,7 @@
 
 pub use affinity::PrefixAffinity;
 pub use concurrency::AdaptiveSlots;
-pub use endpoint::{EndpointSnapshot, EndpointTable};
+pub use endpoint::EndpointTable;
 pub use engine::{EngineLoad, GrantKey};
 pub use event::{
     EngineShare, GrantRequest, HeldGrant, OwnerAction, OwnerEvent, OwnerPressure, ReleaseReport,
@@ -28,6 +29,7 @@
 pub use ledger::{GrantLedger, GrantRecord, LedgerChange};
 pub use placement::{EngineView, placement_cost};
 pub use queue::{AdmissionQueue, QueueAdmission, QueuedRequest};
+pub use snapshot::EndpointSnapshot;
 pub use straggler::{EndpointHealth, EndpointState};
 
 use self::dispatch::{HeldLook, LOOK_PERIOD};
@@ -301,6 +303,9 @@
                 }
             }
         }
+        for (endpoint, state) in self.endpoints.take_state_changes() {
+            actions.push(OwnerAction::StateChanged { endpoint, state });
+        }
         for endpoint in self.endpoints.take_probes(now) {
             actions.push(OwnerAction::Probe { endpoint });
         }
--- a/coltsfootgate_core/src/owner/straggler.rs
+++ b/coltsfootgate_core/src/owner/straggler.rs
@@ -53,6 +53,7 @@
     failed: u32,
     interval: Duration,
     next_probe: Option<Instant>,
+    has_changed: bool,
 }
 
 impl Default for EndpointHealth {
@@ -64,6 +65,7 @@
             failed: 0,
             interval: PROBE_INTERVAL,
             next_probe: None,
+            has_changed: false,
         }
     }
 }
@@ -184,7 +186,13 @@
         self.next_probe = Some(now + self.interval);
     }
 
+    /// The state, if it is another one than at the last call.
+    pub fn take_change(&mut self) -> Option<EndpointState> {
+        std::mem::take(&mut self.has_changed).then_some(self.state)
+    }
+
     fn enter(&mut self, state: EndpointState) {
+        self.has_changed = true;
         self.state = state;
         self.slow = 0;
         self.good = 0;
--- a/coltsfootgate_core/tests/owner_endpoints.rs
+++ b/coltsfootgate_core/tests/owner_endpoints.rs
@@ -65,6 +65,7 @@
         driver.release(0, result, USUAL);
     }
     assert_eq!(state(&driver, 0), EndpointState::Ejected);
+    assert_eq!(driver.state_changes(), [EndpointState::Ejected]);
     driver.ask(ask(10, 3));
     assert_eq!(driver.refusals().last().map(|(_, kind)| *kind), Some(ErrorKind::NoEndpoint));
     let lost = endpoint(0, 1).id;
@@ -75,6 +76,7 @@
     assert_eq!(driver.advance(Duration::from_millis(250)).len(), 1);
     driver.event(OwnerEvent::ProbeResult { endpoint: lost, alive: true });
     assert_eq!(state(&driver, 0), EndpointState::Probing);
+    assert_eq!(driver.state_changes(), [EndpointState::Ejected, EndpointState::Probing]);
     driver.ask(ask(11, 3));
     assert_eq!(driver.in_flight(), 1);
 }
--- a/coltsfootgate_core/tests/owner_properties.rs
+++ b/coltsfootgate_core/tests/owner_properties.rs
@@ -207,7 +207,7 @@
                     prop_assert_eq!(pressure.free_slots, 0);
                     self.waiting.remove(&(asker.clone(), *grant));
                 }
-                OwnerAction::Probe { .. } => {}
+                OwnerAction::Probe { .. } | OwnerAction::StateChanged { .. } => {}
             }
         }
         self.check_state()
--- a/coltsfootgate_core/tests/placement.rs
+++ b/coltsfootgate_core/tests/placement.rs
@@ -159,7 +159,9 @@
                 OwnerAction::Refuse { grant, .. } => {
                     self.waiting.remove(&grant);
                 }
-                OwnerAction::Busy { .. } | OwnerAction::Probe { .. } => (),
+                OwnerAction::Busy { .. }
+                | OwnerAction::Probe { .. }
+                | OwnerAction::StateChanged { .. } => (),
             }
         }
     }
--- a/coltsfootgate_core/tests/routing.rs
+++ b/coltsfootgate_core/tests/routing.rs
@@ -319,7 +319,7 @@
                 OwnerAction::Refuse { grant, kind, pressure, .. } => {
                     (grant, RouteReply::Refused(kind, pressure))
                 }
-                OwnerAction::Probe { .. } => continue,
+                OwnerAction::Probe { .. } | OwnerAction::StateChanged { .. } => continue,
             };
             let Some((mut route, at)) = self.open.remove(&grant) else { continue };
             self.learn_all();
--- a/coltsfootgate_core/tests/support/mod.rs
+++ b/coltsfootgate_core/tests/support/mod.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use coltsfootgate_core::owner::{
-    GrantRequest, OwnerAction, OwnerEvent, OwnerSettings, OwnerSnapshot, PoolOwner, ReleaseReport,
-    ReleaseResult,
+    EndpointState, GrantRequest, OwnerAction, OwnerEvent, OwnerSettings, OwnerSnapshot, PoolOwner,
+    ReleaseReport, ReleaseResult,
 };
 use coltsfootgate_core::prelude::*;
 use coltsfootgate_core::prompt::PromptLoad;
@@ -222,6 +222,14 @@
         self.granted_tiers().len()
     }
 
+    pub fn state_changes(&self) -> Vec<EndpointState> {
+        let states = self.actions.iter().filter_map(|action| match action {
+            OwnerAction::StateChanged { state, .. } => Some(*state),
+            _ => None,
+        });
+        states.collect()
+    }
+
     pub fn refusals(&self) -> Vec<(RequestTier, ErrorKind)> {
         self.actions
             .iter()
