Weigh errors against the endpoint that fails least; name the status in decisions

Cause: an endpoint's share of errors counted only beyond the median of its pool.

Ruled out: the mean as the base (it moves with those that are sent most). Ejection still compares with the median, so that no pool is emptied.

--- a/coltsfootgate/src/pipeline/record.rs
+++ b/coltsfootgate/src/pipeline/record.rs
@@ -45,6 +45,8 @@
     pub attempts: u32,
     /// Why it was tried again, once for each retry.
     pub retries: Vec<&'static str>,
+    /// The status of its answer; 0 before it has one.
+    pub status: u16,
     /// Its outcome.
     pub outcome: &'static str,
     /// Why it ended so.
--- a/coltsfootgate/src/pipeline/settle.rs
+++ b/coltsfootgate/src/pipeline/settle.rs
@@ -86,12 +86,14 @@
         RequestEnd::Refused(refusal) => {
             // No caller can use a part of an answer.
             record.wasted_tokens = record.tokens;
+            record.status = refusal.status().as_u16();
             record.outcome = refusal.kind.outcome().name();
             record.reason = refusal.kind.code();
             record.rule = refusal.rule.to_string();
             record.message = refusal.message.clone();
         }
-        RequestEnd::Served(_) => {
+        RequestEnd::Served(answer) => {
+            record.status = answer.status().as_u16();
             record.outcome = RequestOutcome::Completed.name();
             record.reason = COMPLETED;
             record.rule = request.map_or_else(|| "pools".to_owned(), serving_rule);
--- a/coltsfootgate_core/src/owner/endpoint.rs
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -165,7 +165,7 @@
 
     /// The engine at which a prompt costs least.
     fn choose_engine(&self, request: &GrantRequest, now: Instant) -> Option<EndpointId> {
-        let pool_errors = self.pool_errors(None, now);
+        let least_errors = self.least_errors(now);
         let last = self.endpoints.len().saturating_sub(1).max(1) as f64;
         let candidates =
             self.endpoints.iter().enumerate().filter(|(_, (id, endpoint))| {
@@ -177,7 +177,7 @@
                 order: position as f64 / last,
                 taken: endpoint.load(now),
                 is_near: endpoint.settings.zone == request.zone,
-                errors: (endpoint.errors.get(now) - pool_errors).max(0.0),
+                errors: (endpoint.errors.get(now) - least_errors).max(0.0),
             };
             Some((placement_cost(request, engine, now)?, id))
         });
@@ -192,7 +192,7 @@
         hint: Option<&EndpointId>,
         now: Instant,
     ) -> Option<EndpointId> {
-        let pool_errors = self.pool_errors(None, now);
+        let least_errors = self.least_errors(now);
         let candidates = self
             .endpoints
             .iter()
@@ -201,7 +201,7 @@
             let worth = if hint == Some(id) { AFFINITY_WORTH } else { 0.0 };
             let is_far = endpoint.settings.zone != request.zone;
             let distance = if is_far { ZONE_WORTH } else { 0.0 };
-            let errors = (endpoint.errors.get(now) - pool_errors).max(0.0) * ERRORS_WORTH;
+            let errors = (endpoint.errors.get(now) - least_errors).max(0.0) * ERRORS_WORTH;
             (endpoint.load(now) - worth + distance + errors, endpoint.last_grant)
         };
         let order = |one: &(f64, u64), other: &(f64, u64)| {
@@ -269,7 +269,7 @@
     /// Learns from what an entry saw.
     pub fn learn(&mut self, report: &ReleaseReport, target: Option<Duration>, now: Instant) {
         let pool = self.pool_time_without(&report.endpoint);
-        let pool_errors = self.pool_errors(Some(&report.endpoint), now);
+        let pool_errors = self.pool_errors(&report.endpoint, now);
         let Some(endpoint) = self.endpoints.get_mut(&report.endpoint) else { return };
         endpoint.errors.note(report.result, now);
         // Where most endpoints fail, to take them out one by one would leave none.
@@ -359,10 +359,18 @@
             .collect()
     }
 
-    /// Median share of failed answers over the endpoints in service but one.
-    fn pool_errors(&self, judged: Option<&EndpointId>, now: Instant) -> f64 {
+    /// Share of failed answers of the endpoint that fails least.
+    ///
+    /// Against the median, where most fail, those that do not would be no better than the others.
+    fn least_errors(&self, now: Instant) -> f64 {
+        let endpoints = self.endpoints.values().filter(|endpoint| endpoint.is_in_service());
+        endpoints.map(|endpoint| endpoint.errors.get(now)).min_by(f64::total_cmp).unwrap_or(0.0)
+    }
+
+    /// Share of failed answers of the median of all other endpoints.
+    fn pool_errors(&self, judged: &EndpointId, now: Instant) -> f64 {
         let endpoints = self.endpoints.iter();
-        let others = endpoints.filter(|(id, one)| one.is_in_service() && Some(*id) != judged);
+        let others = endpoints.filter(|(id, one)| one.is_in_service() && *id != judged);
         let mut shares: Vec<f64> = others.map(|(_, one)| one.errors.get(now)).collect();
         shares.sort_unstable_by(f64::total_cmp);
         shares.get(shares.len().saturating_sub(1) / 2).copied().unwrap_or(0.0)
--- a/coltsfootgate_core/tests/owner_endpoints.rs
+++ b/coltsfootgate_core/tests/owner_endpoints.rs
@@ -202,3 +202,28 @@
         driver.release(0, result, Duration::from_millis(30));
     }
 }
+
+/// Most endpoints of a pool answer errors at once; the others are sound, and take a while.
+#[rstest]
+#[case::half(6)]
+#[case::most(8)]
+#[case::all_but_two(10)]
+fn endpoints_that_answer_errors_are_passed_over(#[case] failing: u32) {
+    const ENDPOINTS: u32 = 12;
+    let is_failing = |id: &EndpointId| (0..failing).any(|number| endpoint(number, 8).id == *id);
+    let mut driver = OwnerDriver::new(ENDPOINTS, 8);
+    let mut failed = 0;
+    for grant in 0..600 {
+        driver.ask(ask(grant, 3));
+        driver.advance(Duration::from_millis(10));
+        while let Some(index) = driver.held().iter().position(|(.., id)| is_failing(id)) {
+            driver.release(index, ReleaseResult::Failed, USUAL);
+            failed += u32::from(grant >= 100);
+        }
+        if driver.held().len() >= 4 {
+            driver.release(0, ReleaseResult::Completed, USUAL);
+        }
+    }
+    // A second is enough to tell them apart; later ones are looked at now and then.
+    assert!(failed <= 50, "{failed} of 500 failed");
+}
