--- a/coltsfootgate/src/metrics/mod.rs
+++ b/coltsfootgate/src/metrics/mod.rs
@@ -1,12 +1,14 @@
 //! Counters and histograms of the daemon, in the form that prometheus reads.
 
+mod labels;
+mod registrar;
 #[cfg(test)]
 mod tests;
 
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec,
     Registry, TextEncoder,
 };
 
@@ -15,6 +17,9 @@
 use coltsfootgate_core::reason::ErrorKind;
 use coltsfootgate_core::retry::RetryReason;
 
+pub use self::labels::{ConnectionSide, LatencyTarget};
+use self::registrar::MetricRegistrar;
+
 /// Class label of requests that ended before they had a class.
 pub const NO_CLASS: &str = "-";
 
@@ -26,53 +31,6 @@
 const TOKEN_BUCKETS: &[f64] =
     &[0.001, 0.0025, 0.005, 0.01, 0.015, 0.02, 0.034, 0.05, 0.1, 0.25, 1.0, 5.0];
 
-/// A latency target of a class.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub enum LatencyTarget {
-    /// Time to the first token.
-    FirstToken,
-    /// Time between two tokens, for all tokens of an answer.
-    BetweenTokens,
-    /// Time to the whole answer.
-    WholeAnswer,
-}
-
-impl LatencyTarget {
-    /// The name used as a label.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::FirstToken => "first-token",
-            Self::BetweenTokens => "between-tokens",
-            Self::WholeAnswer => "whole-answer",
-        }
-    }
-}
-
-/// Who is on the other side of a connection.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub enum ConnectionSide {
-    /// A caller.
-    Callers,
-    /// Another instance.
-    Peers,
-    /// An operator or a monitoring system.
-    Operators,
-    /// A model engine or plain service.
-    Endpoints,
-}
-
-impl ConnectionSide {
-    /// The name used as a label.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Callers => "callers",
-            Self::Peers => "peers",
-            Self::Operators => "operators",
-            Self::Endpoints => "endpoints",
-        }
-    }
-}
-
 /// Counts a connection as open until it is dropped.
 #[derive(Debug)]
 pub struct ConnectionCount(IntGauge);
@@ -104,6 +62,7 @@
     peer_faults: IntCounterVec,
     platform_calls: IntCounterVec,
     config_version: IntGauge,
+    config_age: Gauge,
     config_refused: IntCounterVec,
     answers_mismatched: IntCounterVec,
     instances: IntGaugeVec,
@@ -111,35 +70,6 @@
     loop_delay: Histogram,
 }
 
-/// Registers the metrics; a name that is taken or not valid is a fault of this file.
-struct MetricRegistrar(Registry);
-
-impl MetricRegistrar {
-    fn register<T: prometheus::core::Collector + Clone + 'static>(
-        &self,
-        metric: prometheus::Result<T>,
-    ) -> T {
-        let metric = metric.expect("a metric has a valid name");
-        self.0.register(Box::new(metric.clone())).expect("a metric's name is its own");
-        metric
-    }
-
-    fn counters(&self, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
-        let name = format!("coltsfootgate_{name}_total");
-        self.register(IntCounterVec::new(Opts::new(name, help), labels))
-    }
-
-    fn gauges(&self, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
-        self.register(IntGaugeVec::new(Opts::new(format!("coltsfootgate_{name}"), help), labels))
-    }
-
-    fn histograms(&self, name: &str, help: &str, buckets: &[f64]) -> HistogramVec {
-        let name = format!("coltsfootgate_{name}_seconds");
-        let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
-        self.register(HistogramVec::new(options, &["class"]))
-    }
-}
-
 impl Default for DaemonMetrics {
     fn default() -> Self {
         Self::new()
@@ -231,6 +161,10 @@
                 "coltsfootgate_config_version",
                 "Version of the tree in force; 0 while there is none.",
             )),
+            config_age: registrar.register(Gauge::new(
+                "coltsfootgate_config_age_seconds",
+                "Time since the tree in force was proved to be the newest; -1 while it never was.",
+            )),
             config_refused: registrar.counters(
                 "config_refused",
                 "Versions of the tree that were not taken, by cause.",
@@ -357,6 +291,11 @@
         self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
+    /// Notes how long ago the tree in force was proved to be the newest.
+    pub fn config_proved(&self, age: Option<Duration>) {
+        self.config_age.set(age.map_or(-1.0, |age| age.as_secs_f64()));
+    }
+
     /// Counts a version of the tree that was not taken.
     pub fn config_refused(&self, cause: &str) {
         self.config_refused.with_label_values(&[cause]).inc();
--- a/coltsfootgate/src/operators/server.rs
+++ b/coltsfootgate/src/operators/server.rs
@@ -156,6 +156,7 @@
             (&Method::GET, "/healthz") => OperatorsAnswer::text(StatusCode::OK, "ok"),
             (&Method::GET, "/readyz") => self.readiness_answer(),
             (&Method::GET, "/metrics") => {
+                self.metrics.config_proved(self.tree.age());
                 OperatorsAnswer::new(StatusCode::OK, TEXT, self.metrics.encode())
             }
             (&Method::GET, "/status") => {
