Try repeatable requests elsewhere when an endpoint gives no answer for long

Cause: a connection to an endpoint that went silent showed only by the class's time (20 s for the pools of the platform), so requests that may be repeated waited there until their callers left.

It counts as a failure of the endpoint, not as its silence, so a slow one is not ejected at once. Ruled out: the pool's silence bound lowered (it ejects, and holds for what may not be repeated, too).

--- a/coltsfootgate/src/endpoint/mod.rs
+++ b/coltsfootgate/src/endpoint/mod.rs
@@ -64,6 +64,8 @@
     /// The time of the request was up before its answer was whole, which says nothing against the
     /// endpoint.
     TimeUp,
+    /// Nothing came for so long that another endpoint may be sooner.
+    Overdue,
     /// The answer carries the id of another request.
     Mismatched,
 }
--- a/coltsfootgate/src/pipeline/budget.rs
+++ b/coltsfootgate/src/pipeline/budget.rs
@@ -21,6 +21,11 @@
         self.with_budget(class, RetryBudget::note_request);
     }
 
+    /// Whether a retry of a request of a class is left.
+    pub fn holds_one(&self, class: &ClassSettings) -> bool {
+        self.with_budget(class, |budget| budget.holds_one())
+    }
+
     /// Decides what follows a failed attempt of a request of a class.
     pub fn decide(
         &self,
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -3,7 +3,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use coltsfootgate_core::attempt::{
     AttemptFailure, AttemptHistory, AttemptTraits, FailureCause, FailureStage,
@@ -24,9 +24,12 @@
 use super::relay::{RelayEnd, RelayTask};
 use super::settle::{RequestEnd, settle_request};
 use crate::dialect::{Dialect, EndpointDialect};
-use crate::endpoint::EndpointFailure;
+use crate::endpoint::{EndpointAnswer, EndpointFailure};
 use crate::entry::{AcceptedRequest, CallerLink, Refusal};
 
+/// Least time without an answer after which an attempt is given up for another one.
+const PATIENCE_MIN: Duration = Duration::from_millis(400);
+
 /// Works on one request until it has ended.
 pub async fn run_exchange<D: Dialect>(
     context: Rc<GateContext>,
@@ -110,7 +113,9 @@
         }
         let permit = history.permit_send().map_err(|kind| end_refusal(request, kind))?;
         journal.record.attempts = history.attempts();
-        let place = ResumePlace { offset: permit.resume_offset, last_event: &mut last_event };
+        let offset = permit.resume_offset;
+        let may_give_up = history.may_give_up();
+        let place = ResumePlace { offset, last_event: &mut last_event, may_give_up };
         let end = attempt_once::<D>(context, request, lease, place, caller, journal).await;
         if caller.has_started() {
             history.note_relayed(journal.record.tokens - history.caller_tokens());
@@ -162,6 +167,8 @@
     offset: u64,
     /// The id of the last event that the caller has.
     last_event: &'a mut Option<Arc<str>>,
+    /// Whether the attempt may be given up for another one.
+    may_give_up: bool,
 }
 
 async fn attempt_once<D: Dialect>(
@@ -174,7 +181,7 @@
 ) -> RelayEnd {
     let attempt = D::Endpoints::attempt_id(request, journal.record.attempts);
     let sent = Instant::now();
-    let ResumePlace { offset, last_event } = place;
+    let ResumePlace { offset, last_event, may_give_up } = place;
     let after = last_event.clone();
     let mut task = RelayTask {
         request,
@@ -186,6 +193,7 @@
     };
     let from = AttemptStart { id: &attempt, offset, last_event: after.as_deref() };
     let sending = dispatch_request::<D::Endpoints>(context, request, &lease, from);
+    let sending = wait_patiently(context, request, may_give_up, sending);
     let answer = match select(pin!(sending), pin!(caller.gone())).await {
         Either::Left((answer, _)) => answer.map_err(RelayEnd::Failed),
         Either::Right(_) => Err(RelayEnd::CallerGone),
@@ -207,6 +215,28 @@
     end
 }
 
+/// Waits for the head of an answer; gives the attempt up if nothing comes for long and another one
+/// may be made.
+async fn wait_patiently(
+    context: &GateContext,
+    request: &ClassifiedRequest,
+    may_give_up: bool,
+    sending: impl Future<Output = Result<EndpointAnswer, EndpointFailure>>,
+) -> Result<EndpointAnswer, EndpointFailure> {
+    let mut sending = pin!(sending);
+    if may_give_up {
+        let patience = request.class.first_token.mul_f64(request.class.patience);
+        let in_time = monoio::time::timeout(patience.max(PATIENCE_MIN), sending.as_mut()).await;
+        if let Ok(answer) = in_time {
+            return answer;
+        }
+        if context.budgets.holds_one(&request.class) {
+            return Err(EndpointFailure::Overdue);
+        }
+    }
+    sending.await
+}
+
 fn release_result(end: &RelayEnd) -> ReleaseResult {
     match end {
         RelayEnd::Served(answer) if answer.status().is_server_error() => ReleaseResult::Failed,
@@ -221,6 +251,7 @@
         RelayEnd::Failed(
             EndpointFailure::FailedAnswer(_)
             | EndpointFailure::ConnectionLost
+            | EndpointFailure::Overdue
             | EndpointFailure::Mismatched,
         ) => ReleaseResult::Failed,
     }
@@ -239,7 +270,9 @@
         }
         EndpointFailure::FailedAnswer(_) => (started, FailureCause::ErrorAnswer),
         EndpointFailure::ConnectionLost => (started, FailureCause::ConnectionLost),
-        EndpointFailure::Silent | EndpointFailure::TimeUp => (started, FailureCause::Stalled),
+        EndpointFailure::Silent | EndpointFailure::Overdue | EndpointFailure::TimeUp => {
+            (started, FailureCause::Stalled)
+        }
         EndpointFailure::Mismatched => (started, FailureCause::WrongId),
     };
     AttemptFailure { stage, cause }
--- a/coltsfootgate/tests/operations_page.rs
+++ b/coltsfootgate/tests/operations_page.rs
@@ -3,11 +3,13 @@
 use std::collections::BTreeSet;
 
 use coltsfootgate::options::DaemonFlags;
+use coltsfootgate::pipeline::DecisionRecord;
 use coltsfootgate_core::outcome::RequestOutcome;
 use coltsfootgate_core::reason::ErrorKind;
 use gumdrop::Options;
 
 const PAGE: &str = include_str!("../../docs/OPERATIONS.md");
+const INTERFACES_PAGE: &str = include_str!("../../docs/INTERFACES.md");
 const OPERATORS_PAGE: &str = include_str!("../../docs/OPERATORS.md");
 /// The outcomes that the page may name.
 const OUTCOMES: [RequestOutcome; 3] =
@@ -65,3 +67,11 @@
         assert!(SOURCES.iter().any(|source| source.contains(line)), "{line:?} is not written");
     }
 }
+
+#[test]
+fn every_member_of_a_decision_is_described() {
+    let record = serde_json::to_value(DecisionRecord::default()).unwrap();
+    for member in record.as_object().unwrap().keys() {
+        assert!(INTERFACES_PAGE.contains(&format!("`{member}`")), "{member}");
+    }
+}
--- a/coltsfootgate_config/src/resolve.rs
+++ b/coltsfootgate_config/src/resolve.rs
@@ -43,6 +43,7 @@
             timeout: self.duration("timeout"),
             is_public: self.boolean("public"),
             retries_errors: self.boolean("retry_errors"),
+            patience: self.number("patience"),
             is_stream: self.boolean("stream"),
             pools: self.pool_shares(),
         }
--- a/coltsfootgate_config/src/schema.rs
+++ b/coltsfootgate_config/src/schema.rs
@@ -261,6 +261,7 @@
     inherited("timeout", ValueKind::Duration(MILLISECOND, DAY), "24 h"),
     inherited("public", ValueKind::Boolean, "false"),
     inherited("retry_errors", ValueKind::Boolean, "false"),
+    inherited("patience", ValueKind::Number(1.0, 1000.0), "1000.0"),
     inherited("stream", ValueKind::Boolean, "false"),
     KeySpec { name: "pools", kind: ValueKind::PoolShares, default: None, inherited: true },
 ];
--- a/coltsfootgate_config/tests/faults.rs
+++ b/coltsfootgate_config/tests/faults.rs
@@ -48,7 +48,7 @@
     syntax: "tier = 3" => "tier 3",
         ["tree.toml:6: not valid TOML: key with no value, expected `=`"];
     unknown_key: "tier = 3" => "teir = 3",
-        ["tree.toml:6: classes: teir: unknown key; nearest is `tier`; allowed: match, tier, first_token, between_tokens, whole_answer, floor, queue_requests, queue_tokens, repeatable, retry_budget, attempts, deadline, resume, timeout, public, retry_errors, stream, pools"];
+        ["tree.toml:6: classes: teir: unknown key; nearest is `tier`; allowed: match, tier, first_token, between_tokens, whole_answer, floor, queue_requests, queue_tokens, repeatable, retry_budget, attempts, deadline, resume, timeout, public, retry_errors, patience, stream, pools"];
     unknown_root: "[classes]" => "[clases.x]\n[classes]",
         ["tree.toml:5: clases: unknown key; nearest is `classes`; allowed: deployment, connections, classes, customers, pools"];
     tier_out_of_bounds: "tier = 3" => "tier = 8",
--- a/coltsfootgate_core/src/attempt.rs
+++ b/coltsfootgate_core/src/attempt.rs
@@ -130,6 +130,11 @@
         !may_be_running && (self.traits.claimed || self.sends == 0)
     }
 
+    /// Whether the running attempt may be given up for another one.
+    pub fn may_give_up(&self) -> bool {
+        self.traits.repeatable && !self.caller_has_bytes && !self.is_spent()
+    }
+
     /// Notes that bytes of an answer went to the caller, with the tokens among them.
     pub fn note_relayed(&mut self, tokens: u64) {
         self.caller_has_bytes = true;
--- a/coltsfootgate_core/src/retry.rs
+++ b/coltsfootgate_core/src/retry.rs
@@ -148,9 +148,14 @@
         self.balance = (self.balance + self.share).min(BUDGET_CAP);
     }
 
+    /// Whether the budget holds a retry.
+    pub fn holds_one(&self) -> bool {
+        self.balance >= 1.0
+    }
+
     /// Takes one retry out of the budget, if it holds one.
     pub fn try_spend(&mut self) -> bool {
-        let holds_one = self.balance >= 1.0;
+        let holds_one = self.holds_one();
         if holds_one {
             self.balance -= 1.0;
         }
--- a/coltsfootgate_core/src/settings.rs
+++ b/coltsfootgate_core/src/settings.rs
@@ -55,6 +55,9 @@
     pub is_public: bool,
     /// Whether a service's answer that tells an error of its own is tried for elsewhere first.
     pub retries_errors: bool,
+    /// First-token targets that may pass without an answer before a repeatable request is tried
+    /// elsewhere.
+    pub patience: f64,
     /// Whether answers are streams of events that are passed on as they come.
     pub is_stream: bool,
     /// The pools that serve the class; empty if the model or the path decides.
