Queue by the tier that the class states within a customer's tier

Less urgent classes filled its bound and were served while more urgent ones were refused: 222 of 1171 requests of a class got nothing in five seconds. And a request that arrived between two looks at held prompts took the slot that others waited for.

A tier's queue has a line for each stated tier; the lowest rank gives its place up first; the expected wait counts what is ahead. A later arrival waits behind whatever waits unlooked at. The protocol between instances has version 3.

Ruled out: a change of the queue's bound (the more urgent class alone passes it).

--- a/coltsfootgate/src/pipeline/admit.rs
+++ b/coltsfootgate/src/pipeline/admit.rs
@@ -166,6 +166,7 @@
         grant: 0,
         class: request.class.id.clone(),
         tier: request.class.tier,
+        stated_tier: request.stated_tier,
         customer: request.customer.id.clone(),
         weight: request.customer.weight,
         floor: request.class.floor,
--- a/coltsfootgate_core/benches/decision.rs
+++ b/coltsfootgate_core/benches/decision.rs
@@ -60,6 +60,7 @@
             grant,
             class: "classes.any".into(),
             tier,
+            stated_tier: tier,
             customer: self.customers[(grant % self.customers.len() as u64) as usize].clone(),
             weight: 1.0,
             floor: 0.02,
--- a/coltsfootgate_core/src/owner/dispatch.rs
+++ b/coltsfootgate_core/src/owner/dispatch.rs
@@ -7,9 +7,8 @@
 use std::time::{Duration, Instant};
 
 use super::PoolOwner;
-use super::event::{GrantRequest, OwnerAction};
+use super::event::{GrantRequest, OwnerAction, QueueRank};
 use super::queue::QueuedRequest;
-use crate::ids::RequestTier;
 use crate::reason::ErrorKind;
 
 /// Period at which requests that wait are looked at without news.
@@ -23,22 +22,29 @@
 const LATE_SHARE: f64 = 0.5;
 
 /// What the last look at waiting requests held back.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct HeldLook {
     /// When it was.
     pub(super) at: Instant,
-    /// The highest tier of a prompt that was held back.
-    tier: RequestTier,
+    /// The highest rank of a prompt that was held back.
+    rank: QueueRank,
     /// The shortest prompt that was held back, in tokens.
     shortest: u32,
+    /// The ranks of all that were looked at and got no endpoint, highest first.
+    ranks: Vec<QueueRank>,
 }
 
 impl HeldLook {
     /// Whether a request that arrives now has to wait behind what was held back.
-    pub(super) fn goes_before(&self, request: &GrantRequest) -> bool {
-        let is_lower = request.tier.index() >= self.tier.index();
+    fn goes_before(&self, request: &GrantRequest) -> bool {
+        let is_lower = request.rank() >= self.rank;
         is_lower && request.prompt.is_known() && request.prompt.tokens >= self.shortest
     }
+
+    /// How many of this rank or above were looked at and got no endpoint.
+    fn passed_over_before(&self, rank: QueueRank) -> usize {
+        self.ranks.partition_point(|passed_over| *passed_over <= rank)
+    }
 }
 
 /// What one look found no endpoint for.
@@ -47,8 +53,8 @@
     passed_over: Vec<QueuedRequest>,
     /// Requests for which no endpoint was found.
     tried: usize,
-    /// The highest tier and the shortest prompt among them, in tokens.
-    prompts: Option<(RequestTier, u32)>,
+    /// The highest rank and the shortest prompt among them, in tokens.
+    prompts: Option<(QueueRank, u32)>,
 }
 
 impl HeldBack {
@@ -67,33 +73,37 @@
         self.tried += 1;
         let request = &queued.request;
         if request.prompt.is_known() {
-            let (tier, tokens) = (request.tier, request.prompt.tokens);
+            let (rank, tokens) = (request.rank(), request.prompt.tokens);
             self.prompts = Some(match self.prompts {
-                Some((highest, shortest)) => (highest.min(tier), shortest.min(tokens)),
-                None => (tier, tokens),
+                Some((highest, shortest)) => (highest.min(rank), shortest.min(tokens)),
+                None => (rank, tokens),
             });
         }
         self.passed_over.push(queued);
     }
 
     fn look(&self, at: Instant) -> Option<HeldLook> {
-        self.prompts.map(|(tier, shortest)| HeldLook { at, tier, shortest })
+        let (rank, shortest) = self.prompts?;
+        let mut ranks: Vec<_> =
+            self.passed_over.iter().map(|queued| queued.request.rank()).collect();
+        ranks.sort_unstable();
+        Some(HeldLook { at, rank, shortest, ranks })
     }
 }
 
 impl PoolOwner {
-    /// Gives free slots to what waits: by tier, and in each tier to what can still be on time first.
+    /// Gives free slots to what waits: by rank, and in each to what can still be on time first.
     pub(super) fn dispatch(&mut self, now: Instant, actions: &mut Vec<OwnerAction>) {
         // To look at held prompts with each message would take most of an owner's time in a burst.
-        if self.looked.is_some_and(|looked| now < looked.at + LOOK_PERIOD) {
+        if self.looked.as_ref().is_some_and(|looked| now < looked.at + LOOK_PERIOD) {
             return;
         }
         let mut held = HeldBack::default();
         let mut late = Vec::new();
         while !held.is_full() && self.endpoints.is_any_free(now) {
             let Some(queued) = self.queue.take() else { break };
-            let tier = queued.request.tier;
-            if late.first().is_some_and(|first: &QueuedRequest| first.request.tier != tier) {
+            let rank = queued.request.rank();
+            if late.first().is_some_and(|first: &QueuedRequest| first.request.rank() != rank) {
                 self.place_all(&mut late, now, &mut held, actions);
             }
             if is_late(&queued.request, now) && late.len() < PASSED_OVER_MAX {
@@ -109,6 +119,14 @@
         }
     }
 
+    /// Whether a request that arrives now has to wait behind others, also where an endpoint is free.
+    pub(super) fn is_behind(&self, request: &GrantRequest) -> bool {
+        let Some(looked) = &self.looked else { return false };
+        // Those that came since the last look, or were not reached by it, may use what is free now.
+        let waiting = self.queue.waiting_before(request.rank()) as usize;
+        looked.goes_before(request) || waiting > looked.passed_over_before(request.rank())
+    }
+
     fn place_all(
         &mut self,
         late: &mut Vec<QueuedRequest>,
--- a/coltsfootgate_core/src/owner/event.rs
+++ b/coltsfootgate_core/src/owner/event.rs
@@ -22,8 +22,10 @@
     pub grant: GrantId,
     /// The class of the request.
     pub class: ClassId,
-    /// The tier of the class.
+    /// The tier of the customer, or else of the class.
     pub tier: RequestTier,
+    /// The tier that the class states, which orders requests of the same tier.
+    pub stated_tier: RequestTier,
     /// The customer who sent the request.
     pub customer: CustomerId,
     /// The customer's weight against others of the same tier.
@@ -52,6 +54,16 @@
     pub wait: bool,
 }
 
+/// The order of waiting requests: by tier, then by the tier that the class states; least goes first.
+pub type QueueRank = (RequestTier, RequestTier);
+
+impl GrantRequest {
+    /// Its place among those that wait.
+    pub fn rank(&self) -> QueueRank {
+        (self.tier, self.stated_tier)
+    }
+}
+
 /// How the use of a grant ended.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum ReleaseResult {
@@ -265,8 +277,13 @@
 
     /// Expected wait of a new request of this tier; zero if a slot is free or nothing is known.
     pub fn expected_wait(&self, tier: RequestTier) -> Duration {
+        self.wait_behind(self.waiting_before(tier))
+    }
+
+    /// Expected wait of a request behind these many; zero if a slot is free or nothing is known.
+    pub fn wait_behind(&self, ahead: u32) -> Duration {
         match self.free_slots {
-            0 => self.estimate.saturating_mul(self.waiting_before(tier) + 1),
+            0 => self.estimate.saturating_mul(ahead + 1),
             _ => Duration::ZERO,
         }
     }
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -144,7 +144,7 @@
     /// When `Tick` is wanted next.
     pub fn next_deadline(&self) -> Option<Instant> {
         // Prompts that are held back may be sent once others were read.
-        let look = self.looked.map(|looked| looked.at + LOOK_PERIOD);
+        let look = self.looked.as_ref().map(|looked| looked.at + LOOK_PERIOD);
         let (deadline, probe) = (self.queue.next_deadline(), self.endpoints.next_probe());
         [look, deadline, probe].into_iter().flatten().min()
     }
@@ -184,8 +184,7 @@
         }
         request.tokens = self.answers.tokens(&request.class, LENGTH_QUANTILE, request.tokens);
         self.dispatch(now, actions);
-        let is_behind = self.looked.is_some_and(|looked| looked.goes_before(&request));
-        let chosen = if is_behind { None } else { self.choose(&request, now) };
+        let chosen = if self.is_behind(&request) { None } else { self.choose(&request, now) };
         if let Some(endpoint) = chosen {
             actions.push(self.grant(&request, endpoint, false, now));
         } else if request.wait {
@@ -214,7 +213,8 @@
     }
 
     fn enqueue(&mut self, request: GrantRequest, now: Instant, actions: &mut Vec<OwnerAction>) {
-        let wait = self.pressure(now).expected_wait(request.tier);
+        let ahead = self.queue.waiting_before(request.rank());
+        let wait = self.pressure(now).wait_behind(ahead);
         if self.is_too_late(&request, now + wait) {
             actions.push(self.refuse(&request, ErrorKind::DeadlineUnmeetable, now));
             return;
--- a/coltsfootgate_core/src/owner/queue.rs
+++ b/coltsfootgate_core/src/owner/queue.rs
@@ -1,9 +1,12 @@
 //! Requests that wait for a grant, in strict order of tiers above the floors.
+//!
+//! Load pattern: one customer's tier holds classes of different tiers. In overload those of the lower
+//! ones must not fill the tier's bound and be served while those of the higher ones are refused.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
-use super::event::GrantRequest;
+use super::event::{GrantRequest, QueueRank};
 use super::fair::{ArrivalNumber, FairQueue};
 use crate::ids::{GrantId, InstanceId, RequestTier, TIER_COUNT};
 
@@ -30,16 +33,18 @@
 /// What became of a request that wants to wait.
 #[derive(Clone, Debug)]
 pub enum QueueAdmission {
-    /// It waits; the listed requests of lower tiers gave their places to it.
+    /// It waits; the listed requests of lower ranks gave their places to it.
     Queued(Vec<QueuedRequest>),
-    /// The queue is at its bound and nothing of a lower tier waits.
+    /// The queue is at its bound and nothing of a lower rank waits.
     Full,
 }
 
 /// The requests of one tier, with what the tier is owed.
 #[derive(Clone, Debug, Default)]
 struct TierQueue {
-    line: FairQueue,
+    /// A line for each tier that classes state.
+    lines: [FairQueue; TIER_COUNT],
+    waiting: usize,
     tokens: u64,
     floor: f64,
     /// Tokens of service that the tier is owed by its floor; negative if it had more.
@@ -48,11 +53,21 @@
 
 impl TierQueue {
     fn is_waiting(&self) -> bool {
-        !self.line.is_empty()
+        self.waiting > 0
+    }
+
+    /// The request that is served next.
+    fn first(&self) -> Option<ArrivalNumber> {
+        self.lines.iter().find_map(FairQueue::first)
+    }
+
+    /// The newest request of the last of the lines from this one on.
+    fn newest_from(&self, line: usize) -> Option<ArrivalNumber> {
+        self.lines.get(line..)?.iter().rev().find_map(FairQueue::newest)
     }
 
     fn mean_tokens(&self) -> f64 {
-        self.tokens as f64 / self.line.len().max(1) as f64
+        self.tokens as f64 / self.waiting.max(1) as f64
     }
 
     /// Whether the floor owes the tier a request of mean length.
@@ -106,7 +121,14 @@
 
     /// How many requests of each tier wait, highest first.
     pub fn waiting_by_tier(&self) -> [u32; TIER_COUNT] {
-        std::array::from_fn(|index| self.tiers[index].line.len() as u32)
+        std::array::from_fn(|index| self.tiers[index].waiting as u32)
+    }
+
+    /// How many requests are served before a new one of this rank.
+    pub fn waiting_before(&self, (tier, stated_tier): QueueRank) -> u32 {
+        let above = self.tiers[..tier.index()].iter().map(|tier| tier.waiting);
+        let lines = &self.tiers[tier.index()].lines[..=stated_tier.index()];
+        (above.sum::<usize>() + lines.iter().map(FairQueue::len).sum::<usize>()) as u32
     }
 
     /// The next moment at which a waiting request reaches its deadline.
@@ -124,8 +146,8 @@
         let excess = self.excess(&request);
         let displaced = match excess {
             QueueExcess::None => Vec::new(),
-            QueueExcess::Requests => self.displace(request.tier, 0),
-            QueueExcess::Tokens => self.displace(request.tier, request.tokens.into()),
+            QueueExcess::Requests => self.displace(request.rank(), 0),
+            QueueExcess::Tokens => self.displace(request.rank(), request.tokens.into()),
         };
         if excess != QueueExcess::None && displaced.is_empty() {
             return QueueAdmission::Full;
@@ -139,7 +161,7 @@
     /// Takes the request that is served next, without charging for it.
     pub fn take(&mut self) -> Option<QueuedRequest> {
         let (tier, by_floor) = self.next_tier()?;
-        let arrival = self.tiers[tier].line.first()?;
+        let arrival = self.tiers[tier].first()?;
         let mut queued = self.remove_arrival(arrival)?;
         queued.by_floor = by_floor;
         Some(queued)
@@ -161,7 +183,8 @@
             true => tier.pay(tokens),
             false => tier.use_up(tokens),
         }
-        tier.line.charge(&request.customer, request.tokens, request.weight);
+        let line = &mut tier.lines[request.stated_tier.index()];
+        line.charge(&request.customer, request.tokens, request.weight);
     }
 
     /// Corrects the credits once the length of an answer is known.
@@ -243,14 +266,14 @@
         if tier.tokens + u64::from(request.tokens) > request.queue_tokens {
             return QueueExcess::Tokens;
         }
-        if tier.line.len() >= request.queue_requests as usize {
+        if tier.waiting >= request.queue_requests as usize {
             return QueueExcess::Requests;
         }
         QueueExcess::None
     }
 
-    /// Removes the newest requests of the lowest tiers, until these many tokens are free.
-    fn displace(&mut self, above: RequestTier, tokens: u64) -> Vec<QueuedRequest> {
+    /// Removes the newest requests of the lowest ranks, until these many tokens are free.
+    fn displace(&mut self, above: QueueRank, tokens: u64) -> Vec<QueuedRequest> {
         let mut displaced = Vec::new();
         let mut freed = 0;
         while displaced.is_empty() || freed < tokens {
@@ -262,17 +285,18 @@
         displaced
     }
 
-    fn victim_below(&self, above: RequestTier) -> Option<ArrivalNumber> {
-        let below = &self.tiers[above.index() + 1..];
-        below.iter().rev().find_map(|tier| tier.line.newest())
+    fn victim_below(&self, (tier, stated_tier): QueueRank) -> Option<ArrivalNumber> {
+        let below = &self.tiers[tier.index() + 1..];
+        let victim = below.iter().rev().find_map(|tier| tier.newest_from(0));
+        victim.or_else(|| self.tiers[tier.index()].newest_from(stated_tier.index() + 1))
     }
 
     fn insert(&mut self, arrival: ArrivalNumber, request: GrantRequest) {
         let tier = &mut self.tiers[request.tier.index()];
-        tier.floor =
-            if tier.line.is_empty() { request.floor } else { tier.floor.max(request.floor) };
+        tier.floor = if tier.is_waiting() { tier.floor.max(request.floor) } else { request.floor };
+        tier.waiting += 1;
         tier.tokens += u64::from(request.tokens);
-        tier.line.push(&request.customer, arrival);
+        tier.lines[request.stated_tier.index()].push(&request.customer, arrival);
         self.deadlines.insert((request.deadline, arrival));
         self.grants.insert((request.asker.clone(), request.grant), arrival);
         self.requests.insert(arrival, request);
@@ -282,7 +306,8 @@
         let request = self.requests.remove(&arrival)?;
         let tier = &mut self.tiers[request.tier.index()];
         tier.tokens -= u64::from(request.tokens);
-        tier.line.remove(&request.customer, arrival);
+        tier.waiting -= 1;
+        tier.lines[request.stated_tier.index()].remove(&request.customer, arrival);
         self.deadlines.remove(&(request.deadline, arrival));
         self.grants.remove(&(request.asker.clone(), request.grant));
         Some(QueuedRequest { request, arrival, by_floor: false })
--- a/coltsfootgate_core/tests/owner.rs
+++ b/coltsfootgate_core/tests/owner.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use coltsfootgate_core::owner::{OwnerEvent, ReleaseResult};
+use coltsfootgate_core::owner::{GrantRequest, OwnerEvent, ReleaseResult};
 use coltsfootgate_core::prelude::*;
 use rstest::rstest;
 use support::{OwnerDriver, ask};
@@ -99,3 +99,36 @@
     driver.release_oldest(ReleaseResult::Completed);
     assert_eq!(driver.refusals().first().map(|(_, kind)| *kind), kind);
 }
+
+/// In one customer's tier, requests of a class that states a lower tier come first and fill the bound.
+#[test]
+fn classes_of_one_customers_tier_are_served_by_the_tiers_that_they_state() {
+    let stated = |grant, tier| GrantRequest {
+        tier: RequestTier::HIGHEST,
+        stated_tier: RequestTier::new(tier).unwrap(),
+        queue_requests: 4,
+        ..ask(grant, 1)
+    };
+    let mut driver = OwnerDriver::new(1, 1);
+    driver.ask(stated(0, 6));
+    for grant in 1..=4 {
+        driver.ask(stated(grant, 6));
+    }
+    for grant in 5..=8 {
+        driver.ask(stated(grant, 2));
+    }
+    let displaced = driver.refusals();
+    assert_eq!(displaced.len(), 4, "{displaced:?}");
+    assert!(displaced.iter().all(|(_, kind)| *kind == ErrorKind::Displaced), "{displaced:?}");
+    for _ in 0..5 {
+        driver.release_oldest(ReleaseResult::Completed);
+    }
+    assert_eq!(driver.granted_ids(), [0, 5, 6, 7, 8]);
+    // The other way round nobody gives a place up.
+    let mut driver = OwnerDriver::new(1, 1);
+    for grant in 0..=4 {
+        driver.ask(stated(grant, 2));
+    }
+    driver.ask(stated(5, 6));
+    assert_eq!(driver.refusals().last().map(|(_, kind)| *kind), Some(ErrorKind::QueueFull));
+}
--- a/coltsfootgate_core/tests/placement.rs
+++ b/coltsfootgate_core/tests/placement.rs
@@ -10,13 +10,13 @@
 use rstest::rstest;
 
 use coltsfootgate_core::owner::{
-    EngineShare, HeldGrant, OwnerAction, OwnerEvent, OwnerSettings, PoolOwner, ReleaseReport,
-    ReleaseResult,
+    EngineShare, GrantRequest, HeldGrant, OwnerAction, OwnerEvent, OwnerSettings, PoolOwner,
+    ReleaseReport, ReleaseResult,
 };
 use coltsfootgate_core::prelude::*;
 use coltsfootgate_core::prompt::{PromptLoad, PromptPart};
 
-use support::{START, ask, endpoint};
+use support::{OwnerDriver, START, ask, endpoint};
 
 /// Engines of the pool.
 const ENGINES: u32 = 12;
@@ -211,7 +211,7 @@
     fn arrive(&mut self, kind: &RequestKind, grant: GrantId, document: u64, now: Instant) {
         self.waiting.insert(grant, (kind.tier, document, now));
         *self.arrived.entry(kind.tier).or_default() += 1;
-        let request = coltsfootgate_core::owner::GrantRequest {
+        let request = GrantRequest {
             prompt: prompt(kind, document, grant),
             arrived: now,
             deadline: now + Duration::from_secs(12),
@@ -354,10 +354,7 @@
         share,
     };
     owner.handle(OwnerEvent::Announce { asker: asker.clone(), held: vec![held] }, *START);
-    let request = coltsfootgate_core::owner::GrantRequest {
-        prompt: prompt(&LONG, 7, 2),
-        ..ask(2, LONG.tier)
-    };
+    let request = GrantRequest { prompt: prompt(&LONG, 7, 2), ..ask(2, LONG.tier) };
     let is_grant = |action: &OwnerAction| matches!(action, OwnerAction::Grant { .. });
     assert!(!owner.handle(OwnerEvent::Ask(request), *START).iter().any(is_grant));
     let later = *START + Duration::from_millis(100);
@@ -417,3 +414,27 @@
     let most = (SHORT.per_second * load * 0.3) as usize;
     assert!(replay.lost <= most, "{} requests were sent to the dark engine", replay.lost);
 }
+
+/// A long prompt is held, a short one waits for a slot. The slot that becomes free before the next
+/// look is for the latter, not for a lower tier that arrives meanwhile.
+#[test]
+fn a_later_arrival_does_not_overtake_what_waits_for_a_slot() {
+    let mut driver = OwnerDriver::new(1, 3);
+    let request = |kind: &RequestKind, grant| GrantRequest {
+        prompt: prompt(kind, grant, grant),
+        ..ask(grant, kind.tier)
+    };
+    let lower = RequestKind { tier: 2, ..SHORT };
+    for grant in 1..=3 {
+        driver.ask(request(&LONG, grant));
+    }
+    driver.ask(request(&SHORT, 4));
+    driver.ask(request(&SHORT, 5));
+    assert_eq!(driver.granted_ids(), [1, 2, 4]);
+    driver.advance(Duration::from_millis(5));
+    driver.release(2, ReleaseResult::Completed, Duration::from_millis(1));
+    driver.ask(request(&lower, 6));
+    assert_eq!(driver.granted_ids(), [1, 2, 4], "the lower tier took the slot");
+    driver.advance(Duration::from_millis(20));
+    assert_eq!(driver.granted_ids(), [1, 2, 4, 5]);
+}
--- a/coltsfootgate_core/tests/support/mod.rs
+++ b/coltsfootgate_core/tests/support/mod.rs
@@ -46,6 +46,7 @@
         grant,
         class: format!("classes.t{tier}").into(),
         tier: RequestTier::new(tier).expect("tier in range"),
+        stated_tier: RequestTier::new(tier).expect("tier in range"),
         customer: "customers.one".into(),
         weight: 1.0,
         floor: 0.0,
--- a/coltsfootgate_wire/src/proof.rs
+++ b/coltsfootgate_wire/src/proof.rs
@@ -13,7 +13,7 @@
 use sha2::Sha256;
 
 /// Version of the protocol between instances.
-pub const PROTOCOL_VERSION: u16 = 2;
+pub const PROTOCOL_VERSION: u16 = 3;
 /// Bytes of a nonce.
 pub const NONCE_BYTES: usize = 32;
 /// Bytes of a proof.
--- a/coltsfootgate_wire/tests/messages.rs
+++ b/coltsfootgate_wire/tests/messages.rs
@@ -58,6 +58,7 @@
         grant: 11,
         class: "classes.a".into(),
         tier: RequestTier::HIGHEST,
+        stated_tier: RequestTier::LOWEST,
         customer: "customers.a".into(),
         weight: 2.0,
         floor: 0.1,
