--- a/coltsfootgate_core/src/owner/dispatch.rs
+++ b/coltsfootgate_core/src/owner/dispatch.rs
@@ -17,7 +17,6 @@
 const HELD_BACK_MAX: usize = 8;
 /// How many requests are passed over in one look.
 const PASSED_OVER_MAX: usize = 128;
-
 /// Part of its target after which a waiting prompt is not expected to be on time any more.
 const LATE_SHARE: f64 = 0.5;
 
@@ -122,7 +121,7 @@
     /// Whether a request that arrives now has to wait behind others, also where an endpoint is free.
     pub(super) fn is_behind(&self, request: &GrantRequest) -> bool {
         let Some(looked) = &self.looked else { return false };
-        // Those that came since the last look, or were not reached by it, may use what is free now.
+        // Those that came since the last look, or that it did not reach, may use what is free now.
         let waiting = self.queue.waiting_before(request.rank()) as usize;
         looked.goes_before(request) || waiting > looked.passed_over_before(request.rank())
     }
