Make calls, bounds and times in one place each

Found on reading the whole change again; behaviour stays as it is:

- The request to an HTTP server was built in the native adapter, the platform's store client and the tool: BoundedClient::request makes it and knows its host; PlatformError::refused and ::malformed serve all.
- The bounds on connections in force were looked up in the listener and in the gate, and the listener worked out bounds on bodies that it does not use: TreeHandle::connections.
- Both deadline headers ended in the same check: time_above_zero.
- Each release sorted the pool's shares of errors, which only a failed answer needs.

--- a/coltsfootctl/src/instance.rs
+++ b/coltsfootctl/src/instance.rs
@@ -8,9 +8,7 @@
     BoundedClient, InstanceDirectory, InstanceRole, InstanceState, PlatformError,
 };
 use coltsfootgate_core::ids::{ConfigVersion, ZoneName};
-use http::header::HOST;
-use http::{Method, Request, Response, StatusCode};
-use http_body_util::Full;
+use http::{Method, Response, StatusCode};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
@@ -81,7 +79,7 @@
         if response.status().is_success() {
             return Ok(());
         }
-        Err(PlatformError::Refused(response.status().as_u16()))
+        Err(PlatformError::refused(&response))
     }
 
     /// The version in force on an instance; `None` if it has no tree yet.
@@ -114,13 +112,9 @@
         path: &str,
         body: Bytes,
     ) -> Result<Response<Bytes>, PlatformError> {
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header(HOST, address.to_string())
-            .body(Full::new(body))
-            .map_err(|error| PlatformError::Malformed(error.to_string().into()))?;
-        BoundedClient::new(address).call(request, self.limit, ANSWER_BYTES_MAX).await
+        let client = BoundedClient::new(address);
+        let request = client.request(method, path, body)?;
+        client.call(request, self.limit, ANSWER_BYTES_MAX).await
     }
 
     async fn get<T: DeserializeOwned>(
@@ -130,9 +124,9 @@
     ) -> Result<Option<T>, PlatformError> {
         let response = self.call(address, Method::GET, path, Bytes::new()).await?;
         match response.status() {
-            StatusCode::OK => serde_json::from_slice(response.body())
-                .map(Some)
-                .map_err(|error| PlatformError::Malformed(error.to_string().into())),
+            StatusCode::OK => {
+                serde_json::from_slice(response.body()).map(Some).map_err(PlatformError::malformed)
+            }
             StatusCode::NOT_FOUND => Ok(None),
             status => Err(PlatformError::Refused(status.as_u16())),
         }
--- a/coltsfootgate/src/dialect/native.rs
+++ b/coltsfootgate/src/dialect/native.rs
@@ -16,7 +16,7 @@
 };
 use crate::entry::Refusal;
 use crate::entry::answer::{CONFIG_VERSION, OUTCOME, REASON, REQUEST_ID, RULE};
-use crate::entry::head::{bearer_key, header_text, malformed};
+use crate::entry::head::{bearer_key, header_text, malformed, time_above_zero};
 use crate::entry::request::{
     DEADLINE, ENTRY_RULE, IDEMPOTENCY_KEY, IDEMPOTENCY_KEY_MAX, NOT_REPEATABLE,
 };
@@ -176,11 +176,7 @@
     } else {
         text.parse::<f64>().ok()
     };
-    milliseconds
-        .filter(|milliseconds| milliseconds.is_finite() && *milliseconds > 0.0)
-        .and_then(|milliseconds| Duration::try_from_secs_f64(milliseconds / 1000.0).ok())
-        .map(Some)
-        .ok_or_else(|| {
-            malformed(format!("{DEADLINE} is \"{text}\", not a time such as \"1500 ms\""))
-        })
+    milliseconds.and_then(time_above_zero).map(Some).ok_or_else(|| {
+        malformed(format!("{DEADLINE} is \"{text}\", not a time such as \"1500 ms\""))
+    })
 }
--- a/coltsfootgate/src/entry/head.rs
+++ b/coltsfootgate/src/entry/head.rs
@@ -1,6 +1,7 @@
 //! Reading single headers of a request.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use coltsfootgate_core::prelude::ErrorKind;
 use http::{HeaderMap, header};
@@ -39,3 +40,9 @@
     let is_bearer = scheme.eq_ignore_ascii_case("bearer");
     Ok(is_bearer.then(|| key.trim().into()))
 }
+
+/// The time that a header gives in milliseconds; `None` for what is no time above zero.
+pub fn time_above_zero(milliseconds: f64) -> Option<Duration> {
+    let is_time = milliseconds.is_finite() && milliseconds > 0.0;
+    is_time.then(|| Duration::try_from_secs_f64(milliseconds / 1000.0).ok()).flatten()
+}
--- a/coltsfootgate/src/entry/listener.rs
+++ b/coltsfootgate/src/entry/listener.rs
@@ -40,14 +40,14 @@
 }
 
 impl EntryBounds {
-    /// These bounds, and those that the tree states in their place.
+    /// These bounds, and those that the tree states in their place; each request has those on its body
+    /// stated anew.
     pub fn stated_by(&self, settings: &ConnectionSettings) -> Self {
         Self {
-            connections_max: self.connections_max,
             head_max: settings.head_bytes.map_or(self.head_max, |bytes| bytes as usize),
             head_timeout: settings.head_time.unwrap_or(self.head_timeout),
             idle_timeout: settings.idle_time.unwrap_or(self.idle_timeout),
-            request: self.request.stated_by(settings),
+            ..self.clone()
         }
     }
 }
@@ -92,14 +92,6 @@
         select(std::pin::pin!(accepting), std::pin::pin!(stopping)).await;
     }
 
-    fn present_bounds(&self) -> EntryBounds {
-        let active = self.tree.current();
-        active.map_or_else(
-            || self.bounds.clone(),
-            |active| self.bounds.stated_by(&active.tree.connections()),
-        )
-    }
-
     fn start_connection(&self, stream: TcpStream) {
         if self.metrics.open_connections(ConnectionSide::Callers) >= self.bounds.connections_max {
             self.metrics.connection_refused(ConnectionSide::Callers);
@@ -109,7 +101,7 @@
         }
         let count = self.metrics.connection_opened(ConnectionSide::Callers);
         let handler = self.handler.clone();
-        let bounds = self.present_bounds();
+        let bounds = self.bounds.stated_by(&self.tree.connections());
         let shutdown = self.shutdown.clone();
         monoio::spawn(async move {
             serve_connection(stream, handler, bounds, shutdown).await;
--- a/coltsfootgate/src/pipeline/gate.rs
+++ b/coltsfootgate/src/pipeline/gate.rs
@@ -40,7 +40,8 @@
     async fn start(&self, request: Request<Incoming>, caller: CallerLink) {
         let id = new_request_id();
         let arrived = Instant::now();
-        match accept_request::<D::Callers>(id, request, &self.present_bounds()).await {
+        let bounds = self.bounds.stated_by(&self.context.tree.connections());
+        match accept_request::<D::Callers>(id, request, &bounds).await {
             Ok(accepted) if is_model_list(&accepted) => {
                 self.list_models(accepted, caller).await;
             }
@@ -54,14 +55,6 @@
         }
     }
 
-    fn present_bounds(&self) -> RequestBounds {
-        let active = self.context.tree.current();
-        active.map_or_else(
-            || self.bounds.clone(),
-            |active| self.bounds.stated_by(&active.tree.connections()),
-        )
-    }
-
     async fn list_models(&self, accepted: AcceptedRequest, caller: CallerLink) {
         let mut journal = RequestJournal::of(&accepted, &self.context.own);
         let Some(active) = self.context.tree.current() else {
--- a/coltsfootgate/src/platform/client.rs
+++ b/coltsfootgate/src/platform/client.rs
@@ -2,11 +2,13 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::future::{AbortHandle, abortable};
-use http::{Request, Response};
+use http::header::HOST;
+use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -34,13 +36,33 @@
 /// Calls one HTTP server and keeps a few connections to it.
 pub struct BoundedClient {
     address: SocketAddr,
+    host: Arc<str>,
     idle: RefCell<Vec<OpenConnection>>,
 }
 
 impl BoundedClient {
     /// Makes a client of the server at an address.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, idle: RefCell::default() }
+        Self { address, host: address.to_string().into(), idle: RefCell::default() }
+    }
+
+    /// Makes a request to this server.
+    ///
+    /// # Errors
+    ///
+    /// Fails for a target that is not valid.
+    pub fn request(
+        &self,
+        method: Method,
+        target: &str,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, PlatformError> {
+        Request::builder()
+            .method(method)
+            .uri(target)
+            .header(HOST, &*self.host)
+            .body(Full::new(body))
+            .map_err(PlatformError::malformed)
     }
 
     /// Sends a request and reads the whole answer.
--- a/coltsfootgate/src/platform/http.rs
+++ b/coltsfootgate/src/platform/http.rs
@@ -6,9 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::HOST;
-use http::{Method, Request, Response, StatusCode};
-use http_body_util::Full;
+use http::{Method, Response, StatusCode};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
@@ -39,7 +37,6 @@
 #[derive(Clone)]
 pub struct HttpPlatform {
     client: Rc<BoundedClient>,
-    host: Arc<str>,
     limit: Duration,
 }
 
@@ -47,7 +44,7 @@
     /// Makes an adapter for the service at an address, with a time limit for each call.
     pub fn new(address: SocketAddr, limit: Duration) -> Self {
         let client = Rc::new(BoundedClient::new(address));
-        Self { client, host: address.to_string().into(), limit }
+        Self { client, limit }
     }
 
     async fn call(
@@ -58,12 +55,7 @@
         limit: Duration,
         bytes_max: usize,
     ) -> Result<Response<Bytes>, PlatformError> {
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header(HOST, &*self.host)
-            .body(Full::new(body))
-            .map_err(|error| PlatformError::Malformed(error.to_string().into()))?;
+        let request = self.client.request(method, path, body)?;
         self.client.call(request, limit, bytes_max).await
     }
 
@@ -79,10 +71,9 @@
     async fn get_list<T: DeserializeOwned>(&self, path: &str) -> Result<T, PlatformError> {
         let response = self.get(path, self.limit, LIST_BYTES_MAX).await?;
         if response.status() != StatusCode::OK {
-            return Err(refused(&response));
+            return Err(PlatformError::refused(&response));
         }
-        serde_json::from_slice(response.body())
-            .map_err(|error| PlatformError::Malformed(error.to_string().into()))
+        serde_json::from_slice(response.body()).map_err(PlatformError::malformed)
     }
 }
 
@@ -94,7 +85,7 @@
         match response.status() {
             StatusCode::OK => Ok(Some(stored_value(response)?)),
             StatusCode::NOT_FOUND => Ok(None),
-            _ => Err(refused(&response)),
+            _ => Err(PlatformError::refused(&response)),
         }
     }
 
@@ -109,7 +100,7 @@
         match response.status() {
             StatusCode::OK => Ok(Some(stored_value(response)?)),
             StatusCode::NOT_MODIFIED | StatusCode::NOT_FOUND => Ok(None),
-            _ => Err(refused(&response)),
+            _ => Err(PlatformError::refused(&response)),
         }
     }
 
@@ -124,7 +115,7 @@
         match response.status() {
             StatusCode::OK => Ok(SwapResult::Written(response_revision(&response)?)),
             StatusCode::CONFLICT => Ok(SwapResult::Conflict(response_revision(&response)?)),
-            _ => Err(refused(&response)),
+            _ => Err(PlatformError::refused(&response)),
         }
     }
 
@@ -179,7 +170,3 @@
         .and_then(|value| value.to_str().ok()?.parse().ok())
         .ok_or_else(|| PlatformError::Malformed("no revision".into()))
 }
-
-fn refused(response: &Response<Bytes>) -> PlatformError {
-    PlatformError::Refused(response.status().as_u16())
-}
--- a/coltsfootgate/src/platform/mod.rs
+++ b/coltsfootgate/src/platform/mod.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ::http::Response;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
@@ -61,6 +62,16 @@
 }
 
 impl PlatformError {
+    /// An answer that could not be understood.
+    pub fn malformed(error: impl Display) -> Self {
+        Self::Malformed(error.to_string().into())
+    }
+
+    /// An answer whose status tells that the call was refused.
+    pub fn refused(response: &Response<Bytes>) -> Self {
+        Self::Refused(response.status().as_u16())
+    }
+
     /// Whether a write that ended with this error may still have taken effect.
     pub fn may_have_written(&self) -> bool {
         match self {
--- a/coltsfootgate/src/tree/mod.rs
+++ b/coltsfootgate/src/tree/mod.rs
@@ -20,6 +20,7 @@
 use coltsfootgate_core::freshness::{SettingsFreshness, VersionProof};
 use coltsfootgate_core::head::{HeadEvent, TreeHead};
 use coltsfootgate_core::ids::{ConfigVersion, InstanceId};
+use coltsfootgate_core::settings::ConnectionSettings;
 
 use crate::clock;
 
@@ -73,6 +74,11 @@
         self.0.current.borrow().clone()
     }
 
+    /// Bounds on callers' connections; none before the first tree.
+    pub fn connections(&self) -> ConnectionSettings {
+        self.current().map(|active| active.tree.connections()).unwrap_or_default()
+    }
+
     /// How long ago the tree in force was proved to be the newest; `None` if it never was.
     pub fn age(&self) -> Option<Duration> {
         let version = self.current()?.version;
--- a/coltsfootgate_core/src/owner/endpoint.rs
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -269,11 +269,12 @@
     /// Learns from what an entry saw.
     pub fn learn(&mut self, report: &ReleaseReport, target: Option<Duration>, now: Instant) {
         let pool = self.pool_time_without(&report.endpoint);
-        let pool_errors = self.pool_errors(&report.endpoint, now);
+        // Where most endpoints fail, to take them out one by one would leave none.
+        let is_common = report.result == ReleaseResult::Failed
+            && self.pool_errors(&report.endpoint, now) >= COMMON_ERRORS;
         let Some(endpoint) = self.endpoints.get_mut(&report.endpoint) else { return };
         endpoint.errors.note(report.result, now);
-        // Where most endpoints fail, to take them out one by one would leave none.
-        if report.result != ReleaseResult::Failed || pool_errors < COMMON_ERRORS {
+        if !is_common {
             endpoint.health.ended(report.result, now);
         }
         if report.result == ReleaseResult::Refused {
