Show why an owner lets requests wait and what it grants before them

Callers saw urgent requests without an answer; the decision line of a request that was never granted named no owner, and nothing showed what an owner lacked. Owners now count grants, those before a waiting request of a higher rank, and failed placements by cause; one line a second and pool while requests wait adds the first one's rank and wait, free slots, backlogs and prefill rates. No decision changes.

--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -17,7 +17,7 @@
 use crate::metrics::DaemonMetrics;
 use crate::operators::{ReadinessGate, RequestRecords, StatusRegistry};
 use crate::options::DaemonSettings;
-use crate::owner::{OwnerHandle, OwnerService, OwnerTask};
+use crate::owner::{OwnerHandle, OwnerReporter, OwnerService, OwnerTask};
 use crate::peer::{PeerDispatch, PeerHandle, PeerIdentity, PeerListener};
 use crate::pipeline::budget::BudgetTable;
 use crate::pipeline::context::{GrantCounter, PipelineContext};
@@ -142,7 +142,8 @@
     ) -> (OwnerHandle, PipelineContext) {
         let own = self.settings.instance.clone();
         let (owner, messages) = OwnerHandle::new();
-        monoio::spawn(OwnerTask::new(own.clone(), owner.clone()).run(messages));
+        let reporter = OwnerReporter::new(self.metrics.clone());
+        monoio::spawn(OwnerTask::new(own.clone(), owner.clone(), reporter).run(messages));
         let routes = RouteTable::new(self.settings.zone.clone());
         let (task_owner, readiness) = (owner.clone(), self.readiness.clone());
         let task = EndpointsTask::new(tree.clone(), task_owner, routes.clone(), readiness, roster);
--- a/coltsfootgate/src/metrics/mod.rs
+++ b/coltsfootgate/src/metrics/mod.rs
@@ -14,6 +14,7 @@
 
 use coltsfootgate_core::ids::ConfigVersion;
 use coltsfootgate_core::outcome::RequestOutcome;
+use coltsfootgate_core::owner::{DeferralCause, OwnerActivity};
 use coltsfootgate_core::reason::ErrorKind;
 use coltsfootgate_core::retry::RetryReason;
 
@@ -67,6 +68,8 @@
     answers_mismatched: IntCounterVec,
     instances: IntGaugeVec,
     waiting: IntGaugeVec,
+    grants: IntCounterVec,
+    deferrals: IntCounterVec,
     loop_delay: Histogram,
 }
 
@@ -185,6 +188,16 @@
                 "Requests waiting in the queues owned by this instance, by tier.",
                 &["tier"],
             ),
+            grants: registrar.counters(
+                "grants",
+                "Grants by the owners on this instance, by whether a request of a higher rank waited.",
+                &["pool", "overtaking"],
+            ),
+            deferrals: registrar.counters(
+                "deferrals",
+                "Failed attempts to place a waiting request, by cause.",
+                &["pool", "cause"],
+            ),
             loop_delay: registrar.register(Histogram::with_opts(
                 HistogramOpts::new(
                     "coltsfootgate_loop_delay_seconds",
@@ -317,6 +330,16 @@
         self.waiting.with_label_values(&[&tier.to_string()]).set(count as i64);
     }
 
+    /// Counts the decisions of the owner of a pool.
+    pub fn owner_decided(&self, pool: &str, change: &OwnerActivity) {
+        let in_order = change.grants.saturating_sub(change.overtaking_grants);
+        self.grants.with_label_values(&[pool, "no"]).inc_by(in_order);
+        self.grants.with_label_values(&[pool, "yes"]).inc_by(change.overtaking_grants);
+        for (cause, count) in DeferralCause::ALL.into_iter().zip(change.deferrals) {
+            self.deferrals.with_label_values(&[pool, cause.name()]).inc_by(count);
+        }
+    }
+
     /// Records the delay of a timer.
     pub fn loop_delayed(&self, time: Duration) {
         self.loop_delay.observe(time.as_secs_f64());
--- a/coltsfootgate/src/metrics/tests.rs
+++ b/coltsfootgate/src/metrics/tests.rs
@@ -40,3 +40,22 @@
     drop(count);
     assert_eq!(metrics.open_connections(ConnectionSide::Callers), 0);
 }
+
+#[test]
+fn decisions_of_an_owner_are_counted_by_pool() {
+    let metrics = DaemonMetrics::new();
+    let mut activity = OwnerActivity::default();
+    activity.record_grant(false);
+    activity.record_grant(true);
+    activity.record_deferral(DeferralCause::PrefillBacklog);
+    metrics.owner_decided("pools.a", &activity);
+    let text = text(&metrics);
+    for line in [
+        "coltsfootgate_grants_total{overtaking=\"no\",pool=\"pools.a\"} 1",
+        "coltsfootgate_grants_total{overtaking=\"yes\",pool=\"pools.a\"} 1",
+        "coltsfootgate_deferrals_total{cause=\"prefill-backlog\",pool=\"pools.a\"} 1",
+        "coltsfootgate_deferrals_total{cause=\"no-slot\",pool=\"pools.a\"} 0",
+    ] {
+        assert!(text.contains(line), "{text}");
+    }
+}
--- a/coltsfootgate/src/owner/mod.rs
+++ b/coltsfootgate/src/owner/mod.rs
@@ -1,6 +1,7 @@
 //! Queues requests for the endpoints that this instance owns and grants their slots.
 
 mod desk;
+mod report;
 mod task;
 
 use std::collections::HashSet;
@@ -19,6 +20,7 @@
 use crate::routes::OwnerSet;
 
 pub use desk::OwnerService;
+pub use report::OwnerReporter;
 pub use task::OwnerTask;
 
 /// Selects one of the two queues that an instance keeps for each pool.
--- a/coltsfootgate/src/owner/task.rs
+++ b/coltsfootgate/src/owner/task.rs
@@ -17,7 +17,7 @@
 };
 use coltsfootgate_core::routing::fallback_share;
 
-use super::{GrantAnswer, OwnerHandle, OwnerMessage, OwnerScope};
+use super::{GrantAnswer, OwnerHandle, OwnerMessage, OwnerReporter, OwnerScope};
 use crate::endpoints::ActivePools;
 use crate::routes::OwnerSet;
 
@@ -40,11 +40,12 @@
     addresses: HashMap<EndpointId, Arc<str>>,
     draining: HashSet<Arc<str>>,
     pending: PendingAnswers,
+    reporter: OwnerReporter,
 }
 
 impl OwnerTask {
     /// Creates the task; the instance owns no endpoints until it receives settings and owners.
-    pub fn new(own: InstanceId, handle: OwnerHandle) -> Self {
+    pub fn new(own: InstanceId, handle: OwnerHandle, reporter: OwnerReporter) -> Self {
         Self {
             own,
             handle,
@@ -54,6 +55,7 @@
             addresses: HashMap::new(),
             draining: HashSet::new(),
             pending: HashMap::new(),
+            reporter,
         }
     }
 
@@ -131,7 +133,9 @@
             }
             OwnerMessage::Snapshot(answer) => {
                 let owned = self.pools.iter().filter(|((_, scope), _)| *scope == OwnerScope::Owned);
-                let _ = answer.send(owned.map(|(_, owner)| owner.snapshot(now)).collect());
+                let snapshots: Vec<_> = owned.map(|(_, owner)| owner.snapshot(now)).collect();
+                self.reporter.report(&snapshots, now);
+                let _ = answer.send(snapshots);
             }
         }
     }
--- a/coltsfootgate/src/pipeline/admit.rs
+++ b/coltsfootgate/src/pipeline/admit.rs
@@ -122,13 +122,15 @@
     let mut search = GrantSearch::new(context, &request.pool.id, &template);
     let end =
         match select(std::pin::pin!(search.run()), std::pin::pin!(caller.disconnected())).await {
-            Either::Left((end, _)) => end,
-            Either::Right(_) => {
-                journal.record_wait(search_started.elapsed());
-                let message = "the caller left while its request was waiting";
-                return Err(refusal(request, ErrorKind::CallerLeftWaiting, message));
-            }
+            Either::Left((end, _)) => Some(end),
+            Either::Right(_) => None,
         };
+    journal.record_search(&search);
+    let Some(end) = end else {
+        journal.record_wait(search_started.elapsed());
+        let message = "the caller left while its request was waiting";
+        return Err(refusal(request, ErrorKind::CallerLeftWaiting, message));
+    };
     match end {
         GrantResult::Granted { grant, endpoint, source, by_floor } => {
             journal.record_grant(
--- a/coltsfootgate/src/pipeline/journal.rs
+++ b/coltsfootgate/src/pipeline/journal.rs
@@ -6,6 +6,7 @@
 
 use super::classify::ClassifiedRequest;
 use super::record::DecisionRecord;
+use super::route::GrantSearch;
 use crate::clock;
 use crate::entry::AcceptedRequest;
 
@@ -44,6 +45,7 @@
         self.record.customer = Some(request.customer.id.to_string());
         self.record.class = Some(request.class.id.to_string());
         self.record.tier = Some(request.class.tier.number());
+        self.record.class_tier = Some(request.class_tier.number());
         self.record.pool = Some(request.pool.id.to_string());
         self.record.config_version = request.active.version;
     }
@@ -57,6 +59,13 @@
         self.record.by_floor |= by_floor;
     }
 
+    /// Records which owners were asked for a grant.
+    pub fn record_search(&mut self, search: &GrantSearch<'_>) {
+        self.record.asked += search.asked();
+        let queues = search.route().joined_queues.iter();
+        self.record.queues = queues.map(ToString::to_string).collect();
+    }
+
     /// Records the time that the request waited without a grant.
     pub fn record_wait(&mut self, wait: Duration) {
         self.record.wait_ms += wait.as_secs_f64() * 1000.0;
--- a/coltsfootgate/src/pipeline/record.rs
+++ b/coltsfootgate/src/pipeline/record.rs
@@ -17,12 +17,18 @@
     pub class: Option<String>,
     /// The tier of its customer, or of its class if the customer has none.
     pub tier: Option<u8>,
+    /// The tier of its class, which orders requests of the same tier.
+    pub class_tier: Option<u8>,
     /// Its pool, once known.
     pub pool: Option<String>,
     /// The endpoint of its last attempt.
     pub endpoint: Option<String>,
     /// The instance that owns that endpoint.
     pub owner: Option<String>,
+    /// Number of grant requests that were sent to owners.
+    pub asked: u32,
+    /// The owners in whose queues it waited when its last search for a grant ended.
+    pub queues: Vec<String>,
     /// When it arrived, in milliseconds since the Unix epoch.
     pub arrived_ms: u64,
     /// When it received its last grant, in milliseconds since the Unix epoch.
--- a/coltsfootgate/src/pipeline/route.rs
+++ b/coltsfootgate/src/pipeline/route.rs
@@ -47,6 +47,8 @@
     grant_request: &'a GrantRequest,
     route: RequestRoute,
     pressure: OwnerPressure,
+    /// Number of grant requests sent.
+    asked: u32,
 }
 
 impl<'a> GrantSearch<'a> {
@@ -60,7 +62,7 @@
             excluded: grant_request.excluded.clone(),
             random: rand::random(),
         });
-        Self { context, grant_request, route, pressure: OwnerPressure::default() }
+        Self { context, grant_request, route, pressure: OwnerPressure::default(), asked: 0 }
     }
 
     /// The route, for the affinity of later requests.
@@ -68,6 +70,11 @@
         &self.route
     }
 
+    /// The number of grant requests sent.
+    pub fn asked(&self) -> u32 {
+        self.asked
+    }
+
     /// Asks owners until the search ends, and cancels the requests that are still open then.
     pub async fn run(&mut self) -> GrantResult {
         let context = self.context;
@@ -138,10 +145,11 @@
 
     /// Requests a grant from one source, under a new grant id.
     fn request_grant(
-        &self,
+        &mut self,
         source: GrantSource,
         wait: bool,
     ) -> impl Future<Output = SourceAnswer> + use<'a> {
+        self.asked += 1;
         let context = self.context;
         let pool = self.route.request.pool.clone();
         let grant = context.grants.next();
--- a/coltsfootgate_core/src/owner/dispatch.rs
+++ b/coltsfootgate_core/src/owner/dispatch.rs
@@ -82,6 +82,11 @@
         self.skipped.push(queued);
     }
 
+    /// Whether a skipped request has a higher rank.
+    fn is_any_above(&self, rank: QueueRank) -> bool {
+        self.skipped.iter().any(|queued| queued.request.rank() < rank)
+    }
+
     fn summarize(&self, at: Instant) -> Option<DeferralScan> {
         let (rank, shortest) = self.prompts?;
         let mut ranks: Vec<_> = self.skipped.iter().map(|queued| queued.request.rank()).collect();
@@ -158,13 +163,20 @@
             return;
         }
         match self.choose(&queued.request, now) {
-            Some(endpoint) => {
+            Ok(endpoint) => {
+                let rank = queued.request.rank();
+                let is_overtaking = !queued.by_floor
+                    && (deferred.is_any_above(rank) || self.queue.is_any_above(rank));
+                self.activity.record_grant(is_overtaking);
                 self.queue.charge(&queued);
                 let action = self.grant(&queued.request, endpoint, queued.by_floor, now);
                 actions.push(action);
             }
-            None if self.endpoints.can_ever_serve(&queued.request) => deferred.add(queued),
-            None => actions.push(self.refuse(&queued.request, ErrorKind::NoEndpoint, now)),
+            Err(cause) if self.endpoints.can_ever_serve(&queued.request) => {
+                self.activity.record_deferral(cause);
+                deferred.add(queued);
+            }
+            Err(_) => actions.push(self.refuse(&queued.request, ErrorKind::NoEndpoint, now)),
         }
     }
 }
--- a/coltsfootgate_core/src/owner/endpoint.rs
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use super::activity::DeferralCause;
 use super::concurrency::AdaptiveSlots;
 use super::engine::{EngineLoad, GrantKey};
 use super::errors::ErrorRate;
@@ -153,27 +154,36 @@
         }
     }
 
-    /// Chooses the endpoint for a request; `None` if the request must wait.
+    /// Chooses the endpoint for a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the request must wait.
     pub fn choose(
         &self,
         request: &GrantRequest,
         hint: Option<&EndpointId>,
         now: Instant,
-    ) -> Option<EndpointId> {
+    ) -> Result<EndpointId, DeferralCause> {
         if request.prompt.is_known() {
             self.choose_engine(request, now)
         } else {
-            self.choose_least_loaded(request, hint, now)
+            self.choose_least_loaded(request, hint, now).ok_or(DeferralCause::NoSlot)
         }
     }
 
     /// Chooses the engine with the lowest placement cost.
-    fn choose_engine(&self, request: &GrantRequest, now: Instant) -> Option<EndpointId> {
+    fn choose_engine(
+        &self,
+        request: &GrantRequest,
+        now: Instant,
+    ) -> Result<EndpointId, DeferralCause> {
         let lowest_error_rate = self.lowest_error_rate(now);
         let last_position = self.endpoints.len().saturating_sub(1).max(1) as f64;
         let candidates = self.endpoints.iter().enumerate().filter(|(_, (id, endpoint))| {
             endpoint.free_slots(now) > 0 && !request.excluded.contains(id)
         });
+        let mut cause = DeferralCause::NoSlot;
         let costs = candidates.filter_map(|(position, (id, endpoint))| {
             let engine = EngineCandidate {
                 load: &endpoint.load,
@@ -182,10 +192,16 @@
                 is_same_zone: endpoint.settings.zone == request.zone,
                 excess_error_rate: (endpoint.error_rate.get(now) - lowest_error_rate).max(0.0),
             };
-            Some((placement_cost(request, engine, now)?, id))
+            match placement_cost(request, engine, now) {
+                Ok(cost) => Some((cost, id)),
+                Err(deferral) => {
+                    cause = cause.max(deferral);
+                    None
+                }
+            }
         });
         let chosen = costs.min_by(|one, other| one.0.total_cmp(&other.0));
-        chosen.map(|(_, id)| id.clone())
+        chosen.map(|(_, id)| id.clone()).ok_or(cause)
     }
 
     /// Chooses the least loaded endpoint, with a preference for the hinted one and for the
@@ -367,7 +383,7 @@
     }
 
     /// The state of every endpoint, for status pages.
-    pub fn snapshot(&self) -> Vec<EndpointSnapshot> {
+    pub fn snapshot(&self, now: Instant) -> Vec<EndpointSnapshot> {
         self.endpoints
             .iter()
             .map(|(id, endpoint)| EndpointSnapshot {
@@ -376,6 +392,8 @@
                 is_draining: endpoint.is_draining || !endpoint.is_owned,
                 slots: endpoint.slots.limit(),
                 in_flight: endpoint.in_flight,
+                backlog: endpoint.load.backlog(now),
+                prefill_rate: endpoint.load.prefill_rate(),
                 token_time: endpoint.slots.token_time(),
             })
             .collect()
--- a/coltsfootgate_core/src/owner/engine.rs
+++ b/coltsfootgate_core/src/owner/engine.rs
@@ -95,6 +95,11 @@
         shared.saturating_sub(self.cache.cached_tokens(prompt))
     }
 
+    /// Estimated prefill rate, in tokens per second.
+    pub fn prefill_rate(&self) -> u32 {
+        self.prefill_rate as u32
+    }
+
     /// Estimated time to prefill `tokens`.
     pub fn prefill_time(&self, tokens: u32) -> Duration {
         Duration::from_secs_f64(f64::from(tokens) / self.prefill_rate)
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -1,5 +1,6 @@
 //! Schedules the requests of one pool: admission, queueing, choice of endpoint and endpoint health.
 
+mod activity;
 mod affinity;
 mod concurrency;
 mod dispatch;
@@ -17,12 +18,13 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+pub use activity::{DeferralCause, OwnerActivity};
 pub use affinity::PrefixAffinity;
 pub use concurrency::AdaptiveSlots;
 pub use endpoint::EndpointTable;
 pub use engine::{EngineLoad, GrantKey};
 pub use event::{
-    EngineReservation, GrantRequest, HeldGrant, OwnerAction, OwnerEvent, OwnerPressure,
+    EngineReservation, GrantRequest, HeldGrant, OwnerAction, OwnerEvent, OwnerPressure, QueueRank,
     ReleaseReport, ReleaseResult,
 };
 pub use fair::{ArrivalNumber, FairQueue};
@@ -64,6 +66,10 @@
     pub pressure: OwnerPressure,
     /// Number of grants in flight.
     pub grants: usize,
+    /// Counts of its decisions.
+    pub activity: OwnerActivity,
+    /// The rank of the request that is served next, and how long it has waited.
+    pub first_waiting: Option<(QueueRank, Duration)>,
     /// The endpoints of the owner.
     pub endpoints: Vec<EndpointSnapshot>,
 }
@@ -75,6 +81,7 @@
     last_scan: Option<DeferralScan>,
     settings: OwnerSettings,
     queue: AdmissionQueue,
+    activity: OwnerActivity,
     ledger: GrantLedger,
     endpoints: EndpointTable,
     affinity: PrefixAffinity<EndpointId>,
@@ -91,6 +98,7 @@
             last_scan: None,
             settings,
             queue: AdmissionQueue::new(),
+            activity: OwnerActivity::default(),
             ledger: GrantLedger::default(),
             endpoints,
             affinity: PrefixAffinity::default(),
@@ -159,7 +167,9 @@
             pool: self.settings.pool.clone(),
             pressure: self.pressure(now),
             grants: self.ledger.len(),
-            endpoints: self.endpoints.snapshot(),
+            activity: self.activity,
+            first_waiting: self.queue.first_waiting(now),
+            endpoints: self.endpoints.snapshot(now),
         }
     }
 
@@ -194,8 +204,10 @@
         request.tokens =
             self.answers.tokens(&request.class, ANSWER_LENGTH_QUANTILE, request.tokens);
         self.dispatch(now, actions);
-        let chosen = if self.must_queue(&request) { None } else { self.choose(&request, now) };
+        let chosen = if self.must_queue(&request) { None } else { self.choose(&request, now).ok() };
         if let Some(endpoint) = chosen {
+            let is_overtaking = self.queue.is_any_above(request.rank());
+            self.activity.record_grant(is_overtaking);
             actions.push(self.grant(&request, endpoint, false, now));
         } else if request.wait {
             self.enqueue(request, now, actions);
@@ -333,7 +345,7 @@
         now + token_time.saturating_mul(tokens) > request.deadline
     }
 
-    fn choose(&self, request: &GrantRequest, now: Instant) -> Option<EndpointId> {
+    fn choose(&self, request: &GrantRequest, now: Instant) -> Result<EndpointId, DeferralCause> {
         let hint = self.affinity.hint(request.prefix);
         self.endpoints.choose(request, hint, now)
     }
--- a/coltsfootgate_core/src/owner/placement.rs
+++ b/coltsfootgate_core/src/owner/placement.rs
@@ -6,6 +6,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::activity::DeferralCause;
 use super::engine::{EngineLoad, delay_fraction};
 use super::event::GrantRequest;
 
@@ -62,16 +63,20 @@
     pub excess_error_rate: f64,
 }
 
-/// The cost of placing a request at an engine; `None` if the request must not be placed there now.
+/// The cost of placing a request at an engine.
+///
+/// # Errors
+///
+/// Returns the reason if the request must not be placed there now.
 pub fn placement_cost(
     request: &GrantRequest,
     engine: EngineCandidate<'_>,
     now: Instant,
-) -> Option<f64> {
+) -> Result<f64, DeferralCause> {
     let prompt = &request.prompt;
     let load = engine.load;
     if !load.has_capacity(prompt) {
-        return None;
+        return Err(DeferralCause::KvCacheFull);
     }
     let prefill = load.prefill_time(load.uncached_tokens(prompt));
     let backlog = load.backlog(now);
@@ -96,16 +101,21 @@
         + POSITION_COST * position
         + if engine.is_same_zone { 0.0 } else { ZONE_COST };
     let waited = now.saturating_duration_since(request.arrived).as_secs_f64() / target;
-    (!is_long || !should_defer(waited, backlog_wait, delayed)).then_some(cost)
+    let deferral = if is_long { deferral_cause(waited, backlog_wait, delayed) } else { None };
+    deferral.map_or(Ok(cost), Err)
 }
 
-/// Whether to defer a long prompt.
+/// The reason to defer a long prompt, if any.
 ///
 /// `waited` and `backlog_wait` are multiples of its first-token target. A prompt that has waited
 /// for long is sent even if it delays others. The limit on the backlog always holds, since many
 /// prompts sent at once would make all later requests miss their targets.
-fn should_defer(waited: f64, backlog_wait: f64, delayed: f64) -> bool {
-    backlog_wait > ENGINE_WAIT_MAX || (waited < DEFERRAL_TIME_MAX && delayed > DEFERRAL_DELAY_MIN)
+fn deferral_cause(waited: f64, backlog_wait: f64, delayed: f64) -> Option<DeferralCause> {
+    if backlog_wait > ENGINE_WAIT_MAX {
+        return Some(DeferralCause::PrefillBacklog);
+    }
+    let delays_others = waited < DEFERRAL_TIME_MAX && delayed > DEFERRAL_DELAY_MIN;
+    delays_others.then_some(DeferralCause::DelaysOthers)
 }
 
 /// The cost for a long prompt of running where further prefills stall its tokens.
--- a/coltsfootgate_core/src/owner/queue.rs
+++ b/coltsfootgate_core/src/owner/queue.rs
@@ -4,7 +4,7 @@
 //! requests of the lower classes must not fill the tier's queue while higher ones are refused.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::event::{GrantRequest, QueueRank};
 use super::fair::{ArrivalNumber, FairQueue};
@@ -133,6 +133,20 @@
         (above.sum::<usize>() + queues.iter().map(FairQueue::len).sum::<usize>()) as u32
     }
 
+    /// Whether a request of a higher rank waits.
+    pub fn is_any_above(&self, (tier, stated_tier): QueueRank) -> bool {
+        let queues = &self.tiers[tier.index()].by_stated_tier[..stated_tier.index()];
+        self.tiers[..tier.index()].iter().any(TierQueue::is_waiting)
+            || queues.iter().any(|queue| !queue.is_empty())
+    }
+
+    /// The rank of the request that is served next by priority, and how long it has waited.
+    pub fn first_waiting(&self, now: Instant) -> Option<(QueueRank, Duration)> {
+        let arrival = self.tiers.iter().find_map(TierQueue::first)?;
+        let request = self.requests.get(&arrival)?;
+        Some((request.rank(), now.saturating_duration_since(request.arrived)))
+    }
+
     /// The earliest deadline of all waiting requests.
     pub fn next_deadline(&self) -> Option<Instant> {
         self.deadlines.first().map(|(deadline, _)| *deadline)
--- a/coltsfootgate_core/src/owner/snapshot.rs
+++ b/coltsfootgate_core/src/owner/snapshot.rs
@@ -18,6 +18,10 @@
     pub slots: u32,
     /// Number of grants in flight.
     pub in_flight: u32,
+    /// Estimated time until the engine has prefilled all prompts that were sent to it.
+    pub backlog: Duration,
+    /// Estimated prefill rate of the engine, in tokens per second.
+    pub prefill_rate: u32,
     /// Mean time between tokens, if measured.
     pub token_time: Option<Duration>,
 }
--- a/coltsfootgate_core/tests/placement.rs
+++ b/coltsfootgate_core/tests/placement.rs
@@ -11,8 +11,8 @@
 use rstest::rstest;
 
 use coltsfootgate_core::owner::{
-    EngineReservation, GrantRequest, HeldGrant, OwnerAction, OwnerEvent, OwnerSettings, PoolOwner,
-    ReleaseReport, ReleaseResult,
+    DeferralCause, EngineReservation, GrantRequest, HeldGrant, OwnerAction, OwnerEvent,
+    OwnerSettings, PoolOwner, ReleaseReport, ReleaseResult,
 };
 use coltsfootgate_core::prelude::*;
 use coltsfootgate_core::prompt::{PromptLoad, PromptPart};
@@ -469,3 +469,28 @@
     driver.advance(Duration::from_millis(20));
     assert_eq!(driver.granted_ids(), [1, 2, 4, 5]);
 }
+
+/// A long prompt is deferred for the backlog of the only engine, and a short one of a lower tier is
+/// granted before it.
+#[test]
+fn snapshot_tells_why_a_request_waits_and_what_was_granted_before_it() {
+    let mut driver = OwnerDriver::new(1, SLOTS);
+    let request = |kind: &RequestKind, grant| GrantRequest {
+        prompt: prompt(kind, grant, grant),
+        ..grant_request(grant, kind.tier)
+    };
+    for grant in 1..=3 {
+        driver.request(request(&LONG, grant));
+    }
+    driver.request(request(&RequestKind { tier: 5, ..SHORT }, 4));
+    driver.advance(Duration::from_millis(20));
+    assert_eq!(driver.granted_ids(), [1, 2, 4]);
+    let snapshot = driver.snapshot();
+    let rank = RequestTier::new(LONG.tier).unwrap();
+    assert_eq!(snapshot.first_waiting, Some(((rank, rank), Duration::from_millis(20))));
+    assert_eq!((snapshot.activity.grants, snapshot.activity.overtaking_grants), (3, 1));
+    let causes = DeferralCause::ALL.iter().zip(snapshot.activity.deferrals);
+    let counted: Vec<_> = causes.filter(|(_, count)| *count > 0).map(|(cause, _)| *cause).collect();
+    assert_eq!(counted, [DeferralCause::PrefillBacklog]);
+    assert!(snapshot.endpoints[0].backlog > Duration::from_millis(100));
+}
