Compare requests across owners by rank, not by the customer's tier

Callers saw urgent requests refused (queue-full) while less urgent ones of the same customer tier waited at other owners. An owner reported its waiting requests by the customer's tier only, which nearly all requests share on the platform, so an entry that was refused saw no owner with anything less urgent and gave up. Class of fault: the order within one process was refined by the class's tier, the summary that other processes decide by was not.

--- a/coltsfootgate/src/owner/report.rs
+++ b/coltsfootgate/src/owner/report.rs
@@ -48,7 +48,7 @@
     fn count_waiting(&self, snapshots: &[OwnerSnapshot]) {
         let mut sums: [u32; coltsfootgate_core::ids::TIER_COUNT] = Default::default();
         for snapshot in snapshots {
-            for (sum, waiting) in sums.iter_mut().zip(snapshot.pressure.waiting_by_tier) {
+            for (sum, waiting) in sums.iter_mut().zip(snapshot.pressure.waiting.by_tier()) {
                 *sum += waiting;
             }
         }
@@ -77,7 +77,7 @@
 
 /// Describes an owner whose requests wait.
 fn waiting_line(snapshot: &OwnerSnapshot, change: &OwnerActivity) -> String {
-    let waiting: u32 = snapshot.pressure.waiting_by_tier.iter().sum();
+    let waiting: u32 = snapshot.pressure.waiting.by_tier().iter().sum();
     let first = snapshot.first_waiting.map_or_else(String::new, |((tier, class_tier), waited)| {
         format!("first of tier {tier}, class tier {class_tier}, for {} ms", waited.as_millis())
     });
--- a/coltsfootgate/src/pipeline/admit.rs
+++ b/coltsfootgate/src/pipeline/admit.rs
@@ -151,7 +151,7 @@
         }
         GrantResult::Refused { kind, pressure } => {
             journal.record_wait(search_started.elapsed());
-            let expected_wait = pressure.expected_wait(request.class.tier);
+            let expected_wait = pressure.expected_wait(template.rank());
             let delay = retry_after_delay(kind, expected_wait, rand::random());
             Err(refusal(request, kind, &capacity_message(kind, request)).with_retry_after(delay))
         }
--- a/coltsfootgate/src/pipeline/route.rs
+++ b/coltsfootgate/src/pipeline/route.rs
@@ -56,7 +56,7 @@
     pub fn new(context: &'a PipelineContext, pool: &str, grant_request: &'a GrantRequest) -> Self {
         let route = RequestRoute::new(RouteRequest {
             pool: pool.into(),
-            tier: grant_request.tier,
+            rank: grant_request.rank(),
             prefix: grant_request.prefix,
             deadline: grant_request.deadline,
             excluded: grant_request.excluded.clone(),
--- a/coltsfootgate/src/routes/follow.rs
+++ b/coltsfootgate/src/routes/follow.rs
@@ -52,7 +52,7 @@
                 "pool": snapshot.pool,
                 "grants": snapshot.grants,
                 "free_slots": snapshot.pressure.free_slots,
-                "waiting_by_tier": snapshot.pressure.waiting_by_tier,
+                "waiting_by_tier": snapshot.pressure.waiting.by_tier(),
             })
         });
         *self.0.borrow_mut() = (endpoints.collect(), queues.collect());
--- a/coltsfootgate_core/src/owner/event.rs
+++ b/coltsfootgate_core/src/owner/event.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::straggler::EndpointState;
-use crate::ids::TIER_COUNT;
+use super::waiting::WaitingCounts;
 use crate::ids::{
     ClassId, CustomerId, EndpointId, GrantId, InstanceId, RequestId, RequestTier, ZoneName,
 };
@@ -260,8 +260,8 @@
     pub free_slots: u32,
     /// All slots, free or taken.
     pub slots: u32,
-    /// Waiting requests by tier, highest first.
-    pub waiting_by_tier: [u32; TIER_COUNT],
+    /// Waiting requests.
+    pub waiting: WaitingCounts,
     /// Expected time between two grants while all slots are taken; zero if unknown.
     pub grant_interval: Duration,
     /// Median time between tokens over the owner's endpoints, if measured.
@@ -269,19 +269,18 @@
 }
 
 impl OwnerPressure {
-    /// Number of waiting requests of this tier and higher ones.
-    pub fn waiting_before(&self, tier: RequestTier) -> u32 {
-        self.waiting_by_tier[..=tier.index()].iter().sum()
+    /// Whether a free slot may go to a new request of this rank.
+    pub fn may_serve(&self, _: QueueRank) -> bool {
+        self.free_slots > 0
     }
 
-    /// Whether a request of a lower tier is waiting.
-    pub fn has_waiting_below(&self, tier: RequestTier) -> bool {
-        self.waiting_by_tier[tier.index() + 1..].iter().any(|waiting| *waiting > 0)
-    }
-
-    /// Expected wait of a new request of this tier; zero if a slot is free or no estimate exists.
-    pub fn expected_wait(&self, tier: RequestTier) -> Duration {
-        self.wait_behind(self.waiting_before(tier))
+    /// Expected wait of a new request of this rank; zero if it may be served at once or no estimate
+    /// exists.
+    pub fn expected_wait(&self, rank: QueueRank) -> Duration {
+        if self.may_serve(rank) {
+            return Duration::ZERO;
+        }
+        self.grant_interval.saturating_mul(self.waiting.before(rank) + 1)
     }
 
     /// Expected wait behind `ahead` requests; zero if a slot is free or no estimate exists.
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -14,6 +14,7 @@
 mod queue;
 mod snapshot;
 mod straggler;
+mod waiting;
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -33,6 +34,7 @@
 pub use queue::{AdmissionQueue, QueueAdmission, QueuedRequest};
 pub use snapshot::EndpointSnapshot;
 pub use straggler::{EndpointHealth, EndpointState};
+pub use waiting::WaitingCounts;
 
 use self::dispatch::{DeferralScan, SCAN_PERIOD};
 use crate::estimate::{LengthEstimator, ServiceEstimator};
@@ -147,7 +149,7 @@
         OwnerPressure {
             free_slots,
             slots,
-            waiting_by_tier: self.queue.waiting_by_tier(),
+            waiting: self.queue.waiting(),
             grant_interval: self.service.grant_interval(slots),
             token_time: self.endpoints.token_time(),
         }
--- a/coltsfootgate_core/src/owner/queue.rs
+++ b/coltsfootgate_core/src/owner/queue.rs
@@ -8,6 +8,7 @@
 
 use super::event::{GrantRequest, QueueRank};
 use super::fair::{ArrivalNumber, FairQueue};
+use super::waiting::WaitingCounts;
 use crate::ids::{GrantId, InstanceId, RequestTier, TIER_COUNT};
 
 /// Upper bound on the sum of the floors of all waiting tiers; larger sums are scaled down to it.
@@ -121,9 +122,15 @@
         self.requests.is_empty()
     }
 
-    /// Number of waiting requests by tier, highest first.
-    pub fn waiting_by_tier(&self) -> [u32; TIER_COUNT] {
-        std::array::from_fn(|index| self.tiers[index].waiting as u32)
+    /// Number of waiting requests of each rank.
+    pub fn waiting(&self) -> WaitingCounts {
+        let mut waiting = WaitingCounts::default();
+        for (tier, queue) in RequestTier::all().zip(&self.tiers) {
+            for (stated_tier, requests) in RequestTier::all().zip(&queue.by_stated_tier) {
+                waiting.add((tier, stated_tier), requests.len() as u32);
+            }
+        }
+        waiting
     }
 
     /// Number of waiting requests that are served before a new one of this rank.
--- a/coltsfootgate_core/src/routing/cooperative.rs
+++ b/coltsfootgate_core/src/routing/cooperative.rs
@@ -74,7 +74,7 @@
 
     /// Cost of asking an owner, in seconds of waiting.
     fn cost(&self, route: &RequestRoute, view: &OwnerView, now: Instant) -> f64 {
-        let mut cost = view.expected_wait(route.request.tier, now);
+        let mut cost = view.expected_wait(route.request.rank, now);
         if view.location.zone != self.zone {
             cost += ZONE_COST;
         }
@@ -95,7 +95,7 @@
     /// Asks an owner to queue the request if it has no free slot.
     fn join_queue(&mut self, route: &mut RequestRoute, owner: InstanceId) -> RouteStep {
         if let Some(view) = self.view(&route.request.pool, &owner) {
-            view.add_waiting(route.request.tier);
+            view.add_waiting(route.request.rank);
         }
         route.joined_queues.push(owner.clone());
         RouteStep::Ask { owner, wait: true }
@@ -104,8 +104,8 @@
     /// Joins the queue of another owner that may accept the request after a refusal for lack of
     /// capacity, or falls back if there is none.
     fn after_refusal(&mut self, route: &mut RequestRoute, now: Instant) -> RouteStep {
-        let tier = route.request.tier;
-        let owner = self.best_owner(route, now, |_, view| view.may_accept(tier, now));
+        let rank = route.request.rank;
+        let owner = self.best_owner(route, now, |_, view| view.may_accept(rank, now));
         match owner {
             Some(owner) => self.join_queue(route, owner),
             None => self.fallback_step(route),
@@ -158,7 +158,8 @@
     }
 
     fn first_step(&mut self, route: &mut RequestRoute, now: Instant) -> RouteStep {
-        match self.best_owner(route, now, |_, view| view.may_be_free(now)) {
+        let rank = route.request.rank;
+        match self.best_owner(route, now, |_, view| view.may_be_free(rank, now)) {
             Some(owner) => {
                 if let Some(view) = self.view(&route.request.pool, &owner) {
                     view.reserve_slot();
@@ -202,9 +203,10 @@
         }
         route.reconsidered_at = Some(now);
         let joined_queues = route.joined_queues.clone();
+        let rank = route.request.rank;
         let is_free = |owner: &InstanceId, view: &OwnerView| {
             !joined_queues.contains(owner)
-                && view.pressure(now).is_some_and(|pressure| pressure.free_slots > 0)
+                && view.pressure(now).is_some_and(|pressure| pressure.may_serve(rank))
         };
         if let Some(owner) = self.best_owner(route, now, is_free) {
             if let Some(view) = self.view(&route.request.pool, &owner) {
@@ -212,11 +214,10 @@
             }
             return RouteStep::Ask { owner, wait: false };
         }
-        let tier = route.request.tier;
         let is_worth_joining = |owner: &InstanceId, view: &OwnerView| {
             !joined_queues.contains(owner)
                 && !view.is_unresponsive(now)
-                && view.expected_wait(tier, now) <= EXTRA_QUEUE_WAIT_MAX
+                && view.expected_wait(rank, now) <= EXTRA_QUEUE_WAIT_MAX
         };
         match self.best_owner(route, now, is_worth_joining) {
             Some(owner) if joined_queues.len() < QUEUES_MAX => self.join_queue(route, owner),
@@ -272,9 +273,10 @@
 
     /// Asks another owner that may have a free slot, or joins a queue.
     fn after_busy(&mut self, route: &mut RequestRoute, now: Instant) -> RouteStep {
-        let busy = route.busy.clone();
-        let is_free =
-            |owner: &InstanceId, view: &OwnerView| !busy.contains(owner) && view.may_be_free(now);
+        let (busy, rank) = (route.busy.clone(), route.request.rank);
+        let is_free = |owner: &InstanceId, view: &OwnerView| {
+            !busy.contains(owner) && view.may_be_free(rank, now)
+        };
         match self.best_owner(route, now, is_free) {
             Some(owner) if busy.len() < PROBES_MAX => RouteStep::Ask { owner, wait: false },
             _ => self.wait_step(route, now),
--- a/coltsfootgate_core/src/routing/mod.rs
+++ b/coltsfootgate_core/src/routing/mod.rs
@@ -14,8 +14,8 @@
 pub use strategy::SelectedPolicy;
 pub use view::OwnerView;
 
-use crate::ids::{EndpointId, InstanceId, PoolId, RequestTier, ZoneName};
-use crate::owner::OwnerPressure;
+use crate::ids::{EndpointId, InstanceId, PoolId, ZoneName};
+use crate::owner::{OwnerPressure, QueueRank};
 use crate::reason::ErrorKind;
 
 /// An instance that owns endpoints of a pool, with its zone.
@@ -32,8 +32,8 @@
 pub struct RouteRequest {
     /// The pool that serves it.
     pub pool: PoolId,
-    /// The tier of the customer, or of the class if the customer has none.
-    pub tier: RequestTier,
+    /// Its rank in the queues of owners.
+    pub rank: QueueRank,
     /// Digest of the start of the prompt, for routing to an endpoint that has it cached.
     pub prefix: Option<u64>,
     /// When the caller's deadline passes.
--- a/coltsfootgate_core/src/routing/view.rs
+++ b/coltsfootgate_core/src/routing/view.rs
@@ -3,8 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::OwnerLocation;
-use crate::ids::RequestTier;
-use crate::owner::OwnerPressure;
+use crate::owner::{OwnerPressure, QueueRank};
 
 /// Age from which on a reported pressure is ignored.
 const PRESSURE_MAX_AGE: Duration = Duration::from_millis(1000);
@@ -43,9 +42,9 @@
     }
 
     /// Counts a request that this instance queues there, until the next report.
-    pub fn add_waiting(&mut self, tier: RequestTier) {
+    pub fn add_waiting(&mut self, rank: QueueRank) {
         if let Some((pressure, _)) = &mut self.pressure {
-            pressure.waiting_by_tier[tier.index()] += 1;
+            pressure.waiting.add(rank, 1);
         }
     }
 
@@ -69,23 +68,24 @@
             .map(|(pressure, _)| pressure)
     }
 
-    /// Whether it answers and may have a free slot; true if its pressure is unknown.
-    pub fn may_be_free(&self, now: Instant) -> bool {
+    /// Whether it answers and may have a free slot for a request of this rank; true if its pressure
+    /// is unknown.
+    pub fn may_be_free(&self, rank: QueueRank, now: Instant) -> bool {
         !self.is_unresponsive(now)
-            && self.pressure(now).is_none_or(|pressure| pressure.free_slots > 0)
+            && self.pressure(now).is_none_or(|pressure| pressure.may_serve(rank))
     }
 
-    /// Whether it may accept a request of this tier that another owner refused, in a free slot or
-    /// in place of a waiting request of a lower tier.
-    pub fn may_accept(&self, tier: RequestTier, now: Instant) -> bool {
-        let has_lower = |pressure: &OwnerPressure| pressure.has_waiting_below(tier);
+    /// Whether it may accept a request of this rank that another owner refused, in a free slot or
+    /// in place of a waiting request of a lower rank.
+    pub fn may_accept(&self, rank: QueueRank, now: Instant) -> bool {
+        let has_lower = |pressure: &OwnerPressure| pressure.waiting.is_any_below(rank);
         !self.is_unresponsive(now)
-            && (self.may_be_free(now) || self.pressure(now).is_some_and(has_lower))
+            && (self.may_be_free(rank, now) || self.pressure(now).is_some_and(has_lower))
     }
 
-    /// Expected wait of a request of this tier; zero if the pressure is unknown.
-    pub fn expected_wait(&self, tier: RequestTier, now: Instant) -> Duration {
-        self.pressure(now).map_or(Duration::ZERO, |pressure| pressure.expected_wait(tier))
+    /// Expected wait of a request of this rank; zero if the pressure is unknown.
+    pub fn expected_wait(&self, rank: QueueRank, now: Instant) -> Duration {
+        self.pressure(now).map_or(Duration::ZERO, |pressure| pressure.expected_wait(rank))
     }
 
     /// Fraction of its slots in use, 0 to 1; 0.5 if the pressure is unknown.
--- a/coltsfootgate_core/tests/owner_properties.rs
+++ b/coltsfootgate_core/tests/owner_properties.rs
@@ -246,7 +246,7 @@
         let in_flight: u32 = snapshot.endpoints.iter().map(|endpoint| endpoint.in_flight).sum();
         prop_assert_eq!(in_flight as usize, snapshot.grants, "ledger and endpoints differ");
         prop_assert_eq!(snapshot.grants, self.driver.held().len(), "a grant is lost or duplicated");
-        let waiting: u32 = snapshot.pressure.waiting_by_tier.iter().sum();
+        let waiting: u32 = snapshot.pressure.waiting.by_tier().iter().sum();
         prop_assert_eq!(
             waiting as usize,
             self.waiting.len(),
--- a/coltsfootgate_core/tests/routing.rs
+++ b/coltsfootgate_core/tests/routing.rs
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant};
 
 use coltsfootgate_core::owner::{
-    OwnerAction, OwnerEvent, OwnerPressure, OwnerSettings, PoolOwner, ReleaseReport, ReleaseResult,
+    OwnerAction, OwnerEvent, OwnerPressure, OwnerSettings, PoolOwner, QueueRank, ReleaseReport,
+    ReleaseResult,
 };
 use coltsfootgate_core::prelude::*;
 use coltsfootgate_core::routing::{
@@ -41,7 +42,7 @@
 fn route(tier: u8, prefix: Option<u64>, now: Instant) -> RequestRoute {
     RequestRoute::new(RouteRequest {
         pool: POOL.into(),
-        tier: RequestTier::new(tier).expect("tier in range"),
+        rank: rank(tier, tier),
         prefix,
         deadline: now + Duration::from_secs(60),
         excluded: Vec::new(),
@@ -49,10 +50,14 @@
     })
 }
 
+fn rank(tier: u8, class_tier: u8) -> QueueRank {
+    [tier, class_tier].map(|tier| RequestTier::new(tier).expect("tier in range")).into()
+}
+
 /// Pressure of an owner with two slots and this many waiting requests of one tier.
 fn pressure(free_slots: u32, tier: u8, waiting: u32) -> OwnerPressure {
     let mut pressure = OwnerPressure { free_slots, slots: 2, ..OwnerPressure::default() };
-    pressure.waiting_by_tier[usize::from(tier) - 1] = waiting;
+    pressure.waiting.add(rank(tier, tier), waiting);
     pressure.grant_interval = Duration::from_millis(100);
     pressure
 }
@@ -102,6 +107,42 @@
     assert_eq!(step, expected);
 }
 
+/// Pressure of an owner at which requests of one rank wait although slots are free.
+fn deferring_pressure(waiting: QueueRank) -> OwnerPressure {
+    let mut pressure = pressure(2, 1, 0);
+    pressure.waiting.add(waiting, 9);
+    pressure
+}
+
+/// Most requests have the same customer tier; a request must not be refused while less urgent ones
+/// of its tier wait at another owner.
+#[rstest]
+#[case::lower_class_tier_waits_elsewhere((2, 2), (2, 3), Some(1))]
+#[case::higher_class_tier_waits_elsewhere((2, 2), (2, 1), None)]
+#[case::same_rank_waits_elsewhere((2, 2), (2, 2), None)]
+#[case::lower_tier_waits_elsewhere((2, 3), (3, 1), Some(1))]
+fn request_is_not_refused_while_a_lower_class_tier_waits_elsewhere(
+    #[case] own: (u8, u8),
+    #[case] waiting: (u8, u8),
+    #[case] next: Option<usize>,
+) {
+    let now = Instant::now();
+    let (mut policy, mut route) = (policy(), route(own.0, None, now));
+    route.request.rank = rank(own.0, own.1);
+    let full = |waiting| OwnerPressure { free_slots: 0, ..deferring_pressure(waiting) };
+    for (number, waiting) in [(1, rank(waiting.0, waiting.1)), (2, rank(1, 1))] {
+        let pressure = full(waiting);
+        policy.update_pressure(&POOL.into(), &owner_id(number), pressure, Duration::ZERO, now);
+    }
+    let reply = RouteReply::Refused(ErrorKind::QueueFull, full(rank(1, 1)));
+    let step = policy.next_step(&mut route, &owner_id(0), reply, now);
+    let expected = match next {
+        Some(number) => RouteStep::Ask { owner: owner_id(number), wait: true },
+        None => RouteStep::Refuse(ErrorKind::QueueFull),
+    };
+    assert_eq!(step, expected);
+}
+
 #[rstest]
 #[case::unresponsive(RouteReply::Unresponsive)]
 #[case::different_live_instances(RouteReply::Refused(
@@ -269,11 +310,12 @@
 
     /// Routes a request, and any requests that it displaces, until each is granted, queued or
     /// refused.
-    fn request(&mut self, tier: u8) -> Result<(), TestCaseError> {
+    fn request(&mut self, rank: QueueRank) -> Result<(), TestCaseError> {
         self.update_all_pressures();
         let grant = self.next_grant;
         self.next_grant += 1;
-        let mut route = route(tier, None, self.now);
+        let mut route = route(1, None, self.now);
+        route.request.rank = rank;
         let step = self.policy.first_step(&mut route, self.now);
         self.apply_step(grant, route, step)
     }
@@ -287,12 +329,12 @@
         match step {
             RouteStep::Ask { owner, wait } => self.ask(grant, route, &owner, wait),
             RouteStep::Refuse(_) => {
-                let tier = route.request.tier;
+                let rank = route.request.rank;
                 for owner in &self.owners {
                     let pressure = owner.pressure(self.now);
                     prop_assert!(
-                        !pressure.has_waiting_below(tier),
-                        "refused while a lower tier waits"
+                        !pressure.waiting.is_any_below(rank),
+                        "refused while a lower rank waits"
                     );
                     prop_assert_eq!(pressure.free_slots, 0, "refused while a slot is free");
                 }
@@ -313,7 +355,9 @@
         wait: bool,
     ) -> Result<(), TestCaseError> {
         let number = (0..OWNERS).find(|number| owner_id(*number) == *owner).expect("an owner");
-        let mut request = grant_request(grant, route.request.tier.number());
+        let (tier, stated_tier) = route.request.rank;
+        let mut request = grant_request(grant, tier.number());
+        request.stated_tier = stated_tier;
         request.queue_requests = 2;
         request.wait = wait;
         self.pending.insert(grant, (route, number));
@@ -374,17 +418,17 @@
 
 proptest! {
     /// With accurate views, no request is refused while an owner of the pool has a free slot
-    /// or a waiting request of a lower tier, whether the refused one had waited or just arrived.
+    /// or a waiting request of a lower rank, whether the refused one had waited or just arrived.
     #[test]
     fn no_tier_is_refused_before_a_lower_one(
-        steps in prop::collection::vec((any::<Option<usize>>(), 1u8..=7), 1..120),
+        steps in prop::collection::vec((any::<Option<usize>>(), 1u8..=7, 1u8..=7), 1..120),
     ) {
         let mut harness = PoolHarness::new();
-        for (release, tier) in steps {
+        for (release, tier, class_tier) in steps {
             harness.now += Duration::from_millis(1);
             match release {
                 Some(index) if index % 3 == 0 => harness.release(index / 3)?,
-                _ => harness.request(tier)?,
+                _ => harness.request(rank(tier, class_tier))?,
             }
         }
     }
--- a/coltsfootgate_wire/src/grant.rs
+++ b/coltsfootgate_wire/src/grant.rs
@@ -5,9 +5,10 @@
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
-use coltsfootgate_core::ids::{RequestTier, TIER_COUNT};
+use coltsfootgate_core::ids::RequestTier;
 use coltsfootgate_core::owner::{
     EngineReservation, GrantRequest, HeldGrant, OwnerPressure, ReleaseReport, ReleaseResult,
+    WaitingCounts,
 };
 use coltsfootgate_core::prompt::{PromptLoad, PromptPart};
 use coltsfootgate_core::reason::ErrorKind;
@@ -123,7 +124,8 @@
 pub(crate) struct WirePressure {
     free_slots: u32,
     slots: u32,
-    waiting_by_tier: [u32; TIER_COUNT],
+    /// Tier, tier of the class, and number of waiting requests, for each rank that has any.
+    waiting: Vec<(u8, u8, u32)>,
     estimate_micros: u64,
     token_micros: Option<u64>,
 }
@@ -283,12 +285,25 @@
     }
 }
 
+fn wire_waiting(waiting: &WaitingCounts) -> Vec<(u8, u8, u32)> {
+    let ranks = waiting.ranks();
+    ranks.map(|((tier, stated), count)| (tier.number(), stated.number(), count)).collect()
+}
+
+fn waiting_counts(ranks: Vec<(u8, u8, u32)>) -> Result<WaitingCounts, WireError> {
+    let mut waiting = WaitingCounts::default();
+    for (tier, stated_tier, count) in ranks {
+        waiting.add((check_tier(tier)?, check_tier(stated_tier)?), count);
+    }
+    Ok(waiting)
+}
+
 impl From<OwnerPressure> for WirePressure {
     fn from(pressure: OwnerPressure) -> Self {
         Self {
             free_slots: pressure.free_slots,
             slots: pressure.slots,
-            waiting_by_tier: pressure.waiting_by_tier,
+            waiting: wire_waiting(&pressure.waiting),
             estimate_micros: to_micros(pressure.grant_interval),
             token_micros: pressure.token_time.map(to_micros),
         }
@@ -302,7 +317,7 @@
         Ok(Self {
             free_slots: pressure.free_slots,
             slots: pressure.slots,
-            waiting_by_tier: pressure.waiting_by_tier,
+            waiting: waiting_counts(pressure.waiting)?,
             grant_interval: from_micros(pressure.estimate_micros)?,
             token_time: pressure.token_micros.map(from_micros).transpose()?,
         })
--- a/coltsfootgate_wire/tests/messages.rs
+++ b/coltsfootgate_wire/tests/messages.rs
@@ -3,10 +3,11 @@
 use std::time::{Duration, Instant};
 
 use coltsfootgate_core::head::TreeHead;
-use coltsfootgate_core::ids::{RequestTier, TIER_COUNT};
+use coltsfootgate_core::ids::RequestTier;
 use coltsfootgate_core::membership::{PeerHeartbeat, PeerProfile, PeerRumor, PeerState};
 use coltsfootgate_core::owner::{
     EngineReservation, GrantRequest, HeldGrant, OwnerPressure, ReleaseReport, ReleaseResult,
+    WaitingCounts,
 };
 use coltsfootgate_core::prompt::{PromptLoad, PromptPart};
 use coltsfootgate_core::reason::ErrorKind;
@@ -38,10 +39,13 @@
 }
 
 fn pressure() -> OwnerPressure {
+    let mut waiting = WaitingCounts::default();
+    waiting.add((RequestTier::HIGHEST, RequestTier::LOWEST), 3);
+    waiting.add((RequestTier::LOWEST, RequestTier::HIGHEST), u32::MAX);
     OwnerPressure {
         free_slots: 1,
         slots: 8,
-        waiting_by_tier: [1; TIER_COUNT],
+        waiting,
         grant_interval: Duration::from_millis(40),
         token_time: Some(Duration::from_micros(2500)),
     }
