Do not ask owners again for slots that they give to nobody of that rank

Callers saw urgent requests wait for their whole time while owners had free slots. A waiting request asked another owner every 50 ms as long as any reported free slots. Owners defer prompts for lack of prefill time while slots are free, so thousands of requests a second asked in vain, and an expected wait of 0 made every owner look alike and kept requests in a single queue. Class of fault: a signal (free slots) that does not measure the resource that binds.

An owner whose requests wait although slots are free counts as free only for higher ranks; the expected wait then follows from the requests ahead.

The test waiting_request_does_not_ask_owners_that_defer_its_rank fails on the code before (Ask, not Wait).

--- a/coltsfootgate_core/src/owner/event.rs
+++ b/coltsfootgate_core/src/owner/event.rs
@@ -270,8 +270,11 @@
 
 impl OwnerPressure {
     /// Whether a free slot may go to a new request of this rank.
-    pub fn may_serve(&self, _: QueueRank) -> bool {
-        self.free_slots > 0
+    ///
+    /// Requests that wait although slots are free lack something else, such as prefill time, which
+    /// a new request of their rank or a lower one lacks too.
+    pub fn may_serve(&self, rank: QueueRank) -> bool {
+        self.free_slots > 0 && self.waiting.highest().is_none_or(|waiting| rank < waiting)
     }
 
     /// Expected wait of a new request of this rank; zero if it may be served at once or no estimate
--- a/coltsfootgate_core/tests/routing.rs
+++ b/coltsfootgate_core/tests/routing.rs
@@ -143,6 +143,29 @@
     assert_eq!(step, expected);
 }
 
+/// Owners defer prompts while slots are free. A waiting request must not ask them again and again
+/// for a slot that they give to nobody of its rank; in overload, that takes all of their bandwidth.
+#[rstest]
+#[case::same_rank_waits_there((2, 2), None)]
+#[case::higher_rank_waits_there((2, 1), None)]
+#[case::lower_rank_waits_there((2, 3), Some(1))]
+fn waiting_request_does_not_ask_owners_that_defer_its_rank(
+    #[case] waiting: (u8, u8),
+    #[case] next: Option<usize>,
+) {
+    let now = Instant::now();
+    let (mut policy, mut route) = (policy(), route(2, None, now));
+    route.request.rank = rank(2, 2);
+    route.joined_queues = vec![owner_id(0), owner_id(2)];
+    let mut pressure = deferring_pressure(rank(waiting.0, waiting.1));
+    // A wait that is too long to join a further queue.
+    pressure.grant_interval = Duration::from_secs(1);
+    policy.update_pressure(&POOL.into(), &owner_id(1), pressure, Duration::ZERO, now);
+    let step = policy.reconsider(&mut route, now);
+    let ask = |number| RouteStep::Ask { owner: owner_id(number), wait: false };
+    assert_eq!(step, next.map_or(RouteStep::Wait, ask));
+}
+
 #[rstest]
 #[case::unresponsive(RouteReply::Unresponsive)]
 #[case::different_live_instances(RouteReply::Refused(
