Keep room at an owner for requests of higher ranks that are about to arrive

Cause: an owner gives any free slot to whatever comes first. In the first second of the burst 291 digests of the common tier took the slots that were still free, each for 3.5 s; chat grew for two more seconds and took every slot that became free, and classify, next in rank, got none before its callers left. Class of fault: work-conserving admission of requests that cannot be withdrawn, judged by the present load of higher ranks and not by the one that their rate implies.

An owner now keeps room for the growth of higher ranks whose requests are held for a shorter time. A grant that an entry announces to a new owner carries its rank for that (it had the tier only).

Ruled out: prefill backlog and estimated rates (the logs show a backlog near 0 and no free slot), order within the queue.

--- a/coltsfootgate/src/pipeline/admit.rs
+++ b/coltsfootgate/src/pipeline/admit.rs
@@ -143,7 +143,7 @@
                 grant,
                 endpoint,
                 class: request.class.id.clone(),
-                tier: request.class.tier,
+                rank: template.rank(),
                 reservation: EngineReservation::from(&template.prompt),
             };
             let entry = LeaseEntry { pool: request.pool.id.clone(), held, source };
--- a/coltsfootgate_core/src/owner/activity.rs
+++ b/coltsfootgate_core/src/owner/activity.rs
@@ -5,6 +5,8 @@
 pub enum DeferralCause {
     /// No endpoint that the request may use has a free slot.
     NoSlot,
+    /// The room that is free is kept for requests of higher ranks.
+    NoHeadroom,
     /// The KV cache of every engine with a free slot is reserved.
     KvCacheFull,
     /// Every engine with room has too many prompts to prefill before this one.
@@ -15,13 +17,19 @@
 
 impl DeferralCause {
     /// All causes.
-    pub const ALL: [Self; 4] =
-        [Self::NoSlot, Self::KvCacheFull, Self::PrefillBacklog, Self::DelaysOthers];
+    pub const ALL: [Self; 5] = [
+        Self::NoSlot,
+        Self::NoHeadroom,
+        Self::KvCacheFull,
+        Self::PrefillBacklog,
+        Self::DelaysOthers,
+    ];
 
     /// The name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
             Self::NoSlot => "no-slot",
+            Self::NoHeadroom => "no-headroom",
             Self::KvCacheFull => "kv-cache-full",
             Self::PrefillBacklog => "prefill-backlog",
             Self::DelaysOthers => "delays-others",
--- a/coltsfootgate_core/src/owner/dispatch.rs
+++ b/coltsfootgate_core/src/owner/dispatch.rs
@@ -162,7 +162,7 @@
             actions.push(self.refuse(&queued.request, kind, now));
             return;
         }
-        match self.choose(&queued.request, now) {
+        match self.choose(&queued.request, queued.by_floor, now) {
             Ok(endpoint) => {
                 let rank = queued.request.rank();
                 let is_overtaking = !queued.by_floor
--- a/coltsfootgate_core/src/owner/endpoint.rs
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -146,6 +146,22 @@
         self.endpoints.values().any(|endpoint| endpoint.free_slots(now) > 0)
     }
 
+    /// The free room of all endpoints, in endpoints.
+    pub fn free_room(&self, now: Instant) -> f64 {
+        let in_service = self.endpoints.values().filter(|endpoint| endpoint.limit(now) > 0);
+        let used = |endpoint: &OwnedEndpoint| {
+            endpoint.slot_usage(now).max(endpoint.load.kv_cache_usage()).min(1.0)
+        };
+        in_service.map(|endpoint| 1.0 - used(endpoint)).sum()
+    }
+
+    /// The part of an endpoint that a request uses, 0 to 1, by slots or by KV cache.
+    pub fn size_at(&self, endpoint: &EndpointId, request: &GrantRequest, now: Instant) -> f64 {
+        let Some(endpoint) = self.endpoints.get(endpoint) else { return 0.0 };
+        let slot = 1.0 / f64::from(endpoint.limit(now).max(1));
+        slot.max(endpoint.load.kv_cache_share(request.prompt.kv_cache_tokens())).min(1.0)
+    }
+
     /// Sets the KV cache capacity of each engine, in tokens.
     pub fn set_kv_cache_tokens(&mut self, kv_cache_tokens: Option<u64>) {
         self.kv_cache_tokens = kv_cache_tokens;
--- a/coltsfootgate_core/src/owner/engine.rs
+++ b/coltsfootgate_core/src/owner/engine.rs
@@ -134,6 +134,16 @@
         })
     }
 
+    /// Fraction of the KV cache that running requests reserve; 0 if its capacity is unknown.
+    pub fn kv_cache_usage(&self) -> f64 {
+        self.kv_cache_share(self.reserved_tokens)
+    }
+
+    /// The fraction of the KV cache that `tokens` take; 0 if its capacity is unknown.
+    pub fn kv_cache_share(&self, tokens: u64) -> f64 {
+        self.kv_cache_tokens.map_or(0.0, |capacity| tokens as f64 / capacity.max(1) as f64)
+    }
+
     /// Recent share of the engine's time that was spent on prefill, 0 to 1.
     pub fn prefill_share(&self, now: Instant) -> f64 {
         let elapsed =
--- a/coltsfootgate_core/src/owner/event.rs
+++ b/coltsfootgate_core/src/owner/event.rs
@@ -112,8 +112,8 @@
     pub endpoint: EndpointId,
     /// The class of the request.
     pub class: ClassId,
-    /// The tier of the request.
-    pub tier: RequestTier,
+    /// The rank of the request.
+    pub rank: QueueRank,
     /// What the request reserves at an engine; the default for a service without tokens.
     pub reservation: EngineReservation,
 }
--- a/coltsfootgate_core/src/owner/ledger.rs
+++ b/coltsfootgate_core/src/owner/ledger.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
-use super::event::HeldGrant;
-use crate::ids::{ClassId, EndpointId, GrantId, InstanceId, RequestTier};
+use super::event::{HeldGrant, QueueRank};
+use crate::ids::{ClassId, EndpointId, GrantId, InstanceId};
 
 /// Maximum delivery time of a grant; a younger one that an announcement lacks is kept.
 const DELIVERY_TIME_MAX: Duration = Duration::from_secs(2);
@@ -12,14 +12,17 @@
 const ENDED_MAX: usize = 4096;
 
 /// A grant in flight.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct GrantRecord {
     /// The endpoint that the grant is for.
     pub endpoint: EndpointId,
     /// The class of the request.
     pub class: ClassId,
-    /// The tier of the request.
-    pub tier: RequestTier,
+    /// The rank of the request.
+    pub rank: QueueRank,
+    /// The part of the endpoint that the request uses, 0 to 1; `None` if another owner issued the
+    /// grant.
+    pub size: Option<f64>,
     /// When it was granted, or first announced.
     pub granted_at: Instant,
     /// Whether a tier's floor let the request overtake one of a higher tier.
@@ -122,7 +125,8 @@
             let record = GrantRecord {
                 endpoint: held.endpoint,
                 class: held.class,
-                tier: held.tier,
+                rank: held.rank,
+                size: None,
                 granted_at: now,
                 by_floor: false,
                 tokens: None,
@@ -140,7 +144,7 @@
 }
 
 /// The changes that an announcement caused.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct LedgerChange {
     /// Grants that were missing from the ledger.
     pub added: Vec<(GrantId, GrantRecord)>,
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -9,6 +9,7 @@
 mod errors;
 mod event;
 mod fair;
+mod headroom;
 mod ledger;
 mod placement;
 mod queue;
@@ -29,6 +30,7 @@
     ReleaseReport, ReleaseResult,
 };
 pub use fair::{ArrivalNumber, FairQueue};
+pub use headroom::RankHeadroom;
 pub use ledger::{GrantLedger, GrantRecord, LedgerChange};
 pub use placement::{EngineCandidate, placement_cost};
 pub use queue::{AdmissionQueue, QueueAdmission, QueuedRequest};
@@ -85,6 +87,7 @@
     queue: AdmissionQueue,
     activity: OwnerActivity,
     ledger: GrantLedger,
+    headroom: RankHeadroom,
     endpoints: EndpointTable,
     affinity: PrefixAffinity<EndpointId>,
     answers: LengthEstimator,
@@ -102,6 +105,7 @@
             queue: AdmissionQueue::new(),
             activity: OwnerActivity::default(),
             ledger: GrantLedger::default(),
+            headroom: RankHeadroom::default(),
             endpoints,
             affinity: PrefixAffinity::default(),
             answers: LengthEstimator::default(),
@@ -206,7 +210,8 @@
         request.tokens =
             self.answers.tokens(&request.class, ANSWER_LENGTH_QUANTILE, request.tokens);
         self.dispatch(now, actions);
-        let chosen = if self.must_queue(&request) { None } else { self.choose(&request, now).ok() };
+        let chosen =
+            if self.must_queue(&request) { None } else { self.choose(&request, false, now).ok() };
         if let Some(endpoint) = chosen {
             let is_overtaking = self.queue.is_any_above(request.rank());
             self.activity.record_grant(is_overtaking);
@@ -259,15 +264,19 @@
         self.endpoints.record_release(report, self.settings.between_tokens, now);
         let key = (report.requester.clone(), report.grant);
         self.endpoints.remove_prompt(&record.endpoint, &key, now);
-        self.endpoints.record_end(&record.endpoint);
+        self.record_end(&record);
         if let Some(estimated) = record.tokens {
-            self.queue.correct_credits(record.tier, record.by_floor, estimated, report.tokens);
+            self.queue.correct_credits(record.rank.0, record.by_floor, estimated, report.tokens);
         }
         if report.result == ReleaseResult::Completed {
             self.answers.record(&record.class, report.tokens);
         }
         if report.result != ReleaseResult::NotSent {
-            self.service.record(now.duration_since(record.granted_at));
+            let held = now.duration_since(record.granted_at);
+            self.service.record(held);
+            if let Some(size) = record.size {
+                self.headroom.record_held(record.rank, held, size);
+            }
         }
     }
 
@@ -280,14 +289,14 @@
         self.queue.remove(requester, grant);
         if let Some(record) = self.ledger.end(requester, grant) {
             self.endpoints.remove_prompt(&record.endpoint, &(requester.clone(), grant), now);
-            self.endpoints.record_end(&record.endpoint);
+            self.record_end(&record);
         }
     }
 
     fn requester_lost(&mut self, requester: &InstanceId, now: Instant) {
         self.queue.remove_requester(requester);
         for record in self.ledger.remove_requester(requester) {
-            self.endpoints.record_end(&record.endpoint);
+            self.record_end(&record);
         }
         self.endpoints.retain_prompts(&self.ledger, now);
     }
@@ -297,6 +306,7 @@
             held.iter().map(|held| (held.grant, held.reservation)).collect();
         let change = self.ledger.reconcile(requester, held, now);
         for (grant, record) in &change.added {
+            self.headroom.record_announced(record.rank);
             let reservation = reservations.get(grant).copied().unwrap_or_default();
             self.endpoints.record_announced(
                 &record.endpoint,
@@ -305,7 +315,7 @@
             );
         }
         for record in &change.removed {
-            self.endpoints.record_end(&record.endpoint);
+            self.record_end(record);
         }
         self.endpoints.retain_prompts(&self.ledger, now);
     }
@@ -347,9 +357,30 @@
         now + token_time.saturating_mul(tokens) > request.deadline
     }
 
-    fn choose(&self, request: &GrantRequest, now: Instant) -> Result<EndpointId, DeferralCause> {
+    /// Updates the endpoint and the headroom for a grant that is no longer in flight.
+    fn record_end(&mut self, record: &GrantRecord) {
+        self.endpoints.record_end(&record.endpoint);
+        self.headroom.record_end(record.rank);
+    }
+
+    /// Chooses the endpoint for a request, or returns the reason why it must wait. A request that a
+    /// floor entitles to service needs no headroom.
+    fn choose(
+        &self,
+        request: &GrantRequest,
+        by_floor: bool,
+        now: Instant,
+    ) -> Result<EndpointId, DeferralCause> {
         let hint = self.affinity.hint(request.prefix);
-        self.endpoints.choose(request, hint, now)
+        let endpoint = self.endpoints.choose(request, hint, now)?;
+        // Services without prompts hold their slots too briefly for that.
+        if by_floor || !request.prompt.is_known() {
+            return Ok(endpoint);
+        }
+        let size = self.endpoints.size_at(&endpoint, request, now);
+        let free = self.endpoints.free_room(now);
+        let is_allowed = self.headroom.allows(request.rank(), size, free, now);
+        is_allowed.then_some(endpoint).ok_or(DeferralCause::NoHeadroom)
     }
 
     fn grant(
@@ -362,12 +393,14 @@
         let record = GrantRecord {
             endpoint: endpoint.clone(),
             class: request.class.clone(),
-            tier: request.tier,
+            rank: request.rank(),
+            size: Some(self.endpoints.size_at(&endpoint, request, now)),
             granted_at: now,
             by_floor,
             tokens: Some(request.tokens),
         };
         self.ledger.insert(&request.requester, request.grant, record);
+        self.headroom.record_grant(request.rank(), now);
         self.endpoints.record_grant(request, &endpoint, now);
         self.affinity.record(request.prefix, endpoint.clone());
         OwnerAction::Grant {
--- a/coltsfootgate_core/tests/owner_properties.rs
+++ b/coltsfootgate_core/tests/owner_properties.rs
@@ -177,7 +177,7 @@
                 grant: *grant,
                 endpoint: endpoint.clone(),
                 class: "classes.any".into(),
-                tier: RequestTier::LOWEST,
+                rank: (RequestTier::LOWEST, RequestTier::LOWEST),
             })
             .collect();
         self.driver.handle(OwnerEvent::Announce { requester, held })
--- a/coltsfootgate_core/tests/placement.rs
+++ b/coltsfootgate_core/tests/placement.rs
@@ -370,7 +370,7 @@
         grant: 1,
         endpoint: endpoint(0, SLOTS).id,
         class: "classes.t3".into(),
-        tier: RequestTier::LOWEST,
+        rank: (RequestTier::LOWEST, RequestTier::LOWEST),
         reservation,
     };
     owner.handle(OwnerEvent::Announce { requester: requester.clone(), held: vec![held] }, *START);
--- a/coltsfootgate_wire/src/grant.rs
+++ b/coltsfootgate_wire/src/grant.rs
@@ -116,6 +116,7 @@
     endpoint: Arc<str>,
     class: Arc<str>,
     tier: u8,
+    stated_tier: u8,
     memory: u64,
     between_tokens_micros: u64,
 }
@@ -255,13 +256,14 @@
 
 impl From<HeldGrant> for WireHeldGrant {
     fn from(held: HeldGrant) -> Self {
-        let HeldGrant { grant, endpoint, class, tier, reservation } = held;
+        let HeldGrant { grant, endpoint, class, rank: (tier, stated_tier), reservation } = held;
         let between_tokens_micros = to_micros(reservation.between_tokens);
         Self {
             grant,
             endpoint,
             class,
             tier: tier.number(),
+            stated_tier: stated_tier.number(),
             memory: reservation.kv_cache_tokens,
             between_tokens_micros,
         }
@@ -276,7 +278,7 @@
             grant: held.grant,
             endpoint: check_name(held.endpoint, "endpoint")?,
             class: check_name(held.class, "class")?,
-            tier: check_tier(held.tier)?,
+            rank: (check_tier(held.tier)?, check_tier(held.stated_tier)?),
             reservation: EngineReservation {
                 kv_cache_tokens: held.memory,
                 between_tokens: from_micros(held.between_tokens_micros)?,
--- a/coltsfootgate_wire/tests/messages.rs
+++ b/coltsfootgate_wire/tests/messages.rs
@@ -111,7 +111,13 @@
             let tier = RequestTier::LOWEST;
             let between_tokens = Duration::from_millis(250);
             let reservation = EngineReservation { kv_cache_tokens: 12_000, between_tokens };
-            let held = vec![HeldGrant { grant: 1, endpoint, class, tier, reservation }];
+            let held = vec![HeldGrant {
+                grant: 1,
+                endpoint,
+                class,
+                rank: (tier, RequestTier::LOWEST),
+                reservation,
+            }];
             PeerRequest::Announce { pool, requester, held }
         }
         "head" => PeerRequest::FetchHead,
