Let brief requests of a lower class take turns within a customer's tier

Callers saw (TIER): classify requests, which need a slot for 0.13 s, got nothing for two seconds while chat requests, which hold one for 1.8 s, used each slot that became free.

Cause: strict order among the classes of a customer's tier, which nearly all requests share, and no floor between classes. Class of fault: starvation by strict priority where holding times differ by a factor of ten; the brief class needs 12 of 210 slots.

After each request of a class, a waiting one of a lower class has its turn if such requests are held for at most a third of the time. Long requests never have a turn, customers' tiers keep their strict order, and nothing is shed for it.

Evidence: brief_requests_of_a_lower_class_tier_are_not_starved fails on the code before (1 1 1 1 2 2 2).

--- a/coltsfootgate_core/src/owner/dispatch.rs
+++ b/coltsfootgate_core/src/owner/dispatch.rs
@@ -104,11 +104,13 @@
             return;
         }
         let mut deferred = DeferredRequests::default();
-        let mut late = Vec::new();
+        let mut late: Vec<QueuedRequest> = Vec::new();
         while !deferred.is_full() && self.endpoints.is_any_free(now) {
-            let Some(queued) = self.queue.take() else { break };
-            let rank = queued.request.rank();
-            if late.first().is_some_and(|first: &QueuedRequest| first.request.rank() != rank) {
+            let headroom = &self.headroom;
+            let queued = self.queue.take(|rank, higher| headroom.is_brief(rank, higher));
+            let Some(queued) = queued else { break };
+            // Late prompts are placed when no other one of their rank is left.
+            if late.first().is_some_and(|first| self.has_passed(first, &queued)) {
                 self.place_late(&mut late, now, &mut deferred, actions);
             }
             if is_late(&queued.request, now) && late.len() < SKIPPED_MAX {
@@ -124,6 +126,12 @@
         }
     }
 
+    /// Whether a scan that took `next` has taken all waiting requests of the rank of `late`.
+    fn has_passed(&self, late: &QueuedRequest, next: &QueuedRequest) -> bool {
+        let rank = late.request.rank();
+        next.request.rank() != rank && !self.queue.is_waiting(rank)
+    }
+
     /// Whether a new request must queue behind others even if an endpoint is free.
     pub(super) fn must_queue(&self, request: &GrantRequest) -> bool {
         let Some(scan) = &self.last_scan else { return false };
--- a/coltsfootgate_core/src/owner/headroom.rs
+++ b/coltsfootgate_core/src/owner/headroom.rs
@@ -15,6 +15,9 @@
 /// Largest holding time of requests that room is kept for, relative to the one that would take it.
 /// Where it is longer, slots end up free often enough.
 const HELD_RATIO_MAX: f64 = 0.75;
+/// Largest holding time of requests that take turns with those of a higher rank, relative to the
+/// latter.
+const BRIEF_RATIO_MAX: f64 = 0.35;
 /// Factor by which requests are held longer than before when the endpoints fill up.
 const LOAD_STRETCH: f64 = 1.5;
 /// Standard deviations of the expected number of requests for which room is kept in addition.
@@ -72,6 +75,16 @@
 }
 
 impl RankHeadroom {
+    /// Whether requests of one rank hold their slots so briefly that they hardly delay those of the
+    /// other.
+    pub fn is_brief(&self, rank: QueueRank, other: QueueRank) -> bool {
+        let held = |rank: &QueueRank| self.ranks.get(rank)?.ended.map(|(time, _)| time);
+        match (held(&rank), held(&other)) {
+            (Some(own), Some(other)) => own <= other * BRIEF_RATIO_MAX,
+            _ => false,
+        }
+    }
+
     /// Records a grant.
     pub fn record_grant(&mut self, rank: QueueRank, now: Instant) {
         self.ranks.entry(rank).or_default().record_grant(now);
--- a/coltsfootgate_core/src/owner/queue.rs
+++ b/coltsfootgate_core/src/owner/queue.rs
@@ -48,6 +48,8 @@
     waiting: usize,
     tokens: u64,
     floor: f64,
+    /// Whether a brief request may be served next, after one of a higher class tier.
+    is_brief_turn: bool,
     /// Tokens of service that the floor still owes the tier; negative if the tier
     /// received more than its floor.
     credit: f64,
@@ -58,11 +60,31 @@
         self.waiting > 0
     }
 
-    /// The request that is served next.
+    /// The request that is served next by priority.
     fn first(&self) -> Option<ArrivalNumber> {
         self.by_stated_tier.iter().find_map(FairQueue::first)
     }
 
+    /// The request that is served next: by the tier of the class, but after each request a brief one
+    /// of a lower class tier has its turn. `is_brief` compares two class tiers.
+    fn next(
+        &mut self,
+        is_brief: impl Fn(RequestTier, RequestTier) -> bool,
+    ) -> Option<ArrivalNumber> {
+        let is_turn = std::mem::replace(&mut self.is_brief_turn, true);
+        let mut waiting = RequestTier::all()
+            .zip(&self.by_stated_tier)
+            .filter_map(|(stated_tier, queue)| Some((stated_tier, queue.first()?)));
+        let (highest, first) = waiting.next()?;
+        let brief =
+            if is_turn { waiting.find(|(lower, _)| is_brief(*lower, highest)) } else { None };
+        if let Some((_, arrival)) = brief {
+            self.is_brief_turn = false;
+            return Some(arrival);
+        }
+        Some(first)
+    }
+
     /// The newest request of the lowest configured tier that has any, from this index on.
     fn newest_from(&self, stated_tier: usize) -> Option<ArrivalNumber> {
         self.by_stated_tier.get(stated_tier..)?.iter().rev().find_map(FairQueue::newest)
@@ -140,6 +162,11 @@
         (above.sum::<usize>() + queues.iter().map(FairQueue::len).sum::<usize>()) as u32
     }
 
+    /// Whether a request of this rank waits.
+    pub fn is_waiting(&self, (tier, stated_tier): QueueRank) -> bool {
+        !self.tiers[tier.index()].by_stated_tier[stated_tier.index()].is_empty()
+    }
+
     /// Whether a request of a higher rank waits.
     pub fn is_any_above(&self, (tier, stated_tier): QueueRank) -> bool {
         let queues = &self.tiers[tier.index()].by_stated_tier[..stated_tier.index()];
@@ -182,9 +209,17 @@
     }
 
     /// Removes the request that is served next, without charging for it.
-    pub fn take(&mut self) -> Option<QueuedRequest> {
-        let (tier, by_floor) = self.next_tier()?;
-        let arrival = self.tiers[tier].first()?;
+    ///
+    /// `is_brief` tells whether requests of the first rank hold their slots so briefly that they
+    /// take turns with those of the second one, which has the same tier.
+    pub fn take(
+        &mut self,
+        is_brief: impl Fn(QueueRank, QueueRank) -> bool,
+    ) -> Option<QueuedRequest> {
+        let (index, by_floor) = self.next_tier()?;
+        let tier = RequestTier::all().nth(index)?;
+        let is_brief = |lower, higher| is_brief((tier, lower), (tier, higher));
+        let arrival = self.tiers[index].next(is_brief)?;
         let mut queued = self.remove_arrival(arrival)?;
         queued.by_floor = by_floor;
         Some(queued)
--- a/coltsfootgate_core/tests/owner.rs
+++ b/coltsfootgate_core/tests/owner.rs
@@ -137,3 +137,34 @@
     driver.request(request_of_class_tier(5, 6));
     assert_eq!(driver.refusals().last().map(|(_, kind)| *kind), Some(ErrorKind::QueueFull));
 }
+
+/// Requests of a higher class tier use all slots for seconds each. Those of a lower one that hold a
+/// slot for a moment must not wait until there are none left; long ones must.
+#[rstest]
+#[case::brief_requests_take_turns(100, &[1, 2, 1, 2, 1, 2, 1])]
+#[case::long_requests_wait(1_900, &[1, 1, 1, 1, 2, 2, 2])]
+fn brief_requests_of_a_lower_class_tier_are_not_starved(
+    #[case] held_ms: u64,
+    #[case] granted: &[u8],
+) {
+    let mut driver = OwnerDriver::new(1, 1);
+    let request = |grant, class_tier: u8| GrantRequest {
+        stated_tier: RequestTier::new(class_tier).unwrap(),
+        ..grant_request(grant, 3)
+    };
+    for (grant, class_tier, held_ms) in [(1, 1, 2_000), (2, 2, held_ms)] {
+        driver.request(request(grant, class_tier));
+        driver.advance(Duration::from_millis(held_ms));
+        driver.release_oldest(ReleaseResult::Completed);
+    }
+    // The first two find a slot, since the endpoint may run two requests by now.
+    for grant in 3..=11 {
+        driver.request(request(grant, if grant <= 8 { 1 } else { 2 }));
+    }
+    for _ in 0..granted.len() {
+        driver.release_oldest(ReleaseResult::Completed);
+    }
+    let class_tier = |grant: &GrantId| if *grant <= 8 { 1 } else { 2 };
+    let served: Vec<u8> = driver.granted_ids()[4..].iter().map(class_tier).collect();
+    assert_eq!(served, granted);
+}
