--- a/coltsfootgate/src/owner/report.rs
+++ b/coltsfootgate/src/owner/report.rs
@@ -5,6 +5,7 @@
 
 use log::info;
 
+use coltsfootgate_core::ids::TIER_COUNT;
 use coltsfootgate_core::owner::{DeferralCause, OwnerActivity, OwnerSnapshot};
 use coltsfootgate_core::prelude::PoolId;
 
@@ -46,7 +47,7 @@
     }
 
     fn count_waiting(&self, snapshots: &[OwnerSnapshot]) {
-        let mut sums: [u32; coltsfootgate_core::ids::TIER_COUNT] = Default::default();
+        let mut sums: [u32; TIER_COUNT] = Default::default();
         for snapshot in snapshots {
             for (sum, waiting) in sums.iter_mut().zip(snapshot.pressure.waiting.by_tier()) {
                 *sum += waiting;
--- a/coltsfootgate_core/src/owner/endpoint.rs
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -1,44 +1,34 @@
-//! The endpoints of an owner, and the choice of an endpoint for each request.
+//! The endpoints of an owner, with what is known of each of them.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use super::activity::DeferralCause;
 use super::concurrency::AdaptiveSlots;
 use super::engine::{EngineLoad, GrantKey};
 use super::errors::ErrorRate;
 use super::event::{EngineReservation, GrantRequest, ReleaseReport, ReleaseResult};
 use super::ledger::GrantLedger;
-use super::placement::{EngineCandidate, placement_cost};
 use super::snapshot::EndpointSnapshot;
 use super::straggler::{EndpointHealth, EndpointState};
 use crate::ids::EndpointId;
 use crate::settings::EndpointSettings;
 
-/// Cost reduction for an endpoint that has the prefix cached, as a fraction of its slots.
-const AFFINITY_BONUS: f64 = 0.25;
-
-/// Cost, as a fraction of an endpoint's slots, if its error rate exceeds the pool's lowest by 1;
-/// smaller differences cost proportionally less.
-const ERROR_PENALTY: f64 = 2.5;
 /// Median error rate of the other endpoints from which failures count as pool-wide.
 const POOL_WIDE_ERROR_RATE: f64 = 0.2;
-/// Cost of an endpoint in another availability zone, as a fraction of its slots.
-const ZONE_PENALTY: f64 = 0.05;
 
 /// One endpoint with its load, health and concurrency limit.
 #[derive(Clone, Debug)]
 pub struct OwnedEndpoint {
-    settings: EndpointSettings,
+    pub(super) settings: EndpointSettings,
     slots: AdaptiveSlots,
     health: EndpointHealth,
-    load: EngineLoad,
-    error_rate: ErrorRate,
+    pub(super) load: EngineLoad,
+    pub(super) error_rate: ErrorRate,
     in_flight: u32,
     is_draining: bool,
     is_owned: bool,
     /// The table's grant count at the endpoint's last grant; orders equally loaded endpoints.
-    last_grant: u64,
+    pub(super) last_grant: u64,
 }
 
 impl OwnedEndpoint {
@@ -57,7 +47,7 @@
         }
     }
 
-    fn is_in_service(&self) -> bool {
+    pub(super) fn is_in_service(&self) -> bool {
         self.is_owned && !self.is_draining && self.health.state() != EndpointState::Ejected
     }
 
@@ -66,7 +56,7 @@
         if self.is_in_service() { self.health.allowed_slots(self.slots.limit(), now) } else { 0 }
     }
 
-    fn free_slots(&self, now: Instant) -> u32 {
+    pub(super) fn free_slots(&self, now: Instant) -> u32 {
         match self.health.state() {
             EndpointState::Probing if self.in_flight > 0 => 0,
             _ => self.limit(now).saturating_sub(self.in_flight),
@@ -74,7 +64,7 @@
     }
 
     /// Requests in flight relative to the current maximum.
-    fn slot_usage(&self, now: Instant) -> f64 {
+    pub(super) fn slot_usage(&self, now: Instant) -> f64 {
         f64::from(self.in_flight) / f64::from(self.limit(now).max(1))
     }
 }
@@ -82,7 +72,7 @@
 /// All endpoints of an owner, including former ones that still have grants in flight.
 #[derive(Clone, Debug, Default)]
 pub struct EndpointTable {
-    endpoints: BTreeMap<EndpointId, OwnedEndpoint>,
+    pub(super) endpoints: BTreeMap<EndpointId, OwnedEndpoint>,
     peer_token_times: Vec<Duration>,
     kv_cache_tokens: Option<u64>,
     grants: u64,
@@ -170,86 +160,6 @@
         }
     }
 
-    /// Chooses the endpoint for a request.
-    ///
-    /// # Errors
-    ///
-    /// Returns the reason if the request must wait.
-    pub fn choose(
-        &self,
-        request: &GrantRequest,
-        hint: Option<&EndpointId>,
-        now: Instant,
-    ) -> Result<EndpointId, DeferralCause> {
-        if request.prompt.is_known() {
-            self.choose_engine(request, now)
-        } else {
-            self.choose_least_loaded(request, hint, now).ok_or(DeferralCause::NoSlot)
-        }
-    }
-
-    /// Chooses the engine with the lowest placement cost.
-    fn choose_engine(
-        &self,
-        request: &GrantRequest,
-        now: Instant,
-    ) -> Result<EndpointId, DeferralCause> {
-        let lowest_error_rate = self.lowest_error_rate(now);
-        let last_position = self.endpoints.len().saturating_sub(1).max(1) as f64;
-        let candidates = self.endpoints.iter().enumerate().filter(|(_, (id, endpoint))| {
-            endpoint.free_slots(now) > 0 && !request.excluded.contains(id)
-        });
-        let mut cause = DeferralCause::NoSlot;
-        let costs = candidates.filter_map(|(position, (id, endpoint))| {
-            let engine = EngineCandidate {
-                load: &endpoint.load,
-                position: position as f64 / last_position,
-                slot_usage: endpoint.slot_usage(now),
-                is_same_zone: endpoint.settings.zone == request.zone,
-                excess_error_rate: (endpoint.error_rate.get(now) - lowest_error_rate).max(0.0),
-            };
-            match placement_cost(request, engine, now) {
-                Ok(cost) => Some((cost, id)),
-                Err(deferral) => {
-                    cause = cause.max(deferral);
-                    None
-                }
-            }
-        });
-        let chosen = costs.min_by(|one, other| one.0.total_cmp(&other.0));
-        chosen.map(|(_, id)| id.clone()).ok_or(cause)
-    }
-
-    /// Chooses the least loaded endpoint, with a preference for the hinted one and for the
-    /// requester's availability zone.
-    fn choose_least_loaded(
-        &self,
-        request: &GrantRequest,
-        hint: Option<&EndpointId>,
-        now: Instant,
-    ) -> Option<EndpointId> {
-        let lowest_error_rate = self.lowest_error_rate(now);
-        let candidates = self.endpoints.iter().filter(|(id, endpoint)| {
-            endpoint.free_slots(now) > 0 && !request.excluded.contains(id)
-        });
-        let cost = |(id, endpoint): &(&EndpointId, &OwnedEndpoint)| {
-            let affinity_bonus = if hint == Some(id) { AFFINITY_BONUS } else { 0.0 };
-            let is_other_zone = endpoint.settings.zone != request.zone;
-            let zone_penalty = if is_other_zone { ZONE_PENALTY } else { 0.0 };
-            let error_penalty =
-                (endpoint.error_rate.get(now) - lowest_error_rate).max(0.0) * ERROR_PENALTY;
-            (
-                endpoint.slot_usage(now) - affinity_bonus + zone_penalty + error_penalty,
-                endpoint.last_grant,
-            )
-        };
-        let order = |one: &(f64, u64), other: &(f64, u64)| {
-            one.0.total_cmp(&other.0).then(one.1.cmp(&other.1))
-        };
-        let chosen = candidates.min_by(|one, other| order(&cost(one), &cost(other)));
-        chosen.map(|(id, _)| id.clone())
-    }
-
     /// Records a grant.
     pub fn record_grant(&mut self, request: &GrantRequest, endpoint: &EndpointId, now: Instant) {
         self.grants += 1;
@@ -415,15 +325,6 @@
             .collect()
     }
 
-    /// The lowest error rate of all endpoints in service.
-    ///
-    /// Error rates are compared with the lowest and not with the median: where most endpoints fail,
-    /// a comparison with the median would not favour those that work.
-    fn lowest_error_rate(&self, now: Instant) -> f64 {
-        let endpoints = self.endpoints.values().filter(|endpoint| endpoint.is_in_service());
-        endpoints.map(|endpoint| endpoint.error_rate.get(now)).min_by(f64::total_cmp).unwrap_or(0.0)
-    }
-
     /// The median error rate of all other endpoints in service.
     fn median_error_rate_excluding(&self, excluded: &EndpointId, now: Instant) -> f64 {
         let endpoints = self.endpoints.iter();
--- a/coltsfootgate_core/src/owner/headroom.rs
+++ b/coltsfootgate_core/src/owner/headroom.rs
@@ -48,7 +48,7 @@
         self.in_flight += 1;
     }
 
-    fn record_end(&mut self, held: Duration, size: f64) {
+    fn record_held(&mut self, held: Duration, size: f64) {
         let (time, mean_size) = self.ended.unwrap_or((held.as_secs_f64(), size));
         let time = time + (held.as_secs_f64() - time) * SAMPLE_WEIGHT;
         self.ended = Some((time, mean_size + (size - mean_size) * SAMPLE_WEIGHT));
@@ -104,7 +104,7 @@
 
     /// Records for how long a grant of this size was held.
     pub fn record_held(&mut self, rank: QueueRank, held: Duration, size: f64) {
-        self.ranks.entry(rank).or_default().record_end(held, size);
+        self.ranks.entry(rank).or_default().record_held(held, size);
     }
 
     /// Whether a request may take this size of the free room without using what requests of higher
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -2,6 +2,7 @@
 
 mod activity;
 mod affinity;
+mod choice;
 mod concurrency;
 mod dispatch;
 mod endpoint;
