--- a/coltsfootgate_core/tests/burst.rs
+++ b/coltsfootgate_core/tests/burst.rs
@@ -9,13 +9,11 @@
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
-use coltsfootgate_core::owner::{
-    GrantRequest, OwnerAction, OwnerEvent, OwnerSettings, PoolOwner, ReleaseReport, ReleaseResult,
-};
+use coltsfootgate_core::owner::{GrantRequest, OwnerAction, OwnerEvent, OwnerSettings, PoolOwner};
 use coltsfootgate_core::prelude::*;
 use coltsfootgate_core::prompt::{PromptLoad, PromptPart};
 
-use support::{START, endpoint, grant_request};
+use support::{START, completed_report, endpoint, grant_request};
 
 /// Number of engines of the owner.
 const ENGINES: u32 = 17;
@@ -109,11 +107,11 @@
 }
 
 impl BurstSimulation {
-    fn new(slots: u32, kv_cache_tokens: Option<u64>) -> Self {
+    fn new(slots: u32) -> Self {
         let settings = OwnerSettings {
             pool: "pools.model".into(),
             between_tokens: Some(CHAT.between_tokens),
-            kv_cache_tokens,
+            kv_cache_tokens: None,
         };
         let mut simulation = Self {
             owner: PoolOwner::new(settings),
@@ -183,19 +181,13 @@
                 events.push(OwnerEvent::FirstToken { requester, grant });
             }
         }
-        let (ended, running) = self.running.drain(..).partition(|request| request.ends_at <= now);
+        let (ended, running): (Vec<_>, Vec<_>) =
+            self.running.drain(..).partition(|request| request.ends_at <= now);
         self.running = running;
-        let ended: Vec<RunningRequest> = ended;
         for request in ended {
-            events.push(OwnerEvent::Release(ReleaseReport {
-                requester: requester.clone(),
-                grant: request.grant,
-                endpoint: request.endpoint,
-                tokens: 40,
-                first_token: None,
-                between_tokens: Some(Duration::from_millis(50)),
-                result: ReleaseResult::Completed,
-            }));
+            let token_time = Duration::from_millis(50);
+            let report = completed_report(request.grant, request.endpoint, 40, token_time);
+            events.push(OwnerEvent::Release(report));
         }
         for event in events {
             self.handle(event, now);
@@ -256,7 +248,7 @@
 #[case::second_seed(6)]
 #[case::third_seed(7)]
 fn long_requests_at_the_start_of_a_burst_leave_slots_for_urgent_ones(#[case] seed: u64) {
-    let mut simulation = BurstSimulation::new(12, None);
+    let mut simulation = BurstSimulation::new(12);
     simulation.run(seed, 3.0);
     for kind in [CHAT, TAG] {
         let unserved = simulation.worst_unserved(&kind);
--- a/coltsfootgate_core/tests/placement.rs
+++ b/coltsfootgate_core/tests/placement.rs
@@ -12,12 +12,12 @@
 
 use coltsfootgate_core::owner::{
     DeferralCause, EngineReservation, GrantRequest, HeldGrant, OwnerAction, OwnerEvent,
-    OwnerSettings, PoolOwner, ReleaseReport, ReleaseResult,
+    OwnerSettings, PoolOwner, ReleaseResult,
 };
 use coltsfootgate_core::prelude::*;
 use coltsfootgate_core::prompt::{PromptLoad, PromptPart};
 
-use support::{OwnerDriver, START, endpoint, grant_request};
+use support::{OwnerDriver, START, completed_report, endpoint, grant_request};
 
 /// Number of engines in the pool.
 const ENGINES: u32 = 12;
@@ -248,15 +248,9 @@
             engine.requests = running;
             for request in ended {
                 assert!(request.document < 2 * DOCUMENTS);
-                events.push(OwnerEvent::Release(ReleaseReport {
-                    requester: requester.clone(),
-                    grant: request.grant,
-                    endpoint: id.clone(),
-                    tokens: 64,
-                    first_token: None,
-                    between_tokens: Some(Duration::from_millis(20)),
-                    result: ReleaseResult::Completed,
-                }));
+                let token_time = Duration::from_millis(20);
+                let report = completed_report(request.grant, id.clone(), 64, token_time);
+                events.push(OwnerEvent::Release(report));
             }
         }
         for event in events {
--- a/coltsfootgate_core/tests/support/mod.rs
+++ b/coltsfootgate_core/tests/support/mod.rs
@@ -62,6 +62,24 @@
     }
 }
 
+/// The release of a grant after a complete answer.
+pub fn completed_report(
+    grant: GrantId,
+    endpoint: EndpointId,
+    tokens: u32,
+    between_tokens: Duration,
+) -> ReleaseReport {
+    ReleaseReport {
+        requester: grant_request(grant, 1).requester,
+        grant,
+        endpoint,
+        tokens,
+        first_token: None,
+        between_tokens: Some(between_tokens),
+        result: ReleaseResult::Completed,
+    }
+}
+
 impl OwnerDriver {
     pub fn new(endpoints: u32, slots: u32) -> Self {
         let settings = OwnerSettings {
