Leave no daemon behind when the tests of the callers' port end

Tests that run at the same time share it now, and the last one drops it. Passes in parallel and with one test thread; no process is left. The checks are unchanged.

--- a/coltsfootgate/tests/callers.rs
+++ b/coltsfootgate/tests/callers.rs
@@ -4,7 +4,8 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::OnceLock;
+use std::ops::Deref;
+use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
 use coltsfootgate_standins::engine::{EngineSettings, start_engine};
@@ -20,19 +21,32 @@
     daemon: TestDaemon,
 }
 
-/// One daemon with low limits, shared by most tests of this file.
-fn daemon() -> &'static TestDaemon {
-    static SETUP: OnceLock<EntrySetup> = OnceLock::new();
-    let setup = SETUP.get_or_init(|| {
-        let platform = start_platform(ANY_PORT).unwrap();
-        let engine = start_engine(ANY_PORT, EngineSettings::default()).unwrap();
-        put_tree(platform.address, 1, &sample_tree(&[engine.address], &[], ""));
-        let limits = ["--head-time", "300 ms", "--body-time", "300 ms", "--body-bytes", "4096"];
-        let daemon = TestDaemon::start(platform.address, "a", &limits);
-        daemon.wait_ready();
-        EntrySetup { _platform: platform, _engine: engine, daemon }
-    });
-    &setup.daemon
+impl Deref for EntrySetup {
+    type Target = TestDaemon;
+
+    fn deref(&self) -> &TestDaemon {
+        &self.daemon
+    }
+}
+
+/// One daemon with low limits, shared by the tests of this file that run at the same time.
+///
+/// A static daemon would outlive the test process, since statics are never dropped.
+fn daemon() -> Arc<EntrySetup> {
+    static SETUP: Mutex<Weak<EntrySetup>> = Mutex::new(Weak::new());
+    let mut shared = SETUP.lock().unwrap();
+    if let Some(setup) = shared.upgrade() {
+        return setup;
+    }
+    let platform = start_platform(ANY_PORT).unwrap();
+    let engine = start_engine(ANY_PORT, EngineSettings::default()).unwrap();
+    put_tree(platform.address, 1, &sample_tree(&[engine.address], &[], ""));
+    let limits = ["--head-time", "300 ms", "--body-time", "300 ms", "--body-bytes", "4096"];
+    let daemon = TestDaemon::start(platform.address, "a", &limits);
+    daemon.wait_ready();
+    let setup = Arc::new(EntrySetup { _platform: platform, _engine: engine, daemon });
+    *shared = Arc::downgrade(&setup);
+    setup
 }
 
 fn model_call() -> TestCall {
@@ -68,15 +82,16 @@
     model_call().header("coltsfootgate-not-repeatable", "maybe"), 400, "malformed-request"
 )]
 fn invalid_requests_are_refused(#[case] call: TestCall, #[case] status: u16, #[case] reason: &str) {
-    let answer = call.send(daemon().ports.callers);
+    let daemon = daemon();
+    let answer = call.send(daemon.ports.callers);
     assert_eq!(answer.status, status, "{answer:?}");
     assert_eq!(answer.header("coltsfootgate-reason"), reason);
     assert_eq!(answer.header("coltsfootgate-outcome"), "not-run");
     assert_eq!(answer.json()["error"]["code"], reason);
     assert!(answer.json()["error"]["message"].is_string());
-    let record = daemon().record(answer.header("coltsfootgate-request-id"));
+    let record = daemon.record(answer.header("coltsfootgate-request-id"));
     assert_eq!(record["reason"], reason);
-    assert!(daemon().metric("coltsfootgate_refusals_total", &[reason]) >= 1.0);
+    assert!(daemon.metric("coltsfootgate_refusals_total", &[reason]) >= 1.0);
 }
 
 /// Sends bytes and returns everything received until the daemon closes the connection.
@@ -110,13 +125,14 @@
     #[case] status: &str,
     #[case] reason: &str,
 ) {
-    let before = daemon().metric("coltsfootgate_refusals_total", &[reason]);
-    let answer = raw_exchange(daemon().ports.callers, &[&bytes]);
+    let daemon = daemon();
+    let before = daemon.metric("coltsfootgate_refusals_total", &[reason]);
+    let answer = raw_exchange(daemon.ports.callers, &[&bytes]);
     assert_eq!(answer.split(' ').nth(1).unwrap_or_default(), status, "{answer}");
-    daemon().wait_for("the refusal counter", || {
-        (daemon().metric("coltsfootgate_refusals_total", &[reason]) > before).then_some(())
+    daemon.wait_for("the refusal counter", || {
+        (daemon.metric("coltsfootgate_refusals_total", &[reason]) > before).then_some(())
     });
-    assert!(model_call().send(daemon().ports.callers).is_complete());
+    assert!(model_call().send(daemon.ports.callers).is_complete());
 }
 
 #[test]
@@ -149,9 +165,10 @@
 #[test]
 fn bearer_keys_are_not_logged() {
     let call = model_call().header("authorization", "Bearer a-secret-bearer-key");
-    let answer = call.send(daemon().ports.callers);
-    daemon().wait_log(answer.header("coltsfootgate-request-id"));
-    assert!(daemon().log_lines().iter().all(|line| !line.contains("a-secret-bearer-key")));
+    let daemon = daemon();
+    let answer = call.send(daemon.ports.callers);
+    daemon.wait_log(answer.header("coltsfootgate-request-id"));
+    assert!(daemon.log_lines().iter().all(|line| !line.contains("a-secret-bearer-key")));
 }
 
 #[test]
