--- a/coltsfootgate/src/dialect/mod.rs
+++ b/coltsfootgate/src/dialect/mod.rs
@@ -8,6 +8,7 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, StatusCode};
 
+use coltsfootgate_core::endpoint_limit::LimitNotice;
 use coltsfootgate_core::prelude::EndpointSettings;
 use coltsfootgate_core::prompt::PromptPart;
 
@@ -117,6 +118,10 @@
         headers: &HeaderMap,
         attempt: &str,
     ) -> Result<(), EndpointFailure>;
+
+    /// What the head of an answer states about the rate at which the endpoint accepts requests;
+    /// `None` if another endpoint sent it.
+    fn limit_notice(status: StatusCode, headers: &HeaderMap) -> Option<LimitNotice>;
 }
 
 /// Checks that an answer echoes the id of the attempt.
--- a/coltsfootgate/src/dialect/native.rs
+++ b/coltsfootgate/src/dialect/native.rs
@@ -6,6 +6,7 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 
+use coltsfootgate_core::endpoint_limit::LimitNotice;
 use coltsfootgate_core::prelude::ErrorKind;
 
 use super::{
@@ -13,7 +14,8 @@
     check_echoed_id,
 };
 use crate::endpoint::{
-    EndpointFailure, NOT_STARTED_HEADER, PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_HEADER,
+    EndpointFailure, NOT_STARTED_HEADER, PRIORITY_HEADER, RATE_LIMIT_HEADER, REQUEST_ID_HEADER,
+    RESUME_HEADER,
 };
 use crate::entry::Refusal;
 use crate::entry::answer::{CONFIG_VERSION, OUTCOME, REASON, REQUEST_ID, RULE};
@@ -144,6 +146,10 @@
         }
         check_echoed_id(status, headers.get(REQUEST_ID_HEADER), attempt)
     }
+
+    fn limit_notice(_status: StatusCode, headers: &HeaderMap) -> Option<LimitNotice> {
+        Some(LimitNotice::parse(headers.get(RATE_LIMIT_HEADER).map(HeaderValue::as_bytes)))
+    }
 }
 
 fn idempotency_key(headers: &HeaderMap) -> Result<Option<Arc<str>>, Refusal> {
--- a/coltsfootgate/src/endpoint/mod.rs
+++ b/coltsfootgate/src/endpoint/mod.rs
@@ -21,6 +21,9 @@
 /// Header by which an endpoint reports that it did not start a request.
 pub const NOT_STARTED_HEADER: &str = "x-not-started";
 
+/// Header by which an endpoint limits the requests a second from all callers together.
+pub const RATE_LIMIT_HEADER: &str = "x-rate-limit";
+
 /// One attempt of a request at one endpoint.
 #[derive(Clone, Debug)]
 pub struct EndpointRequest {
--- a/coltsfootgate/src/metrics/mod.rs
+++ b/coltsfootgate/src/metrics/mod.rs
@@ -66,6 +66,7 @@
     config_age: Gauge,
     config_refused: IntCounterVec,
     answers_mismatched: IntCounterVec,
+    limit_notices: IntCounterVec,
     instances: IntGaugeVec,
     waiting: IntGaugeVec,
     grants: IntCounterVec,
@@ -178,6 +179,11 @@
                 "Answers dropped because they carried the id of another request.",
                 &["class"],
             ),
+            limit_notices: registrar.counters(
+                "limit_notices",
+                "Answers of endpoints, by what they state about a limit on their requests.",
+                &["notice"],
+            ),
             instances: registrar.gauges(
                 "instances",
                 "Other instances known to this one, by state.",
@@ -320,6 +326,11 @@
         self.answers_mismatched.with_label_values(&[class]).inc();
     }
 
+    /// Counts an answer of an endpoint by what it states about a limit on its requests.
+    pub fn limit_noticed(&self, notice: &str) {
+        self.limit_notices.with_label_values(&[notice]).inc();
+    }
+
     /// Sets the number of other instances in a state.
     pub fn instances_known(&self, state: &str, count: usize) {
         self.instances.with_label_values(&[state]).set(count as i64);
--- a/coltsfootgate/src/pipeline/admit.rs
+++ b/coltsfootgate/src/pipeline/admit.rs
@@ -1,9 +1,11 @@
 //! Requests the grant that a request needs before it is sent to an endpoint.
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use coltsfootgate_core::comeback::retry_after_delay;
+use coltsfootgate_core::endpoint_limit::LimitNotice;
 use coltsfootgate_core::owner::{
     EngineReservation, GrantRequest, HeldGrant, ReleaseReport, ReleaseResult,
 };
@@ -16,6 +18,7 @@
 use super::journal::RequestJournal;
 use super::route::{GrantResult, GrantSearch};
 use crate::entry::{CallerLink, Refusal};
+use crate::metrics::DaemonMetrics;
 use crate::routes::{GrantSource, LeaseEntry, OwnerClient, RouteTable};
 
 /// Estimated length of an answer, in tokens, before any answer was measured.
@@ -32,6 +35,8 @@
     routes: RouteTable,
     owner_client: OwnerClient,
     report: ReleaseReport,
+    metrics: DaemonMetrics,
+    limit: Cell<Option<f64>>,
 }
 
 /// The measurements of one attempt at an endpoint.
@@ -56,6 +61,21 @@
 }
 
 impl GrantLease {
+    /// Records what the head of the endpoint's answer to a request sent at `sent_at` states about
+    /// its limit.
+    pub fn observe_limit(&self, notice: LimitNotice, _sent_at: Instant) {
+        self.metrics.limit_noticed(notice.name());
+        if notice == LimitNotice::Malformed {
+            log::warn!("endpoint {} states a malformed limit", self.endpoint.id);
+        }
+        self.limit.set(notice.rate());
+    }
+
+    /// The limit in requests a second that the endpoint's answer stated.
+    pub fn limit(&self) -> Option<f64> {
+        self.limit.get()
+    }
+
     /// Reports the first token to the instance that accounts for the grant.
     pub fn report_first_token(&self) {
         self.owner_client.first_token(&self.current_source(), &self.entry.pool, self.report.grant);
@@ -237,7 +257,16 @@
     };
     context.routes.record_grant(search.route(), owner, entry.clone());
     let (routes, owner_client) = (context.routes.clone(), context.owner_client.clone());
-    Ok(GrantLease { endpoint, entry, routes, owner_client, report })
+    let metrics = context.metrics.clone();
+    Ok(GrantLease {
+        endpoint,
+        entry,
+        routes,
+        owner_client,
+        report,
+        metrics,
+        limit: Cell::default(),
+    })
 }
 
 fn capacity_message(kind: ErrorKind, request: &ClassifiedRequest) -> String {
--- a/coltsfootgate/src/pipeline/dispatch.rs
+++ b/coltsfootgate/src/pipeline/dispatch.rs
@@ -64,11 +64,17 @@
         head_timeout: head_timeout(request),
     };
     let time_left = request.timeout_at.saturating_duration_since(Instant::now());
+    let sent_at = Instant::now();
     let sending = context.endpoints.send(endpoint_request);
     let answer =
         timeout(time_left, sending).await.unwrap_or(Err(EndpointFailure::RequestTimeout))?;
-    D::check_head(answer.status, &answer.headers, start.id)?;
-    Ok(answer)
+    let checked = D::check_head(answer.status, &answer.headers, start.id);
+    let is_own = checked != Err(EndpointFailure::Mismatched);
+    let notice = D::limit_notice(answer.status, &answer.headers).filter(|_| is_own);
+    if let Some(notice) = notice {
+        lease.observe_limit(notice, sent_at);
+    }
+    checked.map(|()| answer)
 }
 
 /// Copies the headers of an endpoint's answer that are forwarded to the caller.
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -210,6 +210,7 @@
     };
     let measurements = task.measurements;
     *last_event = task.last_event;
+    journal.record.endpoint_limit = lease.limit();
     let between = measurements.between_tokens;
     journal.record.between_tokens_ms = between.map(|between| between.as_secs_f64() * 1000.0);
     lease.release(release_result(&end), measurements);
--- a/coltsfootgate/src/pipeline/record.rs
+++ b/coltsfootgate/src/pipeline/record.rs
@@ -29,6 +29,8 @@
     pub asked: u32,
     /// The owners in whose queues it waited when its last search for a grant ended.
     pub queues: Vec<String>,
+    /// The limit on requests a second that the last answer of an endpoint stated.
+    pub endpoint_limit: Option<f64>,
     /// When it arrived, in milliseconds since the Unix epoch.
     pub arrived_ms: u64,
     /// When it received its last grant, in milliseconds since the Unix epoch.
--- a/coltsfootgate_core/src/lib.rs
+++ b/coltsfootgate_core/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod calendar;
 pub mod claim;
 pub mod comeback;
+pub mod endpoint_limit;
 pub mod estimate;
 pub mod freshness;
 pub mod gossip;
