Pace the requests to endpoints that state a limit

What callers saw: nothing yet; a replica in need got 7.2 requests a second with a limit of 2.2 (LIMIT), so it stays in need.

Cause: nobody read the limit (hypothesis 1), and the design bounds what an endpoint gets by slots in flight only. Class of fault: a limit on a rate enforced by a bound on concurrency.

Owners pace their grants with a token bucket for each limited endpoint; grants state whether they were paced, and entries that know of a limit check those that were not against their part of it (a new owner, fallback shares, baseline strategies). The same cause elsewhere: predicted waits, reported slots and the headroom of ranks counted slots that the limit leaves unused; they count what it allows.

--- a/coltsfootgate/src/owner/desk.rs
+++ b/coltsfootgate/src/owner/desk.rs
@@ -66,6 +66,11 @@
                 self.owner.send(OwnerMessage::Cancel { pool, scope, requester, grant });
                 true
             }
+            PeerRequest::StateLimit { pool, statement } => {
+                let scope = OwnerScope::Owned;
+                self.owner.send(OwnerMessage::LimitStated { pool, scope, statement });
+                true
+            }
             PeerRequest::Announce { pool, requester, held } => {
                 self.owner.send(OwnerMessage::Announce { pool, requester, held });
                 true
@@ -112,8 +117,8 @@
 
 fn peer_reply(answer: GrantAnswer) -> PeerReply {
     match answer {
-        GrantAnswer::Granted { endpoint, by_floor, pressure } => {
-            PeerReply::Granted { endpoint, by_floor, pressure }
+        GrantAnswer::Granted { endpoint, by_floor, is_paced, pressure } => {
+            PeerReply::Granted { endpoint, by_floor, is_paced, pressure }
         }
         GrantAnswer::Busy(pressure) => PeerReply::Busy(pressure),
         GrantAnswer::Refused { kind, pressure } => PeerReply::Refused { kind, pressure },
--- a/coltsfootgate/src/owner/mod.rs
+++ b/coltsfootgate/src/owner/mod.rs
@@ -11,6 +11,7 @@
 
 use futures_channel::{mpsc, oneshot};
 
+use coltsfootgate_core::endpoint_limit::LimitStatement;
 use coltsfootgate_core::owner::{
     GrantRequest, HeldGrant, OwnerPressure, OwnerSnapshot, ReleaseReport,
 };
@@ -41,6 +42,8 @@
         endpoint: EndpointId,
         /// Whether a tier's floor let the request overtake a waiting one of a higher tier.
         by_floor: bool,
+        /// Whether the grant counts towards a limit that the endpoint stated.
+        is_paced: bool,
         /// The owner's load in this pool.
         pressure: OwnerPressure,
     },
@@ -127,6 +130,15 @@
         /// The median time of each other owner that has measurements.
         token_times: Vec<Duration>,
     },
+    /// An answer of an endpoint stated whether it limits the requests of all callers.
+    LimitStated {
+        /// The pool.
+        pool: PoolId,
+        /// Which of its queues.
+        scope: OwnerScope,
+        /// What the answer stated.
+        statement: LimitStatement,
+    },
     /// A probe of an endpoint ended.
     ProbeResult {
         /// The pool.
--- a/coltsfootgate/src/owner/task.rs
+++ b/coltsfootgate/src/owner/task.rs
@@ -127,6 +127,9 @@
                 let key = (pool, OwnerScope::Owned);
                 self.handle_event(&key, OwnerEvent::PeerTokenTimes { token_times }, now);
             }
+            OwnerMessage::LimitStated { pool, scope, statement } => {
+                self.handle_event(&(pool, scope), OwnerEvent::LimitStated(statement), now);
+            }
             OwnerMessage::ProbeResult { pool, scope, endpoint, alive } => {
                 let event = OwnerEvent::ProbeResult { endpoint, alive };
                 self.handle_event(&(pool, scope), event, now);
@@ -176,19 +179,20 @@
         for pool in pools.pools() {
             let between_tokens = between_tokens.filter(|_| pool.is_engine());
             let owned = self.owned_endpoints(pool, pools.owner_endpoints());
-            self.assign_pool(pool, OwnerScope::Owned, owned, between_tokens, now);
+            let settings = OwnerSettings {
+                pool: pool.id.clone(),
+                between_tokens,
+                kv_cache_tokens: pool.memory,
+                limit_sharers: 1,
+            };
+            self.assign_pool(OwnerScope::Owned, settings.clone(), owned, now);
             let share = fallback_share(&pool.endpoints, &self.own, &live);
-            let share_settings = PoolSettings {
-                memory: fallback_kv_cache(pool.memory, live.len()),
-                ..(**pool).clone()
+            let share_settings = OwnerSettings {
+                kv_cache_tokens: fallback_kv_cache(pool.memory, live.len()),
+                limit_sharers: live.len() as u32,
+                ..settings
             };
-            self.assign_pool(
-                &share_settings,
-                OwnerScope::FallbackShare,
-                share,
-                between_tokens,
-                now,
-            );
+            self.assign_pool(OwnerScope::FallbackShare, share_settings, share, now);
         }
     }
 
@@ -200,15 +204,12 @@
 
     fn assign_pool(
         &mut self,
-        pool: &PoolSettings,
         scope: OwnerScope,
+        settings: OwnerSettings,
         endpoints: Vec<EndpointSettings>,
-        between_tokens: Option<Duration>,
         now: Instant,
     ) {
-        let (id, memory) = (pool.id.clone(), pool.memory);
-        let settings = OwnerSettings { pool: id, between_tokens, kv_cache_tokens: memory };
-        let key = (pool.id.clone(), scope);
+        let key = (settings.pool.clone(), scope);
         let owner = self.pools.entry(key.clone());
         owner.or_insert_with(|| PoolOwner::new(settings.clone())).set_settings(settings);
         for endpoint in &endpoints {
@@ -232,8 +233,8 @@
 
     fn perform(&mut self, key: &PoolKey, action: OwnerAction) {
         match action {
-            OwnerAction::Grant { requester, grant, endpoint, by_floor, pressure } => {
-                let answer = GrantAnswer::Granted { endpoint, by_floor, pressure };
+            OwnerAction::Grant { requester, grant, endpoint, by_floor, is_paced, pressure } => {
+                let answer = GrantAnswer::Granted { endpoint, by_floor, is_paced, pressure };
                 self.deliver_grant(key, requester, grant, answer);
             }
             OwnerAction::Refuse { requester, grant, kind, pressure } => {
@@ -242,6 +243,12 @@
             OwnerAction::Busy { requester, grant, pressure } => {
                 self.answer(requester, grant, GrantAnswer::Busy(pressure));
             }
+            OwnerAction::LimitChanged { endpoint, rate: Some(rate) } => {
+                info!("endpoint {endpoint} limits all callers to {rate} requests a second");
+            }
+            OwnerAction::LimitChanged { endpoint, rate: None } => {
+                info!("endpoint {endpoint} states no limit any more");
+            }
             OwnerAction::Probe { endpoint } => self.probe(key, endpoint),
             OwnerAction::StateChanged { endpoint, state } => {
                 info!("endpoint {endpoint} changed to state {}", state.name());
--- a/coltsfootgate/src/peer/dispatch.rs
+++ b/coltsfootgate/src/peer/dispatch.rs
@@ -108,6 +108,7 @@
         | PeerRequest::FetchHead
         | PeerRequest::FetchObject(_)
         | PeerRequest::FetchReplicas
+        | PeerRequest::StateLimit { .. }
         | PeerRequest::Claim { .. } => true,
     }
 }
--- a/coltsfootgate/src/pipeline/admit.rs
+++ b/coltsfootgate/src/pipeline/admit.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use coltsfootgate_core::comeback::retry_after_delay;
-use coltsfootgate_core::endpoint_limit::LimitNotice;
+use coltsfootgate_core::endpoint_limit::{LimitNotice, LimitStatement};
 use coltsfootgate_core::owner::{
     EngineReservation, GrantRequest, HeldGrant, ReleaseReport, ReleaseResult,
 };
@@ -24,8 +24,8 @@
 /// Estimated length of an answer, in tokens, before any answer was measured.
 const INITIAL_ANSWER_TOKENS: u32 = 64;
 
-/// Number of grants for endpoints unknown to this instance after which a request is refused.
-const UNKNOWN_ENDPOINTS_MAX: usize = 4;
+/// Number of grants that this instance cannot use after which a request is refused.
+const UNUSABLE_GRANTS_MAX: usize = 4;
 
 /// A grant to send one request to one endpoint; released when dropped.
 pub struct GrantLease {
@@ -37,6 +37,8 @@
     report: ReleaseReport,
     metrics: DaemonMetrics,
     limit: Cell<Option<f64>>,
+    /// Whether the grant counts towards a limit that the endpoint stated.
+    is_paced: bool,
 }
 
 /// The measurements of one attempt at an endpoint.
@@ -63,12 +65,20 @@
 impl GrantLease {
     /// Records what the head of the endpoint's answer to a request sent at `sent_at` states about
     /// its limit.
-    pub fn observe_limit(&self, notice: LimitNotice, _sent_at: Instant) {
+    pub fn observe_limit(&self, notice: LimitNotice, sent_at: Instant) {
         self.metrics.limit_noticed(notice.name());
+        self.limit.set(notice.rate());
         if notice == LimitNotice::Malformed {
             log::warn!("endpoint {} states a malformed limit", self.endpoint.id);
+            return;
+        }
+        let (endpoint, answered_at) = (self.endpoint.id.clone(), Instant::now());
+        let statement = LimitStatement { endpoint, notice, sent_at, answered_at };
+        // The owner may know of a limit from the answers to other instances.
+        if self.routes.observe_limit(&statement) || self.is_paced {
+            let owner = self.routes.owner_of(&self.endpoint.id);
+            self.owner_client.state_limit(owner.as_ref(), &self.entry.pool, &statement);
         }
-        self.limit.set(notice.rate());
     }
 
     /// The limit in requests a second that the endpoint's answer stated.
@@ -103,12 +113,13 @@
 
 /// Waits until a grant arrives, the deadline passes or the caller disconnects.
 ///
-/// An owner may add an endpoint shortly before this instance does. A grant for an unknown endpoint
-/// is released, and a grant for another endpoint is requested.
+/// An owner may add an endpoint shortly before this instance does, or not know its limit yet. A grant
+/// for an endpoint that is unknown here, or for which the limit known here leaves no request, is
+/// released, and a grant for another endpoint is requested.
 ///
 /// # Errors
 ///
-/// Returns the refusal of the owners, or a refusal if no grant was for a known endpoint.
+/// Returns the refusal of the owners, or a refusal if no grant could be used.
 pub async fn admit_request(
     context: &PipelineContext,
     request: &ClassifiedRequest,
@@ -117,18 +128,18 @@
     journal: &mut RequestJournal,
 ) -> Result<GrantLease, Refusal> {
     let mut excluded = excluded.to_vec();
-    for _ in 0..UNKNOWN_ENDPOINTS_MAX {
+    for _ in 0..UNUSABLE_GRANTS_MAX {
         match try_admit(context, request, &excluded, caller, journal).await? {
             Ok(lease) => return Ok(lease),
-            Err(UnknownEndpoint(endpoint)) => excluded.push(endpoint),
+            Err(UnusableGrant(endpoint)) => excluded.push(endpoint),
         }
     }
-    let message = "the granted endpoints are not known here";
+    let message = "the granted endpoints are not known here, or their limits are used up";
     Err(refusal(request, ErrorKind::NoEndpoint, message))
 }
 
-/// The endpoint of a grant, which this instance does not know yet or no longer knows.
-struct UnknownEndpoint(EndpointId);
+/// The endpoint of a grant that cannot be used: it is not known here, or its limit is used up.
+struct UnusableGrant(EndpointId);
 
 async fn try_admit(
     context: &PipelineContext,
@@ -136,7 +147,7 @@
     excluded: &[EndpointId],
     caller: &mut CallerLink,
     journal: &mut RequestJournal,
-) -> Result<Result<GrantLease, UnknownEndpoint>, Refusal> {
+) -> Result<Result<GrantLease, UnusableGrant>, Refusal> {
     let search_started = Instant::now();
     let template = grant_request(context, request, excluded);
     let mut search = GrantSearch::new(context, &request.pool.id, &template);
@@ -152,7 +163,7 @@
         return Err(refusal(request, ErrorKind::CallerLeftWaiting, message));
     };
     match end {
-        GrantResult::Granted { grant, endpoint, source, by_floor } => {
+        GrantResult::Granted { grant, endpoint, source, by_floor, is_paced } => {
             journal.record_grant(
                 &endpoint,
                 &source_name(&source),
@@ -167,7 +178,7 @@
                 reservation: EngineReservation::from(&template.prompt),
             };
             let entry = LeaseEntry { pool: request.pool.id.clone(), held, source };
-            Ok(start_lease(context, request, &search, entry))
+            Ok(start_lease(context, request, &search, entry, is_paced))
         }
         GrantResult::Refused { kind, pressure } => {
             journal.record_wait(search_started.elapsed());
@@ -236,7 +247,8 @@
     request: &ClassifiedRequest,
     search: &GrantSearch<'_>,
     entry: LeaseEntry,
-) -> Result<GrantLease, UnknownEndpoint> {
+    is_paced: bool,
+) -> Result<GrantLease, UnusableGrant> {
     let mut report = ReleaseReport {
         requester: context.own.clone(),
         grant: entry.held.grant,
@@ -246,10 +258,16 @@
         between_tokens: None,
         result: ReleaseResult::Cancelled,
     };
-    let Some(endpoint) = context.routes.endpoint(&request.pool.id, &entry.held.endpoint) else {
+    let endpoint = context.routes.endpoint(&request.pool.id, &entry.held.endpoint);
+    let is_allowed = is_paced || context.routes.admit_unpaced(&entry.held.endpoint);
+    let Some(endpoint) = endpoint.filter(|_| is_allowed) else {
         report.result = ReleaseResult::NotSent;
         context.owner_client.release(&entry.source, &entry.pool, report);
-        return Err(UnknownEndpoint(entry.held.endpoint));
+        if let Some(limit) = context.routes.known_limit(&entry.held.endpoint) {
+            let owner = context.routes.owner_of(&limit.endpoint);
+            context.owner_client.state_limit(owner.as_ref(), &entry.pool, &limit);
+        }
+        return Err(UnusableGrant(entry.held.endpoint));
     };
     let owner = match &entry.source {
         GrantSource::Owner(owner) => Some(owner),
@@ -266,6 +284,7 @@
         report,
         metrics,
         limit: Cell::default(),
+        is_paced,
     })
 }
 
--- a/coltsfootgate/src/pipeline/route.rs
+++ b/coltsfootgate/src/pipeline/route.rs
@@ -31,6 +31,8 @@
         source: GrantSource,
         /// Whether a tier's floor let the request overtake a waiting one of a higher tier.
         by_floor: bool,
+        /// Whether the grant counts towards a limit that the endpoint stated.
+        is_paced: bool,
     },
     /// No owner serves the request.
     Refused {
@@ -109,7 +111,8 @@
 
     fn without_grant(&self, endpoint: EndpointId) -> GrantResult {
         let grant = self.context.grants.next();
-        GrantResult::Granted { grant, endpoint, source: GrantSource::Ungranted, by_floor: false }
+        let source = GrantSource::Ungranted;
+        GrantResult::Granted { grant, endpoint, source, by_floor: false, is_paced: false }
     }
 
     fn refused(&self, kind: ErrorKind) -> GrantResult {
@@ -120,12 +123,12 @@
     fn handle_answer(&mut self, result: SourceAnswer) -> Result<GrantResult, RouteStep> {
         let SourceAnswer { source, grant, answer } = result;
         let reply = match answer {
-            Some(GrantAnswer::Granted { endpoint, by_floor, pressure }) => {
+            Some(GrantAnswer::Granted { endpoint, by_floor, is_paced, pressure }) => {
                 if let GrantSource::Owner(owner) = &source {
                     let pool = &self.route.request.pool;
                     self.context.routes.update_pressure(pool, owner, pressure);
                 }
-                return Ok(GrantResult::Granted { grant, endpoint, source, by_floor });
+                return Ok(GrantResult::Granted { grant, endpoint, source, by_floor, is_paced });
             }
             Some(GrantAnswer::Busy(pressure)) => RouteReply::Busy(pressure),
             Some(GrantAnswer::Refused { kind, pressure }) => RouteReply::Refused(kind, pressure),
--- a/coltsfootgate/src/routes/follow.rs
+++ b/coltsfootgate/src/routes/follow.rs
@@ -44,6 +44,7 @@
                 "state": endpoint.state.name(),
                 "leaving": endpoint.is_draining,
                 "slots": endpoint.slots,
+                "limit": endpoint.limit,
                 "in_flight": endpoint.in_flight,
             })
         });
@@ -137,6 +138,10 @@
         for ((owner, pool), held) in self.routes.held_by_owner() {
             self.client.announce(&owner, pool, held);
         }
+        for (pool, limit) in self.routes.known_limits() {
+            let owner = self.routes.owner_of(&limit.endpoint);
+            self.client.state_limit(owner.as_ref(), &pool, &limit);
+        }
     }
 
     fn update_pressures(&mut self, instance: &InstanceId, pressures: Vec<PoolPressure>) {
--- a/coltsfootgate/src/routes/link.rs
+++ b/coltsfootgate/src/routes/link.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use coltsfootgate_core::endpoint_limit::LimitStatement;
 use coltsfootgate_core::owner::{GrantRequest, HeldGrant, ReleaseReport};
 use coltsfootgate_core::prelude::{GrantId, InstanceId, PoolId};
 use coltsfootgate_wire::{PeerReply, PeerRequest};
@@ -88,8 +89,8 @@
         let deadline = Instant::now() + answer_timeout(&request);
         let request = PeerRequest::RequestGrant { pool: pool.clone(), request };
         match self.peers.call(owner, request, deadline).await {
-            Ok(PeerReply::Granted { endpoint, by_floor, pressure }) => {
-                Some(GrantAnswer::Granted { endpoint, by_floor, pressure })
+            Ok(PeerReply::Granted { endpoint, by_floor, is_paced, pressure }) => {
+                Some(GrantAnswer::Granted { endpoint, by_floor, is_paced, pressure })
             }
             Ok(PeerReply::Busy(pressure)) => Some(GrantAnswer::Busy(pressure)),
             Ok(PeerReply::Refused { kind, pressure }) => {
@@ -128,6 +129,29 @@
         }
     }
 
+    /// Reports to an endpoint's owner, if there is one, and to this instance's own queue what an
+    /// answer stated about the endpoint's limit.
+    pub fn state_limit(
+        &self,
+        owner: Option<&InstanceId>,
+        pool: &PoolId,
+        statement: &LimitStatement,
+    ) {
+        let state_locally = |scope| {
+            let (pool, statement) = (pool.clone(), statement.clone());
+            self.local.send(OwnerMessage::LimitStated { pool, scope, statement });
+        };
+        state_locally(OwnerScope::FallbackShare);
+        match owner {
+            Some(owner) if *owner == self.own => state_locally(OwnerScope::Owned),
+            Some(owner) => {
+                let (pool, statement) = (pool.clone(), statement.clone());
+                self.notify(owner, PeerRequest::StateLimit { pool, statement });
+            }
+            None => {}
+        }
+    }
+
     fn cancel(&self, source: &GrantSource, pool: &PoolId, grant: GrantId) {
         let (pool, requester) = (pool.clone(), self.own.clone());
         if let Some(scope) = self.local_scope(source) {
--- a/coltsfootgate/src/routes/mod.rs
+++ b/coltsfootgate/src/routes/mod.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use coltsfootgate_core::endpoint_limit::{LimitBook, LimitStatement};
 use coltsfootgate_core::owner::{HeldGrant, OwnerPressure};
 use coltsfootgate_core::prelude::{
     EndpointId, EndpointSettings, InstanceId, PoolId, PoolSettings, RoutingStrategy, ZoneName,
@@ -85,6 +86,7 @@
     pools: Option<Rc<ActivePools>>,
     draining: HashSet<Arc<str>>,
     leases: LeaseTable,
+    limits: LimitBook,
 }
 
 impl RouteTable {
@@ -100,6 +102,7 @@
             pools: None,
             draining: HashSet::new(),
             leases: LeaseTable::default(),
+            limits: LimitBook::default(),
         })))
     }
 
@@ -118,6 +121,7 @@
     /// Replaces the set of owners.
     pub fn set_owners(&self, owners: OwnerSet) {
         let mut state = self.0.borrow_mut();
+        state.limits.set_instances(owners.zones.len());
         state.owners = owners;
         state.refresh();
     }
@@ -188,6 +192,35 @@
         state.leases.remove(lease.held.grant);
     }
 
+    /// Applies what an answer stated; returns whether the endpoint had or has a limit.
+    pub fn observe_limit(&self, statement: &LimitStatement) -> bool {
+        self.0.borrow_mut().limits.observe(statement, Instant::now())
+    }
+
+    /// Whether a request that no owner paced may be sent to an endpoint; counts it if so.
+    pub fn admit_unpaced(&self, endpoint: &EndpointId) -> bool {
+        self.0.borrow_mut().limits.admit(endpoint, Instant::now())
+    }
+
+    /// Returns the limit of an endpoint as this instance observed it, if it is in force.
+    pub fn known_limit(&self, endpoint: &EndpointId) -> Option<LimitStatement> {
+        let limits = self.0.borrow().limits.known(Instant::now());
+        limits.into_iter().find(|limit| limit.endpoint == *endpoint)
+    }
+
+    /// Returns the limits that this instance observed, with the pools of their endpoints.
+    pub fn known_limits(&self) -> Vec<(PoolId, LimitStatement)> {
+        let state = self.0.borrow();
+        let Some(pools) = &state.pools else { return Vec::new() };
+        let pool_of = |endpoint: &EndpointId| {
+            let mut pools = pools.pools();
+            let pool = pools.find(|pool| pool.endpoints.iter().any(|one| one.id == *endpoint));
+            pool.map(|pool| pool.id.clone())
+        };
+        let limits = state.limits.known(Instant::now()).into_iter();
+        limits.filter_map(|limit| Some((pool_of(&limit.endpoint)?, limit))).collect()
+    }
+
     /// Returns the grants held for each owner and pool, by the current owners of the endpoints.
     pub fn held_by_owner(&self) -> HashMap<(InstanceId, PoolId), Vec<HeldGrant>> {
         let state = self.0.borrow();
--- a/coltsfootgate_core/benches/decision.rs
+++ b/coltsfootgate_core/benches/decision.rs
@@ -34,6 +34,7 @@
             pool: "pools.model".into(),
             between_tokens: Some(Duration::from_millis(34)),
             kv_cache_tokens: None,
+            limit_sharers: 1,
         };
         let mut busy = Self {
             owner: PoolOwner::new(settings),
--- a/coltsfootgate_core/src/estimate.rs
+++ b/coltsfootgate_core/src/estimate.rs
@@ -108,9 +108,8 @@
         self.mean = Some(mean + (sample - mean) * SAMPLE_WEIGHT);
     }
 
-    /// Expected time between two grants while this many slots are occupied; zero without samples.
-    pub fn grant_interval(&self, slots: u32) -> Duration {
-        let mean = self.mean.unwrap_or(0.0);
-        Duration::from_secs_f64(mean / f64::from(slots.max(1)))
+    /// Mean time for which a slot was occupied, if measured.
+    pub fn mean(&self) -> Option<Duration> {
+        self.mean.map(Duration::from_secs_f64)
     }
 }
--- a/coltsfootgate_core/src/limit/bucket.rs
+++ b/coltsfootgate_core/src/limit/bucket.rs
@@ -5,6 +5,9 @@
 /// Upper bound of the reported time until the next token.
 const WAIT_MAX: Duration = Duration::from_secs(3600);
 
+/// Added to the time of the next token, at which rounding could otherwise leave it incomplete.
+const ROUNDING_MARGIN: Duration = Duration::from_millis(1);
+
 /// A token bucket that fills at a constant rate up to its capacity.
 #[derive(Clone, Debug)]
 pub struct TokenBucket {
@@ -21,6 +24,11 @@
         Self { rate, capacity, tokens: capacity, filled_at: now }
     }
 
+    /// Creates an empty bucket.
+    pub fn empty(rate: f64, capacity: u32, now: Instant) -> Self {
+        Self { tokens: 0.0, ..Self::new(rate, capacity, now) }
+    }
+
     /// Changes the rate, in tokens per second, and the capacity; the tokens in the bucket stay, up
     /// to the new capacity.
     pub fn reconfigure(&mut self, rate: f64, capacity: u32, now: Instant) {
@@ -54,9 +62,23 @@
         Duration::try_from_secs_f64(missing / self.rate).unwrap_or(WAIT_MAX).min(WAIT_MAX)
     }
 
-    fn fill(&mut self, now: Instant) {
+    /// Returns the number of whole tokens in the bucket.
+    pub fn available(&self, now: Instant) -> u32 {
+        self.tokens_at(now) as u32
+    }
+
+    /// Returns when the bucket holds a whole token, rounded up.
+    pub fn next_available(&self, now: Instant) -> Instant {
+        now + self.clone().until_next(now) + ROUNDING_MARGIN
+    }
+
+    fn tokens_at(&self, now: Instant) -> f64 {
         let elapsed = now.saturating_duration_since(self.filled_at);
-        self.tokens = (self.tokens + elapsed.as_secs_f64() * self.rate).min(self.capacity);
+        (self.tokens + elapsed.as_secs_f64() * self.rate).min(self.capacity)
+    }
+
+    fn fill(&mut self, now: Instant) {
+        self.tokens = self.tokens_at(now);
         self.filled_at = self.filled_at.max(now);
     }
 }
--- a/coltsfootgate_core/src/owner/endpoint.rs
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -10,6 +10,7 @@
 use super::ledger::GrantLedger;
 use super::snapshot::EndpointSnapshot;
 use super::straggler::{EndpointHealth, EndpointState};
+use crate::endpoint_limit::{EndpointLimiter, LimitStatement};
 use crate::ids::EndpointId;
 use crate::settings::EndpointSettings;
 
@@ -21,6 +22,7 @@
 pub struct OwnedEndpoint {
     pub(super) settings: EndpointSettings,
     slots: AdaptiveSlots,
+    limiter: EndpointLimiter,
     health: EndpointHealth,
     pub(super) load: EngineLoad,
     pub(super) error_rate: ErrorRate,
@@ -32,11 +34,12 @@
 }
 
 impl OwnedEndpoint {
-    fn new(settings: EndpointSettings) -> Self {
+    fn new(settings: EndpointSettings, limit_sharers: u32) -> Self {
         let slots = AdaptiveSlots::new(settings.slots, settings.slots_max);
         Self {
             settings,
             slots,
+            limiter: EndpointLimiter::new(limit_sharers),
             health: EndpointHealth::default(),
             load: EngineLoad::new(None),
             error_rate: ErrorRate::default(),
@@ -56,13 +59,36 @@
         if self.is_in_service() { self.health.allowed_slots(self.slots.limit(), now) } else { 0 }
     }
 
+    /// Number of requests that may be sent to it now.
     pub(super) fn free_slots(&self, now: Instant) -> u32 {
+        let free = self.untaken_slots(now);
+        self.limiter.available(now).map_or(free, |available| free.min(available))
+    }
+
+    /// Slots without a request, whatever limit the endpoint states.
+    fn untaken_slots(&self, now: Instant) -> u32 {
         match self.health.state() {
             EndpointState::Probing if self.in_flight > 0 => 0,
             _ => self.limit(now).saturating_sub(self.in_flight),
         }
     }
 
+    /// Slots that are taken or free; an endpoint that limits its requests leaves others unused.
+    fn usable_slots(&self, now: Instant) -> u32 {
+        let limit = self.limit(now);
+        match self.limiter.available(now) {
+            Some(available) => limit.min(self.in_flight.saturating_add(available)),
+            None => limit,
+        }
+    }
+
+    /// Requests a second that it completes if each takes `held`; infinite if that is not known.
+    fn service_rate(&self, held: Option<Duration>, now: Instant) -> f64 {
+        let slots = f64::from(self.limit(now));
+        let by_slots = held.map_or(f64::INFINITY, |held| slots / held.as_secs_f64());
+        by_slots.min(self.limiter.rate().unwrap_or(f64::INFINITY))
+    }
+
     /// Requests in flight relative to the current maximum.
     pub(super) fn slot_usage(&self, now: Instant) -> f64 {
         f64::from(self.in_flight) / f64::from(self.limit(now).max(1))
@@ -75,6 +101,8 @@
     pub(super) endpoints: BTreeMap<EndpointId, OwnedEndpoint>,
     peer_token_times: Vec<Duration>,
     kv_cache_tokens: Option<u64>,
+    /// Number of instances among which the endpoints' limits are divided.
+    limit_sharers: u32,
     grants: u64,
 }
 
@@ -84,7 +112,7 @@
     /// Grants in flight are recounted from the ledger, since a requester may have announced a grant
     /// for an endpoint before the owner knew the endpoint.
     pub fn set_owned(&mut self, owned: Vec<EndpointSettings>, ledger: &GrantLedger) {
-        let kv_cache_tokens = self.kv_cache_tokens;
+        let (kv_cache_tokens, limit_sharers) = (self.kv_cache_tokens, self.limit_sharers);
         for endpoint in self.endpoints.values_mut() {
             endpoint.is_owned = false;
         }
@@ -92,7 +120,7 @@
             let endpoint = self
                 .endpoints
                 .entry(settings.id.clone())
-                .or_insert_with(|| OwnedEndpoint::new(settings.clone()));
+                .or_insert_with(|| OwnedEndpoint::new(settings.clone(), limit_sharers));
             endpoint.load.set_kv_cache_tokens(kv_cache_tokens);
             endpoint.slots.set_bounds(settings.slots, settings.slots_max);
             endpoint.settings = settings;
@@ -127,10 +155,57 @@
     /// The number of free slots and of all slots.
     pub fn slots(&self, now: Instant) -> (u32, u32) {
         self.endpoints.values().fold((0, 0), |(free, all), endpoint| {
-            (free + endpoint.free_slots(now), all + endpoint.limit(now))
+            (free + endpoint.free_slots(now), all + endpoint.usable_slots(now))
         })
     }
 
+    /// Expected time between two grants while all endpoints are in use, if each request takes
+    /// `held`; zero if that is not known.
+    pub fn grant_interval(&self, held: Option<Duration>, now: Instant) -> Duration {
+        let endpoints = self.endpoints.values();
+        let rate: f64 = endpoints.map(|endpoint| endpoint.service_rate(held, now)).sum();
+        if rate > 0.0 { Duration::from_secs_f64(rate.recip()) } else { held.unwrap_or_default() }
+    }
+
+    /// When the limit of an endpoint next allows a request, if one allows none at `now`.
+    pub fn next_allowed(&self, now: Instant) -> Option<Instant> {
+        let endpoints = self.endpoints.values().filter(|endpoint| endpoint.limit(now) > 0);
+        endpoints.filter_map(|endpoint| endpoint.limiter.next_available(now)).min()
+    }
+
+    /// Applies what an answer stated about the endpoint's limit, and returns the limit if it
+    /// changed.
+    pub fn observe_limit(
+        &mut self,
+        statement: &LimitStatement,
+        now: Instant,
+    ) -> Option<Option<f64>> {
+        let limiter = &mut self.endpoints.get_mut(&statement.endpoint)?.limiter;
+        let is_changed = limiter.observe(statement, now);
+        is_changed.then(|| limiter.stated_rate())
+    }
+
+    /// Whether an endpoint limits its requests.
+    pub fn is_limited(&self, endpoint: &EndpointId) -> bool {
+        let endpoint = self.endpoints.get(endpoint);
+        endpoint.is_some_and(|endpoint| endpoint.limiter.rate().is_some())
+    }
+
+    /// Returns a grant that was not used to the endpoint's limit.
+    pub fn refund_limit(&mut self, endpoint: &EndpointId, now: Instant) {
+        if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
+            endpoint.limiter.refund(now);
+        }
+    }
+
+    /// Sets the number of instances among which the endpoints' limits are divided.
+    pub fn set_limit_sharers(&mut self, sharers: u32) {
+        self.limit_sharers = sharers;
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.limiter.set_sharers(sharers);
+        }
+    }
+
     /// Whether any slot is free.
     pub fn is_any_free(&self, now: Instant) -> bool {
         self.endpoints.values().any(|endpoint| endpoint.free_slots(now) > 0)
@@ -139,10 +214,12 @@
     /// The free room of all endpoints, in endpoints.
     pub fn free_room(&self, now: Instant) -> f64 {
         let in_service = self.endpoints.values().filter(|endpoint| endpoint.limit(now) > 0);
-        let used = |endpoint: &OwnedEndpoint| {
-            endpoint.slot_usage(now).max(endpoint.load.kv_cache_usage()).min(1.0)
+        let free = |endpoint: &OwnedEndpoint| {
+            let used = endpoint.slot_usage(now).max(endpoint.load.kv_cache_usage()).min(1.0);
+            let allowed = f64::from(endpoint.free_slots(now)) / f64::from(endpoint.limit(now));
+            if endpoint.limiter.rate().is_some() { allowed.min(1.0 - used) } else { 1.0 - used }
         };
-        in_service.map(|endpoint| 1.0 - used(endpoint)).sum()
+        in_service.map(free).sum()
     }
 
     /// The part of an endpoint that a request uses, 0 to 1, by slots or by KV cache.
@@ -170,8 +247,9 @@
         }
         endpoint.last_grant = self.grants;
         endpoint.in_flight += 1;
+        endpoint.limiter.take(now);
         endpoint.health.record_grant(now);
-        if endpoint.free_slots(now) == 0 {
+        if endpoint.untaken_slots(now) == 0 {
             endpoint.slots.record_saturation();
         }
     }
@@ -317,6 +395,7 @@
                 state: endpoint.health.state(),
                 is_draining: endpoint.is_draining || !endpoint.is_owned,
                 slots: endpoint.slots.limit(),
+                limit: endpoint.limiter.stated_rate(),
                 in_flight: endpoint.in_flight,
                 backlog: endpoint.load.backlog(now),
                 prefill_rate: endpoint.load.prefill_rate(),
--- a/coltsfootgate_core/src/owner/event.rs
+++ b/coltsfootgate_core/src/owner/event.rs
@@ -4,6 +4,7 @@
 
 use super::straggler::EndpointState;
 use super::waiting::WaitingCounts;
+use crate::endpoint_limit::LimitStatement;
 use crate::ids::{
     ClassId, CustomerId, EndpointId, GrantId, InstanceId, RequestId, RequestTier, ZoneName,
 };
@@ -180,6 +181,8 @@
         /// Age of the report.
         age: Duration,
     },
+    /// An answer of an endpoint stated whether it limits the requests of all callers.
+    LimitStated(LimitStatement),
     /// The result of a health probe.
     ProbeResult {
         /// The endpoint.
@@ -216,6 +219,8 @@
         endpoint: EndpointId,
         /// Whether a tier's floor let the request overtake a waiting one of a higher tier.
         by_floor: bool,
+        /// Whether the grant counts towards a limit that the endpoint stated.
+        is_paced: bool,
         /// The load of the owner.
         pressure: OwnerPressure,
     },
@@ -246,6 +251,13 @@
         /// The new state.
         state: EndpointState,
     },
+    /// Report that an endpoint's limit on the requests of all callers changed.
+    LimitChanged {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Its limit in requests a second, if it still has one.
+        rate: Option<f64>,
+    },
     /// Connect to the endpoint and report a `ProbeResult`.
     Probe {
         /// The endpoint.
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -40,6 +40,7 @@
 pub use waiting::WaitingCounts;
 
 use self::dispatch::{DeferralScan, SCAN_PERIOD};
+use crate::endpoint_limit::LimitStatement;
 use crate::estimate::{LengthEstimator, ServiceEstimator};
 use crate::ids::{EndpointId, GrantId, InstanceId, PoolId};
 use crate::reason::ErrorKind;
@@ -60,6 +61,8 @@
     pub between_tokens: Option<Duration>,
     /// KV cache capacity of each engine, in tokens, if known.
     pub kv_cache_tokens: Option<u64>,
+    /// Number of instances among which the limits of endpoints are divided.
+    pub limit_sharers: u32,
 }
 
 /// The state of a pool owner, for status pages.
@@ -93,6 +96,8 @@
     affinity: PrefixAffinity<EndpointId>,
     answers: LengthEstimator,
     service: ServiceEstimator,
+    /// When the last event was processed.
+    updated: Option<Instant>,
 }
 
 impl PoolOwner {
@@ -100,6 +105,7 @@
     pub fn new(settings: OwnerSettings) -> Self {
         let mut endpoints = EndpointTable::default();
         endpoints.set_kv_cache_tokens(settings.kv_cache_tokens);
+        endpoints.set_limit_sharers(settings.limit_sharers);
         Self {
             last_scan: None,
             settings,
@@ -111,12 +117,14 @@
             affinity: PrefixAffinity::default(),
             answers: LengthEstimator::default(),
             service: ServiceEstimator::default(),
+            updated: None,
         }
     }
 
     /// Replaces the settings of the pool.
     pub fn set_settings(&mut self, settings: OwnerSettings) {
         self.endpoints.set_kv_cache_tokens(settings.kv_cache_tokens);
+        self.endpoints.set_limit_sharers(settings.limit_sharers);
         self.settings = settings;
     }
 
@@ -142,8 +150,12 @@
             }
             OwnerEvent::Endpoints(owned) => self.endpoints.set_owned(owned, &self.ledger),
             OwnerEvent::EndpointDraining { endpoint } => self.endpoints.set_draining(&endpoint),
+            OwnerEvent::LimitStated(statement) => {
+                self.limit_stated(statement, now, &mut actions);
+            }
             OwnerEvent::Tick => {}
         }
+        self.updated = Some(now);
         self.finish_event(now, &mut actions);
         actions
     }
@@ -155,7 +167,7 @@
             free_slots,
             slots,
             waiting: self.queue.waiting(),
-            grant_interval: self.service.grant_interval(slots),
+            grant_interval: self.endpoints.grant_interval(self.service.mean(), now),
             token_time: self.endpoints.token_time(),
         }
     }
@@ -165,7 +177,9 @@
         // A deferred prompt becomes eligible as engines finish the prefill of others.
         let scan = self.last_scan.as_ref().map(|scan| scan.at + SCAN_PERIOD);
         let (deadline, probe) = (self.queue.next_deadline(), self.endpoints.next_probe());
-        [scan, deadline, probe].into_iter().flatten().min()
+        let updated = self.updated.filter(|_| !self.queue.is_empty());
+        let allowed = updated.and_then(|updated| self.endpoints.next_allowed(updated));
+        [scan, deadline, probe, allowed].into_iter().flatten().min()
     }
 
     /// The state of the owner, for status pages.
@@ -197,6 +211,7 @@
                 grant: request.grant,
                 endpoint: record.endpoint.clone(),
                 by_floor: record.by_floor,
+                is_paced: false,
                 pressure: self.pressure(now),
             });
             return;
@@ -272,7 +287,9 @@
         if report.result == ReleaseResult::Completed {
             self.answers.record(&record.class, report.tokens);
         }
-        if report.result != ReleaseResult::NotSent {
+        if report.result == ReleaseResult::NotSent {
+            self.endpoints.refund_limit(&record.endpoint, now);
+        } else {
             let held = now.duration_since(record.granted_at);
             self.service.record(held);
             if let Some(size) = record.size {
@@ -290,10 +307,23 @@
         self.queue.remove(requester, grant);
         if let Some(record) = self.ledger.end(requester, grant) {
             self.endpoints.remove_prompt(&record.endpoint, &(requester.clone(), grant), now);
+            self.endpoints.refund_limit(&record.endpoint, now);
             self.record_end(&record);
         }
     }
 
+    fn limit_stated(
+        &mut self,
+        statement: LimitStatement,
+        now: Instant,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        if let Some(rate) = self.endpoints.observe_limit(&statement, now) {
+            let endpoint = statement.endpoint;
+            actions.push(OwnerAction::LimitChanged { endpoint, rate });
+        }
+    }
+
     fn requester_lost(&mut self, requester: &InstanceId, now: Instant) {
         self.queue.remove_requester(requester);
         for record in self.ledger.remove_requester(requester) {
@@ -402,6 +432,7 @@
         };
         self.ledger.insert(&request.requester, request.grant, record);
         self.headroom.record_grant(request.rank(), now);
+        let is_paced = self.endpoints.is_limited(&endpoint);
         self.endpoints.record_grant(request, &endpoint, now);
         self.affinity.record(request.prefix, endpoint.clone());
         OwnerAction::Grant {
@@ -409,6 +440,7 @@
             grant: request.grant,
             endpoint,
             by_floor,
+            is_paced,
             pressure: self.pressure(now),
         }
     }
--- a/coltsfootgate_core/src/owner/snapshot.rs
+++ b/coltsfootgate_core/src/owner/snapshot.rs
@@ -6,7 +6,7 @@
 use crate::ids::EndpointId;
 
 /// The state of one endpoint, for status pages.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct EndpointSnapshot {
     /// The endpoint.
     pub endpoint: EndpointId,
@@ -16,6 +16,8 @@
     pub is_draining: bool,
     /// Maximum number of concurrent requests.
     pub slots: u32,
+    /// The limit that it stated on the requests a second of all callers, if any.
+    pub limit: Option<f64>,
     /// Number of grants in flight.
     pub in_flight: u32,
     /// Estimated time until the engine has prefilled all prompts that were sent to it.
--- a/coltsfootgate_core/tests/burst.rs
+++ b/coltsfootgate_core/tests/burst.rs
@@ -112,6 +112,7 @@
             pool: "pools.model".into(),
             between_tokens: Some(CHAT.between_tokens),
             kv_cache_tokens: None,
+            limit_sharers: 1,
         };
         let mut simulation = Self {
             owner: PoolOwner::new(settings),
--- a/coltsfootgate_core/tests/owner_properties.rs
+++ b/coltsfootgate_core/tests/owner_properties.rs
@@ -215,7 +215,9 @@
                     prop_assert_eq!(pressure.free_slots, 0);
                     self.waiting.remove(&(requester.clone(), *grant));
                 }
-                OwnerAction::Probe { .. } | OwnerAction::StateChanged { .. } => {}
+                OwnerAction::Probe { .. }
+                | OwnerAction::StateChanged { .. }
+                | OwnerAction::LimitChanged { .. } => {}
             }
         }
         self.check_state()
--- a/coltsfootgate_core/tests/placement.rs
+++ b/coltsfootgate_core/tests/placement.rs
@@ -134,6 +134,7 @@
             pool: "pools.model".into(),
             between_tokens: Some(Duration::from_millis(250)),
             kv_cache_tokens: Some(kv_cache_tokens),
+            limit_sharers: 1,
         };
         let mut simulation = Self {
             owner: PoolOwner::new(settings),
@@ -168,7 +169,8 @@
                 }
                 OwnerAction::Busy { .. }
                 | OwnerAction::Probe { .. }
-                | OwnerAction::StateChanged { .. } => (),
+                | OwnerAction::StateChanged { .. }
+                | OwnerAction::LimitChanged { .. } => (),
             }
         }
     }
@@ -354,6 +356,7 @@
         pool: "pools.model".into(),
         between_tokens: Some(Duration::from_millis(250)),
         kv_cache_tokens: Some(100_000),
+        limit_sharers: 1,
     };
     let mut owner = PoolOwner::new(settings);
     owner.handle(OwnerEvent::Endpoints(vec![endpoint(0, SLOTS)]), *START);
--- a/coltsfootgate_core/tests/routing.rs
+++ b/coltsfootgate_core/tests/routing.rs
@@ -315,8 +315,12 @@
     fn new() -> Self {
         let now = Instant::now();
         let owner = |number: usize| {
-            let settings =
-                OwnerSettings { pool: POOL.into(), between_tokens: None, kv_cache_tokens: None };
+            let settings = OwnerSettings {
+                pool: POOL.into(),
+                between_tokens: None,
+                kv_cache_tokens: None,
+                limit_sharers: 1,
+            };
             let mut owner = PoolOwner::new(settings);
             owner.handle(OwnerEvent::Endpoints(vec![endpoint(number as u32, 1)]), now);
             owner
@@ -404,7 +408,9 @@
                 OwnerAction::Refuse { grant, kind, pressure, .. } => {
                     (grant, RouteReply::Refused(kind, pressure))
                 }
-                OwnerAction::Probe { .. } | OwnerAction::StateChanged { .. } => continue,
+                OwnerAction::Probe { .. }
+                | OwnerAction::StateChanged { .. }
+                | OwnerAction::LimitChanged { .. } => continue,
             };
             let Some((mut route, at)) = self.pending.remove(&grant) else { continue };
             self.update_all_pressures();
--- a/coltsfootgate_core/tests/support/mod.rs
+++ b/coltsfootgate_core/tests/support/mod.rs
@@ -86,6 +86,7 @@
             pool: "pools.model".into(),
             between_tokens: Some(Duration::from_millis(34)),
             kv_cache_tokens: None,
+            limit_sharers: 1,
         };
         let mut driver = Self {
             owner: PoolOwner::new(settings),
--- a/coltsfootgate_wire/src/lib.rs
+++ b/coltsfootgate_wire/src/lib.rs
@@ -1,6 +1,7 @@
 //! The protocol between instances: authentication, messages and their encoding.
 
 mod claim;
+mod endpoint_limit;
 mod error;
 mod frame;
 mod grant;
--- a/coltsfootgate_wire/src/message.rs
+++ b/coltsfootgate_wire/src/message.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use coltsfootgate_core::claim::page::{ClaimChange, ClaimVerdict};
+use coltsfootgate_core::endpoint_limit::LimitStatement;
 use coltsfootgate_core::head::TreeHead;
 use coltsfootgate_core::ids::{EndpointId, GrantId, InstanceId, PoolId};
 use coltsfootgate_core::limit::{LimitSlice, SliceRequest};
@@ -69,6 +70,13 @@
         /// The grants it holds.
         held: Vec<HeldGrant>,
     },
+    /// Reports what an answer stated about the limit of an endpoint that the receiver owns.
+    StateLimit {
+        /// The pool.
+        pool: PoolId,
+        /// What the answer stated.
+        statement: LimitStatement,
+    },
     /// Fetches the head of the tree in force.
     FetchHead,
     /// Fetches a value of the tree in force by its digest.
@@ -97,6 +105,7 @@
             Self::Release(_) => "release",
             Self::Cancel { .. } => "cancel",
             Self::Announce { .. } => "announce",
+            Self::StateLimit { .. } => "state-limit",
             Self::FetchHead => "fetch-head",
             Self::FetchObject(_) => "fetch-object",
             Self::FetchReplicas => "fetch-replicas",
@@ -124,6 +133,8 @@
         endpoint: EndpointId,
         /// Whether a tier's floor let the request overtake a waiting one of a higher tier.
         by_floor: bool,
+        /// Whether the grant counts towards a limit that the endpoint stated.
+        is_paced: bool,
         /// The load of the owner.
         pressure: OwnerPressure,
     },
--- a/coltsfootgate_wire/src/wire.rs
+++ b/coltsfootgate_wire/src/wire.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::claim::{WireChange, WireVerdict};
+use crate::endpoint_limit::WireLimitStatement;
 use crate::error::WireError;
 use crate::grant::{
     WireGrantRequest, WireHeldGrant, WirePoolPressure, WirePressure, WireRelease, check_kind,
@@ -33,6 +34,7 @@
     FirstToken { pool: Arc<str>, asker: Arc<str>, grant: u64 },
     Cancel { pool: Arc<str>, asker: Arc<str>, grant: u64 },
     Announce { pool: Arc<str>, asker: Arc<str>, held: Vec<WireHeldGrant> },
+    StateLimit { pool: Arc<str>, statement: WireLimitStatement },
     FetchHead,
     FetchObject(Arc<str>),
     FetchReplicas,
@@ -44,7 +46,7 @@
 pub(crate) enum WireReply {
     Heartbeat { heartbeat: WireHeartbeat, pressures: Vec<WirePoolPressure> },
     Heard(bool),
-    Granted { endpoint: Arc<str>, by_floor: bool, pressure: WirePressure },
+    Granted { endpoint: Arc<str>, by_floor: bool, is_paced: bool, pressure: WirePressure },
     Busy(WirePressure),
     Refused { kind: String, pressure: WirePressure },
     Accepted,
@@ -90,6 +92,10 @@
             PeerRequest::Announce { pool, requester, held } => {
                 Self::Announce { pool, asker: requester, held: convert_all(held) }
             }
+            PeerRequest::StateLimit { pool, statement } => Self::StateLimit {
+                pool,
+                statement: TimedMessage { message: statement, now }.into(),
+            },
             PeerRequest::FetchHead => Self::FetchHead,
             PeerRequest::FetchReplicas => Self::FetchReplicas,
             PeerRequest::FetchObject(digest) => Self::FetchObject(digest),
@@ -135,6 +141,10 @@
                 requester: check_instance(asker)?,
                 held: check_all(held)?,
             },
+            WireRequest::StateLimit { pool, statement } => Self::StateLimit {
+                pool: check_pool(pool)?,
+                statement: TimedMessage { message: statement, now }.try_into()?,
+            },
             WireRequest::FetchHead => Self::FetchHead,
             WireRequest::FetchReplicas => Self::FetchReplicas,
             WireRequest::FetchObject(digest) => Self::FetchObject(check_digest(digest)?),
@@ -154,8 +164,8 @@
                 Self::Heartbeat { heartbeat: heartbeat.into(), pressures: convert_all(pressures) }
             }
             PeerReply::Heard(heard) => Self::Heard(heard),
-            PeerReply::Granted { endpoint, by_floor, pressure } => {
-                Self::Granted { endpoint, by_floor, pressure: pressure.into() }
+            PeerReply::Granted { endpoint, by_floor, is_paced, pressure } => {
+                Self::Granted { endpoint, by_floor, is_paced, pressure: pressure.into() }
             }
             PeerReply::Busy(pressure) => Self::Busy(pressure.into()),
             PeerReply::Refused { kind, pressure } => {
@@ -181,9 +191,9 @@
                 pressures: check_all(pressures)?,
             },
             WireReply::Heard(heard) => Self::Heard(heard),
-            WireReply::Granted { endpoint, by_floor, pressure } => {
+            WireReply::Granted { endpoint, by_floor, is_paced, pressure } => {
                 let endpoint = check_name(endpoint, "endpoint")?;
-                Self::Granted { endpoint, by_floor, pressure: pressure.try_into()? }
+                Self::Granted { endpoint, by_floor, is_paced, pressure: pressure.try_into()? }
             }
             WireReply::Busy(pressure) => Self::Busy(pressure.try_into()?),
             WireReply::Refused { kind, pressure } => {
--- a/coltsfootgate_wire/tests/messages.rs
+++ b/coltsfootgate_wire/tests/messages.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use coltsfootgate_core::endpoint_limit::{LimitNotice, LimitStatement};
 use coltsfootgate_core::head::TreeHead;
 use coltsfootgate_core::ids::RequestTier;
 use coltsfootgate_core::membership::{PeerHeartbeat, PeerProfile, PeerRumor, PeerState};
@@ -120,6 +121,15 @@
             }];
             PeerRequest::Announce { pool, requester, held }
         }
+        "state-limit" => {
+            let statement = LimitStatement {
+                endpoint: "pools.a.one".into(),
+                notice: LimitNotice::Limited(2.2),
+                sent_at: now - Duration::from_millis(900),
+                answered_at: now - Duration::from_millis(40),
+            };
+            PeerRequest::StateLimit { pool, statement }
+        }
         "head" => PeerRequest::FetchHead,
         "replicas" => PeerRequest::FetchReplicas,
         _ => PeerRequest::FetchObject(DIGEST.into()),
@@ -136,6 +146,7 @@
         "release",
         "cancel",
         "announce",
+        "state-limit",
         "head",
         "object",
         "replicas"
@@ -153,6 +164,7 @@
 #[case::granted(PeerReply::Granted {
     endpoint: "pools.a.one".into(),
     by_floor: true,
+    is_paced: true,
     pressure: pressure(),
 })]
 #[case::busy(PeerReply::Busy(pressure()))]
