--- a/coltsfootgate/src/dialect/mod.rs
+++ b/coltsfootgate/src/dialect/mod.rs
@@ -53,6 +53,16 @@
     pub deadline: Option<Duration>,
     /// The caller's description of the prompt.
     pub prompt: PromptMetadata,
+    /// Set if the caller takes up a stream again of which it already has events.
+    pub resumption: Option<StreamResumption>,
+}
+
+/// A stream that its caller takes up again after an earlier request for it ended early.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StreamResumption {
+    /// The id that the caller assigned to the request that brought the stream's first event, if it
+    /// states one.
+    pub stream: Option<Arc<str>>,
 }
 
 /// A caller's description of a prompt.
--- a/coltsfootgate/src/dialect/native.rs
+++ b/coltsfootgate/src/dialect/native.rs
@@ -74,6 +74,7 @@
             not_repeatable: not_repeatable(&head.headers)?,
             deadline: deadline(&head.headers)?,
             prompt: PromptMetadata::default(),
+            resumption: None,
         })
     }
 
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -106,6 +106,7 @@
         let admitted = admit_request(context, request, &excluded, caller, journal).await;
         let lease = admitted.map_err(|refusal| adjust_refusal(request, &history, refusal))?;
         let endpoint = lease.endpoint.id.clone();
+        journal.record.endpoint_version = lease.endpoint.version.as_ref().map(ToString::to_string);
         if let Some(claim) = &mut claim {
             let begun = claim.begin_send(request);
             begun.map_err(|refusal| adjust_refusal(request, &history, refusal))?;
--- a/coltsfootgate/src/pipeline/journal.rs
+++ b/coltsfootgate/src/pipeline/journal.rs
@@ -37,6 +37,10 @@
     pub fn from_accepted(accepted: &AcceptedRequest, own: &InstanceId) -> Self {
         let mut journal = Self::new(accepted.id, accepted.arrived, own);
         journal.record.caller_id = accepted.metadata.caller_id.as_ref().map(ToString::to_string);
+        let resumption = accepted.metadata.resumption.as_ref();
+        journal.record.is_resumption = resumption.is_some();
+        let resumes = resumption.and_then(|resumption| resumption.stream.as_deref());
+        journal.record.resumes = resumes.map(ToOwned::to_owned);
         journal
     }
 
--- a/coltsfootgate/src/pipeline/record.rs
+++ b/coltsfootgate/src/pipeline/record.rs
@@ -23,6 +23,12 @@
     pub pool: Option<String>,
     /// The endpoint of its last attempt.
     pub endpoint: Option<String>,
+    /// The version of that endpoint's software.
+    pub endpoint_version: Option<String>,
+    /// Whether its caller already has events of the stream.
+    pub is_resumption: bool,
+    /// The id that its caller assigned to the request that brought the first of these events.
+    pub resumes: Option<String>,
     /// The instance that owns that endpoint.
     pub owner: Option<String>,
     /// Number of grant requests that were sent to owners.
--- a/coltsfootgate_config/src/resolve.rs
+++ b/coltsfootgate_config/src/resolve.rs
@@ -67,6 +67,7 @@
         EndpointSettings {
             id: self.path(),
             replica: None,
+            version: None,
             address: self.text("address").unwrap_or_default(),
             zone: self.text("zone").unwrap_or_default(),
             slots: self.integer("slots"),
--- a/coltsfootgate_core/benches/decision.rs
+++ b/coltsfootgate_core/benches/decision.rs
@@ -103,6 +103,7 @@
 fn endpoint(number: u32) -> EndpointSettings {
     EndpointSettings {
         replica: None,
+        version: None,
         id: format!("pools.model.endpoints.e{number}").into(),
         address: format!("10.0.1.{number}:8000").into(),
         zone: "zone-a".into(),
--- a/coltsfootgate_core/src/ids.rs
+++ b/coltsfootgate_core/src/ids.rs
@@ -19,6 +19,8 @@
 pub type EndpointId = Arc<str>;
 /// Address at which an instance listens for its peers, such as `127.0.0.1:9001`.
 pub type InstanceId = Arc<str>;
+/// Version of the software that an endpoint runs, not of its model weights.
+pub type SoftwareVersion = Arc<str>;
 /// Name of an availability zone.
 pub type ZoneName = Arc<str>;
 /// Version of the settings tree; each accepted change increments it by one.
--- a/coltsfootgate_core/src/prelude.rs
+++ b/coltsfootgate_core/src/prelude.rs
@@ -2,7 +2,7 @@
 
 pub use crate::ids::{
     BranchPath, ClassId, ConfigVersion, CustomerId, EndpointId, GrantId, Incarnation, InstanceId,
-    PoolId, RequestId, RequestTier, ZoneName,
+    PoolId, RequestId, RequestTier, SoftwareVersion, ZoneName,
 };
 pub use crate::outcome::RequestOutcome;
 pub use crate::reason::ErrorKind;
--- a/coltsfootgate_core/src/roster.rs
+++ b/coltsfootgate_core/src/roster.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::ids::{EndpointId, PoolId, ZoneName};
+use crate::ids::{EndpointId, PoolId, SoftwareVersion, ZoneName};
 use crate::settings::EndpointSettings;
 
 /// Time that a replica has to announce itself again after an outage of the source, if its
@@ -30,6 +30,8 @@
     pub pool: PoolId,
     /// Its IP address and port.
     pub address: Arc<str>,
+    /// The version of its software, if it states one.
+    pub version: Option<SoftwareVersion>,
     /// Its availability zone.
     pub zone: ZoneName,
     /// Number of requests that it runs concurrently.
@@ -155,6 +157,7 @@
                 id,
                 replica: Some(announcement.replica.clone()),
                 address: announcement.address.clone(),
+                version: announcement.version.clone(),
                 zone: announcement.zone.clone(),
                 slots: announcement.slots,
                 slots_max: announcement.slots,
--- a/coltsfootgate_core/src/settings.rs
+++ b/coltsfootgate_core/src/settings.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{ClassId, CustomerId, EndpointId, PoolId, RequestTier, ZoneName};
+use crate::ids::{ClassId, CustomerId, EndpointId, PoolId, RequestTier, SoftwareVersion, ZoneName};
 
 /// How an endpoint is chosen for a request.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq, Deserialize, Serialize)]
@@ -150,6 +150,8 @@
     pub replica: Option<Arc<str>>,
     /// Its IP address and port.
     pub address: Arc<str>,
+    /// The version of its software, if it announced one.
+    pub version: Option<SoftwareVersion>,
     /// Its availability zone.
     pub zone: ZoneName,
     /// Initial limit of concurrent requests; adapted to measurements later.
--- a/coltsfootgate_core/tests/roster.rs
+++ b/coltsfootgate_core/tests/roster.rs
@@ -19,6 +19,7 @@
         sequence,
         pool: "pools.model".into(),
         address: format!("10.0.0.{}:8080", name.len()).into(),
+        version: Some("v1".into()),
         zone: "zone-a".into(),
         slots: 4,
         is_leaving: false,
--- a/coltsfootgate_core/tests/support/mod.rs
+++ b/coltsfootgate_core/tests/support/mod.rs
@@ -29,6 +29,7 @@
 pub fn endpoint(number: u32, slots: u32) -> EndpointSettings {
     EndpointSettings {
         replica: None,
+        version: None,
         id: format!("endpoints.e{number}").into(),
         address: format!("127.0.0.1:{}", 8000 + number).into(),
         zone: "zone-a".into(),
--- a/coltsfootgate_wire/src/replica.rs
+++ b/coltsfootgate_wire/src/replica.rs
@@ -25,6 +25,7 @@
     sequence: u64,
     pool: Arc<str>,
     address: Arc<str>,
+    version: Option<Arc<str>>,
     zone: Arc<str>,
     slots: u32,
 }
@@ -55,9 +56,9 @@
 
 impl From<ReplicaAnnouncement> for WireAnnouncement {
     fn from(announcement: ReplicaAnnouncement) -> Self {
-        let ReplicaAnnouncement { replica, born, sequence, pool, address, zone, slots, .. } =
-            announcement;
-        Self { replica, born, sequence, pool, address, zone, slots }
+        let ReplicaAnnouncement { replica, born, sequence, pool, .. } = announcement;
+        let ReplicaAnnouncement { address, version, zone, slots, .. } = announcement;
+        Self { replica, born, sequence, pool, address, version, zone, slots }
     }
 }
 
@@ -72,6 +73,7 @@
             sequence: announcement.sequence,
             pool: check_name(announcement.pool, "pool")?,
             address: check_instance(announcement.address)?,
+            version: announcement.version.map(|one| check_name(one, "version")).transpose()?,
             zone: check_name(announcement.zone, "zone")?,
             slots: announcement.slots,
             is_leaving: false,
--- a/coltsfootgate_wire/tests/messages.rs
+++ b/coltsfootgate_wire/tests/messages.rs
@@ -180,6 +180,7 @@
         sequence: 4,
         pool: "pools.a".into(),
         address: "10.0.0.1:8080".into(),
+        version: Some("v1.1".into()),
         zone: "zone-a".into(),
         slots: 64,
         is_leaving: false,
