--- a/coltsfootgate/src/endpoints/board.rs
+++ b/coltsfootgate/src/endpoints/board.rs
@@ -2,11 +2,13 @@
 
 use std::cell::{Ref, RefCell};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use coltsfootgate_core::ids::EndpointId;
+use coltsfootgate_core::ids::{EndpointId, SoftwareVersion};
 use coltsfootgate_core::roster::{ReplicaChange, ReplicaRoster, ReplicaSnapshot, RosterEvent};
 
+use crate::clock;
+
 /// The replicas that may serve requests; clones share the same roster.
 #[derive(Clone, Debug, Default)]
 pub struct SharedRoster(Rc<RefCell<ReplicaRoster>>);
@@ -22,6 +24,12 @@
         self.0.borrow().is_source_lost()
     }
 
+    /// The software version of all replicas that served a pool within the last `span`, if there was
+    /// only one; `None` if that is not certain.
+    pub fn sole_version(&self, pool: &str, span: Duration) -> Option<Option<SoftwareVersion>> {
+        self.0.borrow().sole_version(pool, span, clock::now())
+    }
+
     /// Borrows the roster, for the task that updates it.
     pub(super) fn borrow(&self) -> Ref<'_, ReplicaRoster> {
         self.0.borrow()
--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -25,6 +25,7 @@
     InstanceDirectory, InstanceRole, InstanceState, ListedInstance, PlatformStore,
 };
 use crate::routes::{MemberWatcher, OwnerClient, PoolStatus, RouteTable};
+use crate::streams::{StreamRegister, follow_instances};
 use crate::tree::{TreeHandle, TreeTask};
 
 /// The handles of a running instance that the daemon uses.
@@ -144,6 +145,7 @@
         let (owner, messages) = OwnerHandle::new();
         let reporter = OwnerReporter::new(self.metrics.clone());
         monoio::spawn(OwnerTask::new(own.clone(), owner.clone(), reporter).run(messages));
+        let streams = StreamRegister::new(own.clone(), self.peers.clone(), roster.clone());
         let routes = RouteTable::new(self.settings.zone.clone());
         let (task_owner, readiness) = (owner.clone(), self.readiness.clone());
         let task = EndpointsTask::new(tree.clone(), task_owner, routes.clone(), readiness, roster);
@@ -158,6 +160,7 @@
             owner_client,
             limits,
             claims,
+            streams,
             endpoints: ConnectionPool::new(),
             records: RequestRecords::default(),
             metrics: self.metrics.clone(),
@@ -185,6 +188,7 @@
             pools.clone(),
         );
         monoio::spawn(watcher.run());
+        monoio::spawn(follow_instances(members.clone(), context.streams.clone()));
         pools
     }
 
@@ -204,6 +208,7 @@
             context.tree.clone(),
             roster,
             context.claims.clone(),
+            context.streams.clone(),
             self.metrics.clone(),
             owner_call_sender,
         );
--- a/coltsfootgate/src/lib.rs
+++ b/coltsfootgate/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod platform;
 pub mod routes;
 pub mod shutdown;
+pub mod streams;
 pub mod tree;
--- a/coltsfootgate/src/owner/desk.rs
+++ b/coltsfootgate/src/owner/desk.rs
@@ -81,6 +81,8 @@
             | PeerRequest::FetchHead
             | PeerRequest::FetchObject(_)
             | PeerRequest::FetchReplicas
+            | PeerRequest::RecordStream { .. }
+            | PeerRequest::FindStream(_)
             | PeerRequest::Claim { .. } => false,
         };
         if is_notification {
--- a/coltsfootgate/src/owner/mod.rs
+++ b/coltsfootgate/src/owner/mod.rs
@@ -68,7 +68,7 @@
         /// Which of its queues.
         scope: OwnerScope,
         /// The grant request.
-        request: GrantRequest,
+        request: Box<GrantRequest>,
         /// Receives the answer.
         answer: oneshot::Sender<GrantAnswer>,
     },
@@ -180,6 +180,7 @@
         request: GrantRequest,
     ) -> Option<GrantAnswer> {
         let (answer, receiver) = oneshot::channel();
+        let request = Box::new(request);
         self.send(OwnerMessage::RequestGrant { pool, scope, request, answer });
         receiver.await.ok()
     }
--- a/coltsfootgate/src/owner/task.rs
+++ b/coltsfootgate/src/owner/task.rs
@@ -91,7 +91,7 @@
     fn handle_message(&mut self, message: OwnerMessage, now: Instant) {
         match message {
             OwnerMessage::RequestGrant { pool, scope, request, answer } => {
-                self.request_grant(&(pool, scope), request, answer, now);
+                self.request_grant(&(pool, scope), *request, answer, now);
             }
             OwnerMessage::Release { pool, scope, report } => {
                 self.handle_event(&(pool, scope), OwnerEvent::Release(report), now);
--- a/coltsfootgate/src/peer/dispatch.rs
+++ b/coltsfootgate/src/peer/dispatch.rs
@@ -13,6 +13,7 @@
 use crate::endpoints::SharedRoster;
 use crate::members::{MemberMessage, MembersHandle};
 use crate::metrics::DaemonMetrics;
+use crate::streams::StreamRegister;
 use crate::tree::TreeHandle;
 
 /// Dispatches requests by their kind.
@@ -21,6 +22,7 @@
     tree: TreeHandle,
     replicas: SharedRoster,
     claims: ClaimsHandle,
+    streams: StreamRegister,
     metrics: DaemonMetrics,
     /// Receives requests about grants and limits.
     owner_calls: UnboundedSender<PeerCall>,
@@ -33,10 +35,11 @@
         tree: TreeHandle,
         replicas: SharedRoster,
         claims: ClaimsHandle,
+        streams: StreamRegister,
         metrics: DaemonMetrics,
         owner_calls: UnboundedSender<PeerCall>,
     ) -> Self {
-        Self { members, tree, replicas, claims, metrics, owner_calls }
+        Self { members, tree, replicas, claims, streams, metrics, owner_calls }
     }
 
     /// Dispatches requests until the listener is dropped.
@@ -76,6 +79,13 @@
             PeerRequest::FetchReplicas => {
                 let _ = reply.send(PeerReply::Replicas(self.replicas.snapshot()));
             }
+            PeerRequest::RecordStream { key, origin, expires } => {
+                self.streams.keep(key, origin, expires);
+                let _ = reply.send(PeerReply::Accepted);
+            }
+            PeerRequest::FindStream(key) => {
+                let _ = reply.send(PeerReply::Stream(self.streams.find_local(&key)));
+            }
             PeerRequest::Claim { change, deadline } => {
                 let claims = self.claims.clone();
                 monoio::spawn(async move {
@@ -109,6 +119,8 @@
         | PeerRequest::FetchObject(_)
         | PeerRequest::FetchReplicas
         | PeerRequest::StateLimit { .. }
+        | PeerRequest::RecordStream { .. }
+        | PeerRequest::FindStream(_)
         | PeerRequest::Claim { .. } => true,
     }
 }
--- a/coltsfootgate/src/pipeline/admit.rs
+++ b/coltsfootgate/src/pipeline/admit.rs
@@ -9,7 +9,7 @@
 use coltsfootgate_core::owner::{
     EngineReservation, GrantRequest, HeldGrant, ReleaseReport, ReleaseResult,
 };
-use coltsfootgate_core::prelude::{EndpointId, EndpointSettings, ErrorKind};
+use coltsfootgate_core::prelude::{EndpointId, EndpointSettings, ErrorKind, SoftwareVersion};
 use coltsfootgate_core::prompt::PromptLoad;
 use futures_util::future::{Either, select};
 
@@ -41,6 +41,15 @@
     is_paced: bool,
 }
 
+/// Which endpoints may get a request.
+#[derive(Clone, Debug, Default)]
+pub struct EndpointNeeds {
+    /// The software version that began the stream that the request continues.
+    pub version: Option<SoftwareVersion>,
+    /// Endpoints that already failed the request.
+    pub excluded: Vec<EndpointId>,
+}
+
 /// The measurements of one attempt at an endpoint.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct AttemptMeasurements {
@@ -114,8 +123,8 @@
 /// Waits until a grant arrives, the deadline passes or the caller disconnects.
 ///
 /// An owner may add an endpoint shortly before this instance does, or not know its limit yet. A grant
-/// for an endpoint that is unknown here, or for which the limit known here leaves no request, is
-/// released, and a grant for another endpoint is requested.
+/// for an endpoint that is unknown here, has another version here, or for which the limit known here
+/// leaves no request, is released, and a grant for another endpoint is requested.
 ///
 /// # Errors
 ///
@@ -123,33 +132,34 @@
 pub async fn admit_request(
     context: &PipelineContext,
     request: &ClassifiedRequest,
-    excluded: &[EndpointId],
+    needs: &EndpointNeeds,
     caller: &mut CallerLink,
     journal: &mut RequestJournal,
 ) -> Result<GrantLease, Refusal> {
-    let mut excluded = excluded.to_vec();
+    let mut needs = needs.clone();
     for _ in 0..UNUSABLE_GRANTS_MAX {
-        match try_admit(context, request, &excluded, caller, journal).await? {
+        match try_admit(context, request, &needs, caller, journal).await? {
             Ok(lease) => return Ok(lease),
-            Err(UnusableGrant(endpoint)) => excluded.push(endpoint),
+            Err(UnusableGrant(endpoint)) => needs.excluded.push(endpoint),
         }
     }
     let message = "the granted endpoints are not known here, or their limits are used up";
     Err(refusal(request, ErrorKind::NoEndpoint, message))
 }
 
-/// The endpoint of a grant that cannot be used: it is not known here, or its limit is used up.
+/// The endpoint of a grant that cannot be used: it is not known here with the needed version, or its
+/// limit is used up.
 struct UnusableGrant(EndpointId);
 
 async fn try_admit(
     context: &PipelineContext,
     request: &ClassifiedRequest,
-    excluded: &[EndpointId],
+    needs: &EndpointNeeds,
     caller: &mut CallerLink,
     journal: &mut RequestJournal,
 ) -> Result<Result<GrantLease, UnusableGrant>, Refusal> {
     let search_started = Instant::now();
-    let template = grant_request(context, request, excluded);
+    let template = grant_request(context, request, needs);
     let mut search = GrantSearch::new(context, &request.pool.id, &template);
     let end =
         match select(std::pin::pin!(search.run()), std::pin::pin!(caller.disconnected())).await {
@@ -178,7 +188,7 @@
                 reservation: EngineReservation::from(&template.prompt),
             };
             let entry = LeaseEntry { pool: request.pool.id.clone(), held, source };
-            Ok(start_lease(context, request, &search, entry, is_paced))
+            Ok(start_lease(context, request, &search, entry, (&needs.version, is_paced)))
         }
         GrantResult::Refused { kind, pressure } => {
             journal.record_wait(search_started.elapsed());
@@ -201,7 +211,7 @@
 fn grant_request(
     context: &PipelineContext,
     request: &ClassifiedRequest,
-    excluded: &[EndpointId],
+    needs: &EndpointNeeds,
 ) -> GrantRequest {
     let is_model = request.pool.is_engine();
     GrantRequest {
@@ -222,7 +232,8 @@
         arrived: request.accepted.arrived,
         deadline: request.deadline,
         prefix: request.prefix,
-        excluded: excluded.to_vec(),
+        version: needs.version.clone(),
+        excluded: needs.excluded.clone(),
         wait: true,
     }
 }
@@ -247,7 +258,7 @@
     request: &ClassifiedRequest,
     search: &GrantSearch<'_>,
     entry: LeaseEntry,
-    is_paced: bool,
+    (version, is_paced): (&Option<SoftwareVersion>, bool),
 ) -> Result<GrantLease, UnusableGrant> {
     let mut report = ReleaseReport {
         requester: context.own.clone(),
@@ -259,6 +270,8 @@
         result: ReleaseResult::Cancelled,
     };
     let endpoint = context.routes.endpoint(&request.pool.id, &entry.held.endpoint);
+    // The owner may know another process at the endpoint's address than this instance.
+    let endpoint = endpoint.filter(|one| version.is_none() || one.version == *version);
     let is_allowed = is_paced || context.routes.admit_unpaced(&entry.held.endpoint);
     let Some(endpoint) = endpoint.filter(|_| is_allowed) else {
         report.result = ReleaseResult::NotSent;
--- a/coltsfootgate/src/pipeline/context.rs
+++ b/coltsfootgate/src/pipeline/context.rs
@@ -12,6 +12,7 @@
 use crate::metrics::DaemonMetrics;
 use crate::operators::RequestRecords;
 use crate::routes::{OwnerClient, RouteTable};
+use crate::streams::StreamRegister;
 use crate::tree::TreeHandle;
 
 /// Handles to the tasks and shared state of this instance.
@@ -30,6 +31,8 @@
     pub limits: LimitHandle,
     /// The claims on idempotency keys.
     pub claims: ClaimsHandle,
+    /// Where recent streams began.
+    pub streams: StreamRegister,
     /// The connections to endpoints.
     pub endpoints: ConnectionPool,
     /// The records of recent requests.
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -9,11 +9,12 @@
     AttemptFailure, AttemptHistory, FailureCause, FailureStage, RetryConditions,
 };
 use coltsfootgate_core::owner::ReleaseResult;
-use coltsfootgate_core::prelude::{EndpointId, ErrorKind};
+use coltsfootgate_core::prelude::ErrorKind;
 use coltsfootgate_core::retry::RetryDecision;
+use coltsfootgate_core::stream::StreamOrigin;
 use futures_util::future::{Either, select};
 
-use super::admit::{AttemptMeasurements, GrantLease, admit_request, refusal};
+use super::admit::{AttemptMeasurements, EndpointNeeds, GrantLease, admit_request, refusal};
 use super::claim::{ClaimLease, ClaimResult, claim_request};
 use super::classify::{AnswerForm, ClassifiedRequest, classify_request};
 use super::context::PipelineContext;
@@ -22,6 +23,7 @@
 use super::journal::RequestJournal;
 use super::limit::limit_request;
 use super::relay::{RelayEnd, RelayTask};
+use super::resume::{endpoint_origin, find_origin, required_version};
 use super::settle::{RequestEnd, settle_request};
 use crate::dialect::{Dialect, EndpointDialect};
 use crate::endpoint::{EndpointAnswer, EndpointFailure};
@@ -37,14 +39,19 @@
     mut caller: CallerLink,
 ) {
     let mut journal = RequestJournal::from_accepted(&accepted, &context.own);
-    let request = match prepare_request(&context, accepted, &mut journal) {
+    let mut request = match prepare_request(&context, accepted, &mut journal) {
         Ok(request) => request,
         Err(refusal) => {
             let end = RequestEnd::Refused(refusal);
             return settle_request::<D::Callers>(&context, None, journal, caller, end).await;
         }
     };
-    let end = serve_request::<D>(&context, &request, &mut caller, &mut journal).await;
+    let end = match find_origin(&context, &mut request, &mut journal).await {
+        Ok(origin) => {
+            serve_request::<D>(&context, &request, origin, &mut caller, &mut journal).await
+        }
+        Err(refusal) => Err(refusal),
+    };
     let end = end.unwrap_or_else(RequestEnd::Refused);
     settle_request::<D::Callers>(&context, Some(&request), journal, caller, end).await;
 }
@@ -73,14 +80,18 @@
 async fn serve_request<D: Dialect>(
     context: &PipelineContext,
     request: &ClassifiedRequest,
+    origin: Option<StreamOrigin>,
     caller: &mut CallerLink,
     journal: &mut RequestJournal,
 ) -> Result<RequestEnd, Refusal> {
     let permit = limit_request(context, request, caller).await?;
     let end = match claim_request(context, request, caller).await? {
-        ClaimResult::NotNeeded => run_attempts::<D>(context, request, None, caller, journal).await,
+        ClaimResult::NotNeeded => {
+            run_attempts::<D>(context, request, origin, None, caller, journal).await
+        }
         ClaimResult::Granted(mut lease) => {
-            let end = run_attempts::<D>(context, request, Some(&mut lease), caller, journal).await;
+            let claim = Some(&mut lease);
+            let end = run_attempts::<D>(context, request, origin, claim, caller, journal).await;
             lease.settle(&end);
             end
         }
@@ -94,18 +105,22 @@
 async fn run_attempts<D: Dialect>(
     context: &PipelineContext,
     request: &ClassifiedRequest,
+    mut origin: Option<StreamOrigin>,
     mut claim: Option<&mut ClaimLease>,
     caller: &mut CallerLink,
     journal: &mut RequestJournal,
 ) -> Result<RequestEnd, Refusal> {
-    let mut excluded: Vec<EndpointId> = Vec::new();
+    let mut needs = EndpointNeeds::default();
     let mut history = AttemptHistory::new(retry_conditions(request, claim.is_some()));
     let mut last_event = None;
     context.budgets.record_request(&request.class);
     loop {
-        let admitted = admit_request(context, request, &excluded, caller, journal).await;
+        let version = required_version(context, request, origin.as_ref());
+        needs.version = version.map_err(|refusal| adjust_refusal(request, &history, refusal))?;
+        let admitted = admit_request(context, request, &needs, caller, journal).await;
         let lease = admitted.map_err(|refusal| adjust_refusal(request, &history, refusal))?;
         let endpoint = lease.endpoint.id.clone();
+        let attempted = endpoint_origin(request, &lease.endpoint);
         journal.record.endpoint_version = lease.endpoint.version.as_ref().map(ToString::to_string);
         if let Some(claim) = &mut claim {
             let begun = claim.begin_send(request);
@@ -118,6 +133,7 @@
         let resume = ResumePoint { offset, last_event: &mut last_event, may_abandon };
         let end = run_attempt::<D>(context, request, lease, resume, caller, journal).await;
         if caller.has_started() {
+            origin.get_or_insert(attempted);
             history.record_relayed(journal.record.tokens - history.caller_tokens());
         }
         let (failure, answer) = match end {
@@ -143,7 +159,7 @@
         };
         context.metrics.retried(&request.class.id, reason);
         journal.record.retries.push(reason.name());
-        excluded.push(endpoint);
+        needs.excluded.push(endpoint);
         monoio::time::sleep(delay).await;
     }
 }
@@ -186,6 +202,7 @@
     let ResumePoint { offset, last_event, may_abandon } = resume;
     let resume_after = last_event.clone();
     let mut task = RelayTask {
+        context,
         request,
         lease: &lease,
         attempt: &attempt,
--- a/coltsfootgate/src/pipeline/mod.rs
+++ b/coltsfootgate/src/pipeline/mod.rs
@@ -15,6 +15,7 @@
 pub mod limit;
 pub mod record;
 pub mod relay;
+pub mod resume;
 pub mod route;
 pub mod settle;
 
--- a/coltsfootgate/src/pipeline/record.rs
+++ b/coltsfootgate/src/pipeline/record.rs
@@ -29,6 +29,8 @@
     pub is_resumption: bool,
     /// The id that its caller assigned to the request that brought the first of these events.
     pub resumes: Option<String>,
+    /// How it was determined which software version began a stream that its caller takes up again.
+    pub origin: Option<&'static str>,
     /// The instance that owns that endpoint.
     pub owner: Option<String>,
     /// Number of grant requests that were sent to owners.
--- a/coltsfootgate/src/pipeline/relay.rs
+++ b/coltsfootgate/src/pipeline/relay.rs
@@ -10,8 +10,10 @@
 
 use super::admit::{AttemptMeasurements, GrantLease};
 use super::classify::{AnswerForm, ClassifiedRequest};
+use super::context::PipelineContext;
 use super::dispatch::answer_headers;
 use super::journal::RequestJournal;
+use super::resume::record_origin;
 use super::settle::{ServedAnswer, outcome_headers, stream_head};
 use crate::dialect::CallerDialect;
 use crate::endpoint::event::{ChunkFields, EventReader, StreamEvent};
@@ -36,6 +38,8 @@
 
 /// The state needed to relay the answer of one attempt.
 pub struct RelayTask<'a> {
+    /// The state shared by all requests.
+    pub context: &'a PipelineContext,
     /// The request.
     pub request: &'a ClassifiedRequest,
     /// The grant under which it was sent.
@@ -173,6 +177,7 @@
             };
             if !events.is_empty() {
                 if !caller.has_started() {
+                    record_origin(self.context, self.request, &self.lease.endpoint).await;
                     caller.start_stream(status, headers.clone());
                 }
                 if let Err(end) = self.forward_events(events, caller, journal).await {
--- /dev/null
+++ b/coltsfootgate/src/pipeline/resume.rs
@@ -0,0 +1,141 @@
+//! Finds out which software version began a stream that is to be continued.
+
+use std::time::{Duration, Instant};
+
+use coltsfootgate_core::comeback::retry_after_delay;
+use coltsfootgate_core::prelude::{EndpointSettings, ErrorKind, SoftwareVersion};
+use coltsfootgate_core::stream::{StreamKey, StreamOrigin};
+
+use super::admit::refusal;
+use super::classify::{AnswerForm, ClassifiedRequest};
+use super::context::PipelineContext;
+use super::journal::RequestJournal;
+use crate::dialect::StreamResumption;
+use crate::entry::Refusal;
+
+/// How long a stream's origin is kept beyond the deadline of its caller.
+const RECORD_MARGIN: Duration = Duration::from_secs(5);
+/// Longest time for which a stream's origin is kept.
+const RECORD_TIME_MAX: Duration = Duration::from_secs(600);
+/// Multiple of a class's timeout within which a stream that is taken up again began.
+const STREAM_AGE_FACTOR: u32 = 2;
+
+/// Finds where a stream began that the caller takes up again, and returns the request to that pool;
+/// `None` for any other request.
+///
+/// # Errors
+///
+/// Refuses the request if the origin is not known, or its class no longer uses that pool.
+pub async fn find_origin(
+    context: &PipelineContext,
+    request: &mut ClassifiedRequest,
+    journal: &mut RequestJournal,
+) -> Result<Option<StreamOrigin>, Refusal> {
+    let accepted = request.accepted.clone();
+    let resumption = accepted.metadata.resumption.as_ref().filter(|_| is_resumable(request));
+    let Some(resumption) = resumption else { return Ok(None) };
+    let (origin, source) = look_up(context, request, resumption).await;
+    journal.record.origin = Some(source);
+    let Some(origin) = origin else {
+        let kind = ErrorKind::StreamUnknown;
+        let message = "it is not known which software version began the stream";
+        let delay = retry_after_delay(kind, Duration::ZERO, rand::random());
+        return Err(refusal(request, kind, message).with_retry_after(delay));
+    };
+    return_to_pool(request, &origin)?;
+    Ok(Some(origin))
+}
+
+/// Looks up where a stream began; returns also how that was determined.
+///
+/// Without a record, the stream is continued only if a single version served since it can have begun.
+async fn look_up(
+    context: &PipelineContext,
+    request: &ClassifiedRequest,
+    resumption: &StreamResumption,
+) -> (Option<StreamOrigin>, &'static str) {
+    let key = resumption.stream.as_ref().and_then(|stream| stream_key(request, stream));
+    let recorded = match &key {
+        Some(key) => context.streams.find(key).await,
+        None => None,
+    };
+    if recorded.is_some() {
+        return (recorded, "record");
+    }
+    let sole = sole_origin(context, request);
+    let source = if sole.is_some() { "sole-version" } else { "unknown" };
+    (sole, source)
+}
+
+/// Sets the pool of a request to the one at which its stream began.
+fn return_to_pool(request: &mut ClassifiedRequest, origin: &StreamOrigin) -> Result<(), Refusal> {
+    if origin.pool == request.pool.id {
+        return Ok(());
+    }
+    let is_used = request.class.pools.iter().any(|share| share.pool == origin.pool);
+    let pool = request.active.tree.pool(&origin.pool).filter(|_| is_used);
+    let Some(pool) = pool else {
+        let message = "the pool that began the stream no longer serves its class";
+        return Err(refusal(request, ErrorKind::NoEndpoint, message));
+    };
+    request.pool = pool;
+    Ok(())
+}
+
+/// The software version that a request's endpoint must have to continue its stream; `None` if no
+/// version is required.
+///
+/// # Errors
+///
+/// Refuses the request if the stream began at an endpoint that states no version, among others that
+/// do.
+pub fn required_version(
+    context: &PipelineContext,
+    request: &ClassifiedRequest,
+    origin: Option<&StreamOrigin>,
+) -> Result<Option<SoftwareVersion>, Refusal> {
+    let Some(origin) = origin else { return Ok(None) };
+    if origin.version.is_none() && context.routes.has_versions(&request.pool.id) {
+        let message = "the stream began at an endpoint that states no software version";
+        return Err(refusal(request, ErrorKind::NoEndpoint, message));
+    }
+    Ok(origin.version.clone())
+}
+
+/// Records where the first event of a stream comes from, before the caller gets it.
+pub async fn record_origin(
+    context: &PipelineContext,
+    request: &ClassifiedRequest,
+    endpoint: &EndpointSettings,
+) {
+    let Some(id) = request.accepted.metadata.caller_id.as_ref().filter(|_| is_resumable(request))
+    else {
+        return;
+    };
+    let Some(key) = stream_key(request, id) else { return };
+    let now = Instant::now();
+    let time_left = request.deadline.saturating_duration_since(now) + RECORD_MARGIN;
+    let expires = now + time_left.min(RECORD_TIME_MAX);
+    context.streams.record(key, endpoint_origin(request, endpoint), expires).await;
+}
+
+/// The origin of a stream whose first event came from an endpoint.
+pub fn endpoint_origin(request: &ClassifiedRequest, endpoint: &EndpointSettings) -> StreamOrigin {
+    StreamOrigin { pool: request.pool.id.clone(), version: endpoint.version.clone() }
+}
+
+fn is_resumable(request: &ClassifiedRequest) -> bool {
+    request.form == AnswerForm::EventStream && request.class.resume
+}
+
+fn stream_key(request: &ClassifiedRequest, stream: &str) -> Option<StreamKey> {
+    StreamKey::new(request.customer.id.clone(), stream)
+}
+
+/// The origin of every stream that can be taken up now, if a single version served since the oldest
+/// of them began.
+fn sole_origin(context: &PipelineContext, request: &ClassifiedRequest) -> Option<StreamOrigin> {
+    let span = request.class.timeout * STREAM_AGE_FACTOR;
+    let version = context.streams.sole_version(&request.pool.id, span)?;
+    Some(StreamOrigin { pool: request.pool.id.clone(), version })
+}
--- a/coltsfootgate/src/pipeline/route.rs
+++ b/coltsfootgate/src/pipeline/route.rs
@@ -56,12 +56,16 @@
 impl<'a> GrantSearch<'a> {
     /// Creates a search; each grant request has a grant id of its own.
     pub fn new(context: &'a PipelineContext, pool: &str, grant_request: &'a GrantRequest) -> Self {
+        let mut excluded = grant_request.excluded.clone();
+        if let Some(version) = &grant_request.version {
+            excluded.extend(context.routes.endpoints_of_other_versions(pool, version));
+        }
         let route = RequestRoute::new(RouteRequest {
             pool: pool.into(),
             rank: grant_request.rank(),
             prefix: grant_request.prefix,
             deadline: grant_request.deadline,
-            excluded: grant_request.excluded.clone(),
+            excluded,
             random: rand::random(),
         });
         Self { context, grant_request, route, pressure: OwnerPressure::default(), asked: 0 }
--- a/coltsfootgate/src/routes/mod.rs
+++ b/coltsfootgate/src/routes/mod.rs
@@ -142,6 +142,24 @@
         pool.endpoints.iter().find(|candidate| candidate.id == *endpoint).cloned()
     }
 
+    /// Whether any endpoint of a pool states the version of its software.
+    pub fn has_versions(&self, pool: &str) -> bool {
+        let state = self.0.borrow();
+        let pool = state.pools.as_ref().and_then(|pools| pools.pool(pool));
+        pool.is_some_and(|pool| pool.endpoints.iter().any(|endpoint| endpoint.version.is_some()))
+    }
+
+    /// Returns the endpoints of a pool whose software has another version than this one.
+    pub fn endpoints_of_other_versions(&self, pool: &str, version: &str) -> Vec<EndpointId> {
+        let state = self.0.borrow();
+        let Some(pool) = state.pools.as_ref().and_then(|pools| pools.pool(pool)) else {
+            return Vec::new();
+        };
+        let others = pool.endpoints.iter();
+        let others = others.filter(|endpoint| endpoint.version.as_deref() != Some(version));
+        others.map(|endpoint| endpoint.id.clone()).collect()
+    }
+
     /// Returns the instance that owns an endpoint.
     pub fn owner_of(&self, endpoint: &EndpointId) -> Option<InstanceId> {
         self.0.borrow().endpoint_owners.get(endpoint).cloned()
--- /dev/null
+++ b/coltsfootgate/src/streams/mod.rs
@@ -0,0 +1,137 @@
+//! Remembers, together with other instances, which software version began each stream.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_channel::mpsc::unbounded;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use monoio::time::timeout;
+
+use coltsfootgate_core::prelude::{InstanceId, SoftwareVersion};
+use coltsfootgate_core::rendezvous::{OwnerTable, stable_hash};
+use coltsfootgate_core::stream::{StreamBook, StreamKey, StreamOrigin};
+use coltsfootgate_wire::{PeerReply, PeerRequest};
+
+use crate::clock;
+use crate::endpoints::SharedRoster;
+use crate::members::{MemberChange, MembersHandle};
+use crate::peer::PeerHandle;
+
+/// Number of groups of streams; those of one group are recorded at the same instances, so that an
+/// instance of a large fleet needs connections to a part of the others only.
+const STREAM_GROUPS: u64 = 32;
+/// Number of other instances at which each stream is recorded.
+const COPIES: usize = 2;
+/// Number of instances that are asked for a record; more than hold one, since some may have joined
+/// or failed since it was made.
+const ASKED_INSTANCES: usize = 4;
+/// Longest time for which the first event of a stream waits for its record.
+const RECORD_WAIT_MAX: Duration = Duration::from_millis(30);
+/// Time limit for delivering a record.
+const RECORD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time limit for the answer to a question about a stream.
+const FIND_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// The origins of recent streams; clones share the same state.
+#[derive(Clone)]
+pub struct StreamRegister(Rc<RegisterState>);
+
+struct RegisterState {
+    own: InstanceId,
+    peers: PeerHandle,
+    roster: SharedRoster,
+    book: RefCell<StreamBook>,
+    instances: RefCell<OwnerTable>,
+}
+
+impl StreamRegister {
+    /// Creates the register of an instance that knows no other one yet.
+    pub fn new(own: InstanceId, peers: PeerHandle, roster: SharedRoster) -> Self {
+        let (book, instances) = (RefCell::default(), RefCell::default());
+        Self(Rc::new(RegisterState { own, peers, roster, book, instances }))
+    }
+
+    /// Records where a stream began, here and at other instances; returns once one of them has the
+    /// record, or after a short time.
+    ///
+    /// If this instance fails without one, the stream is not continued at any version.
+    pub async fn record(&self, key: StreamKey, origin: StreamOrigin, expires: Instant) {
+        let (acknowledged, mut acknowledgements) = unbounded();
+        for instance in self.ranked_instances(&key).into_iter().take(COPIES) {
+            let (peers, acknowledged) = (self.0.peers.clone(), acknowledged.clone());
+            let (key, origin) = (key.clone(), origin.clone());
+            let request = PeerRequest::RecordStream { key, origin, expires };
+            monoio::spawn(async move {
+                let deadline = clock::now() + RECORD_TIMEOUT;
+                match peers.call(&instance, request, deadline).await {
+                    // Fails once another instance has acknowledged the record.
+                    Ok(_) => drop(acknowledged.unbounded_send(())),
+                    Err(error) => {
+                        log::debug!("could not record a stream at {instance}: {}", error.name());
+                    }
+                }
+            });
+        }
+        drop(acknowledged);
+        self.keep(key, origin, expires);
+        // Ends at once if no other instance is known.
+        let _ = timeout(RECORD_WAIT_MAX, acknowledgements.next()).await;
+    }
+
+    /// Records at this instance alone where a stream began.
+    pub fn keep(&self, key: StreamKey, origin: StreamOrigin, expires: Instant) {
+        self.0.book.borrow_mut().record(key, origin, expires, clock::now());
+    }
+
+    /// Where a stream began, if this instance has a record of it.
+    pub fn find_local(&self, key: &StreamKey) -> Option<StreamOrigin> {
+        self.0.book.borrow().find(key, clock::now())
+    }
+
+    /// Where a stream began, according to this instance or others.
+    pub async fn find(&self, key: &StreamKey) -> Option<StreamOrigin> {
+        if let Some(origin) = self.find_local(key) {
+            return Some(origin);
+        }
+        let deadline = clock::now() + FIND_TIMEOUT;
+        let asked = self.ranked_instances(key).into_iter().take(ASKED_INSTANCES);
+        let mut answers: FuturesUnordered<_> = asked
+            .map(|instance| async move {
+                let request = PeerRequest::FindStream(key.clone());
+                self.0.peers.call(&instance, request, deadline).await
+            })
+            .collect();
+        while let Some(answer) = answers.next().await {
+            if let Ok(PeerReply::Stream(Some(origin))) = answer {
+                return Some(origin);
+            }
+        }
+        None
+    }
+
+    /// The software version of all replicas that served a pool within the last `span`, if there was
+    /// only one; `None` if that is not certain.
+    pub fn sole_version(&self, pool: &str, span: Duration) -> Option<Option<SoftwareVersion>> {
+        self.0.roster.sole_version(pool, span)
+    }
+
+    /// The other instances, in the order in which they hold the record of a stream.
+    fn ranked_instances(&self, key: &StreamKey) -> Vec<InstanceId> {
+        let group = stable_hash(key.stream.as_bytes()) % STREAM_GROUPS;
+        let instances = self.0.instances.borrow();
+        let ranked = instances.ranked(&format!("streams.{group}"));
+        ranked.into_iter().filter(|id| **id != self.0.own).cloned().collect()
+    }
+}
+
+/// Passes the live instances to a register until the membership task has ended.
+pub async fn follow_instances(members: MembersHandle, streams: StreamRegister) {
+    let mut changes = members.subscribe();
+    while let Some(change) = changes.next().await {
+        if let MemberChange::View(view) = change {
+            *streams.0.instances.borrow_mut() = view.owners.clone();
+        }
+    }
+}
--- a/coltsfootgate/tests/reasons.rs
+++ b/coltsfootgate/tests/reasons.rs
@@ -192,8 +192,11 @@
 
 #[test]
 fn every_reason_is_covered_by_a_test() {
-    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests");
-    let files = std::fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path());
+    // Some reasons need endpoints that announce themselves, which only the platform has.
+    let own = concat!(env!("CARGO_MANIFEST_DIR"), "/tests");
+    let platform = concat!(env!("CARGO_MANIFEST_DIR"), "/../platform/tests");
+    let folders = [own, platform].into_iter().flat_map(|folder| std::fs::read_dir(folder).unwrap());
+    let files = folders.map(|entry| entry.unwrap().path());
     let sources = files.filter(|path| path.extension().is_some_and(|suffix| suffix == "rs"));
     let text: String = sources.map(|path| std::fs::read_to_string(path).unwrap()).collect();
     let is_missing = |code: &&str| !text.contains(&format!("\"{code}\""));
--- a/coltsfootgate_config/src/rule.rs
+++ b/coltsfootgate_config/src/rule.rs
@@ -72,7 +72,7 @@
             (ConfigSection::Classes, "deadline")
         }
         ErrorKind::RetriesSpent => (ConfigSection::Classes, "retry_budget"),
-        ErrorKind::AnswerCutShort => (ConfigSection::Classes, "resume"),
+        ErrorKind::AnswerCutShort | ErrorKind::StreamUnknown => (ConfigSection::Classes, "resume"),
         ErrorKind::KeyReused | ErrorKind::KeyInFlight => (ConfigSection::Classes, "repeatable"),
         ErrorKind::KeyTooOld | ErrorKind::ClaimUnavailable | ErrorKind::ClaimExpired => {
             (ConfigSection::Deployment, "claim_window")
--- a/coltsfootgate_core/benches/decision.rs
+++ b/coltsfootgate_core/benches/decision.rs
@@ -73,6 +73,7 @@
             arrived: self.start,
             deadline: self.start + Duration::from_secs(86_400),
             prefix: Some(grant % 5_000),
+            version: None,
             excluded: Vec::new(),
             wait: true,
         }));
--- a/coltsfootgate_core/src/comeback.rs
+++ b/coltsfootgate_core/src/comeback.rs
@@ -11,8 +11,8 @@
 const DELAY_MIN: Duration = Duration::from_millis(50);
 /// Maximum delay; if the queue takes longer, a caller that retries receives a new delay.
 const DELAY_MAX: Duration = Duration::from_secs(10);
-/// Minimum delay without endpoints, within which a lost endpoint is probed again or a new one is
-/// announced.
+/// Minimum delay without endpoints or peers that answer, within which a lost one is probed again or a
+/// new one is announced.
 const NO_ENDPOINT_DELAY_MIN: Duration = Duration::from_millis(500);
 /// Maximum jitter, as a share of the delay.
 const JITTER: f64 = 0.5;
@@ -21,7 +21,10 @@
 ///
 /// `random` lies between 0 and 1 and spreads the retries of callers that are refused together.
 pub fn retry_after_delay(kind: ErrorKind, queue_time: Duration, random: f64) -> Duration {
-    let minimum = if kind == ErrorKind::NoEndpoint { NO_ENDPOINT_DELAY_MIN } else { DELAY_MIN };
+    let minimum = match kind {
+        ErrorKind::NoEndpoint | ErrorKind::StreamUnknown => NO_ENDPOINT_DELAY_MIN,
+        _ => DELAY_MIN,
+    };
     let delay = queue_time.max(minimum).mul_f64(1.0 + JITTER * random.clamp(0.0, 1.0));
     delay.min(DELAY_MAX)
 }
--- a/coltsfootgate_core/src/lib.rs
+++ b/coltsfootgate_core/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod roster;
 pub mod routing;
 pub mod settings;
+pub mod stream;
--- a/coltsfootgate_core/src/owner/choice.rs
+++ b/coltsfootgate_core/src/owner/choice.rs
@@ -44,7 +44,7 @@
         let lowest_error_rate = self.lowest_error_rate(now);
         let last_position = self.endpoints.len().saturating_sub(1).max(1) as f64;
         let candidates = self.endpoints.iter().enumerate().filter(|(_, (id, endpoint))| {
-            endpoint.free_slots(now) > 0 && !request.excluded.contains(id)
+            endpoint.free_slots(now) > 0 && endpoint.may_serve(id, request)
         });
         let mut cause = DeferralCause::NoSlot;
         let costs = candidates.filter_map(|(position, (id, endpoint))| {
@@ -77,7 +77,7 @@
     ) -> Option<EndpointId> {
         let lowest_error_rate = self.lowest_error_rate(now);
         let candidates = self.endpoints.iter().filter(|(id, endpoint)| {
-            endpoint.free_slots(now) > 0 && !request.excluded.contains(id)
+            endpoint.free_slots(now) > 0 && endpoint.may_serve(id, request)
         });
         let cost = |(id, endpoint): &(&EndpointId, &OwnedEndpoint)| {
             let affinity_bonus = if hint == Some(id) { AFFINITY_BONUS } else { 0.0 };
--- a/coltsfootgate_core/src/owner/dispatch.rs
+++ b/coltsfootgate_core/src/owner/dispatch.rs
@@ -70,8 +70,13 @@
     }
 
     fn add(&mut self, queued: QueuedRequest) {
-        self.failed_attempts += 1;
         let request = &queued.request;
+        // Others may use the endpoints that a request cannot use for their software version.
+        if request.version.is_some() {
+            self.skipped.push(queued);
+            return;
+        }
+        self.failed_attempts += 1;
         if request.prompt.is_known() {
             let (rank, tokens) = (request.rank(), request.prompt.tokens);
             self.prompts = Some(match self.prompts {
--- a/coltsfootgate_core/src/owner/endpoint.rs
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -54,6 +54,12 @@
         self.is_owned && !self.is_draining && self.health.state() != EndpointState::Ejected
     }
 
+    /// Whether a request may be sent to this endpoint, whose id is `id`, once it has a free slot.
+    pub(super) fn may_serve(&self, id: &EndpointId, request: &GrantRequest) -> bool {
+        let has_version = request.version.is_none() || request.version == self.settings.version;
+        has_version && !request.excluded.contains(id)
+    }
+
     /// Current maximum number of concurrent requests.
     fn limit(&self, now: Instant) -> u32 {
         if self.is_in_service() { self.health.allowed_slots(self.slots.limit(), now) } else { 0 }
@@ -145,11 +151,11 @@
         self.endpoints.values().any(OwnedEndpoint::is_in_service)
     }
 
-    /// Whether any endpoint that accepts new requests is not excluded by this request.
+    /// Whether any endpoint that accepts new requests may serve this request.
     pub fn can_ever_serve(&self, request: &GrantRequest) -> bool {
         self.endpoints
             .iter()
-            .any(|(id, endpoint)| endpoint.is_in_service() && !request.excluded.contains(id))
+            .any(|(id, endpoint)| endpoint.is_in_service() && endpoint.may_serve(id, request))
     }
 
     /// The number of free slots and of all slots.
--- a/coltsfootgate_core/src/owner/event.rs
+++ b/coltsfootgate_core/src/owner/event.rs
@@ -6,7 +6,8 @@
 use super::waiting::WaitingCounts;
 use crate::endpoint_limit::LimitStatement;
 use crate::ids::{
-    ClassId, CustomerId, EndpointId, GrantId, InstanceId, RequestId, RequestTier, ZoneName,
+    ClassId, CustomerId, EndpointId, GrantId, InstanceId, RequestId, RequestTier, SoftwareVersion,
+    ZoneName,
 };
 use crate::prompt::PromptLoad;
 use crate::reason::ErrorKind;
@@ -49,6 +50,8 @@
     pub deadline: Instant,
     /// Digest of the prompt's prefix, to prefer endpoints that have it cached.
     pub prefix: Option<u64>,
+    /// The software version that the endpoint must have; any if the request continues no stream.
+    pub version: Option<SoftwareVersion>,
     /// Endpoints that already failed this request.
     pub excluded: Vec<EndpointId>,
     /// Whether to queue the request when no slot is free.
--- a/coltsfootgate_core/src/roster.rs
+++ b/coltsfootgate_core/src/roster.rs
@@ -17,6 +17,9 @@
 /// service.
 pub const LEFT_RETENTION: Duration = Duration::from_secs(120);
 
+/// How long a version is remembered after its last replica was removed.
+const VERSION_RETENTION: Duration = Duration::from_secs(3600);
+
 /// The description of itself that a replica stores with the source.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ReplicaAnnouncement {
@@ -111,6 +114,10 @@
 pub struct ReplicaRoster {
     entries: BTreeMap<Arc<str>, RosterEntry>,
     left: HashMap<EndpointId, Instant>,
+    /// When replicas of each pool and version were last removed.
+    removed: HashMap<(PoolId, Option<SoftwareVersion>), Instant>,
+    /// Since when the source was reachable without interruption.
+    complete_since: Option<Instant>,
     is_source_lost: bool,
     /// When the source last became reachable after an outage.
     source_returned: Option<Instant>,
@@ -137,7 +144,10 @@
                 self.mark_source_reachable(now);
                 self.withdraw(&replica, may_have_expired, now, &mut changes);
             }
-            RosterEvent::SourceLost => self.is_source_lost = true,
+            RosterEvent::SourceLost => {
+                self.is_source_lost = true;
+                self.complete_since = None;
+            }
             RosterEvent::PeerSnapshot(snapshot) => self.merge_snapshot(snapshot, now, &mut changes),
             RosterEvent::Tick => {}
         }
@@ -171,6 +181,29 @@
         self.is_source_lost
     }
 
+    /// The software version of all replicas that served a pool within the last `span`, if there was
+    /// only one; `None` if others served or may have served unnoticed.
+    pub fn sole_version(
+        &self,
+        pool: &str,
+        span: Duration,
+        now: Instant,
+    ) -> Option<Option<SoftwareVersion>> {
+        let is_complete = self.complete_since.is_some_and(|since| since + span <= now);
+        if self.is_source_lost || !is_complete {
+            return None;
+        }
+        let announcements = self.entries.values().map(|entry| &entry.announcement);
+        let present = announcements.filter(|one| &*one.pool == pool).map(|one| &one.version);
+        let removed = self
+            .removed
+            .iter()
+            .filter(|((removed, _), at)| &**removed == pool && **at + span > now);
+        let mut versions = present.chain(removed.map(|((_, version), _)| version));
+        let first = versions.next()?;
+        versions.all(|version| version == first).then(|| first.clone())
+    }
+
     /// The replicas known here, for other instances.
     pub fn snapshot(&self) -> ReplicaSnapshot {
         let announcements = self.entries.values().map(|entry| entry.announcement.clone());
@@ -190,6 +223,7 @@
     ) {
         self.is_populated = true;
         self.mark_source_reachable(now);
+        self.complete_since.get_or_insert(now);
         let may_have_expired =
             self.source_returned.is_some_and(|returned| now < returned + REANNOUNCE_TIMEOUT);
         let listed: Vec<Arc<str>> = announcements.iter().map(|one| one.replica.clone()).collect();
@@ -240,6 +274,11 @@
             if order < (known.born, known.sequence) {
                 return;
             }
+            let is_same = known.endpoint_id() == id && known.version == announcement.version;
+            if !is_same {
+                let version = (known.pool.clone(), known.version.clone());
+                self.removed.insert(version, now);
+            }
             if known.born < announcement.born {
                 changes.push((known.endpoint_id(), ReplicaChange::Gone));
             }
@@ -274,6 +313,8 @@
             return;
         }
         let id = entry.announcement.endpoint_id();
+        let version = (entry.announcement.pool.clone(), entry.announcement.version.clone());
+        self.removed.insert(version, now);
         self.entries.remove(replica);
         self.left.insert(id.clone(), now);
         changes.push((id, ReplicaChange::Gone));
@@ -307,5 +348,6 @@
             self.withdraw(&replica, false, now, changes);
         }
         self.left.retain(|_, since| now < *since + LEFT_RETENTION);
+        self.removed.retain(|_, at| now < *at + VERSION_RETENTION);
     }
 }
--- a/coltsfootgate_core/tests/roster.rs
+++ b/coltsfootgate_core/tests/roster.rs
@@ -141,3 +141,57 @@
     roster.handle(RosterEvent::Withdrawn("a".into()), recovered + Duration::from_millis(500));
     assert_eq!(serving(&roster), ["b@1"]);
 }
+
+/// Time for which a version must have been the only one.
+const VERSION_SPAN: Duration = Duration::from_secs(30);
+
+fn versioned(name: &str, sequence: u64, version: &str) -> ReplicaAnnouncement {
+    ReplicaAnnouncement { version: Some(version.into()), ..replica(name, 1, sequence) }
+}
+
+/// Events at 10 s, after two replicas of v1 were listed; the question is asked at `asked_s`.
+#[rstest]
+#[case::nothing_else(&[], 40, true)]
+#[case::not_for_long_enough(&[], 29, false)]
+#[case::another_version_serves(&[RosterEvent::Announced(versioned("c", 1, "v2"))], 60, false)]
+#[case::another_version_served(
+    &[RosterEvent::Announced(versioned("c", 1, "v2")), RosterEvent::Withdrawn("c".into())], 39, false
+)]
+#[case::another_version_served_long_ago(
+    &[RosterEvent::Announced(versioned("c", 1, "v2")), RosterEvent::Withdrawn("c".into())], 40, true
+)]
+#[case::a_leaving_one_still_serves(&[RosterEvent::Announced(leaving(versioned("c", 1, "v2")))], 60, false)]
+#[case::a_replica_changed_its_version(&[RosterEvent::Announced(versioned("a", 2, "v2"))], 60, false)]
+#[case::a_replica_states_none(
+    &[RosterEvent::Announced(ReplicaAnnouncement { version: None, ..replica("c", 1, 1) })], 60, false
+)]
+#[case::the_source_is_lost(&[RosterEvent::SourceLost], 60, false)]
+#[case::another_pool(
+    &[RosterEvent::Announced(ReplicaAnnouncement { pool: "pools.b".into(), ..versioned("c", 1, "v2") })],
+    60, true
+)]
+fn sole_version_is_certain_only_if_no_other_can_have_served(
+    #[case] events: &[RosterEvent],
+    #[case] asked_s: u64,
+    #[case] is_certain: bool,
+) {
+    let mut roster = listed_roster(vec![versioned("a", 1, "v1"), versioned("b", 1, "v1")]);
+    for event in events {
+        roster.handle(event.clone(), *START + Duration::from_secs(10));
+    }
+    let asked = *START + Duration::from_secs(asked_s);
+    let sole = roster.sole_version("pools.model", VERSION_SPAN, asked);
+    assert_eq!(sole, is_certain.then(|| Some("v1".into())));
+}
+
+/// Another version may have served unnoticed while the source was unreachable.
+#[test]
+fn sole_version_is_not_certain_soon_after_an_outage() {
+    let mut roster = listed_roster(vec![versioned("a", 1, "v1")]);
+    roster.handle(RosterEvent::SourceLost, *START + Duration::from_secs(60));
+    let returned = *START + Duration::from_secs(61);
+    roster.handle(RosterEvent::Listed(vec![versioned("a", 2, "v1")]), returned);
+    let sole = |asked| roster.sole_version("pools.model", VERSION_SPAN, asked);
+    assert_eq!(sole(returned + Duration::from_secs(29)), None);
+    assert_eq!(sole(returned + VERSION_SPAN), Some(Some("v1".into())));
+}
--- a/coltsfootgate_core/tests/support/mod.rs
+++ b/coltsfootgate_core/tests/support/mod.rs
@@ -58,6 +58,7 @@
         arrived: *START,
         deadline: *START + Duration::from_secs(3600),
         prefix: None,
+        version: None,
         excluded: Vec::new(),
         wait: true,
     }
--- a/coltsfootgate_wire/src/grant.rs
+++ b/coltsfootgate_wire/src/grant.rs
@@ -44,6 +44,7 @@
     micros_since: u64,
     micros_left: u64,
     prefix: Option<u64>,
+    version: Option<Arc<str>>,
     excluded: Vec<Arc<str>>,
     wait: bool,
 }
@@ -157,6 +158,7 @@
             micros_since: to_micros(now.saturating_duration_since(request.arrived)),
             micros_left: micros_until(request.deadline, now),
             prefix: request.prefix,
+            version: request.version,
             excluded: request.excluded,
             wait: request.wait,
         }
@@ -190,6 +192,7 @@
             arrived: now.checked_sub(from_micros(request.micros_since)?).unwrap_or(now),
             deadline: now + from_micros(request.micros_left)?,
             prefix: request.prefix,
+            version: request.version.map(|one| check_name(one, "version")).transpose()?,
             excluded: excluded.collect::<Result<_, _>>()?,
             wait: request.wait,
         })
--- a/coltsfootgate_wire/src/lib.rs
+++ b/coltsfootgate_wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod names;
 mod proof;
 mod replica;
+mod stream;
 mod tree;
 mod wire;
 
--- a/coltsfootgate_wire/src/message.rs
+++ b/coltsfootgate_wire/src/message.rs
@@ -12,6 +12,7 @@
 use coltsfootgate_core::owner::{GrantRequest, HeldGrant, OwnerPressure, ReleaseReport};
 use coltsfootgate_core::reason::ErrorKind;
 use coltsfootgate_core::roster::ReplicaSnapshot;
+use coltsfootgate_core::stream::{StreamKey, StreamOrigin};
 
 /// The load of the endpoints of one pool that an instance owns.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -77,6 +78,17 @@
         /// What the answer stated.
         statement: LimitStatement,
     },
+    /// Records where a stream began.
+    RecordStream {
+        /// The stream.
+        key: StreamKey,
+        /// Where it began.
+        origin: StreamOrigin,
+        /// When the record expires.
+        expires: Instant,
+    },
+    /// Asks where a stream began.
+    FindStream(StreamKey),
     /// Fetches the head of the tree in force.
     FetchHead,
     /// Fetches a value of the tree in force by its digest.
@@ -106,6 +118,8 @@
             Self::Cancel { .. } => "cancel",
             Self::Announce { .. } => "announce",
             Self::StateLimit { .. } => "state-limit",
+            Self::RecordStream { .. } => "record-stream",
+            Self::FindStream(_) => "find-stream",
             Self::FetchHead => "fetch-head",
             Self::FetchObject(_) => "fetch-object",
             Self::FetchReplicas => "fetch-replicas",
@@ -155,6 +169,8 @@
     Object(Option<Vec<u8>>),
     /// A snapshot of the announced replicas.
     Replicas(ReplicaSnapshot),
+    /// Where a stream began, if that is recorded.
+    Stream(Option<StreamOrigin>),
     /// A slice of a customer's limits.
     LimitSlice(LimitSlice),
     /// The verdict on a change to a page of claims.
--- a/coltsfootgate_wire/src/wire.rs
+++ b/coltsfootgate_wire/src/wire.rs
@@ -23,6 +23,7 @@
     TimedMessage, check_digest, check_instance, check_name, from_micros, micros_until,
 };
 use crate::replica::WireReplicaSnapshot;
+use crate::stream::{WireStreamKey, WireStreamOrigin};
 use crate::tree::WireHead;
 
 #[derive(Deserialize, Serialize)]
@@ -35,6 +36,8 @@
     Cancel { pool: Arc<str>, asker: Arc<str>, grant: u64 },
     Announce { pool: Arc<str>, asker: Arc<str>, held: Vec<WireHeldGrant> },
     StateLimit { pool: Arc<str>, statement: WireLimitStatement },
+    RecordStream { key: WireStreamKey, origin: WireStreamOrigin, micros_left: u64 },
+    FindStream(WireStreamKey),
     FetchHead,
     FetchObject(Arc<str>),
     FetchReplicas,
@@ -53,6 +56,7 @@
     Head(Option<WireHead>),
     Object(Option<Vec<u8>>),
     Replicas(WireReplicaSnapshot),
+    Stream(Option<WireStreamOrigin>),
     LimitSlice(WireLimitSlice),
     Claim(WireVerdict),
 }
@@ -96,6 +100,12 @@
                 pool,
                 statement: TimedMessage { message: statement, now }.into(),
             },
+            PeerRequest::RecordStream { key, origin, expires } => Self::RecordStream {
+                key: key.into(),
+                origin: origin.into(),
+                micros_left: micros_until(expires, now),
+            },
+            PeerRequest::FindStream(key) => Self::FindStream(key.into()),
             PeerRequest::FetchHead => Self::FetchHead,
             PeerRequest::FetchReplicas => Self::FetchReplicas,
             PeerRequest::FetchObject(digest) => Self::FetchObject(digest),
@@ -145,6 +155,12 @@
                 pool: check_pool(pool)?,
                 statement: TimedMessage { message: statement, now }.try_into()?,
             },
+            WireRequest::RecordStream { key, origin, micros_left } => Self::RecordStream {
+                key: key.try_into()?,
+                origin: origin.try_into()?,
+                expires: now + from_micros(micros_left)?,
+            },
+            WireRequest::FindStream(key) => Self::FindStream(key.try_into()?),
             WireRequest::FetchHead => Self::FetchHead,
             WireRequest::FetchReplicas => Self::FetchReplicas,
             WireRequest::FetchObject(digest) => Self::FetchObject(check_digest(digest)?),
@@ -175,6 +191,7 @@
             PeerReply::Head(head) => Self::Head(head.map(WireHead::from)),
             PeerReply::Object(object) => Self::Object(object),
             PeerReply::Replicas(snapshot) => Self::Replicas(snapshot.into()),
+            PeerReply::Stream(origin) => Self::Stream(origin.map(WireStreamOrigin::from)),
             PeerReply::LimitSlice(slice) => Self::LimitSlice(slice.into()),
             PeerReply::Claim(verdict) => Self::Claim(verdict.into()),
         }
@@ -203,6 +220,9 @@
             WireReply::Head(head) => Self::Head(head.map(|head| head.try_into()).transpose()?),
             WireReply::Object(object) => Self::Object(object),
             WireReply::Replicas(snapshot) => Self::Replicas(snapshot.try_into()?),
+            WireReply::Stream(origin) => {
+                Self::Stream(origin.map(|origin| origin.try_into()).transpose()?)
+            }
             WireReply::LimitSlice(slice) => Self::LimitSlice(slice.try_into()?),
             WireReply::Claim(verdict) => Self::Claim(verdict.try_into()?),
         })
--- a/coltsfootgate_wire/tests/messages.rs
+++ b/coltsfootgate_wire/tests/messages.rs
@@ -13,6 +13,7 @@
 use coltsfootgate_core::prompt::{PromptLoad, PromptPart};
 use coltsfootgate_core::reason::ErrorKind;
 use coltsfootgate_core::roster::{ReplicaAnnouncement, ReplicaSnapshot};
+use coltsfootgate_core::stream::{StreamKey, StreamOrigin};
 use coltsfootgate_wire::{
     MESSAGE_BYTES_MAX, PeerReply, PeerRequest, PoolPressure, WireError, decode_reply,
     decode_request, encode_reply, encode_request,
@@ -56,6 +57,14 @@
     vec![PoolPressure { pool: "pools.a".into(), pressure: pressure() }]
 }
 
+fn stream_key() -> StreamKey {
+    StreamKey { customer: "customers.a".into(), stream: "58b64026ed30a48c".into() }
+}
+
+fn stream_origin() -> StreamOrigin {
+    StreamOrigin { pool: "pools.a".into(), version: Some("v1.1".into()) }
+}
+
 fn grant_request(now: Instant) -> GrantRequest {
     GrantRequest {
         request: Uuid::from_u128(5),
@@ -81,6 +90,7 @@
         arrived: now - Duration::from_millis(40),
         deadline: now + Duration::from_secs(3),
         prefix: Some(4),
+        version: Some("v1.1".into()),
         excluded: vec!["pools.a.one".into()],
         wait: true,
     }
@@ -130,6 +140,11 @@
             };
             PeerRequest::StateLimit { pool, statement }
         }
+        "record-stream" => {
+            let expires = now + Duration::from_secs(15);
+            PeerRequest::RecordStream { key: stream_key(), origin: stream_origin(), expires }
+        }
+        "find-stream" => PeerRequest::FindStream(stream_key()),
         "head" => PeerRequest::FetchHead,
         "replicas" => PeerRequest::FetchReplicas,
         _ => PeerRequest::FetchObject(DIGEST.into()),
@@ -147,6 +162,8 @@
         "cancel",
         "announce",
         "state-limit",
+        "record-stream",
+        "find-stream",
         "head",
         "object",
         "replicas"
@@ -169,6 +186,8 @@
 })]
 #[case::busy(PeerReply::Busy(pressure()))]
 #[case::refused(PeerReply::Refused { kind: ErrorKind::QueueFull, pressure: pressure() })]
+#[case::stream(PeerReply::Stream(Some(stream_origin())))]
+#[case::unknown_stream(PeerReply::Stream(None))]
 #[case::accepted(PeerReply::Accepted)]
 #[case::no_head(PeerReply::Head(None))]
 #[case::head(PeerReply::Head(Some(TreeHead { version: 3, root: DIGEST.into(), nonce: "n".into() })))]
