Continue streams that their callers do not name where a single version serves

They were served before.

Cause: a stream without a record was continued only if the list of replicas had been complete for twice the class's timeout. For a stream that is not named no record can exist, so that the list is all there is to decide by. For it, what this instance has seen decides; a named one without a record is still refused unless that is certain.

The test failed before: an_unnamed_stream_goes_on_where_a_single_version_serves (503, 200 expected).

--- a/coltsfootgate/src/endpoints/board.rs
+++ b/coltsfootgate/src/endpoints/board.rs
@@ -4,8 +4,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use coltsfootgate_core::ids::{EndpointId, SoftwareVersion};
-use coltsfootgate_core::roster::{ReplicaChange, ReplicaRoster, ReplicaSnapshot, RosterEvent};
+use coltsfootgate_core::ids::EndpointId;
+use coltsfootgate_core::roster::{
+    ReplicaChange, ReplicaRoster, ReplicaSnapshot, RosterEvent, SoleVersion,
+};
 
 use crate::clock;
 
@@ -24,9 +26,9 @@
         self.0.borrow().is_source_lost()
     }
 
-    /// The software version of all replicas that served a pool within the last `span`, if there was
-    /// only one; `None` if that is not certain.
-    pub fn sole_version(&self, pool: &str, span: Duration) -> Option<Option<SoftwareVersion>> {
+    /// The software version of all replicas of a pool that were listed within the last `span`, if
+    /// there was only one.
+    pub fn sole_version(&self, pool: &str, span: Duration) -> Option<SoleVersion> {
         self.0.borrow().sole_version(pool, span, clock::now())
     }
 
--- a/coltsfootgate/src/pipeline/resume.rs
+++ b/coltsfootgate/src/pipeline/resume.rs
@@ -48,7 +48,9 @@
 
 /// Looks up where a stream began; returns also how that was determined.
 ///
-/// Without a record, the stream is continued only if a single version served since it can have begun.
+/// Without a record, a stream is continued only if a single version served since it can have begun. If
+/// its caller does not name it, no record can be found, and what this instance knows is relied on even
+/// if it is incomplete.
 async fn look_up(
     context: &PipelineContext,
     request: &ClassifiedRequest,
@@ -62,7 +64,7 @@
     if recorded.is_some() {
         return (recorded, "record");
     }
-    let sole = sole_origin(context, request);
+    let sole = sole_origin(context, request, resumption.stream.is_some());
     let source = if sole.is_some() { "sole-version" } else { "unknown" };
     (sole, source)
 }
@@ -134,8 +136,13 @@
 
 /// The origin of every stream that can be taken up now, if a single version served since the oldest
 /// of them began.
-fn sole_origin(context: &PipelineContext, request: &ClassifiedRequest) -> Option<StreamOrigin> {
+fn sole_origin(
+    context: &PipelineContext,
+    request: &ClassifiedRequest,
+    must_be_certain: bool,
+) -> Option<StreamOrigin> {
     let span = request.class.timeout * STREAM_AGE_FACTOR;
-    let version = context.streams.sole_version(&request.pool.id, span)?;
-    Some(StreamOrigin { pool: request.pool.id.clone(), version })
+    let sole = context.streams.sole_version(&request.pool.id, span)?;
+    let is_known = sole.is_certain || !must_be_certain;
+    is_known.then(|| StreamOrigin { pool: request.pool.id.clone(), version: sole.version })
 }
--- a/coltsfootgate/src/streams/mod.rs
+++ b/coltsfootgate/src/streams/mod.rs
@@ -9,8 +9,9 @@
 use futures_util::stream::FuturesUnordered;
 use monoio::time::timeout;
 
-use coltsfootgate_core::prelude::{InstanceId, SoftwareVersion};
+use coltsfootgate_core::prelude::InstanceId;
 use coltsfootgate_core::rendezvous::{OwnerTable, stable_hash};
+use coltsfootgate_core::roster::SoleVersion;
 use coltsfootgate_core::stream::{StreamBook, StreamKey, StreamOrigin};
 use coltsfootgate_wire::{PeerReply, PeerRequest};
 
@@ -111,9 +112,9 @@
         None
     }
 
-    /// The software version of all replicas that served a pool within the last `span`, if there was
-    /// only one; `None` if that is not certain.
-    pub fn sole_version(&self, pool: &str, span: Duration) -> Option<Option<SoftwareVersion>> {
+    /// The software version of all replicas of a pool that were listed within the last `span`, if
+    /// there was only one.
+    pub fn sole_version(&self, pool: &str, span: Duration) -> Option<SoleVersion> {
         self.0.roster.sole_version(pool, span)
     }
 
--- a/coltsfootgate_core/src/roster.rs
+++ b/coltsfootgate_core/src/roster.rs
@@ -59,6 +59,15 @@
     pub left: Vec<EndpointId>,
 }
 
+/// The only software version that is known to have served a pool for some time.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SoleVersion {
+    /// The version; `None` if the replicas state none.
+    pub version: Option<SoftwareVersion>,
+    /// Whether no other version can have been listed unnoticed in that time.
+    pub is_certain: bool,
+}
+
 /// Input of a roster.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum RosterEvent {
@@ -181,18 +190,9 @@
         self.is_source_lost
     }
 
-    /// The software version of all replicas that served a pool within the last `span`, if there was
-    /// only one; `None` if others served or may have served unnoticed.
-    pub fn sole_version(
-        &self,
-        pool: &str,
-        span: Duration,
-        now: Instant,
-    ) -> Option<Option<SoftwareVersion>> {
-        let is_complete = self.complete_since.is_some_and(|since| since + span <= now);
-        if self.is_source_lost || !is_complete {
-            return None;
-        }
+    /// The software version of all replicas of a pool that were listed within the last `span`, if
+    /// there was only one.
+    pub fn sole_version(&self, pool: &str, span: Duration, now: Instant) -> Option<SoleVersion> {
         let announcements = self.entries.values().map(|entry| &entry.announcement);
         let present = announcements.filter(|one| &*one.pool == pool).map(|one| &one.version);
         let removed = self
@@ -200,8 +200,13 @@
             .iter()
             .filter(|((removed, _), at)| &**removed == pool && **at + span > now);
         let mut versions = present.chain(removed.map(|((_, version), _)| version));
-        let first = versions.next()?;
-        versions.all(|version| version == first).then(|| first.clone())
+        let version = versions.next()?;
+        if !versions.all(|other| other == version) {
+            return None;
+        }
+        let is_complete = self.complete_since.is_some_and(|since| since + span <= now);
+        let is_certain = is_complete && !self.is_source_lost;
+        Some(SoleVersion { version: version.clone(), is_certain })
     }
 
     /// The replicas known here, for other instances.
