Use one type for an owner's answer to a grant request

GrantAnswer and three variants of PeerReply had the same fields, and two functions converted between them. The answer is now a type of the core, which messages carry. Behaviour and encoding stay the same.

--- a/coltsfootgate/src/owner/desk.rs
+++ b/coltsfootgate/src/owner/desk.rs
@@ -8,7 +8,7 @@
 use coltsfootgate_core::prelude::PoolId;
 use coltsfootgate_wire::{PeerReply, PeerRequest};
 
-use super::{GrantAnswer, OwnerHandle, OwnerMessage, OwnerScope};
+use super::{OwnerHandle, OwnerMessage, OwnerScope};
 use crate::limits::LimitHandle;
 use crate::peer::PeerCall;
 
@@ -108,7 +108,7 @@
             }
         };
         let is_delivered = match answer {
-            Some(answer) => reply.send(peer_reply(answer)).is_ok(),
+            Some(answer) => reply.send(PeerReply::Grant(answer)).is_ok(),
             None => false,
         };
         if !is_delivered {
@@ -116,13 +116,3 @@
         }
     }
 }
-
-fn peer_reply(answer: GrantAnswer) -> PeerReply {
-    match answer {
-        GrantAnswer::Granted { endpoint, by_floor, is_paced, pressure } => {
-            PeerReply::Granted { endpoint, by_floor, is_paced, pressure }
-        }
-        GrantAnswer::Busy(pressure) => PeerReply::Busy(pressure),
-        GrantAnswer::Refused { kind, pressure } => PeerReply::Refused { kind, pressure },
-    }
-}
--- a/coltsfootgate/src/owner/mod.rs
+++ b/coltsfootgate/src/owner/mod.rs
@@ -13,9 +13,9 @@
 
 use coltsfootgate_core::endpoint_limit::LimitStatement;
 use coltsfootgate_core::owner::{
-    GrantRequest, HeldGrant, OwnerPressure, OwnerSnapshot, ReleaseReport,
+    GrantAnswer, GrantRequest, HeldGrant, OwnerSnapshot, ReleaseReport,
 };
-use coltsfootgate_core::prelude::{EndpointId, ErrorKind, GrantId, InstanceId, PoolId};
+use coltsfootgate_core::prelude::{EndpointId, GrantId, InstanceId, PoolId};
 
 use crate::endpoints::ActivePools;
 use crate::routes::OwnerSet;
@@ -33,31 +33,6 @@
     FallbackShare,
 }
 
-/// An owner's answer to a grant request.
-#[derive(Clone, Debug, PartialEq)]
-pub enum GrantAnswer {
-    /// The request may be sent to this endpoint.
-    Granted {
-        /// The endpoint.
-        endpoint: EndpointId,
-        /// Whether a tier's floor let the request overtake a waiting one of a higher tier.
-        by_floor: bool,
-        /// Whether the grant counts towards a limit that the endpoint stated.
-        is_paced: bool,
-        /// The owner's load in this pool.
-        pressure: OwnerPressure,
-    },
-    /// No slot is free, and the request is not to be queued.
-    Busy(OwnerPressure),
-    /// The owner refuses the request.
-    Refused {
-        /// The reason.
-        kind: ErrorKind,
-        /// The owner's load in this pool.
-        pressure: OwnerPressure,
-    },
-}
-
 /// A message to the [`OwnerTask`].
 #[derive(Debug)]
 pub enum OwnerMessage {
--- a/coltsfootgate/src/owner/task.rs
+++ b/coltsfootgate/src/owner/task.rs
@@ -11,13 +11,15 @@
 use monoio::net::TcpStream;
 use monoio::time::timeout;
 
-use coltsfootgate_core::owner::{GrantRequest, OwnerAction, OwnerEvent, OwnerSettings, PoolOwner};
+use coltsfootgate_core::owner::{
+    GrantAnswer, GrantRequest, OwnerAction, OwnerEvent, OwnerSettings, PoolOwner,
+};
 use coltsfootgate_core::prelude::{
     EndpointId, EndpointSettings, ErrorKind, GrantId, InstanceId, PoolId, PoolSettings,
 };
 use coltsfootgate_core::routing::fallback_share;
 
-use super::{GrantAnswer, OwnerHandle, OwnerMessage, OwnerReporter, OwnerScope};
+use super::{OwnerHandle, OwnerMessage, OwnerReporter, OwnerScope};
 use crate::endpoints::ActivePools;
 use crate::routes::OwnerSet;
 
--- a/coltsfootgate/src/pipeline/route.rs
+++ b/coltsfootgate/src/pipeline/route.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use coltsfootgate_core::owner::{GrantRequest, OwnerPressure};
+use coltsfootgate_core::owner::{GrantAnswer, GrantRequest, OwnerPressure};
 use coltsfootgate_core::prelude::{EndpointId, ErrorKind, GrantId};
 use coltsfootgate_core::routing::{RequestRoute, RouteReply, RouteRequest, RouteStep};
 use futures_util::StreamExt;
@@ -10,7 +10,6 @@
 use monoio::time::timeout;
 
 use super::context::PipelineContext;
-use crate::owner::GrantAnswer;
 use crate::routes::GrantSource;
 
 /// Time after which a waiting request first looks for a better owner.
--- a/coltsfootgate/src/routes/link.rs
+++ b/coltsfootgate/src/routes/link.rs
@@ -3,12 +3,12 @@
 use std::time::{Duration, Instant};
 
 use coltsfootgate_core::endpoint_limit::LimitStatement;
-use coltsfootgate_core::owner::{GrantRequest, HeldGrant, ReleaseReport};
+use coltsfootgate_core::owner::{GrantAnswer, GrantRequest, HeldGrant, ReleaseReport};
 use coltsfootgate_core::prelude::{GrantId, InstanceId, PoolId};
 use coltsfootgate_wire::{PeerReply, PeerRequest};
 use monoio::time::sleep;
 
-use crate::owner::{GrantAnswer, OwnerHandle, OwnerMessage, OwnerScope};
+use crate::owner::{OwnerHandle, OwnerMessage, OwnerScope};
 use crate::peer::PeerHandle;
 
 /// Where a grant comes from.
@@ -89,13 +89,7 @@
         let deadline = Instant::now() + answer_timeout(&request);
         let request = PeerRequest::RequestGrant { pool: pool.clone(), request };
         match self.peers.call(owner, request, deadline).await {
-            Ok(PeerReply::Granted { endpoint, by_floor, is_paced, pressure }) => {
-                Some(GrantAnswer::Granted { endpoint, by_floor, is_paced, pressure })
-            }
-            Ok(PeerReply::Busy(pressure)) => Some(GrantAnswer::Busy(pressure)),
-            Ok(PeerReply::Refused { kind, pressure }) => {
-                Some(GrantAnswer::Refused { kind, pressure })
-            }
+            Ok(PeerReply::Grant(answer)) => Some(answer),
             Ok(_) | Err(_) => None,
         }
     }
--- a/coltsfootgate_core/src/owner/event.rs
+++ b/coltsfootgate_core/src/owner/event.rs
@@ -58,6 +58,31 @@
     pub wait: bool,
 }
 
+/// An owner's answer to a grant request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum GrantAnswer {
+    /// The request may be sent to this endpoint.
+    Granted {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Whether a tier's floor let the request overtake a waiting one of a higher tier.
+        by_floor: bool,
+        /// Whether the grant counts towards a limit that the endpoint stated.
+        is_paced: bool,
+        /// The owner's load in this pool.
+        pressure: OwnerPressure,
+    },
+    /// No slot is free, and the request is not to be queued.
+    Busy(OwnerPressure),
+    /// The owner refuses the request.
+    Refused {
+        /// The reason.
+        kind: ErrorKind,
+        /// The owner's load in this pool.
+        pressure: OwnerPressure,
+    },
+}
+
 /// Queue order: by tier, then by the tier that the class configures; the smallest is served first.
 pub type QueueRank = (RequestTier, RequestTier);
 
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -27,8 +27,8 @@
 pub use endpoint::EndpointTable;
 pub use engine::{EngineLoad, GrantKey};
 pub use event::{
-    EngineReservation, GrantRequest, HeldGrant, OwnerAction, OwnerEvent, OwnerPressure, QueueRank,
-    ReleaseReport, ReleaseResult,
+    EngineReservation, GrantAnswer, GrantRequest, HeldGrant, OwnerAction, OwnerEvent,
+    OwnerPressure, QueueRank, ReleaseReport, ReleaseResult,
 };
 pub use fair::{ArrivalNumber, FairQueue};
 pub use headroom::RankHeadroom;
--- a/coltsfootgate_wire/src/message.rs
+++ b/coltsfootgate_wire/src/message.rs
@@ -6,11 +6,12 @@
 use coltsfootgate_core::claim::page::{ClaimChange, ClaimVerdict};
 use coltsfootgate_core::endpoint_limit::LimitStatement;
 use coltsfootgate_core::head::TreeHead;
-use coltsfootgate_core::ids::{EndpointId, GrantId, InstanceId, PoolId};
+use coltsfootgate_core::ids::{GrantId, InstanceId, PoolId};
 use coltsfootgate_core::limit::{LimitSlice, SliceRequest};
 use coltsfootgate_core::membership::PeerHeartbeat;
-use coltsfootgate_core::owner::{GrantRequest, HeldGrant, OwnerPressure, ReleaseReport};
-use coltsfootgate_core::reason::ErrorKind;
+use coltsfootgate_core::owner::{
+    GrantAnswer, GrantRequest, HeldGrant, OwnerPressure, ReleaseReport,
+};
 use coltsfootgate_core::roster::ReplicaSnapshot;
 use coltsfootgate_core::stream::{StreamKey, StreamOrigin};
 
@@ -141,26 +142,8 @@
     },
     /// Whether the replying instance still receives heartbeats of the instance in question.
     Heard(bool),
-    /// The request may be sent to this endpoint.
-    Granted {
-        /// The endpoint.
-        endpoint: EndpointId,
-        /// Whether a tier's floor let the request overtake a waiting one of a higher tier.
-        by_floor: bool,
-        /// Whether the grant counts towards a limit that the endpoint stated.
-        is_paced: bool,
-        /// The load of the owner.
-        pressure: OwnerPressure,
-    },
-    /// No slot is free, and the grant request was not to wait for one.
-    Busy(OwnerPressure),
-    /// The owner refuses to grant the request.
-    Refused {
-        /// The reason.
-        kind: ErrorKind,
-        /// The load of the owner.
-        pressure: OwnerPressure,
-    },
+    /// The owner's answer to a grant request.
+    Grant(GrantAnswer),
     /// The request was accepted; it has no other result.
     Accepted,
     /// The head of the tree in force, if there is one.
--- a/coltsfootgate_wire/src/wire.rs
+++ b/coltsfootgate_wire/src/wire.rs
@@ -10,6 +10,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use coltsfootgate_core::owner::GrantAnswer;
+
 use crate::claim::{WireChange, WireVerdict};
 use crate::endpoint_limit::WireLimitStatement;
 use crate::error::WireError;
@@ -173,6 +175,20 @@
     }
 }
 
+impl From<GrantAnswer> for WireReply {
+    fn from(answer: GrantAnswer) -> Self {
+        match answer {
+            GrantAnswer::Granted { endpoint, by_floor, is_paced, pressure } => {
+                Self::Granted { endpoint, by_floor, is_paced, pressure: pressure.into() }
+            }
+            GrantAnswer::Busy(pressure) => Self::Busy(pressure.into()),
+            GrantAnswer::Refused { kind, pressure } => {
+                Self::Refused { kind: kind.code().to_owned(), pressure: pressure.into() }
+            }
+        }
+    }
+}
+
 impl From<PeerReply> for WireReply {
     fn from(reply: PeerReply) -> Self {
         match reply {
@@ -180,13 +196,7 @@
                 Self::Heartbeat { heartbeat: heartbeat.into(), pressures: convert_all(pressures) }
             }
             PeerReply::Heard(heard) => Self::Heard(heard),
-            PeerReply::Granted { endpoint, by_floor, is_paced, pressure } => {
-                Self::Granted { endpoint, by_floor, is_paced, pressure: pressure.into() }
-            }
-            PeerReply::Busy(pressure) => Self::Busy(pressure.into()),
-            PeerReply::Refused { kind, pressure } => {
-                Self::Refused { kind: kind.code().to_owned(), pressure: pressure.into() }
-            }
+            PeerReply::Grant(answer) => answer.into(),
             PeerReply::Accepted => Self::Accepted,
             PeerReply::Head(head) => Self::Head(head.map(WireHead::from)),
             PeerReply::Object(object) => Self::Object(object),
@@ -210,11 +220,13 @@
             WireReply::Heard(heard) => Self::Heard(heard),
             WireReply::Granted { endpoint, by_floor, is_paced, pressure } => {
                 let endpoint = check_name(endpoint, "endpoint")?;
-                Self::Granted { endpoint, by_floor, is_paced, pressure: pressure.try_into()? }
+                let pressure = pressure.try_into()?;
+                Self::Grant(GrantAnswer::Granted { endpoint, by_floor, is_paced, pressure })
             }
-            WireReply::Busy(pressure) => Self::Busy(pressure.try_into()?),
+            WireReply::Busy(pressure) => Self::Grant(GrantAnswer::Busy(pressure.try_into()?)),
             WireReply::Refused { kind, pressure } => {
-                Self::Refused { kind: check_kind(&kind)?, pressure: pressure.try_into()? }
+                let (kind, pressure) = (check_kind(&kind)?, pressure.try_into()?);
+                Self::Grant(GrantAnswer::Refused { kind, pressure })
             }
             WireReply::Accepted => Self::Accepted,
             WireReply::Head(head) => Self::Head(head.map(|head| head.try_into()).transpose()?),
--- a/coltsfootgate_wire/tests/messages.rs
+++ b/coltsfootgate_wire/tests/messages.rs
@@ -7,8 +7,8 @@
 use coltsfootgate_core::ids::RequestTier;
 use coltsfootgate_core::membership::{PeerHeartbeat, PeerProfile, PeerRumor, PeerState};
 use coltsfootgate_core::owner::{
-    EngineReservation, GrantRequest, HeldGrant, OwnerPressure, ReleaseReport, ReleaseResult,
-    WaitingCounts,
+    EngineReservation, GrantAnswer, GrantRequest, HeldGrant, OwnerPressure, ReleaseReport,
+    ReleaseResult, WaitingCounts,
 };
 use coltsfootgate_core::prompt::{PromptLoad, PromptPart};
 use coltsfootgate_core::reason::ErrorKind;
@@ -178,14 +178,17 @@
 #[rstest]
 #[case::heartbeat(PeerReply::Heartbeat { heartbeat: heartbeat(), pressures: pressures() })]
 #[case::heard(PeerReply::Heard(true))]
-#[case::granted(PeerReply::Granted {
+#[case::granted(PeerReply::Grant(GrantAnswer::Granted {
     endpoint: "pools.a.one".into(),
     by_floor: true,
     is_paced: true,
     pressure: pressure(),
-})]
-#[case::busy(PeerReply::Busy(pressure()))]
-#[case::refused(PeerReply::Refused { kind: ErrorKind::QueueFull, pressure: pressure() })]
+}))]
+#[case::busy(PeerReply::Grant(GrantAnswer::Busy(pressure())))]
+#[case::refused(PeerReply::Grant(GrantAnswer::Refused {
+    kind: ErrorKind::QueueFull,
+    pressure: pressure(),
+}))]
 #[case::stream(PeerReply::Stream(Some(stream_origin())))]
 #[case::unknown_stream(PeerReply::Stream(None))]
 #[case::accepted(PeerReply::Accepted)]
