Move what an owner does with stated limits out of the table of endpoints

The number of slots in use at most is called slot_limit, since a stated limit is something else. Behaviour stays the same.

--- a/coltsfootgate_core/src/owner/endpoint.rs
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -10,7 +10,7 @@
 use super::ledger::GrantLedger;
 use super::snapshot::EndpointSnapshot;
 use super::straggler::{EndpointHealth, EndpointState};
-use crate::endpoint_limit::{EndpointLimiter, LimitStatement};
+use crate::endpoint_limit::EndpointLimiter;
 use crate::ids::EndpointId;
 use crate::settings::EndpointSettings;
 
@@ -22,7 +22,7 @@
 pub struct OwnedEndpoint {
     pub(super) settings: EndpointSettings,
     slots: AdaptiveSlots,
-    limiter: EndpointLimiter,
+    pub(super) limiter: EndpointLimiter,
     health: EndpointHealth,
     pub(super) load: EngineLoad,
     pub(super) error_rate: ErrorRate,
@@ -61,7 +61,7 @@
     }
 
     /// Current maximum number of concurrent requests.
-    fn limit(&self, now: Instant) -> u32 {
+    pub(super) fn slot_limit(&self, now: Instant) -> u32 {
         if self.is_in_service() { self.health.allowed_slots(self.slots.limit(), now) } else { 0 }
     }
 
@@ -75,13 +75,13 @@
     fn untaken_slots(&self, now: Instant) -> u32 {
         match self.health.state() {
             EndpointState::Probing if self.in_flight > 0 => 0,
-            _ => self.limit(now).saturating_sub(self.in_flight),
+            _ => self.slot_limit(now).saturating_sub(self.in_flight),
         }
     }
 
     /// Slots that are taken or free; an endpoint that limits its requests leaves others unused.
     fn usable_slots(&self, now: Instant) -> u32 {
-        let limit = self.limit(now);
+        let limit = self.slot_limit(now);
         match self.limiter.available(now) {
             Some(available) => limit.min(self.in_flight.saturating_add(available)),
             None => limit,
@@ -90,14 +90,14 @@
 
     /// Requests a second that it completes if each takes `held`; infinite if that is not known.
     fn service_rate(&self, held: Option<Duration>, now: Instant) -> f64 {
-        let slots = f64::from(self.limit(now));
+        let slots = f64::from(self.slot_limit(now));
         let by_slots = held.map_or(f64::INFINITY, |held| slots / held.as_secs_f64());
         by_slots.min(self.limiter.rate().unwrap_or(f64::INFINITY))
     }
 
     /// Requests in flight relative to the current maximum.
     pub(super) fn slot_usage(&self, now: Instant) -> f64 {
-        f64::from(self.in_flight) / f64::from(self.limit(now).max(1))
+        f64::from(self.in_flight) / f64::from(self.slot_limit(now).max(1))
     }
 }
 
@@ -108,7 +108,7 @@
     peer_token_times: Vec<Duration>,
     kv_cache_tokens: Option<u64>,
     /// Number of instances among which the endpoints' limits are divided.
-    limit_sharers: u32,
+    pub(super) limit_sharers: u32,
     grants: u64,
 }
 
@@ -173,45 +173,6 @@
         if rate > 0.0 { Duration::from_secs_f64(rate.recip()) } else { held.unwrap_or_default() }
     }
 
-    /// When the limit of an endpoint next allows a request, if one allows none at `now`.
-    pub fn next_allowed(&self, now: Instant) -> Option<Instant> {
-        let endpoints = self.endpoints.values().filter(|endpoint| endpoint.limit(now) > 0);
-        endpoints.filter_map(|endpoint| endpoint.limiter.next_available(now)).min()
-    }
-
-    /// Applies what an answer stated about the endpoint's limit, and returns the limit if it
-    /// changed.
-    pub fn observe_limit(
-        &mut self,
-        statement: &LimitStatement,
-        now: Instant,
-    ) -> Option<Option<f64>> {
-        let limiter = &mut self.endpoints.get_mut(&statement.endpoint)?.limiter;
-        let is_changed = limiter.observe(statement, now);
-        is_changed.then(|| limiter.stated_rate())
-    }
-
-    /// Whether an endpoint limits its requests.
-    pub fn is_limited(&self, endpoint: &EndpointId) -> bool {
-        let endpoint = self.endpoints.get(endpoint);
-        endpoint.is_some_and(|endpoint| endpoint.limiter.rate().is_some())
-    }
-
-    /// Returns a grant that was not used to the endpoint's limit.
-    pub fn refund_limit(&mut self, endpoint: &EndpointId, now: Instant) {
-        if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
-            endpoint.limiter.refund(now);
-        }
-    }
-
-    /// Sets the number of instances among which the endpoints' limits are divided.
-    pub fn set_limit_sharers(&mut self, sharers: u32) {
-        self.limit_sharers = sharers;
-        for endpoint in self.endpoints.values_mut() {
-            endpoint.limiter.set_sharers(sharers);
-        }
-    }
-
     /// Whether any slot is free.
     pub fn is_any_free(&self, now: Instant) -> bool {
         self.endpoints.values().any(|endpoint| endpoint.free_slots(now) > 0)
@@ -219,10 +180,10 @@
 
     /// The free room of all endpoints, in endpoints.
     pub fn free_room(&self, now: Instant) -> f64 {
-        let in_service = self.endpoints.values().filter(|endpoint| endpoint.limit(now) > 0);
+        let in_service = self.endpoints.values().filter(|endpoint| endpoint.slot_limit(now) > 0);
         let free = |endpoint: &OwnedEndpoint| {
             let used = endpoint.slot_usage(now).max(endpoint.load.kv_cache_usage()).min(1.0);
-            let allowed = f64::from(endpoint.free_slots(now)) / f64::from(endpoint.limit(now));
+            let allowed = f64::from(endpoint.free_slots(now)) / f64::from(endpoint.slot_limit(now));
             if endpoint.limiter.rate().is_some() { allowed.min(1.0 - used) } else { 1.0 - used }
         };
         in_service.map(free).sum()
@@ -231,7 +192,7 @@
     /// The part of an endpoint that a request uses, 0 to 1, by slots or by KV cache.
     pub fn size_at(&self, endpoint: &EndpointId, request: &GrantRequest, now: Instant) -> f64 {
         let Some(endpoint) = self.endpoints.get(endpoint) else { return 0.0 };
-        let slot = 1.0 / f64::from(endpoint.limit(now).max(1));
+        let slot = 1.0 / f64::from(endpoint.slot_limit(now).max(1));
         slot.max(endpoint.load.kv_cache_share(request.prompt.kv_cache_tokens())).min(1.0)
     }
 
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -12,6 +12,7 @@
 mod fair;
 mod headroom;
 mod ledger;
+mod limit;
 mod placement;
 mod queue;
 mod snapshot;
