--- a/coltsfootgate/src/pipeline/admit.rs
+++ b/coltsfootgate/src/pipeline/admit.rs
@@ -188,7 +188,11 @@
                 reservation: EngineReservation::from(&template.prompt),
             };
             let entry = LeaseEntry { pool: request.pool.id.clone(), held, source };
-            Ok(start_lease(context, request, &search, entry, (&needs.version, is_paced)))
+            let Some(endpoint) = usable_endpoint(context, needs, &entry, is_paced) else {
+                return_grant(context, &entry);
+                return Ok(Err(UnusableGrant(entry.held.endpoint)));
+            };
+            Ok(Ok(start_lease(context, &search, entry, is_paced, endpoint)))
         }
         GrantResult::Refused { kind, pressure } => {
             journal.record_wait(search_started.elapsed());
@@ -255,50 +259,67 @@
 
 fn start_lease(
     context: &PipelineContext,
-    request: &ClassifiedRequest,
     search: &GrantSearch<'_>,
     entry: LeaseEntry,
-    (version, is_paced): (&Option<SoftwareVersion>, bool),
-) -> Result<GrantLease, UnusableGrant> {
-    let mut report = ReleaseReport {
-        requester: context.own.clone(),
-        grant: entry.held.grant,
-        endpoint: entry.held.endpoint.clone(),
-        tokens: 0,
-        first_token: None,
-        between_tokens: None,
-        result: ReleaseResult::Cancelled,
-    };
-    let endpoint = context.routes.endpoint(&request.pool.id, &entry.held.endpoint);
-    // The owner may know another process at the endpoint's address than this instance.
-    let endpoint = endpoint.filter(|one| version.is_none() || one.version == *version);
-    let is_allowed = is_paced || context.routes.admit_unpaced(&entry.held.endpoint);
-    let Some(endpoint) = endpoint.filter(|_| is_allowed) else {
-        report.result = ReleaseResult::NotSent;
-        context.owner_client.release(&entry.source, &entry.pool, report);
-        if let Some(limit) = context.routes.known_limit(&entry.held.endpoint) {
-            let owner = context.routes.owner_of(&limit.endpoint);
-            context.owner_client.state_limit(owner.as_ref(), &entry.pool, &limit);
-        }
-        return Err(UnusableGrant(entry.held.endpoint));
-    };
+    is_paced: bool,
+    endpoint: EndpointSettings,
+) -> GrantLease {
+    let report = release_report(context, &entry, ReleaseResult::Cancelled);
     let owner = match &entry.source {
         GrantSource::Owner(owner) => Some(owner),
         GrantSource::FallbackShare | GrantSource::Ungranted => None,
     };
     context.routes.record_grant(search.route(), owner, entry.clone());
-    let (routes, owner_client) = (context.routes.clone(), context.owner_client.clone());
-    let metrics = context.metrics.clone();
-    Ok(GrantLease {
+    GrantLease {
         endpoint,
         entry,
-        routes,
-        owner_client,
+        routes: context.routes.clone(),
+        owner_client: context.owner_client.clone(),
         report,
-        metrics,
+        metrics: context.metrics.clone(),
         limit: Cell::default(),
         is_paced,
-    })
+    }
+}
+
+/// The endpoint of a grant, if the grant may be used.
+fn usable_endpoint(
+    context: &PipelineContext,
+    needs: &EndpointNeeds,
+    entry: &LeaseEntry,
+    is_paced: bool,
+) -> Option<EndpointSettings> {
+    let endpoint = context.routes.endpoint(&entry.pool, &entry.held.endpoint)?;
+    // The owner may know another process at the endpoint's address than this instance.
+    let has_version = needs.version.is_none() || endpoint.version == needs.version;
+    let is_allowed = has_version && (is_paced || context.routes.admit_unpaced(&endpoint.id));
+    is_allowed.then_some(endpoint)
+}
+
+/// Returns a grant that is not used, and tells the owner of a limit that it may not know.
+fn return_grant(context: &PipelineContext, entry: &LeaseEntry) {
+    let report = release_report(context, entry, ReleaseResult::NotSent);
+    context.owner_client.release(&entry.source, &entry.pool, report);
+    if let Some(limit) = context.routes.known_limit(&entry.held.endpoint) {
+        let owner = context.routes.owner_of(&limit.endpoint);
+        context.owner_client.state_limit(owner.as_ref(), &entry.pool, &limit);
+    }
+}
+
+fn release_report(
+    context: &PipelineContext,
+    entry: &LeaseEntry,
+    result: ReleaseResult,
+) -> ReleaseReport {
+    ReleaseReport {
+        requester: context.own.clone(),
+        grant: entry.held.grant,
+        endpoint: entry.held.endpoint.clone(),
+        tokens: 0,
+        first_token: None,
+        between_tokens: None,
+        result,
+    }
 }
 
 fn capacity_message(kind: ErrorKind, request: &ClassifiedRequest) -> String {
