Tell new owners of limits that no answer confirmed for up to a minute

Found by reading: each of nine instances gets an answer of an endpoint with a limit of 0.25 a second every 36 s, but instances forgot a limit after 10 s. Entries keep limits for a minute to tell new owners, and still hold back requests themselves for ten seconds only, since a limit that ended unnoticed would make them refuse.

--- a/coltsfootgate/src/routes/mod.rs
+++ b/coltsfootgate/src/routes/mod.rs
@@ -220,7 +220,7 @@
         self.0.borrow_mut().limits.admit(endpoint, Instant::now())
     }
 
-    /// Returns the limit of an endpoint as this instance observed it, if it is in force.
+    /// Returns the limit of an endpoint as this instance observed it.
     pub fn known_limit(&self, endpoint: &EndpointId) -> Option<LimitStatement> {
         let limits = self.0.borrow().limits.known(Instant::now());
         limits.into_iter().find(|limit| limit.endpoint == *endpoint)
--- a/coltsfootgate_core/src/endpoint_limit.rs
+++ b/coltsfootgate_core/src/endpoint_limit.rs
@@ -14,8 +14,10 @@
 /// An answer without a limit ends it only if its request was sent this long after the last answer
 /// with one; allows for the delay with which instances learn of each other's answers.
 const ORDER_MARGIN: Duration = Duration::from_secs(1);
-/// How long an entry instance relies on a limit that no answer has confirmed since.
-const KNOWN_FOR: Duration = Duration::from_secs(10);
+/// How long an entry instance holds back requests for a limit that no answer to it has confirmed since.
+const RELIED_ON_FOR: Duration = Duration::from_secs(10);
+/// How long it tells new owners of such a limit, which the first answer ends if it is out of date.
+const KEPT_FOR: Duration = Duration::from_secs(60);
 
 /// What the head of an endpoint's answer states about the rate at which it accepts requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -177,8 +179,9 @@
         (limit.bucket.available(now) == 0).then(|| limit.bucket.next_available(now))
     }
 
-    fn is_outdated(&self, now: Instant) -> bool {
-        self.limit.as_ref().is_none_or(|limit| now > limit.stated_at + KNOWN_FOR)
+    /// Whether there is a limit that was stated less than `age` ago.
+    fn is_newer(&self, age: Duration, now: Instant) -> bool {
+        self.limit.as_ref().is_some_and(|limit| now <= limit.stated_at + age)
     }
 }
 
@@ -215,19 +218,20 @@
         let limiter = self.endpoints.entry(endpoint.clone());
         let limiter = limiter.or_insert_with(|| EndpointLimiter::new(sharers));
         limiter.observe(statement, now);
-        self.endpoints.retain(|_, limiter| !limiter.is_outdated(now));
+        self.endpoints.retain(|_, limiter| limiter.is_newer(KEPT_FOR, now));
         true
     }
 
     /// Whether a request that no owner paced may be sent to an endpoint; counts it if so.
     pub fn admit(&mut self, endpoint: &EndpointId, now: Instant) -> bool {
         let Some(limiter) = self.endpoints.get_mut(endpoint) else { return true };
-        limiter.is_outdated(now) || limiter.take(now)
+        !limiter.is_newer(RELIED_ON_FOR, now) || limiter.take(now)
     }
 
-    /// The limits in force, for an owner that may not know them.
+    /// The limits known here, for an owner that may not know them.
     pub fn known(&self, now: Instant) -> Vec<LimitStatement> {
-        let known = self.endpoints.iter().filter(|(_, limiter)| !limiter.is_outdated(now));
+        let known = self.endpoints.iter();
+        let known = known.filter(|(_, limiter)| limiter.is_newer(KEPT_FOR, now));
         let statement = |(endpoint, limiter): (&EndpointId, &EndpointLimiter)| {
             let StatedLimit { rate, stated_at, .. } = limiter.limit.as_ref()?;
             Some(LimitStatement {
