Do not take the list of versions for complete after a pause of the process

Found by reading: after a pause an instance took its list for complete, though another version may have served and left meanwhile; a named stream without a record could then go on at the wrong one. The test sole_version_is_not_certain_soon_after_a_pause_of_the_process failed before.

--- a/coltsfootgate_core/src/roster.rs
+++ b/coltsfootgate_core/src/roster.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::ids::{EndpointId, PoolId, SoftwareVersion, ZoneName};
+use crate::membership::PAUSE_GAP;
 use crate::settings::EndpointSettings;
 
 /// Time that a replica has to announce itself again after an outage of the source, if its
@@ -125,8 +126,10 @@
     left: HashMap<EndpointId, Instant>,
     /// When replicas of each pool and version were last removed.
     removed: HashMap<(PoolId, Option<SoftwareVersion>), Instant>,
-    /// Since when the source was reachable without interruption.
+    /// Since when the source was reachable and this process ran, without interruption.
     complete_since: Option<Instant>,
+    /// When the last event was applied.
+    updated: Option<Instant>,
     is_source_lost: bool,
     /// When the source last became reachable after an outage.
     source_returned: Option<Instant>,
@@ -142,6 +145,7 @@
     /// Applies an event and returns the endpoints that changed.
     pub fn handle(&mut self, event: RosterEvent, now: Instant) -> Vec<(EndpointId, ReplicaChange)> {
         let mut changes = Vec::new();
+        self.note_pause(now);
         match event {
             RosterEvent::Listed(announcements) => self.list(announcements, now, &mut changes),
             RosterEvent::Announced(announcement) => {
@@ -257,6 +261,15 @@
         }
     }
 
+    /// Replicas may have come and gone unnoticed while this process did not run.
+    fn note_pause(&mut self, now: Instant) {
+        let is_paused = self.updated.is_some_and(|updated| now > updated + PAUSE_GAP);
+        if is_paused && self.complete_since.is_some() {
+            self.complete_since = Some(now);
+        }
+        self.updated = Some(now);
+    }
+
     fn mark_source_reachable(&mut self, now: Instant) {
         if self.is_source_lost {
             self.is_source_lost = false;
--- a/coltsfootgate_core/tests/roster.rs
+++ b/coltsfootgate_core/tests/roster.rs
@@ -184,6 +184,21 @@
     assert_eq!(sole.is_some_and(|sole| sole.is_certain), is_certain);
 }
 
+/// Another version may have served unnoticed while this process did not run.
+#[test]
+fn sole_version_is_not_certain_soon_after_a_pause_of_the_process() {
+    let mut roster = listed_roster(vec![versioned("a", 1, "v1")]);
+    let tick = |roster: &mut ReplicaRoster, milliseconds| {
+        let now = *START + Duration::from_millis(milliseconds);
+        roster.handle(RosterEvent::Tick, now);
+        roster.sole_version("pools.model", VERSION_SPAN, now).unwrap().is_certain
+    };
+    assert!((1..=80).map(|step| tick(&mut roster, step * 500)).last().unwrap());
+    assert!(!tick(&mut roster, 43_000));
+    assert!(!tick(&mut roster, 43_500));
+    assert!((88..=146).map(|step| tick(&mut roster, step * 500)).last().unwrap());
+}
+
 /// An instance that does not know everything still tells what it knows.
 #[rstest]
 #[case::started_a_moment_ago(&[], 11, Some("v1"))]
