Keep the records of streams until their callers stop trying

Found by reading: a record expired five seconds after the deadline of the request, which the class's timeout may set far below the caller's; a later try would then find no record. The lifetime is now a function of the core with tests of its own; with the old rule (the smaller of both) short_timeout and long_timeout would fail.

--- a/coltsfootgate/src/pipeline/admit.rs
+++ b/coltsfootgate/src/pipeline/admit.rs
@@ -36,6 +36,7 @@
     owner_client: OwnerClient,
     report: ReleaseReport,
     metrics: DaemonMetrics,
+    /// The limit in requests a second that the endpoint's answer stated.
     limit: Cell<Option<f64>>,
     /// Whether the grant counts towards a limit that the endpoint stated.
     is_paced: bool,
--- a/coltsfootgate/src/pipeline/resume.rs
+++ b/coltsfootgate/src/pipeline/resume.rs
@@ -1,10 +1,10 @@
 //! Finds out which software version began a stream that is to be continued.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use coltsfootgate_core::comeback::retry_after_delay;
 use coltsfootgate_core::prelude::{EndpointSettings, ErrorKind, SoftwareVersion};
-use coltsfootgate_core::stream::{StreamKey, StreamOrigin};
+use coltsfootgate_core::stream::{StreamKey, StreamOrigin, record_lifetime};
 
 use super::admit::refusal;
 use super::classify::{AnswerForm, ClassifiedRequest};
@@ -13,10 +13,6 @@
 use crate::dialect::StreamResumption;
 use crate::entry::Refusal;
 
-/// How long a stream's origin is kept beyond the deadline of its caller.
-const RECORD_MARGIN: Duration = Duration::from_secs(5);
-/// Longest time for which a stream's origin is kept.
-const RECORD_TIME_MAX: Duration = Duration::from_secs(600);
 /// Multiple of a class's timeout within which a stream that is taken up again began.
 const STREAM_AGE_FACTOR: u32 = 2;
 
@@ -115,9 +111,9 @@
         return;
     };
     let Some(key) = stream_key(request, id) else { return };
-    let now = Instant::now();
-    let time_left = request.deadline.saturating_duration_since(now) + RECORD_MARGIN;
-    let expires = now + time_left.min(RECORD_TIME_MAX);
+    let caller_deadline = request.accepted.metadata.deadline.unwrap_or(request.class.deadline);
+    let kept_for = record_lifetime(caller_deadline, request.class.timeout);
+    let expires = request.accepted.arrived + kept_for;
     context.streams.record(key, endpoint_origin(request, endpoint), expires).await;
 }
 
--- a/coltsfootgate_core/src/stream.rs
+++ b/coltsfootgate_core/src/stream.rs
@@ -2,15 +2,26 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::ids::{CustomerId, PoolId, SoftwareVersion};
 
 /// Maximum number of records; beyond it, those that expire first are dropped.
 const RECORDS_MAX: usize = 20_000;
+/// How long a record is kept beyond the deadline of the stream's caller.
+const RECORD_MARGIN: Duration = Duration::from_secs(5);
+/// Longest time for which a record is kept.
+const RECORD_LIFETIME_MAX: Duration = Duration::from_secs(600);
 /// Maximum length of a stream's id, in bytes.
 const STREAM_ID_BYTES_MAX: usize = 128;
 
+/// How long the record of a stream is kept, counted from the arrival of its first request.
+///
+/// The timeout of the class may end that request long before the caller stops trying.
+pub fn record_lifetime(caller_deadline: Duration, timeout: Duration) -> Duration {
+    (caller_deadline.max(timeout) + RECORD_MARGIN).min(RECORD_LIFETIME_MAX)
+}
+
 /// Identifies a stream: its customer, and the id that the caller assigned to the request that brought
 /// the first event.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
--- a/coltsfootgate_core/tests/stream.rs
+++ b/coltsfootgate_core/tests/stream.rs
@@ -3,7 +3,7 @@
 use std::sync::LazyLock;
 use std::time::{Duration, Instant};
 
-use coltsfootgate_core::stream::{StreamBook, StreamKey, StreamOrigin};
+use coltsfootgate_core::stream::{StreamBook, StreamKey, StreamOrigin, record_lifetime};
 use rstest::rstest;
 
 static START: LazyLock<Instant> = LazyLock::new(Instant::now);
@@ -65,6 +65,15 @@
     assert_eq!(book.find(&key("one", "a"), after(9)), Some(origin("v1")));
 }
 
+/// A class's timeout of two seconds ends a request whose caller tries for twelve.
+#[rstest]
+#[case::short_timeout(12, 2)]
+#[case::long_timeout(2, 12)]
+fn records_outlive_the_tries_of_the_caller(#[case] deadline_s: u64, #[case] timeout_s: u64) {
+    let (deadline, timeout) = (Duration::from_secs(deadline_s), Duration::from_secs(timeout_s));
+    assert!(record_lifetime(deadline, timeout) > deadline.max(timeout));
+}
+
 #[test]
 fn number_of_records_is_bounded() {
     let mut book = StreamBook::default();
