Do not compare loaded endpoints with those that a limit leaves idle

What callers saw: with two replicas of a service, one of which states a limit, the other one was taken for a straggler and got single requests for seconds; 240 requests of a test took up to 60 s (2 of 6 runs of platform/tests/limits.rs were slow: 10.2 s and 60.4 s, otherwise 2 to 4 s).

Cause: stragglers are found by comparing response times with the median of the other endpoints, and a paced one is almost idle. Evidence: the owner logged "endpoint i-2@0 changed to state reduced" and "probing" 47 ms after the limit of i-1@0. Class of fault: a comparison of endpoints that are not loaded alike, made possible by the pacing.

--- a/coltsfootgate_core/src/owner/endpoint.rs
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -347,9 +347,12 @@
             .min()
     }
 
-    /// Median time between tokens over the endpoints in service.
+    /// Median time between tokens over the endpoints in service that do not limit their requests.
     pub fn token_time(&self) -> Option<Duration> {
-        let endpoints = self.endpoints.values().filter(|endpoint| endpoint.is_in_service());
+        let endpoints = self
+            .endpoints
+            .values()
+            .filter(|endpoint| endpoint.is_in_service() && endpoint.limiter.rate().is_none());
         median(endpoints.filter_map(|endpoint| endpoint.slots.token_time()).collect())
     }
 
@@ -382,8 +385,13 @@
     }
 
     /// Median time between tokens over all other endpoints and the pool's other owners.
+    ///
+    /// Endpoints that limit their requests are almost idle, so they are no measure for loaded ones.
     fn median_token_time_excluding(&self, excluded: &EndpointId) -> Option<Duration> {
-        let others = self.endpoints.iter().filter(|(id, _)| *id != excluded);
+        let others = self
+            .endpoints
+            .iter()
+            .filter(|(id, endpoint)| *id != excluded && endpoint.limiter.rate().is_none());
         let own = others.filter_map(|(_, endpoint)| endpoint.slots.token_time());
         median(own.chain(self.peer_token_times.iter().copied()).collect())
     }
--- a/coltsfootgate_core/tests/endpoint_limit.rs
+++ b/coltsfootgate_core/tests/endpoint_limit.rs
@@ -271,3 +271,20 @@
     limiter.observe(&limited, now);
     assert!(limiter.observe(&stated_at(LimitNotice::Unlimited, now), now));
 }
+
+/// An endpoint whose limit leaves it almost idle answers faster than those that serve the others'
+/// requests. These must not be taken for stragglers.
+#[test]
+fn loaded_endpoint_is_not_a_straggler_beside_one_that_its_limit_leaves_idle() {
+    let mut driver = OwnerDriver::new(2, 64);
+    state_limit(&mut driver, LimitNotice::Limited(2.0));
+    let (idle, loaded) = (Duration::from_millis(2), Duration::from_millis(10));
+    for grant in 0..200 {
+        driver.request(request(&driver, grant, false));
+        let is_limited = driver.held()[0].2 == endpoint(0, 1).id;
+        let answer_time = if is_limited { idle } else { loaded };
+        driver.release_with_latencies(0, answer_time, answer_time);
+        driver.advance(Duration::from_millis(20));
+    }
+    assert_eq!(driver.state_changes(), []);
+}
