Show how endpoints mark the end of an answer and where its content ended

The lines have answer_framing and answer_end now, and answers are counted by both. No decision changes.

--- a/coltsfootgate/src/endpoint/connection.rs
+++ b/coltsfootgate/src/endpoint/connection.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coltsfootgate_core::answer::AnswerFraming;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -17,6 +18,7 @@
 use monoio_compat::hyper::MonoioIo;
 
 use super::{EndpointAnswer, EndpointClient, EndpointFailure, EndpointRequest};
+use crate::transfer::answer_framing;
 
 /// Maximum time to connect to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -125,7 +127,9 @@
                 }
             };
         let (head, body) = response.into_parts();
-        let stream = AnswerStream { body, sender: Some(sender), address, pool: self.clone() };
+        let framing = answer_framing(&head.headers, &body);
+        let stream =
+            AnswerStream { body, framing, sender: Some(sender), address, pool: self.clone() };
         Ok(EndpointAnswer { status: head.status, headers: head.headers, stream })
     }
 }
@@ -141,6 +145,7 @@
 /// The body of an answer. Dropping it before its end closes the connection.
 pub struct AnswerStream {
     body: Incoming,
+    framing: AnswerFraming,
     sender: Option<EndpointSender>,
     address: Arc<str>,
     pool: ConnectionPool,
@@ -153,6 +158,11 @@
 }
 
 impl AnswerStream {
+    /// How the end of the body is marked.
+    pub fn framing(&self) -> AnswerFraming {
+        self.framing
+    }
+
     /// Returns the next piece of the body, or `None` at its end.
     ///
     /// # Errors
--- a/coltsfootgate/src/endpoint/mod.rs
+++ b/coltsfootgate/src/endpoint/mod.rs
@@ -3,6 +3,7 @@
 
 mod connection;
 pub mod event;
+pub mod scanner;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/coltsfootgate/src/lib.rs
+++ b/coltsfootgate/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod routes;
 pub mod shutdown;
 pub mod streams;
+pub mod transfer;
 pub mod tree;
--- a/coltsfootgate/src/metrics/mod.rs
+++ b/coltsfootgate/src/metrics/mod.rs
@@ -12,6 +12,7 @@
     Registry, TextEncoder,
 };
 
+use coltsfootgate_core::answer::{AnswerFraming, ContentEnd};
 use coltsfootgate_core::ids::ConfigVersion;
 use coltsfootgate_core::outcome::RequestOutcome;
 use coltsfootgate_core::owner::{DeferralCause, OwnerActivity};
@@ -66,6 +67,7 @@
     config_age: Gauge,
     config_refused: IntCounterVec,
     answers_mismatched: IntCounterVec,
+    answer_ends: IntCounterVec,
     limit_notices: IntCounterVec,
     instances: IntGaugeVec,
     waiting: IntGaugeVec,
@@ -179,6 +181,11 @@
                 "Answers dropped because they carried the id of another request.",
                 &["class"],
             ),
+            answer_ends: registrar.counters(
+                "answer_ends",
+                "Answers of endpoints whose transfer ended without an error, by framing and content.",
+                &["framing", "end"],
+            ),
             limit_notices: registrar.counters(
                 "limit_notices",
                 "Answers of endpoints, by what they state about a limit on their requests.",
@@ -326,6 +333,11 @@
         self.answers_mismatched.with_label_values(&[class]).inc();
     }
 
+    /// Counts an answer whose transfer ended without an error by its framing and its content.
+    pub fn answer_ended(&self, framing: AnswerFraming, end: ContentEnd) {
+        self.answer_ends.with_label_values(&[framing.name(), end.name()]).inc();
+    }
+
     /// Counts an answer of an endpoint by what it states about a limit on its requests.
     pub fn limit_noticed(&self, notice: &str) {
         self.limit_notices.with_label_values(&[notice]).inc();
--- a/coltsfootgate/src/pipeline/record.rs
+++ b/coltsfootgate/src/pipeline/record.rs
@@ -39,6 +39,10 @@
     pub queues: Vec<String>,
     /// The limit on requests a second that the last answer of an endpoint stated.
     pub endpoint_limit: Option<f64>,
+    /// How the last answer of an endpoint marked its end.
+    pub answer_framing: Option<&'static str>,
+    /// Where the content of that answer ended, if its transfer ended without an error.
+    pub answer_end: Option<&'static str>,
     /// When it arrived, in milliseconds since the Unix epoch.
     pub arrived_ms: u64,
     /// When it received its last grant, in milliseconds since the Unix epoch.
--- a/coltsfootgate/src/pipeline/relay.rs
+++ b/coltsfootgate/src/pipeline/relay.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use coltsfootgate_core::answer::ContentEnd;
 use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 
@@ -17,6 +18,7 @@
 use super::settle::{ServedAnswer, outcome_headers, stream_head};
 use crate::dialect::CallerDialect;
 use crate::endpoint::event::{ChunkFields, EventReader, StreamEvent};
+use crate::endpoint::scanner::EventScanner;
 use crate::endpoint::{AnswerStream, EndpointAnswer, EndpointFailure};
 use crate::entry::CallerLink;
 
@@ -62,6 +64,8 @@
         caller: &mut CallerLink,
         journal: &mut RequestJournal,
     ) -> RelayEnd {
+        journal.record.answer_framing = Some(answer.stream.framing().name());
+        journal.record.answer_end = None;
         if self.request.form == AnswerForm::EventStream {
             return self.relay_events::<D>(answer, caller, journal).await;
         }
@@ -85,7 +89,10 @@
         let mut reader = EventReader::new();
         loop {
             match reader.next_event() {
-                Ok(Some(StreamEvent::Done)) => return self.finish_stream(stream).await,
+                Ok(Some(StreamEvent::Done)) => {
+                    self.record_end(ContentEnd::Marked, &stream, journal);
+                    return self.finish_stream(stream).await;
+                }
                 Ok(Some(StreamEvent::Chunk(event))) => {
                     if let Err(end) = self.forward_chunk::<D>(event, caller, journal).await {
                         return end;
@@ -93,7 +100,10 @@
                 }
                 Ok(None) => match self.next_piece(&mut stream, caller).await {
                     Ok(Some(piece)) => reader.push(&piece),
-                    Ok(None) => return RelayEnd::Failed(EndpointFailure::ConnectionLost),
+                    Ok(None) => {
+                        self.record_end(ContentEnd::Unmarked, &stream, journal);
+                        return RelayEnd::Failed(EndpointFailure::ConnectionLost);
+                    }
                     Err(end) => return end,
                 },
                 Err(_) => return RelayEnd::Failed(EndpointFailure::Mismatched),
@@ -101,6 +111,12 @@
         }
     }
 
+    /// Records and counts where the content of an answer ended.
+    fn record_end(&self, end: ContentEnd, stream: &AnswerStream, journal: &mut RequestJournal) {
+        journal.record.answer_end = Some(end.name());
+        self.context.metrics.answer_ended(stream.framing(), end);
+    }
+
     /// Reads the end of the transfer, so that the connection can be reused.
     async fn finish_stream(&self, mut stream: AnswerStream) -> RelayEnd {
         // The answer is already complete; a transfer that does not end only loses the connection.
@@ -166,13 +182,20 @@
         let EndpointAnswer { status, headers, mut stream } = answer;
         let headers = answer_headers(&headers);
         let mut reader = EventReader::new();
+        let mut scanner = EventScanner::default();
         loop {
             let (events, is_end) = match self.next_piece(&mut stream, caller).await {
-                Ok(Some(piece)) => match self.forwardable_events(&mut reader, piece) {
-                    Ok(events) => (events, false),
-                    Err(failure) => return RelayEnd::Failed(failure),
-                },
-                Ok(None) => (reader.take_remainder(), true),
+                Ok(Some(piece)) => {
+                    scanner.scan_all(&piece);
+                    match self.forwardable_events(&mut reader, piece) {
+                        Ok(events) => (events, false),
+                        Err(failure) => return RelayEnd::Failed(failure),
+                    }
+                }
+                Ok(None) => {
+                    self.record_end(scanner.end(), &stream, journal);
+                    (reader.take_remainder(), true)
+                }
                 Err(end) => return end,
             };
             if !events.is_empty() {
@@ -240,7 +263,10 @@
         loop {
             match self.next_piece(&mut stream, caller).await {
                 Ok(Some(piece)) => buffered.extend_from_slice(&piece),
-                Ok(None) => break,
+                Ok(None) => {
+                    self.record_end(ContentEnd::Opaque, &stream, journal);
+                    break;
+                }
                 Err(end) => return end,
             }
             if buffered.len() > BUFFERED_ANSWER_BYTES_MAX {
@@ -282,7 +308,10 @@
             }
             match self.next_piece(&mut stream, caller).await {
                 Ok(Some(next)) => piece = next,
-                Ok(None) => return RelayEnd::Served(ServedAnswer::Forwarded),
+                Ok(None) => {
+                    self.record_end(ContentEnd::Opaque, &stream, journal);
+                    return RelayEnd::Served(ServedAnswer::Forwarded);
+                }
                 Err(end) => return end,
             }
         }
--- a/coltsfootgate/tests/event_reader.rs
+++ b/coltsfootgate/tests/event_reader.rs
@@ -2,6 +2,8 @@
 //! complete event, however its bytes are split.
 
 use coltsfootgate::endpoint::event::EventReader;
+use coltsfootgate::endpoint::scanner::EventScanner;
+use coltsfootgate_core::answer::ContentEnd;
 use rstest::rstest;
 
 const STREAM: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
@@ -40,3 +42,22 @@
     assert_eq!(events, STREAM.as_bytes());
     assert_eq!(last.as_deref(), Some("3"));
 }
+
+#[rstest]
+#[case::nothing("", ContentEnd::NoEvent)]
+#[case::blank_lines("\n\n", ContentEnd::NoEvent)]
+#[case::comment(": ping\n\n", ContentEnd::NoEvent)]
+#[case::event("id: 1\ndata: a\n\n", ContentEnd::BetweenEvents)]
+#[case::event_and_comment("data: a\n\n: ping\n\n", ContentEnd::BetweenEvents)]
+#[case::event_and_blank_lines("data: a\n\n\n\n", ContentEnd::BetweenEvents)]
+#[case::carriage_returns("data: a\r\r", ContentEnd::BetweenEvents)]
+#[case::both_line_ends("data: a\r\n\r\n", ContentEnd::BetweenEvents)]
+#[case::no_blank_line("data: a\n", ContentEnd::InsideEvent)]
+#[case::no_blank_line_with_both_line_ends("data: a\r\n", ContentEnd::InsideEvent)]
+#[case::part_of_a_field("data: a\n\nda", ContentEnd::InsideEvent)]
+#[case::part_of_a_comment("data: a\n\n: pi", ContentEnd::InsideEvent)]
+fn where_a_stream_ends_is_known(#[case] stream: &str, #[case] expected: ContentEnd) {
+    let mut scanner = EventScanner::default();
+    scanner.scan_all(stream.as_bytes());
+    assert_eq!(scanner.end(), expected);
+}
--- a/coltsfootgate_core/src/lib.rs
+++ b/coltsfootgate_core/src/lib.rs
@@ -1,5 +1,6 @@
 //! The decision logic of coltsfootgate, as pure functions of state, event and time, without I/O.
 
+pub mod answer;
 pub mod attempt;
 pub mod calendar;
 pub mod claim;
