--- a/coltsfootgate_standins/src/lib.rs
+++ b/coltsfootgate_standins/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod measure;
 pub mod platform;
 pub mod proxy;
+pub mod raw_server;
 pub mod runner;
 pub mod service;
 pub mod signal;
--- /dev/null
+++ b/coltsfootgate_standins/src/raw_server.rs
@@ -0,0 +1,178 @@
+//! A server that sends scripted bytes, for answers that no HTTP library would send.
+
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use rustix::net::sockopt::set_socket_linger;
+
+use crate::runner::ANY_PORT;
+
+/// How long a read or write may block before the server checks whether it was stopped.
+const STOP_CHECK_PERIOD: Duration = Duration::from_millis(100);
+/// Maximum size of the head of a request, in bytes.
+const HEAD_BYTES_MAX: usize = 64 * 1024;
+
+/// One step of an answer. After the last one the connection is closed.
+#[derive(Clone, Debug)]
+pub enum RawStep {
+    /// Sends these bytes.
+    Send(Vec<u8>),
+    /// Sends these bytes again and again, until the other side closes the connection.
+    Repeat(Vec<u8>),
+    /// Sends nothing for this time.
+    Pause(Duration),
+    /// Resets the connection.
+    Reset,
+}
+
+impl RawStep {
+    /// Sends a text.
+    pub fn text(text: impl Into<String>) -> Self {
+        Self::Send(text.into().into_bytes())
+    }
+}
+
+/// Returns the value of a header in the head of a request.
+pub fn header_value<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines().find_map(|line| {
+        let (found, value) = line.split_once(':')?;
+        found.eq_ignore_ascii_case(name).then(|| value.trim())
+    })
+}
+
+/// Chooses the steps of the answer to a request with this head.
+type AnswerScript = dyn Fn(&str) -> Vec<RawStep> + Send + Sync;
+
+struct ServerState {
+    script: Box<AnswerScript>,
+    is_stopped: AtomicBool,
+    bytes_sent: AtomicU64,
+    heads: Mutex<Vec<String>>,
+}
+
+/// A running server, which is stopped when dropped. Each connection serves one request.
+pub struct RawServer {
+    /// The address that it listens on.
+    pub address: SocketAddr,
+    state: Arc<ServerState>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl RawServer {
+    /// Starts a server that answers each request as `script` says for its head.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub fn start(
+        script: impl Fn(&str) -> Vec<RawStep> + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(ANY_PORT)?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(ServerState {
+            script: Box::new(script),
+            is_stopped: AtomicBool::new(false),
+            bytes_sent: AtomicU64::new(0),
+            heads: Mutex::default(),
+        });
+        let accepting = state.clone();
+        let thread = thread::spawn(move || accept_connections(&listener, &accepting));
+        Ok(Self { address, state, thread: Some(thread) })
+    }
+
+    /// The heads of all requests so far.
+    pub fn heads(&self) -> Vec<String> {
+        self.state.heads.lock().expect("no writer panics").clone()
+    }
+
+    /// The number of bytes sent so far on all connections.
+    pub fn bytes_sent(&self) -> u64 {
+        self.state.bytes_sent.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for RawServer {
+    fn drop(&mut self) {
+        self.state.is_stopped.store(true, Ordering::Relaxed);
+        // Wakes the thread that waits for the next connection.
+        let _ = TcpStream::connect(self.address);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn accept_connections(listener: &TcpListener, state: &Arc<ServerState>) {
+    let mut connections = Vec::new();
+    while let Ok((stream, _)) = listener.accept() {
+        if state.is_stopped.load(Ordering::Relaxed) {
+            break;
+        }
+        let state = state.clone();
+        connections.push(thread::spawn(move || drop(state.serve(stream))));
+    }
+    for connection in connections {
+        let _ = connection.join();
+    }
+}
+
+impl ServerState {
+    fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(STOP_CHECK_PERIOD))?;
+        stream.set_write_timeout(Some(STOP_CHECK_PERIOD))?;
+        let head = self.read_head(&mut stream)?;
+        self.heads.lock().expect("no reader panics").push(head.clone());
+        for step in (self.script)(&head) {
+            match step {
+                RawStep::Send(bytes) => self.send(&mut stream, &bytes)?,
+                RawStep::Repeat(bytes) => loop {
+                    self.send(&mut stream, &bytes)?;
+                },
+                RawStep::Pause(time) => thread::sleep(time),
+                RawStep::Reset => {
+                    // The connection is reset instead of closed in the normal way.
+                    set_socket_linger(&stream, Some(Duration::ZERO))?;
+                    return Ok(());
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn read_head(&self, stream: &mut TcpStream) -> io::Result<String> {
+        let (mut head, mut byte) = (Vec::new(), [0]);
+        while !head.ends_with(b"\r\n\r\n") && head.len() < HEAD_BYTES_MAX {
+            match stream.read(&mut byte) {
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(_) => head.push(byte[0]),
+                Err(error) => self.check_blocked(error)?,
+            }
+        }
+        Ok(String::from_utf8_lossy(&head).into_owned())
+    }
+
+    fn send(&self, stream: &mut TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+        while !bytes.is_empty() {
+            match stream.write(bytes) {
+                Ok(sent) => {
+                    self.bytes_sent.fetch_add(sent as u64, Ordering::Relaxed);
+                    bytes = &bytes[sent..];
+                }
+                Err(error) => self.check_blocked(error)?,
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns an error unless a call was only blocked and the server still runs.
+    fn check_blocked(&self, error: io::Error) -> io::Result<()> {
+        let is_blocked =
+            matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut);
+        if is_blocked && !self.is_stopped.load(Ordering::Relaxed) { Ok(()) } else { Err(error) }
+    }
+}
