--- /dev/null
+++ b/coltsfootgate/src/pipeline/relay/body.rs
@@ -0,0 +1,100 @@
+//! Relays answers that are not streamed.
+
+use std::time::Instant;
+
+use bytes::{Bytes, BytesMut};
+use coltsfootgate_core::answer::ContentEnd;
+use http::{HeaderMap, StatusCode};
+
+use super::{RelayEnd, RelayTask};
+use crate::dialect::CallerDialect;
+use crate::endpoint::event::ChunkFields;
+use crate::endpoint::{AnswerStream, EndpointAnswer, EndpointFailure};
+use crate::entry::CallerLink;
+use crate::pipeline::classify::AnswerForm;
+use crate::pipeline::dispatch::answer_headers;
+use crate::pipeline::journal::RequestJournal;
+use crate::pipeline::settle::{ServedAnswer, outcome_headers};
+
+/// Maximum size of an answer that is buffered until it is complete, in bytes.
+const BUFFERED_ANSWER_BYTES_MAX: usize = 4 * 1024 * 1024;
+
+impl RelayTask<'_> {
+    /// Buffers an answer until it is complete, so that another attempt can still follow, and forwards
+    /// it as it arrives once it is too large for that.
+    pub(super) async fn relay_body<D: CallerDialect>(
+        &mut self,
+        answer: EndpointAnswer,
+        caller: &mut CallerLink,
+        journal: &mut RequestJournal,
+    ) -> RelayEnd {
+        let EndpointAnswer { status, headers, mut stream } = answer;
+        let headers = answer_headers(&headers);
+        self.measurements.first_token = Some(self.sent_at.elapsed());
+        let mut buffered = BytesMut::new();
+        loop {
+            match self.next_piece(&mut stream, caller).await {
+                Ok(Some(piece)) => buffered.extend_from_slice(&piece),
+                Ok(None) => {
+                    self.record_end(ContentEnd::Opaque, &stream, journal);
+                    break;
+                }
+                Err(end) => return end,
+            }
+            if buffered.len() > BUFFERED_ANSWER_BYTES_MAX {
+                let head = (status, headers);
+                return self
+                    .forward_body::<D>(head, buffered.freeze(), stream, caller, journal)
+                    .await;
+            }
+        }
+        let body = buffered.freeze();
+        if self.request.form == AnswerForm::ModelBody && !self.has_attempt_id(status, &body) {
+            return RelayEnd::Failed(EndpointFailure::Mismatched);
+        }
+        journal.record_first_token(Instant::now());
+        let answer = ServedAnswer::Body { status, headers, body };
+        if status.is_server_error() && self.request.class.retries_errors {
+            return RelayEnd::ErrorAnswer(answer);
+        }
+        RelayEnd::Served(answer)
+    }
+
+    /// Forwards an answer that is too large to buffer; on failure, the transfer to the caller is
+    /// aborted.
+    async fn forward_body<D: CallerDialect>(
+        &mut self,
+        (status, mut headers): (StatusCode, HeaderMap),
+        buffered: Bytes,
+        mut stream: AnswerStream,
+        caller: &mut CallerLink,
+        journal: &mut RequestJournal,
+    ) -> RelayEnd {
+        journal.record_first_token(Instant::now());
+        headers.extend(outcome_headers::<D>(self.request, "streaming", "streaming", ""));
+        caller.start_stream(status, headers);
+        let mut piece = buffered;
+        loop {
+            if caller.send(piece).await.is_err() {
+                return RelayEnd::CallerDisconnected;
+            }
+            match self.next_piece(&mut stream, caller).await {
+                Ok(Some(next)) => piece = next,
+                Ok(None) => {
+                    self.record_end(ContentEnd::Opaque, &stream, journal);
+                    return RelayEnd::Served(ServedAnswer::Forwarded);
+                }
+                Err(end) => return end,
+            }
+        }
+    }
+
+    /// Whether a body echoes the id of the attempt; bodies of error answers are not checked.
+    fn has_attempt_id(&self, status: StatusCode, body: &Bytes) -> bool {
+        if !status.is_success() {
+            return true;
+        }
+        let fields = serde_json::from_slice::<ChunkFields>(body);
+        fields.is_ok_and(|fields| fields.id == self.attempt)
+    }
+}
