Count a stream that ends inside an event as broken, whatever marks its end

Cause: the end of the transfer was taken for the end of the answer, and the bytes after the last whole event were sent on; where a class does not resume its streams, pieces passed unread. Nothing told the relay how the end was marked, and four functions each decided by themselves whether an answer was complete. Class of fault: the end of the transport is taken for the end of the content.

Why it works: one function of the core decides from the framing and from where the content ended; only whole events are forwarded, so that a broken stream goes on at its last whole event, or looks cut off. A stream without marked end and without an event counts as broken. Comments before the first event wait for it, and lines may end with a carriage return alone, which the reader took for one endless event. 1 MB without an event fails the attempt, comments included.

--- a/coltsfootgate/src/endpoint/event.rs
+++ b/coltsfootgate/src/endpoint/event.rs
@@ -3,9 +3,12 @@
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
+use coltsfootgate_core::answer::ContentEnd;
 use serde::Deserialize;
 
-/// Maximum size of an event, in bytes; a larger one fails the attempt.
+use super::scanner::EventScanner;
+
+/// Maximum size of an event and the comments before it, in bytes; a larger one fails the attempt.
 const EVENT_BYTES_MAX: usize = 1024 * 1024;
 
 /// One event of a streamed answer.
@@ -17,7 +20,7 @@
     Done,
 }
 
-/// An event exceeded its maximum size.
+/// An event, with the comments before it, exceeded its maximum size.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct EventTooLarge;
 
@@ -56,6 +59,7 @@
 #[derive(Debug, Default)]
 pub struct EventReader {
     buffer: BytesMut,
+    scanner: EventScanner,
     scanned: usize,
 }
 
@@ -71,60 +75,72 @@
     }
 
     /// Removes all complete events from the buffer and returns them unchanged, with the id of the
-    /// last one that has an id.
+    /// last one that has an id. Comments before the first event are returned with it.
     ///
     /// # Errors
     ///
-    /// Fails if the incomplete event in the buffer is too large.
+    /// Fails if too many bytes arrived without completing an event.
     pub fn take_complete(&mut self) -> Result<(Bytes, Option<Arc<str>>), EventTooLarge> {
         let mut end = 0;
-        while let Some(position) = self.find_event_end() {
-            end = position;
-            self.scanned = position;
-        }
-        self.scanned -= end;
-        if self.buffer.len() - end > EVENT_BYTES_MAX {
-            return Err(EventTooLarge);
+        while let Some(position) = self.find_block_end() {
+            if self.scanner.has_event() {
+                end = position;
+            }
         }
-        let events = self.buffer.split_to(end).freeze();
+        self.check_size()?;
+        let events = self.split_to(end);
         let last = last_event_id(&events);
         Ok((events, last))
     }
 
     /// Removes and returns the bytes after the last complete event.
     pub fn take_remainder(&mut self) -> Bytes {
-        self.scanned = 0;
-        self.buffer.split().freeze()
+        self.split_to(self.buffer.len())
+    }
+
+    /// Where the stream ends if no further byte follows.
+    pub fn end(&self) -> ContentEnd {
+        self.scanner.end()
     }
 
     /// Removes and returns the next complete event; `None` if more of the stream must arrive first.
     ///
     /// # Errors
     ///
-    /// Fails if the incomplete event in the buffer is too large.
+    /// Fails if too many bytes arrived without completing an event.
     pub fn next_event(&mut self) -> Result<Option<StreamEvent>, EventTooLarge> {
-        let Some(end) = self.find_event_end() else {
-            return if self.buffer.len() > EVENT_BYTES_MAX { Err(EventTooLarge) } else { Ok(None) };
+        let Some(end) = self.find_block_end() else {
+            return self.check_size().map(|()| None);
         };
-        let event = self.buffer.split_to(end).freeze();
-        self.scanned = 0;
+        let event = self.split_to(end);
         let is_done = event_data(&event).is_some_and(|data| data == b"[DONE]");
         Ok(Some(if is_done { StreamEvent::Done } else { StreamEvent::Chunk(event) }))
     }
 
-    /// Returns the position after the next blank line; each byte is scanned only once.
-    fn find_event_end(&mut self) -> Option<usize> {
-        let start = self.scanned;
-        for position in start..self.buffer.len() {
-            if self.buffer[position] != b'\n' {
-                continue;
-            }
-            let before = &self.buffer[..position];
-            if before.ends_with(b"\n") || before.ends_with(b"\n\r") {
-                return Some(position + 1);
+    fn check_size(&self) -> Result<(), EventTooLarge> {
+        let is_large = self.scanner.bytes_since_event() > EVENT_BYTES_MAX;
+        if is_large { Err(EventTooLarge) } else { Ok(()) }
+    }
+
+    fn split_to(&mut self, end: usize) -> Bytes {
+        self.scanned = self.scanned.saturating_sub(end);
+        self.buffer.split_to(end).freeze()
+    }
+
+    /// Returns the position after the next blank line that ends a block; each byte is scanned only
+    /// once.
+    fn find_block_end(&mut self) -> Option<usize> {
+        while let Some(byte) = self.buffer.get(self.scanned).copied() {
+            self.scanned += 1;
+            if self.scanner.scan(byte) {
+                // The line feed of a pair belongs to the blank line.
+                if byte == b'\r' && self.buffer.get(self.scanned) == Some(&b'\n') {
+                    self.scanned += 1;
+                    self.scanner.scan(b'\n');
+                }
+                return Some(self.scanned);
             }
         }
-        self.scanned = self.buffer.len();
         None
     }
 }
--- a/coltsfootgate/src/pipeline/relay/body.rs
+++ b/coltsfootgate/src/pipeline/relay/body.rs
@@ -27,20 +27,13 @@
         answer: EndpointAnswer,
         caller: &mut CallerLink,
         journal: &mut RequestJournal,
-    ) -> RelayEnd {
+    ) -> Result<ServedAnswer, RelayEnd> {
         let EndpointAnswer { status, headers, mut stream } = answer;
         let headers = answer_headers(&headers);
         self.measurements.first_token = Some(self.sent_at.elapsed());
         let mut buffered = BytesMut::new();
-        loop {
-            match self.next_piece(&mut stream, caller).await {
-                Ok(Some(piece)) => buffered.extend_from_slice(&piece),
-                Ok(None) => {
-                    self.record_end(ContentEnd::Opaque, &stream, journal);
-                    break;
-                }
-                Err(end) => return end,
-            }
+        while let Some(piece) = self.next_piece(&mut stream, caller).await? {
+            buffered.extend_from_slice(&piece);
             if buffered.len() > BUFFERED_ANSWER_BYTES_MAX {
                 let head = (status, headers);
                 return self
@@ -48,16 +41,17 @@
                     .await;
             }
         }
+        self.end_answer(ContentEnd::Opaque, &stream, journal)?;
         let body = buffered.freeze();
         if self.request.form == AnswerForm::ModelBody && !self.has_attempt_id(status, &body) {
-            return RelayEnd::Failed(EndpointFailure::Mismatched);
+            return Err(EndpointFailure::Mismatched.into());
         }
         journal.record_first_token(Instant::now());
         let answer = ServedAnswer::Body { status, headers, body };
         if status.is_server_error() && self.request.class.retries_errors {
-            return RelayEnd::ErrorAnswer(answer);
+            return Err(RelayEnd::ErrorAnswer(answer));
         }
-        RelayEnd::Served(answer)
+        Ok(answer)
     }
 
     /// Forwards an answer that is too large to buffer; on failure, the transfer to the caller is
@@ -69,24 +63,17 @@
         mut stream: AnswerStream,
         caller: &mut CallerLink,
         journal: &mut RequestJournal,
-    ) -> RelayEnd {
+    ) -> Result<ServedAnswer, RelayEnd> {
         journal.record_first_token(Instant::now());
         headers.extend(outcome_headers::<D>(self.request, "streaming", "streaming", ""));
         caller.start_stream(status, headers);
-        let mut piece = buffered;
-        loop {
-            if caller.send(piece).await.is_err() {
-                return RelayEnd::CallerDisconnected;
-            }
-            match self.next_piece(&mut stream, caller).await {
-                Ok(Some(next)) => piece = next,
-                Ok(None) => {
-                    self.record_end(ContentEnd::Opaque, &stream, journal);
-                    return RelayEnd::Served(ServedAnswer::Forwarded);
-                }
-                Err(end) => return end,
-            }
+        let mut next = Some(buffered);
+        while let Some(piece) = next {
+            caller.send(piece).await.map_err(|_| RelayEnd::CallerDisconnected)?;
+            next = self.next_piece(&mut stream, caller).await?;
         }
+        self.end_answer(ContentEnd::Opaque, &stream, journal)?;
+        Ok(ServedAnswer::Forwarded)
     }
 
     /// Whether a body echoes the id of the attempt; bodies of error answers are not checked.
--- a/coltsfootgate/src/pipeline/relay/events.rs
+++ b/coltsfootgate/src/pipeline/relay/events.rs
@@ -7,7 +7,6 @@
 use super::{RelayEnd, RelayTask};
 use crate::dialect::CallerDialect;
 use crate::endpoint::event::EventReader;
-use crate::endpoint::scanner::EventScanner;
 use crate::endpoint::{EndpointAnswer, EndpointFailure};
 use crate::entry::CallerLink;
 use crate::pipeline::dispatch::answer_headers;
@@ -16,17 +15,17 @@
 use crate::pipeline::settle::ServedAnswer;
 
 impl RelayTask<'_> {
-    /// Forwards events as they arrive. The head is sent to the caller with the first event, so that
-    /// another attempt can still answer if none arrives.
+    /// Forwards complete events as they arrive. The head is sent to the caller with the first event, so
+    /// that another attempt can still answer if none arrives.
     pub(super) async fn relay_events<D: CallerDialect>(
         &mut self,
         answer: EndpointAnswer,
         caller: &mut CallerLink,
         journal: &mut RequestJournal,
-    ) -> RelayEnd {
+    ) -> Result<ServedAnswer, RelayEnd> {
         if !answer.status.is_success() {
             if caller.has_started() {
-                return RelayEnd::Failed(EndpointFailure::FailedAnswer(answer.status));
+                return Err(EndpointFailure::FailedAnswer(answer.status).into());
             }
             // The body may be an error that another endpoint does not return.
             return self.relay_body::<D>(answer, caller, journal).await;
@@ -34,57 +33,28 @@
         let EndpointAnswer { status, headers, mut stream } = answer;
         let headers = answer_headers(&headers);
         let mut reader = EventReader::new();
-        let mut scanner = EventScanner::default();
-        loop {
-            let (events, is_end) = match self.next_piece(&mut stream, caller).await {
-                Ok(Some(piece)) => {
-                    scanner.scan_all(&piece);
-                    match self.forwardable_events(&mut reader, piece) {
-                        Ok(events) => (events, false),
-                        Err(failure) => return RelayEnd::Failed(failure),
-                    }
-                }
-                Ok(None) => {
-                    self.record_end(scanner.end(), &stream, journal);
-                    (reader.take_remainder(), true)
-                }
-                Err(end) => return end,
-            };
-            if !events.is_empty() {
-                if !caller.has_started() {
-                    record_origin(self.context, self.request, &self.lease.endpoint).await;
-                    caller.start_stream(status, headers.clone());
-                }
-                if let Err(end) = self.forward_events(events, caller, journal).await {
-                    return end;
-                }
+        while let Some(piece) = self.next_piece(&mut stream, caller).await? {
+            reader.push(&piece);
+            let (events, last) = reader.take_complete()?;
+            self.last_event = last.or(self.last_event.take());
+            if events.is_empty() {
+                continue;
             }
-            if is_end && caller.has_started() {
-                return RelayEnd::Served(ServedAnswer::Forwarded);
-            }
-            if is_end {
-                let body = Bytes::new();
-                return RelayEnd::Served(ServedAnswer::Body { status, headers, body });
+            if !caller.has_started() {
+                record_origin(self.context, self.request, &self.lease.endpoint).await;
+                caller.start_stream(status, headers.clone());
             }
+            self.forward_events(events, caller, journal).await?;
         }
-    }
-
-    /// The part of a piece that may be forwarded: all of it, or only complete events if the stream
-    /// may be resumed.
-    fn forwardable_events(
-        &mut self,
-        reader: &mut EventReader,
-        piece: Bytes,
-    ) -> Result<Bytes, EndpointFailure> {
-        if !self.request.class.resume {
-            return Ok(piece);
+        self.end_answer(reader.end(), &stream, journal)?;
+        let body = reader.take_remainder();
+        if !caller.has_started() {
+            return Ok(ServedAnswer::Body { status, headers, body });
         }
-        reader.push(&piece);
-        let (events, last) = reader.take_complete().map_err(|_| EndpointFailure::Mismatched)?;
-        if last.is_some() {
-            self.last_event = last;
+        if !body.is_empty() {
+            caller.send(body).await.map_err(|_| RelayEnd::CallerDisconnected)?;
         }
-        Ok(events)
+        Ok(ServedAnswer::Forwarded)
     }
 
     async fn forward_events(
--- a/coltsfootgate/src/pipeline/relay/mod.rs
+++ b/coltsfootgate/src/pipeline/relay/mod.rs
@@ -5,11 +5,12 @@
 mod events;
 mod model;
 
+use std::convert::identity;
 use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::Bytes;
-use coltsfootgate_core::answer::ContentEnd;
+use coltsfootgate_core::answer::{ContentEnd, is_complete};
 use futures_util::future::{Either, select};
 use http::{HeaderValue, StatusCode, header};
 
@@ -19,6 +20,7 @@
 use super::journal::RequestJournal;
 use super::settle::ServedAnswer;
 use crate::dialect::CallerDialect;
+use crate::endpoint::event::EventTooLarge;
 use crate::endpoint::{AnswerStream, EndpointAnswer, EndpointFailure};
 use crate::entry::CallerLink;
 
@@ -35,6 +37,18 @@
     Failed(EndpointFailure),
 }
 
+impl From<EndpointFailure> for RelayEnd {
+    fn from(failure: EndpointFailure) -> Self {
+        Self::Failed(failure)
+    }
+}
+
+impl From<EventTooLarge> for RelayEnd {
+    fn from(_: EventTooLarge) -> Self {
+        Self::Failed(EndpointFailure::Mismatched)
+    }
+}
+
 /// The state needed to relay the answer of one attempt.
 pub struct RelayTask<'a> {
     /// The state shared by all requests.
@@ -63,24 +77,35 @@
     ) -> RelayEnd {
         journal.record.answer_framing = Some(answer.stream.framing().name());
         journal.record.answer_end = None;
-        if self.request.form == AnswerForm::EventStream {
-            return self.relay_events::<D>(answer, caller, journal).await;
-        }
-        let is_model = self.request.form != AnswerForm::Service;
-        if is_failed_answer(answer.status, is_model) {
-            return RelayEnd::Failed(EndpointFailure::FailedAnswer(answer.status));
-        }
-        if self.request.form == AnswerForm::ModelStream && answer.status.is_success() {
-            self.relay_stream::<D>(answer.stream, caller, journal).await
-        } else {
-            self.relay_body::<D>(answer, caller, journal).await
-        }
+        let is_model = !matches!(self.request.form, AnswerForm::Service | AnswerForm::EventStream);
+        let relayed = match self.request.form {
+            AnswerForm::EventStream => self.relay_events::<D>(answer, caller, journal).await,
+            _ if is_failed_answer(answer.status, is_model) => {
+                Err(RelayEnd::Failed(EndpointFailure::FailedAnswer(answer.status)))
+            }
+            AnswerForm::ModelStream if answer.status.is_success() => {
+                self.relay_stream::<D>(answer.stream, caller, journal).await
+            }
+            AnswerForm::ModelStream | AnswerForm::ModelBody | AnswerForm::Service => {
+                self.relay_body::<D>(answer, caller, journal).await
+            }
+        };
+        relayed.map_or_else(identity, RelayEnd::Served)
     }
 
-    /// Records and counts where the content of an answer ended.
-    fn record_end(&self, end: ContentEnd, stream: &AnswerStream, journal: &mut RequestJournal) {
+    /// Ends an answer whose transfer ended without an error.
+    ///
+    /// Fails unless the answer is complete.
+    fn end_answer(
+        &self,
+        end: ContentEnd,
+        stream: &AnswerStream,
+        journal: &mut RequestJournal,
+    ) -> Result<(), EndpointFailure> {
+        let framing = stream.framing();
         journal.record.answer_end = Some(end.name());
-        self.context.metrics.answer_ended(stream.framing(), end);
+        self.context.metrics.answer_ended(framing, end);
+        if is_complete(framing, end) { Ok(()) } else { Err(EndpointFailure::ConnectionLost) }
     }
 
     fn record_token(&mut self, now: Instant, journal: &mut RequestJournal) {
--- a/coltsfootgate/src/pipeline/relay/model.rs
+++ b/coltsfootgate/src/pipeline/relay/model.rs
@@ -13,6 +13,9 @@
 use crate::pipeline::journal::RequestJournal;
 use crate::pipeline::settle::{ServedAnswer, stream_head};
 
+/// Maximum time for the end of a transfer to arrive after the mark that ends its content.
+const TRANSFER_END_TIMEOUT: Duration = Duration::from_millis(20);
+
 impl RelayTask<'_> {
     /// Forwards the chunks of a stream as they arrive, up to the mark that ends it.
     pub(super) async fn relay_stream<D: CallerDialect>(
@@ -20,39 +23,30 @@
         mut stream: AnswerStream,
         caller: &mut CallerLink,
         journal: &mut RequestJournal,
-    ) -> RelayEnd {
+    ) -> Result<ServedAnswer, RelayEnd> {
         let mut reader = EventReader::new();
         loop {
-            match reader.next_event() {
-                Ok(Some(StreamEvent::Done)) => {
-                    self.record_end(ContentEnd::Marked, &stream, journal);
-                    return self.finish_stream(stream).await;
+            match reader.next_event()? {
+                Some(StreamEvent::Done) => {
+                    self.end_answer(ContentEnd::Marked, &stream, journal)?;
+                    // Read only so that the connection can be reused.
+                    let _ = stream.next(TRANSFER_END_TIMEOUT).await;
+                    return Ok(ServedAnswer::Stream);
                 }
-                Ok(Some(StreamEvent::Chunk(event))) => {
-                    if let Err(end) = self.forward_chunk::<D>(event, caller, journal).await {
-                        return end;
-                    }
+                Some(StreamEvent::Chunk(event)) => {
+                    self.forward_chunk::<D>(event, caller, journal).await?;
                 }
-                Ok(None) => match self.next_piece(&mut stream, caller).await {
-                    Ok(Some(piece)) => reader.push(&piece),
-                    Ok(None) => {
-                        self.record_end(ContentEnd::Unmarked, &stream, journal);
-                        return RelayEnd::Failed(EndpointFailure::ConnectionLost);
+                None => match self.next_piece(&mut stream, caller).await? {
+                    Some(piece) => reader.push(&piece),
+                    None => {
+                        self.end_answer(ContentEnd::Unmarked, &stream, journal)?;
+                        return Ok(ServedAnswer::Stream);
                     }
-                    Err(end) => return end,
                 },
-                Err(_) => return RelayEnd::Failed(EndpointFailure::Mismatched),
             }
         }
     }
 
-    /// Reads the end of the transfer, so that the connection can be reused.
-    async fn finish_stream(&self, mut stream: AnswerStream) -> RelayEnd {
-        // The answer is already complete; a transfer that does not end only loses the connection.
-        let _ = stream.next(Duration::from_millis(20)).await;
-        RelayEnd::Served(ServedAnswer::Stream)
-    }
-
     async fn forward_chunk<D: CallerDialect>(
         &mut self,
         event: Bytes,
@@ -60,10 +54,10 @@
         journal: &mut RequestJournal,
     ) -> Result<(), RelayEnd> {
         let Some(fields) = ChunkFields::parse(&event) else {
-            return Err(RelayEnd::Failed(EndpointFailure::Mismatched));
+            return Err(EndpointFailure::Mismatched.into());
         };
         if fields.id != self.attempt {
-            return Err(RelayEnd::Failed(EndpointFailure::Mismatched));
+            return Err(EndpointFailure::Mismatched.into());
         }
         if !caller.has_started() {
             let (status, headers) = stream_head::<D>(self.request);
--- a/coltsfootgate/tests/event_reader.rs
+++ b/coltsfootgate/tests/event_reader.rs
@@ -61,3 +61,32 @@
     scanner.scan_all(stream.as_bytes());
     assert_eq!(scanner.end(), expected);
 }
+
+/// Until the first event the request can still be tried at another endpoint.
+#[test]
+fn comments_are_held_until_the_first_event() {
+    let mut reader = EventReader::new();
+    reader.push(b": ping\n\n");
+    assert_eq!(reader.take_complete().unwrap().0, "");
+    reader.push(b"data: a\n\n: ping\n\n");
+    assert_eq!(reader.take_complete().unwrap().0, ": ping\n\ndata: a\n\n: ping\n\n");
+    reader.push(b": ping\n\n");
+    assert_eq!(reader.take_complete().unwrap().0, ": ping\n\n");
+}
+
+#[rstest]
+#[case::no_line_end(b"data: a", true)]
+#[case::fields(b"data: a\n", true)]
+#[case::comments(b": ping\n\n", true)]
+#[case::blank_lines(b"\n\n\n", true)]
+#[case::events(b"data: a\n\n", false)]
+fn endless_bytes_without_an_event_fail(#[case] piece: &[u8], #[case] fails: bool) {
+    let mut reader = EventReader::new();
+    reader.push(b"data: first\n\n");
+    let size = 2 * 1024 * 1024;
+    let failed = (0..size / piece.len()).any(|_| {
+        reader.push(piece);
+        reader.take_complete().is_err()
+    });
+    assert_eq!(failed, fails);
+}
--- a/coltsfootgate_core/src/answer.rs
+++ b/coltsfootgate_core/src/answer.rs
@@ -1,4 +1,4 @@
-//! How the end of an endpoint's answer is marked, and where its content ended.
+//! Decides whether an endpoint's answer that has ended is complete.
 
 /// How the transfer of an answer marks its end.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -65,3 +65,17 @@
         }
     }
 }
+
+/// Whether an answer is complete, after its transfer ended without an error.
+///
+/// A transfer that ends properly does not prove that its content is complete: an endpoint that fails
+/// may close the connection, or end its own framing, in the middle of an event. The end of a
+/// connection between two events proves neither, and counts as the end of the answer.
+pub fn is_complete(framing: AnswerFraming, end: ContentEnd) -> bool {
+    match end {
+        ContentEnd::Opaque | ContentEnd::Marked | ContentEnd::BetweenEvents => true,
+        ContentEnd::Unmarked | ContentEnd::InsideEvent => false,
+        // An endpoint that failed before its first event looks the same if nothing marks the end.
+        ContentEnd::NoEvent => framing != AnswerFraming::ConnectionClose,
+    }
+}
