Reset the connection of an HTTP/1.0 caller whose answer broke off

What callers saw: a caller that knows no chunks got a part of an answer and the normal end of its connection, which is how such a caller recognises the end of a complete answer.

Cause: an aborted transfer was dropped without its last chunk, which says nothing where there are no chunks. The connection is reset now (SO_LINGER of zero); callers with chunks see the missing last chunk as before, and lose no bytes that they have not read yet.

--- a/coltsfootgate/src/entry/listener.rs
+++ b/coltsfootgate/src/entry/listener.rs
@@ -2,19 +2,22 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::os::fd::{AsRawFd, RawFd};
 use std::rc::Rc;
 use std::time::Duration;
 
 use coltsfootgate_core::prelude::ErrorKind;
 use coltsfootgate_core::settings::ConnectionSettings;
 use futures_util::future::{Either, select};
-use http::{Request, Response, header};
+use http::{Request, Response, Version, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use monoio::io::{AsyncWriteRentExt, IntoPollIo};
 use monoio::net::{TcpListener, TcpStream};
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
+use nix::libc::linger;
+use nix::sys::socket::{setsockopt, sockopt};
 
 use super::answer::{AnswerBody, OUTCOME, REASON, RULE, Refusal};
 use super::request::{ENTRY_RULE, RequestBounds};
@@ -134,17 +137,21 @@
     shutdown: ShutdownSignal,
 ) {
     let _ = stream.set_nodelay(true);
+    let descriptor = stream.as_raw_fd();
     let Ok(stream) = stream.into_poll_io() else { return };
     let service_handler = handler.clone();
     let served = Rc::new(Cell::new(false));
     let has_served = served.clone();
+    let knows_chunks = Rc::new(Cell::new(true));
+    let has_chunks = knows_chunks.clone();
     let draining = shutdown.clone();
     let phase = SharedPhase::default();
     let service_phase = phase.clone();
-    let service = service_fn(move |request| {
+    let service = service_fn(move |request: Request<Incoming>| {
         let handler = service_handler.clone();
         let draining = draining.clone();
         has_served.set(true);
+        has_chunks.set(request.version() >= Version::HTTP_11);
         let guard = service_phase.request_started();
         async move {
             let mut response = handler.handle(request).await;
@@ -170,6 +177,9 @@
             connection.await
         }
     };
+    if ended.is_err() && !knows_chunks.get() {
+        reset_on_close(descriptor);
+    }
     if let Err(error) = ended
         && let Some(kind) = connection_error_kind(&error, &phase)
         // A connection may be idle between two requests, so a timeout there is not an error.
@@ -179,6 +189,16 @@
     }
 }
 
+/// Makes a socket send a reset when it is closed.
+///
+/// A caller that knows no chunks takes the normal end of its connection for the end of the answer.
+fn reset_on_close(descriptor: RawFd) {
+    let no_linger = linger { l_onoff: 1, l_linger: 0 };
+    if let Err(error) = setsockopt(descriptor, sockopt::Linger, &no_linger) {
+        log::warn!("cannot reset the connection of a caller whose answer broke off: {error}");
+    }
+}
+
 fn connection_error_kind(error: &hyper::Error, phase: &SharedPhase) -> Option<ErrorKind> {
     if phase.head_timed_out() {
         Some(ErrorKind::SlowRequest)
