Do not use a stored value whose end is not marked

The native store's values are raw bytes. The new case failed before (the part "ab" was returned as the value). On the users' platform the store's answers are JSON objects, of which a part cannot be parsed.

--- a/coltsfootgate/src/platform/client.rs
+++ b/coltsfootgate/src/platform/client.rs
@@ -18,6 +18,7 @@
 use monoio_compat::hyper::MonoioIo;
 
 use super::PlatformError;
+use crate::transfer::answer_framing;
 
 /// Maximum number of idle connections that are kept.
 const IDLE_CONNECTIONS_MAX: usize = 4;
@@ -74,7 +75,8 @@
     /// # Errors
     ///
     /// Fails if no connection is made, the connection breaks, the timeout passes or the body is
-    /// larger than `body_bytes_max`. A response of any status is a success.
+    /// larger than `body_bytes_max`. A response of any status is a success. Its extensions contain
+    /// its [`AnswerFraming`](coltsfootgate_core::answer::AnswerFraming).
     pub async fn call(
         &self,
         request: Request<Full<Bytes>>,
@@ -93,7 +95,8 @@
     ) -> Result<Response<Bytes>, PlatformError> {
         let mut connection = self.idle_or_new_connection().await?;
         let response = connection.sender.send_request(request).await.map_err(connection_error)?;
-        let (parts, body) = response.into_parts();
+        let (mut parts, body) = response.into_parts();
+        parts.extensions.insert(answer_framing(&parts.headers, &body));
         if body.size_hint().lower() > body_bytes_max as u64 {
             return Err(PlatformError::TooLarge);
         }
--- a/coltsfootgate/src/platform/http.rs
+++ b/coltsfootgate/src/platform/http.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coltsfootgate_core::answer::AnswerFraming;
 use http::{Method, Response, StatusCode};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -156,6 +157,10 @@
 
 fn stored_value(response: Response<Bytes>) -> Result<StoredValue, PlatformError> {
     let revision = response_revision(&response)?;
+    // A value has no structure of its own that shows a missing part.
+    if response.extensions().get() == Some(&AnswerFraming::ConnectionClose) {
+        return Err(PlatformError::Broken("the end of the value is not marked".into()));
+    }
     Ok(StoredValue { revision, value: response.into_body() })
 }
 
--- a/coltsfootgate/src/platform/tests.rs
+++ b/coltsfootgate/src/platform/tests.rs
@@ -11,16 +11,20 @@
 
 const TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Sends fixed bytes to the first connection and keeps it open until the client closes it.
+/// Sends fixed bytes to the first connection, and keeps it open until the client closes it unless
+/// they announce that it is closed.
 fn serve_bytes(response: Vec<u8>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
+    let is_closed = response.windows(17).any(|window| window == b"connection: close");
     thread::spawn(move || {
         let (mut stream, _) = listener.accept().unwrap();
         let mut head = [0; 1024];
         let _ = stream.read(&mut head);
         let _ = stream.write_all(&response);
-        let _ = stream.read(&mut head);
+        if !is_closed {
+            let _ = stream.read(&mut head);
+        }
     });
     address
 }
@@ -51,6 +55,10 @@
     Err(PlatformError::TooLarge)
 )]
 #[case::silent(Vec::new(), Err(PlatformError::TimedOut(TIMEOUT)))]
+#[case::end_not_marked(
+    b"HTTP/1.1 200 OK\r\nx-revision: 7\r\nconnection: close\r\n\r\nab".to_vec(),
+    Err(PlatformError::Broken("the end of the value is not marked".into()))
+)]
 #[case::silent_in_the_body(
     b"HTTP/1.1 200 OK\r\nx-revision: 7\r\ncontent-length: 9\r\n\r\nabc".to_vec(),
     Err(PlatformError::TimedOut(TIMEOUT))
