Bound what a server can send before the event loop runs its timers

What callers saw: an endpoint that sends heads of informational answers without end stopped the whole instance; endless bodies and events ran past the timeout of their class and past the deadline for as long as the endpoint sent.

Cause: the event loop runs its timers only when no task is ready. A connection whose bytes arrive faster than they are handled is always ready, so that no timeout fires; and hyper reads informational heads in a loop that never returns. Class of fault: a limit enforced by a timer of the loop that the fault occupies.

Why it works: every connection to an endpoint or to the platform is one type now, which pauses for a millisecond after 256 KiB without a break, so that the timers run, and fails after 128 KiB without a complete head. A request to the platform whose idle connection turns out to be closed is sent on another one, if it was not sent.

What remains: an endless answer that has begun and looks like one occupies its caller until the timeout of its class, and does not count against the endpoint.

--- a/coltsfootctl/tests/http.rs
+++ b/coltsfootctl/tests/http.rs
@@ -65,6 +65,20 @@
         let chunk = vec![b' '; 1 << 16];
         while stream.write_all(&chunk).is_ok() {}
     } => PlatformError::TooLarge, true;
+    endless_informational_heads: |stream| {
+        let heads = "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(1 << 10);
+        while stream.write_all(heads.as_bytes()).is_ok() {}
+    } => PlatformError::Broken(..), true;
+    endless_head: |stream| {
+        send(stream, "HTTP/1.1 200 OK\r\n");
+        let lines = "filler: filler\r\n".repeat(1 << 10);
+        while stream.write_all(lines.as_bytes()).is_ok() {}
+    } => PlatformError::Broken(..), true;
+    endless_body_without_framing: |stream| {
+        send(stream, "HTTP/1.1 200 OK\r\n\r\n");
+        let filler = vec![b' '; 1 << 16];
+        while stream.write_all(&filler).is_ok() {}
+    } => PlatformError::TooLarge, true;
     unexpected_json: |stream| send(stream, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n[]") => PlatformError::Malformed(..), true;
     refused: |stream| send(stream, "HTTP/1.1 403 Forbidden\r\ncontent-length: 0\r\n\r\n") => PlatformError::Refused(403), false;
 }
--- a/coltsfootgate/src/endpoint/connection.rs
+++ b/coltsfootgate/src/endpoint/connection.rs
@@ -11,24 +11,18 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
-use monoio::io::IntoPollIo;
 use monoio::net::TcpStream;
 use monoio::time::timeout;
-use monoio_compat::hyper::MonoioIo;
 
 use super::{EndpointAnswer, EndpointClient, EndpointFailure, EndpointRequest};
-use crate::transfer::answer_framing;
+use crate::transfer::{HttpConnection, SendFailure, answer_framing};
 
 /// Maximum time to connect to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Maximum number of idle connections to each endpoint.
 const IDLE_CONNECTIONS_MAX: usize = 64;
-/// Maximum size of the head of an answer, in bytes.
-const ANSWER_HEAD_BYTES_MAX: usize = 64 * 1024;
 
-type EndpointSender = SendRequest<Full<Bytes>>;
-type IdleConnections = HashMap<Arc<str>, Vec<EndpointSender>>;
+type IdleConnections = HashMap<Arc<str>, Vec<HttpConnection>>;
 
 /// The connections of this instance to all endpoints.
 #[derive(Clone, Default)]
@@ -47,44 +41,34 @@
         self.idle.borrow_mut().remove(address);
     }
 
-    fn take_idle(&self, address: &str) -> Option<EndpointSender> {
+    fn take_idle(&self, address: &str) -> Option<HttpConnection> {
         let mut idle = self.idle.borrow_mut();
-        let senders = idle.get_mut(address)?;
-        while let Some(sender) = senders.pop() {
-            if sender.is_ready() {
-                return Some(sender);
+        let connections = idle.get_mut(address)?;
+        while let Some(connection) = connections.pop() {
+            if connection.is_ready() {
+                return Some(connection);
             }
         }
         None
     }
 
-    fn put_idle(&self, address: &Arc<str>, sender: EndpointSender) {
-        if sender.is_closed() {
+    fn put_idle(&self, address: &Arc<str>, connection: HttpConnection) {
+        if connection.is_closed() {
             return;
         }
         let mut idle = self.idle.borrow_mut();
-        let senders = idle.entry(address.clone()).or_default();
-        if senders.len() < IDLE_CONNECTIONS_MAX {
-            senders.push(sender);
+        let connections = idle.entry(address.clone()).or_default();
+        if connections.len() < IDLE_CONNECTIONS_MAX {
+            connections.push(connection);
         }
     }
 
-    async fn connect(&self, address: &str) -> Result<EndpointSender, EndpointFailure> {
+    async fn connect(&self, address: &str) -> Result<HttpConnection, EndpointFailure> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_| EndpointFailure::NeverSent)?
             .map_err(|_| EndpointFailure::NeverSent)?;
-        let _ = stream.set_nodelay(true);
-        let stream = stream.into_poll_io().map_err(|_| EndpointFailure::NeverSent)?;
-        let (sender, connection) = http1::Builder::new()
-            .max_buf_size(ANSWER_HEAD_BYTES_MAX)
-            .handshake(MonoioIo::new(stream))
-            .await
-            .map_err(|_| EndpointFailure::NeverSent)?;
-        monoio::spawn(async move {
-            let _ = connection.await;
-        });
-        Ok(sender)
+        HttpConnection::start(stream).await.map_err(|_| EndpointFailure::NeverSent)
     }
 
     /// Sends a request on an idle connection, or on a new one if no idle connection accepts it.
@@ -92,23 +76,19 @@
         &self,
         address: &Arc<str>,
         mut message: Request<Full<Bytes>>,
-    ) -> Result<(Response<Incoming>, EndpointSender), EndpointFailure> {
-        while let Some(mut sender) = self.take_idle(address) {
-            match sender.try_send_request(message).await {
-                Ok(response) => return Ok((response, sender)),
-                Err(mut error) => match error.take_message() {
-                    Some(unsent) => message = unsent,
-                    None => return Err(EndpointFailure::ConnectionLost),
-                },
+    ) -> Result<(Response<Incoming>, HttpConnection), EndpointFailure> {
+        while let Some(mut connection) = self.take_idle(address) {
+            match connection.send(message).await {
+                Ok(response) => return Ok((response, connection)),
+                Err(SendFailure::Unsent(unsent)) => message = *unsent,
+                Err(SendFailure::Broken(_)) => return Err(EndpointFailure::ConnectionLost),
             }
         }
-        let mut sender = self.connect(address).await?;
-        match sender.try_send_request(message).await {
-            Ok(response) => Ok((response, sender)),
-            Err(mut error) => match error.take_message() {
-                Some(_) => Err(EndpointFailure::NeverSent),
-                None => Err(EndpointFailure::ConnectionLost),
-            },
+        let mut connection = self.connect(address).await?;
+        match connection.send(message).await {
+            Ok(response) => Ok((response, connection)),
+            Err(SendFailure::Unsent(_)) => Err(EndpointFailure::NeverSent),
+            Err(SendFailure::Broken(_)) => Err(EndpointFailure::ConnectionLost),
         }
     }
 }
@@ -118,7 +98,7 @@
         let address = request.address.clone();
         let head_timeout = request.head_timeout;
         let message = build_message(request)?;
-        let (response, sender) =
+        let (response, connection) =
             match timeout(head_timeout, self.send_once(&address, message)).await {
                 Ok(sent) => sent?,
                 Err(_) => {
@@ -128,8 +108,13 @@
             };
         let (head, body) = response.into_parts();
         let framing = answer_framing(&head.headers, &body);
-        let stream =
-            AnswerStream { body, framing, sender: Some(sender), address, pool: self.clone() };
+        let stream = AnswerStream {
+            body,
+            framing,
+            connection: Some(connection),
+            address,
+            pool: self.clone(),
+        };
         Ok(EndpointAnswer { status: head.status, headers: head.headers, stream })
     }
 }
@@ -146,7 +131,7 @@
 pub struct AnswerStream {
     body: Incoming,
     framing: AnswerFraming,
-    sender: Option<EndpointSender>,
+    connection: Option<HttpConnection>,
     address: Arc<str>,
     pool: ConnectionPool,
 }
@@ -193,8 +178,8 @@
     }
 
     fn return_connection(&mut self) {
-        if let Some(sender) = self.sender.take() {
-            self.pool.put_idle(&self.address, sender);
+        if let Some(connection) = self.connection.take() {
+            self.pool.put_idle(&self.address, connection);
         }
     }
 }
--- a/coltsfootgate/src/platform/client.rs
+++ b/coltsfootgate/src/platform/client.rs
@@ -7,39 +7,23 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::future::{AbortHandle, abortable};
 use http::header::HOST;
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Body;
-use hyper::client::conn::http1::{self, SendRequest};
-use monoio::io::IntoPollIo;
+use hyper::body::{Body, Incoming};
 use monoio::net::TcpStream;
-use monoio_compat::hyper::MonoioIo;
 
 use super::PlatformError;
-use crate::transfer::answer_framing;
+use crate::transfer::{HttpConnection, SendFailure, answer_framing};
 
 /// Maximum number of idle connections that are kept.
 const IDLE_CONNECTIONS_MAX: usize = 4;
 
-/// A connection that closes when it is dropped, whatever the server does.
-struct OpenConnection {
-    sender: SendRequest<Full<Bytes>>,
-    task: AbortHandle,
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 /// Calls one HTTP server and keeps a few idle connections to it.
 pub struct BoundedClient {
     address: SocketAddr,
     host: Arc<str>,
-    idle: RefCell<Vec<OpenConnection>>,
+    idle: RefCell<Vec<HttpConnection>>,
 }
 
 impl BoundedClient {
@@ -93,8 +77,7 @@
         request: Request<Full<Bytes>>,
         body_bytes_max: usize,
     ) -> Result<Response<Bytes>, PlatformError> {
-        let mut connection = self.idle_or_new_connection().await?;
-        let response = connection.sender.send_request(request).await.map_err(connection_error)?;
+        let (response, connection) = self.send(request).await?;
         let (mut parts, body) = response.into_parts();
         parts.extensions.insert(answer_framing(&parts.headers, &body));
         if body.size_hint().lower() > body_bytes_max as u64 {
@@ -110,31 +93,46 @@
         Ok(Response::from_parts(parts, body.to_bytes()))
     }
 
-    /// Returns an idle connection that is still open, or opens a new one.
-    async fn idle_or_new_connection(&self) -> Result<OpenConnection, PlatformError> {
+    /// Sends a request on an idle connection, or on a new one if no idle connection accepts it.
+    async fn send(
+        &self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, HttpConnection), PlatformError> {
+        while let Some(mut connection) = self.idle_connection().await {
+            match connection.send(request).await {
+                Ok(response) => return Ok((response, connection)),
+                Err(SendFailure::Unsent(unsent)) => request = *unsent,
+                Err(SendFailure::Broken(error)) => return Err(connection_error(&error)),
+            }
+        }
+        let mut connection = self.connect().await?;
+        match connection.send(request).await {
+            Ok(response) => Ok((response, connection)),
+            Err(SendFailure::Unsent(_)) => {
+                Err(PlatformError::Unreachable("the connection was closed at once".into()))
+            }
+            Err(SendFailure::Broken(error)) => Err(connection_error(&error)),
+        }
+    }
+
+    /// Returns an idle connection that is still open.
+    async fn idle_connection(&self) -> Option<HttpConnection> {
         loop {
-            let idle = self.idle.borrow_mut().pop();
-            let Some(mut connection) = idle else { return self.connect().await };
-            if connection.sender.ready().await.is_ok() {
-                return Ok(connection);
+            let mut connection = self.idle.borrow_mut().pop()?;
+            if connection.wait_ready().await {
+                return Some(connection);
             }
         }
     }
 
-    async fn connect(&self) -> Result<OpenConnection, PlatformError> {
+    async fn connect(&self) -> Result<HttpConnection, PlatformError> {
         let unreachable =
             |error: std::io::Error| PlatformError::Unreachable(error.to_string().into());
         let stream = TcpStream::connect_addr(self.address).await.map_err(unreachable)?;
-        stream.set_nodelay(true).map_err(unreachable)?;
-        let stream = stream.into_poll_io().map_err(unreachable)?;
-        let (sender, connection) =
-            http1::handshake(MonoioIo::new(stream)).await.map_err(connection_error)?;
-        let (connection, task) = abortable(connection);
-        monoio::spawn(connection);
-        Ok(OpenConnection { sender, task })
+        HttpConnection::start(stream).await.map_err(unreachable)
     }
 
-    fn keep_idle(&self, connection: OpenConnection) {
+    fn keep_idle(&self, connection: HttpConnection) {
         let mut idle = self.idle.borrow_mut();
         if idle.len() < IDLE_CONNECTIONS_MAX {
             idle.push(connection);
@@ -142,6 +140,6 @@
     }
 }
 
-fn connection_error(error: hyper::Error) -> PlatformError {
+fn connection_error(error: &hyper::Error) -> PlatformError {
     PlatformError::Broken(error.to_string().into())
 }
--- a/coltsfootgate/src/transfer/mod.rs
+++ b/coltsfootgate/src/transfer/mod.rs
@@ -1,5 +1,8 @@
 //! The transfer of answers over HTTP/1.1 connections to endpoints and to the platform.
 
+mod connection;
 mod framing;
+mod reads;
 
+pub use connection::{HttpConnection, SendFailure};
 pub use framing::answer_framing;
