--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -146,6 +146,9 @@
             }
             RelayEnd::Failed(failure) => (failure, None),
         };
+        if failure == EndpointFailure::ConnectionLost {
+            journal.record.lost_endpoints.push(endpoint.to_string());
+        }
         let has_tokens = journal.record.tokens > 0;
         let failure = attempt_failure(failure, has_tokens);
         let (delay, reason) = match context.budgets.decide(&request.class, &mut history, failure) {
--- a/coltsfootgate/src/pipeline/journal.rs
+++ b/coltsfootgate/src/pipeline/journal.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use coltsfootgate_core::prelude::{InstanceId, RequestId};
+use coltsfootgate_core::prompt::shared_parts;
 
 use super::classify::ClassifiedRequest;
 use super::record::DecisionRecord;
@@ -38,6 +39,8 @@
         let mut journal = Self::new(accepted.id, accepted.arrived, own);
         journal.record.caller_id = accepted.metadata.caller_id.as_ref().map(ToString::to_string);
         let resumption = accepted.metadata.resumption.as_ref();
+        let parts = shared_parts(&accepted.metadata.prompt.parts).iter();
+        journal.record.shared_parts = parts.map(|part| format!("{:x}", part.id)).collect();
         journal.record.is_resumption = resumption.is_some();
         let resumes = resumption.and_then(|resumption| resumption.stream.as_deref());
         journal.record.resumes = resumes.map(ToOwned::to_owned);
--- a/coltsfootgate/src/pipeline/record.rs
+++ b/coltsfootgate/src/pipeline/record.rs
@@ -21,6 +21,11 @@
     pub class_tier: Option<u8>,
     /// Its pool, once known.
     pub pool: Option<String>,
+    /// The parts of its prompt, in order, as hexadecimal ids; the last one is left out, since no other
+    /// request has it.
+    pub shared_parts: Vec<String>,
+    /// The endpoints whose connections were lost while they had the request.
+    pub lost_endpoints: Vec<String>,
     /// The endpoint of its last attempt.
     pub endpoint: Option<String>,
     /// The version of that endpoint's software.
--- a/coltsfootgate_core/src/prompt.rs
+++ b/coltsfootgate_core/src/prompt.rs
@@ -28,6 +28,11 @@
     pub between_tokens_target: Duration,
 }
 
+/// The parts of a prompt that other requests may have as well: all but the last.
+pub fn shared_parts(parts: &[PromptPart]) -> &[PromptPart] {
+    parts.split_last().map_or(&[], |(_, shared)| shared)
+}
+
 impl PromptLoad {
     /// Total length of the parts, in tokens.
     pub fn part_tokens(&self) -> u32 {
