--- a/coltsfootgate_standins/src/raw_server.rs
+++ b/coltsfootgate_standins/src/raw_server.rs
@@ -1,7 +1,7 @@
 //! A server that sends scripted bytes, for answers that no HTTP library would send.
 
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
@@ -27,6 +27,8 @@
     Pause(Duration),
     /// Resets the connection.
     Reset,
+    /// Ends the server: all its connections are closed, and new ones are refused.
+    Crash,
 }
 
 impl RawStep {
@@ -52,6 +54,8 @@
     is_stopped: AtomicBool,
     bytes_sent: AtomicU64,
     heads: Mutex<Vec<String>>,
+    address: SocketAddr,
+    connections: Mutex<Vec<TcpStream>>,
 }
 
 /// A running server, which is stopped when dropped. Each connection serves one request.
@@ -78,9 +82,11 @@
             is_stopped: AtomicBool::new(false),
             bytes_sent: AtomicU64::new(0),
             heads: Mutex::default(),
+            address,
+            connections: Mutex::default(),
         });
         let accepting = state.clone();
-        let thread = thread::spawn(move || accept_connections(&listener, &accepting));
+        let thread = thread::spawn(move || accept_connections(listener, &accepting));
         Ok(Self { address, state, thread: Some(thread) })
     }
 
@@ -89,6 +95,16 @@
         self.state.heads.lock().expect("no writer panics").clone()
     }
 
+    /// Whether a step of an answer has ended the server.
+    pub fn has_crashed(&self) -> bool {
+        self.state.is_stopped.load(Ordering::Relaxed)
+    }
+
+    /// Ends the server as [`RawStep::Crash`] does.
+    pub fn crash(&self) {
+        self.state.stop();
+    }
+
     /// The number of bytes sent so far on all connections.
     pub fn bytes_sent(&self) -> u64 {
         self.state.bytes_sent.load(Ordering::Relaxed)
@@ -97,30 +113,45 @@
 
 impl Drop for RawServer {
     fn drop(&mut self) {
-        self.state.is_stopped.store(true, Ordering::Relaxed);
-        // Wakes the thread that waits for the next connection.
-        let _ = TcpStream::connect(self.address);
+        self.state.stop();
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
     }
 }
 
-fn accept_connections(listener: &TcpListener, state: &Arc<ServerState>) {
+fn accept_connections(listener: TcpListener, state: &Arc<ServerState>) {
     let mut connections = Vec::new();
     while let Ok((stream, _)) = listener.accept() {
         if state.is_stopped.load(Ordering::Relaxed) {
             break;
         }
+        if let Ok(stream) = stream.try_clone() {
+            state.connections.lock().expect("no holder panics").push(stream);
+        }
         let state = state.clone();
         connections.push(thread::spawn(move || drop(state.serve(stream))));
     }
+    drop(listener);
     for connection in connections {
         let _ = connection.join();
     }
 }
 
 impl ServerState {
+    /// Closes all connections and accepts no new ones.
+    fn stop(&self) {
+        if self.is_stopped.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        // Wakes the thread that waits for the next connection.
+        let _ = TcpStream::connect(self.address);
+        for connection in self.connections.lock().expect("no holder panics").drain(..) {
+            // Fails if the other side has already closed it.
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(STOP_CHECK_PERIOD))?;
@@ -134,6 +165,10 @@
                     self.send(&mut stream, &bytes)?;
                 },
                 RawStep::Pause(time) => thread::sleep(time),
+                RawStep::Crash => {
+                    self.stop();
+                    return Ok(());
+                }
                 RawStep::Reset => {
                     // The connection is reset instead of closed in the normal way.
                     set_socket_linger(&stream, Some(Duration::ZERO))?;
