Find in the core which part of prompts crashes endpoints

A ledger counts crashes by the parts of the requests that were lost in them, each crash only with a request that was sent after the previous one, so that replicas which end at the same moment count once. A part that is served loses its counts. After three crashes the part under which most endpoints crashed, and that was served least recently, is blocked, and one request tries it at once: a crash confirms the block and clears the parts that were lost with it, an answer ends it. Lists merge in any order.

--- a/coltsfootgate_core/src/lib.rs
+++ b/coltsfootgate_core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod owner;
 pub mod prelude;
 pub mod prompt;
+pub mod quarantine;
 pub mod reason;
 pub mod rendezvous;
 pub mod retry;
--- /dev/null
+++ b/coltsfootgate_core/src/quarantine/served.rs
@@ -0,0 +1,65 @@
+//! Remembers which parts of prompts were served lately.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use super::PartKey;
+
+/// Time after which a request that is being answered does not count as lost: its endpoint did not crash
+/// because it began to answer.
+pub const SURVIVAL_TIME: Duration = Duration::from_millis(500);
+
+/// Number of parts after which the older half is forgotten.
+const GENERATION_MAX: usize = 4096;
+
+/// What the end of an attempt shows about the parts of its prompt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AttemptEvidence {
+    /// The endpoint answered for so long that the parts do not crash it.
+    Served,
+    /// The connection was lost when the endpoint may just have begun to answer.
+    Lost,
+    /// Nothing.
+    Unclear,
+}
+
+impl AttemptEvidence {
+    /// Evaluates an attempt that ended now; `answered_since` is when its first event arrived.
+    pub fn new(
+        is_served: bool,
+        is_connection_lost: bool,
+        answered_since: Option<Instant>,
+        now: Instant,
+    ) -> Self {
+        let has_survived = answered_since.is_some_and(|since| since + SURVIVAL_TIME <= now);
+        if is_served || has_survived {
+            Self::Served
+        } else if is_connection_lost {
+            Self::Lost
+        } else {
+            Self::Unclear
+        }
+    }
+}
+
+/// When parts were last served, for a limited number of recent ones.
+#[derive(Clone, Debug, Default)]
+pub struct ServedParts {
+    recent: HashMap<PartKey, Instant>,
+    older: HashMap<PartKey, Instant>,
+}
+
+impl ServedParts {
+    /// Records that a request with a part was served.
+    pub fn record(&mut self, key: PartKey, served_at: Instant) {
+        self.recent.insert(key, served_at);
+        if self.recent.len() >= GENERATION_MAX {
+            self.older = std::mem::take(&mut self.recent);
+        }
+    }
+
+    /// When a request with a part was last served, if that is remembered.
+    pub fn last(&self, key: &PartKey) -> Option<Instant> {
+        self.recent.get(key).or_else(|| self.older.get(key)).copied()
+    }
+}
--- /dev/null
+++ b/coltsfootgate_core/tests/quarantine.rs
@@ -0,0 +1,235 @@
+//! Tests that the part of a prompt that crashes endpoints is found among those that are lost with it.
+
+mod quarantine_model;
+
+use std::sync::LazyLock;
+use std::time::{Duration, Instant};
+
+use coltsfootgate_core::quarantine::{
+    AttemptEvidence, BlockList, BlockState, CrashLedger, CrashReport, LostRequest, PartId, PartKey,
+    ServedParts,
+};
+use rstest::rstest;
+
+use quarantine_model::{Cause, Model, STABLE_WINDOW};
+
+static START: LazyLock<Instant> = LazyLock::new(Instant::now);
+const SHARED: PartId = 1;
+const BAD: PartId = 2;
+
+fn at(milliseconds: u64) -> Instant {
+    *START + Duration::from_millis(milliseconds)
+}
+
+fn key(part: PartId) -> PartKey {
+    PartKey { pool: "pools.model".into(), part }
+}
+
+fn crash(number: u64, sent: u64, parts: &[PartId]) -> CrashReport {
+    CrashReport {
+        pool: "pools.model".into(),
+        endpoint: format!("i-{number}").into(),
+        lost: vec![LostRequest { parts: parts.to_vec(), sent_at: at(sent) }],
+    }
+}
+
+/// A ledger with `count` crashes under both parts, one every 100 ms.
+fn ledger(count: u64) -> CrashLedger {
+    let mut ledger = CrashLedger::default();
+    for number in 0..count {
+        let report = crash(number, number * 100 + 50, &[SHARED, BAD]);
+        ledger.record_crash(&report, &BlockList::default(), at(number * 100 + 100));
+    }
+    ledger
+}
+
+fn decided(ledger: &mut CrashLedger) -> Option<PartId> {
+    ledger.decide(at(10_000)).map(|decision| decision.key.part)
+}
+
+#[rstest]
+#[case::two_crashes(2, None)]
+#[case::three_crashes(3, Some(BAD))]
+fn a_part_is_blocked_after_crashes_in_sequence(#[case] count: u64, #[case] expected: Option<u64>) {
+    assert_eq!(decided(&mut ledger(count)), expected);
+}
+
+/// A part that only shared the prompts of the blocked one is blocked unless a trial settles the matter.
+#[rstest]
+#[case::trial_crashes(true, None)]
+#[case::no_trial(false, Some(SHARED))]
+fn a_trial_clears_the_parts_that_shared_the_prompts(
+    #[case] crashes: bool,
+    #[case] expected: Option<PartId>,
+) {
+    let (mut ledger, mut blocked) = (ledger(3), BlockList::default());
+    assert_eq!(ledger.decide(at(500)).unwrap().key.part, BAD);
+    blocked.block(key(BAD), 3, at(500));
+    if crashes {
+        ledger.record_crash(&crash(9, 600, &[SHARED, BAD]), &blocked, at(700));
+    }
+    assert_eq!(ledger.decide(at(800)), None, "the trial is awaited");
+    assert_eq!(decided(&mut ledger), expected);
+}
+
+/// Replicas that lose power at the same moment have a cause of their own.
+#[test]
+fn crashes_at_the_same_moment_count_once() {
+    let mut ledger = CrashLedger::default();
+    for number in 0..50 {
+        let report = crash(number, 50, &[SHARED, number + 10]);
+        ledger.record_crash(&report, &BlockList::default(), at(100 + number));
+    }
+    assert_eq!(decided(&mut ledger), None);
+}
+
+#[rstest]
+#[case::before_the_crashes(50, Some(BAD))]
+#[case::between_the_crashes(250, None)]
+#[case::after_the_crashes(350, None)]
+fn a_served_part_is_not_blocked(#[case] served_at: u64, #[case] expected: Option<PartId>) {
+    let mut ledger = ledger(3);
+    ledger.record_served(&key(SHARED), at(served_at));
+    ledger.record_served(&key(BAD), at(served_at));
+    assert_eq!(decided(&mut ledger), expected);
+}
+
+/// Of two parts that are lost together, the one that was served before is the innocent one.
+#[rstest]
+#[case::the_first_part(SHARED, BAD)]
+#[case::the_second_part(BAD, SHARED)]
+fn the_part_that_was_never_served_is_blocked(#[case] served: PartId, #[case] blocked: PartId) {
+    let mut ledger = ledger(3);
+    ledger.record_served(&key(served), at(0));
+    assert_eq!(decided(&mut ledger), Some(blocked));
+}
+
+/// Requests that were under way when the part was blocked crash further endpoints, under other parts too.
+#[test]
+fn a_blocked_part_explains_later_crashes() {
+    let mut ledger = CrashLedger::default();
+    let mut blocked = BlockList::default();
+    blocked.block(key(BAD), 3, at(0));
+    for number in 0..5 {
+        let other = crash(number, number * 100 + 50, &[SHARED]);
+        ledger.record_crash(&other, &blocked, at(number * 100 + 100));
+        let report = crash(number, number * 100 + 50, &[SHARED, BAD]);
+        ledger.record_crash(&report, &blocked, at(number * 100 + 101));
+    }
+    assert_eq!(decided(&mut ledger), None);
+}
+
+#[test]
+fn the_number_of_suspects_is_bounded() {
+    let mut ledger = ledger(2);
+    for number in 0..100_000 {
+        let report = crash(1_000 + number, 500, &[number + 10]);
+        ledger.record_crash(&report, &BlockList::default(), at(600));
+    }
+    let report = crash(900, 700, &[SHARED, BAD]);
+    ledger.record_crash(&report, &BlockList::default(), at(800));
+    assert_eq!(decided(&mut ledger), Some(BAD), "parts with more crashes are kept");
+}
+
+/// A block ends only when a request with the part is served; few may try it.
+#[test]
+fn a_blocked_part_is_tried_a_few_times_only() {
+    let mut list = BlockList::default();
+    list.block(key(BAD), 3, at(0));
+    let trials = (0..10_000).filter(|second| list.take_trial(&key(BAD), at(second * 1_000)));
+    assert_eq!(trials.count(), 4);
+    let pool = "pools.model".into();
+    assert!(list.find(&pool, &[SHARED, BAD]).is_some());
+    assert!(!list.release(&key(BAD), at(0), at(20_000_000)), "served before it was tried");
+    assert!(list.release(&key(BAD), at(10_000_000), at(20_000_000)));
+    assert!(list.find(&pool, &[SHARED, BAD]).is_none());
+    list.block(key(BAD), 3, at(30_000_000));
+    assert!(!list.take_trial(&key(BAD), at(90_000_000)));
+}
+
+/// Instances get changes in any order and more than once.
+#[test]
+fn lists_merge_to_the_same_state_in_any_order() {
+    let mut first = BlockList::default();
+    first.block(key(BAD), 3, at(0));
+    let blocked: Vec<_> =
+        first.entries().map(|(key, entry)| (key.clone(), entry.clone())).collect();
+    assert!(first.take_trial(&key(BAD), at(60_000)));
+    let tried: Vec<_> = first.entries().map(|(key, entry)| (key.clone(), entry.clone())).collect();
+    assert!(first.release(&key(BAD), at(61_000), at(61_000)));
+    let released: Vec<_> =
+        first.entries().map(|(key, entry)| (key.clone(), entry.clone())).collect();
+    for order in [[&blocked, &tried, &released], [&released, &blocked, &tried]] {
+        let mut list = BlockList::default();
+        for entries in order {
+            list.merge(entries.clone());
+        }
+        assert!(list.entries().all(|(_, entry)| entry.state == BlockState::Released));
+        assert_eq!(list.digest(), first.digest());
+        assert!(list.merge(blocked.clone()).is_empty());
+    }
+}
+
+#[test]
+fn the_list_is_bounded() {
+    let mut list = BlockList::default();
+    (0..2_000).for_each(|part| list.block(key(part), 3, at(part)));
+    assert_eq!(list.blocked_count(), 512);
+    assert!(list.find(&"pools.model".into(), &[1_999]).is_some());
+}
+
+#[rstest]
+#[case::complete_answer(true, false, None, AttemptEvidence::Served)]
+#[case::lost_before_its_first_event(false, true, None, AttemptEvidence::Lost)]
+#[case::lost_soon_after_its_first_event(false, true, Some(900), AttemptEvidence::Lost)]
+#[case::lost_long_after_its_first_event(false, true, Some(100), AttemptEvidence::Served)]
+#[case::abandoned(false, false, Some(900), AttemptEvidence::Unclear)]
+fn an_attempt_shows_whether_its_parts_may_crash_endpoints(
+    #[case] is_served: bool,
+    #[case] is_lost: bool,
+    #[case] answered_since: Option<u64>,
+    #[case] expected: AttemptEvidence,
+) {
+    let found = AttemptEvidence::new(is_served, is_lost, answered_since.map(at), at(1_000));
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn the_parts_served_last_are_remembered() {
+    let mut served = ServedParts::default();
+    (0..20_000).for_each(|part| served.record(key(part), at(part)));
+    assert_eq!(served.last(&key(19_999)), Some(at(19_999)));
+    assert_eq!(served.last(&key(16_000)), Some(at(16_000)));
+    assert_eq!(served.last(&key(10_000)), None);
+}
+
+/// Replays a fleet of replicas under traffic of which some requests crash them.
+#[rstest]
+#[case::a_part_that_was_never_served(Cause::NewPart)]
+#[case::a_part_that_was_served_before(Cause::KnownPart)]
+#[case::the_first_part_of_prompts(Cause::FirstPart)]
+#[case::a_part_while_replicas_also_flap(Cause::NewPartAndFlapping)]
+fn the_crashing_part_is_blocked_in_time_and_no_other(#[case] cause: Cause) {
+    for seed in 0..60 {
+        let mut model = Model::new(seed, cause);
+        model.run(Duration::from_secs(30));
+        let blocked_at = model.blocked_at().unwrap_or_else(|| panic!("seed {seed}: not blocked"));
+        if let Some(fifth) = model.fifth_crash() {
+            let delay = blocked_at.saturating_duration_since(fifth);
+            assert!(delay < STABLE_WINDOW, "seed {seed}: blocked after {delay:?}");
+        }
+        assert!(model.begun_share_min() >= 0.5, "seed {seed}: {}", model.begun_share_min());
+        assert!(model.late_arrivals() <= 3, "seed {seed}: {}", model.late_arrivals());
+    }
+}
+
+#[rstest]
+#[case::replicas_that_flap(Cause::Flapping)]
+#[case::many_replicas_at_once(Cause::PowerLoss)]
+fn sound_requests_go_on_after_crashes_of_another_cause(#[case] cause: Cause) {
+    for seed in 0..60 {
+        let mut model = Model::new(seed, cause);
+        model.run(Duration::from_secs(30));
+        assert!(model.begun_share_min() >= 0.5, "seed {seed}: {}", model.begun_share_min());
+    }
+}
