Refuse requests with a part of the prompt that crashes replicas

Cause: nothing connected the failures of different requests by their content. Each new request, and each retry, began anew at any instance. Class of fault: a failure that belongs to the request is handled as one of the endpoint.

The list of blocked parts is pushed to all instances; each also compares its list with another's every two seconds, so that one that starts or was cut off has it soon. Requests with a blocked part are refused before they wait and right before they are sent: prompt-blocked, 503, not run, with Retry-After until the next trial. Endpoints return as new ones and inherit nothing.

--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -24,6 +24,7 @@
 use crate::platform::{
     InstanceDirectory, InstanceRole, InstanceState, ListedInstance, PlatformStore,
 };
+use crate::quarantine::{QuarantineHandle, QuarantineTask};
 use crate::routes::{MemberWatcher, OwnerClient, PoolStatus, RouteTable};
 use crate::streams::{StreamRegister, follow_instances};
 use crate::tree::{TreeHandle, TreeTask};
@@ -71,7 +72,8 @@
     let roster = SharedRoster::default();
     let (owner, context) = starter.start_routing(tree, &members, roster.clone(), claims, limits);
     let pools = starter.follow_members(&members, &owner, &context);
-    let status = build_status(settings, &members, pools);
+    let quarantine = context.quarantine.clone();
+    let status = build_status(settings, &members, pools, quarantine);
     starter.start_peer_server(identity, peer_listener, &members, roster, owner, &context);
     InstanceHandles { context: Rc::new(context), members, readiness: starter.readiness, status }
 }
@@ -161,6 +163,7 @@
             limits,
             claims,
             streams,
+            quarantine: self.start_quarantine(members),
             endpoints: ConnectionPool::new(),
             records: RequestRecords::default(),
             metrics: self.metrics.clone(),
@@ -171,6 +174,19 @@
         (owner, context)
     }
 
+    fn start_quarantine(&self, members: &MembersHandle) -> QuarantineHandle {
+        let (quarantine, messages) = QuarantineHandle::new();
+        let task = QuarantineTask::new(
+            self.settings.instance.clone(),
+            quarantine.clone(),
+            members.clone(),
+            self.peers.clone(),
+            self.metrics.clone(),
+        );
+        monoio::spawn(task.run(messages));
+        quarantine
+    }
+
     fn follow_members(
         &self,
         members: &MembersHandle,
@@ -203,15 +219,16 @@
     ) {
         let (call_sender, calls) = unbounded();
         let (owner_call_sender, owner_calls) = unbounded();
-        let dispatch = PeerDispatch::new(
-            members.clone(),
-            context.tree.clone(),
-            roster,
-            context.claims.clone(),
-            context.streams.clone(),
-            self.metrics.clone(),
-            owner_call_sender,
-        );
+        let dispatch = PeerDispatch {
+            members: members.clone(),
+            tree: context.tree.clone(),
+            replicas: roster,
+            claims: context.claims.clone(),
+            streams: context.streams.clone(),
+            quarantine: context.quarantine.clone(),
+            metrics: self.metrics.clone(),
+            owner_calls: owner_call_sender,
+        };
         monoio::spawn(dispatch.run(calls));
         monoio::spawn(OwnerService::new(owner, context.limits.clone()).run(owner_calls));
         let connections = self.settings.peer_connections;
@@ -226,6 +243,7 @@
     settings: &DaemonSettings,
     members: &MembersHandle,
     pools: PoolStatus,
+    quarantine: QuarantineHandle,
 ) -> StatusRegistry {
     let status = StatusRegistry::default();
     let (instance, zone) = (settings.instance.clone(), settings.zone.clone());
@@ -236,5 +254,6 @@
     let endpoints = pools.clone();
     status.add("endpoints", move || endpoints.endpoints());
     status.add("queues", move || pools.queues());
+    status.add("blocked_parts", move || quarantine.status());
     status
 }
--- a/coltsfootgate/src/lib.rs
+++ b/coltsfootgate/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod peer;
 pub mod pipeline;
 pub mod platform;
+pub mod quarantine;
 pub mod routes;
 pub mod shutdown;
 pub mod streams;
--- a/coltsfootgate/src/metrics/mod.rs
+++ b/coltsfootgate/src/metrics/mod.rs
@@ -68,6 +68,8 @@
     config_refused: IntCounterVec,
     answers_mismatched: IntCounterVec,
     answer_ends: IntCounterVec,
+    endpoint_crashes: IntCounterVec,
+    blocked_parts: IntGauge,
     limit_notices: IntCounterVec,
     instances: IntGaugeVec,
     waiting: IntGaugeVec,
@@ -186,6 +188,15 @@
                 "Answers of endpoints whose transfer ended without an error, by framing and content.",
                 &["framing", "end"],
             ),
+            endpoint_crashes: registrar.counters(
+                "endpoint_crashes",
+                "Crashes of endpoints in which this instance lost requests with known prompt parts.",
+                &["pool"],
+            ),
+            blocked_parts: registrar.register(IntGauge::new(
+                "coltsfootgate_blocked_parts",
+                "Parts of prompts that are blocked because endpoints crashed under them.",
+            )),
             limit_notices: registrar.counters(
                 "limit_notices",
                 "Answers of endpoints, by what they state about a limit on their requests.",
@@ -338,6 +349,16 @@
         self.answer_ends.with_label_values(&[framing.name(), end.name()]).inc();
     }
 
+    /// Counts a crash of an endpoint in which this instance lost requests.
+    pub fn endpoint_crashed(&self, pool: &str) {
+        self.endpoint_crashes.with_label_values(&[pool]).inc();
+    }
+
+    /// Sets the number of blocked parts of prompts.
+    pub fn parts_blocked(&self, count: usize) {
+        self.blocked_parts.set(count as i64);
+    }
+
     /// Counts an answer of an endpoint by what it states about a limit on its requests.
     pub fn limit_noticed(&self, notice: &str) {
         self.limit_notices.with_label_values(&[notice]).inc();
--- a/coltsfootgate/src/owner/desk.rs
+++ b/coltsfootgate/src/owner/desk.rs
@@ -83,6 +83,11 @@
             | PeerRequest::FetchReplicas
             | PeerRequest::RecordStream { .. }
             | PeerRequest::FindStream(_)
+            | PeerRequest::ReportCrash(_)
+            | PeerRequest::ReportServed(_)
+            | PeerRequest::ShareQuarantine(_)
+            | PeerRequest::CompareQuarantine(_)
+            | PeerRequest::TakeTrial(_)
             | PeerRequest::Claim { .. } => false,
         };
         if is_notification {
--- a/coltsfootgate/src/peer/dispatch.rs
+++ b/coltsfootgate/src/peer/dispatch.rs
@@ -13,35 +13,31 @@
 use crate::endpoints::SharedRoster;
 use crate::members::{MemberMessage, MembersHandle};
 use crate::metrics::DaemonMetrics;
+use crate::quarantine::{QuarantineHandle, QuarantineMessage};
 use crate::streams::StreamRegister;
 use crate::tree::TreeHandle;
 
 /// Dispatches requests by their kind.
 pub struct PeerDispatch {
-    members: MembersHandle,
-    tree: TreeHandle,
-    replicas: SharedRoster,
-    claims: ClaimsHandle,
-    streams: StreamRegister,
-    metrics: DaemonMetrics,
+    /// Receives heartbeats.
+    pub members: MembersHandle,
+    /// The settings tree in force.
+    pub tree: TreeHandle,
+    /// The announced replicas.
+    pub replicas: SharedRoster,
+    /// Receives claims on idempotency keys.
+    pub claims: ClaimsHandle,
+    /// Where recent streams began.
+    pub streams: StreamRegister,
+    /// Receives crashes and blocked parts of prompts.
+    pub quarantine: QuarantineHandle,
+    /// The metrics.
+    pub metrics: DaemonMetrics,
     /// Receives requests about grants and limits.
-    owner_calls: UnboundedSender<PeerCall>,
+    pub owner_calls: UnboundedSender<PeerCall>,
 }
 
 impl PeerDispatch {
-    /// Creates a dispatch; requests about grants and limits are forwarded to `owner_calls`.
-    pub fn new(
-        members: MembersHandle,
-        tree: TreeHandle,
-        replicas: SharedRoster,
-        claims: ClaimsHandle,
-        streams: StreamRegister,
-        metrics: DaemonMetrics,
-        owner_calls: UnboundedSender<PeerCall>,
-    ) -> Self {
-        Self { members, tree, replicas, claims, streams, metrics, owner_calls }
-    }
-
     /// Dispatches requests until the listener is dropped.
     pub async fn run(self, mut calls: UnboundedReceiver<PeerCall>) {
         while let Some(call) = calls.next().await {
@@ -86,6 +82,29 @@
             PeerRequest::FindStream(key) => {
                 let _ = reply.send(PeerReply::Stream(self.streams.find_local(&key)));
             }
+            PeerRequest::ReportCrash(report) => {
+                self.quarantine.send(QuarantineMessage::Crash(report));
+                let _ = reply.send(PeerReply::Accepted);
+            }
+            PeerRequest::ReportServed(served) => {
+                self.quarantine.send(QuarantineMessage::Served(served));
+                let _ = reply.send(PeerReply::Accepted);
+            }
+            PeerRequest::ShareQuarantine(notice) => {
+                self.quarantine.send(QuarantineMessage::Noticed { from, notice });
+                let _ = reply.send(PeerReply::Accepted);
+            }
+            PeerRequest::CompareQuarantine(digest) => {
+                self.quarantine.send(QuarantineMessage::Compared { from, digest });
+                let _ = reply.send(PeerReply::Accepted);
+            }
+            PeerRequest::TakeTrial(key) => {
+                let quarantine = self.quarantine.clone();
+                monoio::spawn(async move {
+                    let may_send = quarantine.decide_trial(key).await;
+                    let _ = reply.send(PeerReply::Trial(may_send));
+                });
+            }
             PeerRequest::Claim { change, deadline } => {
                 let claims = self.claims.clone();
                 monoio::spawn(async move {
@@ -121,6 +140,11 @@
         | PeerRequest::StateLimit { .. }
         | PeerRequest::RecordStream { .. }
         | PeerRequest::FindStream(_)
+        | PeerRequest::ReportCrash(_)
+        | PeerRequest::ReportServed(_)
+        | PeerRequest::ShareQuarantine(_)
+        | PeerRequest::CompareQuarantine(_)
+        | PeerRequest::TakeTrial(_)
         | PeerRequest::Claim { .. } => true,
     }
 }
--- a/coltsfootgate/src/pipeline/context.rs
+++ b/coltsfootgate/src/pipeline/context.rs
@@ -11,6 +11,7 @@
 use crate::limits::LimitHandle;
 use crate::metrics::DaemonMetrics;
 use crate::operators::RequestRecords;
+use crate::quarantine::QuarantineHandle;
 use crate::routes::{OwnerClient, RouteTable};
 use crate::streams::StreamRegister;
 use crate::tree::TreeHandle;
@@ -33,6 +34,8 @@
     pub claims: ClaimsHandle,
     /// Where recent streams began.
     pub streams: StreamRegister,
+    /// The parts of prompts that crash endpoints.
+    pub quarantine: QuarantineHandle,
     /// The connections to endpoints.
     pub endpoints: ConnectionPool,
     /// The records of recent requests.
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -22,6 +22,7 @@
 use super::identify::{check_settings_age, identify_customer};
 use super::journal::RequestJournal;
 use super::limit::limit_request;
+use super::prompt::{check_prompt, confirm_prompt, observe_attempt};
 use super::relay::{RelayEnd, RelayTask};
 use super::resume::{endpoint_origin, find_origin, required_version};
 use super::settle::{RequestEnd, settle_request};
@@ -117,8 +118,14 @@
     loop {
         let version = required_version(context, request, origin.as_ref());
         needs.version = version.map_err(|refusal| adjust_refusal(request, &history, refusal))?;
+        check_prompt(context, request)
+            .map_err(|refusal| adjust_refusal(request, &history, refusal))?;
         let admitted = admit_request(context, request, &needs, caller, journal).await;
         let lease = admitted.map_err(|refusal| adjust_refusal(request, &history, refusal))?;
+        if let Err(refusal) = confirm_prompt(context, request).await {
+            lease.release(ReleaseResult::NotSent, AttemptMeasurements::default());
+            return Err(adjust_refusal(request, &history, refusal));
+        }
         let endpoint = lease.endpoint.id.clone();
         let attempted = endpoint_origin(request, &lease.endpoint);
         journal.record.endpoint_version = lease.endpoint.version.as_ref().map(ToString::to_string);
@@ -232,6 +239,8 @@
     let measurements = task.measurements;
     *last_event = task.last_event;
     journal.record.endpoint_limit = lease.limit();
+    let (sent_to, first_token) = (&lease.endpoint, measurements.first_token);
+    observe_attempt(context, request, sent_to, sent_at, first_token, &end);
     let between = measurements.between_tokens;
     journal.record.between_tokens_ms = between.map(|between| between.as_secs_f64() * 1000.0);
     lease.release(release_result(&end), measurements);
--- a/coltsfootgate/src/pipeline/mod.rs
+++ b/coltsfootgate/src/pipeline/mod.rs
@@ -13,6 +13,7 @@
 pub mod identify;
 pub mod journal;
 pub mod limit;
+mod prompt;
 pub mod record;
 pub mod relay;
 pub mod resume;
--- /dev/null
+++ b/coltsfootgate/src/quarantine/check.rs
@@ -0,0 +1,52 @@
+//! Finds out whether an endpoint whose connections were lost has crashed.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use monoio::net::TcpStream;
+use monoio::time::{sleep, timeout};
+
+use coltsfootgate_core::prelude::EndpointId;
+use coltsfootgate_core::quarantine::{CrashReport, LostRequest};
+
+use super::{LostAttempt, QuarantineHandle, QuarantineMessage};
+
+/// Delay of the check, in which further requests on the same endpoint may be lost.
+const CHECK_DELAY: Duration = Duration::from_millis(5);
+/// Time limit for connecting; an endpoint that does not answer in time has crashed.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// The lost requests of endpoints that are being checked.
+#[derive(Debug, Default)]
+pub(super) struct CrashChecks {
+    lost: HashMap<EndpointId, CrashReport>,
+}
+
+impl CrashChecks {
+    /// Adds a lost request; starts a check of its endpoint unless one is running.
+    pub(super) fn add(&mut self, attempt: LostAttempt, quarantine: &QuarantineHandle) {
+        let LostAttempt { pool, endpoint, address, parts, sent_at } = attempt;
+        let is_running = self.lost.contains_key(&endpoint);
+        let report = self.lost.entry(endpoint.clone()).or_insert_with(|| CrashReport {
+            pool,
+            endpoint: endpoint.clone(),
+            lost: Vec::new(),
+        });
+        report.lost.push(LostRequest { parts, sent_at });
+        if is_running {
+            return;
+        }
+        let quarantine = quarantine.clone();
+        monoio::spawn(async move {
+            sleep(CHECK_DELAY).await;
+            let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(&*address)).await;
+            let has_crashed = !matches!(connected, Ok(Ok(_)));
+            quarantine.send(QuarantineMessage::Checked { endpoint, has_crashed });
+        });
+    }
+
+    /// Ends the check of an endpoint and returns the requests that were lost on it.
+    pub(super) fn finish(&mut self, endpoint: &EndpointId) -> Option<CrashReport> {
+        self.lost.remove(endpoint)
+    }
+}
--- a/coltsfootgate_config/src/rule.rs
+++ b/coltsfootgate_config/src/rule.rs
@@ -62,6 +62,7 @@
         ErrorKind::UnknownRoute | ErrorKind::MethodNotAllowed => (ConfigSection::Pools, "service"),
         ErrorKind::UnknownModel => (ConfigSection::Pools, "model"),
         ErrorKind::NoEndpoint
+        | ErrorKind::PromptBlocked
         | ErrorKind::EndpointRefused
         | ErrorKind::EndpointFailed
         | ErrorKind::EndpointLost
--- a/coltsfootgate_core/src/quarantine/list.rs
+++ b/coltsfootgate_core/src/quarantine/list.rs
@@ -1,6 +1,6 @@
 //! The list of blocked parts, which all instances keep and merge.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use super::{PartId, PartKey};
@@ -51,12 +51,12 @@
     }
 
     /// Whether a request with the part may be sent as a trial, if the owner of the list agrees.
-    pub fn is_trial_due(&self, now: Instant) -> bool {
+    fn is_trial_due(&self, now: Instant) -> bool {
         self.trial_due().is_some_and(|due| now >= due)
     }
 
     /// The delay after which a request with the part may be served.
-    pub fn retry_delay(&self, now: Instant) -> Duration {
+    fn retry_delay(&self, now: Instant) -> Duration {
         self.trial_due().map_or(RETRY_DELAY_MAX, |due| due.saturating_duration_since(now))
     }
 
@@ -66,6 +66,24 @@
     }
 }
 
+/// Whether a request with some parts may be sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PromptVerdict {
+    /// No part is blocked.
+    Free,
+    /// A part is blocked, and this request may try it if the owner of the list agrees.
+    Trial(PartKey),
+    /// A part is blocked.
+    Blocked {
+        /// The part.
+        key: PartKey,
+        /// The number of endpoints that had crashed under it when it was blocked.
+        crashes: u32,
+        /// The delay after which a request with the part may be served.
+        retry_delay: Duration,
+    },
+}
+
 /// What instances tell each other about parts of prompts.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct QuarantineNotice {
@@ -94,6 +112,33 @@
         })
     }
 
+    /// Whether a request with some parts may be sent to a pool.
+    ///
+    /// A request tries a blocked part only if no other part of it is blocked or `watched`, since its end
+    /// would not show which of them is the cause.
+    pub fn verdict(
+        &self,
+        watched: &BTreeSet<PartKey>,
+        pool: &PoolId,
+        parts: &[PartId],
+        now: Instant,
+    ) -> PromptVerdict {
+        let Some((key, entry)) = self.find(pool, parts) else { return PromptVerdict::Free };
+        let mut others = parts.iter().filter(|part| **part != key.part);
+        let is_free = |part: &PartId| {
+            let other = PartKey { pool: pool.clone(), part: *part };
+            !watched.contains(&other) && self.find(pool, &[*part]).is_none()
+        };
+        if entry.is_trial_due(now) && others.all(is_free) {
+            return PromptVerdict::Trial(key.clone());
+        }
+        PromptVerdict::Blocked {
+            key: key.clone(),
+            crashes: entry.crashes,
+            retry_delay: entry.retry_delay(now),
+        }
+    }
+
     /// All entries.
     pub fn entries(&self) -> impl Iterator<Item = (&PartKey, &BlockEntry)> {
         self.entries.iter()
--- a/coltsfootgate_core/src/reason.rs
+++ b/coltsfootgate_core/src/reason.rs
@@ -85,6 +85,8 @@
     NoEndpoint => "no-endpoint", 503, "server_error", NotRun, true;
     /// It is not known which software version began the stream that the caller takes up.
     StreamUnknown => "stream-unknown", 503, "server_error", NotRun, true;
+    /// A part of the prompt has crashed endpoints, and requests with it are not sent.
+    PromptBlocked => "prompt-blocked", 503, "server_error", NotRun, true;
     /// The attempts or the retry budget of the class are exhausted, and no attempt ran.
     RetriesSpent => "retries-spent", 503, "server_error", NotRun, true;
     /// The endpoint refused the request before starting it.
--- a/coltsfootgate_core/tests/quarantine_model/mod.rs
+++ b/coltsfootgate_core/tests/quarantine_model/mod.rs
@@ -5,7 +5,7 @@
 
 use coltsfootgate_core::ids::PoolId;
 use coltsfootgate_core::quarantine::{
-    BlockList, CrashLedger, CrashReport, LostRequest, PartId, PartKey, SURVIVAL_TIME,
+    BlockList, CrashLedger, CrashReport, LostRequest, PartId, PartKey, PromptVerdict, SURVIVAL_TIME,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -243,15 +243,13 @@
 
     /// Whether no part is blocked, or the request may try the only one that is.
     fn may_send(&mut self, parts: &[PartId]) -> bool {
-        let Some((key, entry)) = self.shared.find(&Self::pool(), parts) else { return true };
-        let mut others = parts.iter().filter(|part| **part != key.part);
-        let is_free = |part: &PartId| {
-            let key = PartKey { pool: Self::pool(), part: *part };
-            !self.shared_watched.contains(&key) && self.shared.find(&key.pool, &[*part]).is_none()
+        let (pool, now) = (Self::pool(), self.now);
+        let key = match self.shared.verdict(&self.shared_watched, &pool, parts, now) {
+            PromptVerdict::Free => return true,
+            PromptVerdict::Blocked { .. } => return false,
+            PromptVerdict::Trial(key) => key,
         };
-        let may_try = entry.is_trial_due(self.now) && others.all(is_free);
-        let key = key.clone();
-        if !may_try || !self.list.take_trial(&key, self.now) {
+        if !self.list.take_trial(&key, now) {
             return false;
         }
         self.share();
--- a/coltsfootgate_wire/src/endpoint_limit.rs
+++ b/coltsfootgate_wire/src/endpoint_limit.rs
@@ -1,14 +1,13 @@
 //! Wire type of what answers state about the limits of endpoints.
 
 use std::sync::Arc;
-use std::time::Instant;
 
 use serde::{Deserialize, Serialize};
 
 use coltsfootgate_core::endpoint_limit::{LimitNotice, LimitStatement};
 
 use crate::error::WireError;
-use crate::names::{TimedMessage, check_name, check_non_negative, from_micros, to_micros};
+use crate::names::{TimedMessage, check_name, check_non_negative, micros_since, time_before};
 
 #[derive(Deserialize, Serialize)]
 pub(crate) struct WireLimitStatement {
@@ -44,11 +43,3 @@
         })
     }
 }
-
-fn micros_since(time: Instant, now: Instant) -> u64 {
-    to_micros(now.saturating_duration_since(time))
-}
-
-fn time_before(now: Instant, micros: u64) -> Result<Instant, WireError> {
-    Ok(now.checked_sub(from_micros(micros)?).unwrap_or(now))
-}
--- a/coltsfootgate_wire/src/lib.rs
+++ b/coltsfootgate_wire/src/lib.rs
@@ -10,6 +10,7 @@
 mod message;
 mod names;
 mod proof;
+mod quarantine;
 mod replica;
 mod stream;
 mod tree;
--- a/coltsfootgate_wire/src/message.rs
+++ b/coltsfootgate_wire/src/message.rs
@@ -12,6 +12,7 @@
 use coltsfootgate_core::owner::{
     GrantAnswer, GrantRequest, HeldGrant, OwnerPressure, ReleaseReport,
 };
+use coltsfootgate_core::quarantine::{CrashReport, PartKey, QuarantineNotice};
 use coltsfootgate_core::roster::ReplicaSnapshot;
 use coltsfootgate_core::stream::{StreamKey, StreamOrigin};
 
@@ -90,6 +91,17 @@
     },
     /// Asks where a stream began.
     FindStream(StreamKey),
+    /// Reports the requests of the sender that were lost in the crash of an endpoint.
+    ReportCrash(CrashReport),
+    /// Reports when the sender served parts of prompts that the receiver suspects.
+    ReportServed(Vec<(PartKey, Instant)>),
+    /// Tells which parts of prompts are blocked and which are suspected.
+    ShareQuarantine(QuarantineNotice),
+    /// States the digest of the sender's list of blocked parts; if the receiver's list has another one, it
+    /// shares it with the sender.
+    CompareQuarantine(u64),
+    /// Asks whether a request may be sent to try a blocked part.
+    TakeTrial(PartKey),
     /// Fetches the head of the tree in force.
     FetchHead,
     /// Fetches a value of the tree in force by its digest.
@@ -121,6 +133,11 @@
             Self::StateLimit { .. } => "state-limit",
             Self::RecordStream { .. } => "record-stream",
             Self::FindStream(_) => "find-stream",
+            Self::ReportCrash(_) => "report-crash",
+            Self::ReportServed(_) => "report-served",
+            Self::ShareQuarantine(_) => "share-quarantine",
+            Self::CompareQuarantine(_) => "compare-quarantine",
+            Self::TakeTrial(_) => "take-trial",
             Self::FetchHead => "fetch-head",
             Self::FetchObject(_) => "fetch-object",
             Self::FetchReplicas => "fetch-replicas",
@@ -154,6 +171,8 @@
     Replicas(ReplicaSnapshot),
     /// Where a stream began, if that is recorded.
     Stream(Option<StreamOrigin>),
+    /// Whether the request may be sent.
+    Trial(bool),
     /// A slice of a customer's limits.
     LimitSlice(LimitSlice),
     /// The verdict on a change to a page of claims.
--- a/coltsfootgate_wire/src/names.rs
+++ b/coltsfootgate_wire/src/names.rs
@@ -69,3 +69,13 @@
 pub(crate) fn micros_until(deadline: Instant, now: Instant) -> u64 {
     to_micros(deadline.saturating_duration_since(now))
 }
+
+/// The time since a moment in microseconds, sent because clocks of two instances may differ.
+pub(crate) fn micros_since(time: Instant, now: Instant) -> u64 {
+    to_micros(now.saturating_duration_since(time))
+}
+
+/// The moment that many microseconds ago; fails above [`TIME_MAX`].
+pub(crate) fn time_before(now: Instant, micros: u64) -> Result<Instant, WireError> {
+    Ok(now.checked_sub(from_micros(micros)?).unwrap_or(now))
+}
--- a/coltsfootgate_wire/src/wire.rs
+++ b/coltsfootgate_wire/src/wire.rs
@@ -24,6 +24,7 @@
 use crate::names::{
     TimedMessage, check_digest, check_instance, check_name, from_micros, micros_until,
 };
+use crate::quarantine::{WireCrashReport, WireNotice, WirePartKey, WireServedParts};
 use crate::replica::WireReplicaSnapshot;
 use crate::stream::{WireStreamKey, WireStreamOrigin};
 use crate::tree::WireHead;
@@ -40,6 +41,11 @@
     StateLimit { pool: Arc<str>, statement: WireLimitStatement },
     RecordStream { key: WireStreamKey, origin: WireStreamOrigin, micros_left: u64 },
     FindStream(WireStreamKey),
+    ReportCrash(WireCrashReport),
+    ReportServed(WireServedParts),
+    ShareQuarantine(WireNotice),
+    CompareQuarantine(u64),
+    TakeTrial(WirePartKey),
     FetchHead,
     FetchObject(Arc<str>),
     FetchReplicas,
@@ -59,6 +65,7 @@
     Object(Option<Vec<u8>>),
     Replicas(WireReplicaSnapshot),
     Stream(Option<WireStreamOrigin>),
+    Trial(bool),
     LimitSlice(WireLimitSlice),
     Claim(WireVerdict),
 }
@@ -108,6 +115,17 @@
                 micros_left: micros_until(expires, now),
             },
             PeerRequest::FindStream(key) => Self::FindStream(key.into()),
+            PeerRequest::ReportCrash(report) => {
+                Self::ReportCrash(TimedMessage { message: report, now }.into())
+            }
+            PeerRequest::ReportServed(served) => {
+                Self::ReportServed(TimedMessage { message: served, now }.into())
+            }
+            PeerRequest::ShareQuarantine(notice) => {
+                Self::ShareQuarantine(TimedMessage { message: notice, now }.into())
+            }
+            PeerRequest::CompareQuarantine(digest) => Self::CompareQuarantine(digest),
+            PeerRequest::TakeTrial(key) => Self::TakeTrial(key.into()),
             PeerRequest::FetchHead => Self::FetchHead,
             PeerRequest::FetchReplicas => Self::FetchReplicas,
             PeerRequest::FetchObject(digest) => Self::FetchObject(digest),
@@ -163,6 +181,17 @@
                 expires: now + from_micros(micros_left)?,
             },
             WireRequest::FindStream(key) => Self::FindStream(key.try_into()?),
+            WireRequest::ReportCrash(report) => {
+                Self::ReportCrash(TimedMessage { message: report, now }.try_into()?)
+            }
+            WireRequest::ReportServed(served) => {
+                Self::ReportServed(TimedMessage { message: served, now }.try_into()?)
+            }
+            WireRequest::ShareQuarantine(notice) => {
+                Self::ShareQuarantine(TimedMessage { message: notice, now }.try_into()?)
+            }
+            WireRequest::CompareQuarantine(digest) => Self::CompareQuarantine(digest),
+            WireRequest::TakeTrial(key) => Self::TakeTrial(key.try_into()?),
             WireRequest::FetchHead => Self::FetchHead,
             WireRequest::FetchReplicas => Self::FetchReplicas,
             WireRequest::FetchObject(digest) => Self::FetchObject(check_digest(digest)?),
@@ -202,6 +231,7 @@
             PeerReply::Object(object) => Self::Object(object),
             PeerReply::Replicas(snapshot) => Self::Replicas(snapshot.into()),
             PeerReply::Stream(origin) => Self::Stream(origin.map(WireStreamOrigin::from)),
+            PeerReply::Trial(may_send) => Self::Trial(may_send),
             PeerReply::LimitSlice(slice) => Self::LimitSlice(slice.into()),
             PeerReply::Claim(verdict) => Self::Claim(verdict.into()),
         }
@@ -235,6 +265,7 @@
             WireReply::Stream(origin) => {
                 Self::Stream(origin.map(|origin| origin.try_into()).transpose()?)
             }
+            WireReply::Trial(may_send) => Self::Trial(may_send),
             WireReply::LimitSlice(slice) => Self::LimitSlice(slice.try_into()?),
             WireReply::Claim(verdict) => Self::Claim(verdict.try_into()?),
         })
--- a/coltsfootgate_wire/tests/messages.rs
+++ b/coltsfootgate_wire/tests/messages.rs
@@ -11,6 +11,9 @@
     ReleaseResult, WaitingCounts,
 };
 use coltsfootgate_core::prompt::{PromptLoad, PromptPart};
+use coltsfootgate_core::quarantine::{
+    BlockEntry, BlockState, CrashReport, LostRequest, PartKey, QuarantineNotice,
+};
 use coltsfootgate_core::reason::ErrorKind;
 use coltsfootgate_core::roster::{ReplicaAnnouncement, ReplicaSnapshot};
 use coltsfootgate_core::stream::{StreamKey, StreamOrigin};
@@ -57,6 +60,10 @@
     vec![PoolPressure { pool: "pools.a".into(), pressure: pressure() }]
 }
 
+fn part_key() -> PartKey {
+    PartKey { pool: "pools.a".into(), part: 0x5c1e_07a2 }
+}
+
 fn stream_key() -> StreamKey {
     StreamKey { customer: "customers.a".into(), stream: "58b64026ed30a48c".into() }
 }
@@ -145,6 +152,30 @@
             PeerRequest::RecordStream { key: stream_key(), origin: stream_origin(), expires }
         }
         "find-stream" => PeerRequest::FindStream(stream_key()),
+        "report-crash" => PeerRequest::ReportCrash(CrashReport {
+            pool,
+            endpoint: "i-1@7".into(),
+            lost: vec![LostRequest {
+                parts: vec![1, u64::MAX],
+                sent_at: now - Duration::from_millis(7),
+            }],
+        }),
+        "report-served" => {
+            PeerRequest::ReportServed(vec![(part_key(), now - Duration::from_secs(3))])
+        }
+        "share-quarantine" => {
+            let entry = BlockEntry {
+                revision: 4,
+                state: BlockState::Blocked,
+                crashes: 3,
+                trials: 2,
+                since: now - Duration::from_secs(70),
+            };
+            let entries = vec![(part_key(), entry)];
+            PeerRequest::ShareQuarantine(QuarantineNotice { entries, watched: vec![part_key()] })
+        }
+        "compare-quarantine" => PeerRequest::CompareQuarantine(u64::MAX),
+        "take-trial" => PeerRequest::TakeTrial(part_key()),
         "head" => PeerRequest::FetchHead,
         "replicas" => PeerRequest::FetchReplicas,
         _ => PeerRequest::FetchObject(DIGEST.into()),
@@ -164,6 +195,11 @@
         "state-limit",
         "record-stream",
         "find-stream",
+        "report-crash",
+        "report-served",
+        "share-quarantine",
+        "compare-quarantine",
+        "take-trial",
         "head",
         "object",
         "replicas"
@@ -192,6 +228,7 @@
 #[case::stream(PeerReply::Stream(Some(stream_origin())))]
 #[case::unknown_stream(PeerReply::Stream(None))]
 #[case::accepted(PeerReply::Accepted)]
+#[case::trial(PeerReply::Trial(true))]
 #[case::no_head(PeerReply::Head(None))]
 #[case::head(PeerReply::Head(Some(TreeHead { version: 3, root: DIGEST.into(), nonce: "n".into() })))]
 #[case::object(PeerReply::Object(Some(vec![7; 1 << 20])))]
