Let the tree release blocked parts of prompts

A pool's allowed_parts, inherited like other keys, lists parts that are never blocked: the operator's way to release one, and the branch that prompt-blocked names.

--- a/coltsfootgate/src/pipeline/prompt.rs
+++ b/coltsfootgate/src/pipeline/prompt.rs
@@ -88,10 +88,11 @@
     context.quarantine.verdict(&request.pool.id, &prompt_parts(request))
 }
 
-/// The parts of a request's prompt that other requests may have as well.
+/// The parts of a request's prompt that other requests may have as well and that may be blocked.
 fn prompt_parts(request: &ClassifiedRequest) -> Vec<PartId> {
-    let parts = shared_parts(&request.accepted.metadata.prompt.parts);
-    parts.iter().map(|part| part.id).collect()
+    let allowed = &request.pool.allowed_parts;
+    let parts = shared_parts(&request.accepted.metadata.prompt.parts).iter();
+    parts.map(|part| part.id).filter(|part| !allowed.contains(part)).collect()
 }
 
 fn block_refusal(
--- a/coltsfootgate_config/src/pools.rs
+++ b/coltsfootgate_config/src/pools.rs
@@ -119,7 +119,16 @@
         endpoints.sort_by(|left, right| left.id.cmp(&right.id));
         let (resumes, silence) = (reader.boolean("resumes"), reader.duration("silence"));
         let (id, memory) = (reader.path(), reader.memory());
-        let pool = Arc::new(PoolSettings { id, target, resumes, silence, memory, endpoints });
+        let allowed_parts = reader.allowed_parts();
+        let pool = Arc::new(PoolSettings {
+            id,
+            target,
+            resumes,
+            silence,
+            memory,
+            allowed_parts,
+            endpoints,
+        });
         self.insert(node, pool);
     }
 
--- a/coltsfootgate_config/src/resolve.rs
+++ b/coltsfootgate_config/src/resolve.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use coltsfootgate_core::ids::{BranchPath, RequestTier};
+use coltsfootgate_core::quarantine::PartId;
 use coltsfootgate_core::settings::{
     ClassSettings, ConnectionSettings, CustomerSettings, DeploymentSettings, EndpointSettings,
     PoolShare, RoutingStrategy,
 };
 
 use crate::document::BranchDocument;
-use crate::schema::ConfigSection;
+use crate::schema::{ConfigSection, parse_part};
 use crate::value::{Setting, SettingValue, parse_duration};
 
 /// Reads the effective settings of one branch.
@@ -148,6 +149,11 @@
         self.optional_integer("memory_tokens")
     }
 
+    /// The parts of prompts that a pool never blocks.
+    pub(crate) fn allowed_parts(&self) -> Vec<PartId> {
+        self.texts("allowed_parts").iter().filter_map(|text| parse_part(text)).collect()
+    }
+
     /// The value of an integer key without a default.
     fn optional_integer<N: TryFrom<i64>>(&self, key: &str) -> Option<N> {
         match self.value(key)? {
--- a/coltsfootgate_config/src/rule.rs
+++ b/coltsfootgate_config/src/rule.rs
@@ -62,11 +62,11 @@
         ErrorKind::UnknownRoute | ErrorKind::MethodNotAllowed => (ConfigSection::Pools, "service"),
         ErrorKind::UnknownModel => (ConfigSection::Pools, "model"),
         ErrorKind::NoEndpoint
-        | ErrorKind::PromptBlocked
         | ErrorKind::EndpointRefused
         | ErrorKind::EndpointFailed
         | ErrorKind::EndpointLost
         | ErrorKind::AnswerMismatched => (ConfigSection::Pools, "address"),
+        ErrorKind::PromptBlocked => (ConfigSection::Pools, "allowed_parts"),
         ErrorKind::EndpointStalled => (ConfigSection::Pools, "silence"),
         ErrorKind::QueueFull => (ConfigSection::Classes, "queue_requests"),
         ErrorKind::DeadlineUnmeetable | ErrorKind::DeadlinePassed => {
--- a/coltsfootgate_config/tests/inheritance.rs
+++ b/coltsfootgate_config/tests/inheritance.rs
@@ -79,6 +79,7 @@
     queue_full: Some(ErrorKind::QueueFull) => "classes", "queue_requests";
     rate: Some(ErrorKind::RateLimited) => "customers.partners", "rate";
     no_endpoint: Some(ErrorKind::NoEndpoint) => "pools.reservations", "address";
+    prompt_blocked: Some(ErrorKind::PromptBlocked) => "pools", "allowed_parts";
     stalled: Some(ErrorKind::EndpointStalled) => "pools.reservations", "silence";
     claims_full: Some(ErrorKind::ClaimsFull) => "deployment", "claim_pages";
 }
--- a/coltsfootgate_core/src/settings.rs
+++ b/coltsfootgate_core/src/settings.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{ClassId, CustomerId, EndpointId, PoolId, RequestTier, SoftwareVersion, ZoneName};
+use crate::quarantine::PartId;
 
 /// How an endpoint is chosen for a request.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq, Deserialize, Serialize)]
@@ -126,6 +127,8 @@
     pub silence: Duration,
     /// KV cache capacity of each engine, in tokens, if known.
     pub memory: Option<u64>,
+    /// Parts of prompts that are never blocked, whatever crashes under them.
+    pub allowed_parts: Vec<PartId>,
     /// Its endpoints, sorted by id.
     pub endpoints: Vec<EndpointSettings>,
 }
