--- a/coltsfootgate_standins/src/raw_server.rs
+++ b/coltsfootgate_standins/src/raw_server.rs
@@ -1,5 +1,6 @@
 //! A server that sends scripted bytes, for answers that no HTTP library would send.
 
+use std::collections::HashMap;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -55,7 +56,8 @@
     bytes_sent: AtomicU64,
     heads: Mutex<Vec<String>>,
     address: SocketAddr,
-    connections: Mutex<Vec<TcpStream>>,
+    /// The open connections, by their number.
+    connections: Mutex<HashMap<usize, TcpStream>>,
 }
 
 /// A running server, which is stopped when dropped. Each connection serves one request.
@@ -126,11 +128,15 @@
         if state.is_stopped.load(Ordering::Relaxed) {
             break;
         }
+        let (state, number) = (state.clone(), connections.len());
         if let Ok(stream) = stream.try_clone() {
-            state.connections.lock().expect("no holder panics").push(stream);
+            state.connections.lock().expect("no holder panics").insert(number, stream);
         }
-        let state = state.clone();
-        connections.push(thread::spawn(move || drop(state.serve(stream))));
+        connections.push(thread::spawn(move || {
+            let _ = state.serve(stream);
+            // Only the last handle closes the connection.
+            state.connections.lock().expect("no holder panics").remove(&number);
+        }));
     }
     drop(listener);
     for connection in connections {
@@ -146,7 +152,7 @@
         }
         // Wakes the thread that waits for the next connection.
         let _ = TcpStream::connect(self.address);
-        for connection in self.connections.lock().expect("no holder panics").drain(..) {
+        for (_, connection) in self.connections.lock().expect("no holder panics").drain() {
             // Fails if the other side has already closed it.
             let _ = connection.shutdown(Shutdown::Both);
         }
