--- a/coltsfootgate/src/pipeline/admit.rs
+++ b/coltsfootgate/src/pipeline/admit.rs
@@ -1,14 +1,10 @@
 //! Requests the grant that a request needs before it is sent to an endpoint.
 
-use std::cell::Cell;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use coltsfootgate_core::comeback::retry_after_delay;
-use coltsfootgate_core::endpoint_limit::{LimitNotice, LimitStatement};
-use coltsfootgate_core::owner::{
-    EngineReservation, GrantRequest, HeldGrant, ReleaseReport, ReleaseResult,
-};
+use coltsfootgate_core::owner::{EngineReservation, GrantRequest, HeldGrant};
 use coltsfootgate_core::prelude::{EndpointId, EndpointSettings, ErrorKind, SoftwareVersion};
 use coltsfootgate_core::prompt::PromptLoad;
 use futures_util::future::{Either, select};
@@ -16,10 +12,10 @@
 use super::classify::ClassifiedRequest;
 use super::context::PipelineContext;
 use super::journal::RequestJournal;
+use super::lease::{GrantLease, return_grant, start_lease};
 use super::route::{GrantResult, GrantSearch};
 use crate::entry::{CallerLink, Refusal};
-use crate::metrics::DaemonMetrics;
-use crate::routes::{GrantSource, LeaseEntry, OwnerClient, RouteTable};
+use crate::routes::{GrantSource, LeaseEntry};
 
 /// Estimated length of an answer, in tokens, before any answer was measured.
 const INITIAL_ANSWER_TOKENS: u32 = 64;
@@ -27,21 +23,6 @@
 /// Number of grants that this instance cannot use after which a request is refused.
 const UNUSABLE_GRANTS_MAX: usize = 4;
 
-/// A grant to send one request to one endpoint; released when dropped.
-pub struct GrantLease {
-    /// The endpoint.
-    pub endpoint: EndpointSettings,
-    entry: LeaseEntry,
-    routes: RouteTable,
-    owner_client: OwnerClient,
-    report: ReleaseReport,
-    metrics: DaemonMetrics,
-    /// The limit in requests a second that the endpoint's answer stated.
-    limit: Cell<Option<f64>>,
-    /// Whether the grant counts towards a limit that the endpoint stated.
-    is_paced: bool,
-}
-
 /// Which endpoints may get a request.
 #[derive(Clone, Debug, Default)]
 pub struct EndpointNeeds {
@@ -51,76 +32,6 @@
     pub excluded: Vec<EndpointId>,
 }
 
-/// The measurements of one attempt at an endpoint.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct AttemptMeasurements {
-    /// Tokens received, or pieces received of an event stream.
-    pub tokens: u32,
-    /// Time from sending to the first token or the head of the answer.
-    pub first_token: Option<Duration>,
-    /// Mean time between two tokens.
-    pub between_tokens: Option<Duration>,
-}
-
-impl GrantLease {
-    /// Releases the grant and reports the result and the measurements of the attempt.
-    pub fn release(mut self, result: ReleaseResult, measurements: AttemptMeasurements) {
-        self.report.result = result;
-        self.report.tokens = measurements.tokens;
-        self.report.first_token = measurements.first_token;
-        self.report.between_tokens = measurements.between_tokens;
-    }
-}
-
-impl GrantLease {
-    /// Records what the head of the endpoint's answer to a request sent at `sent_at` states about
-    /// its limit.
-    pub fn observe_limit(&self, notice: LimitNotice, sent_at: Instant) {
-        self.metrics.limit_noticed(notice.name());
-        self.limit.set(notice.rate());
-        if notice == LimitNotice::Malformed {
-            log::warn!("endpoint {} states a malformed limit", self.endpoint.id);
-            return;
-        }
-        let (endpoint, answered_at) = (self.endpoint.id.clone(), Instant::now());
-        let statement = LimitStatement { endpoint, notice, sent_at, answered_at };
-        // The owner may know of a limit from the answers to other instances.
-        if self.routes.observe_limit(&statement) || self.is_paced {
-            let owner = self.routes.owner_of(&self.endpoint.id);
-            self.owner_client.state_limit(owner.as_ref(), &self.entry.pool, &statement);
-        }
-    }
-
-    /// The limit in requests a second that the endpoint's answer stated.
-    pub fn limit(&self) -> Option<f64> {
-        self.limit.get()
-    }
-
-    /// Reports the first token to the instance that accounts for the grant.
-    pub fn report_first_token(&self) {
-        self.owner_client.first_token(&self.current_source(), &self.entry.pool, self.report.grant);
-    }
-
-    /// The source that accounts for the grant now.
-    fn current_source(&self) -> GrantSource {
-        match &self.entry.source {
-            // The endpoint may have a new owner, to which the grant was announced.
-            GrantSource::Owner(owner) => {
-                let current = self.routes.owner_of(&self.endpoint.id);
-                GrantSource::Owner(current.unwrap_or_else(|| owner.clone()))
-            }
-            source => source.clone(),
-        }
-    }
-}
-
-impl Drop for GrantLease {
-    fn drop(&mut self) {
-        self.routes.record_end(&self.entry);
-        self.owner_client.release(&self.current_source(), &self.entry.pool, self.report.clone());
-    }
-}
-
 /// Waits until a grant arrives, the deadline passes or the caller disconnects.
 ///
 /// An owner may add an endpoint shortly before this instance does, or not know its limit yet. A grant
@@ -258,31 +169,6 @@
     }
 }
 
-fn start_lease(
-    context: &PipelineContext,
-    search: &GrantSearch<'_>,
-    entry: LeaseEntry,
-    is_paced: bool,
-    endpoint: EndpointSettings,
-) -> GrantLease {
-    let report = release_report(context, &entry, ReleaseResult::Cancelled);
-    let owner = match &entry.source {
-        GrantSource::Owner(owner) => Some(owner),
-        GrantSource::FallbackShare | GrantSource::Ungranted => None,
-    };
-    context.routes.record_grant(search.route(), owner, entry.clone());
-    GrantLease {
-        endpoint,
-        entry,
-        routes: context.routes.clone(),
-        owner_client: context.owner_client.clone(),
-        report,
-        metrics: context.metrics.clone(),
-        limit: Cell::default(),
-        is_paced,
-    }
-}
-
 /// The endpoint of a grant, if the grant may be used.
 fn usable_endpoint(
     context: &PipelineContext,
@@ -297,32 +183,6 @@
     is_allowed.then_some(endpoint)
 }
 
-/// Returns a grant that is not used, and tells the owner of a limit that it may not know.
-fn return_grant(context: &PipelineContext, entry: &LeaseEntry) {
-    let report = release_report(context, entry, ReleaseResult::NotSent);
-    context.owner_client.release(&entry.source, &entry.pool, report);
-    if let Some(limit) = context.routes.known_limit(&entry.held.endpoint) {
-        let owner = context.routes.owner_of(&limit.endpoint);
-        context.owner_client.state_limit(owner.as_ref(), &entry.pool, &limit);
-    }
-}
-
-fn release_report(
-    context: &PipelineContext,
-    entry: &LeaseEntry,
-    result: ReleaseResult,
-) -> ReleaseReport {
-    ReleaseReport {
-        requester: context.own.clone(),
-        grant: entry.held.grant,
-        endpoint: entry.held.endpoint.clone(),
-        tokens: 0,
-        first_token: None,
-        between_tokens: None,
-        result,
-    }
-}
-
 fn capacity_message(kind: ErrorKind, request: &ClassifiedRequest) -> String {
     let class = &request.class;
     match kind {
--- a/coltsfootgate/src/pipeline/dispatch.rs
+++ b/coltsfootgate/src/pipeline/dispatch.rs
@@ -5,9 +5,9 @@
 use http::{HeaderMap, header};
 use monoio::time::timeout;
 
-use super::admit::GrantLease;
 use super::classify::{AnswerForm, ClassifiedRequest};
 use super::context::PipelineContext;
+use super::lease::GrantLease;
 use crate::dialect::{AttemptContext, EndpointDialect};
 use crate::endpoint::{EndpointAnswer, EndpointClient, EndpointFailure, EndpointRequest};
 
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -14,13 +14,14 @@
 use coltsfootgate_core::stream::StreamOrigin;
 use futures_util::future::{Either, select};
 
-use super::admit::{AttemptMeasurements, EndpointNeeds, GrantLease, admit_request, refusal};
+use super::admit::{EndpointNeeds, admit_request, refusal};
 use super::claim::{ClaimLease, ClaimResult, claim_request};
 use super::classify::{AnswerForm, ClassifiedRequest, classify_request};
 use super::context::PipelineContext;
 use super::dispatch::{AttemptStart, dispatch_request};
 use super::identify::{check_settings_age, identify_customer};
 use super::journal::RequestJournal;
+use super::lease::{AttemptMeasurements, GrantLease};
 use super::limit::limit_request;
 use super::prompt::{check_prompt, confirm_prompt, observe_attempt};
 use super::relay::{RelayEnd, RelayTask};
@@ -123,7 +124,7 @@
         let admitted = admit_request(context, request, &needs, caller, journal).await;
         let lease = admitted.map_err(|refusal| adjust_refusal(request, &history, refusal))?;
         if let Err(refusal) = confirm_prompt(context, request).await {
-            lease.release(ReleaseResult::NotSent, AttemptMeasurements::default());
+            lease.release_unsent();
             return Err(adjust_refusal(request, &history, refusal));
         }
         let endpoint = lease.endpoint.id.clone();
--- a/coltsfootgate/src/pipeline/mod.rs
+++ b/coltsfootgate/src/pipeline/mod.rs
@@ -12,6 +12,7 @@
 pub mod gate;
 pub mod identify;
 pub mod journal;
+pub mod lease;
 pub mod limit;
 mod prompt;
 pub mod record;
--- a/coltsfootgate/src/pipeline/relay/mod.rs
+++ b/coltsfootgate/src/pipeline/relay/mod.rs
@@ -14,10 +14,10 @@
 use futures_util::future::{Either, select};
 use http::{HeaderValue, StatusCode, header};
 
-use super::admit::{AttemptMeasurements, GrantLease};
 use super::classify::{AnswerForm, ClassifiedRequest};
 use super::context::PipelineContext;
 use super::journal::RequestJournal;
+use super::lease::{AttemptMeasurements, GrantLease};
 use super::settle::ServedAnswer;
 use crate::dialect::CallerDialect;
 use crate::endpoint::event::EventTooLarge;
--- a/coltsfootgate/src/routes/follow.rs
+++ b/coltsfootgate/src/routes/follow.rs
@@ -139,8 +139,7 @@
             self.client.announce(&owner, pool, held);
         }
         for (pool, limit) in self.routes.known_limits() {
-            let owner = self.routes.owner_of(&limit.endpoint);
-            self.client.state_limit(owner.as_ref(), &pool, &limit);
+            self.routes.state_limit(&self.client, &pool, &limit);
         }
     }
 
--- a/coltsfootgate/src/routes/mod.rs
+++ b/coltsfootgate/src/routes/mod.rs
@@ -165,6 +165,12 @@
         self.0.borrow().endpoint_owners.get(endpoint).cloned()
     }
 
+    /// Reports what an answer stated about the limit of an endpoint to the owner of the endpoint.
+    pub fn state_limit(&self, client: &OwnerClient, pool: &PoolId, statement: &LimitStatement) {
+        let owner = self.owner_of(&statement.endpoint);
+        client.state_limit(owner.as_ref(), pool, statement);
+    }
+
     /// Updates the load of an owner.
     pub fn update_pressure(&self, pool: &PoolId, owner: &InstanceId, pressure: OwnerPressure) {
         let now = Instant::now();
