Bound the memory of answers that cannot be forwarded yet

Seen in a test: 400 streams that each hold most of an event took 224 MB, more than the smallest machine of the deployments has (160 MB); the process would be killed and all its requests with it.

Cause: the size of an event, or of an answer that is not streamed, was bounded for each request only. Class of fault: a limit for one where the sum counts.

--- a/coltsfootgate/src/endpoint/event.rs
+++ b/coltsfootgate/src/endpoint/event.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 
 use super::scanner::EventScanner;
+use crate::transfer::{BufferBudget, BufferShare};
 
 /// Maximum size of an event and the comments before it, in bytes; a larger one fails the attempt.
 const EVENT_BYTES_MAX: usize = 1024 * 1024;
@@ -20,7 +21,7 @@
     Done,
 }
 
-/// An event, with the comments before it, exceeded its maximum size.
+/// An event, with the comments before it, exceeded its maximum size or the memory that is left.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct EventTooLarge;
 
@@ -56,17 +57,19 @@
 }
 
 /// Splits a stream of bytes into events.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EventReader {
     buffer: BytesMut,
+    share: BufferShare,
     scanner: EventScanner,
     scanned: usize,
 }
 
 impl EventReader {
-    /// Creates a reader with an empty buffer.
-    pub fn new() -> Self {
-        Self::default()
+    /// Creates a reader with an empty buffer, whose memory is drawn from `buffers`.
+    pub fn new(buffers: &BufferBudget) -> Self {
+        let (buffer, scanner) = (BytesMut::new(), EventScanner::default());
+        Self { buffer, share: buffers.share(), scanner, scanned: 0 }
     }
 
     /// Appends a piece of the stream.
@@ -79,7 +82,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if too many bytes arrived without completing an event.
+    /// Fails if too many bytes arrived without completing an event, or no memory is left for them.
     pub fn take_complete(&mut self) -> Result<(Bytes, Option<Arc<str>>), EventTooLarge> {
         let mut end = 0;
         while let Some(position) = self.find_block_end() {
@@ -107,7 +110,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if too many bytes arrived without completing an event.
+    /// Fails if too many bytes arrived without completing an event, or no memory is left for them.
     pub fn next_event(&mut self) -> Result<Option<StreamEvent>, EventTooLarge> {
         let Some(end) = self.find_block_end() else {
             return self.check_size().map(|()| None);
@@ -117,8 +120,9 @@
         Ok(Some(if is_done { StreamEvent::Done } else { StreamEvent::Chunk(event) }))
     }
 
-    fn check_size(&self) -> Result<(), EventTooLarge> {
-        let is_large = self.scanner.bytes_since_event() > EVENT_BYTES_MAX;
+    fn check_size(&mut self) -> Result<(), EventTooLarge> {
+        let is_covered = self.share.resize(self.buffer.capacity());
+        let is_large = self.scanner.bytes_since_event() > EVENT_BYTES_MAX || !is_covered;
         if is_large { Err(EventTooLarge) } else { Ok(()) }
     }
 
--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -27,6 +27,7 @@
 use crate::quarantine::{QuarantineHandle, QuarantineTask};
 use crate::routes::{MemberWatcher, OwnerClient, PoolStatus, RouteTable};
 use crate::streams::{StreamRegister, follow_instances};
+use crate::transfer::BufferBudget;
 use crate::tree::{TreeHandle, TreeTask};
 
 /// The handles of a running instance that the daemon uses.
@@ -164,6 +165,7 @@
             claims,
             streams,
             quarantine: self.start_quarantine(members),
+            buffers: BufferBudget::default(),
             endpoints: ConnectionPool::new(),
             records: RequestRecords::default(),
             metrics: self.metrics.clone(),
--- a/coltsfootgate/src/pipeline/context.rs
+++ b/coltsfootgate/src/pipeline/context.rs
@@ -14,6 +14,7 @@
 use crate::quarantine::QuarantineHandle;
 use crate::routes::{OwnerClient, RouteTable};
 use crate::streams::StreamRegister;
+use crate::transfer::BufferBudget;
 use crate::tree::TreeHandle;
 
 /// Handles to the tasks and shared state of this instance.
@@ -36,6 +37,8 @@
     pub streams: StreamRegister,
     /// The parts of prompts that crash endpoints.
     pub quarantine: QuarantineHandle,
+    /// The memory for answers that cannot be forwarded yet.
+    pub buffers: BufferBudget,
     /// The connections to endpoints.
     pub endpoints: ConnectionPool,
     /// The records of recent requests.
--- a/coltsfootgate/src/pipeline/relay/body.rs
+++ b/coltsfootgate/src/pipeline/relay/body.rs
@@ -21,7 +21,7 @@
 
 impl RelayTask<'_> {
     /// Buffers an answer until it is complete, so that another attempt can still follow, and forwards
-    /// it as it arrives once it is too large for that.
+    /// it as it arrives once it is too large for that or no memory is left.
     pub(super) async fn relay_body<D: CallerDialect>(
         &mut self,
         answer: EndpointAnswer,
@@ -31,10 +31,11 @@
         let EndpointAnswer { status, headers, mut stream } = answer;
         let headers = answer_headers(&headers);
         self.measurements.first_token = Some(self.sent_at.elapsed());
-        let mut buffered = BytesMut::new();
+        let (mut buffered, mut share) = (BytesMut::new(), self.context.buffers.share());
         while let Some(piece) = self.next_piece(&mut stream, caller).await? {
             buffered.extend_from_slice(&piece);
-            if buffered.len() > BUFFERED_ANSWER_BYTES_MAX {
+            let is_covered = share.resize(buffered.capacity());
+            if buffered.len() > BUFFERED_ANSWER_BYTES_MAX || !is_covered {
                 let head = (status, headers);
                 return self
                     .forward_body::<D>(head, buffered.freeze(), stream, caller, journal)
