--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -119,14 +119,8 @@
     loop {
         let version = required_version(context, request, origin.as_ref());
         needs.version = version.map_err(|refusal| adjust_refusal(request, &history, refusal))?;
-        check_prompt(context, request)
-            .map_err(|refusal| adjust_refusal(request, &history, refusal))?;
-        let admitted = admit_request(context, request, &needs, caller, journal).await;
+        let admitted = admit_attempt(context, request, &needs, caller, journal).await;
         let lease = admitted.map_err(|refusal| adjust_refusal(request, &history, refusal))?;
-        if let Err(refusal) = confirm_prompt(context, request).await {
-            lease.release_unsent();
-            return Err(adjust_refusal(request, &history, refusal));
-        }
         let endpoint = lease.endpoint.id.clone();
         let attempted = endpoint_origin(request, &lease.endpoint);
         journal.record.endpoint_version = lease.endpoint.version.as_ref().map(ToString::to_string);
@@ -175,6 +169,23 @@
     }
 }
 
+/// Waits for the grant of an attempt, unless a part of the prompt is blocked before or after.
+async fn admit_attempt(
+    context: &PipelineContext,
+    request: &ClassifiedRequest,
+    needs: &EndpointNeeds,
+    caller: &mut CallerLink,
+    journal: &mut RequestJournal,
+) -> Result<GrantLease, Refusal> {
+    check_prompt(context, request)?;
+    let lease = admit_request(context, request, needs, caller, journal).await?;
+    if let Err(refusal) = confirm_prompt(context, request).await {
+        lease.release_unsent();
+        return Err(refusal);
+    }
+    Ok(lease)
+}
+
 fn retry_conditions(request: &ClassifiedRequest, claimed: bool) -> RetryConditions {
     let can_resume = match request.form {
         AnswerForm::ModelStream => request.pool.resumes,
