--- a/coltsfootgate/src/pipeline/mod.rs
+++ b/coltsfootgate/src/pipeline/mod.rs
@@ -1,6 +1,6 @@
 //! The stages that process a request, each with one input and one output type.
 //!
-//! accept → identify → classify → resume → limit → claim → admit → dispatch → relay → settle
+//! accept → identify → classify → resume → limit → claim → prompt → admit → dispatch → relay → settle
 
 pub mod admit;
 pub mod budget;
--- a/coltsfootgate/src/pipeline/prompt.rs
+++ b/coltsfootgate/src/pipeline/prompt.rs
@@ -5,7 +5,7 @@
 
 use coltsfootgate_core::prelude::{EndpointSettings, ErrorKind};
 use coltsfootgate_core::prompt::shared_parts;
-use coltsfootgate_core::quarantine::{AttemptEvidence, PartId, PartKey, PromptVerdict};
+use coltsfootgate_core::quarantine::{AttemptEnd, AttemptEvidence, PartId, PartKey, PromptVerdict};
 use rand::Rng;
 
 use super::admit::refusal;
@@ -67,11 +67,17 @@
     if parts.is_empty() {
         return;
     }
-    let is_served = matches!(end, RelayEnd::Served(answer) if answer.status().is_success());
-    let is_lost = matches!(end, RelayEnd::Failed(EndpointFailure::ConnectionLost));
+    let attempt_end = match end {
+        RelayEnd::Served(answer) if answer.status().is_success() => AttemptEnd::Complete,
+        RelayEnd::Failed(EndpointFailure::ConnectionLost) => AttemptEnd::ConnectionLost,
+        RelayEnd::Served(_)
+        | RelayEnd::Failed(_)
+        | RelayEnd::ErrorAnswer(_)
+        | RelayEnd::CallerDisconnected => AttemptEnd::Other,
+    };
     let answered_since = first_token.map(|delay| sent_at + delay);
     let pool = &request.pool.id;
-    match AttemptEvidence::new(is_served, is_lost, answered_since, Instant::now()) {
+    match AttemptEvidence::new(attempt_end, answered_since, Instant::now()) {
         AttemptEvidence::Served => context.quarantine.record_served(pool, &parts),
         AttemptEvidence::Lost => context.quarantine.record_lost(LostAttempt {
             pool: pool.clone(),
--- a/coltsfootgate_core/src/quarantine/mod.rs
+++ b/coltsfootgate_core/src/quarantine/mod.rs
@@ -8,7 +8,7 @@
 
 pub use ledger::{BlockDecision, CrashLedger, CrashReport, LostRequest};
 pub use list::{BlockEntry, BlockList, BlockState, PromptVerdict, QuarantineNotice};
-pub use served::{AttemptEvidence, SURVIVAL_TIME, ServedParts};
+pub use served::{AttemptEnd, AttemptEvidence, SURVIVAL_TIME, ServedParts};
 
 /// Identifies the text of a part of a prompt; equal texts have equal ids.
 pub type PartId = u64;
--- a/coltsfootgate_core/src/quarantine/served.rs
+++ b/coltsfootgate_core/src/quarantine/served.rs
@@ -12,6 +12,17 @@
 /// Number of parts after which the older half is forgotten.
 const GENERATION_MAX: usize = 4096;
 
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AttemptEnd {
+    /// The endpoint sent a complete answer.
+    Complete,
+    /// The connection was lost.
+    ConnectionLost,
+    /// Any other way.
+    Other,
+}
+
 /// What the end of an attempt shows about the parts of its prompt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AttemptEvidence {
@@ -25,19 +36,13 @@
 
 impl AttemptEvidence {
     /// Evaluates an attempt that ended now; `answered_since` is when its first event arrived.
-    pub fn new(
-        is_served: bool,
-        is_connection_lost: bool,
-        answered_since: Option<Instant>,
-        now: Instant,
-    ) -> Self {
+    pub fn new(end: AttemptEnd, answered_since: Option<Instant>, now: Instant) -> Self {
         let has_survived = answered_since.is_some_and(|since| since + SURVIVAL_TIME <= now);
-        if is_served || has_survived {
-            Self::Served
-        } else if is_connection_lost {
-            Self::Lost
-        } else {
-            Self::Unclear
+        match end {
+            AttemptEnd::Complete => Self::Served,
+            _ if has_survived => Self::Served,
+            AttemptEnd::ConnectionLost => Self::Lost,
+            AttemptEnd::Other => Self::Unclear,
         }
     }
 }
--- a/coltsfootgate_core/tests/quarantine.rs
+++ b/coltsfootgate_core/tests/quarantine.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use coltsfootgate_core::quarantine::{
-    AttemptEvidence, BlockList, BlockState, CrashLedger, CrashReport, LostRequest, PartId, PartKey,
-    ServedParts,
+    AttemptEnd, AttemptEvidence, BlockList, BlockState, CrashLedger, CrashReport, LostRequest,
+    PartId, PartKey, ServedParts,
 };
 use rstest::rstest;
 
@@ -179,18 +179,25 @@
 }
 
 #[rstest]
-#[case::complete_answer(true, false, None, AttemptEvidence::Served)]
-#[case::lost_before_its_first_event(false, true, None, AttemptEvidence::Lost)]
-#[case::lost_soon_after_its_first_event(false, true, Some(900), AttemptEvidence::Lost)]
-#[case::lost_long_after_its_first_event(false, true, Some(100), AttemptEvidence::Served)]
-#[case::abandoned(false, false, Some(900), AttemptEvidence::Unclear)]
+#[case::complete_answer(AttemptEnd::Complete, None, AttemptEvidence::Served)]
+#[case::lost_before_its_first_event(AttemptEnd::ConnectionLost, None, AttemptEvidence::Lost)]
+#[case::lost_soon_after_its_first_event(
+    AttemptEnd::ConnectionLost,
+    Some(900),
+    AttemptEvidence::Lost
+)]
+#[case::lost_long_after_its_first_event(
+    AttemptEnd::ConnectionLost,
+    Some(100),
+    AttemptEvidence::Served
+)]
+#[case::abandoned(AttemptEnd::Other, Some(900), AttemptEvidence::Unclear)]
 fn an_attempt_shows_whether_its_parts_may_crash_endpoints(
-    #[case] is_served: bool,
-    #[case] is_lost: bool,
+    #[case] end: AttemptEnd,
     #[case] answered_since: Option<u64>,
     #[case] expected: AttemptEvidence,
 ) {
-    let found = AttemptEvidence::new(is_served, is_lost, answered_since.map(at), at(1_000));
+    let found = AttemptEvidence::new(end, answered_since.map(at), at(1_000));
     assert_eq!(found, expected);
 }
 
