Show how long a settings tree takes to load, and its size

One line says which version is being loaded beside which one in force, one how long it took; requests refused as settings-stale already name the age ("never" when a newer version is known).

--- a/coltsfootgate/src/metrics/mod.rs
+++ b/coltsfootgate/src/metrics/mod.rs
@@ -65,6 +65,8 @@
     platform_calls: IntCounterVec,
     config_version: IntGauge,
     config_age: Gauge,
+    config_load_time: Gauge,
+    config_bytes: IntGauge,
     config_refused: IntCounterVec,
     answers_mismatched: IntCounterVec,
     answer_ends: IntCounterVec,
@@ -173,6 +175,14 @@
                 "coltsfootgate_config_age_seconds",
                 "Time since the settings tree in force was confirmed as the newest; -1 before the first time.",
             )),
+            config_load_time: registrar.register(Gauge::new(
+                "coltsfootgate_config_load_seconds",
+                "Time that the last load of a settings tree took.",
+            )),
+            config_bytes: registrar.register(IntGauge::new(
+                "coltsfootgate_config_bytes",
+                "Size of the values that the settings tree in force was loaded from.",
+            )),
             config_refused: registrar.counters(
                 "config_refused",
                 "Versions of the settings tree that were rejected, by cause.",
@@ -334,6 +344,12 @@
         self.config_age.set(age.map_or(-1.0, |age| age.as_secs_f64()));
     }
 
+    /// Records how long the load of a settings tree took, and the size of its values.
+    pub fn record_config_load(&self, elapsed: Duration, bytes: usize) {
+        self.config_load_time.set(elapsed.as_secs_f64());
+        self.config_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
     /// Counts a rejected version of the settings tree.
     pub fn config_refused(&self, cause: &str) {
         self.config_refused.with_label_values(&[cause]).inc();
--- a/coltsfootgate/src/tree/task.rs
+++ b/coltsfootgate/src/tree/task.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 use futures_util::future::{Either, select};
 use futures_util::{StreamExt, pin_mut};
@@ -39,6 +40,8 @@
 struct LoadOutcome {
     head: TreeHead,
     result: Result<ActiveTree, LoadError>,
+    /// Time from the start of the load to its end.
+    elapsed: Duration,
 }
 
 impl<S, P> TreeTask<S, P>
@@ -109,9 +112,10 @@
     }
 
     fn finish_load(&mut self, outcome: LoadOutcome) {
-        let LoadOutcome { head, result } = outcome;
+        let LoadOutcome { head, result, elapsed } = outcome;
         match result {
             Ok(tree) => {
+                self.record_load(&tree, elapsed);
                 self.handle.publish(Rc::new(tree));
                 self.apply_event(HeadEvent::Loaded(head));
             }
@@ -128,6 +132,17 @@
         }
     }
 
+    fn record_load(&self, tree: &ActiveTree, elapsed: Duration) {
+        let (classes, customers) = (tree.tree.classes().count(), tree.tree.customers().count());
+        let bytes = tree.objects.values().map(Bytes::len).sum();
+        info!(
+            "loaded version {} in {} ms: {bytes} bytes, {classes} classes, {customers} customers",
+            tree.version,
+            elapsed.as_millis()
+        );
+        self.metrics.record_config_load(elapsed, bytes);
+    }
+
     fn perform(&self, action: HeadAction) {
         match action {
             HeadAction::ReadHead(source) => self.start_head_read(source),
@@ -161,16 +176,19 @@
     }
 
     fn fetch(&self, head: TreeHead, sources: Vec<HeadSource>) {
+        info!("loading version {}; version {} is in force", head.version, self.tracker.version());
         let (store, peers) = (self.store.clone(), self.peers.clone());
         let cached = self.handle.current();
         let outcome_sender = self.outcome_sender.clone();
         monoio::spawn(async move {
+            let started = Instant::now();
             let none = TreeObjects::new();
             let cached = cached.as_ref().map_or(&none, |tree| &tree.objects);
             let (store, peers, sources) = (&store, &peers, &sources[..]);
             let loader = TreeLoader { store, peers, sources, cached };
             let result = loader.load(&head).await;
-            let _ = outcome_sender.unbounded_send(LoadOutcome { head, result });
+            let outcome = LoadOutcome { head, result, elapsed: started.elapsed() };
+            let _ = outcome_sender.unbounded_send(outcome);
         });
     }
 }
