Test that large settings come into force without stopping service; list the tests as red

What callers see on the larger deployments when the settings grow by many routes: late answers and lost requests for seconds, then refusals only (CONFIG and TIER).

--- a/coltsfootgate/src/platform/tests.rs
+++ b/coltsfootgate/src/platform/tests.rs
@@ -29,6 +29,25 @@
     address
 }
 
+/// Sends a response in pieces, with a pause before each.
+fn serve_slowly(pieces: Vec<Vec<u8>>, pause: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut head = [0; 1024];
+        let _ = stream.read(&mut head);
+        for piece in pieces {
+            thread::sleep(pause);
+            if stream.write_all(&piece).is_err() {
+                return;
+            }
+        }
+        let _ = stream.read(&mut head);
+    });
+    address
+}
+
 fn block_on<F: Future>(future: F) -> F::Output {
     RuntimeBuilder::<LegacyDriver>::new().enable_timer().build().unwrap().block_on(future)
 }
@@ -72,6 +91,21 @@
     assert_eq!(result, expected);
 }
 
+/// The time limit of a call is about silence: a large value on a slow link takes longer. A server that
+/// never comes to an end is left in the end.
+#[rstest]
+#[case::twice_the_limit(6, true)]
+#[case::without_end(60, false)]
+fn a_value_that_arrives_steadily_is_read(#[case] pieces: usize, #[case] is_read: bool) {
+    let head = format!("HTTP/1.1 200 OK\r\nx-revision: 7\r\ncontent-length: {pieces}\r\n\r\n");
+    let body = vec![b"a".to_vec(); pieces];
+    let address = serve_slowly([vec![head.into_bytes()], body].concat(), TIMEOUT / 3);
+    let result = block_on(async { HttpPlatform::new(address, TIMEOUT).read("a/b").await });
+    let read = result.map(|value| value.map(|value| value.value.len()));
+    let expected = if is_read { Ok(Some(pieces)) } else { Err(PlatformError::TimedOut(TIMEOUT)) };
+    assert_eq!(read, expected);
+}
+
 #[rstest]
 #[case::written(response("200 OK", "x-revision: 8\r\n", ""), Ok(SwapResult::Written(8)))]
 #[case::conflict(response("409 Conflict", "x-revision: 9\r\n", ""), Ok(SwapResult::Conflict(9)))]
--- a/coltsfootgate/src/tree/tests.rs
+++ b/coltsfootgate/src/tree/tests.rs
@@ -246,3 +246,38 @@
         assert!(fixture.handle.object(&fixture.handle.current().unwrap().head.root).is_some());
     });
 }
+
+/// The text of a tree with many classes.
+fn large_tree_text(classes: usize) -> String {
+    let mut text = tree_text("large");
+    for class in 0..classes {
+        let name = format!("many{class}");
+        text.push_str(&format!("\n[classes.{name}]\nmatch = {{ prefix = \"/{name}/\" }}\n"));
+    }
+    text
+}
+
+#[test]
+fn other_tasks_run_while_a_large_tree_is_loaded() {
+    const CLASSES: usize = 4000;
+    const TURNS_MIN: usize = 20;
+    block_on(async {
+        let store = MemoryStore::default();
+        store.store_tree(1, &tree_text("small"));
+        let mut fixture = TaskFixture::start(store.clone(), MemoryPeers::default());
+        fixture.handle.update_peers(Vec::new());
+        assert_eq!(fixture.next_version().await, 1);
+        store.store_tree(2, &large_tree_text(CLASSES));
+        let turns = Rc::new(Cell::new(0));
+        let other_turns = turns.clone();
+        monoio::spawn(async move {
+            loop {
+                monoio::time::sleep(Duration::from_millis(1)).await;
+                other_turns.set(other_turns.get() + 1);
+            }
+        });
+        fixture.handle.hint(2);
+        assert_eq!(fixture.next_version().await, 2);
+        assert!(turns.get() >= TURNS_MIN, "another task had {} turns", turns.get());
+    });
+}
