Trust keys until their proof is too old while a newer version is loaded

What callers saw: every request with a key was refused as settings-stale from the moment an instance, or a peer of it, knew of a newer version until it had loaded that itself (seconds with thousands of routes on 0.12 of a core; for good if it was refused).

Cause: only the latest proof was kept, and one of a newer version took away the age of the version in force. Class of fault: new knowledge invalidates a fact that stays true.

Why it works: a proof says that nothing newer existed at a time. Looked for elsewhere: endpoints' announcements and blocked parts keep their own times.

--- a/coltsfootgate/src/metrics/mod.rs
+++ b/coltsfootgate/src/metrics/mod.rs
@@ -339,7 +339,7 @@
     }
 
     /// Sets the time since the settings tree in force was confirmed as the newest; `None` if it
-    /// never was, or if a newer version is known.
+    /// never was.
     pub fn set_config_age(&self, age: Option<Duration>) {
         self.config_age.set(age.map_or(-1.0, |age| age.as_secs_f64()));
     }
--- a/coltsfootgate/src/tree/mod.rs
+++ b/coltsfootgate/src/tree/mod.rs
@@ -79,8 +79,7 @@
         self.current().map(|active| active.tree.connections()).unwrap_or_default()
     }
 
-    /// Time since the tree in force was last confirmed as the newest; `None` if it never was, or
-    /// if a newer version is known.
+    /// Time since the tree in force was last confirmed as the newest; `None` if it never was.
     pub fn age(&self) -> Option<Duration> {
         let version = self.current()?.version;
         self.0.freshness.borrow().age(version, clock::boot_time())
--- a/coltsfootgate_core/src/freshness.rs
+++ b/coltsfootgate_core/src/freshness.rs
@@ -1,10 +1,14 @@
 //! Tracks when the settings in force were last confirmed to be the newest.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::ids::ConfigVersion;
 
-/// Proof that a version of the settings was the newest one at a point in time.
+/// Maximum number of versions whose proofs are kept; the oldest versions are dropped first.
+const VERSIONS_MAX: usize = 64;
+
+/// Proof that no version above this one existed at a point in time.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct VersionProof {
     /// The version.
@@ -13,27 +17,29 @@
     pub at: Duration,
 }
 
-/// Keeps the latest proof, from which the age of the settings in force follows.
-#[derive(Clone, Copy, Debug, Default)]
+/// Keeps the latest proof of each recent version, from which the age of the settings in force
+/// follows.
+#[derive(Clone, Debug, Default)]
 pub struct SettingsFreshness {
-    latest: Option<VersionProof>,
+    latest: BTreeMap<ConfigVersion, Duration>,
 }
 
 impl SettingsFreshness {
-    /// Records a proof, unless a later one is known.
+    /// Records a proof.
     pub fn record(&mut self, proof: VersionProof) {
-        let is_later = self.latest.is_none_or(|latest| latest.at < proof.at);
-        if is_later {
-            self.latest = Some(proof);
+        let latest = self.latest.entry(proof.version).or_default();
+        *latest = proof.at.max(*latest);
+        if self.latest.len() > VERSIONS_MAX {
+            self.latest.pop_first();
         }
     }
 
     /// Time since the version in force was last confirmed as the newest.
     ///
-    /// `None` if there is no proof or if it is for a higher version, since the version in force is
-    /// then not the newest.
+    /// `None` if there is no such proof. A proof of a newer version does not count, but it does not
+    /// invalidate earlier ones either: nothing written since then is older than the last of them.
     pub fn age(&self, in_force: ConfigVersion, now: Duration) -> Option<Duration> {
-        let proof = self.latest.filter(|proof| proof.version <= in_force)?;
-        Some(now.saturating_sub(proof.at))
+        let proved_at = self.latest.range(..=in_force).map(|(_, at)| *at).max()?;
+        Some(now.saturating_sub(proved_at))
     }
 }
