Bound the silence of the platform's store in place of the time of its answers

Cause: the time limit of a call counted from its beginning; a value of a megabyte takes 1.1 s on 10 Mbit/s, the limit is 1.2 s. Class of fault: a limit against silence that measures size.

Evidence: a_value_that_arrives_steadily_is_read, red before (TimedOut(300ms)); the case without an end passes before and after, since the whole call stays bounded at four times the limit.

--- a/coltsfootgate/src/platform/client.rs
+++ b/coltsfootgate/src/platform/client.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::HOST;
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -18,6 +18,8 @@
 
 /// Maximum number of idle connections that are kept.
 const IDLE_CONNECTIONS_MAX: usize = 4;
+/// Time limit of a whole call, as a multiple of the time for which the server may be silent.
+const CALL_TIMEOUTS_MAX: u32 = 4;
 
 /// Calls one HTTP server and keeps a few idle connections to it.
 pub struct BoundedClient {
@@ -53,7 +55,8 @@
 
     /// Sends a request and reads the whole response.
     ///
-    /// A call that times out closes its connection, so a connection whose server stopped responding
+    /// `timeout` limits the time to the response and then each silence, so that a large response on a
+    /// slow link is read to its end; the whole call may take [`CALL_TIMEOUTS_MAX`] times as long. A call that times out closes its connection, so a connection whose server stopped responding
     /// is never reused.
     ///
     /// # Errors
@@ -67,30 +70,27 @@
         timeout: Duration,
         body_bytes_max: usize,
     ) -> Result<Response<Bytes>, PlatformError> {
-        monoio::time::timeout(timeout, self.exchange(request, body_bytes_max))
-            .await
-            .unwrap_or(Err(PlatformError::TimedOut(timeout)))
+        let exchange = self.exchange(request, timeout, body_bytes_max);
+        let result = monoio::time::timeout(timeout * CALL_TIMEOUTS_MAX, exchange).await;
+        result.unwrap_or(Err(PlatformError::TimedOut(timeout)))
     }
 
     async fn exchange(
         &self,
         request: Request<Full<Bytes>>,
+        timeout: Duration,
         body_bytes_max: usize,
     ) -> Result<Response<Bytes>, PlatformError> {
-        let (response, connection) = self.send(request).await?;
+        let sending = monoio::time::timeout(timeout, self.send(request)).await;
+        let (response, connection) = sending.map_err(|_| PlatformError::TimedOut(timeout))??;
         let (mut parts, body) = response.into_parts();
         parts.extensions.insert(answer_framing(&parts.headers, &body));
         if body.size_hint().lower() > body_bytes_max as u64 {
             return Err(PlatformError::TooLarge);
         }
-        let body = Limited::new(body, body_bytes_max).collect().await.map_err(|error| {
-            if error.is::<LengthLimitError>() {
-                return PlatformError::TooLarge;
-            }
-            PlatformError::Broken(error.to_string().into())
-        })?;
+        let body = read_body(Limited::new(body, body_bytes_max), timeout).await?;
         self.keep_idle(connection);
-        Ok(Response::from_parts(parts, body.to_bytes()))
+        Ok(Response::from_parts(parts, body))
     }
 
     /// Sends a request on an idle connection, or on a new one if no idle connection accepts it.
@@ -140,6 +140,29 @@
     }
 }
 
+/// Reads a body to its end, with a time limit for each silence.
+async fn read_body(
+    mut body: Limited<Incoming>,
+    silence_max: Duration,
+) -> Result<Bytes, PlatformError> {
+    let mut bytes = BytesMut::new();
+    loop {
+        let next = monoio::time::timeout(silence_max, body.frame()).await;
+        let next = next.map_err(|_| PlatformError::TimedOut(silence_max))?;
+        let Some(frame) = next else { return Ok(bytes.freeze()) };
+        if let Ok(data) = frame.map_err(|error| body_error(&*error))?.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+    }
+}
+
+fn body_error(error: &(dyn std::error::Error + Send + Sync + 'static)) -> PlatformError {
+    if error.is::<LengthLimitError>() {
+        return PlatformError::TooLarge;
+    }
+    PlatformError::Broken(error.to_string().into())
+}
+
 fn connection_error(error: &hyper::Error) -> PlatformError {
     PlatformError::Broken(error.to_string().into())
 }
