Load a settings tree in slices and in linear time

Cause: the whole load ran between two waits of the only thread, and the check of references scanned all branches again for each class. Class of fault: work that grows with the settings on the thread that serves requests.

Evidence: other_tasks_run_while_a_large_tree_is_loaded, 0 turns before, at least 20 now.

Why it works: a builder validates and adds 64 branches at a time; between slices the task pauses for as long as the slice took, so that a load takes about half of the processor at most, and the old tree serves until the new one is complete. The models are listed once for all classes.

--- a/coltsfootgate/src/tree/load.rs
+++ b/coltsfootgate/src/tree/load.rs
@@ -10,6 +10,7 @@
 };
 use coltsfootgate_core::head::{HeadSource, TreeHead};
 
+use super::slices::build_tree;
 use super::{ActiveTree, TreeObjects, TreePeers};
 use crate::platform::PlatformStore;
 
@@ -68,7 +69,8 @@
             let text = std::str::from_utf8(objects.get(digest)?).ok()?;
             Some(text.into())
         })?;
-        let tree = parts.join(&format!("version {}", head.version))?;
+        let document = parts.document(&format!("version {}", head.version))?;
+        let tree = build_tree(document).await?;
         objects.insert(head.root.clone(), root_bytes);
         Ok(ActiveTree { version: head.version, head: head.clone(), tree: tree.into(), objects })
     }
--- a/coltsfootgate/src/tree/mod.rs
+++ b/coltsfootgate/src/tree/mod.rs
@@ -1,6 +1,7 @@
 //! The settings tree in force, kept up to date from the platform's store and from peers.
 
 mod load;
+mod slices;
 mod source;
 mod task;
 #[cfg(test)]
@@ -24,6 +25,7 @@
 
 use crate::clock;
 
+pub use self::slices::{SlicePacer, build_tree};
 pub use self::source::{NoTreePeers, PeerFetchError, TreePeers};
 pub use self::task::TreeTask;
 
--- a/coltsfootgate_config/src/check.rs
+++ b/coltsfootgate_config/src/check.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::document::{BranchDocument, BranchNode};
+use crate::document::BranchNode;
 use crate::error::{ConfigError, ConfigErrors, ConfigFault};
 use crate::schema::ValueKind;
 use crate::value::{Setting, SettingValue};
@@ -57,12 +57,10 @@
     ConfigFault::WrongValue { found: value.to_string(), allowed: allowed.into() }
 }
 
-/// Checks that every key is known and that every value is allowed.
-pub(crate) fn check_keys(document: &BranchDocument, faults: &mut FaultList) {
-    for node in &document.nodes {
-        for setting in &node.settings {
-            check_setting(node, setting, faults);
-        }
+/// Checks that every key of a branch is known and that every value is allowed.
+pub(crate) fn check_settings(node: &BranchNode, faults: &mut FaultList) {
+    for setting in &node.settings {
+        check_setting(node, setting, faults);
     }
 }
 
--- a/coltsfootgate_config/src/classes.rs
+++ b/coltsfootgate_config/src/classes.rs
@@ -19,6 +19,10 @@
 pub(crate) struct ClassIndex {
     branches: Vec<ClassBranch>,
     by_id: HashMap<ClassId, usize>,
+    /// The classes by the positions of their branches, while classes are added.
+    by_node: Vec<Option<usize>>,
+    /// The models that conditions may refer to, while classes are added.
+    models: Vec<Arc<str>>,
 }
 
 #[derive(Clone, Debug)]
@@ -29,12 +33,15 @@
 }
 
 impl ClassIndex {
-    pub(crate) fn build(document: &BranchDocument, faults: &mut FaultList) -> Self {
-        let mut index = Self { branches: Vec::new(), by_id: HashMap::new() };
-        index.add(document, document.root(ConfigSection::Classes), faults);
-        index.check_floors(document, faults);
-        index.check_pools(document, faults);
-        index
+    /// Creates an index without classes.
+    pub(crate) fn new(document: &BranchDocument) -> Self {
+        let model = |node: &BranchNode| node.setting("model")?.value.as_text().cloned();
+        Self {
+            branches: Vec::new(),
+            by_id: HashMap::new(),
+            by_node: vec![None; document.nodes.len()],
+            models: document.nodes.iter().filter_map(model).collect(),
+        }
     }
 
     /// The class of a request: the deepest branch whose conditions match at every level.
@@ -64,37 +71,31 @@
         self.branches.iter().map(|branch| &branch.settings)
     }
 
-    fn add(&mut self, document: &BranchDocument, node: usize, faults: &mut FaultList) -> usize {
-        let settings = Arc::new(SettingReader::new(document, node).class());
-        let conditions = parse_conditions(document, &document.nodes[node], faults);
-        let position = self.branches.len();
-        self.by_id.insert(settings.id.clone(), position);
-        self.branches.push(ClassBranch { settings, conditions, children: Vec::new() });
-        for child in &document.nodes[node].children {
-            let child = self.add(document, *child, faults);
-            self.branches[position].children.push(child);
+    /// Adds the class of a branch, whose parent was added before.
+    pub(crate) fn add_branch(
+        &mut self,
+        document: &BranchDocument,
+        position: usize,
+        faults: &mut FaultList,
+    ) {
+        let node = &document.nodes[position];
+        let settings = Arc::new(SettingReader::new(document, position).class());
+        let conditions = parse_conditions(document, node, &self.models, faults);
+        check_pools(document, node, faults);
+        let added = self.branches.len();
+        self.by_id.insert(settings.id.clone(), added);
+        self.by_node[position] = Some(added);
+        if let Some(parent) = node.parent.and_then(|parent| self.by_node[parent]) {
+            self.branches[parent].children.push(added);
         }
-        position
+        let children = Vec::new();
+        self.branches.push(ClassBranch { settings, conditions, children });
     }
 
-    /// Checks that the pools that classes refer to exist.
-    fn check_pools(&self, document: &BranchDocument, faults: &mut FaultList) {
-        for node in &document.nodes {
-            let Some(setting) =
-                node.setting("pools").filter(|_| node.section == ConfigSection::Classes)
-            else {
-                continue;
-            };
-            let SettingValue::Table(shares) = &setting.value else { continue };
-            for share in shares {
-                let referenced = document.branch(&pool_path(&share.key));
-                if referenced.is_none() {
-                    let found = format!("pool {:?}", share.key);
-                    let allowed = "a branch of `pools`".into();
-                    faults.add_setting(node, setting, ConfigFault::WrongValue { found, allowed });
-                }
-            }
-        }
+    /// Checks all classes together.
+    pub(crate) fn finish(&mut self, document: &BranchDocument, faults: &mut FaultList) {
+        self.check_floors(document, faults);
+        (self.by_node, self.models) = (Vec::new(), Vec::new());
     }
 
     /// Checks that the minimum shares (`floor`) of all tiers add up to at most 1.
@@ -117,9 +118,24 @@
     }
 }
 
+/// Checks that the pools that a class refers to exist.
+fn check_pools(document: &BranchDocument, node: &BranchNode, faults: &mut FaultList) {
+    let Some(setting) = node.setting("pools") else { return };
+    let SettingValue::Table(shares) = &setting.value else { return };
+    for share in shares {
+        let referenced = document.branch(&pool_path(&share.key));
+        if referenced.is_none() {
+            let found = format!("pool {:?}", share.key);
+            let allowed = "a branch of `pools`".into();
+            faults.add_setting(node, setting, ConfigFault::WrongValue { found, allowed });
+        }
+    }
+}
+
 fn parse_conditions(
     document: &BranchDocument,
     node: &BranchNode,
+    models: &[Arc<str>],
     faults: &mut FaultList,
 ) -> ClassMatch {
     let Some(setting) = node.setting("match") else {
@@ -136,7 +152,7 @@
     for MatchFault { setting, fault } in match_faults {
         faults.add_setting(node, setting, fault);
     }
-    check_references(document, node, &conditions, faults);
+    check_references(document, node, &conditions, models, faults);
     conditions
 }
 
@@ -145,6 +161,7 @@
     document: &BranchDocument,
     node: &BranchNode,
     conditions: &ClassMatch,
+    models: &[Arc<str>],
     faults: &mut FaultList,
 ) {
     let Some(setting) = node.setting("match") else {
@@ -158,8 +175,6 @@
             faults.add_setting(node, setting, ConfigFault::WrongValue { found, allowed });
         }
     }
-    let model = |node: &BranchNode| node.setting("model")?.value.as_text().cloned();
-    let models: Vec<_> = document.nodes.iter().filter_map(model).collect();
     for model in conditions.models().filter(|model| !models.contains(model)) {
         let found = format!("model {model:?}");
         let allowed = format!("a model of a pool: {}", models.join(", "));
--- a/coltsfootgate_config/src/customers.rs
+++ b/coltsfootgate_config/src/customers.rs
@@ -38,27 +38,35 @@
 }
 
 impl CustomerIndex {
-    pub(crate) fn build(document: &BranchDocument, faults: &mut FaultList) -> Self {
+    /// Creates an index without customers.
+    pub(crate) fn new(document: &BranchDocument) -> Self {
         let root = document.root(ConfigSection::Customers);
-        let mut index = Self {
+        Self {
             anonymous: Arc::new(SettingReader::new(document, root).customer()),
             customers: BTreeMap::new(),
             by_digest: HashMap::new(),
-        };
-        for (position, node) in document.nodes.iter().enumerate() {
-            if node.section == ConfigSection::Customers && node.setting("keys").is_some() {
-                index.add(document, position, faults);
-            }
         }
-        if index.customers.is_empty() {
+    }
+
+    /// Adds a branch if it is a customer, which has keys.
+    pub(crate) fn add_branch(
+        &mut self,
+        document: &BranchDocument,
+        position: usize,
+        faults: &mut FaultList,
+    ) {
+        if document.nodes[position].setting("keys").is_some() {
+            self.add(document, position, faults);
+        }
+    }
+
+    /// Checks that there is at least one customer.
+    pub(crate) fn check(&self, document: &BranchDocument, faults: &mut FaultList) {
+        if self.customers.is_empty() {
             let root = &document.nodes[document.root(ConfigSection::Customers)];
-            faults.add_missing(
-                root,
-                "keys",
-                "at least one customer, which is a branch with `keys`",
-            );
+            let allowed = "at least one customer, which is a branch with `keys`";
+            faults.add_missing(root, "keys", allowed);
         }
-        index
     }
 
     /// The customer that a bearer key belongs to; the digests are compared in constant time.
--- a/coltsfootgate_config/src/lib.rs
+++ b/coltsfootgate_config/src/lib.rs
@@ -33,6 +33,6 @@
 pub use rule::{DecisionRule, RequestBranches};
 pub use schema::{ConfigSection, KeySpec, ValueKind};
 pub use trace::TracedValue;
-pub use tree::ConfigTree;
+pub use tree::{ConfigTree, TreeBuilder};
 pub use value::{Setting, SettingValue, parse_duration};
 pub use version::{HEAD_KEY, HeadObject, RootEntry, RootObject, branch_key, history_key, root_key};
--- a/coltsfootgate_config/src/tree.rs
+++ b/coltsfootgate_config/src/tree.rs
@@ -6,7 +6,7 @@
     ClassSettings, ConnectionSettings, CustomerSettings, DeploymentSettings, PoolSettings,
 };
 
-use crate::check::{FaultList, check_keys};
+use crate::check::{FaultList, check_settings};
 use crate::class_match::{HeaderLookup, RequestAttributes};
 use crate::classes::ClassIndex;
 use crate::customers::CustomerIndex;
@@ -39,17 +39,7 @@
     ///
     /// Fails with all faults of the document, in the order of its text.
     pub fn from_document(document: BranchDocument) -> Result<Self, ConfigErrors> {
-        let mut faults = FaultList::new(document.source.clone());
-        check_keys(&document, &mut faults);
-        check_name(&document, &mut faults);
-        let root = |section| SettingReader::new(&document, document.root(section));
-        let deployment = root(ConfigSection::Deployment).deployment();
-        let connections = root(ConfigSection::Connections).connections();
-        let classes = ClassIndex::build(&document, &mut faults);
-        let customers = CustomerIndex::build(&document, &mut faults);
-        let pools = PoolIndex::build(&document, &mut faults);
-        faults.finish()?;
-        Ok(Self { document, deployment, connections, classes, customers, pools })
+        TreeBuilder::new(document).finish()
     }
 
     /// The settings of the whole deployment.
@@ -136,6 +126,75 @@
     }
 }
 
+/// Builds a tree from a document in slices of bounded size, so that a caller can do other work between
+/// them.
+#[derive(Debug)]
+pub struct TreeBuilder {
+    document: BranchDocument,
+    faults: FaultList,
+    classes: ClassIndex,
+    customers: CustomerIndex,
+    /// The position of the next branch.
+    next: usize,
+}
+
+impl TreeBuilder {
+    /// Maximum number of branches in one slice.
+    pub const SLICE_BRANCHES: usize = 64;
+
+    /// Creates the builder of a document's tree.
+    pub fn new(document: BranchDocument) -> Self {
+        Self {
+            faults: FaultList::new(document.source.clone()),
+            classes: ClassIndex::new(&document),
+            customers: CustomerIndex::new(&document),
+            document,
+            next: 0,
+        }
+    }
+
+    /// Validates and adds the next slice of branches; returns whether any are left.
+    pub fn advance(&mut self) -> bool {
+        let end = self.document.nodes.len().min(self.next + Self::SLICE_BRANCHES);
+        for position in self.next..end {
+            self.add_branch(position);
+        }
+        self.next = end;
+        end < self.document.nodes.len()
+    }
+
+    /// Adds the branches that are left and finishes the tree.
+    ///
+    /// Fails with all faults of the document, in the order of its text.
+    pub fn finish(mut self) -> Result<ConfigTree, ConfigErrors> {
+        while self.advance() {}
+        let Self { document, mut faults, mut classes, customers, .. } = self;
+        check_name(&document, &mut faults);
+        let root = |section| SettingReader::new(&document, document.root(section));
+        let deployment = root(ConfigSection::Deployment).deployment();
+        let connections = root(ConfigSection::Connections).connections();
+        classes.finish(&document, &mut faults);
+        customers.check(&document, &mut faults);
+        let pools = PoolIndex::build(&document, &mut faults);
+        faults.finish()?;
+        Ok(ConfigTree { document, deployment, connections, classes, customers, pools })
+    }
+
+    fn add_branch(&mut self, position: usize) {
+        let node = &self.document.nodes[position];
+        check_settings(node, &mut self.faults);
+        match node.section {
+            ConfigSection::Classes => {
+                self.classes.add_branch(&self.document, position, &mut self.faults);
+            }
+            ConfigSection::Customers => {
+                self.customers.add_branch(&self.document, position, &mut self.faults);
+            }
+            ConfigSection::Deployment | ConfigSection::Connections | ConfigSection::Pools => {}
+        }
+    }
+}
+
 fn check_name(document: &BranchDocument, faults: &mut FaultList) {
     let root = &document.nodes[document.root(ConfigSection::Deployment)];
     if root.setting("name").is_none() {
