Build the operator's tree from the settings themselves, of any size that the store allows

What callers saw: after the third time of 1,400 routes more, every request of every class refused on all instances for as long as that version stood, and requests on public routes handled by the old version (CONFIG).

Cause: the operator's value was turned into TOML, parsed, split into branches, rendered and parsed again; the text of all routes is 3 to 4 times as large as the value and was held against the project's own bound of a branch, made for another store. Class of fault: a valid input is refused for what the program makes of it.

Why it works: the value itself is the root value of the tree; its branches are added to the parsed base tree without a text, in slices. The tool splits the tree in memory for get, diff and explain.

Looked for elsewhere: the message between instances holds a megabyte, the store's answers four. A name of more than 64 bytes once escaped is shown but not parsed again by the tool; two tenants with one key are still refused, as an error of the operator.

--- a/coltsfootctl/src/tree_store.rs
+++ b/coltsfootctl/src/tree_store.rs
@@ -99,6 +99,10 @@
     pub async fn read_parts(&self, head: &HeadObject) -> ToolResult<TreeParts> {
         let key = root_key(&head.root);
         let bytes = self.read_content(&key, &head.root).await?;
+        if let Some(tree) = self.platform.whole_tree(&bytes).await {
+            let tree = tree.map_err(|errors| corrupt_value(&key, errors))?;
+            return Ok(TreeParts::of_document(tree.document()));
+        }
         let root = RootObject::from_bytes(&bytes).map_err(|error| corrupt_value(&key, error))?;
         let digests = root.branches.iter().map(|entry| entry.digest.clone());
         let pacer = CallPacer::new(READ_INTERVAL);
--- a/coltsfootgate/src/platform/mod.rs
+++ b/coltsfootgate/src/platform/mod.rs
@@ -6,6 +6,7 @@
 mod tests;
 
 use std::fmt::{self, Display, Formatter};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use coltsfootgate_config::{ConfigErrors, ConfigTree};
 use coltsfootgate_core::ids::{InstanceId, ZoneName};
 
 pub use self::client::BoundedClient;
@@ -167,6 +169,17 @@
 
     /// Lists the keys that start with a prefix.
     async fn list(&self, prefix: &str) -> Result<Vec<Arc<str>>, PlatformError>;
+
+    /// A value that this client has already, so that reading it needs no call.
+    fn held_value(&self, _key: &str) -> Option<Bytes> {
+        None
+    }
+
+    /// Builds the tree of a root value that contains the whole tree; `None` on platforms whose root
+    /// values list the branches of a tree.
+    async fn whole_tree(&self, _root: &Bytes) -> Option<Result<Rc<ConfigTree>, ConfigErrors>> {
+        None
+    }
 }
 
 /// The platform's instance list, which may be out of date.
--- a/coltsfootgate/src/tree/load.rs
+++ b/coltsfootgate/src/tree/load.rs
@@ -6,9 +6,11 @@
 use futures_util::{StreamExt, TryStreamExt, stream};
 
 use coltsfootgate_config::{
-    ConfigErrors, PartsError, RootObject, TreeParts, branch_key, content_digest, root_key,
+    ConfigErrors, ConfigTree, PartsError, RootObject, TreeParts, branch_key, content_digest,
+    root_key,
 };
 use coltsfootgate_core::head::{HeadSource, TreeHead};
+use coltsfootgate_core::ids::ConfigVersion;
 
 use super::slices::build_tree;
 use super::{ActiveTree, TreeObjects, TreePeers};
@@ -62,17 +64,18 @@
     /// Loads the tree that a head refers to.
     pub(super) async fn load(&self, head: &TreeHead) -> Result<ActiveTree, LoadError> {
         let root_bytes = self.find_object(&root_key(&head.root), &head.root).await?;
-        let root = RootObject::from_bytes(&root_bytes)
-            .map_err(|error| LoadError::Invalid(format!("root: {error}")))?;
-        let mut objects = self.load_branches(&root).await?;
-        let parts = TreeParts::assemble(&root, |digest| {
-            let text = std::str::from_utf8(objects.get(digest)?).ok()?;
-            Some(text.into())
-        })?;
-        let document = parts.document(&format!("version {}", head.version))?;
-        let tree = build_tree(document).await?;
+        let mut objects = TreeObjects::new();
+        let tree = match self.store.whole_tree(&root_bytes).await {
+            Some(tree) => tree?,
+            None => {
+                let root = RootObject::from_bytes(&root_bytes)
+                    .map_err(|error| LoadError::Invalid(format!("root: {error}")))?;
+                objects = self.load_branches(&root).await?;
+                join_branches(&root, &objects, head.version).await?.into()
+            }
+        };
         objects.insert(head.root.clone(), root_bytes);
-        Ok(ActiveTree { version: head.version, head: head.clone(), tree: tree.into(), objects })
+        Ok(ActiveTree { version: head.version, head: head.clone(), tree, objects })
     }
 
     async fn load_branches(&self, root: &RootObject) -> Result<TreeObjects, LoadError> {
@@ -87,6 +90,9 @@
         if let Some(value) = self.cached.get(digest) {
             return Ok(value.clone());
         }
+        if let Some(value) = self.store.held_value(key) {
+            return Ok(value);
+        }
         // The sources are sorted with the store first. Peers are tried before it, since all
         // instances share the rate limit of the store.
         for source in self.sources.iter().rev() {
@@ -105,3 +111,16 @@
         }
     }
 }
+
+async fn join_branches(
+    root: &RootObject,
+    objects: &TreeObjects,
+    version: ConfigVersion,
+) -> Result<ConfigTree, LoadError> {
+    let parts = TreeParts::assemble(root, |digest| {
+        let text = std::str::from_utf8(objects.get(digest)?).ok()?;
+        Some(text.into())
+    })?;
+    let document = parts.document(&format!("version {version}"))?;
+    Ok(build_tree(document).await?)
+}
--- a/coltsfootgate_config/src/document.rs
+++ b/coltsfootgate_config/src/document.rs
@@ -37,6 +37,15 @@
     }
 }
 
+/// A branch to add to a document.
+#[derive(Clone, Debug)]
+pub struct BranchDraft {
+    /// The dotted path; the first part is the name of the section.
+    pub path: BranchPath,
+    /// The settings of the branch itself.
+    pub settings: Vec<Setting>,
+}
+
 /// All branches of a text, parsed but not yet validated.
 #[derive(Clone, Debug)]
 pub struct BranchDocument {
@@ -90,6 +99,40 @@
         None
     }
 
+    /// Adds a branch after its siblings, with the ancestors that it lacks; settings of a branch that
+    /// exists are added to it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the section of the path does not exist, or if the branch has settings already.
+    pub fn add_branch(&mut self, draft: BranchDraft) -> Result<(), ConfigErrors> {
+        let Some(position) = self.find_or_push(&draft.path) else {
+            let allowed = ConfigSection::ALL.map(ConfigSection::name);
+            return Err(self.draft_error(&draft, ConfigFault::unknown_key(&draft.path, allowed)));
+        };
+        if !self.nodes[position].settings.is_empty() {
+            let (found, first) = (format!("branch {:?}", &*draft.path), draft.path.clone());
+            return Err(self.draft_error(&draft, ConfigFault::Duplicate { found, first }));
+        }
+        self.nodes[position].settings = draft.settings;
+        Ok(())
+    }
+
+    fn draft_error(&self, draft: &BranchDraft, fault: ConfigFault) -> ConfigErrors {
+        let (source, branch) = (self.source.clone(), Some(draft.path.clone()));
+        ConfigErrors(vec![ConfigError { source, line: None, branch, key: None, fault }])
+    }
+
+    fn find_or_push(&mut self, path: &BranchPath) -> Option<usize> {
+        if let Some(position) = self.position(path) {
+            return Some(position);
+        }
+        let (parent, _) = path.rsplit_once('.')?;
+        let parent = self.find_or_push(&parent.into())?;
+        let section = self.nodes[parent].section;
+        Some(self.push(path.clone(), section, Some(parent), 0))
+    }
+
     pub(crate) fn with_roots(source: Arc<str>) -> Self {
         let mut document = Self { source, nodes: Vec::new(), positions: HashMap::new() };
         for section in ConfigSection::ALL {
--- a/coltsfootgate_config/src/lib.rs
+++ b/coltsfootgate_config/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use class_match::{HeaderLookup, NoHeaders, RequestAttributes};
 pub use diff::{ChangeLine, diff};
-pub use document::{BranchDocument, BranchNode};
+pub use document::{BranchDocument, BranchDraft, BranchNode};
 pub use edit::EditError;
 pub use error::{ConfigError, ConfigErrors, ConfigFault};
 pub use merge::{BranchConflict, MergeConflict, merge};
--- a/coltsfootgate_config/src/parts.rs
+++ b/coltsfootgate_config/src/parts.rs
@@ -97,10 +97,17 @@
 impl Error for PartsError {}
 
 impl TreeParts {
-    /// Splits a document into parts.
+    /// Splits a document into parts that can be stored.
     ///
     /// Fails if a part or the root object is larger than [`STORED_VALUE_BYTES_MAX`].
     pub fn split(document: &BranchDocument) -> Result<Self, PartsError> {
+        let parts = Self::of_document(document);
+        parts.check_sizes()?;
+        Ok(parts)
+    }
+
+    /// Splits a document into parts of any size, which need not be stored.
+    pub fn of_document(document: &BranchDocument) -> Self {
         let mut parts = Vec::new();
         for section in ConfigSection::ALL {
             let root = document.root(section);
@@ -115,9 +122,7 @@
         }
         parts.retain(|(_, text)| !text.is_empty());
         let parts = parts.into_iter().map(|(node, text)| BranchPart::new(node.path.clone(), &text));
-        let parts = Self { parts: parts.collect() };
-        parts.check_sizes()?;
-        Ok(parts)
+        Self { parts: parts.collect() }
     }
 
     /// Assembles the parts that a root object lists, with their texts.
--- a/coltsfootgate_config/src/render.rs
+++ b/coltsfootgate_config/src/render.rs
@@ -2,8 +2,9 @@
 
 use std::fmt::Write;
 
-use crate::document::BranchDocument;
+use crate::document::{BranchDocument, BranchDraft};
 use crate::schema::ConfigSection;
+use crate::value::Setting;
 
 impl BranchDocument {
     /// The whole document as TOML.
@@ -45,10 +46,21 @@
         if !text.is_empty() {
             text.push('\n');
         }
-        // Writing to a `String` cannot fail.
-        let _ = writeln!(text, "[{}]", node.path);
-        for setting in &node.settings {
-            let _ = writeln!(text, "{setting}");
-        }
+        write_branch(&node.path, &node.settings, text);
+    }
+}
+
+impl BranchDraft {
+    /// Appends the branch to `text` as TOML.
+    pub fn render(&self, text: &mut String) {
+        write_branch(&self.path, &self.settings, text);
+    }
+}
+
+fn write_branch(path: &str, settings: &[Setting], text: &mut String) {
+    // Writing to a `String` cannot fail.
+    let _ = writeln!(text, "[{path}]");
+    for setting in settings {
+        let _ = writeln!(text, "{setting}");
     }
 }
