Let the store deliver a new version before a peer is asked for it

Cause: the first heartbeat of a peer with a newer version started a read from that peer, although the store was sending the same megabyte on the same small link. Class of fault: a fallback that starts before the main path has failed.

Evidence: a_newer_version_is_read_from_a_peer_..., cases 1, 2, 3 and 5 red on the code before (case 4, a store that already fails, is as before).

Why it works: while a consistent store answers, a peer is asked only after a second; a failed call to the store ends the wait at once.

--- a/coltsfootgate_core/src/head.rs
+++ b/coltsfootgate_core/src/head.rs
@@ -11,6 +11,8 @@
 /// How long a new instance waits for slow sources before it fetches the highest version that it has
 /// read.
 pub const STARTUP_WAIT: Duration = Duration::from_secs(1);
+/// How long a consistent store that answers may take to deliver a version that a peer has.
+pub const STORE_WAIT: Duration = Duration::from_secs(1);
 /// Delay before a failed fetch is retried.
 pub const FETCH_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -87,6 +89,15 @@
     retry_at: Option<Instant>,
     ready: bool,
     is_store_consistent: bool,
+    /// A newer version on a peer, which the store may deliver first.
+    newer: Option<NewerVersion>,
+}
+
+#[derive(Debug)]
+struct NewerVersion {
+    version: ConfigVersion,
+    peer: InstanceId,
+    known_since: Instant,
 }
 
 impl HeadTracker {
@@ -104,6 +115,7 @@
             retry_at: None,
             ready: false,
             is_store_consistent: false,
+            newer: None,
         }
     }
 
@@ -137,11 +149,7 @@
                 self.unanswered.insert(source);
             }
             HeadEvent::PeersListed(peers) => self.update_peers(peers, &mut actions),
-            HeadEvent::PeerVersion(peer, version) => {
-                if version > self.highest_version() {
-                    actions.push(HeadAction::ReadHead(HeadSource::Peer(peer)));
-                }
-            }
+            HeadEvent::PeerVersion(peer, version) => self.note_newer(peer, version, now),
             HeadEvent::VersionHint(version) => {
                 if version > self.highest_version() {
                     actions.push(HeadAction::ReadHead(HeadSource::Store));
@@ -159,11 +167,39 @@
             }
             HeadEvent::Tick => self.retry_unanswered(&mut actions),
         }
+        self.read_newer(now, &mut actions);
         self.fetch_highest(now, &mut actions);
         self.check_ready(now, &mut actions);
         actions
     }
 
+    fn note_newer(&mut self, peer: InstanceId, version: ConfigVersion, now: Instant) {
+        let known_since = self.newer.as_ref().map_or(now, |newer| newer.known_since);
+        self.newer = Some(NewerVersion { version, peer, known_since });
+    }
+
+    /// Reads the head of a peer that has a newer version, unless the store is about to deliver it.
+    fn read_newer(&mut self, now: Instant, actions: &mut Vec<HeadAction>) {
+        let Some(newer) = self.newer.take() else { return };
+        if newer.version <= self.highest_version() {
+            return;
+        }
+        let is_store_due = now.saturating_duration_since(newer.known_since) < STORE_WAIT;
+        if self.is_store_answering() && is_store_due {
+            self.newer = Some(newer);
+            return;
+        }
+        actions.push(HeadAction::ReadHead(HeadSource::Peer(newer.peer)));
+    }
+
+    /// Whether a store that never returns a stale head answered the last call.
+    fn is_store_answering(&self) -> bool {
+        let store = &HeadSource::Store;
+        self.is_store_consistent
+            && self.answered.contains(store)
+            && !self.unanswered.contains(store)
+    }
+
     fn add_answer(&mut self, source: HeadSource, head: Option<TreeHead>) {
         self.unanswered.remove(&source);
         self.answered.insert(source.clone());
--- a/coltsfootgate_core/tests/head.rs
+++ b/coltsfootgate_core/tests/head.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use coltsfootgate_core::head::{
-    HeadAction, HeadEvent, HeadSource, HeadTracker, STARTUP_WAIT, TreeHead,
+    HeadAction, HeadEvent, HeadSource, HeadTracker, STARTUP_WAIT, STORE_WAIT, TreeHead,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -190,3 +190,58 @@
     let actions = tracker.handle(HeadEvent::Loaded(head), now);
     assert!(actions.contains(&HeadAction::BecomeReady), "{actions:?}");
 }
+
+/// The actions after a peer's newer version at once, and the reads after a time, at an instance whose store
+/// answers consistently.
+fn actions_for_newer_version(
+    store: HeadEvent,
+    meanwhile: Option<HeadEvent>,
+    later: Duration,
+) -> [Vec<HeadAction>; 2] {
+    let now = Instant::now();
+    let mut tracker = HeadTracker::with_consistent_store(now);
+    let actions = tracker.handle(answered(HeadSource::Store, 3), now);
+    load_fetched(&mut tracker, actions, now);
+    tracker.handle(store, now);
+    let first = tracker.handle(HeadEvent::PeerVersion(Arc::from("p0"), 4), now);
+    let mut second = Vec::new();
+    if let Some(event) = meanwhile {
+        second = tracker.handle(event, now);
+        load_fetched(&mut tracker, second.clone(), now);
+    }
+    second.extend(tracker.handle(HeadEvent::Tick, now + later));
+    second.retain(|action| matches!(action, HeadAction::ReadHead(_)));
+    [first, second]
+}
+
+/// A store that answers delivers a new version by itself; a large one must not be read from a peer too.
+#[rstest]
+#[case::store_answers(answered(HeadSource::Store, 3), None, STORE_WAIT / 2, false, false)]
+#[case::store_delivers_it(
+    answered(HeadSource::Store, 3),
+    Some(answered(HeadSource::Store, 4)),
+    STORE_WAIT,
+    false,
+    false
+)]
+#[case::store_is_late(answered(HeadSource::Store, 3), None, STORE_WAIT, false, true)]
+#[case::store_fails(HeadEvent::Unanswered(HeadSource::Store), None, STORE_WAIT / 2, true, false)]
+#[case::store_fails_later(
+    answered(HeadSource::Store, 3),
+    Some(HeadEvent::Unanswered(HeadSource::Store)),
+    STORE_WAIT / 2,
+    false,
+    true
+)]
+fn a_newer_version_is_read_from_a_peer_if_the_store_does_not_deliver_it(
+    #[case] store: HeadEvent,
+    #[case] meanwhile: Option<HeadEvent>,
+    #[case] later: Duration,
+    #[case] is_read_at_once: bool,
+    #[case] is_read_later: bool,
+) {
+    let read = vec![HeadAction::ReadHead(peer("p0"))];
+    let [first, second] = actions_for_newer_version(store, meanwhile, later);
+    assert_eq!(first, if is_read_at_once { read.clone() } else { Vec::new() });
+    assert_eq!(second, if is_read_later { read } else { Vec::new() });
+}
