Show the digest of requests whose endpoints were lost

Decision lines now carry a digest of customer, method, host, path, query and body in that case; it is worked out only then.

--- a/coltsfootgate/src/pipeline/classify.rs
+++ b/coltsfootgate/src/pipeline/classify.rs
@@ -1,5 +1,6 @@
 //! Determines the class and the pool of a request.
 
+use std::cell::OnceCell;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,11 +10,13 @@
 use coltsfootgate_core::prelude::{
     ClassSettings, CustomerSettings, ErrorKind, PoolSettings, RequestTier, RouteTarget,
 };
+use coltsfootgate_core::quarantine::RequestDigest;
 use http::{HeaderMap, Method};
 use rand::Rng;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
+use super::digest::request_digest;
 use super::identify::IdentifiedRequest;
 use crate::dialect::PromptMetadata;
 use crate::entry::{AcceptedRequest, Refusal};
@@ -60,6 +63,14 @@
     pub timeout_at: Instant,
     /// Digest of the start of its prompt, for routing to an endpoint that has it cached.
     pub prefix: Option<u64>,
+    digest: OnceCell<RequestDigest>,
+}
+
+impl ClassifiedRequest {
+    /// The digest by which its repeats are recognized.
+    pub fn digest(&self) -> RequestDigest {
+        *self.digest.get_or_init(|| request_digest(&self.customer.id, &self.accepted))
+    }
 }
 
 /// The fields of a model request's body that the router reads.
@@ -125,6 +136,7 @@
         deadline,
         timeout_at,
         prefix: matched.prefix,
+        digest: OnceCell::new(),
     })
 }
 
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -149,7 +149,7 @@
             RelayEnd::Failed(failure) => (failure, None),
         };
         if failure == EndpointFailure::ConnectionLost {
-            journal.record.lost_endpoints.push(endpoint.to_string());
+            journal.record_lost(request, &endpoint);
         }
         let has_tokens = journal.record.tokens > 0;
         let failure = attempt_failure(failure, has_tokens);
--- a/coltsfootgate/src/pipeline/journal.rs
+++ b/coltsfootgate/src/pipeline/journal.rs
@@ -57,6 +57,17 @@
         self.record.config_version = request.active.version;
     }
 
+    /// Records an endpoint whose connection was lost while it had the request.
+    pub fn record_lost(&mut self, request: &ClassifiedRequest, endpoint: &str) {
+        self.record.lost_endpoints.push(endpoint.to_owned());
+        self.record_digest(request);
+    }
+
+    /// Records the digest by which repeats of the request are recognized.
+    pub fn record_digest(&mut self, request: &ClassifiedRequest) {
+        self.record.request_digest = Some(format!("{:016x}", request.digest()));
+    }
+
     /// Records a grant and the time that the request waited for it.
     pub fn record_grant(&mut self, endpoint: &str, owner: &str, wait: Duration, by_floor: bool) {
         self.record.endpoint = Some(endpoint.to_owned());
--- a/coltsfootgate/src/pipeline/mod.rs
+++ b/coltsfootgate/src/pipeline/mod.rs
@@ -7,6 +7,7 @@
 pub mod claim;
 pub mod classify;
 pub mod context;
+mod digest;
 pub mod dispatch;
 pub mod exchange;
 pub mod gate;
--- a/coltsfootgate_core/src/quarantine/mod.rs
+++ b/coltsfootgate_core/src/quarantine/mod.rs
@@ -13,6 +13,9 @@
 /// Identifies the text of a part of a prompt; equal texts have equal ids.
 pub type PartId = u64;
 
+/// Identifies a request by what it asks for and who asks; a repeat of it has the same digest.
+pub type RequestDigest = u64;
+
 /// A part of prompts that are sent to one pool.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct PartKey {
