--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -256,6 +256,6 @@
     let endpoints = pools.clone();
     status.add("endpoints", move || endpoints.endpoints());
     status.add("queues", move || pools.queues());
-    status.add("blocked_parts", move || quarantine.status());
+    status.add("blocked_causes", move || quarantine.status());
     status
 }
--- a/coltsfootgate/src/metrics/mod.rs
+++ b/coltsfootgate/src/metrics/mod.rs
@@ -71,7 +71,7 @@
     answers_mismatched: IntCounterVec,
     answer_ends: IntCounterVec,
     endpoint_crashes: IntCounterVec,
-    blocked_parts: IntGauge,
+    blocked_causes: IntGauge,
     limit_notices: IntCounterVec,
     instances: IntGaugeVec,
     waiting: IntGaugeVec,
@@ -203,9 +203,9 @@
                 "Crashes of endpoints in which this instance lost requests with known prompt parts.",
                 &["pool"],
             ),
-            blocked_parts: registrar.register(IntGauge::new(
-                "coltsfootgate_blocked_parts",
-                "Parts of prompts that are blocked because endpoints crashed under them.",
+            blocked_causes: registrar.register(IntGauge::new(
+                "coltsfootgate_blocked_causes",
+                "Parts of prompts and requests that are blocked because endpoints crashed under them.",
             )),
             limit_notices: registrar.counters(
                 "limit_notices",
@@ -370,9 +370,9 @@
         self.endpoint_crashes.with_label_values(&[pool]).inc();
     }
 
-    /// Sets the number of blocked parts of prompts.
-    pub fn parts_blocked(&self, count: usize) {
-        self.blocked_parts.set(count as i64);
+    /// Sets the number of blocked causes of crashes.
+    pub fn causes_blocked(&self, count: usize) {
+        self.blocked_causes.set(count as i64);
     }
 
     /// Counts an answer of an endpoint by what it states about a limit on its requests.
--- a/coltsfootgate/src/pipeline/digest.rs
+++ b/coltsfootgate/src/pipeline/digest.rs
@@ -6,7 +6,8 @@
 
 use crate::entry::AcceptedRequest;
 
-/// Hashes what a request asks for and who asks: customer, method, host, path, query and body.
+/// Hashes what a request asks for and who asks: customer, method, host, path, query, body and the ids of the
+/// prompt's parts, which may stand for a text that the body does not contain.
 ///
 /// No caller can choose a request with the digest of another customer's: the hash is cryptographic, and
 /// the customer is part of its input.
@@ -25,6 +26,9 @@
         hasher.update((field.len() as u64).to_le_bytes());
         hasher.update(field);
     }
+    for part in &accepted.metadata.prompt.parts {
+        hasher.update(part.id.to_le_bytes());
+    }
     let digest = hasher.finalize();
     digest.iter().take(8).fold(0, |number, byte| number << 8 | RequestDigest::from(*byte))
 }
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -23,7 +23,7 @@
 use super::journal::RequestJournal;
 use super::lease::{AttemptMeasurements, GrantLease};
 use super::limit::limit_request;
-use super::prompt::{check_prompt, confirm_prompt, observe_attempt};
+use super::quarantine::{check_quarantine, confirm_quarantine, observe_attempt};
 use super::relay::{RelayEnd, RelayTask};
 use super::resume::{endpoint_origin, find_origin, required_version};
 use super::settle::{RequestEnd, settle_request};
@@ -169,7 +169,7 @@
     }
 }
 
-/// Waits for the grant of an attempt, unless a part of the prompt is blocked before or after.
+/// Waits for the grant of an attempt, unless the request is blocked before or after.
 async fn admit_attempt(
     context: &PipelineContext,
     request: &ClassifiedRequest,
@@ -177,9 +177,9 @@
     caller: &mut CallerLink,
     journal: &mut RequestJournal,
 ) -> Result<GrantLease, Refusal> {
-    check_prompt(context, request)?;
+    check_quarantine(context, request)?;
     let lease = admit_request(context, request, needs, caller, journal).await?;
-    if let Err(refusal) = confirm_prompt(context, request).await {
+    if let Err(refusal) = confirm_quarantine(context, request).await {
         lease.release_unsent();
         return Err(refusal);
     }
--- a/coltsfootgate/src/pipeline/mod.rs
+++ b/coltsfootgate/src/pipeline/mod.rs
@@ -1,6 +1,6 @@
 //! The stages that process a request, each with one input and one output type.
 //!
-//! accept → identify → classify → resume → limit → claim → prompt → admit → dispatch → relay → settle
+//! accept → identify → classify → resume → limit → claim → quarantine → admit → dispatch → relay → settle
 
 pub mod admit;
 pub mod budget;
@@ -15,7 +15,7 @@
 pub mod journal;
 pub mod lease;
 pub mod limit;
-mod prompt;
+mod quarantine;
 pub mod record;
 pub mod relay;
 pub mod resume;
--- a/coltsfootgate/src/pipeline/prompt.rs
+++ b/coltsfootgate/src/pipeline/quarantine.rs
@@ -1,11 +1,13 @@
-//! Refuses requests with parts of prompts that crash endpoints, and reports what attempts show about
-//! parts.
+//! Refuses requests that crash endpoints, by a part of their prompt or as a whole, and reports what attempts
+//! show about them.
 
 use std::time::{Duration, Instant};
 
 use coltsfootgate_core::prelude::{EndpointSettings, ErrorKind};
 use coltsfootgate_core::prompt::shared_parts;
-use coltsfootgate_core::quarantine::{AttemptEnd, AttemptEvidence, PartId, PartKey, PromptVerdict};
+use coltsfootgate_core::quarantine::{
+    AttemptEnd, AttemptEvidence, CauseKey, CrashCause, SendVerdict,
+};
 use rand::Rng;
 
 use super::admit::refusal;
@@ -21,40 +23,43 @@
 /// Share of the delay that is added at random, so that callers do not return at the same moment.
 const RETRY_DELAY_SPREAD: f64 = 0.2;
 
-/// Checks before a request waits that no part of its prompt is blocked, or that it may try the part.
+/// Checks before a request waits that nothing in it is blocked, or that it may try what is.
 ///
 /// # Errors
 ///
-/// Refuses a request with a blocked part.
-pub fn check_prompt(context: &PipelineContext, request: &ClassifiedRequest) -> Result<(), Refusal> {
-    match prompt_verdict(context, request) {
-        PromptVerdict::Free | PromptVerdict::Trial(_) => Ok(()),
-        PromptVerdict::Blocked { key, crashes, retry_delay } => {
+/// Refuses a request in which something is blocked.
+pub fn check_quarantine(
+    context: &PipelineContext,
+    request: &ClassifiedRequest,
+) -> Result<(), Refusal> {
+    match send_verdict(context, request) {
+        SendVerdict::Free | SendVerdict::Trial(_) => Ok(()),
+        SendVerdict::Blocked { key, crashes, retry_delay } => {
             Err(block_refusal(request, &key, crashes, retry_delay))
         }
     }
 }
 
-/// Checks right before a request is sent that no part of its prompt is blocked. A request that may try
-/// the part asks for permission first.
+/// Checks right before a request is sent that nothing in it is blocked. A request that may try a blocked
+/// cause asks for permission first.
 ///
 /// # Errors
 ///
-/// Refuses a request with a blocked part, unless it got the permission.
-pub async fn confirm_prompt(
+/// Refuses a request in which something is blocked, unless it got the permission.
+pub async fn confirm_quarantine(
     context: &PipelineContext,
     request: &ClassifiedRequest,
 ) -> Result<(), Refusal> {
-    if let PromptVerdict::Trial(key) = prompt_verdict(context, request) {
+    if let SendVerdict::Trial(key) = send_verdict(context, request) {
         return match context.quarantine.take_trial(key.clone()).await {
             true => Ok(()),
             false => Err(block_refusal(request, &key, 0, RETRY_DELAY_MIN)),
         };
     }
-    check_prompt(context, request)
+    check_quarantine(context, request)
 }
 
-/// Reports what the end of an attempt shows about the parts of the prompt.
+/// Reports what the end of an attempt shows about the possible causes of crashes in a request.
 pub fn observe_attempt(
     context: &PipelineContext,
     request: &ClassifiedRequest,
@@ -63,10 +68,6 @@
     first_token: Option<Duration>,
     end: &RelayEnd,
 ) {
-    let parts = prompt_parts(request);
-    if parts.is_empty() {
-        return;
-    }
     let attempt_end = match end {
         RelayEnd::Served(answer) if answer.status().is_success() => AttemptEnd::Complete,
         RelayEnd::Failed(EndpointFailure::ConnectionLost) => AttemptEnd::ConnectionLost,
@@ -78,41 +79,54 @@
     let answered_since = first_token.map(|delay| sent_at + delay);
     let pool = &request.pool.id;
     match AttemptEvidence::new(attempt_end, answered_since, Instant::now()) {
-        AttemptEvidence::Served => context.quarantine.record_served(pool, &parts),
+        AttemptEvidence::Served => context.quarantine.record_served(pool, &crash_causes(request)),
         AttemptEvidence::Lost => context.quarantine.record_lost(LostAttempt {
             pool: pool.clone(),
             endpoint: endpoint.id.clone(),
             address: endpoint.address.clone(),
-            parts,
+            causes: crash_causes(request),
             sent_at,
         }),
         AttemptEvidence::Unclear => {}
     }
 }
 
-fn prompt_verdict(context: &PipelineContext, request: &ClassifiedRequest) -> PromptVerdict {
-    context.quarantine.verdict(&request.pool.id, &prompt_parts(request))
+fn send_verdict(context: &PipelineContext, request: &ClassifiedRequest) -> SendVerdict {
+    if !context.quarantine.is_alert() {
+        return SendVerdict::Free;
+    }
+    context.quarantine.verdict(&request.pool.id, &crash_causes(request))
 }
 
-/// The parts of a request's prompt that other requests may have as well and that may be blocked.
-fn prompt_parts(request: &ClassifiedRequest) -> Vec<PartId> {
-    let allowed = &request.pool.allowed_parts;
+/// What in a request may crash endpoints: the parts of its prompt that other requests may have as well, and
+/// the request itself; without what the tree allows.
+fn crash_causes(request: &ClassifiedRequest) -> Vec<CrashCause> {
+    let (pool, digest) = (&request.pool, request.digest());
     let parts = shared_parts(&request.accepted.metadata.prompt.parts).iter();
-    parts.map(|part| part.id).filter(|part| !allowed.contains(part)).collect()
+    let parts = parts.map(|part| part.id).filter(|part| !pool.allowed_parts.contains(part));
+    let whole = Some(digest).filter(|digest| !pool.allowed_requests.contains(digest));
+    parts.map(CrashCause::Part).chain(whole.map(CrashCause::Request)).collect()
 }
 
 fn block_refusal(
     request: &ClassifiedRequest,
-    key: &PartKey,
+    key: &CauseKey,
     crashes: u32,
     retry_delay: Duration,
 ) -> Refusal {
-    let part = key.part;
+    let (reason, cause) = match key.cause {
+        CrashCause::Part(part) => {
+            (ErrorKind::PromptBlocked, format!("part {part:x} of the prompt"))
+        }
+        CrashCause::Request(digest) => {
+            (ErrorKind::RequestBlocked, format!("request {digest:016x}"))
+        }
+    };
     let message = match crashes {
-        0 => format!("part {part:x} of the prompt has crashed endpoints"),
-        _ => format!("part {part:x} of the prompt has crashed {crashes} endpoints"),
+        0 => format!("{cause} has crashed endpoints"),
+        _ => format!("{cause} has crashed {crashes} endpoints"),
     };
     let spread = 1.0 + RETRY_DELAY_SPREAD * rand::rng().random::<f64>();
     let delay = retry_delay.max(RETRY_DELAY_MIN).mul_f64(spread);
-    refusal(request, ErrorKind::PromptBlocked, &message).with_retry_after(delay)
+    refusal(request, reason, &message).with_retry_after(delay)
 }
--- a/coltsfootgate/src/quarantine/check.rs
+++ b/coltsfootgate/src/quarantine/check.rs
@@ -25,14 +25,14 @@
 impl CrashChecks {
     /// Adds a lost request; starts a check of its endpoint unless one is running.
     pub(super) fn add(&mut self, attempt: LostAttempt, quarantine: &QuarantineHandle) {
-        let LostAttempt { pool, endpoint, address, parts, sent_at } = attempt;
+        let LostAttempt { pool, endpoint, address, causes, sent_at } = attempt;
         let is_running = self.lost.contains_key(&endpoint);
         let report = self.lost.entry(endpoint.clone()).or_insert_with(|| CrashReport {
             pool,
             endpoint: endpoint.clone(),
             lost: Vec::new(),
         });
-        report.lost.push(LostRequest { parts, sent_at });
+        report.lost.push(LostRequest { causes, sent_at });
         if is_running {
             return;
         }
--- a/coltsfootgate/src/quarantine/task.rs
+++ b/coltsfootgate/src/quarantine/task.rs
@@ -1,4 +1,4 @@
-//! The task that collects crashes and shares the list of blocked parts with other instances.
+//! The task that collects crashes and shares the list of blocked causes with other instances.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
@@ -13,7 +13,7 @@
 
 use coltsfootgate_core::prelude::{InstanceId, PoolId};
 use coltsfootgate_core::quarantine::{
-    BlockList, CrashLedger, CrashReport, PartKey, QuarantineNotice,
+    BlockList, CauseKey, CrashCause, CrashLedger, CrashReport, QuarantineNotice,
 };
 use coltsfootgate_wire::{PeerReply, PeerRequest};
 
@@ -32,10 +32,10 @@
 const COMPARE_PERIOD: Duration = Duration::from_secs(2);
 /// Interval at which due decisions are made.
 const DECISION_PERIOD: Duration = Duration::from_millis(50);
-/// Number of parts that a log line names.
-const LOGGED_PARTS_MAX: usize = 16;
+/// Number of possible causes that a log line names.
+const LOGGED_CAUSES_MAX: usize = 16;
 
-/// Collects crashes, decides as the owner of a pool, and keeps the list of blocked parts.
+/// Collects crashes, decides as the owner of a pool, and keeps the list of blocked causes.
 pub struct QuarantineTask {
     own: InstanceId,
     handle: QuarantineHandle,
@@ -45,8 +45,8 @@
     checks: CrashChecks,
     ledger: CrashLedger,
     list: BlockList,
-    /// The parts that instances watch, by the instance that told so.
-    watched: HashMap<InstanceId, BTreeSet<PartKey>>,
+    /// The causes that instances watch, by the instance that told so.
+    watched: HashMap<InstanceId, BTreeSet<CauseKey>>,
     compared_at: Instant,
 }
 
@@ -124,15 +124,16 @@
 
     /// Reports a crash to the owner of the decisions about its pool.
     fn report_crash(&mut self, report: CrashReport) {
-        let parts = report.lost.iter().flat_map(|lost| &lost.parts);
-        let parts: BTreeSet<String> = parts.map(|part| format!("{part:x}")).collect();
-        let named: Vec<_> = parts.iter().take(LOGGED_PARTS_MAX).cloned().collect();
+        let causes: BTreeSet<CrashCause> =
+            report.lost.iter().flat_map(|lost| lost.causes.iter().copied()).collect();
+        let named: Vec<_> =
+            causes.iter().take(LOGGED_CAUSES_MAX).map(ToString::to_string).collect();
         info!(
-            "endpoint {} crashed with {} requests in flight, {} prompt parts: {}",
+            "endpoint {} crashed with {} requests in flight, {} possible causes: {}",
             report.endpoint,
             report.lost.len(),
-            parts.len(),
-            named.join(" ")
+            causes.len(),
+            named.join(", ")
         );
         self.metrics.endpoint_crashed(&report.pool);
         let pool = report.pool.clone();
@@ -141,7 +142,7 @@
         });
     }
 
-    fn report_served(&mut self, served: Vec<(PartKey, Instant)>) {
+    fn report_served(&mut self, served: Vec<(CauseKey, Instant)>) {
         let Some((key, _)) = served.first() else { return };
         let pool = key.pool.clone();
         self.send_to_owner(&pool, PeerRequest::ReportServed(served.clone()), || {
@@ -183,12 +184,12 @@
         self.share_watched();
     }
 
-    fn record_served(&mut self, served: &[(PartKey, Instant)]) {
+    fn record_served(&mut self, served: &[(CauseKey, Instant)]) {
         let mut is_released = false;
         for (key, served_at) in served {
             self.ledger.record_served(key, *served_at);
             if self.list.release(key, *served_at, clock::now()) {
-                info!("prompt part {:x} of {} was served and is released", key.part, key.pool);
+                info!("{} of {} was served and is released", key.cause, key.pool);
                 is_released = true;
             }
         }
@@ -201,8 +202,8 @@
         while let Some(decision) = self.ledger.decide(clock::now()) {
             let (key, endpoints) = (decision.key, decision.endpoints);
             warn!(
-                "prompt part {:x} of {} is blocked: {} endpoints crashed under it: {}",
-                key.part,
+                "{} of {} is blocked: {} endpoints crashed under it: {}",
+                key.cause,
                 key.pool,
                 endpoints.len(),
                 endpoints.join(" ")
@@ -213,19 +214,22 @@
         }
     }
 
-    /// Decides as the owner whether a request may try a blocked part.
-    fn decide_trial(&mut self, key: &PartKey, reply: oneshot::Sender<bool>) {
-        let may_send = self.list.take_trial(key, clock::now());
+    /// Decides as the owner whether a request may try a blocked cause.
+    fn decide_trial(&mut self, key: &CauseKey, reply: oneshot::Sender<bool>) {
+        let now = clock::now();
+        let may_send = self.list.is_trial_due(key, now)
+            && self.ledger.begin_trial(key, now)
+            && self.list.take_trial(key, now);
         if may_send {
-            info!("prompt part {:x} of {} is tried by one request", key.part, key.pool);
+            info!("{} of {} is tried by one request", key.cause, key.pool);
             self.share();
         }
         // Fails if the request was abandoned; its trial is lost.
         let _ = reply.send(may_send);
     }
 
-    /// Decides as the owner, or asks the owner, whether a request may try a blocked part.
-    fn take_trial(&mut self, key: PartKey, reply: oneshot::Sender<bool>) {
+    /// Decides as the owner, or asks the owner, whether a request may try a blocked cause.
+    fn take_trial(&mut self, key: CauseKey, reply: oneshot::Sender<bool>) {
         let owner = self.owners(&key.pool).into_iter().next();
         let Some(owner) = owner.filter(|owner| *owner != self.own) else {
             return self.decide_trial(&key, reply);
@@ -263,7 +267,7 @@
     }
 
     fn publish(&self) {
-        self.metrics.parts_blocked(self.list.blocked_count());
+        self.metrics.causes_blocked(self.list.blocked_count());
         let watched = self.watched.values().flatten().cloned().collect();
         self.handle.publish(&self.list, watched);
     }
@@ -277,9 +281,9 @@
 
     fn merge_notice(&mut self, from: InstanceId, notice: QuarantineNotice) {
         for key in self.list.merge(notice.entries) {
-            info!("the state of prompt part {:x} of {} has changed", key.part, key.pool);
+            info!("the state of {} of {} has changed", key.cause, key.pool);
         }
-        let watched: BTreeSet<PartKey> = notice.watched.into_iter().collect();
+        let watched: BTreeSet<CauseKey> = notice.watched.into_iter().collect();
         let known = self.watched.insert(from.clone(), watched.clone()).unwrap_or_default();
         self.publish();
         let new = watched.difference(&known);
--- a/coltsfootgate_config/src/pools.rs
+++ b/coltsfootgate_config/src/pools.rs
@@ -119,7 +119,7 @@
         endpoints.sort_by(|left, right| left.id.cmp(&right.id));
         let (resumes, silence) = (reader.boolean("resumes"), reader.duration("silence"));
         let (id, memory) = (reader.path(), reader.memory());
-        let allowed_parts = reader.allowed_parts();
+        let (allowed_parts, allowed_requests) = (reader.allowed_parts(), reader.allowed_requests());
         let pool = Arc::new(PoolSettings {
             id,
             target,
@@ -127,6 +127,7 @@
             silence,
             memory,
             allowed_parts,
+            allowed_requests,
             endpoints,
         });
         self.insert(node, pool);
--- a/coltsfootgate_config/src/resolve.rs
+++ b/coltsfootgate_config/src/resolve.rs
@@ -5,14 +5,14 @@
 use std::time::Duration;
 
 use coltsfootgate_core::ids::{BranchPath, RequestTier};
-use coltsfootgate_core::quarantine::PartId;
+use coltsfootgate_core::quarantine::{PartId, RequestDigest};
 use coltsfootgate_core::settings::{
     ClassSettings, ConnectionSettings, CustomerSettings, DeploymentSettings, EndpointSettings,
     PoolShare, RoutingStrategy,
 };
 
 use crate::document::BranchDocument;
-use crate::schema::{ConfigSection, parse_part};
+use crate::schema::{ConfigSection, parse_hex_id};
 use crate::value::{Setting, SettingValue, parse_duration};
 
 /// Reads the effective settings of one branch.
@@ -151,7 +151,12 @@
 
     /// The parts of prompts that a pool never blocks.
     pub(crate) fn allowed_parts(&self) -> Vec<PartId> {
-        self.texts("allowed_parts").iter().filter_map(|text| parse_part(text)).collect()
+        self.texts("allowed_parts").iter().filter_map(|text| parse_hex_id(text)).collect()
+    }
+
+    /// The requests that a pool never blocks.
+    pub(crate) fn allowed_requests(&self) -> Vec<RequestDigest> {
+        self.texts("allowed_requests").iter().filter_map(|text| parse_hex_id(text)).collect()
     }
 
     /// The value of an integer key without a default.
--- a/coltsfootgate_config/src/rule.rs
+++ b/coltsfootgate_config/src/rule.rs
@@ -67,6 +67,7 @@
         | ErrorKind::EndpointLost
         | ErrorKind::AnswerMismatched => (ConfigSection::Pools, "address"),
         ErrorKind::PromptBlocked => (ConfigSection::Pools, "allowed_parts"),
+        ErrorKind::RequestBlocked => (ConfigSection::Pools, "allowed_requests"),
         ErrorKind::EndpointStalled => (ConfigSection::Pools, "silence"),
         ErrorKind::QueueFull => (ConfigSection::Classes, "queue_requests"),
         ErrorKind::DeadlineUnmeetable | ErrorKind::DeadlinePassed => {
--- a/coltsfootgate_config/src/schema.rs
+++ b/coltsfootgate_config/src/schema.rs
@@ -121,8 +121,8 @@
     Choice(&'static [&'static str]),
     /// A list of SHA-256 digests in hexadecimal.
     Digests,
-    /// A list of hexadecimal ids of parts of prompts.
-    PartIds,
+    /// A list of hexadecimal ids of parts of prompts or of requests.
+    HexIds,
     /// An IP address and port.
     Address,
     /// The URL path prefix of a service.
@@ -158,9 +158,9 @@
                 let texts = value.as_texts();
                 texts.is_some_and(|texts| texts.iter().all(|text| is_digest(text)))
             }
-            Self::PartIds => {
+            Self::HexIds => {
                 let texts = value.as_texts();
-                texts.is_some_and(|texts| texts.iter().all(|text| parse_part(text).is_some()))
+                texts.is_some_and(|texts| texts.iter().all(|text| parse_hex_id(text).is_some()))
             }
             Self::Address => value.as_text().is_some_and(|text| text.parse::<SocketAddr>().is_ok()),
             Self::PathPrefix => value.as_text().is_some_and(|text| is_path_prefix(text)),
@@ -184,9 +184,7 @@
             Self::TextList => "a text or a list of texts".into(),
             Self::Choice(words) => words.join(", "),
             Self::Digests => "a list of SHA-256 digests, each 64 hexadecimal digits".into(),
-            Self::PartIds => {
-                "a list of ids of prompt parts, each 1 to 16 hexadecimal digits".into()
-            }
+            Self::HexIds => "a list of ids, each 1 to 16 hexadecimal digits".into(),
             Self::Address => "an IP address and port, such as \"10.0.0.7:8000\"".into(),
             Self::PathPrefix => {
                 "a path prefix that starts and ends with \"/\", outside \"/v1/\"".into()
@@ -221,8 +219,8 @@
     text.len() == DIGEST_HEX_BYTES && text.bytes().all(|byte| byte.is_ascii_hexdigit())
 }
 
-/// Parses the hexadecimal id of a part of a prompt.
-pub(crate) fn parse_part(text: &str) -> Option<PartId> {
+/// Parses a hexadecimal id.
+pub(crate) fn parse_hex_id(text: &str) -> Option<PartId> {
     let is_number = text.bytes().all(|byte| byte.is_ascii_hexdigit());
     PartId::from_str_radix(text, 16).ok().filter(|_| is_number)
 }
@@ -307,7 +305,8 @@
     own("address", ValueKind::Address),
     inherited("resumes", ValueKind::Boolean, "false"),
     inherited("silence", ValueKind::Duration(MILLISECOND, HOUR), "10 s"),
-    KeySpec { name: "allowed_parts", kind: ValueKind::PartIds, default: None, inherited: true },
+    KeySpec { name: "allowed_parts", kind: ValueKind::HexIds, default: None, inherited: true },
+    KeySpec { name: "allowed_requests", kind: ValueKind::HexIds, default: None, inherited: true },
     KeySpec { name: "zone", kind: ValueKind::Text, default: None, inherited: true },
     KeySpec {
         name: "memory_tokens",
--- a/coltsfootgate_config/tests/faults.rs
+++ b/coltsfootgate_config/tests/faults.rs
@@ -53,7 +53,7 @@
     unknown_root: "[classes]" => "[clases.x]\n[classes]",
         ["tree.toml:5: clases: unknown key; nearest is `classes`; allowed: deployment, connections, classes, customers, pools"];
     part_ids: "model = \"m\"\n\n[pools.main.e1]" => "model = \"m\"\nallowed_parts = [\"5c1e07a2\", \"+1\"]\n\n[pools.main.e1]",
-        ["tree.toml:16: pools.main: allowed_parts: found [\"5c1e07a2\", \"+1\"]; allowed: a list of ids of prompt parts, each 1 to 16 hexadecimal digits"];
+        ["tree.toml:16: pools.main: allowed_parts: found [\"5c1e07a2\", \"+1\"]; allowed: a list of ids, each 1 to 16 hexadecimal digits"];
     tier_out_of_bounds: "tier = 3" => "tier = 8",
         ["tree.toml:6: classes: tier: found 8; allowed: a whole number from 1 to 7"];
     every_fault_is_listed: "tier = 3" => "tier = 0\nfloor = 0.9\nresume = \"yes\"",
--- a/coltsfootgate_config/tests/inheritance.rs
+++ b/coltsfootgate_config/tests/inheritance.rs
@@ -80,6 +80,7 @@
     rate: Some(ErrorKind::RateLimited) => "customers.partners", "rate";
     no_endpoint: Some(ErrorKind::NoEndpoint) => "pools.reservations", "address";
     prompt_blocked: Some(ErrorKind::PromptBlocked) => "pools", "allowed_parts";
+    request_blocked: Some(ErrorKind::RequestBlocked) => "pools", "allowed_requests";
     stalled: Some(ErrorKind::EndpointStalled) => "pools.reservations", "silence";
     claims_full: Some(ErrorKind::ClaimsFull) => "deployment", "claim_pages";
 }
--- a/coltsfootgate_core/src/quarantine/ledger.rs
+++ b/coltsfootgate_core/src/quarantine/ledger.rs
@@ -1,43 +1,45 @@
-//! Finds the part that the requests lost in crashes have in common.
+//! Finds the part or the request that the requests lost in crashes have in common.
 //!
-//! A crash ends every request on its endpoint, so that each is lost together with sound ones, whose parts
-//! are lost as well. A part is the cause if endpoint after endpoint crashes under it, each with a
-//! request that was sent after the previous crash, while no request with it is served. Such a part is
-//! blocked and then tried once: if that request crashes its endpoint as well, the part explains the
-//! crashes under it, and the parts that were lost with it are no longer suspected.
+//! A crash ends every request on its endpoint, so that each is lost together with sound ones. A part is the
+//! cause if endpoint after endpoint crashes under it, each with a request that was sent after the previous
+//! crash, while no request with it is served. A whole request is the cause if several endpoints crash
+//! under it and its repeats, also at the same moment, while none of them is served: it is not on
+//! several endpoints by chance. A cause is blocked and then tried once: if that request crashes its
+//! endpoint as well, the cause explains the crashes under it, and what was lost with it is no longer
+//! suspected.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use super::{BlockList, PartId, PartKey};
+use super::{BlockList, CauseKey, CrashCause};
 use crate::ids::{EndpointId, PoolId};
 
-/// Crashes in sequence after which instances are asked whether they served a part.
+/// Crashes after which instances are asked whether they served a possible cause.
 const CRASHES_TO_WATCH: usize = 2;
-/// Crashes in sequence after which a part is blocked.
+/// Crashes after which a cause is blocked.
 const CRASHES_TO_BLOCK: usize = 3;
-/// Delay of a decision, in which other instances report the same crash or that a part was served.
+/// Delay of a decision, in which other instances report the same crash or that a request was served.
 const DECISION_DELAY: Duration = Duration::from_millis(150);
-/// Time for the trial of a blocked part, in which no other part of its pool is blocked.
+/// Time for the trial of a blocked cause, in which nothing else in its pool is blocked.
 const TRIAL_WAIT_MAX: Duration = Duration::from_secs(1);
-/// Maximum number of parts of which instances report that they serve them; those whose last crash is
+/// Maximum number of possible causes of which instances report that they serve them; those whose last crash is
 /// oldest are left out.
 const WATCHED_MAX: usize = 256;
-/// Share of the crashes under the most suspected part that another one must have to be blocked first.
+/// Share of the crashes under the most suspected cause that another one must have to be blocked first.
 const CRASH_SHARE_MIN: f64 = 0.75;
-/// Maximum number of suspected parts; beyond it, those with the fewest crashes are dropped.
+/// Maximum number of suspects; beyond it, those with the fewest crashes are dropped.
 const SUSPECTS_MAX: usize = 4096;
-/// Maximum number of endpoints that are kept for one suspected part.
+/// Maximum number of endpoints that are kept for one suspect.
 const SUSPECT_ENDPOINTS_MAX: usize = 64;
-/// Maximum number of endpoints that are kept as crashed under a blocked part.
+/// Maximum number of endpoints that are kept as crashed under blocked causes.
 const EXPLAINED_MAX: usize = 1024;
 
 /// A request that was lost in a crash.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LostRequest {
-    /// The parts of its prompt that other requests may have as well, in order.
-    pub parts: Vec<PartId>,
+    /// The parts of its prompt that other requests may have as well, in order, and then the request itself.
+    pub causes: Vec<CrashCause>,
     /// When it was sent to the endpoint.
     pub sent_at: Instant,
 }
@@ -53,16 +55,16 @@
     pub lost: Vec<LostRequest>,
 }
 
-/// A part that is to be blocked, and why.
+/// A cause that is to be blocked, and why.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct BlockDecision {
-    /// The part.
-    pub key: PartKey,
+    /// The cause.
+    pub key: CauseKey,
     /// The endpoints that crashed under it.
     pub endpoints: Vec<EndpointId>,
 }
 
-/// A blocked part whose trial is awaited.
+/// A blocked cause whose trial is awaited.
 #[derive(Clone, Debug)]
 struct PendingBlock {
     decision: BlockDecision,
@@ -77,25 +79,35 @@
 
 #[derive(Clone, Debug, Default)]
 struct Suspect {
-    /// Crashes in sequence since the part was last served.
+    /// The crashes that count since a request with it was last served.
     counted: Vec<CountedCrash>,
-    /// All endpoints that crashed under the part since then.
+    /// All endpoints that crashed under it since then.
     endpoints: BTreeSet<EndpointId>,
-    /// Position of the part in its prompts.
+    /// Its position among the causes of its requests.
     depth: usize,
-    /// When a request with the part was last served, as far as known.
+    /// When a request with it was last served, as far as known.
     served_at: Option<Instant>,
 }
 
 impl Suspect {
-    fn record_crash(&mut self, endpoint: &EndpointId, sent_at: Instant, now: Instant) {
+    fn record_crash(
+        &mut self,
+        cause: CrashCause,
+        endpoint: &EndpointId,
+        sent_at: Instant,
+        now: Instant,
+    ) {
         if self.endpoints.len() < SUSPECT_ENDPOINTS_MAX {
             self.endpoints.insert(endpoint.clone());
         }
         let is_known = self.counted.iter().any(|crash| crash.endpoint == *endpoint);
-        // Endpoints that crash at the same moment have a common cause, which need not be the part.
-        let is_later = self.counted.last().is_none_or(|last| sent_at > last.at);
-        if !is_known && is_later {
+        // Many requests have a part in common, so that endpoints that crash at the same moment may have
+        // another cause.
+        let counts = match cause {
+            CrashCause::Part(_) => self.counted.last().is_none_or(|last| sent_at > last.at),
+            CrashCause::Request(_) => true,
+        };
+        if !is_known && counts {
             self.counted.push(CountedCrash { endpoint: endpoint.clone(), at: now });
         }
     }
@@ -113,28 +125,31 @@
         self.endpoints.remove(endpoint);
     }
 
-    /// When the part may be blocked; `None` if too few endpoints crashed.
+    /// When it may be blocked; `None` if too few endpoints crashed.
     fn due(&self) -> Option<Instant> {
         let last = self.counted.get(CRASHES_TO_BLOCK - 1)?;
         Some(last.at + DECISION_DELAY)
     }
 }
 
-/// Counts crashes by the parts of the prompts that were lost in them.
+/// Counts crashes by the possible causes that were lost in them.
 #[derive(Clone, Debug, Default)]
 pub struct CrashLedger {
-    suspects: HashMap<PartKey, Suspect>,
-    pending: HashMap<PoolId, PendingBlock>,
-    /// Endpoints that crashed under a blocked part, oldest first.
+    suspects: HashMap<CauseKey, Suspect>,
+    pending: HashMap<PoolId, Vec<PendingBlock>>,
+    /// The request that is being tried in a pool, and since when.
+    trials: HashMap<PoolId, (CauseKey, Instant)>,
+    /// Endpoints that crashed under a blocked cause, oldest first.
     explained: VecDeque<EndpointId>,
 }
 
 impl CrashLedger {
-    /// Records a crash, unless a blocked part explains it.
+    /// Records a crash, unless a blocked cause explains it.
     pub fn record_crash(&mut self, report: &CrashReport, blocked: &BlockList, now: Instant) {
         let pool = &report.pool;
-        let is_blocked = |lost: &LostRequest| blocked.find(pool, &lost.parts).is_some();
+        let is_blocked = |lost: &LostRequest| blocked.find(pool, &lost.causes).is_some();
         if report.lost.iter().any(is_blocked) {
+            self.end_trial(report);
             self.confirm(report);
             self.explain(&report.endpoint);
         }
@@ -142,22 +157,22 @@
             return;
         }
         for lost in &report.lost {
-            for (depth, part) in lost.parts.iter().enumerate() {
-                let key = PartKey { pool: pool.clone(), part: *part };
+            for (depth, cause) in lost.causes.iter().enumerate() {
+                let key = CauseKey { pool: pool.clone(), cause: *cause };
                 let suspect = self.suspects.entry(key).or_default();
                 suspect.depth = depth;
-                suspect.record_crash(&report.endpoint, lost.sent_at, now);
+                suspect.record_crash(*cause, &report.endpoint, lost.sent_at, now);
             }
         }
         self.drop_excess();
     }
 
-    /// Records that a request with a part was served.
-    pub fn record_served(&mut self, key: &PartKey, served_at: Instant) {
-        let is_pending = |pending: &PendingBlock| pending.decision.key == *key;
-        if self.pending.get(&key.pool).is_some_and(is_pending) {
-            self.pending.remove(&key.pool);
+    /// Records that a request with a possible cause was served.
+    pub fn record_served(&mut self, key: &CauseKey, served_at: Instant) {
+        if let Some(pending) = self.pending.get_mut(&key.pool) {
+            pending.retain(|one| one.decision.key != *key);
         }
+        self.trials.retain(|_, (tried, _)| tried != key);
         if let Some(suspect) = self.suspects.get_mut(key) {
             suspect.record_served(served_at);
             if suspect.counted.is_empty() {
@@ -166,8 +181,8 @@
         }
     }
 
-    /// The parts under which so many endpoints crashed that instances report when they serve them.
-    pub fn watched(&self) -> BTreeSet<PartKey> {
+    /// The possible causes under which so many endpoints crashed that instances report when they serve them.
+    pub fn watched(&self) -> BTreeSet<CauseKey> {
         let watched = self.suspects.iter().filter(|(_, one)| one.counted.len() >= CRASHES_TO_WATCH);
         let mut watched: Vec<_> =
             watched.map(|(key, one)| (one.counted.last().map(|last| last.at), key)).collect();
@@ -180,19 +195,22 @@
         self.suspects.values().any(|suspect| suspect.due().is_some())
     }
 
-    /// Chooses the next part to block, if a decision is due.
+    /// Chooses the next cause to block, if a decision is due.
     ///
-    /// Among the parts under which most endpoints crashed, it is the one that was served least recently or
+    /// Among the suspects under which most endpoints crashed, it is the one that was served least recently or
     /// never.
     pub fn decide(&mut self, now: Instant) -> Option<BlockDecision> {
-        self.pending.retain(|_, pending| now < pending.since + TRIAL_WAIT_MAX);
-        let is_due = |suspect: &Suspect| suspect.due().is_some_and(|due| now >= due);
-        let mut due = self.suspects.iter().filter(|(_, suspect)| is_due(suspect));
-        let (due, _) = due.find(|(key, _)| !self.pending.contains_key(&key.pool))?;
+        for pending in self.pending.values_mut() {
+            pending.retain(|one| now < one.since + TRIAL_WAIT_MAX);
+        }
+        let is_due = |key: &CauseKey, suspect: &Suspect| {
+            suspect.due().is_some_and(|due| now >= due) && self.may_block(key)
+        };
+        let (due, _) = self.suspects.iter().find(|(key, suspect)| is_due(key, suspect))?;
         let candidates: Vec<_> = self
             .suspects
             .iter()
-            .filter(|(key, suspect)| key.pool == due.pool && suspect.due().is_some())
+            .filter(|(key, one)| key.pool == due.pool && one.due().is_some() && self.may_block(key))
             .collect();
         let most = candidates.iter().map(|(_, suspect)| suspect.endpoints.len()).max()?;
         let (key, _) = candidates
@@ -200,34 +218,66 @@
             .filter(|(_, one)| one.endpoints.len() as f64 >= CRASH_SHARE_MIN * most as f64)
             .min_by_key(|(key, suspect)| {
                 let crashes = Reverse((suspect.endpoints.len(), suspect.depth));
-                (suspect.served_at, crashes, key.part)
+                (suspect.served_at, crashes, key.cause)
             })?;
         let key = key.clone();
         let suspect = self.suspects.remove(&key)?;
         let endpoints = suspect.endpoints.into_iter().collect();
         let decision = BlockDecision { key, endpoints };
         let pending = PendingBlock { decision: decision.clone(), since: now };
-        self.pending.insert(decision.key.pool.clone(), pending);
+        self.pending.entry(decision.key.pool.clone()).or_default().push(pending);
         Some(decision)
     }
 
-    /// Confirms that a part was blocked rightly if a request that was sent later crashed its endpoint.
-    fn confirm(&mut self, report: &CrashReport) {
-        let Some(pending) = self.pending.get(&report.pool) else { return };
-        let part = &pending.decision.key.part;
-        let is_trial =
-            |lost: &LostRequest| lost.parts.contains(part) && lost.sent_at > pending.since;
-        if !report.lost.iter().any(is_trial) {
-            return;
+    /// Whether a suspect may be blocked although trials are awaited in its pool.
+    ///
+    /// A part waits for them, since what it is suspected of may be explained by then; a wrong block
+    /// would refuse many requests. Requests are blocked together, since one that still crashes endpoints
+    /// would end the trials of the others.
+    fn may_block(&self, key: &CauseKey) -> bool {
+        let is_request = |cause: CrashCause| matches!(cause, CrashCause::Request(_));
+        let mut pending = self.pending.get(&key.pool).into_iter().flatten();
+        pending.all(|one| is_request(one.decision.key.cause) && is_request(key.cause))
+    }
+
+    /// Begins the trial of a blocked cause; returns whether it has begun.
+    ///
+    /// One request is tried at a time in a pool, since several may have been blocked together.
+    pub fn begin_trial(&mut self, key: &CauseKey, now: Instant) -> bool {
+        if matches!(key.cause, CrashCause::Part(_)) {
+            return true;
         }
-        if let Some(confirmed) = self.pending.remove(&report.pool) {
-            for endpoint in &confirmed.decision.endpoints {
-                self.explain(endpoint);
-            }
+        let under_way = self.trials.get(&key.pool);
+        if under_way.is_some_and(|(_, since)| now < *since + TRIAL_WAIT_MAX) {
+            return false;
+        }
+        self.trials.insert(key.pool.clone(), (key.clone(), now));
+        true
+    }
+
+    /// Ends the trial that is under way if its request was lost in a crash.
+    fn end_trial(&mut self, report: &CrashReport) {
+        self.trials.retain(|pool, (key, _)| {
+            let mut lost = report.lost.iter();
+            *pool != report.pool || !lost.any(|one| one.causes.contains(&key.cause))
+        });
+    }
+
+    /// Confirms that a cause was blocked rightly if a request that was sent later crashed its endpoint.
+    fn confirm(&mut self, report: &CrashReport) {
+        let Some(pending) = self.pending.get_mut(&report.pool) else { return };
+        let is_tried = |one: &mut PendingBlock| {
+            let cause = &one.decision.key.cause;
+            let mut lost = report.lost.iter();
+            lost.any(|lost| lost.causes.contains(cause) && lost.sent_at > one.since)
+        };
+        let confirmed: Vec<_> = pending.extract_if(.., is_tried).collect();
+        for endpoint in confirmed.iter().flat_map(|one| &one.decision.endpoints) {
+            self.explain(endpoint);
         }
     }
 
-    /// Records that an endpoint crashed because of a blocked part.
+    /// Records that an endpoint crashed because of a blocked cause.
     fn explain(&mut self, endpoint: &EndpointId) {
         if self.explained.contains(endpoint) {
             return;
--- a/coltsfootgate_core/src/quarantine/served.rs
+++ b/coltsfootgate_core/src/quarantine/served.rs
@@ -1,15 +1,15 @@
-//! Remembers which parts of prompts were served lately.
+//! Remembers which possible causes of crashes were served lately.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use super::PartKey;
+use super::{CauseKey, CrashCause};
 
 /// Time after which a request that is being answered does not count as lost: its endpoint did not crash
 /// because it began to answer.
 pub const SURVIVAL_TIME: Duration = Duration::from_millis(500);
 
-/// Number of parts after which the older half is forgotten.
+/// Number of keys after which the older half is forgotten.
 const GENERATION_MAX: usize = 4096;
 
 /// How an attempt ended.
@@ -23,10 +23,10 @@
     Other,
 }
 
-/// What the end of an attempt shows about the parts of its prompt.
+/// What the end of an attempt shows about possible causes of crashes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AttemptEvidence {
-    /// The endpoint answered for so long that the parts do not crash it.
+    /// The endpoint answered for so long that the request does not crash it.
     Served,
     /// The connection was lost when the endpoint may just have begun to answer.
     Lost,
@@ -47,24 +47,44 @@
     }
 }
 
-/// When parts were last served, for a limited number of recent ones.
+/// When possible causes of crashes were last served, for a limited number of recent ones of each kind.
 #[derive(Clone, Debug, Default)]
-pub struct ServedParts {
-    recent: HashMap<PartKey, Instant>,
-    older: HashMap<PartKey, Instant>,
+pub struct ServedCauses {
+    parts: RecentKeys,
+    requests: RecentKeys,
 }
 
-impl ServedParts {
-    /// Records that a request with a part was served.
-    pub fn record(&mut self, key: PartKey, served_at: Instant) {
+#[derive(Clone, Debug, Default)]
+struct RecentKeys {
+    recent: HashMap<CauseKey, Instant>,
+    older: HashMap<CauseKey, Instant>,
+}
+
+impl ServedCauses {
+    /// Records that a request with a possible cause was served.
+    pub fn record(&mut self, key: CauseKey, served_at: Instant) {
+        let keys = match key.cause {
+            CrashCause::Part(_) => &mut self.parts,
+            CrashCause::Request(_) => &mut self.requests,
+        };
+        keys.record(key, served_at);
+    }
+
+    /// When a request with a possible cause was last served, if that is remembered.
+    pub fn last(&self, key: &CauseKey) -> Option<Instant> {
+        let keys = match key.cause {
+            CrashCause::Part(_) => &self.parts,
+            CrashCause::Request(_) => &self.requests,
+        };
+        keys.recent.get(key).or_else(|| keys.older.get(key)).copied()
+    }
+}
+
+impl RecentKeys {
+    fn record(&mut self, key: CauseKey, served_at: Instant) {
         self.recent.insert(key, served_at);
         if self.recent.len() >= GENERATION_MAX {
             self.older = std::mem::take(&mut self.recent);
         }
     }
-
-    /// When a request with a part was last served, if that is remembered.
-    pub fn last(&self, key: &PartKey) -> Option<Instant> {
-        self.recent.get(key).or_else(|| self.older.get(key)).copied()
-    }
 }
--- a/coltsfootgate_core/src/reason.rs
+++ b/coltsfootgate_core/src/reason.rs
@@ -87,6 +87,8 @@
     StreamUnknown => "stream-unknown", 503, "server_error", NotRun, true;
     /// A part of the prompt has crashed endpoints, and requests with it are not sent.
     PromptBlocked => "prompt-blocked", 503, "server_error", NotRun, true;
+    /// The request has crashed endpoints when it was sent before, and its repeats are not sent.
+    RequestBlocked => "request-blocked", 503, "server_error", NotRun, true;
     /// The attempts or the retry budget of the class are exhausted, and no attempt ran.
     RetriesSpent => "retries-spent", 503, "server_error", NotRun, true;
     /// The endpoint refused the request before starting it.
--- a/coltsfootgate_core/src/settings.rs
+++ b/coltsfootgate_core/src/settings.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{ClassId, CustomerId, EndpointId, PoolId, RequestTier, SoftwareVersion, ZoneName};
-use crate::quarantine::PartId;
+use crate::quarantine::{PartId, RequestDigest};
 
 /// How an endpoint is chosen for a request.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq, Deserialize, Serialize)]
@@ -129,6 +129,8 @@
     pub memory: Option<u64>,
     /// Parts of prompts that are never blocked, whatever crashes under them.
     pub allowed_parts: Vec<PartId>,
+    /// The requests that are never blocked, whatever crashes under them.
+    pub allowed_requests: Vec<RequestDigest>,
     /// Its endpoints, sorted by id.
     pub endpoints: Vec<EndpointSettings>,
 }
--- a/coltsfootgate_core/tests/quarantine.rs
+++ b/coltsfootgate_core/tests/quarantine.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use coltsfootgate_core::quarantine::{
-    AttemptEnd, AttemptEvidence, BlockList, BlockState, CrashLedger, CrashReport, LostRequest,
-    PartId, PartKey, ServedParts,
+    AttemptEnd, AttemptEvidence, BlockList, BlockState, CauseKey, CrashCause, CrashLedger,
+    CrashReport, LostRequest, PartId, RequestDigest, ServedCauses,
 };
 use rstest::rstest;
 
@@ -21,15 +21,19 @@
     *START + Duration::from_millis(milliseconds)
 }
 
-fn key(part: PartId) -> PartKey {
-    PartKey { pool: "pools.model".into(), part }
+fn key(part: PartId) -> CauseKey {
+    CauseKey { pool: "pools.model".into(), cause: CrashCause::Part(part) }
+}
+
+fn causes(parts: &[PartId]) -> Vec<CrashCause> {
+    parts.iter().copied().map(CrashCause::Part).collect()
 }
 
 fn crash(number: u64, sent: u64, parts: &[PartId]) -> CrashReport {
     CrashReport {
         pool: "pools.model".into(),
         endpoint: format!("i-{number}").into(),
-        lost: vec![LostRequest { parts: parts.to_vec(), sent_at: at(sent) }],
+        lost: vec![LostRequest { causes: causes(parts), sent_at: at(sent) }],
     }
 }
 
@@ -44,7 +48,10 @@
 }
 
 fn decided(ledger: &mut CrashLedger) -> Option<PartId> {
-    ledger.decide(at(10_000)).map(|decision| decision.key.part)
+    match ledger.decide(at(10_000))?.key.cause {
+        CrashCause::Part(part) => Some(part),
+        CrashCause::Request(digest) => panic!("request {digest:x} is blocked"),
+    }
 }
 
 #[rstest]
@@ -63,7 +70,7 @@
     #[case] expected: Option<PartId>,
 ) {
     let (mut ledger, mut blocked) = (ledger(3), BlockList::default());
-    assert_eq!(ledger.decide(at(500)).unwrap().key.part, BAD);
+    assert_eq!(ledger.decide(at(500)).unwrap().key, key(BAD));
     blocked.block(key(BAD), 3, at(500));
     if crashes {
         ledger.record_crash(&crash(9, 600, &[SHARED, BAD]), &blocked, at(700));
@@ -139,10 +146,10 @@
     let trials = (0..10_000).filter(|second| list.take_trial(&key(BAD), at(second * 1_000)));
     assert_eq!(trials.count(), 4);
     let pool = "pools.model".into();
-    assert!(list.find(&pool, &[SHARED, BAD]).is_some());
+    assert!(list.find(&pool, &causes(&[SHARED, BAD])).is_some());
     assert!(!list.release(&key(BAD), at(0), at(20_000_000)), "served before it was tried");
     assert!(list.release(&key(BAD), at(10_000_000), at(20_000_000)));
-    assert!(list.find(&pool, &[SHARED, BAD]).is_none());
+    assert!(list.find(&pool, &causes(&[SHARED, BAD])).is_none());
     list.block(key(BAD), 3, at(30_000_000));
     assert!(!list.take_trial(&key(BAD), at(90_000_000)));
 }
@@ -175,7 +182,7 @@
     let mut list = BlockList::default();
     (0..2_000).for_each(|part| list.block(key(part), 3, at(part)));
     assert_eq!(list.blocked_count(), 512);
-    assert!(list.find(&"pools.model".into(), &[1_999]).is_some());
+    assert!(list.find(&"pools.model".into(), &causes(&[1_999])).is_some());
 }
 
 #[rstest]
@@ -203,26 +210,76 @@
 
 #[test]
 fn the_parts_served_last_are_remembered() {
-    let mut served = ServedParts::default();
+    let mut served = ServedCauses::default();
     (0..20_000).for_each(|part| served.record(key(part), at(part)));
     assert_eq!(served.last(&key(19_999)), Some(at(19_999)));
     assert_eq!(served.last(&key(16_000)), Some(at(16_000)));
     assert_eq!(served.last(&key(10_000)), None);
 }
 
+fn request_key(digest: RequestDigest) -> CauseKey {
+    CauseKey { pool: "pools.model".into(), cause: CrashCause::Request(digest) }
+}
+
+/// A crash in which requests without parts were lost.
+fn request_crash(number: u64, sent: u64, requests: &[RequestDigest]) -> CrashReport {
+    let lost = |digest: &RequestDigest| LostRequest {
+        causes: vec![CrashCause::Request(*digest)],
+        sent_at: at(sent),
+    };
+    let lost = requests.iter().map(lost).collect();
+    CrashReport { lost, ..crash(number, sent, &[]) }
+}
+
+/// Repeats of a request crash endpoints one after the other or at the same moment; a request that was lost
+/// with one of them, and one that is served meanwhile, are sound.
+#[rstest]
+#[case::one_after_the_other(100, 3, true)]
+#[case::at_the_same_moment(0, 3, true)]
+#[case::too_few(100, 2, false)]
+fn a_repeated_request_is_blocked_after_crashes(
+    #[case] interval: u64,
+    #[case] crashes: u64,
+    #[case] is_blocked: bool,
+) {
+    const REPEATED: RequestDigest = 7;
+    const POLLED: RequestDigest = 8;
+    let mut ledger = CrashLedger::default();
+    for number in 0..crashes {
+        let report = request_crash(number, number * interval, &[POLLED, REPEATED, 100 + number]);
+        ledger.record_crash(&report, &BlockList::default(), at(number * interval + 50));
+    }
+    assert_eq!(ledger.watched().contains(&request_key(REPEATED)), crashes >= 2);
+    ledger.record_served(&request_key(POLLED), at(500));
+    let decided = ledger.decide(at(600)).map(|decision| decision.key);
+    assert_eq!(decided, is_blocked.then(|| request_key(REPEATED)));
+    assert_eq!(ledger.decide(at(10_000)), None);
+}
+
+/// The blocked request may be tried three times in the first minutes, like an allowed repeat.
+#[test]
+fn a_blocked_request_is_tried_three_times_before_it_rests() {
+    let mut list = BlockList::default();
+    list.block(request_key(7), 3, at(0));
+    let trials = (0..600).filter(|second| list.take_trial(&request_key(7), at(second * 1_000)));
+    assert_eq!(trials.count(), 3);
+    assert!(list.take_trial(&request_key(7), at(2 * 3_600_000)));
+}
+
 /// Replays a fleet of replicas under traffic of which some requests crash them.
 #[rstest]
 #[case::a_part_that_was_never_served(Cause::NewPart)]
 #[case::a_part_that_was_served_before(Cause::KnownPart)]
 #[case::the_first_part_of_prompts(Cause::FirstPart)]
 #[case::a_part_while_replicas_also_flap(Cause::NewPartAndFlapping)]
+#[case::a_request_that_is_repeated(Cause::RepeatedRequest)]
 fn the_crashing_part_is_blocked_in_time_and_no_other(#[case] cause: Cause) {
     for seed in 0..60 {
         let mut model = Model::new(seed, cause);
         model.run(Duration::from_secs(30));
         let blocked_at = model.blocked_at().unwrap_or_else(|| panic!("seed {seed}: not blocked"));
-        if let Some(fifth) = model.fifth_crash() {
-            let delay = blocked_at.saturating_duration_since(fifth);
+        if let Some(last) = model.last_allowed_crash() {
+            let delay = blocked_at.saturating_duration_since(last);
             assert!(delay < STABLE_WINDOW, "seed {seed}: blocked after {delay:?}");
         }
         assert!(model.begun_share_min() >= 0.5, "seed {seed}: {}", model.begun_share_min());
--- a/coltsfootgate_core/tests/quarantine_model/mod.rs
+++ b/coltsfootgate_core/tests/quarantine_model/mod.rs
@@ -5,7 +5,8 @@
 
 use coltsfootgate_core::ids::PoolId;
 use coltsfootgate_core::quarantine::{
-    BlockList, CrashLedger, CrashReport, LostRequest, PartId, PartKey, PromptVerdict, SURVIVAL_TIME,
+    BlockList, CauseKey, CrashCause, CrashLedger, CrashReport, LostRequest, PartId, RequestDigest,
+    SURVIVAL_TIME, SendVerdict,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -31,6 +32,8 @@
 const SECOND_PARTS: u64 = 118;
 /// The second part that crashes replicas if it is a new one.
 const NEW_PART: PartId = 9_999;
+/// The request that crashes replicas if it is a repeated one.
+const REPEATED_REQUEST: RequestDigest = RequestDigest::MAX;
 
 /// Why replicas crash.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -47,18 +50,35 @@
     Flapping,
     /// Half of the replicas end at the same moment, several times.
     PowerLoss,
+    /// A request that is repeated; sound requests have its parts.
+    RepeatedRequest,
 }
 
 impl Cause {
-    fn bad_part(self) -> Option<PartId> {
+    fn crash_cause(self) -> Option<CrashCause> {
         match self {
-            Self::NewPart | Self::NewPartAndFlapping => Some(NEW_PART),
-            Self::KnownPart => Some(100),
-            Self::FirstPart => Some(0),
+            Self::NewPart | Self::NewPartAndFlapping => Some(CrashCause::Part(NEW_PART)),
+            Self::KnownPart => Some(CrashCause::Part(100)),
+            Self::FirstPart => Some(CrashCause::Part(0)),
+            Self::RepeatedRequest => Some(CrashCause::Request(REPEATED_REQUEST)),
             Self::Flapping | Self::PowerLoss => None,
         }
     }
 
+    /// The parts of a request that crashes replicas.
+    fn bad_parts(self, other: PartId) -> Vec<PartId> {
+        match self.crash_cause() {
+            Some(CrashCause::Part(part)) if self == Self::FirstPart => vec![part, other],
+            Some(CrashCause::Part(part)) => vec![3, part],
+            Some(CrashCause::Request(_)) | None => vec![3, 100],
+        }
+    }
+
+    /// The number of crashes after which the cause must be blocked in time.
+    fn crashes_allowed(self) -> usize {
+        if self == Self::RepeatedRequest { 3 } else { 5 }
+    }
+
     fn has_flapping(self) -> bool {
         matches!(self, Self::Flapping | Self::NewPartAndFlapping)
     }
@@ -67,7 +87,7 @@
 #[derive(Clone, Debug)]
 struct ModelRequest {
     instance: usize,
-    parts: Vec<PartId>,
+    causes: Vec<CrashCause>,
     sent_at: Instant,
     begins_at: Instant,
     ends_at: Instant,
@@ -82,8 +102,8 @@
 
 enum Message {
     Crash(CrashReport),
-    Served(PartKey, Instant),
-    Shared(BlockList, BTreeSet<PartKey>),
+    Served(CauseKey, Instant),
+    Shared(BlockList, BTreeSet<CauseKey>),
 }
 
 /// A fleet of replicas, the instances that send requests to them, and the ledger.
@@ -98,17 +118,18 @@
     messages_sent: u64,
     ledger: CrashLedger,
     list: BlockList,
-    watched: BTreeSet<PartKey>,
+    watched: BTreeSet<CauseKey>,
     /// What the instances know.
     shared: BlockList,
-    shared_watched: BTreeSet<PartKey>,
-    served: Vec<HashMap<PartId, Instant>>,
+    shared_watched: BTreeSet<CauseKey>,
+    served: Vec<HashMap<CrashCause, Instant>>,
+    requests_made: RequestDigest,
     bad_crashes: Vec<Instant>,
     bad_arrivals: Vec<Instant>,
     blocked_at: Option<Instant>,
     /// Sound requests that were sent and refused since the rule about them holds, by first part.
-    begun: BTreeMap<PartId, usize>,
-    refused: BTreeMap<PartId, usize>,
+    begun: BTreeMap<CrashCause, usize>,
+    refused: BTreeMap<CrashCause, usize>,
 }
 
 impl Model {
@@ -130,6 +151,7 @@
             shared: BlockList::default(),
             shared_watched: BTreeSet::new(),
             served: vec![HashMap::new(); INSTANCES],
+            requests_made: 0,
             bad_crashes: Vec::new(),
             bad_arrivals: Vec::new(),
             blocked_at: None,
@@ -156,15 +178,16 @@
         self.blocked_at
     }
 
-    pub fn fifth_crash(&self) -> Option<Instant> {
-        self.bad_crashes.get(4).copied()
+    /// The last crash that may happen before the cause must be blocked in time.
+    pub fn last_allowed_crash(&self) -> Option<Instant> {
+        self.bad_crashes.get(self.cause.crashes_allowed() - 1).copied()
     }
 
-    /// Requests with the crashing part that reached replicas later than three seconds after the fifth
-    /// crash.
+    /// Crashing requests that reached replicas later than three seconds after the last crash that is
+    /// allowed.
     pub fn late_arrivals(&self) -> usize {
-        let Some(fifth) = self.fifth_crash() else { return 0 };
-        let due = fifth + STABLE_WINDOW;
+        let Some(last) = self.last_allowed_crash() else { return 0 };
+        let due = last + STABLE_WINDOW;
         self.bad_arrivals.iter().filter(|arrival| **arrival > due).count()
     }
 
@@ -185,8 +208,8 @@
         self.now >= self.start + TROUBLE_START
     }
 
-    fn is_bad(&self, parts: &[PartId]) -> bool {
-        self.is_trouble() && self.cause.bad_part().is_some_and(|bad| parts.contains(&bad))
+    fn is_bad(&self, causes: &[CrashCause]) -> bool {
+        self.is_trouble() && self.cause.crash_cause().is_some_and(|bad| causes.contains(&bad))
     }
 
     fn send_requests(&mut self) {
@@ -194,20 +217,30 @@
         if self.random.random_bool(SOUND_RATE * seconds) {
             let first = self.random.random_range(0..FIRST_PARTS);
             let second = 100 + self.random.random_range(0..SECOND_PARTS);
-            self.send(vec![first, second]);
+            let digest = self.new_digest();
+            self.send(&[first, second], digest);
         }
-        let Some(bad) = self.cause.bad_part().filter(|_| self.is_trouble()) else { return };
+        let Some(bad) = self.cause.crash_cause().filter(|_| self.is_trouble()) else { return };
         if self.random.random_bool(BAD_RATE * seconds) {
-            let second = 100 + self.random.random_range(0..SECOND_PARTS);
-            let parts =
-                if self.cause == Cause::FirstPart { vec![bad, second] } else { vec![3, bad] };
-            self.send(parts);
+            let other = 100 + self.random.random_range(0..SECOND_PARTS);
+            let digest = match bad {
+                CrashCause::Request(digest) => digest,
+                CrashCause::Part(_) => self.new_digest(),
+            };
+            self.send(&self.cause.bad_parts(other), digest);
         }
     }
 
-    fn send(&mut self, parts: Vec<PartId>) {
-        let may_send = self.may_send(&parts);
-        self.count(&parts, may_send);
+    fn new_digest(&mut self) -> RequestDigest {
+        self.requests_made += 1;
+        self.requests_made
+    }
+
+    fn send(&mut self, parts: &[PartId], digest: RequestDigest) {
+        let mut causes: Vec<_> = parts.iter().copied().map(CrashCause::Part).collect();
+        causes.push(CrashCause::Request(digest));
+        let may_send = self.may_send(&causes);
+        self.count(&causes, may_send);
         if !may_send {
             return;
         }
@@ -217,14 +250,14 @@
             return;
         }
         let replica = live[self.random.random_range(0..live.len())];
-        if self.is_bad(&parts) {
+        if self.is_bad(&causes) {
             self.bad_arrivals.push(self.now);
         }
         let begins_at = self.now + Duration::from_millis(self.random.random_range(30..250));
         let length = Duration::from_millis(self.random.random_range(200..1_500));
         let request = ModelRequest {
             instance: self.random.random_range(0..INSTANCES),
-            parts,
+            causes,
             sent_at: self.now,
             begins_at,
             ends_at: begins_at + length,
@@ -232,24 +265,25 @@
         self.replicas[replica].running.push(request);
     }
 
-    fn count(&mut self, parts: &[PartId], may_send: bool) {
+    fn count(&mut self, causes: &[CrashCause], may_send: bool) {
         let trouble = self.start + TROUBLE_START;
-        let counts_from = self.fifth_crash().unwrap_or(trouble) + 2 * STABLE_WINDOW;
-        if self.now > counts_from && !self.is_bad(parts) {
+        let counts_from = self.last_allowed_crash().unwrap_or(trouble) + 2 * STABLE_WINDOW;
+        if self.now > counts_from && !self.is_bad(causes) {
             let counts = if may_send { &mut self.begun } else { &mut self.refused };
-            *counts.entry(parts[0]).or_default() += 1;
+            *counts.entry(causes[0]).or_default() += 1;
         }
     }
 
-    /// Whether no part is blocked, or the request may try the only one that is.
-    fn may_send(&mut self, parts: &[PartId]) -> bool {
+    /// Whether nothing in a request is blocked, or it may try the only cause that is.
+    fn may_send(&mut self, causes: &[CrashCause]) -> bool {
         let (pool, now) = (Self::pool(), self.now);
-        let key = match self.shared.verdict(&self.shared_watched, &pool, parts, now) {
-            PromptVerdict::Free => return true,
-            PromptVerdict::Blocked { .. } => return false,
-            PromptVerdict::Trial(key) => key,
+        let key = match self.shared.verdict(&self.shared_watched, &pool, causes, now) {
+            SendVerdict::Free => return true,
+            SendVerdict::Blocked { .. } => return false,
+            SendVerdict::Trial(key) => key,
         };
-        if !self.list.take_trial(&key, now) {
+        let may_try = self.list.is_trial_due(&key, now) && self.ledger.begin_trial(&key, now);
+        if !may_try || !self.list.take_trial(&key, now) {
             return false;
         }
         self.share();
@@ -262,17 +296,17 @@
         for replica in &mut self.replicas {
             finished.extend(replica.running.extract_if(.., |request| request.ends_at <= now));
         }
-        finished.retain(|request| !self.is_bad(&request.parts));
+        finished.retain(|request| !self.is_bad(&request.causes));
         for request in &finished {
             self.record_served(request);
         }
     }
 
     fn record_served(&mut self, request: &ModelRequest) {
-        for part in &request.parts {
-            self.served[request.instance].insert(*part, self.now);
-            let key = PartKey { pool: Self::pool(), part: *part };
-            let is_blocked = self.shared.find(&key.pool, &[*part]).is_some();
+        for cause in &request.causes {
+            self.served[request.instance].insert(*cause, self.now);
+            let key = CauseKey { pool: Self::pool(), cause: *cause };
+            let is_blocked = self.shared.find(&key.pool, &[*cause]).is_some();
             if is_blocked || self.shared_watched.contains(&key) {
                 self.post(REPORT_DELAY, Message::Served(key, self.now));
             }
@@ -284,7 +318,7 @@
             let delay = Duration::from_millis(self.random.random_range(10..110));
             let running = &self.replicas[replica].running;
             let is_due =
-                |one: &&ModelRequest| one.begins_at + delay <= self.now && self.is_bad(&one.parts);
+                |one: &&ModelRequest| one.begins_at + delay <= self.now && self.is_bad(&one.causes);
             if running.iter().any(|one| is_due(&one)) {
                 self.bad_crashes.push(self.now);
                 self.crash(replica);
@@ -322,7 +356,7 @@
         for instance in 0..INSTANCES {
             let own = running.iter().filter(|request| request.instance == instance);
             let lost: Vec<_> = own
-                .map(|one| LostRequest { parts: one.parts.clone(), sent_at: one.sent_at })
+                .map(|one| LostRequest { causes: one.causes.clone(), sent_at: one.sent_at })
                 .collect();
             if !lost.is_empty() {
                 let report =
@@ -379,10 +413,10 @@
     }
 
     /// Instances answer with what they served of the parts that are newly watched.
-    fn receive(&mut self, list: BlockList, watched: BTreeSet<PartKey>) {
+    fn receive(&mut self, list: BlockList, watched: BTreeSet<CauseKey>) {
         for key in watched.difference(&self.shared_watched.clone()) {
             let served =
-                self.served.iter().filter_map(|served| served.get(&key.part)).max().copied();
+                self.served.iter().filter_map(|served| served.get(&key.cause)).max().copied();
             if let Some(served_at) = served {
                 self.post(REPORT_DELAY, Message::Served(key.clone(), served_at));
             }
@@ -393,7 +427,7 @@
 
     fn decide(&mut self) {
         while let Some(decision) = self.ledger.decide(self.now) {
-            if Some(decision.key.part) == self.cause.bad_part() {
+            if Some(decision.key.cause) == self.cause.crash_cause() {
                 self.blocked_at.get_or_insert(self.now);
             }
             self.list.block(decision.key, decision.endpoints.len(), self.now);
--- a/coltsfootgate_wire/src/message.rs
+++ b/coltsfootgate_wire/src/message.rs
@@ -12,7 +12,7 @@
 use coltsfootgate_core::owner::{
     GrantAnswer, GrantRequest, HeldGrant, OwnerPressure, ReleaseReport,
 };
-use coltsfootgate_core::quarantine::{CrashReport, PartKey, QuarantineNotice};
+use coltsfootgate_core::quarantine::{CauseKey, CrashReport, QuarantineNotice};
 use coltsfootgate_core::roster::ReplicaSnapshot;
 use coltsfootgate_core::stream::{StreamKey, StreamOrigin};
 
@@ -93,15 +93,15 @@
     FindStream(StreamKey),
     /// Reports the requests of the sender that were lost in the crash of an endpoint.
     ReportCrash(CrashReport),
-    /// Reports when the sender served parts of prompts that the receiver suspects.
-    ReportServed(Vec<(PartKey, Instant)>),
-    /// Tells which parts of prompts are blocked and which are suspected.
+    /// Reports when the sender served possible causes of crashes that the receiver suspects.
+    ReportServed(Vec<(CauseKey, Instant)>),
+    /// Tells which causes of crashes are blocked and which are suspected.
     ShareQuarantine(QuarantineNotice),
-    /// States the digest of the sender's list of blocked parts; if the receiver's list has another one, it
+    /// States the digest of the sender's list of blocked causes; if the receiver's list has another one, it
     /// shares it with the sender.
     CompareQuarantine(u64),
-    /// Asks whether a request may be sent to try a blocked part.
-    TakeTrial(PartKey),
+    /// Asks whether a request may be sent to try a blocked cause.
+    TakeTrial(CauseKey),
     /// Fetches the head of the tree in force.
     FetchHead,
     /// Fetches a value of the tree in force by its digest.
--- a/coltsfootgate_wire/src/quarantine.rs
+++ b/coltsfootgate_wire/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Wire types of crashed endpoints and blocked parts of prompts.
+//! Wire types of crashed endpoints and of what crashes them.
 
 use std::sync::Arc;
 use std::time::Instant;
@@ -6,25 +6,33 @@
 use serde::{Deserialize, Serialize};
 
 use coltsfootgate_core::quarantine::{
-    BlockEntry, BlockState, CrashReport, LostRequest, PartKey, QuarantineNotice,
+    BlockEntry, BlockState, CauseKey, CrashCause, CrashReport, LostRequest, QuarantineNotice,
 };
 
 use crate::error::WireError;
 use crate::grant::PARTS_MAX;
 use crate::names::{TimedMessage, check_name, micros_since, time_before};
 
+/// Maximum number of possible causes of one lost request: the parts of its prompt and the request itself.
+const CAUSES_MAX: usize = PARTS_MAX + 1;
 /// Maximum number of rows in a message of this module.
 const ROWS_MAX: usize = 2048;
 
 #[derive(Deserialize, Serialize)]
-pub(crate) struct WirePartKey {
+enum WireCause {
+    Part(u64),
+    Request(u64),
+}
+
+#[derive(Deserialize, Serialize)]
+pub(crate) struct WireCauseKey {
     pool: Arc<str>,
-    part: u64,
+    cause: WireCause,
 }
 
 #[derive(Deserialize, Serialize)]
 struct WireLostRequest {
-    parts: Vec<u64>,
+    causes: Vec<WireCause>,
     micros_since_sent: u64,
 }
 
@@ -36,7 +44,7 @@
 }
 
 #[derive(Deserialize, Serialize)]
-pub(crate) struct WireServedParts(Vec<(WirePartKey, u64)>);
+pub(crate) struct WireServedCauses(Vec<(WireCauseKey, u64)>);
 
 #[derive(Deserialize, Serialize)]
 struct WireBlockEntry {
@@ -49,32 +57,50 @@
 
 #[derive(Deserialize, Serialize)]
 pub(crate) struct WireNotice {
-    entries: Vec<(WirePartKey, WireBlockEntry)>,
-    watched: Vec<WirePartKey>,
+    entries: Vec<(WireCauseKey, WireBlockEntry)>,
+    watched: Vec<WireCauseKey>,
 }
 
 fn check_rows<T>(rows: &[T]) -> Result<(), WireError> {
     if rows.len() > ROWS_MAX { Err(WireError::WrongValue("rows")) } else { Ok(()) }
 }
 
-impl From<PartKey> for WirePartKey {
-    fn from(PartKey { pool, part }: PartKey) -> Self {
-        Self { pool, part }
+impl From<CrashCause> for WireCause {
+    fn from(cause: CrashCause) -> Self {
+        match cause {
+            CrashCause::Part(part) => Self::Part(part),
+            CrashCause::Request(digest) => Self::Request(digest),
+        }
+    }
+}
+
+impl From<WireCause> for CrashCause {
+    fn from(cause: WireCause) -> Self {
+        match cause {
+            WireCause::Part(part) => Self::Part(part),
+            WireCause::Request(digest) => Self::Request(digest),
+        }
+    }
+}
+
+impl From<CauseKey> for WireCauseKey {
+    fn from(CauseKey { pool, cause }: CauseKey) -> Self {
+        Self { pool, cause: cause.into() }
     }
 }
 
-impl TryFrom<WirePartKey> for PartKey {
+impl TryFrom<WireCauseKey> for CauseKey {
     type Error = WireError;
 
-    fn try_from(WirePartKey { pool, part }: WirePartKey) -> Result<Self, WireError> {
-        Ok(Self { pool: check_name(pool, "pool")?, part })
+    fn try_from(WireCauseKey { pool, cause }: WireCauseKey) -> Result<Self, WireError> {
+        Ok(Self { pool: check_name(pool, "pool")?, cause: cause.into() })
     }
 }
 
 impl From<TimedMessage<CrashReport>> for WireCrashReport {
     fn from(TimedMessage { message: report, now }: TimedMessage<CrashReport>) -> Self {
         let lost = report.lost.into_iter().map(|lost| WireLostRequest {
-            parts: lost.parts,
+            causes: lost.causes.into_iter().map(WireCause::from).collect(),
             micros_since_sent: micros_since(lost.sent_at, now),
         });
         Self { pool: report.pool, endpoint: report.endpoint, lost: lost.collect() }
@@ -88,11 +114,12 @@
         let TimedMessage { message: report, now } = timed;
         check_rows(&report.lost)?;
         let lost = report.lost.into_iter().map(|lost| {
-            if lost.parts.len() > PARTS_MAX {
-                return Err(WireError::WrongValue("parts"));
+            if lost.causes.len() > CAUSES_MAX {
+                return Err(WireError::WrongValue("causes"));
             }
             let sent_at = time_before(now, lost.micros_since_sent)?;
-            Ok(LostRequest { parts: lost.parts, sent_at })
+            let causes = lost.causes.into_iter().map(CrashCause::from).collect();
+            Ok(LostRequest { causes, sent_at })
         });
         Ok(Self {
             pool: check_name(report.pool, "pool")?,
@@ -102,18 +129,18 @@
     }
 }
 
-impl From<TimedMessage<Vec<(PartKey, Instant)>>> for WireServedParts {
-    fn from(TimedMessage { message: served, now }: TimedMessage<Vec<(PartKey, Instant)>>) -> Self {
+impl From<TimedMessage<Vec<(CauseKey, Instant)>>> for WireServedCauses {
+    fn from(TimedMessage { message: served, now }: TimedMessage<Vec<(CauseKey, Instant)>>) -> Self {
         let rows = served.into_iter().map(|(key, at)| (key.into(), micros_since(at, now)));
         Self(rows.collect())
     }
 }
 
-impl TryFrom<TimedMessage<WireServedParts>> for Vec<(PartKey, Instant)> {
+impl TryFrom<TimedMessage<WireServedCauses>> for Vec<(CauseKey, Instant)> {
     type Error = WireError;
 
-    fn try_from(timed: TimedMessage<WireServedParts>) -> Result<Self, WireError> {
-        let TimedMessage { message: WireServedParts(rows), now } = timed;
+    fn try_from(timed: TimedMessage<WireServedCauses>) -> Result<Self, WireError> {
+        let TimedMessage { message: WireServedCauses(rows), now } = timed;
         check_rows(&rows)?;
         let served =
             rows.into_iter().map(|(key, micros)| Ok((key.try_into()?, time_before(now, micros)?)));
@@ -133,7 +160,7 @@
             };
             (key.into(), entry)
         });
-        let watched = notice.watched.into_iter().map(WirePartKey::from);
+        let watched = notice.watched.into_iter().map(WireCauseKey::from);
         Self { entries: entries.collect(), watched: watched.collect() }
     }
 }
@@ -156,7 +183,7 @@
             };
             Ok((key.try_into()?, entry))
         });
-        let watched = notice.watched.into_iter().map(PartKey::try_from);
+        let watched = notice.watched.into_iter().map(CauseKey::try_from);
         Ok(Self {
             entries: entries.collect::<Result<_, WireError>>()?,
             watched: watched.collect::<Result<_, WireError>>()?,
--- a/coltsfootgate_wire/src/wire.rs
+++ b/coltsfootgate_wire/src/wire.rs
@@ -24,7 +24,7 @@
 use crate::names::{
     TimedMessage, check_digest, check_instance, check_name, from_micros, micros_until,
 };
-use crate::quarantine::{WireCrashReport, WireNotice, WirePartKey, WireServedParts};
+use crate::quarantine::{WireCauseKey, WireCrashReport, WireNotice, WireServedCauses};
 use crate::replica::WireReplicaSnapshot;
 use crate::stream::{WireStreamKey, WireStreamOrigin};
 use crate::tree::WireHead;
@@ -42,10 +42,10 @@
     RecordStream { key: WireStreamKey, origin: WireStreamOrigin, micros_left: u64 },
     FindStream(WireStreamKey),
     ReportCrash(WireCrashReport),
-    ReportServed(WireServedParts),
+    ReportServed(WireServedCauses),
     ShareQuarantine(WireNotice),
     CompareQuarantine(u64),
-    TakeTrial(WirePartKey),
+    TakeTrial(WireCauseKey),
     FetchHead,
     FetchObject(Arc<str>),
     FetchReplicas,
--- a/coltsfootgate_wire/tests/messages.rs
+++ b/coltsfootgate_wire/tests/messages.rs
@@ -12,7 +12,7 @@
 };
 use coltsfootgate_core::prompt::{PromptLoad, PromptPart};
 use coltsfootgate_core::quarantine::{
-    BlockEntry, BlockState, CrashReport, LostRequest, PartKey, QuarantineNotice,
+    BlockEntry, BlockState, CauseKey, CrashCause, CrashReport, LostRequest, QuarantineNotice,
 };
 use coltsfootgate_core::reason::ErrorKind;
 use coltsfootgate_core::roster::{ReplicaAnnouncement, ReplicaSnapshot};
@@ -60,8 +60,8 @@
     vec![PoolPressure { pool: "pools.a".into(), pressure: pressure() }]
 }
 
-fn part_key() -> PartKey {
-    PartKey { pool: "pools.a".into(), part: 0x5c1e_07a2 }
+fn cause_key() -> CauseKey {
+    CauseKey { pool: "pools.a".into(), cause: CrashCause::Part(0x5c1e_07a2) }
 }
 
 fn stream_key() -> StreamKey {
@@ -156,12 +156,12 @@
             pool,
             endpoint: "i-1@7".into(),
             lost: vec![LostRequest {
-                parts: vec![1, u64::MAX],
+                causes: vec![CrashCause::Part(1), CrashCause::Request(u64::MAX)],
                 sent_at: now - Duration::from_millis(7),
             }],
         }),
         "report-served" => {
-            PeerRequest::ReportServed(vec![(part_key(), now - Duration::from_secs(3))])
+            PeerRequest::ReportServed(vec![(cause_key(), now - Duration::from_secs(3))])
         }
         "share-quarantine" => {
             let entry = BlockEntry {
@@ -171,11 +171,11 @@
                 trials: 2,
                 since: now - Duration::from_secs(70),
             };
-            let entries = vec![(part_key(), entry)];
-            PeerRequest::ShareQuarantine(QuarantineNotice { entries, watched: vec![part_key()] })
+            let entries = vec![(cause_key(), entry)];
+            PeerRequest::ShareQuarantine(QuarantineNotice { entries, watched: vec![cause_key()] })
         }
         "compare-quarantine" => PeerRequest::CompareQuarantine(u64::MAX),
-        "take-trial" => PeerRequest::TakeTrial(part_key()),
+        "take-trial" => PeerRequest::TakeTrial(cause_key()),
         "head" => PeerRequest::FetchHead,
         "replicas" => PeerRequest::FetchReplicas,
         _ => PeerRequest::FetchObject(DIGEST.into()),
