Send nothing new to a replica that says in its answers that it leaves

What callers would see: new on the platform's pages, Server-Leaving in a replica's answers binds an instance from the moment it has passed one on (DRAIN), whatever the store says; requests reached such a replica until the store told of it, or until it ended.

Cause: the header was not read.

The check is the one of the limit: an answer with another id, or a 421, speaks for another replica.

--- a/coltsfootgate/src/dialect/mod.rs
+++ b/coltsfootgate/src/dialect/mod.rs
@@ -129,9 +129,17 @@
         attempt: &str,
     ) -> Result<(), EndpointFailure>;
 
-    /// What the head of an answer states about the rate at which the endpoint accepts requests;
-    /// `None` if another endpoint sent it.
-    fn limit_notice(status: StatusCode, headers: &HeaderMap) -> Option<LimitNotice>;
+    /// What the head of an answer states about the endpoint; `None` if another endpoint sent it.
+    fn answer_notice(status: StatusCode, headers: &HeaderMap) -> Option<AnswerNotice>;
+}
+
+/// What the head of an answer states about the endpoint that sent it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct AnswerNotice {
+    /// The rate at which the endpoint accepts requests.
+    pub limit: LimitNotice,
+    /// Whether the endpoint is shutting down and wants no new requests.
+    pub is_leaving: bool,
 }
 
 /// Checks that an answer echoes the id of the attempt.
--- a/coltsfootgate/src/dialect/native.rs
+++ b/coltsfootgate/src/dialect/native.rs
@@ -10,8 +10,8 @@
 use coltsfootgate_core::prelude::ErrorKind;
 
 use super::{
-    AttemptContext, CallerDialect, Dialect, EndpointDialect, PromptMetadata, RequestMetadata,
-    check_echoed_id,
+    AnswerNotice, AttemptContext, CallerDialect, Dialect, EndpointDialect, PromptMetadata,
+    RequestMetadata, check_echoed_id,
 };
 use crate::endpoint::{
     EndpointFailure, NOT_STARTED_HEADER, PRIORITY_HEADER, RATE_LIMIT_HEADER, REQUEST_ID_HEADER,
@@ -148,8 +148,9 @@
         check_echoed_id(status, headers.get(REQUEST_ID_HEADER), attempt)
     }
 
-    fn limit_notice(_status: StatusCode, headers: &HeaderMap) -> Option<LimitNotice> {
-        Some(LimitNotice::parse(headers.get(RATE_LIMIT_HEADER).map(HeaderValue::as_bytes)))
+    fn answer_notice(_status: StatusCode, headers: &HeaderMap) -> Option<AnswerNotice> {
+        let limit = LimitNotice::parse(headers.get(RATE_LIMIT_HEADER).map(HeaderValue::as_bytes));
+        Some(AnswerNotice { limit, ..AnswerNotice::default() })
     }
 }
 
--- a/coltsfootgate/src/endpoints/board.rs
+++ b/coltsfootgate/src/endpoints/board.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+
 use coltsfootgate_core::ids::EndpointId;
 use coltsfootgate_core::roster::{
     ReplicaChange, ReplicaRoster, ReplicaSnapshot, RosterEvent, SoleVersion,
@@ -12,29 +14,58 @@
 use crate::clock;
 
 /// The replicas that may serve requests; clones share the same roster.
-#[derive(Clone, Debug, Default)]
-pub struct SharedRoster(Rc<RefCell<ReplicaRoster>>);
+#[derive(Clone, Debug)]
+pub struct SharedRoster(Rc<RosterState>);
+
+#[derive(Debug)]
+struct RosterState {
+    roster: RefCell<ReplicaRoster>,
+    events: UnboundedSender<RosterEvent>,
+}
 
 impl SharedRoster {
+    /// Creates an empty roster, and the receiver of the events for the task that updates it.
+    pub fn new() -> (Self, UnboundedReceiver<RosterEvent>) {
+        let (events, receiver) = unbounded();
+        let state = RosterState { roster: RefCell::default(), events };
+        (Self(Rc::new(state)), receiver)
+    }
+
+    /// Reports that an endpoint said in an answer that it is leaving.
+    pub fn report_leaving(&self, endpoint: EndpointId) {
+        // Fails only while the process is ending.
+        let _ = self.0.events.unbounded_send(RosterEvent::SaidLeaving(endpoint));
+    }
+
+    /// Whether an endpoint is known to be leaving, or has left.
+    pub fn has_left(&self, endpoint: &EndpointId) -> bool {
+        self.0.roster.borrow().has_left(endpoint)
+    }
+
     /// The replicas known here, for another instance.
     pub fn snapshot(&self) -> ReplicaSnapshot {
-        self.0.borrow().snapshot()
+        self.0.roster.borrow().snapshot()
     }
 
     /// Whether the platform's list of endpoints is unreachable, so that peers are polled instead.
     pub fn is_source_lost(&self) -> bool {
-        self.0.borrow().is_source_lost()
+        self.0.roster.borrow().is_source_lost()
     }
 
     /// The software version of all replicas of a pool that were listed within the last `span`, if
     /// there was only one.
     pub fn sole_version(&self, pool: &str, span: Duration) -> Option<SoleVersion> {
-        self.0.borrow().sole_version(pool, span, clock::now())
+        self.0.roster.borrow().sole_version(pool, span, clock::now())
     }
 
     /// Borrows the roster, for the task that updates it.
     pub(super) fn borrow(&self) -> Ref<'_, ReplicaRoster> {
-        self.0.borrow()
+        self.0.roster.borrow()
+    }
+
+    /// The sender of events to the task.
+    pub(super) fn events(&self) -> UnboundedSender<RosterEvent> {
+        self.0.events.clone()
     }
 
     /// Applies an event and returns the endpoints that changed.
@@ -43,6 +74,6 @@
         event: RosterEvent,
         now: Instant,
     ) -> Vec<(EndpointId, ReplicaChange)> {
-        self.0.borrow_mut().handle(event, now)
+        self.0.roster.borrow_mut().handle(event, now)
     }
 }
--- a/coltsfootgate/src/endpoints/task.rs
+++ b/coltsfootgate/src/endpoints/task.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender};
 use futures_util::StreamExt;
 use futures_util::future::{Either, select};
 use log::{info, warn};
@@ -35,19 +35,21 @@
     routes: RouteTable,
     readiness: ReadinessGate,
     roster: SharedRoster,
+    roster_events: UnboundedReceiver<RosterEvent>,
     active: Option<Rc<ActiveTree>>,
 }
 
 impl EndpointsTask {
-    /// Creates the task of an instance.
+    /// Creates the task of an instance; `roster_events` is the receiver that was created with the roster.
     pub fn new(
         tree: TreeHandle,
         owner: OwnerHandle,
         routes: RouteTable,
         readiness: ReadinessGate,
         roster: SharedRoster,
+        roster_events: UnboundedReceiver<RosterEvent>,
     ) -> Self {
-        Self { tree, owner, routes, readiness, roster, active: None }
+        Self { tree, owner, routes, readiness, roster, roster_events, active: None }
     }
 
     /// Runs until the process ends.
@@ -57,18 +59,15 @@
         poller: SnapshotPoller,
         metrics: DaemonMetrics,
     ) {
-        let (events, mut roster_events) = unbounded();
+        let events = self.roster.events();
         if D::ANNOUNCES {
             self.readiness.set_unready(UnreadyCause::NoEndpoints);
             monoio::spawn(poller.run(self.roster.clone(), events.clone()));
-            monoio::spawn(poll_directory(directory, events.clone(), metrics));
+            monoio::spawn(poll_directory(directory, events, metrics));
         }
         let mut trees = self.tree.subscribe();
-        // Keeps the channel open when endpoints do not announce themselves; a closed channel would
-        // end every wait at once.
-        let _events = events;
         loop {
-            let step = next_step(&mut trees, &mut roster_events).await;
+            let step = next_step(&mut trees, &mut self.roster_events).await;
             match step {
                 Some(Either::Left(active)) => {
                     self.active = Some(active);
--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 
 use coltsfootgate_core::membership::PeerProfile;
-use futures_channel::mpsc::unbounded;
+use coltsfootgate_core::roster::RosterEvent;
+use futures_channel::mpsc::{UnboundedReceiver, unbounded};
 use monoio::net::TcpListener;
 use serde_json::json;
 
@@ -70,8 +71,9 @@
     let members = starter.start_members(&tree);
     let claims = starter.start_claims(&tree, &members);
     let limits = starter.start_limits(&tree);
-    let roster = SharedRoster::default();
-    let (owner, context) = starter.start_routing(tree, &members, roster.clone(), claims, limits);
+    let (roster, roster_events) = SharedRoster::new();
+    let (owner, context) =
+        starter.start_routing(tree, &members, roster.clone(), roster_events, claims, limits);
     let pools = starter.follow_members(&members, &owner, &context);
     let quarantine = context.quarantine.clone();
     let status = build_status(settings, &members, pools, quarantine);
@@ -141,6 +143,7 @@
         tree: TreeHandle,
         members: &MembersHandle,
         roster: SharedRoster,
+        roster_events: UnboundedReceiver<RosterEvent>,
         claims: ClaimsHandle,
         limits: LimitHandle,
     ) -> (OwnerHandle, PipelineContext) {
@@ -151,7 +154,14 @@
         let streams = StreamRegister::new(own.clone(), self.peers.clone(), roster.clone());
         let routes = RouteTable::new(self.settings.zone.clone());
         let (task_owner, readiness) = (owner.clone(), self.readiness.clone());
-        let task = EndpointsTask::new(tree.clone(), task_owner, routes.clone(), readiness, roster);
+        let task = EndpointsTask::new(
+            tree.clone(),
+            task_owner,
+            routes.clone(),
+            readiness,
+            roster.clone(),
+            roster_events,
+        );
         let poller = SnapshotPoller::new(own.clone(), members.clone(), self.peers.clone());
         monoio::spawn(task.run(self.platform.clone(), poller, self.metrics.clone()));
         let owner_client = OwnerClient::new(own.clone(), owner.clone(), self.peers.clone());
@@ -164,6 +174,7 @@
             limits,
             claims,
             streams,
+            roster,
             quarantine: self.start_quarantine(members),
             buffers: BufferBudget::default(),
             endpoints: ConnectionPool::new(),
--- a/coltsfootgate/src/owner/desk.rs
+++ b/coltsfootgate/src/owner/desk.rs
@@ -87,6 +87,7 @@
             | PeerRequest::ReportServed(_)
             | PeerRequest::ShareQuarantine(_)
             | PeerRequest::CompareQuarantine(_)
+            | PeerRequest::ReportLeaving(_)
             | PeerRequest::TakeTrial(_)
             | PeerRequest::Claim { .. } => false,
         };
--- a/coltsfootgate/src/peer/dispatch.rs
+++ b/coltsfootgate/src/peer/dispatch.rs
@@ -98,6 +98,10 @@
                 self.quarantine.send(QuarantineMessage::Compared { from, digest });
                 let _ = reply.send(PeerReply::Accepted);
             }
+            PeerRequest::ReportLeaving(endpoint) => {
+                self.replicas.report_leaving(endpoint);
+                let _ = reply.send(PeerReply::Accepted);
+            }
             PeerRequest::TakeTrial(key) => {
                 let quarantine = self.quarantine.clone();
                 monoio::spawn(async move {
@@ -144,6 +148,7 @@
         | PeerRequest::ReportServed(_)
         | PeerRequest::ShareQuarantine(_)
         | PeerRequest::CompareQuarantine(_)
+        | PeerRequest::ReportLeaving(_)
         | PeerRequest::TakeTrial(_)
         | PeerRequest::Claim { .. } => true,
     }
--- a/coltsfootgate/src/pipeline/context.rs
+++ b/coltsfootgate/src/pipeline/context.rs
@@ -8,6 +8,7 @@
 use super::budget::BudgetTable;
 use crate::claims::ClaimsHandle;
 use crate::endpoint::ConnectionPool;
+use crate::endpoints::SharedRoster;
 use crate::limits::LimitHandle;
 use crate::metrics::DaemonMetrics;
 use crate::operators::RequestRecords;
@@ -35,7 +36,9 @@
     pub claims: ClaimsHandle,
     /// Where recent streams began.
     pub streams: StreamRegister,
-    /// The parts of prompts that crash endpoints.
+    /// The replicas that announced themselves.
+    pub roster: SharedRoster,
+    /// What crashes endpoints.
     pub quarantine: QuarantineHandle,
     /// The memory for answers that cannot be forwarded yet.
     pub buffers: BufferBudget,
--- a/coltsfootgate/src/pipeline/dispatch.rs
+++ b/coltsfootgate/src/pipeline/dispatch.rs
@@ -70,9 +70,9 @@
         timeout(time_left, sending).await.unwrap_or(Err(EndpointFailure::RequestTimeout))?;
     let checked = D::check_head(answer.status, &answer.headers, start.id);
     let is_own = checked != Err(EndpointFailure::Mismatched);
-    let notice = D::limit_notice(answer.status, &answer.headers).filter(|_| is_own);
+    let notice = D::answer_notice(answer.status, &answer.headers).filter(|_| is_own);
     if let Some(notice) = notice {
-        lease.observe_limit(notice, sent_at);
+        lease.observe_notice(notice, sent_at);
     }
     checked.map(|()| answer)
 }
--- a/coltsfootgate/src/pipeline/lease.rs
+++ b/coltsfootgate/src/pipeline/lease.rs
@@ -9,6 +9,8 @@
 
 use super::context::PipelineContext;
 use super::route::GrantSearch;
+use crate::dialect::AnswerNotice;
+use crate::endpoints::SharedRoster;
 use crate::metrics::DaemonMetrics;
 use crate::routes::{GrantSource, LeaseEntry, OwnerClient, RouteTable};
 
@@ -19,6 +21,7 @@
     entry: LeaseEntry,
     routes: RouteTable,
     owner_client: OwnerClient,
+    roster: SharedRoster,
     report: ReleaseReport,
     metrics: DaemonMetrics,
     /// The limit in requests a second that the endpoint's answer stated.
@@ -52,9 +55,29 @@
         self.report.between_tokens = measurements.between_tokens;
     }
 
-    /// Records what the head of the endpoint's answer to a request sent at `sent_at` states about
-    /// its limit.
-    pub fn observe_limit(&self, notice: LimitNotice, sent_at: Instant) {
+    /// Records what the head of the endpoint's answer to a request sent at `sent_at` states.
+    pub fn observe_notice(&self, notice: AnswerNotice, sent_at: Instant) {
+        self.observe_limit(notice.limit, sent_at);
+        if notice.is_leaving {
+            self.report_leaving();
+        }
+    }
+
+    /// Takes the endpoint out of service, here and at its owner.
+    fn report_leaving(&self) {
+        let endpoint = &self.endpoint.id;
+        if self.roster.has_left(endpoint) {
+            return;
+        }
+        log::info!("endpoint {endpoint} says in an answer that it is leaving");
+        let owner = self.routes.owner_of(endpoint);
+        self.roster.report_leaving(endpoint.clone());
+        if let Some(owner) = owner {
+            self.owner_client.report_leaving(&owner, endpoint);
+        }
+    }
+
+    fn observe_limit(&self, notice: LimitNotice, sent_at: Instant) {
         self.metrics.limit_noticed(notice.name());
         self.limit.set(notice.rate());
         if notice == LimitNotice::Malformed {
@@ -118,6 +141,7 @@
         entry,
         routes: context.routes.clone(),
         owner_client: context.owner_client.clone(),
+        roster: context.roster.clone(),
         report,
         metrics: context.metrics.clone(),
         limit: Cell::default(),
--- a/coltsfootgate/src/routes/link.rs
+++ b/coltsfootgate/src/routes/link.rs
@@ -4,7 +4,7 @@
 
 use coltsfootgate_core::endpoint_limit::LimitStatement;
 use coltsfootgate_core::owner::{GrantAnswer, GrantRequest, HeldGrant, ReleaseReport};
-use coltsfootgate_core::prelude::{GrantId, InstanceId, PoolId};
+use coltsfootgate_core::prelude::{EndpointId, GrantId, InstanceId, PoolId};
 use coltsfootgate_wire::{PeerReply, PeerRequest};
 use monoio::time::sleep;
 
@@ -146,6 +146,13 @@
         }
     }
 
+    /// Tells an endpoint's owner that the endpoint said in an answer that it is leaving.
+    pub fn report_leaving(&self, owner: &InstanceId, endpoint: &EndpointId) {
+        if *owner != self.own {
+            self.notify(owner, PeerRequest::ReportLeaving(endpoint.clone()));
+        }
+    }
+
     fn cancel(&self, source: &GrantSource, pool: &PoolId, grant: GrantId) {
         let (pool, requester) = (pool.clone(), self.own.clone());
         if let Some(scope) = self.local_scope(source) {
--- a/coltsfootgate_core/src/roster.rs
+++ b/coltsfootgate_core/src/roster.rs
@@ -80,6 +80,8 @@
     Withdrawn(Arc<str>),
     /// The source does not answer.
     SourceLost,
+    /// An endpoint said in an answer that it is leaving.
+    SaidLeaving(EndpointId),
     /// Another instance sent its snapshot.
     PeerSnapshot(ReplicaSnapshot),
     /// Time passed.
@@ -161,6 +163,7 @@
                 self.is_source_lost = true;
                 self.complete_since = None;
             }
+            RosterEvent::SaidLeaving(endpoint) => self.leave(endpoint, now, &mut changes),
             RosterEvent::PeerSnapshot(snapshot) => self.merge_snapshot(snapshot, now, &mut changes),
             RosterEvent::Tick => {}
         }
@@ -189,6 +192,11 @@
         pools
     }
 
+    /// Whether an endpoint is known to be leaving, or has left.
+    pub fn has_left(&self, endpoint: &EndpointId) -> bool {
+        self.left.contains_key(endpoint)
+    }
+
     /// Whether the source is unreachable.
     pub fn is_source_lost(&self) -> bool {
         self.is_source_lost
--- a/coltsfootgate_core/tests/roster.rs
+++ b/coltsfootgate_core/tests/roster.rs
@@ -231,3 +231,21 @@
     assert_eq!(sole(returned + Duration::from_secs(29)), version(false));
     assert_eq!(sole(returned + VERSION_SPAN), version(true));
 }
+
+/// The source may list a replica as ready, or its announcement may return, after it said that it leaves.
+#[rstest]
+#[case::announced_again(RosterEvent::Announced(replica("a", 1, 2)), &[])]
+#[case::listed(RosterEvent::Listed(vec![replica("a", 1, 2)]), &[])]
+#[case::announced_to_a_peer(RosterEvent::PeerSnapshot(peer_snapshot(&["a"], &[])), &[])]
+#[case::restarted(RosterEvent::Announced(replica("a", 2, 1)), &["a@2"])]
+fn an_endpoint_that_said_that_it_leaves_stays_out_of_service(
+    #[case] event: RosterEvent,
+    #[case] expected: &[&str],
+) {
+    let mut roster = listed_roster(vec![replica("a", 1, 1)]);
+    let changes = roster.handle(RosterEvent::SaidLeaving("a@1".into()), *START);
+    assert_eq!(changes, [("a@1".into(), ReplicaChange::Leaving)]);
+    assert!(roster.has_left(&"a@1".into()));
+    roster.handle(event, *START);
+    assert_eq!(serving(&roster), expected);
+}
--- a/coltsfootgate_wire/src/message.rs
+++ b/coltsfootgate_wire/src/message.rs
@@ -6,7 +6,7 @@
 use coltsfootgate_core::claim::page::{ClaimChange, ClaimVerdict};
 use coltsfootgate_core::endpoint_limit::LimitStatement;
 use coltsfootgate_core::head::TreeHead;
-use coltsfootgate_core::ids::{GrantId, InstanceId, PoolId};
+use coltsfootgate_core::ids::{EndpointId, GrantId, InstanceId, PoolId};
 use coltsfootgate_core::limit::{LimitSlice, SliceRequest};
 use coltsfootgate_core::membership::PeerHeartbeat;
 use coltsfootgate_core::owner::{
@@ -102,6 +102,8 @@
     CompareQuarantine(u64),
     /// Asks whether a request may be sent to try a blocked cause.
     TakeTrial(CauseKey),
+    /// Reports that an endpoint said in an answer that it is leaving.
+    ReportLeaving(EndpointId),
     /// Fetches the head of the tree in force.
     FetchHead,
     /// Fetches a value of the tree in force by its digest.
@@ -137,6 +139,7 @@
             Self::ReportServed(_) => "report-served",
             Self::ShareQuarantine(_) => "share-quarantine",
             Self::CompareQuarantine(_) => "compare-quarantine",
+            Self::ReportLeaving(_) => "report-leaving",
             Self::TakeTrial(_) => "take-trial",
             Self::FetchHead => "fetch-head",
             Self::FetchObject(_) => "fetch-object",
--- a/coltsfootgate_wire/src/wire.rs
+++ b/coltsfootgate_wire/src/wire.rs
@@ -46,6 +46,7 @@
     ShareQuarantine(WireNotice),
     CompareQuarantine(u64),
     TakeTrial(WireCauseKey),
+    ReportLeaving(Arc<str>),
     FetchHead,
     FetchObject(Arc<str>),
     FetchReplicas,
@@ -125,6 +126,7 @@
                 Self::ShareQuarantine(TimedMessage { message: notice, now }.into())
             }
             PeerRequest::CompareQuarantine(digest) => Self::CompareQuarantine(digest),
+            PeerRequest::ReportLeaving(endpoint) => Self::ReportLeaving(endpoint),
             PeerRequest::TakeTrial(key) => Self::TakeTrial(key.into()),
             PeerRequest::FetchHead => Self::FetchHead,
             PeerRequest::FetchReplicas => Self::FetchReplicas,
@@ -191,6 +193,9 @@
                 Self::ShareQuarantine(TimedMessage { message: notice, now }.try_into()?)
             }
             WireRequest::CompareQuarantine(digest) => Self::CompareQuarantine(digest),
+            WireRequest::ReportLeaving(endpoint) => {
+                Self::ReportLeaving(check_name(endpoint, "endpoint")?)
+            }
             WireRequest::TakeTrial(key) => Self::TakeTrial(key.try_into()?),
             WireRequest::FetchHead => Self::FetchHead,
             WireRequest::FetchReplicas => Self::FetchReplicas,
--- a/coltsfootgate_wire/tests/messages.rs
+++ b/coltsfootgate_wire/tests/messages.rs
@@ -175,6 +175,7 @@
             PeerRequest::ShareQuarantine(QuarantineNotice { entries, watched: vec![cause_key()] })
         }
         "compare-quarantine" => PeerRequest::CompareQuarantine(u64::MAX),
+        "report-leaving" => PeerRequest::ReportLeaving("i-1@7".into()),
         "take-trial" => PeerRequest::TakeTrial(cause_key()),
         "head" => PeerRequest::FetchHead,
         "replicas" => PeerRequest::FetchReplicas,
@@ -199,6 +200,7 @@
         "report-served",
         "share-quarantine",
         "compare-quarantine",
+        "report-leaving",
         "take-trial",
         "head",
         "object",
