Leave a replica alone for as long as it asks when it turns requests away

Requests went on as before, each turned away and sent to another replica.

Cause: the header was not read.

Why it works: the entry instance keeps the rests that it was asked for, excludes those endpoints from its grant requests (as many as a request may exclude) and returns grants for the others unused. Owners need not know: the replica speaks to one instance. If all endpoints of a pool rest, a refusal says when the first is back.

--- a/coltsfootgate/src/dialect/mod.rs
+++ b/coltsfootgate/src/dialect/mod.rs
@@ -140,6 +140,8 @@
     pub limit: LimitNotice,
     /// Whether the endpoint is shutting down and wants no new requests.
     pub is_leaving: bool,
+    /// The time for which an endpoint that turned the request away wants none from this instance.
+    pub rest: Option<Duration>,
 }
 
 /// Checks that an answer echoes the id of the attempt.
--- a/coltsfootgate/src/pipeline/admit.rs
+++ b/coltsfootgate/src/pipeline/admit.rs
@@ -7,6 +7,7 @@
 use coltsfootgate_core::owner::{EngineReservation, GrantRequest, HeldGrant};
 use coltsfootgate_core::prelude::{EndpointId, EndpointSettings, ErrorKind, SoftwareVersion};
 use coltsfootgate_core::prompt::PromptLoad;
+use coltsfootgate_wire::EXCLUDED_MAX;
 use futures_util::future::{Either, select};
 
 use super::classify::ClassifiedRequest;
@@ -35,7 +36,7 @@
 /// Waits until a grant arrives, the deadline passes or the caller disconnects.
 ///
 /// An owner may add an endpoint shortly before this instance does, or not know its limit yet. A grant
-/// for an endpoint that is unknown here, has another version here, or for which the limit known here
+/// for an endpoint that is unknown here, has another version here, rests, or for which the limit known here
 /// leaves no request, is released, and a grant for another endpoint is requested.
 ///
 /// # Errors
@@ -55,12 +56,12 @@
             Err(UnusableGrant(endpoint)) => needs.excluded.push(endpoint),
         }
     }
-    let message = "the granted endpoints are not known here, or their limits are used up";
+    let message = "the granted endpoints are not known here, rest, or their limits are used up";
     Err(refusal(request, ErrorKind::NoEndpoint, message))
 }
 
-/// The endpoint of a grant that cannot be used: it is not known here with the needed version, or its
-/// limit is used up.
+/// The endpoint of a grant that cannot be used: it is not known here with the needed version, it rests, or
+/// its limit is used up.
 struct UnusableGrant(EndpointId);
 
 async fn try_admit(
@@ -109,7 +110,8 @@
         GrantResult::Refused { kind, pressure } => {
             journal.record_wait(search_started.elapsed());
             let expected_wait = pressure.expected_wait(template.rank());
-            let delay = retry_after_delay(kind, expected_wait, rand::random());
+            let rest = context.routes.rest_of_pool(&request.pool.id).unwrap_or_default();
+            let delay = retry_after_delay(kind, expected_wait.max(rest), rand::random());
             Err(refusal(request, kind, &capacity_message(kind, request)).with_retry_after(delay))
         }
     }
@@ -149,11 +151,22 @@
         deadline: request.deadline,
         prefix: request.prefix,
         version: needs.version.clone(),
-        excluded: needs.excluded.clone(),
+        excluded: excluded_endpoints(context, request, needs),
         wait: true,
     }
 }
 
+/// The endpoints that must not be granted: those that failed the request, and those that rest.
+fn excluded_endpoints(
+    context: &PipelineContext,
+    request: &ClassifiedRequest,
+    needs: &EndpointNeeds,
+) -> Vec<EndpointId> {
+    let resting = context.routes.resting(&request.pool.id).into_iter().map(|(id, _)| id);
+    let resting = resting.filter(|id| !needs.excluded.contains(id));
+    needs.excluded.iter().cloned().chain(resting).take(EXCLUDED_MAX).collect()
+}
+
 /// The load that a request puts on an engine; zero if its pool has no engines.
 fn prompt_load(request: &ClassifiedRequest) -> PromptLoad {
     if !request.pool.is_engine() {
@@ -179,7 +192,8 @@
     let endpoint = context.routes.endpoint(&entry.pool, &entry.held.endpoint)?;
     // The owner may know another process at the endpoint's address than this instance.
     let has_version = needs.version.is_none() || endpoint.version == needs.version;
-    let is_allowed = has_version && (is_paced || context.routes.admit_unpaced(&endpoint.id));
+    let is_wanted = has_version && !context.routes.is_resting(&endpoint.id);
+    let is_allowed = is_wanted && (is_paced || context.routes.admit_unpaced(&endpoint.id));
     is_allowed.then_some(endpoint)
 }
 
--- a/coltsfootgate/src/pipeline/lease.rs
+++ b/coltsfootgate/src/pipeline/lease.rs
@@ -61,6 +61,10 @@
         if notice.is_leaving {
             self.report_leaving();
         }
+        if let Some(time) = notice.rest {
+            log::info!("endpoint {} wants no requests for {time:?}", self.endpoint.id);
+            self.routes.record_rest(&self.endpoint.id, time);
+        }
     }
 
     /// Takes the endpoint out of service, here and at its owner.
--- a/coltsfootgate/src/routes/mod.rs
+++ b/coltsfootgate/src/routes/mod.rs
@@ -16,6 +16,7 @@
     EndpointId, EndpointSettings, InstanceId, PoolId, PoolSettings, RoutingStrategy, ZoneName,
 };
 use coltsfootgate_core::rendezvous::OwnerTable;
+use coltsfootgate_core::rest::RestBook;
 use coltsfootgate_core::routing::{
     OwnerLocation, RequestRoute, RoutePolicy, RouteReply, RouteStep, SelectedPolicy,
 };
@@ -87,6 +88,7 @@
     draining: HashSet<Arc<str>>,
     leases: LeaseTable,
     limits: LimitBook,
+    rests: RestBook,
 }
 
 impl RouteTable {
@@ -103,6 +105,7 @@
             draining: HashSet::new(),
             leases: LeaseTable::default(),
             limits: LimitBook::default(),
+            rests: RestBook::default(),
         })))
     }
 
@@ -226,6 +229,42 @@
         self.0.borrow_mut().limits.admit(endpoint, Instant::now())
     }
 
+    /// Records that an endpoint wants no requests from this instance for a time.
+    pub fn record_rest(&self, endpoint: &EndpointId, time: Duration) {
+        self.0.borrow_mut().rests.record(endpoint.clone(), time, Instant::now());
+    }
+
+    /// Whether an endpoint wants no requests from this instance now.
+    pub fn is_resting(&self, endpoint: &EndpointId) -> bool {
+        self.0.borrow().rests.remaining(endpoint, Instant::now()).is_some()
+    }
+
+    /// Returns the endpoints of a pool that want no requests from this instance now, with the time that
+    /// each still rests.
+    pub fn resting(&self, pool: &str) -> Vec<(EndpointId, Duration)> {
+        let state = self.0.borrow();
+        if state.rests.is_empty() {
+            return Vec::new();
+        }
+        let Some(pool) = state.pools.as_ref().and_then(|pools| pools.pool(pool)) else {
+            return Vec::new();
+        };
+        let now = Instant::now();
+        let endpoints = pool.endpoints.iter().map(|endpoint| &endpoint.id);
+        let resting =
+            endpoints.filter_map(|id| Some((id.clone(), state.rests.remaining(id, now)?)));
+        resting.collect()
+    }
+
+    /// Returns the time until an endpoint of a pool is back if all of them rest.
+    pub fn rest_of_pool(&self, pool: &str) -> Option<Duration> {
+        let resting = self.resting(pool);
+        let state = self.0.borrow();
+        let endpoints = state.pools.as_ref()?.pool(pool)?.endpoints.len();
+        let first_back = resting.iter().map(|(_, remaining)| *remaining).min();
+        first_back.filter(|_| resting.len() == endpoints)
+    }
+
     /// Returns the limit of an endpoint as this instance observed it.
     pub fn known_limit(&self, endpoint: &EndpointId) -> Option<LimitStatement> {
         let limits = self.0.borrow().limits.known(Instant::now());
--- a/coltsfootgate_core/src/lib.rs
+++ b/coltsfootgate_core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod quarantine;
 pub mod reason;
 pub mod rendezvous;
+pub mod rest;
 pub mod retry;
 pub mod roster;
 pub mod routing;
--- a/coltsfootgate_wire/src/grant.rs
+++ b/coltsfootgate_wire/src/grant.rs
@@ -21,7 +21,7 @@
 };
 
 /// Maximum number of endpoints that one grant request may exclude.
-const EXCLUDED_MAX: usize = 64;
+pub const EXCLUDED_MAX: usize = 64;
 /// Maximum number of prompt parts in one grant request.
 pub const PARTS_MAX: usize = 64;
 
--- a/coltsfootgate_wire/src/lib.rs
+++ b/coltsfootgate_wire/src/lib.rs
@@ -21,7 +21,7 @@
 pub use self::frame::{
     MESSAGE_BYTES_MAX, decode_reply, decode_request, encode_reply, encode_request,
 };
-pub use self::grant::PARTS_MAX;
+pub use self::grant::{EXCLUDED_MAX, PARTS_MAX};
 pub use self::message::{PeerReply, PeerRequest, PoolPressure};
 pub use self::proof::{
     CHALLENGE_BYTES, ChallengeFrame, HELLO_BYTES, HelloFrame, PROOF_BYTES, PROTOCOL_VERSION,
