--- a/coltsfootgate_core/src/quarantine/ledger.rs
+++ b/coltsfootgate_core/src/quarantine/ledger.rs
@@ -23,6 +23,9 @@
 const DECISION_DELAY: Duration = Duration::from_millis(150);
 /// Time for the trial of a blocked cause, in which nothing else in its pool is blocked.
 const TRIAL_WAIT_MAX: Duration = Duration::from_secs(1);
+/// Time for which the crashes under a blocked cause count for no other suspect although it was not tried yet:
+/// all endpoints may be down, or no request with it may come.
+const PENDING_TIME_MAX: Duration = Duration::from_secs(60);
 /// Maximum number of possible causes of which instances report that they serve them; those whose last crash is
 /// oldest are left out.
 const WATCHED_MAX: usize = 256;
@@ -126,8 +129,9 @@
     }
 
     /// When it may be blocked; `None` if too few endpoints crashed.
-    fn due(&self) -> Option<Instant> {
-        let last = self.counted.get(CRASHES_TO_BLOCK - 1)?;
+    fn due(&self, is_explained: impl Fn(&EndpointId) -> bool) -> Option<Instant> {
+        let mut unexplained = self.counted.iter().filter(|crash| !is_explained(&crash.endpoint));
+        let last = unexplained.nth(CRASHES_TO_BLOCK - 1)?;
         Some(last.at + DECISION_DELAY)
     }
 }
@@ -192,26 +196,34 @@
 
     /// Whether a decision is or will be due without a further crash.
     pub fn is_deciding(&self) -> bool {
-        self.suspects.values().any(|suspect| suspect.due().is_some())
+        self.suspects.values().any(|suspect| suspect.due(|_| false).is_some())
     }
 
     /// Chooses the next cause to block, if a decision is due.
     ///
+    /// Crashes count for none but the cause that was blocked for them until that was tried. All suspects
+    /// with enough crashes are compared, also those that are not due by themselves: a cause that few
+    /// requests have is due later than a part that all of them share.
+    ///
     /// Among the suspects under which most endpoints crashed, it is the one that was served least recently or
     /// never.
     pub fn decide(&mut self, now: Instant) -> Option<BlockDecision> {
         for pending in self.pending.values_mut() {
-            pending.retain(|one| now < one.since + TRIAL_WAIT_MAX);
+            pending.retain(|one| now < one.since + PENDING_TIME_MAX);
         }
         let is_due = |key: &CauseKey, suspect: &Suspect| {
-            suspect.due().is_some_and(|due| now >= due) && self.may_block(key)
+            let due = suspect.due(|endpoint| self.is_explained(key, endpoint));
+            due.is_some_and(|due| now >= due) && self.may_block(key, now)
         };
         let (due, _) = self.suspects.iter().find(|(key, suspect)| is_due(key, suspect))?;
-        let candidates: Vec<_> = self
-            .suspects
-            .iter()
-            .filter(|(key, one)| key.pool == due.pool && one.due().is_some() && self.may_block(key))
-            .collect();
+        let is_candidate = |key: &CauseKey, suspect: &Suspect| {
+            let unexplained = suspect.endpoints.iter().filter(|one| !self.is_explained(key, one));
+            key.pool == due.pool
+                && unexplained.count() >= CRASHES_TO_BLOCK
+                && self.may_block(key, now)
+        };
+        let candidates: Vec<_> =
+            self.suspects.iter().filter(|(key, suspect)| is_candidate(key, suspect)).collect();
         let most = candidates.iter().map(|(_, suspect)| suspect.endpoints.len()).max()?;
         let (key, _) = candidates
             .into_iter()
@@ -229,15 +241,22 @@
         Some(decision)
     }
 
+    /// Whether a blocked cause that was not tried yet is held to have crashed an endpoint, and not a suspect.
+    fn is_explained(&self, suspect: &CauseKey, endpoint: &EndpointId) -> bool {
+        let pending = self.pending.get(&suspect.pool).into_iter().flatten();
+        let mut others = pending.filter(|one| !are_requests(one, suspect));
+        others.any(|one| one.decision.endpoints.contains(endpoint))
+    }
+
     /// Whether a suspect may be blocked although trials are awaited in its pool.
     ///
     /// A part waits for them, since what it is suspected of may be explained by then; a wrong block
     /// would refuse many requests. Requests are blocked together, since one that still crashes endpoints
     /// would end the trials of the others.
-    fn may_block(&self, key: &CauseKey) -> bool {
-        let is_request = |cause: CrashCause| matches!(cause, CrashCause::Request(_));
-        let mut pending = self.pending.get(&key.pool).into_iter().flatten();
-        pending.all(|one| is_request(one.decision.key.cause) && is_request(key.cause))
+    fn may_block(&self, key: &CauseKey, now: Instant) -> bool {
+        let pending = self.pending.get(&key.pool).into_iter().flatten();
+        let mut awaited = pending.filter(|one| now < one.since + TRIAL_WAIT_MAX);
+        awaited.all(|one| are_requests(one, key))
     }
 
     /// Begins the trial of a blocked cause; returns whether it has begun.
@@ -309,3 +328,9 @@
         }
     }
 }
+
+/// Whether both a blocked cause and a suspect are whole requests, which are blocked together.
+fn are_requests(pending: &PendingBlock, suspect: &CauseKey) -> bool {
+    let is_request = |cause: CrashCause| matches!(cause, CrashCause::Request(_));
+    is_request(pending.decision.key.cause) && is_request(suspect.cause)
+}
