--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -177,9 +177,9 @@
     caller: &mut CallerLink,
     journal: &mut RequestJournal,
 ) -> Result<GrantLease, Refusal> {
-    check_quarantine(context, request)?;
+    check_quarantine(context, request, journal)?;
     let lease = admit_request(context, request, needs, caller, journal).await?;
-    if let Err(refusal) = confirm_quarantine(context, request).await {
+    if let Err(refusal) = confirm_quarantine(context, request, journal).await {
         lease.release_unsent();
         return Err(refusal);
     }
--- a/coltsfootgate/src/pipeline/quarantine.rs
+++ b/coltsfootgate/src/pipeline/quarantine.rs
@@ -13,6 +13,7 @@
 use super::admit::refusal;
 use super::classify::ClassifiedRequest;
 use super::context::PipelineContext;
+use super::journal::RequestJournal;
 use super::relay::RelayEnd;
 use crate::endpoint::EndpointFailure;
 use crate::entry::Refusal;
@@ -31,10 +32,12 @@
 pub fn check_quarantine(
     context: &PipelineContext,
     request: &ClassifiedRequest,
+    journal: &mut RequestJournal,
 ) -> Result<(), Refusal> {
     match send_verdict(context, request) {
         SendVerdict::Free | SendVerdict::Trial(_) => Ok(()),
         SendVerdict::Blocked { key, crashes, retry_delay } => {
+            journal.record_digest(request);
             Err(block_refusal(request, &key, crashes, retry_delay))
         }
     }
@@ -49,14 +52,16 @@
 pub async fn confirm_quarantine(
     context: &PipelineContext,
     request: &ClassifiedRequest,
+    journal: &mut RequestJournal,
 ) -> Result<(), Refusal> {
     if let SendVerdict::Trial(key) = send_verdict(context, request) {
+        journal.record_digest(request);
         return match context.quarantine.take_trial(key.clone()).await {
             true => Ok(()),
             false => Err(block_refusal(request, &key, 0, RETRY_DELAY_MIN)),
         };
     }
-    check_quarantine(context, request)
+    check_quarantine(context, request, journal)
 }
 
 /// Reports what the end of an attempt shows about the possible causes of crashes in a request.
--- a/coltsfootgate/src/pipeline/record.rs
+++ b/coltsfootgate/src/pipeline/record.rs
@@ -26,7 +26,7 @@
     pub shared_parts: Vec<String>,
     /// The endpoints whose connections were lost while they had the request.
     pub lost_endpoints: Vec<String>,
-    /// The digest by which its repeats are recognized, if an endpoint was lost or it is blocked.
+    /// The digest by which its repeats are recognized, if an endpoint was lost or something in it is blocked.
     pub request_digest: Option<String>,
     /// The endpoint of its last attempt.
     pub endpoint: Option<String>,
--- a/coltsfootgate/src/platform/client.rs
+++ b/coltsfootgate/src/platform/client.rs
@@ -56,7 +56,8 @@
     /// Sends a request and reads the whole response.
     ///
     /// `timeout` limits the time to the response and then each silence, so that a large response on a
-    /// slow link is read to its end; the whole call may take [`CALL_TIMEOUTS_MAX`] times as long. A call that times out closes its connection, so a connection whose server stopped responding
+    /// slow link is read to its end; the whole call may take [`CALL_TIMEOUTS_MAX`] times as long. A
+    /// call that times out closes its connection, so a connection whose server stopped responding
     /// is never reused.
     ///
     /// # Errors
--- a/coltsfootgate/src/routes/mod.rs
+++ b/coltsfootgate/src/routes/mod.rs
@@ -242,14 +242,13 @@
     /// Returns the endpoints of a pool that want no requests from this instance now, with the time that
     /// each still rests.
     pub fn resting(&self, pool: &str) -> Vec<(EndpointId, Duration)> {
-        let state = self.0.borrow();
-        if state.rests.is_empty() {
+        let (state, now) = (self.0.borrow(), Instant::now());
+        if !state.rests.is_any_resting(now) {
             return Vec::new();
         }
         let Some(pool) = state.pools.as_ref().and_then(|pools| pools.pool(pool)) else {
             return Vec::new();
         };
-        let now = Instant::now();
         let endpoints = pool.endpoints.iter().map(|endpoint| &endpoint.id);
         let resting =
             endpoints.filter_map(|id| Some((id.clone(), state.rests.remaining(id, now)?)));
--- a/coltsfootgate_core/src/rest.rs
+++ b/coltsfootgate_core/src/rest.rs
@@ -19,6 +19,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct RestBook {
     until: HashMap<EndpointId, Instant>,
+    /// The latest of these times.
+    latest: Option<Instant>,
 }
 
 impl RestBook {
@@ -27,6 +29,7 @@
         self.until.retain(|_, until| *until > now);
         let until = self.until.entry(endpoint).or_insert(now);
         *until = (now + time).max(*until);
+        self.latest = self.latest.max(Some(*until));
     }
 
     /// The time that an endpoint still rests; `None` if it does not.
@@ -35,8 +38,8 @@
         Some(until.duration_since(now))
     }
 
-    /// Whether no endpoint rests.
-    pub fn is_empty(&self) -> bool {
-        self.until.is_empty()
+    /// Whether any endpoint rests.
+    pub fn is_any_resting(&self, now: Instant) -> bool {
+        self.latest.is_some_and(|latest| latest > now)
     }
 }
--- a/coltsfootgate_core/tests/rest.rs
+++ b/coltsfootgate_core/tests/rest.rs
@@ -32,6 +32,8 @@
     assert_eq!(book.remaining(&"a".into(), now + seconds(4)), Some(seconds(1)));
     assert_eq!(book.remaining(&"a".into(), now + seconds(5)), None);
     assert_eq!(book.remaining(&"b".into(), now), None);
+    assert!(book.is_any_resting(now + seconds(4)));
+    assert!(!book.is_any_resting(now + seconds(5)));
     book.record("b".into(), seconds(1), now + seconds(9));
     assert_eq!(book.remaining(&"a".into(), now + seconds(4)), None, "ended rests are dropped");
 }
