Tell callers the end of a pool's rest within a second

What callers saw: a replica turned everything away with Retry-After: 3, and callers were told to come back after up to 4.5 s, 1.5 s after the replica was back.

Cause: the rest, whose end is known, was passed as the time until a queue is served, an estimate that gets up to half of itself as jitter.

Why it works: the jitter after the end of a rest is bounded by a second, which still spreads callers.

--- a/coltsfootgate/src/pipeline/admit.rs
+++ b/coltsfootgate/src/pipeline/admit.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use coltsfootgate_core::comeback::retry_after_delay;
+use coltsfootgate_core::comeback::{rest_end_delay, retry_after_delay};
 use coltsfootgate_core::owner::{EngineReservation, GrantRequest, HeldGrant};
 use coltsfootgate_core::prelude::{EndpointId, EndpointSettings, ErrorKind, SoftwareVersion};
 use coltsfootgate_core::prompt::PromptLoad;
@@ -109,9 +109,10 @@
         }
         GrantResult::Refused { kind, pressure } => {
             journal.record_wait(search_started.elapsed());
-            let expected_wait = pressure.expected_wait(template.rank());
+            let queue_time = pressure.expected_wait(template.rank());
             let rest = context.routes.rest_of_pool(&request.pool.id).unwrap_or_default();
-            let delay = retry_after_delay(kind, expected_wait.max(rest), rand::random());
+            let delay = retry_after_delay(kind, queue_time, rand::random())
+                .max(rest_end_delay(rest, rand::random()));
             Err(refusal(request, kind, &capacity_message(kind, request)).with_retry_after(delay))
         }
     }
--- a/coltsfootgate_core/src/comeback.rs
+++ b/coltsfootgate_core/src/comeback.rs
@@ -16,6 +16,8 @@
 const NO_ENDPOINT_DELAY_MIN: Duration = Duration::from_millis(500);
 /// Maximum jitter, as a share of the delay.
 const JITTER: f64 = 0.5;
+/// Maximum jitter after the end of a rest, which is known and needs no estimate.
+const REST_JITTER_MAX: Duration = Duration::from_secs(1);
 
 /// The delay before a retry, where `queue_time` is the time until the queue ahead is served.
 ///
@@ -28,3 +30,12 @@
     let delay = queue_time.max(minimum).mul_f64(1.0 + JITTER * random.clamp(0.0, 1.0));
     delay.min(DELAY_MAX)
 }
+
+/// The delay before a retry in a pool whose endpoints all want no requests for the time `rest`.
+///
+/// `random` lies between 0 and 1, as for [`retry_after_delay`].
+pub fn rest_end_delay(rest: Duration, random: f64) -> Duration {
+    let jitter = rest.mul_f64(JITTER).min(REST_JITTER_MAX);
+    let delay = rest + jitter.mul_f64(random.clamp(0.0, 1.0));
+    delay.min(DELAY_MAX)
+}
--- a/coltsfootgate_core/tests/comeback.rs
+++ b/coltsfootgate_core/tests/comeback.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use coltsfootgate_core::comeback::retry_after_delay;
+use coltsfootgate_core::comeback::{rest_end_delay, retry_after_delay};
 use coltsfootgate_core::reason::ErrorKind;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -43,3 +43,22 @@
         assert!(delay >= Duration::from_millis(50) && delay <= SECOND * 10, "{delay:?}");
     }
 }
+
+/// The end of a rest is known: callers are spread, but no caller waits long for endpoints that are back.
+#[rstest]
+#[case::short(SECOND / 4)]
+#[case::seconds(SECOND * 3)]
+#[case::long(SECOND * 8)]
+fn callers_return_soon_after_the_end_of_a_rest(#[case] rest: Duration) {
+    let mut random = StdRng::seed_from_u64(7);
+    let mut delays: Vec<Duration> =
+        (0..1000).map(|_| rest_end_delay(rest, random.random())).collect();
+    delays.sort();
+    let (first, last) = (delays[0], delays[999]);
+    assert!(first >= rest, "{first:?} is before the end");
+    assert!(last <= rest + SECOND, "{last:?} is long after the end");
+    let width = last - first;
+    assert!(width >= (rest / 3).min(SECOND * 9 / 10), "all callers within {width:?}");
+    let densest = delays.windows(100).map(|window| window[99] - window[0]).min().unwrap();
+    assert!(densest >= width / 50, "100 callers within {densest:?}");
+}
