Show how many requests an owner refuses as too late, and the answer time it expects

An owner that refuses requests because their answers would be late logged nothing: its line a second came only while requests wait. No decision changes.

--- a/coltsfootgate/src/owner/report.rs
+++ b/coltsfootgate/src/owner/report.rs
@@ -24,7 +24,8 @@
     logged_at: Instant,
 }
 
-/// Counts the decisions of owners, and logs one line a second for each pool with waiting requests.
+/// Counts the decisions of owners, and logs one line a second for each pool with waiting requests or with
+/// requests that were refused since their answers would be late.
 #[derive(Debug)]
 pub struct OwnerReporter {
     metrics: DaemonMetrics,
@@ -66,22 +67,26 @@
         let change = snapshot.activity.since(&reported.counted);
         reported.counted = snapshot.activity;
         self.metrics.owner_decided(&snapshot.pool, &change);
-        if snapshot.first_waiting.is_none() || now < reported.logged_at + LINE_PERIOD {
+        let change = snapshot.activity.since(&reported.logged);
+        let is_quiet = snapshot.first_waiting.is_none() && change.late_refusals == 0;
+        if is_quiet || now < reported.logged_at + LINE_PERIOD {
             return;
         }
-        let change = snapshot.activity.since(&reported.logged);
         reported.logged = snapshot.activity;
         reported.logged_at = now;
         info!("{}", waiting_line(snapshot, &change));
     }
 }
 
-/// Describes an owner whose requests wait.
+/// Describes an owner whose requests wait or are refused.
 fn waiting_line(snapshot: &OwnerSnapshot, change: &OwnerActivity) -> String {
     let waiting: u32 = snapshot.pressure.waiting.by_tier().iter().sum();
     let first = snapshot.first_waiting.map_or_else(String::new, |((tier, class_tier), waited)| {
-        format!("first of tier {tier}, class tier {class_tier}, for {} ms", waited.as_millis())
+        format!(", first of tier {tier}, class tier {class_tier}, for {} ms", waited.as_millis())
     });
+    let answer_time = snapshot
+        .answer_time
+        .map_or_else(|| "unknown".to_owned(), |time| format!("{} ms", time.as_millis()));
     let causes = DeferralCause::ALL.map(DeferralCause::name);
     let deferrals: Vec<String> = causes
         .iter()
@@ -91,9 +96,11 @@
     let (grants, overtaking) = (change.grants, change.overtaking_grants);
     let pressure = &snapshot.pressure;
     format!(
-        "pool {}: {waiting} requests wait, {first}; granted {grants}, of these {overtaking} before \
-         one of a higher rank; deferred: {}; slots free {} of {}; {}",
+        "pool {}: {waiting} requests wait{first}; granted {grants}, of these {overtaking} before \
+         one of a higher rank; refused as too late {}, time of answers or tokens {answer_time}; \
+         deferred: {}; slots free {} of {}; {}",
         snapshot.pool,
+        change.late_refusals,
         deferrals.join(", "),
         pressure.free_slots,
         pressure.slots,
--- a/coltsfootgate_core/src/owner/activity.rs
+++ b/coltsfootgate_core/src/owner/activity.rs
@@ -46,6 +46,8 @@
     pub overtaking_grants: u64,
     /// Failed placement attempts of waiting requests, in the order of [`DeferralCause::ALL`].
     pub deferrals: [u64; DeferralCause::ALL.len()],
+    /// Requests refused since their answers were expected to end after their deadlines.
+    pub late_refusals: u64,
 }
 
 impl OwnerActivity {
@@ -60,6 +62,11 @@
         self.deferrals[cause as usize] += 1;
     }
 
+    /// Counts a request whose answer would be late.
+    pub fn record_late_refusal(&mut self) {
+        self.late_refusals += 1;
+    }
+
     /// The counts since an earlier state of the same owner.
     pub fn since(&self, earlier: &Self) -> Self {
         let deferrals = std::array::from_fn(|index| {
@@ -69,6 +76,7 @@
             grants: self.grants.saturating_sub(earlier.grants),
             overtaking_grants: self.overtaking_grants.saturating_sub(earlier.overtaking_grants),
             deferrals,
+            late_refusals: self.late_refusals.saturating_sub(earlier.late_refusals),
         }
     }
 }
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -79,6 +79,8 @@
     pub activity: OwnerActivity,
     /// The rank of the request that is served next, and how long it has waited.
     pub first_waiting: Option<(QueueRank, Duration)>,
+    /// The time between tokens, or of answers without tokens, by which deadlines are checked.
+    pub answer_time: Option<Duration>,
     /// The endpoints of the owner.
     pub endpoints: Vec<EndpointSnapshot>,
 }
@@ -191,6 +193,7 @@
             grants: self.ledger.len(),
             activity: self.activity,
             first_waiting: self.queue.first_waiting(now),
+            answer_time: self.endpoints.token_time(),
             endpoints: self.endpoints.snapshot(now),
         }
     }
@@ -446,7 +449,10 @@
         }
     }
 
-    fn refuse(&self, request: &GrantRequest, kind: ErrorKind, now: Instant) -> OwnerAction {
+    fn refuse(&mut self, request: &GrantRequest, kind: ErrorKind, now: Instant) -> OwnerAction {
+        if kind == ErrorKind::DeadlineUnmeetable {
+            self.activity.record_late_refusal();
+        }
         OwnerAction::Refuse {
             requester: request.requester.clone(),
             grant: request.grant,
