Forget the time of answers when no answer comes, so that refusals end

Cause: an owner refuses what it expects to end after its deadline. Instances that resume after 6.6 s report that time for answers of 25 ms; the owner's average rose to 1.3 s, refused every request, and so got no answer that would correct it. Class of fault: a control loop that cuts off its own input.

Ruled out: a full service (free slots), no endpoints in view (the reason would differ). The test failed before for both kinds of pool: "requests were refused for 5s", which is its whole length.

Why it works: deadlines are checked against an average that is forgotten a second after its last answer and begins anew with the next one. What slots adapt to and what finds slow endpoints is as before.

--- a/coltsfootgate_core/src/estimate.rs
+++ b/coltsfootgate_core/src/estimate.rs
@@ -1,7 +1,7 @@
 //! Estimates of answer lengths and service times from completed requests.
 
 use std::collections::HashMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::ids::ClassId;
 
@@ -13,6 +13,10 @@
 const SAMPLES_MAX: u32 = 512;
 /// Weight of a new sample in the exponential moving average.
 const SAMPLE_WEIGHT: f64 = 0.1;
+/// Weight of a new sample in the average of answer times.
+const ANSWER_TIME_WEIGHT: f64 = 0.2;
+/// Age of the last sample from which an answer time is forgotten.
+const ANSWER_TIME_AGE_MAX: Duration = Duration::from_secs(1);
 
 /// A decaying histogram of answer lengths with exponentially growing buckets.
 #[derive(Clone, Debug)]
@@ -113,3 +117,28 @@
         self.mean.map(Duration::from_secs_f64)
     }
 }
+
+/// An exponential moving average of the times of answers, which is forgotten if no answer comes.
+///
+/// Requests are refused because of this time. Without its end, a wrong one that refuses all requests would
+/// never be corrected.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AnswerTime {
+    /// In seconds, with the time of the last sample.
+    mean: Option<(f64, Instant)>,
+}
+
+impl AnswerTime {
+    /// Records the time of an answer that has ended.
+    pub fn record(&mut self, time: Duration, now: Instant) {
+        let sample = time.as_secs_f64();
+        let mean = self.get(now).map_or(sample, |mean| mean.as_secs_f64());
+        self.mean = Some((mean + (sample - mean) * ANSWER_TIME_WEIGHT, now));
+    }
+
+    /// The average, unless it is unknown or forgotten.
+    pub fn get(&self, now: Instant) -> Option<Duration> {
+        let (mean, at) = self.mean?;
+        (now < at + ANSWER_TIME_AGE_MAX).then(|| Duration::from_secs_f64(mean))
+    }
+}
--- a/coltsfootgate_core/src/owner/dispatch.rs
+++ b/coltsfootgate_core/src/owner/dispatch.rs
@@ -170,7 +170,7 @@
             deferred.skipped.push(queued);
             return;
         }
-        if self.misses_deadline(&queued.request, now) {
+        if self.misses_deadline(&queued.request, Duration::ZERO, now) {
             let kind = ErrorKind::DeadlineUnmeetable;
             actions.push(self.refuse(&queued.request, kind, now));
             return;
--- a/coltsfootgate_core/src/owner/endpoint.rs
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -11,6 +11,7 @@
 use super::snapshot::EndpointSnapshot;
 use super::straggler::{EndpointHealth, EndpointState};
 use crate::endpoint_limit::EndpointLimiter;
+use crate::estimate::AnswerTime;
 use crate::ids::EndpointId;
 use crate::settings::EndpointSettings;
 
@@ -24,6 +25,8 @@
     slots: AdaptiveSlots,
     pub(super) limiter: EndpointLimiter,
     health: EndpointHealth,
+    /// Time between tokens, or of a whole answer without tokens, by which deadlines are checked.
+    answer_time: AnswerTime,
     pub(super) load: EngineLoad,
     pub(super) error_rate: ErrorRate,
     in_flight: u32,
@@ -41,6 +44,7 @@
             slots,
             limiter: EndpointLimiter::new(limit_sharers),
             health: EndpointHealth::default(),
+            answer_time: AnswerTime::default(),
             load: EngineLoad::new(None),
             error_rate: ErrorRate::default(),
             in_flight: 0,
@@ -287,6 +291,7 @@
         // A service without tokens is measured by its response time instead.
         let token_time = if target.is_some() { report.between_tokens } else { report.first_token };
         if let Some(token_time) = token_time {
+            endpoint.answer_time.record(token_time, now);
             endpoint.slots.record_answer(token_time, report.first_token, target);
         }
         match (token_time, pool) {
@@ -349,11 +354,18 @@
 
     /// Median time between tokens over the endpoints in service that do not limit their requests.
     pub fn token_time(&self) -> Option<Duration> {
-        let endpoints = self
-            .endpoints
-            .values()
-            .filter(|endpoint| endpoint.is_in_service() && endpoint.limiter.rate().is_none());
-        median(endpoints.filter_map(|endpoint| endpoint.slots.token_time()).collect())
+        median(self.unlimited().filter_map(|endpoint| endpoint.slots.token_time()).collect())
+    }
+
+    /// The same, or the median time of answers without tokens, as far as answers came lately.
+    pub fn answer_time(&self, now: Instant) -> Option<Duration> {
+        median(self.unlimited().filter_map(|endpoint| endpoint.answer_time.get(now)).collect())
+    }
+
+    /// The endpoints in service that do not limit their requests.
+    fn unlimited(&self) -> impl Iterator<Item = &OwnedEndpoint> {
+        let endpoints = self.endpoints.values();
+        endpoints.filter(|one| one.is_in_service() && one.limiter.rate().is_none())
     }
 
     /// The state of every endpoint, for status pages.
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -193,7 +193,7 @@
             grants: self.ledger.len(),
             activity: self.activity,
             first_waiting: self.queue.first_waiting(now),
-            answer_time: self.endpoints.token_time(),
+            answer_time: self.endpoints.answer_time(now),
             endpoints: self.endpoints.snapshot(now),
         }
     }
@@ -258,13 +258,13 @@
         if !self.endpoints.can_ever_serve(request) {
             return Some(ErrorKind::NoEndpoint);
         }
-        self.misses_deadline(request, now).then_some(ErrorKind::DeadlineUnmeetable)
+        self.misses_deadline(request, Duration::ZERO, now).then_some(ErrorKind::DeadlineUnmeetable)
     }
 
     fn enqueue(&mut self, request: GrantRequest, now: Instant, actions: &mut Vec<OwnerAction>) {
         let ahead = self.queue.waiting_before(request.rank());
         let wait = self.pressure(now).wait_behind(ahead);
-        if self.misses_deadline(&request, now + wait) {
+        if self.misses_deadline(&request, wait, now) {
             actions.push(self.refuse(&request, ErrorKind::DeadlineUnmeetable, now));
             return;
         }
@@ -385,11 +385,11 @@
         }
     }
 
-    /// Whether even a short answer that starts now would end after the deadline.
-    fn misses_deadline(&self, request: &GrantRequest, now: Instant) -> bool {
-        let token_time = self.endpoints.token_time().unwrap_or_default();
+    /// Whether even a short answer that starts after a wait would end after the deadline.
+    fn misses_deadline(&self, request: &GrantRequest, wait: Duration, now: Instant) -> bool {
+        let token_time = self.endpoints.answer_time(now).unwrap_or_default();
         let tokens = self.answers.tokens(&request.class, ANSWER_LENGTH_MIN_QUANTILE, 0);
-        now + token_time.saturating_mul(tokens) > request.deadline
+        now + wait + token_time.saturating_mul(tokens) > request.deadline
     }
 
     /// Updates the endpoint and the headroom for a grant that is no longer in flight.
--- a/coltsfootgate_core/tests/owner.rs
+++ b/coltsfootgate_core/tests/owner.rs
@@ -104,6 +104,44 @@
     assert_eq!(driver.refusals().first().map(|(_, kind)| *kind), kind);
 }
 
+/// Instances that were frozen report seconds for answers that took milliseconds. If all requests are refused
+/// because of that, no answer corrects it.
+#[rstest]
+#[case::service(OwnerDriver::without_tokens(3, 4))]
+#[case::model_engines(OwnerDriver::new(3, 4))]
+fn a_wrong_time_of_answers_does_not_refuse_requests_for_long(#[case] mut driver: OwnerDriver) {
+    const ANSWER_TIME: Duration = Duration::from_millis(10);
+    const FROZEN_TIME: Duration = Duration::from_millis(6_600);
+    const REFUSED_TIME_MAX: Duration = Duration::from_secs(2);
+    let request = |driver: &mut OwnerDriver, grant| {
+        let deadline = driver.now() + Duration::from_millis(500);
+        driver.request(GrantRequest { deadline, ..grant_request(grant, 3) });
+    };
+    for grant in 0..30 {
+        request(&mut driver, grant);
+        driver.advance(ANSWER_TIME);
+        driver.release_with_latencies(0, ANSWER_TIME, ANSWER_TIME);
+    }
+    (30..42).for_each(|grant| request(&mut driver, grant));
+    driver.advance(FROZEN_TIME);
+    while !driver.held().is_empty() {
+        driver.release_with_latencies(0, FROZEN_TIME, FROZEN_TIME);
+    }
+    let resumed = driver.now();
+    let mut last_refused = resumed;
+    for grant in 42..542 {
+        request(&mut driver, grant);
+        driver.advance(ANSWER_TIME);
+        if driver.held().is_empty() {
+            last_refused = driver.now();
+        } else {
+            driver.release_with_latencies(0, ANSWER_TIME, ANSWER_TIME);
+        }
+    }
+    let refused_time = last_refused - resumed;
+    assert!(refused_time < REFUSED_TIME_MAX, "requests were refused for {refused_time:?}");
+}
+
 /// Requests of a low-tier class fill the queue of a customer's tier. Requests of a higher-tier class
 /// that arrive later must displace them and be served first.
 #[test]
--- a/coltsfootgate_core/tests/support/mod.rs
+++ b/coltsfootgate_core/tests/support/mod.rs
@@ -84,9 +84,18 @@
 
 impl OwnerDriver {
     pub fn new(endpoints: u32, slots: u32) -> Self {
+        Self::with_token_target(endpoints, slots, Some(Duration::from_millis(34)))
+    }
+
+    /// The owner of a service whose answers have no tokens.
+    pub fn without_tokens(endpoints: u32, slots: u32) -> Self {
+        Self::with_token_target(endpoints, slots, None)
+    }
+
+    fn with_token_target(endpoints: u32, slots: u32, between_tokens: Option<Duration>) -> Self {
         let settings = OwnerSettings {
             pool: "pools.model".into(),
-            between_tokens: Some(Duration::from_millis(34)),
+            between_tokens,
             kv_cache_tokens: None,
             limit_sharers: 1,
         };
