Let a blocked part be tried three times before it rests, as a blocked request is

The rule allows three requests with a crashing part later than three seconds after the fifth crash, and a blocked part got four trials, 0.2, 5, 20 and 120 s after each other. If all endpoints are down when the first is due, all four are late.

Cause: the number of trials was chosen as if the first were always in time; the model of the tests runs 30 s and never saw the fourth.

Why it works: parts and requests have the same three trials and then one an hour later. A wrongly blocked part whose three trials all fail rests longer (an hour in place of two minutes, then as before none); operators can allow it.

Callers of a blocked cause are told to come back after a minute at most, not when the hourly trial is due ("left: 3566s, right: 60s").

--- a/coltsfootgate_core/src/quarantine/list.rs
+++ b/coltsfootgate_core/src/quarantine/list.rs
@@ -7,21 +7,15 @@
 use crate::ids::PoolId;
 use crate::rendezvous::stable_hash;
 
-/// Time from the block of a cause, or from the last trial, until a single request may try it again.
+/// Time from the block of a cause, or from the last trial, until a single request may try it again. Three trials
+/// follow soon; a cause that crashed endpoints in all of them rests.
 const TRIAL_DELAYS: &[Duration] = &[
-    Duration::from_millis(200),
-    Duration::from_secs(5),
-    Duration::from_secs(20),
-    Duration::from_secs(120),
-];
-/// The same for a whole request, of whose repeats fewer may reach endpoints.
-const REQUEST_TRIAL_DELAYS: &[Duration] = &[
     Duration::from_millis(200),
     Duration::from_secs(5),
     Duration::from_secs(20),
     Duration::from_secs(3600),
 ];
-/// Time after which callers may ask again if no trial is left.
+/// Maximum time after which callers may ask again; a cause may be released before its next trial.
 const RETRY_DELAY_MAX: Duration = Duration::from_secs(60);
 /// Maximum number of entries; beyond it, those that changed least recently are dropped.
 const ENTRIES_MAX: usize = 512;
@@ -52,23 +46,20 @@
 
 impl BlockEntry {
     /// When the next trial may be sent; `None` if none is left.
-    fn trial_due(&self, cause: CrashCause) -> Option<Instant> {
-        let delays = match cause {
-            CrashCause::Part(_) => TRIAL_DELAYS,
-            CrashCause::Request(_) => REQUEST_TRIAL_DELAYS,
-        };
-        let delay = delays.get(self.trials as usize)?;
+    fn trial_due(&self) -> Option<Instant> {
+        let delay = TRIAL_DELAYS.get(self.trials as usize)?;
         Some(self.since + *delay)
     }
 
     /// Whether a request with it may be sent as a trial, if the owner of the list agrees.
-    fn is_trial_due(&self, cause: CrashCause, now: Instant) -> bool {
-        self.trial_due(cause).is_some_and(|due| now >= due)
+    fn is_trial_due(&self, now: Instant) -> bool {
+        self.trial_due().is_some_and(|due| now >= due)
     }
 
     /// The delay after which a request with it may be served.
-    fn retry_delay(&self, cause: CrashCause, now: Instant) -> Duration {
-        self.trial_due(cause).map_or(RETRY_DELAY_MAX, |due| due.saturating_duration_since(now))
+    fn retry_delay(&self, now: Instant) -> Duration {
+        let due = self.trial_due().map(|due| due.saturating_duration_since(now));
+        due.map_or(RETRY_DELAY_MAX, |delay| delay.min(RETRY_DELAY_MAX))
     }
 
     /// The order in which entries of the same cause replace each other.
@@ -140,13 +131,13 @@
             let other = CauseKey { pool: pool.clone(), cause: *cause };
             !watched.contains(&other) && self.find(pool, &[*cause]).is_none()
         };
-        if entry.is_trial_due(key.cause, now) && others.all(is_free) {
+        if entry.is_trial_due(now) && others.all(is_free) {
             return SendVerdict::Trial(key.clone());
         }
         SendVerdict::Blocked {
             key: key.clone(),
             crashes: entry.crashes,
-            retry_delay: entry.retry_delay(key.cause, now),
+            retry_delay: entry.retry_delay(now),
         }
     }
 
@@ -175,7 +166,7 @@
     /// Whether a single request with a blocked cause may try it.
     pub fn is_trial_due(&self, key: &CauseKey, now: Instant) -> bool {
         let entry = self.entries.get(key).filter(|entry| entry.state == BlockState::Blocked);
-        entry.is_some_and(|entry| entry.is_trial_due(key.cause, now))
+        entry.is_some_and(|entry| entry.is_trial_due(now))
     }
 
     /// Allows a single request with a blocked cause, if a trial is due; returns whether it is.
