Block a new part before a shared one with a few more crashes

Cause: the cause, never served before, was in 5 of the 7 crashes of the shared part; the other two had other reasons. To be compared at all it needed three quarters of them.

Why it works: a part that appears with the crashes and was never served is the likelier cause even if the part beside it was in a few more crashes.

--- a/coltsfootgate_core/src/quarantine/ledger.rs
+++ b/coltsfootgate_core/src/quarantine/ledger.rs
@@ -29,8 +29,12 @@
 /// Maximum number of possible causes of which instances report that they serve them; those whose last crash is
 /// oldest are left out.
 const WATCHED_MAX: usize = 256;
-/// Share of the crashes under the most suspected cause that another one must have to be blocked first.
+/// Share of the crashes under the most suspected cause that another one must have to be blocked first, if both
+/// were served before the crashes.
 const CRASH_SHARE_MIN: f64 = 0.75;
+/// The same for one that was never served: it came with the crashes, and what it shares its requests with was
+/// also lost in crashes of other reasons.
+const NEW_CRASH_SHARE_MIN: f64 = 0.7;
 /// Maximum number of suspects; beyond it, those with the fewest crashes are dropped.
 const SUSPECTS_MAX: usize = 4096;
 /// Maximum number of endpoints that are kept for one suspect.
@@ -128,6 +132,11 @@
         self.endpoints.remove(endpoint);
     }
 
+    /// Share of the crashes under the most suspected cause from which it may be blocked before that one.
+    fn crash_share_min(&self) -> f64 {
+        if self.served_at.is_none() { NEW_CRASH_SHARE_MIN } else { CRASH_SHARE_MIN }
+    }
+
     /// When it may be blocked; `None` if too few endpoints crashed.
     fn due(&self, is_explained: impl Fn(&EndpointId) -> bool) -> Option<Instant> {
         let mut unexplained = self.counted.iter().filter(|crash| !is_explained(&crash.endpoint));
@@ -205,8 +214,8 @@
     /// with enough crashes are compared, also those that are not due by themselves: a cause that few
     /// requests have is due later than a part that all of them share.
     ///
-    /// Among the suspects under which most endpoints crashed, it is the one that was served least recently or
-    /// never.
+    /// Among the suspects under which most endpoints crashed, or nearly as many, it is the one that was served
+    /// least recently or never.
     pub fn decide(&mut self, now: Instant) -> Option<BlockDecision> {
         for pending in self.pending.values_mut() {
             pending.retain(|one| now < one.since + PENDING_TIME_MAX);
@@ -227,7 +236,7 @@
         let most = candidates.iter().map(|(_, suspect)| suspect.endpoints.len()).max()?;
         let (key, _) = candidates
             .into_iter()
-            .filter(|(_, one)| one.endpoints.len() as f64 >= CRASH_SHARE_MIN * most as f64)
+            .filter(|(_, one)| one.endpoints.len() as f64 >= one.crash_share_min() * most as f64)
             .min_by_key(|(key, suspect)| {
                 let crashes = Reverse((suspect.endpoints.len(), suspect.depth));
                 (suspect.served_at, crashes, key.cause)
--- a/coltsfootgate_core/tests/quarantine.rs
+++ b/coltsfootgate_core/tests/quarantine.rs
@@ -323,6 +323,7 @@
 /// that all requests share.
 #[rstest]
 #[case::trials_of_two_parts_end_in_one_crash(95)]
+#[case::the_shared_part_has_more_crashes(1415)]
 fn the_cause_is_told_from_sound_parts_while_replicas_flap(#[case] seed: u64) {
     let mut model = Model::new(seed, Cause::NewPartAndFlapping);
     model.run(Duration::from_secs(30));
