Free the slots of grants that their requesters do not hold

Cause: a grant ended only with its release. While an owner is paused its requests end, and are released to the owner that replaced it; when it is back, an entry that holds nothing announces nothing, so that the old grants count for as long as both instances live.

Why it works: an owner asks for the grants that it has counted for two seconds, and later ever less often; what the entry does not hold is freed. An answer to a grant that arrives later than that takes a slot too many, as before with announcements.

--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -18,7 +18,7 @@
 use crate::metrics::DaemonMetrics;
 use crate::operators::{ReadinessGate, RequestRecords, StatusRegistry};
 use crate::options::DaemonSettings;
-use crate::owner::{OwnerHandle, OwnerReporter, OwnerService, OwnerTask};
+use crate::owner::{GrantCheck, OwnerHandle, OwnerReporter, OwnerService, OwnerTask};
 use crate::peer::{PeerDispatch, PeerHandle, PeerIdentity, PeerListener};
 use crate::pipeline::budget::BudgetTable;
 use crate::pipeline::context::{GrantCounter, PipelineContext};
@@ -217,6 +217,13 @@
             pools.clone(),
         );
         monoio::spawn(watcher.run());
+        let check = GrantCheck::new(
+            self.settings.instance.clone(),
+            owner.clone(),
+            context.routes.clone(),
+            self.peers.clone(),
+        );
+        monoio::spawn(check.run());
         monoio::spawn(follow_instances(members.clone(), context.streams.clone()));
         pools
     }
@@ -243,7 +250,8 @@
             owner_calls: owner_call_sender,
         };
         monoio::spawn(dispatch.run(calls));
-        monoio::spawn(OwnerService::new(owner, context.limits.clone()).run(owner_calls));
+        let service = OwnerService::new(owner, context.limits.clone(), context.routes.clone());
+        monoio::spawn(service.run(owner_calls));
         let connections = self.settings.peer_connections;
         let metrics = self.metrics.clone();
         let listener =
--- a/coltsfootgate/src/metrics/mod.rs
+++ b/coltsfootgate/src/metrics/mod.rs
@@ -77,6 +77,7 @@
     waiting: IntGaugeVec,
     grants: IntCounterVec,
     deferrals: IntCounterVec,
+    lost_grants: IntCounterVec,
     loop_delay: Histogram,
 }
 
@@ -232,6 +233,11 @@
                 "Failed attempts to place a waiting request, by cause.",
                 &["pool", "cause"],
             ),
+            lost_grants: registrar.counters(
+                "lost_grants",
+                "Grants that their requesters did not hold any more and had not returned.",
+                &["pool"],
+            ),
             loop_delay: registrar.register(Histogram::with_opts(
                 HistogramOpts::new(
                     "coltsfootgate_loop_delay_seconds",
@@ -398,6 +404,7 @@
         for (cause, count) in DeferralCause::ALL.into_iter().zip(change.deferrals) {
             self.deferrals.with_label_values(&[pool, cause.name()]).inc_by(count);
         }
+        self.lost_grants.with_label_values(&[pool]).inc_by(change.lost_grants);
     }
 
     /// Records the delay of a timer.
--- a/coltsfootgate/src/owner/desk.rs
+++ b/coltsfootgate/src/owner/desk.rs
@@ -1,4 +1,4 @@
-//! Serves other instances' calls about endpoints owned by this instance and limits it keeps.
+//! Serves other instances' calls about endpoints owned by this instance, limits it keeps and grants it holds.
 
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_util::StreamExt;
@@ -11,18 +11,20 @@
 use super::{OwnerHandle, OwnerMessage, OwnerScope};
 use crate::limits::LimitHandle;
 use crate::peer::PeerCall;
+use crate::routes::RouteTable;
 
 /// Forwards peers' calls about grants and limits to the tasks that handle them.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct OwnerService {
     owner: OwnerHandle,
     limits: LimitHandle,
+    routes: RouteTable,
 }
 
 impl OwnerService {
-    /// Creates the service from handles of the owner task and the limit task.
-    pub fn new(owner: OwnerHandle, limits: LimitHandle) -> Self {
-        Self { owner, limits }
+    /// Creates the service from handles of the owner task and the limit task, and the grants held here.
+    pub fn new(owner: OwnerHandle, limits: LimitHandle, routes: RouteTable) -> Self {
+        Self { owner, limits, routes }
     }
 
     /// Serves calls until their sender is dropped.
@@ -40,6 +42,10 @@
                 monoio::spawn(async move { service.request_grant(pool, request, reply).await });
                 return;
             }
+            PeerRequest::CheckGrants(grants) => {
+                let _ = reply.send(PeerReply::HeldGrants(self.routes.held_of(&grants)));
+                return;
+            }
             PeerRequest::RequestSlice(request) => {
                 let limits = self.limits.clone();
                 monoio::spawn(async move {
--- a/coltsfootgate/src/owner/mod.rs
+++ b/coltsfootgate/src/owner/mod.rs
@@ -1,5 +1,6 @@
 //! Queues requests for the endpoints that this instance owns and grants their slots.
 
+mod check;
 mod desk;
 mod report;
 mod task;
@@ -20,6 +21,7 @@
 use crate::endpoints::ActivePools;
 use crate::routes::OwnerSet;
 
+pub use check::GrantCheck;
 pub use desk::OwnerService;
 pub use report::OwnerReporter;
 pub use task::OwnerTask;
@@ -92,6 +94,13 @@
         /// The grants.
         held: Vec<HeldGrant>,
     },
+    /// An entry instance was asked which of some grants it holds.
+    Confirm {
+        /// The grants that it was asked for.
+        asked: UnconfirmedGrants,
+        /// Those of them that it holds.
+        held: Vec<GrantId>,
+    },
     /// The pools or their endpoints changed.
     Settings(Rc<ActivePools>),
     /// The set of live instances changed.
@@ -127,6 +136,19 @@
     },
     /// Requests a snapshot of the queue for owned endpoints of each pool.
     Snapshot(oneshot::Sender<Vec<OwnerSnapshot>>),
+    /// Requests the grants of owned endpoints that their requesters should confirm.
+    TakeUnconfirmed(oneshot::Sender<Vec<UnconfirmedGrants>>),
+}
+
+/// Grants of one pool that an entry instance should confirm to hold.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UnconfirmedGrants {
+    /// The pool.
+    pub pool: PoolId,
+    /// The entry instance.
+    pub requester: InstanceId,
+    /// The grants.
+    pub grants: Vec<GrantId>,
 }
 
 /// Sends messages to the [`OwnerTask`].
@@ -166,4 +188,11 @@
         self.send(OwnerMessage::Snapshot(answer));
         receiver.await.unwrap_or_default()
     }
+
+    /// Returns the grants of owned endpoints that their requesters should confirm; `None` if the task ended.
+    pub async fn take_unconfirmed(&self) -> Option<Vec<UnconfirmedGrants>> {
+        let (answer, receiver) = oneshot::channel();
+        self.send(OwnerMessage::TakeUnconfirmed(answer));
+        receiver.await.ok()
+    }
 }
--- a/coltsfootgate/src/owner/task.rs
+++ b/coltsfootgate/src/owner/task.rs
@@ -19,7 +19,7 @@
 };
 use coltsfootgate_core::routing::fallback_share;
 
-use super::{OwnerHandle, OwnerMessage, OwnerReporter, OwnerScope};
+use super::{OwnerHandle, OwnerMessage, OwnerReporter, OwnerScope, UnconfirmedGrants};
 use crate::endpoints::ActivePools;
 use crate::routes::OwnerSet;
 
@@ -111,6 +111,14 @@
                 let key = (pool, OwnerScope::Owned);
                 self.handle_event(&key, OwnerEvent::Announce { requester, held }, now);
             }
+            OwnerMessage::Confirm { asked, held } => {
+                let UnconfirmedGrants { pool, requester, grants } = asked;
+                let event = OwnerEvent::Confirm { requester, asked: grants, held };
+                self.handle_event(&(pool, OwnerScope::Owned), event, now);
+            }
+            OwnerMessage::TakeUnconfirmed(answer) => {
+                let _ = answer.send(self.take_unconfirmed(now));
+            }
             OwnerMessage::Settings(pools) => {
                 self.active_pools = Some(pools);
                 self.assign_endpoints(now);
@@ -145,6 +153,19 @@
         }
     }
 
+    fn take_unconfirmed(&mut self, now: Instant) -> Vec<UnconfirmedGrants> {
+        let owned = self.pools.iter_mut().filter(|((_, scope), _)| *scope == OwnerScope::Owned);
+        let unconfirmed = owned.flat_map(|((pool, _), owner)| {
+            let by_requester = owner.take_unconfirmed(now).into_iter();
+            by_requester.map(|(requester, grants)| UnconfirmedGrants {
+                pool: pool.clone(),
+                requester,
+                grants,
+            })
+        });
+        unconfirmed.collect()
+    }
+
     fn request_grant(
         &mut self,
         key: &PoolKey,
--- a/coltsfootgate/src/peer/dispatch.rs
+++ b/coltsfootgate/src/peer/dispatch.rs
@@ -141,6 +141,7 @@
         | PeerRequest::FetchHead
         | PeerRequest::FetchObject(_)
         | PeerRequest::FetchReplicas
+        | PeerRequest::CheckGrants(_)
         | PeerRequest::StateLimit { .. }
         | PeerRequest::RecordStream { .. }
         | PeerRequest::FindStream(_)
--- a/coltsfootgate/src/routes/book.rs
+++ b/coltsfootgate/src/routes/book.rs
@@ -35,6 +35,12 @@
         self.leases.remove(&grant);
     }
 
+    /// Whether a grant is held that an owner issued.
+    pub fn is_owned(&self, grant: GrantId) -> bool {
+        let lease = self.leases.get(&grant);
+        lease.is_some_and(|lease| matches!(lease.source, GrantSource::Owner(_)))
+    }
+
     /// Returns the grants issued by owners, not those from the fallback share or without an owner.
     pub fn owned(&self) -> impl Iterator<Item = &LeaseEntry> {
         self.leases.values().filter(|lease| matches!(lease.source, GrantSource::Owner(_)))
--- a/coltsfootgate/src/routes/mod.rs
+++ b/coltsfootgate/src/routes/mod.rs
@@ -13,7 +13,8 @@
 use coltsfootgate_core::endpoint_limit::{LimitBook, LimitStatement};
 use coltsfootgate_core::owner::{HeldGrant, OwnerPressure};
 use coltsfootgate_core::prelude::{
-    EndpointId, EndpointSettings, InstanceId, PoolId, PoolSettings, RoutingStrategy, ZoneName,
+    EndpointId, EndpointSettings, GrantId, InstanceId, PoolId, PoolSettings, RoutingStrategy,
+    ZoneName,
 };
 use coltsfootgate_core::rendezvous::OwnerTable;
 use coltsfootgate_core::rest::RestBook;
@@ -283,6 +284,12 @@
         limits.filter_map(|limit| Some((pool_of(&limit.endpoint)?, limit))).collect()
     }
 
+    /// Returns those of some grants that this instance holds from owners.
+    pub fn held_of(&self, grants: &[GrantId]) -> Vec<GrantId> {
+        let state = self.0.borrow();
+        grants.iter().copied().filter(|grant| state.leases.is_owned(*grant)).collect()
+    }
+
     /// Returns the grants held for each owner and pool, by the current owners of the endpoints.
     pub fn held_by_owner(&self) -> HashMap<(InstanceId, PoolId), Vec<HeldGrant>> {
         let state = self.0.borrow();
--- a/coltsfootgate/tests/instances.rs
+++ b/coltsfootgate/tests/instances.rs
@@ -15,6 +15,9 @@
 
 use support::{TestAnswer, TestCall, TestDaemon, put_tree, sample_tree};
 
+/// The id of the first engine of the sample tree.
+const FIRST_ENGINE: &str = "pools.model.endpoints.e0";
+
 struct ClusterSetup {
     platform: StandinHandle,
     engines: Vec<StandinHandle>,
@@ -24,9 +27,18 @@
 
 /// Starts instances that know each other, with a tree of the given number of engines and a service.
 fn start(daemons: usize, engines: usize, change: impl Fn(String) -> String) -> ClusterSetup {
+    start_with_engines(daemons, engines, &EngineSettings::default(), change)
+}
+
+fn start_with_engines(
+    daemons: usize,
+    engines: usize,
+    settings: &EngineSettings,
+    change: impl Fn(String) -> String,
+) -> ClusterSetup {
     let platform = start_platform(ANY_PORT).unwrap();
     let engines: Vec<StandinHandle> =
-        (0..engines).map(|_| start_engine(ANY_PORT, EngineSettings::default()).unwrap()).collect();
+        (0..engines).map(|_| start_engine(ANY_PORT, *settings).unwrap()).collect();
     let service = start_plain_service(ANY_PORT, Duration::from_millis(1)).unwrap();
     let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
     let tree = sample_tree(&addresses, &[service.address], "");
@@ -113,6 +125,13 @@
         .collect()
 }
 
+/// The number of requests that an instance counts as running at its endpoints.
+fn in_flight(daemon: &TestDaemon) -> u64 {
+    let status = daemon.status();
+    let endpoints = status["endpoints"].as_array().cloned().unwrap_or_default();
+    endpoints.iter().filter_map(|endpoint| endpoint["in_flight"].as_u64()).sum()
+}
+
 fn limit_to_one_slot(tree: String) -> String {
     tree.replace("slots = 4\nslots_max = 8", "slots = 1\nslots_max = 1")
 }
@@ -161,6 +180,25 @@
     drop(dead);
 }
 
+/// Requests end while their owner is paused, and are returned to the owner that replaced it.
+#[test]
+fn a_resumed_owner_frees_the_slots_of_requests_that_ended_meanwhile() {
+    let slow = EngineSettings { step_base: Duration::from_millis(5), ..Default::default() };
+    let setup = start_with_engines(3, 1, &slow, limit_to_one_slot);
+    let owns = |daemon: &&TestDaemon| owned_endpoints(daemon).contains(&FIRST_ENGINE.to_owned());
+    let owner = setup.daemons.iter().find(owns).unwrap();
+    let entry = setup.daemons.iter().find(|daemon| !owns(daemon)).unwrap();
+    let call = TestCall::stream("describe every railcar 0", 8000).start(entry.ports.callers);
+    entry.wait_for("a running request", || (setup.running_requests() == 1).then_some(()));
+    owner.pause();
+    entry.wait_for("a dead peer", || (live_peers(entry) == 1).then_some(()));
+    assert_eq!(setup.running_requests(), 1, "the request ended before the peer was dead");
+    assert!(call.join().unwrap().is_complete());
+    owner.resume();
+    setup.wait_all_alive();
+    owner.wait_for("free slots", || (in_flight(owner) == 0).then_some(()));
+}
+
 #[test]
 fn a_leaving_endpoint_gets_no_new_requests() {
     let setup = start(2, 2, |tree| tree);
--- a/coltsfootgate_core/src/owner/activity.rs
+++ b/coltsfootgate_core/src/owner/activity.rs
@@ -46,6 +46,8 @@
     pub overtaking_grants: u64,
     /// Failed placement attempts of waiting requests, in the order of [`DeferralCause::ALL`].
     pub deferrals: [u64; DeferralCause::ALL.len()],
+    /// Grants that their requesters did not hold any more although they had not returned them.
+    pub lost_grants: u64,
     /// Requests refused since their answers were expected to end after their deadlines.
     pub late_refusals: u64,
 }
@@ -62,6 +64,11 @@
         self.deferrals[cause as usize] += 1;
     }
 
+    /// Counts a grant that its requester does not hold any more.
+    pub fn record_lost_grant(&mut self) {
+        self.lost_grants += 1;
+    }
+
     /// Counts a request whose answer would be late.
     pub fn record_late_refusal(&mut self) {
         self.late_refusals += 1;
@@ -76,6 +83,7 @@
             grants: self.grants.saturating_sub(earlier.grants),
             overtaking_grants: self.overtaking_grants.saturating_sub(earlier.overtaking_grants),
             deferrals,
+            lost_grants: self.lost_grants.saturating_sub(earlier.lost_grants),
             late_refusals: self.late_refusals.saturating_sub(earlier.late_refusals),
         }
     }
--- a/coltsfootgate_core/src/owner/event.rs
+++ b/coltsfootgate_core/src/owner/event.rs
@@ -198,6 +198,15 @@
         /// The grants it holds.
         held: Vec<HeldGrant>,
     },
+    /// An entry instance was asked which of some grants it holds.
+    Confirm {
+        /// The entry instance.
+        requester: InstanceId,
+        /// The grants that it was asked for.
+        asked: Vec<GrantId>,
+        /// Those of them that it holds.
+        held: Vec<GrantId>,
+    },
     /// The load that an endpoint reported about itself.
     LoadReport {
         /// The endpoint.
--- a/coltsfootgate_core/src/owner/ledger.rs
+++ b/coltsfootgate_core/src/owner/ledger.rs
@@ -8,6 +8,8 @@
 
 /// Maximum delivery time of a grant; a younger one that an announcement lacks is kept.
 const DELIVERY_TIME_MAX: Duration = Duration::from_secs(2);
+/// Shortest time between two checks whether the requester of a grant still holds it.
+const CHECK_PERIOD_MIN: Duration = Duration::from_secs(2);
 /// Number of ended grants that are remembered, to recognise late messages about them.
 const ENDED_MAX: usize = 4096;
 
@@ -29,6 +31,13 @@
     pub by_floor: bool,
     /// Estimated tokens of the answer; `None` if another owner issued the grant.
     pub tokens: Option<u32>,
+    /// When to ask its requester whether it still holds the grant.
+    pub check_due: Instant,
+}
+
+/// When a grant issued at `granted_at` is checked first.
+pub(super) fn first_check(granted_at: Instant) -> Instant {
+    granted_at + DELIVERY_TIME_MAX
 }
 
 /// All grants in flight at the endpoints of one owner.
@@ -130,6 +139,7 @@
                 granted_at: now,
                 by_floor: false,
                 tokens: None,
+                check_due: first_check(now),
             };
             change.added.push((held.grant, record.clone()));
             self.grants.insert(key, record);
@@ -137,6 +147,42 @@
         change
     }
 
+    /// The grants that their requesters should confirm, by requester; each is asked for again later.
+    ///
+    /// A release or cancellation can be lost, or go to another owner that an instance saw for a while.
+    /// Without a check its slot would count as taken for as long as both instances live.
+    pub fn take_unconfirmed(&mut self, now: Instant) -> BTreeMap<InstanceId, Vec<GrantId>> {
+        let mut unconfirmed: BTreeMap<InstanceId, Vec<GrantId>> = BTreeMap::new();
+        for ((requester, grant), record) in &mut self.grants {
+            if record.check_due <= now {
+                record.check_due = now + CHECK_PERIOD_MIN;
+                unconfirmed.entry(requester.clone()).or_default().push(*grant);
+            }
+        }
+        unconfirmed
+    }
+
+    /// Removes the grants that a requester was asked for and does not hold; returns them.
+    pub fn confirm(
+        &mut self,
+        requester: &InstanceId,
+        asked: &[GrantId],
+        held: &[GrantId],
+        now: Instant,
+    ) -> Vec<GrantRecord> {
+        let mut removed = Vec::new();
+        for grant in asked {
+            if !held.contains(grant) {
+                removed.extend(self.end(requester, *grant));
+            } else if let Some(record) = self.grants.get_mut(&(requester.clone(), *grant)) {
+                // The longer a grant is held, the less often it is checked.
+                let age = now.saturating_duration_since(record.granted_at);
+                record.check_due = now + age.max(CHECK_PERIOD_MIN);
+            }
+        }
+        removed
+    }
+
     fn keys_by_requester(&self, requester: &InstanceId) -> Vec<(InstanceId, GrantId)> {
         let range = (requester.clone(), GrantId::MIN)..=(requester.clone(), GrantId::MAX);
         self.grants.range(range).map(|(key, _)| key.clone()).collect()
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -19,7 +19,7 @@
 mod straggler;
 mod waiting;
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 pub use activity::{DeferralCause, OwnerActivity};
@@ -142,6 +142,9 @@
             OwnerEvent::Cancel { requester, grant } => self.cancel(&requester, grant, now),
             OwnerEvent::RequesterLost { requester } => self.requester_lost(&requester, now),
             OwnerEvent::Announce { requester, held } => self.announce(&requester, held, now),
+            OwnerEvent::Confirm { requester, asked, held } => {
+                self.confirm(&requester, &asked, &held, now);
+            }
             OwnerEvent::LoadReport { endpoint, waiting, .. } => {
                 self.endpoints.record_load(&endpoint, waiting);
             }
@@ -198,6 +201,11 @@
         }
     }
 
+    /// The grants in flight that their requesters should confirm now, by requester.
+    pub fn take_unconfirmed(&mut self, now: Instant) -> BTreeMap<InstanceId, Vec<GrantId>> {
+        self.ledger.take_unconfirmed(now)
+    }
+
     /// Whether no request waits and no grant is in flight.
     pub fn is_idle(&self) -> bool {
         self.queue.is_empty() && self.ledger.is_empty()
@@ -355,6 +363,21 @@
         self.endpoints.retain_prompts(&self.ledger, now);
     }
 
+    fn confirm(
+        &mut self,
+        requester: &InstanceId,
+        asked: &[GrantId],
+        held: &[GrantId],
+        now: Instant,
+    ) {
+        let lost = self.ledger.confirm(requester, asked, held, now);
+        for record in &lost {
+            self.record_end(record);
+            self.activity.record_lost_grant();
+        }
+        self.endpoints.retain_prompts(&self.ledger, now);
+    }
+
     /// Refuses waiting requests whose deadline has passed.
     fn expire(&mut self, now: Instant, actions: &mut Vec<OwnerAction>) {
         for request in self.queue.expire(now) {
@@ -433,6 +456,7 @@
             granted_at: now,
             by_floor,
             tokens: Some(request.tokens),
+            check_due: ledger::first_check(now),
         };
         self.ledger.insert(&request.requester, request.grant, record);
         self.headroom.record_grant(request.rank(), now);
--- a/coltsfootgate_core/tests/owner.rs
+++ b/coltsfootgate_core/tests/owner.rs
@@ -104,6 +104,41 @@
     assert_eq!(driver.refusals().first().map(|(_, kind)| *kind), kind);
 }
 
+/// The release of a grant can be lost, or go to another owner.
+#[test]
+fn a_grant_that_its_requester_does_not_hold_frees_its_slot() {
+    let mut driver = OwnerDriver::new(1, 1);
+    driver.request(grant_request(1, 3));
+    driver.request(grant_request(2, 3));
+    let requester = driver.held()[0].0.clone();
+    driver.advance(Duration::from_secs(1));
+    assert!(driver.take_unconfirmed().is_empty(), "its answer may be under way");
+    driver.advance(Duration::from_secs(2));
+    assert_eq!(driver.take_unconfirmed()[&requester], [1]);
+    assert!(driver.take_unconfirmed().is_empty(), "it is asked for once in a while");
+    driver.handle(OwnerEvent::Confirm { requester, asked: vec![1], held: Vec::new() });
+    assert_eq!(driver.granted_ids(), [1, 2]);
+    assert_eq!(driver.snapshot().activity.lost_grants, 1);
+}
+
+/// A request that runs for minutes is not asked for every few seconds, and keeps its slot.
+#[test]
+fn a_grant_that_is_held_is_checked_ever_less_often() {
+    let mut driver = OwnerDriver::new(1, 1);
+    driver.request(grant_request(1, 3));
+    let mut checks = 0;
+    for _ in 0..300 {
+        driver.advance(Duration::from_secs(1));
+        for (requester, grants) in driver.take_unconfirmed() {
+            checks += 1;
+            let (asked, held) = (grants.clone(), grants);
+            driver.handle(OwnerEvent::Confirm { requester, asked, held });
+        }
+    }
+    assert!((5..=10).contains(&checks), "{checks} checks in five minutes");
+    assert_eq!(driver.in_flight(), 1);
+}
+
 /// Instances that were frozen report seconds for answers that took milliseconds. If all requests are refused
 /// because of that, no answer corrects it.
 #[rstest]
--- a/coltsfootgate_core/tests/support/mod.rs
+++ b/coltsfootgate_core/tests/support/mod.rs
@@ -131,6 +131,11 @@
         self.owner.snapshot(self.now)
     }
 
+    /// The grants whose requesters are asked now whether they hold them.
+    pub fn take_unconfirmed(&mut self) -> BTreeMap<InstanceId, Vec<GrantId>> {
+        self.owner.take_unconfirmed(self.now)
+    }
+
     pub fn in_flight(&self) -> usize {
         self.snapshot().grants
     }
--- a/coltsfootgate_wire/src/message.rs
+++ b/coltsfootgate_wire/src/message.rs
@@ -73,6 +73,8 @@
         /// The grants it holds.
         held: Vec<HeldGrant>,
     },
+    /// Asks an entry instance which of these grants it holds.
+    CheckGrants(Vec<GrantId>),
     /// Reports what an answer stated about the limit of an endpoint that the receiver owns.
     StateLimit {
         /// The pool.
@@ -132,6 +134,7 @@
             Self::Release(_) => "release",
             Self::Cancel { .. } => "cancel",
             Self::Announce { .. } => "announce",
+            Self::CheckGrants(_) => "check-grants",
             Self::StateLimit { .. } => "state-limit",
             Self::RecordStream { .. } => "record-stream",
             Self::FindStream(_) => "find-stream",
@@ -164,6 +167,8 @@
     Heard(bool),
     /// The owner's answer to a grant request.
     Grant(GrantAnswer),
+    /// The grants that the replying instance holds, of those that it was asked for.
+    HeldGrants(Vec<GrantId>),
     /// The request was accepted; it has no other result.
     Accepted,
     /// The head of the tree in force, if there is one.
--- a/coltsfootgate_wire/src/wire.rs
+++ b/coltsfootgate_wire/src/wire.rs
@@ -38,6 +38,7 @@
     FirstToken { pool: Arc<str>, asker: Arc<str>, grant: u64 },
     Cancel { pool: Arc<str>, asker: Arc<str>, grant: u64 },
     Announce { pool: Arc<str>, asker: Arc<str>, held: Vec<WireHeldGrant> },
+    CheckGrants(Vec<u64>),
     StateLimit { pool: Arc<str>, statement: WireLimitStatement },
     RecordStream { key: WireStreamKey, origin: WireStreamOrigin, micros_left: u64 },
     FindStream(WireStreamKey),
@@ -61,6 +62,7 @@
     Granted { endpoint: Arc<str>, by_floor: bool, is_paced: bool, pressure: WirePressure },
     Busy(WirePressure),
     Refused { kind: String, pressure: WirePressure },
+    HeldGrants(Vec<u64>),
     Accepted,
     Head(Option<WireHead>),
     Object(Option<Vec<u8>>),
@@ -106,6 +108,7 @@
             PeerRequest::Announce { pool, requester, held } => {
                 Self::Announce { pool, asker: requester, held: convert_all(held) }
             }
+            PeerRequest::CheckGrants(grants) => Self::CheckGrants(grants),
             PeerRequest::StateLimit { pool, statement } => Self::StateLimit {
                 pool,
                 statement: TimedMessage { message: statement, now }.into(),
@@ -173,6 +176,7 @@
                 requester: check_instance(asker)?,
                 held: check_all(held)?,
             },
+            WireRequest::CheckGrants(grants) => Self::CheckGrants(grants),
             WireRequest::StateLimit { pool, statement } => Self::StateLimit {
                 pool: check_pool(pool)?,
                 statement: TimedMessage { message: statement, now }.try_into()?,
@@ -231,6 +235,7 @@
             }
             PeerReply::Heard(heard) => Self::Heard(heard),
             PeerReply::Grant(answer) => answer.into(),
+            PeerReply::HeldGrants(grants) => Self::HeldGrants(grants),
             PeerReply::Accepted => Self::Accepted,
             PeerReply::Head(head) => Self::Head(head.map(WireHead::from)),
             PeerReply::Object(object) => Self::Object(object),
@@ -263,6 +268,7 @@
                 let (kind, pressure) = (check_kind(&kind)?, pressure.try_into()?);
                 Self::Grant(GrantAnswer::Refused { kind, pressure })
             }
+            WireReply::HeldGrants(grants) => Self::HeldGrants(grants),
             WireReply::Accepted => Self::Accepted,
             WireReply::Head(head) => Self::Head(head.map(|head| head.try_into()).transpose()?),
             WireReply::Object(object) => Self::Object(object),
--- a/coltsfootgate_wire/tests/messages.rs
+++ b/coltsfootgate_wire/tests/messages.rs
@@ -138,6 +138,7 @@
             }];
             PeerRequest::Announce { pool, requester, held }
         }
+        "check-grants" => PeerRequest::CheckGrants(vec![1, u64::MAX]),
         "state-limit" => {
             let statement = LimitStatement {
                 endpoint: "pools.a.one".into(),
@@ -193,6 +194,7 @@
         "release",
         "cancel",
         "announce",
+        "check-grants",
         "state-limit",
         "record-stream",
         "find-stream",
@@ -229,6 +231,8 @@
 }))]
 #[case::stream(PeerReply::Stream(Some(stream_origin())))]
 #[case::unknown_stream(PeerReply::Stream(None))]
+#[case::held_grants(PeerReply::HeldGrants(vec![4]))]
+#[case::no_held_grants(PeerReply::HeldGrants(Vec::new()))]
 #[case::accepted(PeerReply::Accepted)]
 #[case::trial(PeerReply::Trial(true))]
 #[case::no_head(PeerReply::Head(None))]
