Log grants that nobody held when they are freed, not when an entry was asked

A release that crosses the question was logged as missing. The owner's count, which is also the metric, knows which grants it freed. A reply of another kind is logged.

--- a/coltsfootgate/src/owner/check.rs
+++ b/coltsfootgate/src/owner/check.rs
@@ -44,17 +44,9 @@
 
     /// Checks the grants of one instance; if it does not answer, they are due again later.
     async fn check(&self, asked: UnconfirmedGrants) {
-        let Some(held) = self.held(&asked.requester, &asked.grants).await else { return };
-        let lost: Vec<_> = asked.grants.iter().filter(|grant| !held.contains(grant)).collect();
-        if !lost.is_empty() {
-            log::info!(
-                "instance {} did not return {} grants of {} that it does not hold",
-                asked.requester,
-                lost.len(),
-                asked.pool
-            );
+        if let Some(held) = self.held(&asked.requester, &asked.grants).await {
+            self.owner.send(OwnerMessage::Confirm { asked, held });
         }
-        self.owner.send(OwnerMessage::Confirm { asked, held });
     }
 
     async fn held(&self, requester: &InstanceId, grants: &[GrantId]) -> Option<Vec<GrantId>> {
@@ -64,7 +56,10 @@
         let request = PeerRequest::CheckGrants(grants.to_vec());
         match self.peers.call(requester, request, Instant::now() + ANSWER_TIMEOUT).await {
             Ok(PeerReply::HeldGrants(held)) => Some(held),
-            Ok(_) => None,
+            Ok(_) => {
+                log::debug!("{requester} answered a check of grants with another reply");
+                None
+            }
             Err(error) => {
                 log::debug!("could not check grants of {requester}: {}", error.name());
                 None
--- a/coltsfootgate/src/owner/report.rs
+++ b/coltsfootgate/src/owner/report.rs
@@ -67,6 +67,9 @@
         let change = snapshot.activity.since(&reported.counted);
         reported.counted = snapshot.activity;
         self.metrics.owner_decided(&snapshot.pool, &change);
+        if change.lost_grants > 0 {
+            info!("pool {}: {} grants were held by nobody", snapshot.pool, change.lost_grants);
+        }
         let change = snapshot.activity.since(&reported.logged);
         let is_quiet = snapshot.first_waiting.is_none() && change.late_refusals == 0;
         if is_quiet || now < reported.logged_at + LINE_PERIOD {
