--- a/coltsfootgate/tests/shared_claims.rs
+++ b/coltsfootgate/tests/shared_claims.rs
@@ -4,50 +4,34 @@
 mod support;
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use coltsfootgate_core::rendezvous::OwnerTable;
-use coltsfootgate_standins::platform::start_platform;
-use coltsfootgate_standins::runner::{ANY_PORT, StandinHandle};
-use coltsfootgate_standins::service::start_plain_service;
 use serde_json::json;
 
-use support::{
-    ProxiedDaemon, TestAnswer, TestCall, list_instances, put_tree, sample_tree, wait_all_alive,
-    wait_until,
-};
+use support::{ClaimCluster, TestAnswer, TestCall, wait_until};
 
 const COMPLETED: (u16, &str) = (200, "completed");
 
 struct SharedSetup {
-    platform: StandinHandle,
-    service: StandinHandle,
-    instances: Vec<ProxiedDaemon>,
+    cluster: ClaimCluster,
     /// The index of the instance that owns the only page of claims.
     owner: usize,
 }
 
 fn start(instances: usize) -> SharedSetup {
-    let platform = start_platform(ANY_PORT).unwrap();
-    let service = start_plain_service(ANY_PORT, Duration::ZERO).unwrap();
-    let tree = sample_tree(&[], &[service.address], "")
-        .replace("[deployment]\n", "[deployment]\nclaim_pages = 1\n")
-        .replace("slots = 4\nslots_max = 8", "slots = 64\nslots_max = 64");
-    put_tree(platform.address, 1, &tree);
-    let instances: Vec<_> =
-        (0..instances).map(|_| ProxiedDaemon::start(platform.address, "a", &[])).collect();
-    let known: Vec<_> = instances.iter().collect();
-    list_instances(platform.control, &known);
-    wait_all_alive(&known);
+    let more_slots =
+        |tree: String| tree.replace("slots = 4\nslots_max = 8", "slots = 64\nslots_max = 64");
+    let cluster = ClaimCluster::start(instances, more_slots);
+    let instances = &cluster.instances;
     let table = OwnerTable::new(instances.iter().map(|instance| instance.id().into()));
     let owner = table.owner("coltsfootgate/claims/0").unwrap().to_string();
     let owner = instances.iter().position(|instance| instance.id() == owner).unwrap();
-    SharedSetup { platform, service, instances, owner }
+    SharedSetup { cluster, owner }
 }
 
 impl SharedSetup {
     fn callers(&self, instance: usize) -> SocketAddr {
-        self.instances[instance].daemon.ports.callers
+        self.cluster.instances[instance].daemon.ports.callers
     }
 
     fn call(&self, instance: usize, key: &str) -> TestAnswer {
@@ -56,15 +40,11 @@
 
     /// An instance that does not own the page.
     fn non_owner(&self) -> usize {
-        (self.owner + 1) % self.instances.len()
-    }
-
-    fn executions(&self, key: &str) -> u64 {
-        self.service.control.counters().unwrap()["by_key"][key].as_u64().unwrap_or(0)
+        (self.owner + 1) % self.cluster.instances.len()
     }
 
     fn write_count(&self) -> u64 {
-        self.platform.control.counters().unwrap()["writes"].as_u64().unwrap()
+        self.cluster.platform.control.counters().unwrap()["writes"].as_u64().unwrap()
     }
 
     /// Repeats a request until the recorded answer is returned, and checks that it ran once.
@@ -74,7 +54,7 @@
             assert!(matches!(answer.status, 200 | 409), "{answer:?}");
             answer.header("coltsfootgate-replayed") == "true"
         });
-        assert_eq!(self.executions(key), 1);
+        assert_eq!(self.cluster.executions(key), 1);
     }
 }
 
@@ -93,7 +73,7 @@
     let setup = start(3);
     setup.assert_replayed(0, "k");
     // Longer than the calls take to arrive even on a busy machine, so that they can be batched.
-    setup.platform.control.send(&json!({"delay_ms": 400})).unwrap();
+    setup.cluster.platform.control.send(&json!({"delay_ms": 400})).unwrap();
     let before = setup.write_count();
     let calls: Vec<_> = (0..CALLS)
         .map(|number| keyed_call(&format!("k{number}")).start(setup.callers(number % 3)))
@@ -110,19 +90,19 @@
     let mut setup = start(3);
     setup.assert_replayed(setup.non_owner(), "k0");
     let owner = setup.owner;
-    setup.instances[owner].daemon.kill();
+    setup.cluster.instances[owner].daemon.kill();
     setup.assert_replayed(setup.non_owner(), "k0");
     assert_eq!(result_of(&setup.call(setup.non_owner(), "k1")), COMPLETED);
-    assert_eq!(setup.executions("k1"), 1);
+    assert_eq!(setup.cluster.executions("k1"), 1);
 }
 
 #[test]
 fn a_resumed_owner_knows_the_claims_made_during_its_pause() {
     let setup = start(3);
     setup.assert_replayed(setup.owner, "k0");
-    setup.instances[setup.owner].daemon.pause();
+    setup.cluster.instances[setup.owner].daemon.pause();
     assert_eq!(result_of(&setup.call(setup.non_owner(), "k1")), COMPLETED);
-    setup.instances[setup.owner].daemon.resume();
+    setup.cluster.instances[setup.owner].daemon.resume();
     setup.assert_replayed(setup.owner, "k1");
 }
 
@@ -130,7 +110,7 @@
 fn a_request_runs_once_if_the_reply_of_the_owner_is_lost() {
     let setup = start(3);
     setup.assert_replayed(setup.non_owner(), "k0");
-    let owner = &setup.instances[setup.owner];
+    let owner = &setup.cluster.instances[setup.owner];
     owner.command_proxy(json!({"mode": "swallow_down"}));
     assert_eq!(result_of(&setup.call(setup.non_owner(), "k1")), COMPLETED);
     owner.command_proxy(json!({"mode": "pass"}));
@@ -141,7 +121,7 @@
 fn a_silent_connection_to_the_owner_is_replaced() {
     let setup = start(3);
     setup.assert_replayed(setup.non_owner(), "k0");
-    setup.instances[setup.owner].command_proxy(json!({"silence_existing": true}));
+    setup.cluster.instances[setup.owner].command_proxy(json!({"silence_existing": true}));
     assert_eq!(result_of(&setup.call(setup.non_owner(), "k1")), COMPLETED);
-    assert_eq!(setup.executions("k1"), 1);
+    assert_eq!(setup.cluster.executions("k1"), 1);
 }
--- a/coltsfootgate/tests/support/cluster.rs
+++ b/coltsfootgate/tests/support/cluster.rs
@@ -2,13 +2,16 @@
 //! peers.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use coltsfootgate_standins::control::{ControlClient, blocking_call};
+use coltsfootgate_standins::platform::start_platform;
 use coltsfootgate_standins::proxy::start_proxy;
 use coltsfootgate_standins::runner::{ANY_PORT, StandinHandle};
+use coltsfootgate_standins::service::start_plain_service;
 use serde_json::{Value, json};
 
-use super::{TestDaemon, wait_until};
+use super::{TestDaemon, put_tree, sample_tree, wait_until};
 
 /// An instance and the proxy in front of its peers' port.
 pub struct ProxiedDaemon {
@@ -61,6 +64,47 @@
     }
 }
 
+/// Instances behind proxies that serve one plain service and keep claims in one page.
+pub struct ClaimCluster {
+    /// The platform.
+    pub platform: StandinHandle,
+    /// The service.
+    pub service: StandinHandle,
+    /// The instances, which know each other.
+    pub instances: Vec<ProxiedDaemon>,
+}
+
+impl ClaimCluster {
+    /// Starts so many instances with the sample tree after a change to it.
+    pub fn start(instances: usize, change: impl Fn(String) -> String) -> Self {
+        let platform = start_platform(ANY_PORT).unwrap();
+        let service = start_plain_service(ANY_PORT, Duration::ZERO).unwrap();
+        let tree = sample_tree(&[], &[service.address], "")
+            .replace("[deployment]\n", "[deployment]\nclaim_pages = 1\n");
+        put_tree(platform.address, 1, &change(tree));
+        let instances: Vec<_> =
+            (0..instances).map(|_| ProxiedDaemon::start(platform.address, "a", &[])).collect();
+        let cluster = Self { platform, service, instances };
+        list_instances(cluster.platform.control, &cluster.known());
+        cluster.wait_all_alive();
+        cluster
+    }
+
+    /// Waits until all instances are ready and see each other alive.
+    pub fn wait_all_alive(&self) {
+        wait_all_alive(&self.known());
+    }
+
+    /// How often the service executed requests with an idempotency key.
+    pub fn executions(&self, key: &str) -> u64 {
+        self.service.control.counters().unwrap()["by_key"][key].as_u64().unwrap_or(0)
+    }
+
+    fn known(&self) -> Vec<&ProxiedDaemon> {
+        self.instances.iter().collect()
+    }
+}
+
 fn start_behind(
     proxy: &StandinHandle,
     platform: SocketAddr,
--- a/coltsfootgate/tests/support/mod.rs
+++ b/coltsfootgate/tests/support/mod.rs
@@ -10,7 +10,7 @@
 mod wait;
 
 pub use caller::{TestAnswer, TestCall};
-pub use cluster::{ProxiedDaemon, list_instances, wait_all_alive};
+pub use cluster::{ClaimCluster, ProxiedDaemon, list_instances, wait_all_alive};
 pub use daemon::{DaemonPorts, TestDaemon};
 pub use tree::{SAMPLE_KEY, put_tree, sample_tree};
 pub use wait::wait_until;
