Restrict slow endpoints only while they are the smaller half of a pool

Cause: endpoints are slow if they take twice the median of the others. After a loss of power the first answers were those of small requests (2 to 5 ms); when the usual ones came (45 to 130 ms), each of the two replicas in service was slow beside a third that answered nothing any more and kept its short time. Both got one request at a time, each followed by a longer pause. Class of fault: an outlier filter without a bound on how many are outliers; the filter for failures has one.

Ruled out: the time of answers (36 to 52 ms or unknown), lost grants (none). The test failed before: "0 requests run at two endpoints with four slots each".

Why it works: an endpoint is compared with the others only if, with those that are restricted already, it belongs to the smaller half of the endpoints and owners known; otherwise a complete answer is a good one.

--- a/coltsfootgate_core/src/owner/endpoint.rs
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -276,7 +276,9 @@
         target: Option<Duration>,
         now: Instant,
     ) {
-        let pool = self.median_token_time_excluding(&report.endpoint);
+        let pool = self
+            .median_token_time_excluding(&report.endpoint)
+            .filter(|_| self.may_be_slow(&report.endpoint));
         // If most endpoints fail, ejecting them one by one would leave none in service.
         let is_pool_wide = report.result == ReleaseResult::Failed
             && self.median_error_rate_excluding(&report.endpoint, now) >= POOL_WIDE_ERROR_RATE;
@@ -396,6 +398,19 @@
         rates.get(rates.len().saturating_sub(1) / 2).copied().unwrap_or(0.0)
     }
 
+    /// Whether an endpoint may be restricted because it is slower than the others.
+    ///
+    /// If it would be one of the greater half, what the others took is no measure for it: their requests may
+    /// have been others, or their last answers old.
+    fn may_be_slow(&self, id: &EndpointId) -> bool {
+        let in_service = self.endpoints.iter().filter(|(_, endpoint)| endpoint.is_in_service());
+        let known = in_service.clone().count() + self.peer_token_times.len();
+        let others = in_service.filter(|(other, _)| *other != id);
+        let restricted =
+            others.filter(|(_, endpoint)| endpoint.health.state() != EndpointState::Healthy);
+        (restricted.count() + 1) * 2 <= known
+    }
+
     /// Median time between tokens over all other endpoints and the pool's other owners.
     ///
     /// Endpoints that limit their requests are almost idle, so they are no measure for loaded ones.
--- a/coltsfootgate_core/tests/owner.rs
+++ b/coltsfootgate_core/tests/owner.rs
@@ -139,6 +139,36 @@
     assert_eq!(driver.in_flight(), 1);
 }
 
+/// The answers of a service become longer, since other requests come, while one endpoint with short ones
+/// in its past answers nothing. The others are slow compared with it.
+#[test]
+fn endpoints_that_are_all_slow_are_not_all_restricted() {
+    const SHORT: Duration = Duration::from_millis(5);
+    const LONG: Duration = Duration::from_millis(60);
+    let mut driver = OwnerDriver::without_tokens(3, 4);
+    let mut grant = 0;
+    let mut request = |driver: &mut OwnerDriver| {
+        grant += 1;
+        driver.request(grant_request(grant, 3));
+    };
+    for _ in 0..30 {
+        request(&mut driver);
+        driver.advance(SHORT);
+        driver.release_with_latencies(0, SHORT, SHORT);
+    }
+    (0..12).for_each(|_| request(&mut driver));
+    let silent = driver.held()[0].2.clone();
+    for _ in 0..200 {
+        driver.advance(LONG);
+        if let Some(index) = driver.held().iter().position(|held| held.2 != silent) {
+            driver.release_with_latencies(index, LONG, LONG);
+        }
+        request(&mut driver);
+    }
+    let running = driver.held().iter().filter(|held| held.2 != silent).count();
+    assert!(running >= 4, "{running} requests run at two endpoints with four slots each");
+}
+
 /// Instances that were frozen report seconds for answers that took milliseconds. If all requests are refused
 /// because of that, no answer corrects it.
 #[rstest]
