Do not let a busy thread delay a load of settings at each step

After each 64 branches a load pauses, and goes on when all other tasks have run once. Class of fault: a yield whose price grows with the load of the thread, paid for each step however short. The translation of the operator's settings paused in the same way.

The test failed before: "19 turns of a busy task during 19 steps".

--- a/coltsfootgate/src/tree/tests.rs
+++ b/coltsfootgate/src/tree/tests.rs
@@ -11,7 +11,8 @@
 use rstest::rstest;
 
 use coltsfootgate_config::{
-    BranchDocument, HEAD_KEY, RootObject, TreeParts, branch_key, content_digest, root_key,
+    BranchDocument, HEAD_KEY, RootObject, TreeBuilder, TreeParts, branch_key, content_digest,
+    root_key,
 };
 
 use super::source::PeerFetchError;
@@ -180,6 +181,32 @@
     });
 }
 
+/// Other tasks that keep the thread busy delay each continuation of a load.
+#[test]
+fn a_busy_thread_does_not_delay_a_tree_at_each_step() {
+    const TURN: Duration = Duration::from_millis(100);
+    let classes = (0..1_200).map(|number| {
+        format!("[classes.c{number}]\nmatch = {{ path = [\"/c{number}/*\"] }}\ntier = 1\n")
+    });
+    let text = tree_text("busy") + &classes.collect::<String>();
+    let document = BranchDocument::parse("busy", &text).unwrap();
+    let steps = document.nodes.len() / TreeBuilder::SLICE_BRANCHES;
+    let turns = block_on(async {
+        let turns = Rc::new(Cell::new(0));
+        let counted = turns.clone();
+        monoio::spawn(async move {
+            loop {
+                std::thread::sleep(TURN);
+                counted.set(counted.get() + 1);
+                monoio::time::sleep(Duration::ZERO).await;
+            }
+        });
+        build_tree(document).await.unwrap();
+        turns.get()
+    });
+    assert!(turns < steps / 2, "{turns} turns of a busy task during {steps} steps");
+}
+
 #[test]
 fn a_lower_version_never_comes_into_force() {
     block_on(async {
