List the origins of streams in the store before they are used

That list can be older than the stream: up to 600 ms between reads, a call that waits, an outage that is not noticed for 1.2 s, a pause below 1.2 s. For streams that their callers do not name it was relied on even if it was incomplete, so after a loss of all instances they went on at whatever version was left.

Ruled out as a sufficient answer: a read of the replicas sent after the take-up, which does not show versions that left while no instance ran; the store's history (20 s, may be discarded sooner).

Now the store holds one list of all origins at which streams may begin, and an instance uses the endpoints of an origin only once the list names it. A take-up without a record rests on a read of the list that was sent after it arrived; a question that arrives while a read is open waits for the next one.

Tests replaced: those of the roster's certainty (sole_version_*) by tests of the list (origins.rs), which hold without time, pauses or outages at the instance, and of what the roster passes on. New: coltsfootgate_streams_taken_up_total; `origin` in decision lines names why a stream was refused.

--- a/coltsfootgate/src/endpoints/board.rs
+++ b/coltsfootgate/src/endpoints/board.rs
@@ -2,16 +2,13 @@
 
 use std::cell::{Ref, RefCell};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 
 use coltsfootgate_core::ids::EndpointId;
-use coltsfootgate_core::roster::{
-    ReplicaChange, ReplicaRoster, ReplicaSnapshot, RosterEvent, SoleVersion,
-};
-
-use crate::clock;
+use coltsfootgate_core::roster::{ReplicaChange, ReplicaRoster, ReplicaSnapshot, RosterEvent};
+use coltsfootgate_core::stream::StreamOrigin;
 
 /// The replicas that may serve requests; clones share the same roster.
 #[derive(Clone, Debug)]
@@ -42,9 +39,9 @@
         self.0.roster.borrow().has_left(endpoint)
     }
 
-    /// The replicas known here, for another instance.
-    pub fn snapshot(&self) -> ReplicaSnapshot {
-        self.0.roster.borrow().snapshot()
+    /// The replicas known here, for another instance, with the listed `origins` of streams.
+    pub fn snapshot(&self, origins: Vec<StreamOrigin>) -> ReplicaSnapshot {
+        self.0.roster.borrow().snapshot(origins)
     }
 
     /// Whether the platform's list of endpoints is unreachable, so that peers are polled instead.
@@ -52,12 +49,6 @@
         self.0.roster.borrow().is_source_lost()
     }
 
-    /// The software version of all replicas of a pool that were listed within the last `span`, if
-    /// there was only one.
-    pub fn sole_version(&self, pool: &str, span: Duration) -> Option<SoleVersion> {
-        self.0.roster.borrow().sole_version(pool, span, clock::now())
-    }
-
     /// Borrows the roster, for the task that updates it.
     pub(super) fn borrow(&self) -> Ref<'_, ReplicaRoster> {
         self.0.roster.borrow()
--- a/coltsfootgate/src/endpoints/peers.rs
+++ b/coltsfootgate/src/endpoints/peers.rs
@@ -13,6 +13,7 @@
 use super::SharedRoster;
 use crate::members::MembersHandle;
 use crate::peer::PeerHandle;
+use crate::streams::OriginsHandle;
 
 /// Interval between polls; each goes to one peer.
 const POLL_PERIOD: Duration = Duration::from_millis(400);
@@ -24,12 +25,18 @@
     own: InstanceId,
     members: MembersHandle,
     peers: PeerHandle,
+    origins: OriginsHandle,
 }
 
 impl SnapshotPoller {
     /// Creates the poller of an instance.
-    pub fn new(own: InstanceId, members: MembersHandle, peers: PeerHandle) -> Self {
-        Self { own, members, peers }
+    pub fn new(
+        own: InstanceId,
+        members: MembersHandle,
+        peers: PeerHandle,
+        origins: OriginsHandle,
+    ) -> Self {
+        Self { own, members, peers, origins }
     }
 
     /// Polls a random peer at each interval while the platform's list is unreachable, until the
@@ -62,7 +69,8 @@
     async fn poll(&self, peer: &InstanceId, events: &UnboundedSender<RosterEvent>) {
         let deadline = Instant::now() + CALL_TIMEOUT;
         match self.peers.call(peer, PeerRequest::FetchReplicas, deadline).await {
-            Ok(PeerReply::Replicas(snapshot)) => {
+            Ok(PeerReply::Replicas(mut snapshot)) => {
+                self.origins.learn(std::mem::take(&mut snapshot.origins));
                 // Fails only while the process is ending.
                 let _ = events.unbounded_send(RosterEvent::PeerSnapshot(snapshot));
             }
--- a/coltsfootgate/src/endpoints/task.rs
+++ b/coltsfootgate/src/endpoints/task.rs
@@ -1,15 +1,18 @@
 //! The task that tracks the endpoints of all pools and passes them to the owner and the routes.
 
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender};
 use futures_util::StreamExt;
-use futures_util::future::{Either, select};
+use futures_util::stream::{Stream, select};
 use log::{info, warn};
 use monoio::time::{sleep, timeout};
 
+use coltsfootgate_core::prelude::{EndpointId, EndpointSettings, PoolId, SoftwareVersion};
 use coltsfootgate_core::roster::RosterEvent;
+use coltsfootgate_core::stream::StreamOrigin;
 
 use super::{ActivePools, EndpointDirectory, EndpointNotice, SharedRoster, SnapshotPoller};
 use crate::clock;
@@ -18,6 +21,7 @@
 use crate::owner::{OwnerHandle, OwnerMessage};
 use crate::platform::PlatformError;
 use crate::routes::RouteTable;
+use crate::streams::OriginsHandle;
 use crate::tree::{ActiveTree, TreeHandle};
 
 /// Interval between reads of changes. Replicas renew their announcements all the time, so that a
@@ -34,9 +38,35 @@
     owner: OwnerHandle,
     routes: RouteTable,
     readiness: ReadinessGate,
+    origins: OriginsHandle,
     roster: SharedRoster,
     roster_events: UnboundedReceiver<RosterEvent>,
-    active: Option<Rc<ActiveTree>>,
+    active: Option<ActivePlan>,
+    /// The endpoints that are in use, with their versions.
+    published: HashMap<EndpointId, Option<SoftwareVersion>>,
+}
+
+/// A tree in force, with the pools at which its streams that may be resumed begin.
+struct ActivePlan {
+    tree: Rc<ActiveTree>,
+    stream_pools: BTreeSet<PoolId>,
+}
+
+impl ActivePlan {
+    fn new(tree: Rc<ActiveTree>) -> Self {
+        let streams = tree.tree.classes().filter(|class| class.is_stream && class.resume);
+        let pools = streams.flat_map(|class| &class.pools);
+        let stream_pools = pools.map(|share| share.pool.clone()).collect();
+        Self { tree, stream_pools }
+    }
+}
+
+/// What the task handles.
+enum EndpointsStep {
+    Tree(Rc<ActiveTree>),
+    Roster(RosterEvent),
+    /// Other origins of streams are listed than before.
+    OriginsListed,
 }
 
 impl EndpointsTask {
@@ -46,10 +76,12 @@
         owner: OwnerHandle,
         routes: RouteTable,
         readiness: ReadinessGate,
+        origins: OriginsHandle,
         roster: SharedRoster,
         roster_events: UnboundedReceiver<RosterEvent>,
     ) -> Self {
-        Self { tree, owner, routes, readiness, roster, roster_events, active: None }
+        let (active, published) = (None, HashMap::new());
+        Self { tree, owner, routes, readiness, origins, roster, roster_events, active, published }
     }
 
     /// Runs until the process ends.
@@ -65,51 +97,82 @@
             monoio::spawn(poller.run(self.roster.clone(), events.clone()));
             monoio::spawn(poll_directory(directory, events, metrics));
         }
-        let mut trees = self.tree.subscribe();
+        let mut steps = self.take_steps();
         loop {
-            let step = next_step(&mut trees, &mut self.roster_events).await;
-            match step {
-                Some(Either::Left(active)) => {
-                    self.active = Some(active);
-                    self.publish();
-                }
-                Some(Either::Right(event)) => self.apply_event(event),
-                None => self.apply_event(RosterEvent::Tick),
+            match timeout(TICK_PERIOD, steps.next()).await {
+                Ok(Some(step)) => self.apply_step(step),
+                Ok(None) => return,
+                Err(_) => self.apply_event(RosterEvent::Tick),
+            }
+        }
+    }
+
+    fn take_steps(&mut self) -> impl Stream<Item = EndpointsStep> + Unpin + use<> {
+        let (_, ended) = futures_channel::mpsc::unbounded();
+        let roster_events = std::mem::replace(&mut self.roster_events, ended);
+        let trees = self.tree.subscribe().map(EndpointsStep::Tree);
+        let listed = self.origins.subscribe().map(|()| EndpointsStep::OriginsListed);
+        select(select(trees, listed), roster_events.map(EndpointsStep::Roster))
+    }
+
+    fn apply_step(&mut self, step: EndpointsStep) {
+        match step {
+            EndpointsStep::Tree(tree) => {
+                self.active = Some(ActivePlan::new(tree));
+                self.update_origins();
+                self.publish();
             }
+            EndpointsStep::Roster(event) => self.apply_event(event),
+            EndpointsStep::OriginsListed => self.publish(),
         }
     }
 
     fn apply_event(&mut self, event: RosterEvent) {
         let was_populated = self.roster.borrow().is_populated();
+        let was_lost = self.roster.is_source_lost();
         let changes = self.roster.handle(event, clock::now());
         for (endpoint, change) in &changes {
             info!("endpoint {endpoint} {}", change.name());
         }
-        if !was_populated && self.roster.borrow().is_populated() {
-            self.readiness.clear(UnreadyCause::NoEndpoints);
+        if !changes.is_empty() || was_lost != self.roster.is_source_lost() {
+            self.update_origins();
         }
-        if !changes.is_empty() {
+        if !changes.is_empty() || !was_populated && self.roster.borrow().is_populated() {
             self.publish();
         }
     }
 
-    fn publish(&self) {
-        let Some(active) = self.active.clone() else { return };
-        let pools = Rc::new(ActivePools::new(active, &self.roster.borrow().endpoints()));
+    /// Passes on at which origins streams may begin.
+    fn update_origins(&self) {
+        let Some(active) = &self.active else { return };
+        let origins = self.roster.borrow().origins(&active.stream_pools);
+        self.origins.set_serving(origins, !self.roster.is_source_lost());
+    }
+
+    fn publish(&mut self) {
+        let Some(active) = &self.active else { return };
+        let mut endpoints = self.roster.borrow().endpoints();
+        let is_populated = self.roster.borrow().is_populated();
+        let known = endpoints.values().flatten().count();
+        for (pool, endpoints) in &mut endpoints {
+            let has_streams = active.stream_pools.contains(pool);
+            endpoints.retain(|one| !has_streams || self.may_use(pool, one));
+        }
+        let used = endpoints.values().flatten();
+        self.published = used.map(|one| (one.id.clone(), one.version.clone())).collect();
+        if is_populated && (known == 0 || !self.published.is_empty()) {
+            self.readiness.clear(UnreadyCause::NoEndpoints);
+        }
+        let pools = Rc::new(ActivePools::new(active.tree.clone(), &endpoints));
         self.owner.send(OwnerMessage::Settings(pools.clone()));
         self.routes.set_pools(pools);
     }
-}
 
-/// Waits for the next tree or event; `None` when a tick is due.
-async fn next_step(
-    trees: &mut UnboundedReceiver<Rc<ActiveTree>>,
-    roster_events: &mut UnboundedReceiver<RosterEvent>,
-) -> Option<Either<Rc<ActiveTree>, RosterEvent>> {
-    match timeout(TICK_PERIOD, select(trees.next(), roster_events.next())).await {
-        Ok(Either::Left((active, _))) => active.map(Either::Left),
-        Ok(Either::Right((event, _))) => event.map(Either::Right),
-        Err(_) => None,
+    /// Whether streams may begin at an endpoint. One that is in use stays so.
+    fn may_use(&self, pool: &PoolId, endpoint: &EndpointSettings) -> bool {
+        let origin = StreamOrigin { pool: pool.clone(), version: endpoint.version.clone() };
+        let is_used = self.published.get(&endpoint.id) == Some(&endpoint.version);
+        is_used || self.origins.is_listed(&origin)
     }
 }
 
--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -27,7 +27,7 @@
 };
 use crate::quarantine::{QuarantineHandle, QuarantineTask};
 use crate::routes::{MemberWatcher, OwnerClient, PoolStatus, RouteTable};
-use crate::streams::{StreamRegister, follow_instances};
+use crate::streams::{OriginsHandle, OriginsTask, StreamRegister, follow_instances};
 use crate::transfer::BufferBudget;
 use crate::tree::{TreeHandle, TreeTask};
 
@@ -151,7 +151,8 @@
         let (owner, messages) = OwnerHandle::new();
         let reporter = OwnerReporter::new(self.metrics.clone());
         monoio::spawn(OwnerTask::new(own.clone(), owner.clone(), reporter).run(messages));
-        let streams = StreamRegister::new(own.clone(), self.peers.clone(), roster.clone());
+        let origins = self.start_origins(members);
+        let streams = StreamRegister::new(own.clone(), self.peers.clone(), origins.clone());
         let routes = RouteTable::new(self.settings.zone.clone());
         let (task_owner, readiness) = (owner.clone(), self.readiness.clone());
         let task = EndpointsTask::new(
@@ -159,10 +160,11 @@
             task_owner,
             routes.clone(),
             readiness,
+            origins.clone(),
             roster.clone(),
             roster_events,
         );
-        let poller = SnapshotPoller::new(own.clone(), members.clone(), self.peers.clone());
+        let poller = SnapshotPoller::new(own.clone(), members.clone(), self.peers.clone(), origins);
         monoio::spawn(task.run(self.platform.clone(), poller, self.metrics.clone()));
         let owner_client = OwnerClient::new(own.clone(), owner.clone(), self.peers.clone());
         let context = PipelineContext {
@@ -187,6 +189,16 @@
         (owner, context)
     }
 
+    fn start_origins(&self, members: &MembersHandle) -> OriginsHandle {
+        if !P::ANNOUNCES {
+            return OriginsHandle::without_list();
+        }
+        let own = self.settings.instance.clone();
+        let (task, origins) = OriginsTask::new(own, self.platform.clone(), members.clone());
+        monoio::spawn(task.run());
+        origins
+    }
+
     fn start_quarantine(&self, members: &MembersHandle) -> QuarantineHandle {
         let (quarantine, messages) = QuarantineHandle::new();
         let task = QuarantineTask::new(
--- a/coltsfootgate/src/metrics/mod.rs
+++ b/coltsfootgate/src/metrics/mod.rs
@@ -78,6 +78,7 @@
     grants: IntCounterVec,
     deferrals: IntCounterVec,
     lost_grants: IntCounterVec,
+    streams_taken_up: IntCounterVec,
     loop_delay: Histogram,
 }
 
@@ -233,6 +234,12 @@
                 "Failed attempts to place a waiting request, by cause.",
                 &["pool", "cause"],
             ),
+            streams_taken_up: registrar.counters(
+                "streams_taken_up",
+                "Streams that callers took up again, by how it was determined where they began; all but \
+                 `record` and `sole-origin` were refused.",
+                &["origin"],
+            ),
             lost_grants: registrar.counters(
                 "lost_grants",
                 "Grants that their requesters did not hold any more and had not returned.",
@@ -334,6 +341,11 @@
         self.peer_faults.with_label_values(&[cause]).inc();
     }
 
+    /// Counts a stream that a caller takes up again, by how its origin was determined.
+    pub fn stream_taken_up(&self, origin: &str) {
+        self.streams_taken_up.with_label_values(&[origin]).inc();
+    }
+
     /// Counts a call to the platform's service.
     pub fn platform_called(&self, call: &str, result: &str) {
         self.platform_calls.with_label_values(&[call, result]).inc();
--- a/coltsfootgate/src/peer/dispatch.rs
+++ b/coltsfootgate/src/peer/dispatch.rs
@@ -73,7 +73,8 @@
                 let _ = reply.send(PeerReply::Object(object));
             }
             PeerRequest::FetchReplicas => {
-                let _ = reply.send(PeerReply::Replicas(self.replicas.snapshot()));
+                let snapshot = self.replicas.snapshot(self.streams.origins().listed());
+                let _ = reply.send(PeerReply::Replicas(snapshot));
             }
             PeerRequest::RecordStream { key, origin, expires } => {
                 self.streams.keep(key, origin, expires);
--- a/coltsfootgate/src/pipeline/resume.rs
+++ b/coltsfootgate/src/pipeline/resume.rs
@@ -32,6 +32,7 @@
     let Some(resumption) = resumption else { return Ok(None) };
     let (origin, source) = look_up(context, request, resumption).await;
     journal.record.origin = Some(source);
+    context.metrics.stream_taken_up(source);
     let Some(origin) = origin else {
         let kind = ErrorKind::StreamUnknown;
         let message = "it is not known which software version began the stream";
@@ -42,11 +43,11 @@
     Ok(Some(origin))
 }
 
-/// Looks up where a stream began; returns also how that was determined.
+/// Looks up where a stream began; returns also how that was determined, or why it is not known.
 ///
-/// Without a record, a stream is continued only if a single version served since it can have begun. If
-/// its caller does not name it, no record can be found, and what this instance knows is relied on even
-/// if it is incomplete.
+/// A stream without a record, or one that its caller does not name, is continued only if a single origin is
+/// listed. The list is read after the request arrived, so it names the origin of the stream, whatever this
+/// instance missed before.
 async fn look_up(
     context: &PipelineContext,
     request: &ClassifiedRequest,
@@ -60,9 +61,10 @@
     if recorded.is_some() {
         return (recorded, "record");
     }
-    let sole = sole_origin(context, request, resumption.stream.is_some());
-    let source = if sole.is_some() { "sole-version" } else { "unknown" };
-    (sole, source)
+    match context.streams.sole_origin(request.class.timeout * STREAM_AGE_FACTOR).await {
+        Ok(origin) => (Some(origin), "sole-origin"),
+        Err(unknown) => (None, unknown.name()),
+    }
 }
 
 /// Sets the pool of a request to the one at which its stream began.
@@ -129,16 +131,3 @@
 fn stream_key(request: &ClassifiedRequest, stream: &str) -> Option<StreamKey> {
     StreamKey::new(request.customer.id.clone(), stream)
 }
-
-/// The origin of every stream that can be taken up now, if a single version served since the oldest
-/// of them began.
-fn sole_origin(
-    context: &PipelineContext,
-    request: &ClassifiedRequest,
-    must_be_certain: bool,
-) -> Option<StreamOrigin> {
-    let span = request.class.timeout * STREAM_AGE_FACTOR;
-    let sole = context.streams.sole_version(&request.pool.id, span)?;
-    let is_known = sole.is_certain || !must_be_certain;
-    is_known.then(|| StreamOrigin { pool: request.pool.id.clone(), version: sole.version })
-}
--- a/coltsfootgate/src/streams/mod.rs
+++ b/coltsfootgate/src/streams/mod.rs
@@ -1,8 +1,13 @@
 //! Remembers, together with other instances, which software version began each stream.
 
+mod origins;
+mod stored;
+#[cfg(test)]
+mod tests;
+
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use futures_channel::mpsc::unbounded;
 use futures_util::StreamExt;
@@ -11,15 +16,15 @@
 
 use coltsfootgate_core::prelude::InstanceId;
 use coltsfootgate_core::rendezvous::{OwnerTable, stable_hash};
-use coltsfootgate_core::roster::SoleVersion;
 use coltsfootgate_core::stream::{StreamBook, StreamKey, StreamOrigin};
 use coltsfootgate_wire::{PeerReply, PeerRequest};
 
 use crate::clock;
-use crate::endpoints::SharedRoster;
 use crate::members::{MemberChange, MembersHandle};
 use crate::peer::PeerHandle;
 
+pub use self::origins::{OriginsHandle, OriginsTask};
+
 /// Number of groups of streams; those of one group are recorded at the same instances, so that an
 /// instance of a large fleet needs connections to a part of the others only.
 const STREAM_GROUPS: u64 = 32;
@@ -35,6 +40,25 @@
 /// Time limit for the answer to a question about a stream.
 const FIND_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Why it is not known where a stream without a record began.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum UnknownOrigin {
+    /// The list of origins could not be read.
+    Unconfirmed,
+    /// It may have begun at several origins, or at none that is listed.
+    Several,
+}
+
+impl UnknownOrigin {
+    /// The name used in decision records and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Unconfirmed => "unconfirmed",
+            Self::Several => "several-origins",
+        }
+    }
+}
+
 /// The origins of recent streams; clones share the same state.
 #[derive(Clone)]
 pub struct StreamRegister(Rc<RegisterState>);
@@ -42,16 +66,16 @@
 struct RegisterState {
     own: InstanceId,
     peers: PeerHandle,
-    roster: SharedRoster,
+    origins: OriginsHandle,
     book: RefCell<StreamBook>,
     instances: RefCell<OwnerTable>,
 }
 
 impl StreamRegister {
     /// Creates the register of an instance that knows no other one yet.
-    pub fn new(own: InstanceId, peers: PeerHandle, roster: SharedRoster) -> Self {
+    pub fn new(own: InstanceId, peers: PeerHandle, origins: OriginsHandle) -> Self {
         let (book, instances) = (RefCell::default(), RefCell::default());
-        Self(Rc::new(RegisterState { own, peers, roster, book, instances }))
+        Self(Rc::new(RegisterState { own, peers, origins, book, instances }))
     }
 
     /// Records where a stream began, here and at other instances; returns once one of them has the
@@ -112,10 +136,20 @@
         None
     }
 
-    /// The software version of all replicas of a pool that were listed within the last `span`, if
-    /// there was only one.
-    pub fn sole_version(&self, pool: &str, span: Duration) -> Option<SoleVersion> {
-        self.0.roster.sole_version(pool, span)
+    /// The origins that streams may have.
+    pub fn origins(&self) -> &OriginsHandle {
+        &self.0.origins
+    }
+
+    /// The origin of every stream that began within the last `span`, if there is only one.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason if no origin is certain.
+    pub async fn sole_origin(&self, span: Duration) -> Result<StreamOrigin, UnknownOrigin> {
+        let list = self.0.origins.confirm().await.ok_or(UnknownOrigin::Unconfirmed)?;
+        let sole = list.sole_origin(span, SystemTime::now());
+        sole.cloned().ok_or(UnknownOrigin::Several)
     }
 
     /// The other instances, in the order in which they hold the record of a stream.
--- a/coltsfootgate_core/src/lib.rs
+++ b/coltsfootgate_core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod ids;
 pub mod limit;
 pub mod membership;
+pub mod origins;
 pub mod outcome;
 pub mod owner;
 pub mod prelude;
--- a/coltsfootgate_core/src/roster.rs
+++ b/coltsfootgate_core/src/roster.rs
@@ -3,13 +3,13 @@
 //! While the source of the announcements is unreachable, announcements expire there although their
 //! replicas still run; such replicas stay in service.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::ids::{EndpointId, PoolId, SoftwareVersion, ZoneName};
-use crate::membership::PAUSE_GAP;
 use crate::settings::EndpointSettings;
+use crate::stream::StreamOrigin;
 
 /// Time that a replica has to announce itself again after an outage of the source, if its
 /// announcement expired during the outage.
@@ -18,9 +18,6 @@
 /// service.
 pub const LEFT_RETENTION: Duration = Duration::from_secs(120);
 
-/// How long a version is remembered after its last replica was removed.
-const VERSION_RETENTION: Duration = Duration::from_secs(3600);
-
 /// The description of itself that a replica stores with the source.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ReplicaAnnouncement {
@@ -58,15 +55,8 @@
     pub announcements: Vec<ReplicaAnnouncement>,
     /// The endpoints that are still kept as left.
     pub left: Vec<EndpointId>,
-}
-
-/// The only software version that is known to have served a pool for some time.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct SoleVersion {
-    /// The version; `None` if the replicas state none.
-    pub version: Option<SoftwareVersion>,
-    /// Whether no other version can have been listed unnoticed in that time.
-    pub is_certain: bool,
+    /// The origins of streams that are listed, so that their endpoints may be used.
+    pub origins: Vec<StreamOrigin>,
 }
 
 /// Input of a roster.
@@ -97,6 +87,8 @@
     Leaving,
     /// Its announcement was removed, or a newer process of the replica announced itself.
     Gone,
+    /// It announced another version of its software.
+    VersionChanged,
 }
 
 impl ReplicaChange {
@@ -106,6 +98,7 @@
             Self::Joined => "joined",
             Self::Leaving => "leaving",
             Self::Gone => "gone",
+            Self::VersionChanged => "states another version",
         }
     }
 }
@@ -126,12 +119,6 @@
 pub struct ReplicaRoster {
     entries: BTreeMap<Arc<str>, RosterEntry>,
     left: HashMap<EndpointId, Instant>,
-    /// When replicas of each pool and version were last removed.
-    removed: HashMap<(PoolId, Option<SoftwareVersion>), Instant>,
-    /// Since when the source was reachable and this process ran, without interruption.
-    complete_since: Option<Instant>,
-    /// When the last event was applied.
-    updated: Option<Instant>,
     is_source_lost: bool,
     /// When the source last became reachable after an outage.
     source_returned: Option<Instant>,
@@ -147,7 +134,6 @@
     /// Applies an event and returns the endpoints that changed.
     pub fn handle(&mut self, event: RosterEvent, now: Instant) -> Vec<(EndpointId, ReplicaChange)> {
         let mut changes = Vec::new();
-        self.note_pause(now);
         match event {
             RosterEvent::Listed(announcements) => self.list(announcements, now, &mut changes),
             RosterEvent::Announced(announcement) => {
@@ -159,10 +145,7 @@
                 self.mark_source_reachable(now);
                 self.withdraw(&replica, may_have_expired, now, &mut changes);
             }
-            RosterEvent::SourceLost => {
-                self.is_source_lost = true;
-                self.complete_since = None;
-            }
+            RosterEvent::SourceLost => self.is_source_lost = true,
             RosterEvent::SaidLeaving(endpoint) => self.leave(endpoint, now, &mut changes),
             RosterEvent::PeerSnapshot(snapshot) => self.merge_snapshot(snapshot, now, &mut changes),
             RosterEvent::Tick => {}
@@ -202,32 +185,25 @@
         self.is_source_lost
     }
 
-    /// The software version of all replicas of a pool that were listed within the last `span`, if
-    /// there was only one.
-    pub fn sole_version(&self, pool: &str, span: Duration, now: Instant) -> Option<SoleVersion> {
+    /// Where streams may begin in some pools; replicas that are leaving are included.
+    pub fn origins(&self, pools: &BTreeSet<PoolId>) -> BTreeSet<StreamOrigin> {
         let announcements = self.entries.values().map(|entry| &entry.announcement);
-        let present = announcements.filter(|one| &*one.pool == pool).map(|one| &one.version);
-        let removed = self
-            .removed
-            .iter()
-            .filter(|((removed, _), at)| &**removed == pool && **at + span > now);
-        let mut versions = present.chain(removed.map(|((_, version), _)| version));
-        let version = versions.next()?;
-        if !versions.all(|other| other == version) {
-            return None;
-        }
-        let is_complete = self.complete_since.is_some_and(|since| since + span <= now);
-        let is_certain = is_complete && !self.is_source_lost;
-        Some(SoleVersion { version: version.clone(), is_certain })
+        let of_pools = announcements.filter(|one| pools.contains(&one.pool));
+        let origin = |one: &ReplicaAnnouncement| StreamOrigin {
+            pool: one.pool.clone(),
+            version: one.version.clone(),
+        };
+        of_pools.map(origin).collect()
     }
 
-    /// The replicas known here, for other instances.
-    pub fn snapshot(&self) -> ReplicaSnapshot {
+    /// The replicas known here, for other instances, with the listed `origins` of streams.
+    pub fn snapshot(&self, origins: Vec<StreamOrigin>) -> ReplicaSnapshot {
         let announcements = self.entries.values().map(|entry| entry.announcement.clone());
         let announcements = announcements.filter(|one| !self.left.contains_key(&one.endpoint_id()));
         ReplicaSnapshot {
             announcements: announcements.collect(),
             left: self.left.keys().cloned().collect(),
+            origins,
         }
     }
 
@@ -240,7 +216,6 @@
     ) {
         self.is_populated = true;
         self.mark_source_reachable(now);
-        self.complete_since.get_or_insert(now);
         let may_have_expired =
             self.source_returned.is_some_and(|returned| now < returned + REANNOUNCE_TIMEOUT);
         let listed: Vec<Arc<str>> = announcements.iter().map(|one| one.replica.clone()).collect();
@@ -269,15 +244,6 @@
         }
     }
 
-    /// Replicas may have come and gone unnoticed while this process did not run.
-    fn note_pause(&mut self, now: Instant) {
-        let is_paused = self.updated.is_some_and(|updated| now > updated + PAUSE_GAP);
-        if is_paused && self.complete_since.is_some() {
-            self.complete_since = Some(now);
-        }
-        self.updated = Some(now);
-    }
-
     fn mark_source_reachable(&mut self, now: Instant) {
         if self.is_source_lost {
             self.is_source_lost = false;
@@ -300,13 +266,10 @@
             if order < (known.born, known.sequence) {
                 return;
             }
-            let is_same = known.endpoint_id() == id && known.version == announcement.version;
-            if !is_same {
-                let version = (known.pool.clone(), known.version.clone());
-                self.removed.insert(version, now);
-            }
             if known.born < announcement.born {
                 changes.push((known.endpoint_id(), ReplicaChange::Gone));
+            } else if known.version != announcement.version {
+                changes.push((id.clone(), ReplicaChange::VersionChanged));
             }
         }
         let replica = announcement.replica.clone();
@@ -339,8 +302,6 @@
             return;
         }
         let id = entry.announcement.endpoint_id();
-        let version = (entry.announcement.pool.clone(), entry.announcement.version.clone());
-        self.removed.insert(version, now);
         self.entries.remove(replica);
         self.left.insert(id.clone(), now);
         changes.push((id, ReplicaChange::Gone));
@@ -374,6 +335,5 @@
             self.withdraw(&replica, false, now, changes);
         }
         self.left.retain(|_, since| now < *since + LEFT_RETENTION);
-        self.removed.retain(|_, at| now < *at + VERSION_RETENTION);
     }
 }
--- a/coltsfootgate_core/src/stream.rs
+++ b/coltsfootgate_core/src/stream.rs
@@ -41,7 +41,7 @@
 }
 
 /// Where a stream began.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct StreamOrigin {
     /// The pool of the endpoint.
     pub pool: PoolId,
--- a/coltsfootgate_core/tests/roster.rs
+++ b/coltsfootgate_core/tests/roster.rs
@@ -7,7 +7,7 @@
 
 use coltsfootgate_core::roster::{
     REANNOUNCE_TIMEOUT, ReplicaAnnouncement, ReplicaChange, ReplicaRoster, ReplicaSnapshot,
-    RosterEvent, SoleVersion,
+    RosterEvent,
 };
 
 static START: LazyLock<Instant> = LazyLock::new(Instant::now);
@@ -34,6 +34,7 @@
     ReplicaSnapshot {
         announcements: names.iter().map(|name| replica(name, 1, 1)).collect(),
         left: left.iter().map(|id| (*id).into()).collect(),
+        ..ReplicaSnapshot::default()
     }
 }
 
@@ -125,7 +126,7 @@
     assert!(!roster.is_populated());
     roster.handle(RosterEvent::PeerSnapshot(ReplicaSnapshot::default()), *START);
     assert!(!roster.is_populated(), "an empty snapshot does not populate the roster");
-    roster.handle(RosterEvent::PeerSnapshot(known.snapshot()), *START);
+    roster.handle(RosterEvent::PeerSnapshot(known.snapshot(Vec::new())), *START);
     assert!(roster.is_populated() && roster.is_source_lost());
     assert_eq!(serving(&roster), ["a@1"]);
 }
@@ -142,94 +143,56 @@
     assert_eq!(serving(&roster), ["b@1"]);
 }
 
-/// Time for which a version must have been the only one.
-const VERSION_SPAN: Duration = Duration::from_secs(30);
-
 fn versioned(name: &str, sequence: u64, version: &str) -> ReplicaAnnouncement {
     ReplicaAnnouncement { version: Some(version.into()), ..replica(name, 1, sequence) }
 }
 
-/// Events at 10 s, after two replicas of v1 were listed; the question is asked at `asked_s`.
+/// Events after two replicas of v1 were listed.
 #[rstest]
-#[case::nothing_else(&[], 40, true)]
-#[case::not_for_long_enough(&[], 29, false)]
-#[case::another_version_serves(&[RosterEvent::Announced(versioned("c", 1, "v2"))], 60, false)]
-#[case::another_version_served(
-    &[RosterEvent::Announced(versioned("c", 1, "v2")), RosterEvent::Withdrawn("c".into())], 39, false
+#[case::nothing_else(&[], &["v1"])]
+#[case::another_version_joins(&[RosterEvent::Announced(versioned("c", 1, "v2"))], &["v1", "v2"])]
+#[case::another_version_is_gone(
+    &[RosterEvent::Announced(versioned("c", 1, "v2")), RosterEvent::Withdrawn("c".into())], &["v1"]
+)]
+#[case::a_leaving_one_still_serves(
+    &[RosterEvent::Announced(leaving(versioned("c", 1, "v2")))], &["v1", "v2"]
 )]
-#[case::another_version_served_long_ago(
-    &[RosterEvent::Announced(versioned("c", 1, "v2")), RosterEvent::Withdrawn("c".into())], 40, true
+#[case::one_that_may_return_after_an_outage(
+    &[
+        RosterEvent::Announced(versioned("c", 1, "v2")),
+        RosterEvent::SourceLost,
+        RosterEvent::Withdrawn("c".into()),
+    ],
+    &["v1", "v2"]
 )]
-#[case::a_leaving_one_still_serves(&[RosterEvent::Announced(leaving(versioned("c", 1, "v2")))], 60, false)]
-#[case::a_replica_changed_its_version(&[RosterEvent::Announced(versioned("a", 2, "v2"))], 60, false)]
+#[case::a_replica_changed_its_version(&[RosterEvent::Announced(versioned("a", 2, "v2"))], &["v1", "v2"])]
 #[case::a_replica_states_none(
-    &[RosterEvent::Announced(ReplicaAnnouncement { version: None, ..replica("c", 1, 1) })], 60, false
+    &[RosterEvent::Announced(ReplicaAnnouncement { version: None, ..replica("c", 1, 1) })],
+    &["none", "v1"]
 )]
-#[case::the_source_is_lost(&[RosterEvent::SourceLost], 60, false)]
 #[case::another_pool(
     &[RosterEvent::Announced(ReplicaAnnouncement { pool: "pools.b".into(), ..versioned("c", 1, "v2") })],
-    60, true
+    &["v1"]
 )]
-fn sole_version_is_certain_only_if_no_other_can_have_served(
-    #[case] events: &[RosterEvent],
-    #[case] asked_s: u64,
-    #[case] is_certain: bool,
-) {
-    let mut roster = listed_roster(vec![versioned("a", 1, "v1"), versioned("b", 1, "v1")]);
-    for event in events {
-        roster.handle(event.clone(), *START + Duration::from_secs(10));
-    }
-    let asked = *START + Duration::from_secs(asked_s);
-    let sole = roster.sole_version("pools.model", VERSION_SPAN, asked);
-    assert_eq!(sole.is_some_and(|sole| sole.is_certain), is_certain);
-}
-
-/// Another version may have served unnoticed while this process did not run.
-#[test]
-fn sole_version_is_not_certain_soon_after_a_pause_of_the_process() {
-    let mut roster = listed_roster(vec![versioned("a", 1, "v1")]);
-    let tick = |roster: &mut ReplicaRoster, milliseconds| {
-        let now = *START + Duration::from_millis(milliseconds);
-        roster.handle(RosterEvent::Tick, now);
-        roster.sole_version("pools.model", VERSION_SPAN, now).unwrap().is_certain
-    };
-    assert!((1..=80).map(|step| tick(&mut roster, step * 500)).last().unwrap());
-    assert!(!tick(&mut roster, 43_000));
-    assert!(!tick(&mut roster, 43_500));
-    assert!((88..=146).map(|step| tick(&mut roster, step * 500)).last().unwrap());
-}
-
-/// An instance that does not know everything still tells what it knows.
-#[rstest]
-#[case::started_a_moment_ago(&[], 11, Some("v1"))]
-#[case::source_lost(&[RosterEvent::SourceLost], 60, Some("v1"))]
-#[case::two_versions(&[RosterEvent::Announced(versioned("c", 1, "v2"))], 11, None)]
-fn sole_version_that_is_not_certain_is_returned_as_such(
-    #[case] events: &[RosterEvent],
-    #[case] asked_s: u64,
-    #[case] expected: Option<&str>,
-) {
+fn origins_name_every_version_of_a_pool(#[case] events: &[RosterEvent], #[case] expected: &[&str]) {
     let mut roster = listed_roster(vec![versioned("a", 1, "v1"), versioned("b", 1, "v1")]);
     for event in events {
-        roster.handle(event.clone(), *START + Duration::from_secs(10));
+        roster.handle(event.clone(), *START);
     }
-    let asked = *START + Duration::from_secs(asked_s);
-    let sole = roster.sole_version("pools.model", VERSION_SPAN, asked);
-    let version = |version: &str| SoleVersion { version: Some(version.into()), is_certain: false };
-    assert_eq!(sole, expected.map(version));
+    let origins = roster.origins(&["pools.model".into()].into());
+    let versions: Vec<&str> =
+        origins.iter().map(|origin| origin.version.as_deref().unwrap_or("none")).collect();
+    assert_eq!(versions, expected);
 }
 
-/// Another version may have served unnoticed while the source was unreachable.
+/// The endpoint stays the same, but streams that begin there from now on have another origin.
 #[test]
-fn sole_version_is_not_certain_soon_after_an_outage() {
+fn another_version_of_the_same_process_is_a_change() {
     let mut roster = listed_roster(vec![versioned("a", 1, "v1")]);
-    roster.handle(RosterEvent::SourceLost, *START + Duration::from_secs(60));
-    let returned = *START + Duration::from_secs(61);
-    roster.handle(RosterEvent::Listed(vec![versioned("a", 2, "v1")]), returned);
-    let sole = |asked| roster.sole_version("pools.model", VERSION_SPAN, asked);
-    let version = |is_certain| Some(SoleVersion { version: Some("v1".into()), is_certain });
-    assert_eq!(sole(returned + Duration::from_secs(29)), version(false));
-    assert_eq!(sole(returned + VERSION_SPAN), version(true));
+    let changed = RosterEvent::Announced(versioned("a", 2, "v2"));
+    let changes = roster.handle(changed.clone(), *START);
+    assert_eq!(changes, [("a@1".into(), ReplicaChange::VersionChanged)]);
+    assert_eq!(roster.handle(changed, *START), []);
 }
 
 /// The source may list a replica as ready, or its announcement may return, after it said that it leaves.
--- a/coltsfootgate_wire/src/replica.rs
+++ b/coltsfootgate_wire/src/replica.rs
@@ -5,17 +5,20 @@
 use serde::{Deserialize, Serialize};
 
 use coltsfootgate_core::roster::{ReplicaAnnouncement, ReplicaSnapshot};
+use coltsfootgate_core::stream::StreamOrigin;
 
 use crate::error::WireError;
 use crate::names::{check_instance, check_name};
+use crate::stream::WireStreamOrigin;
 
-/// Maximum number of replicas, and of endpoints that left, in one message.
+/// Maximum number of replicas, of endpoints that left, and of origins in one message.
 const REPLICAS_MAX: usize = 4096;
 
 #[derive(Deserialize, Serialize)]
 pub(crate) struct WireReplicaSnapshot {
     announcements: Vec<WireAnnouncement>,
     left: Vec<Arc<str>>,
+    origins: Vec<WireStreamOrigin>,
 }
 
 #[derive(Deserialize, Serialize)]
@@ -33,7 +36,12 @@
 impl From<ReplicaSnapshot> for WireReplicaSnapshot {
     fn from(snapshot: ReplicaSnapshot) -> Self {
         let announcements = snapshot.announcements.into_iter().map(WireAnnouncement::from);
-        Self { announcements: announcements.collect(), left: snapshot.left }
+        let origins = snapshot.origins.into_iter().map(WireStreamOrigin::from);
+        Self {
+            announcements: announcements.collect(),
+            left: snapshot.left,
+            origins: origins.collect(),
+        }
     }
 }
 
@@ -41,8 +49,9 @@
     type Error = WireError;
 
     fn try_from(snapshot: WireReplicaSnapshot) -> Result<Self, WireError> {
-        let WireReplicaSnapshot { announcements, left } = snapshot;
-        if announcements.len() > REPLICAS_MAX || left.len() > REPLICAS_MAX {
+        let WireReplicaSnapshot { announcements, left, origins } = snapshot;
+        let lengths = [announcements.len(), left.len(), origins.len()];
+        if lengths.iter().any(|length| *length > REPLICAS_MAX) {
             return Err(WireError::WrongValue("replicas"));
         }
         let announcements = announcements.into_iter().map(ReplicaAnnouncement::try_from);
@@ -50,6 +59,7 @@
         Ok(Self {
             announcements: announcements.collect::<Result<_, _>>()?,
             left: left.collect::<Result<_, _>>()?,
+            origins: origins.into_iter().map(StreamOrigin::try_from).collect::<Result<_, _>>()?,
         })
     }
 }
--- a/coltsfootgate_wire/tests/messages.rs
+++ b/coltsfootgate_wire/tests/messages.rs
@@ -251,6 +251,7 @@
         is_leaving: false,
     }],
     left: vec!["i-2@0".into()],
+    origins: vec![StreamOrigin { pool: "pools.a".into(), version: Some("v1.1".into()) }],
 }))]
 fn replies_round_trip(#[case] reply: PeerReply) {
     let bytes = encode_reply(reply.clone()).unwrap();
