Let one owner decide for a whole pool, on the instances with the largest processors

Cause: with an owner for 16 engines a pool of 117 to 140 had seven or eight, each of which knows only what its own engines keep.

Instances state their share of a core (--processor-share); owners are among those with the largest, one for each 300 engines and whole core. Where a pool has several, each shared part has an order of owners that is equal at all entries; the learned affinity goes. OwnerSet moves to coltsfootgate_core, since it decides.

--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -106,6 +106,7 @@
             incarnation: clock::new_incarnation(),
             zone: self.settings.zone.clone(),
             region: self.settings.region.clone(),
+            processor_milli: self.settings.processor_milli,
         };
         let (task, members) =
             MembersTask::new(own, self.peers.clone(), tree.clone(), self.metrics.clone());
--- a/coltsfootgate/src/limits/mod.rs
+++ b/coltsfootgate/src/limits/mod.rs
@@ -8,8 +8,7 @@
 
 use coltsfootgate_core::limit::{LimitDecision, LimitSlice, SliceRequest};
 use coltsfootgate_core::prelude::{CustomerId, CustomerSettings, RequestTier};
-
-use crate::routes::OwnerSet;
+use coltsfootgate_core::routing::OwnerSet;
 
 pub use task::LimitTask;
 
--- a/coltsfootgate/src/limits/task.rs
+++ b/coltsfootgate/src/limits/task.rs
@@ -12,11 +12,11 @@
     LimitDecision, LimitOwner, LimitSlice, LocalLimiter, SliceRequest,
 };
 use coltsfootgate_core::prelude::{CustomerId, CustomerSettings, InstanceId, RequestTier};
+use coltsfootgate_core::routing::OwnerSet;
 use coltsfootgate_wire::{PeerReply, PeerRequest};
 
 use super::{LimitHandle, LimitMessage};
 use crate::peer::PeerHandle;
-use crate::routes::OwnerSet;
 use crate::tree::TreeHandle;
 
 /// Timeout of a slice request; after that this instance falls back to an even share.
@@ -187,7 +187,7 @@
     }
 
     fn live_instance_count(&self) -> u32 {
-        u32::try_from(self.owners.zones.len()).unwrap_or(u32::MAX).max(1)
+        u32::try_from(self.owners.locations.len()).unwrap_or(u32::MAX).max(1)
     }
 }
 
--- a/coltsfootgate/src/members/task.rs
+++ b/coltsfootgate/src/members/task.rs
@@ -254,16 +254,17 @@
     fn publish_view(&self) {
         let own = self.table.own_profile();
         let live = self.table.live_in_region(&own.region);
-        let zones: BTreeMap<_, _> = self
+        let profiles: BTreeMap<_, _> = self
             .table
             .peers()
             .map(|peer| &peer.profile)
             .chain([own])
-            .map(|profile| (&profile.id, &profile.zone))
+            .map(|profile| (&profile.id, profile))
             .collect();
         let locations = live.iter().filter_map(|id| {
-            let zone = (*zones.get(id)?).clone();
-            Some(OwnerLocation { owner: id.clone(), zone })
+            let PeerProfile { zone, processor_milli, .. } = *profiles.get(id)?;
+            let (zone, processor_milli) = (zone.clone(), *processor_milli);
+            Some(OwnerLocation { owner: id.clone(), zone, processor_milli })
         });
         let view = MemberView {
             locations: locations.collect(),
--- a/coltsfootgate/src/options/mod.rs
+++ b/coltsfootgate/src/options/mod.rs
@@ -18,7 +18,7 @@
 
 use self::parse::{
     SettingReader, parse_addresses, parse_advertised, parse_count, parse_duration, parse_file,
-    parse_path,
+    parse_milli, parse_path,
 };
 
 /// Prefix of the environment variables that the daemon reads.
@@ -68,6 +68,9 @@
     /// Region of this instance.
     #[options(no_short, meta = "NAME", help = "region of this instance (default: default)")]
     pub region: Option<String>,
+    /// Share of a core that this instance may use.
+    #[options(no_short, meta = "SHARE", help = "share of a core that this process may use (1)")]
+    pub processor_share: Option<String>,
     /// Address of the platform's key-value service and instance list.
     #[options(no_short, meta = "IP:PORT", help = "address of the platform's service (required)")]
     pub platform: Option<String>,
@@ -237,6 +240,8 @@
     pub connections: usize,
     /// Maximum number of open connections from peers.
     pub peer_connections: usize,
+    /// Processor time that this process may use, in thousandths of a core.
+    pub processor_milli: u32,
     /// Maximum number of open connections from operators.
     pub operators_connections: usize,
     /// Maximum size of a caller's request head, in bytes.
@@ -347,6 +352,8 @@
             count("operators-connections", flags.operators_connections, "64");
         let head_bytes = count("head-bytes", flags.head_bytes, "16384");
         let body_bytes = count("body-bytes", flags.body_bytes, "1048576");
+        let processor_milli =
+            reader.required("processor-share", flags.processor_share, Some("1"), parse_milli);
         let log_level = reader.level(flags.log_level);
         let log_format = reader.format(flags.log_format);
         let log_output = reader.output(flags.log_output);
@@ -373,6 +380,7 @@
                 log_output: log_output?,
                 connections: connections?,
                 peer_connections: peer_connections?,
+                processor_milli: processor_milli?,
                 operators_connections: operators_connections?,
                 head_bytes: head_bytes?,
                 body_bytes: body_bytes?,
--- a/coltsfootgate/src/options/parse.rs
+++ b/coltsfootgate/src/options/parse.rs
@@ -203,6 +203,16 @@
     }
 }
 
+/// Parses a share of a core, above 0, into thousandths; more than a whole core counts as one.
+pub(super) fn parse_milli(text: &str) -> Result<u32, &'static str> {
+    let allowed = "a share of a core above 0, such as 0.25";
+    let share: f64 = text.trim().parse().map_err(|_| allowed)?;
+    if !share.is_finite() || share <= 0.0 {
+        return Err(allowed);
+    }
+    Ok(((share * 1000.0).round() as u32).clamp(1, 1000))
+}
+
 fn parse_level(text: &str) -> Result<LevelFilter, &'static str> {
     match text {
         "error" => Ok(LevelFilter::Error),
--- a/coltsfootgate/src/owner/mod.rs
+++ b/coltsfootgate/src/owner/mod.rs
@@ -17,9 +17,9 @@
     GrantAnswer, GrantRequest, HeldGrant, OwnerSnapshot, ReleaseReport,
 };
 use coltsfootgate_core::prelude::{EndpointId, GrantId, InstanceId, PoolId};
+use coltsfootgate_core::routing::OwnerSet;
 
 use crate::endpoints::ActivePools;
-use crate::routes::OwnerSet;
 
 pub use check::GrantCheck;
 pub use desk::OwnerService;
--- a/coltsfootgate/src/owner/task.rs
+++ b/coltsfootgate/src/owner/task.rs
@@ -17,11 +17,10 @@
 use coltsfootgate_core::prelude::{
     EndpointId, EndpointSettings, ErrorKind, GrantId, InstanceId, PoolId, PoolSettings,
 };
-use coltsfootgate_core::routing::fallback_share;
+use coltsfootgate_core::routing::{OwnerSet, fallback_share};
 
 use super::{OwnerHandle, OwnerMessage, OwnerReporter, OwnerScope, UnconfirmedGrants};
 use crate::endpoints::ActivePools;
-use crate::routes::OwnerSet;
 
 /// Longest wait for a message before a tick, so that floors and probes proceed without events.
 const IDLE_WAIT_MAX: Duration = Duration::from_secs(1);
@@ -198,7 +197,7 @@
         let Some(pools) = self.active_pools.clone() else { return };
         self.pools.retain(|(pool, _), _| pools.pool(pool).is_some());
         let between_tokens = pools.active.tree.classes().map(|class| class.between_tokens).min();
-        let live: Vec<InstanceId> = self.owners.zones.keys().cloned().collect();
+        let live: Vec<InstanceId> = self.owners.locations.keys().cloned().collect();
         for pool in pools.pools() {
             let between_tokens = between_tokens.filter(|_| pool.is_engine());
             let owned = self.owned_endpoints(pool, pools.owner_endpoints());
--- a/coltsfootgate/src/pipeline/route.rs
+++ b/coltsfootgate/src/pipeline/route.rs
@@ -63,6 +63,7 @@
             pool: pool.into(),
             rank: grant_request.rank(),
             prefix: grant_request.prefix,
+            shared_tokens: grant_request.prompt.shared_tokens(),
             deadline: grant_request.deadline,
             excluded,
             random: rand::random(),
--- a/coltsfootgate/src/routes/follow.rs
+++ b/coltsfootgate/src/routes/follow.rs
@@ -12,9 +12,10 @@
 
 use coltsfootgate_core::owner::{OwnerPressure, OwnerSnapshot};
 use coltsfootgate_core::prelude::{InstanceId, PoolId};
+use coltsfootgate_core::routing::OwnerSet;
 use coltsfootgate_wire::PoolPressure;
 
-use super::{OwnerClient, OwnerSet, RouteTable};
+use super::{OwnerClient, RouteTable};
 use crate::limits::{LimitHandle, LimitMessage};
 use crate::members::{MemberChange, MemberView, MembersHandle};
 use crate::owner::{OwnerHandle, OwnerMessage};
@@ -124,9 +125,7 @@
         let draining = view.leaving_endpoints.iter().cloned().collect();
         self.routes.set_draining(&draining);
         self.owner.send(OwnerMessage::Draining(draining));
-        let zones =
-            view.locations.iter().map(|location| (location.owner.clone(), location.zone.clone()));
-        let owners = OwnerSet { table: view.owners.clone(), zones: zones.collect() };
+        let owners = OwnerSet::new(view.locations.iter().cloned());
         if owners == self.owners {
             return;
         }
--- a/coltsfootgate/src/routes/mod.rs
+++ b/coltsfootgate/src/routes/mod.rs
@@ -5,7 +5,7 @@
 mod link;
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -13,13 +13,11 @@
 use coltsfootgate_core::endpoint_limit::{LimitBook, LimitStatement};
 use coltsfootgate_core::owner::{HeldGrant, OwnerPressure};
 use coltsfootgate_core::prelude::{
-    EndpointId, EndpointSettings, GrantId, InstanceId, PoolId, PoolSettings, RoutingStrategy,
-    ZoneName,
+    EndpointId, EndpointSettings, GrantId, InstanceId, PoolId, RoutingStrategy, ZoneName,
 };
-use coltsfootgate_core::rendezvous::OwnerTable;
 use coltsfootgate_core::rest::RestBook;
 use coltsfootgate_core::routing::{
-    OwnerLocation, RequestRoute, RoutePolicy, RouteReply, RouteStep, SelectedPolicy,
+    OwnerSet, RequestRoute, RoutePolicy, RouteReply, RouteStep, SelectedPolicy,
 };
 
 use crate::endpoints::ActivePools;
@@ -28,52 +26,6 @@
 pub use follow::{MemberWatcher, PoolStatus};
 pub use link::{GrantSource, OwnerClient, PendingRequest};
 
-/// The instances that may own endpoints.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct OwnerSet {
-    /// Assigns endpoints to instances.
-    pub table: OwnerTable,
-    /// The availability zone of each instance.
-    pub zones: BTreeMap<InstanceId, ZoneName>,
-}
-
-impl OwnerSet {
-    /// Creates the set of the given instances.
-    pub fn new(zones: BTreeMap<InstanceId, ZoneName>) -> Self {
-        let table = OwnerTable::new(zones.keys().cloned());
-        Self { table, zones }
-    }
-
-    /// Returns the owner of each endpoint of a pool.
-    ///
-    /// A pool has as many owners as possible while each of them owns at least `owner_endpoints` on
-    /// average, but never fewer than one.
-    pub fn endpoint_owners(
-        &self,
-        pool: &PoolSettings,
-        owner_endpoints: u32,
-    ) -> BTreeMap<EndpointId, InstanceId> {
-        let owners = (pool.endpoints.len() / owner_endpoints.max(1) as usize).max(1);
-        let table = self.table.top_ranked(&pool.id, owners);
-        table.balanced(pool.endpoints.iter().map(|endpoint| &endpoint.id))
-    }
-
-    /// Returns the owners in `endpoint_owners` with their zones.
-    fn owner_locations(
-        &self,
-        endpoint_owners: &BTreeMap<EndpointId, InstanceId>,
-    ) -> Vec<OwnerLocation> {
-        let owners: BTreeSet<&InstanceId> = endpoint_owners.values().collect();
-        owners
-            .into_iter()
-            .filter_map(|owner| {
-                let zone = self.zones.get(owner)?.clone();
-                Some(OwnerLocation { owner: owner.clone(), zone })
-            })
-            .collect()
-    }
-}
-
 /// Finds owners for the requests of this entry instance; clones share the same state.
 #[derive(Clone, Debug)]
 pub struct RouteTable(Rc<RefCell<TableState>>);
@@ -125,7 +77,7 @@
     /// Replaces the set of owners.
     pub fn set_owners(&self, owners: OwnerSet) {
         let mut state = self.0.borrow_mut();
-        state.limits.set_instances(owners.zones.len());
+        state.limits.set_instances(owners.locations.len());
         state.owners = owners;
         state.refresh();
     }
--- a/coltsfootgate/src/streams/tests.rs
+++ b/coltsfootgate/src/streams/tests.rs
@@ -98,7 +98,8 @@
     let metrics = DaemonMetrics::new();
     let peers = PeerHandle::new(identity, metrics.clone());
     let (zone, region) = ("a".into(), "a".into());
-    let profile = PeerProfile { id: own.clone(), incarnation: 1, zone, region };
+    let profile =
+        PeerProfile { id: own.clone(), incarnation: 1, zone, region, processor_milli: 1000 };
     let (_, members) = MembersTask::new(profile, peers, TreeHandle::new().0, metrics);
     let (task, origins) = OriginsTask::new(own, store, members);
     monoio::spawn(task.run());
--- a/coltsfootgate_core/src/membership/mod.rs
+++ b/coltsfootgate_core/src/membership/mod.rs
@@ -59,6 +59,8 @@
     pub zone: ZoneName,
     /// Its region.
     pub region: RegionName,
+    /// The processor time that it may use, in thousandths of a core; 0 if it is not known.
+    pub processor_milli: u32,
 }
 
 /// State of an instance in the peer table.
--- a/coltsfootgate_core/src/membership/table.rs
+++ b/coltsfootgate_core/src/membership/table.rs
@@ -162,7 +162,8 @@
                 continue;
             }
             let region = self.own.profile.region.clone();
-            let profile = PeerProfile { id: id.clone(), incarnation: 0, zone, region };
+            let profile =
+                PeerProfile { id: id.clone(), incarnation: 0, zone, region, processor_milli: 0 };
             let peer = self
                 .peers
                 .entry(id)
--- a/coltsfootgate_core/src/prompt.rs
+++ b/coltsfootgate_core/src/prompt.rs
@@ -39,6 +39,11 @@
         self.parts.iter().map(|part| part.tokens).fold(0, u32::saturating_add)
     }
 
+    /// Total length of the parts that other requests may have as well, in tokens.
+    pub fn shared_tokens(&self) -> u32 {
+        shared_parts(&self.parts).iter().map(|part| part.tokens).fold(0, u32::saturating_add)
+    }
+
     /// Tokens that the request occupies in the engine's KV cache at its end.
     pub fn kv_cache_tokens(&self) -> u64 {
         u64::from(self.tokens.max(self.part_tokens())) + u64::from(self.answer_tokens)
--- a/coltsfootgate_core/src/routing/cooperative.rs
+++ b/coltsfootgate_core/src/routing/cooperative.rs
@@ -1,12 +1,13 @@
 //! The policy that asks a pool's owners for grants, so that tier priority holds across all owners.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use super::view::OwnerView;
 use super::{OwnerLocation, RequestRoute, RoutePolicy, RouteReply, RouteStep};
 use crate::ids::{EndpointId, InstanceId, PoolId, ZoneName};
-use crate::owner::{OwnerPressure, PrefixAffinity};
+use crate::owner::OwnerPressure;
 use crate::reason::ErrorKind;
 use crate::rendezvous::stable_hash;
 
@@ -14,8 +15,11 @@
 const PROBES_MAX: usize = 2;
 /// Cost, as waiting time, of an owner in another zone.
 const ZONE_COST: Duration = Duration::from_millis(3);
-/// Reduction of the cost, as waiting time, for an owner that likely has the prompt prefix cached.
-const AFFINITY_BONUS: Duration = Duration::from_millis(20);
+/// Time that an engine saves for each token of a shared part that it has cached.
+const CACHED_TOKEN_TIME: Duration = Duration::from_micros(25);
+/// Share of that time which owners are credited with, by their order for the part: one that is too busy passes
+/// requests on to the next in order, not to any.
+const ORDER_SHARES: [f64; 4] = [1.0, 0.7, 0.4, 0.2];
 /// Cost, as waiting time, of an owner with all slots in use compared to an idle one.
 const LOAD_COST: Duration = Duration::from_millis(10);
 /// Cost, as waiting time, of an owner that recently did not answer.
@@ -33,7 +37,6 @@
 #[derive(Clone, Debug, Default)]
 struct PoolOwners {
     owners: BTreeMap<InstanceId, OwnerView>,
-    affinity: PrefixAffinity<InstanceId>,
     has_endpoints: bool,
 }
 
@@ -58,15 +61,14 @@
         passes: impl Fn(&InstanceId, &OwnerView) -> bool,
     ) -> Option<InstanceId> {
         let pool = self.pools.get(&route.request.pool)?;
-        let hint = pool.affinity.hint(route.request.prefix);
+        let order = part_order(pool, route.request.prefix);
         let candidates = pool
             .owners
             .iter()
             .filter(|(owner, view)| !route.is_ruled_out(owner) && passes(owner, view));
         let cost = |owner: &InstanceId, view: &OwnerView| {
-            let affinity = if hint == Some(owner) { AFFINITY_BONUS } else { Duration::ZERO };
             self.cost(route, view, now) + jitter(route.request.random, owner)
-                - affinity.as_secs_f64()
+                - cached_time(&order, owner, route.request.shared_tokens)
         };
         let costs = candidates.map(|(owner, view)| (cost(owner, view), owner));
         costs.min_by(|one, other| one.0.total_cmp(&other.0)).map(|(_, owner)| owner.clone())
@@ -225,13 +227,7 @@
         }
     }
 
-    fn granted(&mut self, route: &RequestRoute, owner: Option<&InstanceId>, _: &EndpointId) {
-        if let Some(owner) = owner
-            && let Some(pool) = self.pools.get_mut(&route.request.pool)
-        {
-            pool.affinity.record(route.request.prefix, owner.clone());
-        }
-    }
+    fn granted(&mut self, _: &RequestRoute, _: Option<&InstanceId>, _: &EndpointId) {}
 
     fn ended(&mut self, _: &PoolId, _: &EndpointId) {}
 }
@@ -284,6 +280,27 @@
     }
 }
 
+/// The owners of a pool in the order in which they keep a shared part of prompts, which is the same at all
+/// entries; empty if the prompt has none.
+fn part_order(pool: &PoolOwners, prefix: Option<u64>) -> Vec<&InstanceId> {
+    let Some(prefix) = prefix else { return Vec::new() };
+    let weight = |owner: &InstanceId| {
+        let mixed = stable_hash(owner.as_bytes()) ^ prefix;
+        stable_hash(&mixed.to_le_bytes())
+    };
+    let mut order: Vec<&InstanceId> = pool.owners.keys().collect();
+    order.sort_by_cached_key(|owner| Reverse(weight(owner)));
+    order.truncate(ORDER_SHARES.len());
+    order
+}
+
+/// The time, in seconds, that engines of an owner are expected to save because they have shared tokens cached.
+fn cached_time(order: &[&InstanceId], owner: &InstanceId, shared_tokens: u32) -> f64 {
+    let position = order.iter().position(|one| *one == owner);
+    let share = position.and_then(|position| ORDER_SHARES.get(position)).copied().unwrap_or(0.0);
+    CACHED_TOKEN_TIME.as_secs_f64() * f64::from(shared_tokens) * share
+}
+
 /// Whether another owner may serve a request that one refused for this reason.
 fn is_retryable_elsewhere(kind: ErrorKind) -> bool {
     matches!(
--- a/coltsfootgate_core/src/routing/mod.rs
+++ b/coltsfootgate_core/src/routing/mod.rs
@@ -2,6 +2,7 @@
 
 mod cooperative;
 mod local;
+mod owners;
 mod share;
 mod strategy;
 mod view;
@@ -10,6 +11,7 @@
 
 pub use cooperative::CooperativePolicy;
 pub use local::{LeastLoadedPolicy, RoundRobinPolicy};
+pub use owners::OwnerSet;
 pub use share::fallback_share;
 pub use strategy::SelectedPolicy;
 pub use view::OwnerView;
@@ -25,6 +27,8 @@
     pub owner: InstanceId,
     /// Its availability zone.
     pub zone: ZoneName,
+    /// The processor time that it may use, in thousandths of a core.
+    pub processor_milli: u32,
 }
 
 /// The attributes of a request on which routing depends.
@@ -36,6 +40,8 @@
     pub rank: QueueRank,
     /// Digest of the start of the prompt, for routing to an endpoint that has it cached.
     pub prefix: Option<u64>,
+    /// Tokens of the parts that the prompt shares with others.
+    pub shared_tokens: u32,
     /// When the caller's deadline passes.
     pub deadline: Instant,
     /// Endpoints at which this request already failed.
--- a/coltsfootgate_core/tests/membership.rs
+++ b/coltsfootgate_core/tests/membership.rs
@@ -27,7 +27,13 @@
 
 fn profile(index: usize, incarnation: u64) -> PeerProfile {
     let zone = Arc::from(format!("zone-{}", index % 3));
-    PeerProfile { id: id(index), incarnation, zone, region: Arc::from("north") }
+    PeerProfile {
+        id: id(index),
+        incarnation,
+        zone,
+        region: Arc::from("north"),
+        processor_milli: 1000,
+    }
 }
 
 impl ModelFleet {
--- a/coltsfootgate_core/tests/routing.rs
+++ b/coltsfootgate_core/tests/routing.rs
@@ -27,6 +27,7 @@
 
 fn locations() -> Vec<OwnerLocation> {
     let location = |number| OwnerLocation {
+        processor_milli: 1000,
         owner: owner_id(number),
         zone: format!("zone-{}", ["a", "b", "c"][number]).into(),
     };
@@ -44,6 +45,7 @@
         pool: POOL.into(),
         rank: rank(tier, tier),
         prefix,
+        shared_tokens: 0,
         deadline: now + Duration::from_secs(60),
         excluded: Vec::new(),
         random: 7,
--- a/coltsfootgate_standins/src/lib.rs
+++ b/coltsfootgate_standins/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod load;
 pub mod measure;
 pub mod platform;
+pub mod pool_model;
 pub mod proxy;
 pub mod raw_server;
 pub mod runner;
--- a/coltsfootgate_wire/src/member.rs
+++ b/coltsfootgate_wire/src/member.rs
@@ -19,6 +19,7 @@
     incarnation: u64,
     zone: Arc<str>,
     region: Arc<str>,
+    processor_milli: u32,
     state: WireState,
     refutation: u32,
 }
@@ -66,9 +67,9 @@
 
 impl From<PeerRumor> for WireRumor {
     fn from(rumor: PeerRumor) -> Self {
-        let PeerProfile { id, incarnation, zone, region } = rumor.profile;
+        let PeerProfile { id, incarnation, zone, region, processor_milli } = rumor.profile;
         let (state, refutation) = (rumor.state.into(), rumor.refutation);
-        Self { id, incarnation, zone, region, state, refutation }
+        Self { id, incarnation, zone, region, processor_milli, state, refutation }
     }
 }
 
@@ -81,6 +82,7 @@
             incarnation: rumor.incarnation,
             zone: check_name(rumor.zone, "zone")?,
             region: check_name(rumor.region, "region")?,
+            processor_milli: rumor.processor_milli,
         };
         Ok(Self { profile, state: rumor.state.into(), refutation: rumor.refutation })
     }
--- a/coltsfootgate_wire/tests/messages.rs
+++ b/coltsfootgate_wire/tests/messages.rs
@@ -29,6 +29,7 @@
 
 fn rumor(state: PeerState) -> PeerRumor {
     let profile = PeerProfile {
+        processor_milli: 250,
         id: "127.0.0.1:9100".into(),
         incarnation: 7,
         zone: "cluj-a".into(),
