Serve requests without an owner that stands still

Traced: the pool's owner stood still from 19.24 s; requests at all other instances waited 500 ms for it before they used the fallback share, and those at four instances that lost power at 19.90 s were lost while they waited.

Now a request also asks for the fallback share after 50 ms without any answer; an owner that does not answer within 200 ms counts as silent, gets nothing until it is heard again (a question repeats), and those that wait in its queue use the fallback share too (pings every 200 ms while calls are in flight).

The fallback share is not known to the owner, so both may grant the same slots for a moment.

--- a/coltsfootgate/src/peer/client.rs
+++ b/coltsfootgate/src/peer/client.rs
@@ -1,6 +1,6 @@
 //! Client side of the calls between instances, with one connection per peer.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -29,7 +29,14 @@
 struct PeerShared {
     identity: PeerIdentity,
     metrics: DaemonMetrics,
-    links: RefCell<HashMap<InstanceId, UnboundedSender<LinkCall>>>,
+    links: RefCell<HashMap<InstanceId, PeerLinkHandle>>,
+}
+
+/// The connection to a peer, as its callers see it.
+struct PeerLinkHandle {
+    calls: UnboundedSender<LinkCall>,
+    /// Whether the peer does not answer pings.
+    is_silent: Rc<Cell<bool>>,
 }
 
 impl PeerHandle {
@@ -70,22 +77,30 @@
         result
     }
 
+    /// Whether an instance with calls in flight does not answer pings.
+    pub fn is_silent(&self, instance: &InstanceId) -> bool {
+        self.0.links.borrow().get(instance).is_some_and(|link| link.is_silent.get())
+    }
+
     /// Passes a call to the connection of an instance; starts a new connection if there is none.
     fn send(&self, instance: &InstanceId, call: LinkCall) {
         let mut links = self.0.links.borrow_mut();
         let call = match links.get(instance) {
-            Some(link) => match link.unbounded_send(call) {
+            Some(link) => match link.calls.unbounded_send(call) {
                 Ok(()) => return,
                 Err(closed) => closed.into_inner(),
             },
             None => call,
         };
         let (sender, calls) = unbounded();
+        let is_silent = Rc::new(Cell::new(false));
         // Cannot fail, because the receiver still exists.
         let _ = sender.unbounded_send(call);
-        links.retain(|_, link| !link.is_closed());
-        links.insert(instance.clone(), sender);
-        let link = PeerLink::new(instance.clone(), self.0.identity.clone(), self.0.metrics.clone());
+        links.retain(|_, link| !link.calls.is_closed());
+        let handle = PeerLinkHandle { calls: sender, is_silent: is_silent.clone() };
+        links.insert(instance.clone(), handle);
+        let (identity, metrics) = (self.0.identity.clone(), self.0.metrics.clone());
+        let link = PeerLink::new(instance.clone(), identity, metrics, is_silent);
         monoio::spawn(link.run(calls));
     }
 
--- a/coltsfootgate/src/peer/link.rs
+++ b/coltsfootgate/src/peer/link.rs
@@ -30,7 +30,9 @@
 /// Time without calls after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Interval between two pings while calls are in flight.
-const PING_INTERVAL: Duration = Duration::from_millis(500);
+const PING_INTERVAL: Duration = Duration::from_millis(200);
+/// Time without an answer to a ping after which the peer counts as silent.
+const SILENT_AFTER: Duration = Duration::from_millis(200);
 /// Time without an answer to a ping after which a connection is dropped.
 const PING_TIMEOUT: Duration = Duration::from_secs(1);
 /// Upper bound of the first delay before reconnecting; doubled with each failure.
@@ -50,6 +52,8 @@
     identity: PeerIdentity,
     metrics: DaemonMetrics,
     backoff: ConnectBackoff,
+    /// Whether the peer does not answer pings.
+    is_silent: Rc<Cell<bool>>,
 }
 
 /// Delays attempts to connect after failures.
@@ -74,9 +78,14 @@
 }
 
 impl PeerLink {
-    pub(super) fn new(peer: InstanceId, identity: PeerIdentity, metrics: DaemonMetrics) -> Self {
+    pub(super) fn new(
+        peer: InstanceId,
+        identity: PeerIdentity,
+        metrics: DaemonMetrics,
+        is_silent: Rc<Cell<bool>>,
+    ) -> Self {
         let backoff = ConnectBackoff { failures: 0, next_attempt: None, last_error: None };
-        Self { peer, identity, metrics, backoff }
+        Self { peer, identity, metrics, backoff, is_silent }
     }
 
     /// Sends calls until none arrives for [`IDLE_TIMEOUT`], and reconnects as needed.
@@ -155,7 +164,8 @@
         let in_flight = Rc::new(Cell::new(0));
         start_call(&link.sender, first, &in_flight);
         let ping_pong = link.ping_pong.take();
-        let ping_timeout = wait_for_ping_timeout(ping_pong, in_flight.clone());
+        let ping_timeout =
+            wait_for_ping_timeout(ping_pong, in_flight.clone(), self.is_silent.clone());
         pin_mut!(ping_timeout);
         loop {
             let ended = select(&mut link.closed, &mut ping_timeout);
@@ -200,15 +210,25 @@
 }
 
 /// Returns when a ping is not answered in time; pings are sent only while calls are in flight.
-async fn wait_for_ping_timeout(ping_pong: Option<PingPong>, in_flight: Rc<Cell<usize>>) {
+async fn wait_for_ping_timeout(
+    ping_pong: Option<PingPong>,
+    in_flight: Rc<Cell<usize>>,
+    is_silent: Rc<Cell<bool>>,
+) {
     let Some(mut ping_pong) = ping_pong else { return std::future::pending().await };
     loop {
+        is_silent.set(false);
         monoio::time::sleep(PING_INTERVAL).await;
         if in_flight.get() == 0 {
             continue;
         }
-        let pong = monoio::time::timeout(PING_TIMEOUT, ping_pong.ping(Ping::opaque())).await;
-        if pong.is_err() {
+        let pong = ping_pong.ping(Ping::opaque());
+        pin_mut!(pong);
+        if monoio::time::timeout(SILENT_AFTER, &mut pong).await.is_ok() {
+            continue;
+        }
+        is_silent.set(true);
+        if monoio::time::timeout(PING_TIMEOUT - SILENT_AFTER, pong).await.is_err() {
             return;
         }
     }
--- a/coltsfootgate/src/pipeline/route.rs
+++ b/coltsfootgate/src/pipeline/route.rs
@@ -104,15 +104,26 @@
                     Ok(result) => return result,
                     Err(step) => step,
                 },
-                Ok(None) => return self.refused(ErrorKind::NoEndpoint),
+                Ok(None) => {
+                    return self.refused(self.route.refusal.unwrap_or(ErrorKind::NoEndpoint));
+                }
                 Err(_) => {
                     reconsider_after = RECONSIDER_PERIOD;
+                    self.note_silent_owners();
                     context.routes.reconsider(&mut self.route)
                 }
             };
         }
     }
 
+    /// Notes which owners do not answer any more in whose queues the request waits.
+    fn note_silent_owners(&self) {
+        let client = &self.context.owner_client;
+        for owner in self.route.joined_queues.iter().filter(|owner| client.is_silent(owner)) {
+            client.watch_silent(owner, &self.context.routes);
+        }
+    }
+
     fn without_grant(&self, endpoint: EndpointId) -> GrantResult {
         let grant = self.context.grants.next();
         let source = GrantSource::Ungranted;
@@ -141,13 +152,30 @@
         if let RouteReply::Busy(pressure) | RouteReply::Refused(_, pressure) = &reply {
             self.pressure = *pressure;
         }
-        match (source, reply) {
-            (GrantSource::Owner(owner), reply) => {
-                Err(self.context.routes.next_step(&mut self.route, &owner, reply))
+        let owner = match source {
+            GrantSource::Owner(owner) => owner,
+            GrantSource::FallbackShare | GrantSource::Ungranted => {
+                return self.handle_share_answer(&reply);
             }
-            (_, RouteReply::Refused(kind, _)) => Ok(self.refused(kind)),
-            _ => Ok(self.refused(ErrorKind::NoEndpoint)),
+        };
+        if reply == RouteReply::Unresponsive {
+            self.context.owner_client.watch_silent(&owner, &self.context.routes);
+        }
+        Err(self.context.routes.next_step(&mut self.route, &owner, reply))
+    }
+
+    /// Handles an answer of this instance's own queue that is not a grant. Owners that were asked as well may
+    /// still grant the request.
+    fn handle_share_answer(&mut self, reply: &RouteReply) -> Result<GrantResult, RouteStep> {
+        let kind = match reply {
+            RouteReply::Refused(kind, _) => *kind,
+            RouteReply::Busy(_) | RouteReply::Unresponsive => ErrorKind::NoEndpoint,
+        };
+        if !self.route.joined_queues.is_empty() || self.route.asked_since.is_some() {
+            self.route.refusal.get_or_insert(kind);
+            return Err(RouteStep::Wait);
         }
+        Ok(self.refused(kind))
     }
 
     /// Requests a grant from one source, under a new grant id.
--- a/coltsfootgate/src/routes/link.rs
+++ b/coltsfootgate/src/routes/link.rs
@@ -1,5 +1,8 @@
 //! Requests grants from owners, whether they are this instance or another one.
 
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use coltsfootgate_core::endpoint_limit::LimitStatement;
@@ -8,6 +11,7 @@
 use coltsfootgate_wire::{PeerReply, PeerRequest};
 use monoio::time::sleep;
 
+use super::RouteTable;
 use crate::owner::{OwnerHandle, OwnerMessage, OwnerScope};
 use crate::peer::PeerHandle;
 
@@ -23,7 +27,11 @@
 }
 
 /// Time limit for another instance's answer to a request that it must not queue.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time limit for a silent owner to show that it answers again.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Delay before a silent owner is asked once more.
+const PROBE_PERIOD: Duration = Duration::from_millis(100);
 /// Time after a queued request's deadline until which the owner's answer is awaited.
 const QUEUE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -40,6 +48,8 @@
     own: InstanceId,
     local: OwnerHandle,
     peers: PeerHandle,
+    /// The silent owners that are asked whether they answer again.
+    watched: Rc<RefCell<HashSet<InstanceId>>>,
 }
 
 /// A grant request that is cancelled when dropped before its answer.
@@ -54,7 +64,7 @@
 impl OwnerClient {
     /// Creates the client of the instance `own`.
     pub fn new(own: InstanceId, local: OwnerHandle, peers: PeerHandle) -> Self {
-        Self { own, local, peers }
+        Self { own, local, peers, watched: Rc::default() }
     }
 
     /// Requests a grant; `None` if no answer arrived in time.
@@ -94,6 +104,34 @@
         }
     }
 
+    /// Whether the connection to an owner does not answer.
+    pub fn is_silent(&self, owner: &InstanceId) -> bool {
+        self.peers.is_silent(owner)
+    }
+
+    /// Notes in the routes that an owner does not answer, and when it answers again.
+    pub fn watch_silent(&self, owner: &InstanceId, routes: &RouteTable) {
+        routes.set_silent(owner, true);
+        if *owner == self.own || !self.watched.borrow_mut().insert(owner.clone()) {
+            return;
+        }
+        log::info!("owner {owner} does not answer; requests use the fallback share");
+        let (client, owner, routes) = (self.clone(), owner.clone(), routes.clone());
+        monoio::spawn(async move {
+            while routes.is_owner(&owner) {
+                let deadline = Instant::now() + PROBE_TIMEOUT;
+                let question = PeerRequest::AskAbout(client.own.clone());
+                if client.peers.call(&owner, question, deadline).await.is_ok() {
+                    log::info!("owner {owner} answers again");
+                    break;
+                }
+                sleep(PROBE_PERIOD).await;
+            }
+            routes.set_silent(&owner, false);
+            client.watched.borrow_mut().remove(&owner);
+        });
+    }
+
     /// Reports the first token to the grant's source; not repeated, since it is only informative.
     pub fn first_token(&self, source: &GrantSource, pool: &PoolId, grant: GrantId) {
         let (pool, requester) = (pool.clone(), self.own.clone());
--- a/coltsfootgate/src/routes/mod.rs
+++ b/coltsfootgate/src/routes/mod.rs
@@ -133,6 +133,16 @@
         self.0.borrow_mut().policy.update_pressure(pool, owner, pressure, Duration::ZERO, now);
     }
 
+    /// Notes that an owner does not answer, or that it was heard again.
+    pub fn set_silent(&self, owner: &InstanceId, is_silent: bool) {
+        self.0.borrow_mut().policy.set_silent(owner, is_silent);
+    }
+
+    /// Whether an instance owns endpoints.
+    pub fn is_owner(&self, instance: &InstanceId) -> bool {
+        self.0.borrow().endpoint_owners.values().any(|owner| owner == instance)
+    }
+
     /// Returns the first step for a request.
     pub fn first_step(&self, route: &mut RequestRoute) -> RouteStep {
         self.0.borrow_mut().policy.first_step(route, Instant::now())
--- a/coltsfootgate_core/src/routing/cooperative.rs
+++ b/coltsfootgate_core/src/routing/cooperative.rs
@@ -22,14 +22,15 @@
 const ORDER_SHARES: [f64; 4] = [1.0, 0.7, 0.4, 0.2];
 /// Cost, as waiting time, of an owner with all slots in use compared to an idle one.
 const LOAD_COST: Duration = Duration::from_millis(10);
-/// Cost, as waiting time, of an owner that recently did not answer.
-const UNRESPONSIVE_COST: Duration = Duration::from_secs(10);
 /// Largest random addition to the cost of an owner.
 const JITTER_MAX: Duration = Duration::from_millis(2);
 /// Maximum number of queues in which a request waits at the same time.
 const QUEUES_MAX: usize = 3;
 /// Longest expected wait at which a waiting request joins a further queue; a longer one is no gain.
 const EXTRA_QUEUE_WAIT_MAX: Duration = Duration::from_millis(500);
+/// Time without any answer after which a request also asks for the fallback share. An owner that stands still
+/// is noticed by each entry on its own, so that the first request of each must not wait until that is certain.
+const HEDGE_DELAY: Duration = Duration::from_millis(50);
 /// Interval at which a better owner is looked for while a request waits.
 const RECONSIDER_PERIOD: Duration = Duration::from_millis(50);
 
@@ -80,20 +81,31 @@
         if view.location.zone != self.zone {
             cost += ZONE_COST;
         }
-        if view.is_unresponsive(now) {
-            cost += UNRESPONSIVE_COST;
-        }
         cost.as_secs_f64() + LOAD_COST.as_secs_f64() * view.load(now)
     }
 
-    /// Joins the queue of the best owner that is not ruled out, or falls back if there is none.
+    /// Joins the queue of the best owner that answers and is not ruled out, or falls back if there is none.
     fn wait_step(&mut self, route: &mut RequestRoute, now: Instant) -> RouteStep {
-        let Some(owner) = self.best_owner(route, now, |_, _| true) else {
+        let Some(owner) = self.best_owner(route, now, |_, view| !view.is_silent()) else {
             return self.fallback_step(route);
         };
         self.join_queue(route, owner)
     }
 
+    /// Asks an owner for a free slot.
+    fn ask_for_slot(
+        &mut self,
+        route: &mut RequestRoute,
+        owner: InstanceId,
+        now: Instant,
+    ) -> RouteStep {
+        if let Some(view) = self.view(&route.request.pool, &owner) {
+            view.reserve_slot();
+        }
+        route.asked_since = Some(now);
+        RouteStep::Ask { owner, wait: false }
+    }
+
     /// Asks an owner to queue the request if it has no free slot.
     fn join_queue(&mut self, route: &mut RequestRoute, owner: InstanceId) -> RouteStep {
         if let Some(view) = self.view(&route.request.pool, &owner) {
@@ -118,16 +130,35 @@
     ///
     /// Owners that know no endpoint of the pool may see other live instances than this one, which
     /// then uses its fallback share.
-    fn fallback_step(&self, route: &RequestRoute) -> RouteStep {
+    fn fallback_step(&self, route: &mut RequestRoute) -> RouteStep {
+        if route.asked_fallback && route.refusal.is_none() {
+            return RouteStep::Wait;
+        }
         let has_endpoints =
             self.pools.get(&route.request.pool).is_some_and(|pool| pool.has_endpoints);
         match route.refusal {
-            None | Some(ErrorKind::NoEndpoint) if has_endpoints => RouteStep::AskFallbackShare,
+            None | Some(ErrorKind::NoEndpoint) if has_endpoints => {
+                route.asked_fallback = true;
+                RouteStep::AskFallbackShare
+            }
             Some(kind) => RouteStep::Refuse(kind),
             None => RouteStep::Refuse(ErrorKind::NoEndpoint),
         }
     }
 
+    /// The step of a request that waits for the answer of an owner which must not queue it.
+    fn hedge_step(&self, route: &mut RequestRoute, now: Instant) -> RouteStep {
+        let is_slow = route
+            .asked_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= HEDGE_DELAY);
+        if is_slow && !route.asked_fallback { self.fallback_step(route) } else { RouteStep::Wait }
+    }
+
+    fn are_all_silent(&self, pool: &PoolId, owners: &[InstanceId]) -> bool {
+        let Some(pool) = self.pools.get(pool) else { return false };
+        owners.iter().all(|owner| pool.owners.get(owner).is_none_or(OwnerView::is_silent))
+    }
+
     fn view(&mut self, pool: &PoolId, owner: &InstanceId) -> Option<&mut OwnerView> {
         self.pools.get_mut(pool)?.owners.get_mut(owner)
     }
@@ -162,12 +193,7 @@
     fn first_step(&mut self, route: &mut RequestRoute, now: Instant) -> RouteStep {
         let rank = route.request.rank;
         match self.best_owner(route, now, |_, view| view.may_be_free(rank, now)) {
-            Some(owner) => {
-                if let Some(view) = self.view(&route.request.pool, &owner) {
-                    view.reserve_slot();
-                }
-                RouteStep::Ask { owner, wait: false }
-            }
+            Some(owner) => self.ask_for_slot(route, owner, now),
             None => self.wait_step(route, now),
         }
     }
@@ -180,6 +206,7 @@
         now: Instant,
     ) -> RouteStep {
         route.joined_queues.retain(|joined| joined != owner);
+        route.asked_since = None;
         self.record_reply(route, owner, &reply, now);
         if let RouteReply::Refused(kind, _) = reply
             && !is_retryable_elsewhere(kind)
@@ -200,25 +227,28 @@
         let is_due = route
             .reconsidered_at
             .is_none_or(|last| now.saturating_duration_since(last) >= RECONSIDER_PERIOD);
-        if route.joined_queues.is_empty() || !is_due {
+        if !is_due {
             return RouteStep::Wait;
         }
+        if route.joined_queues.is_empty() {
+            return self.hedge_step(route, now);
+        }
         route.reconsidered_at = Some(now);
         let joined_queues = route.joined_queues.clone();
+        if !route.asked_fallback && self.are_all_silent(&route.request.pool, &joined_queues) {
+            return self.fallback_step(route);
+        }
         let rank = route.request.rank;
         let is_free = |owner: &InstanceId, view: &OwnerView| {
             !joined_queues.contains(owner)
                 && view.pressure(now).is_some_and(|pressure| pressure.may_serve(rank))
         };
         if let Some(owner) = self.best_owner(route, now, is_free) {
-            if let Some(view) = self.view(&route.request.pool, &owner) {
-                view.reserve_slot();
-            }
-            return RouteStep::Ask { owner, wait: false };
+            return self.ask_for_slot(route, owner, now);
         }
         let is_worth_joining = |owner: &InstanceId, view: &OwnerView| {
             !joined_queues.contains(owner)
-                && !view.is_unresponsive(now)
+                && !view.is_silent()
                 && view.expected_wait(rank, now) <= EXTRA_QUEUE_WAIT_MAX
         };
         match self.best_owner(route, now, is_worth_joining) {
@@ -227,6 +257,11 @@
         }
     }
 
+    fn set_silent(&mut self, owner: &InstanceId, is_silent: bool) {
+        let views = self.pools.values_mut().filter_map(|pool| pool.owners.get_mut(owner));
+        views.for_each(|view| view.set_silent(is_silent));
+    }
+
     fn granted(&mut self, _: &RequestRoute, _: Option<&InstanceId>, _: &EndpointId) {}
 
     fn ended(&mut self, _: &PoolId, _: &EndpointId) {}
@@ -261,7 +296,7 @@
                 }
             }
             RouteReply::Unresponsive => {
-                view.into_iter().for_each(|view| view.mark_unresponsive(now));
+                view.into_iter().for_each(|view| view.set_silent(true));
                 route.unresponsive.push(owner.clone());
             }
         }
@@ -274,7 +309,7 @@
             !busy.contains(owner) && view.may_be_free(rank, now)
         };
         match self.best_owner(route, now, is_free) {
-            Some(owner) if busy.len() < PROBES_MAX => RouteStep::Ask { owner, wait: false },
+            Some(owner) if busy.len() < PROBES_MAX => self.ask_for_slot(route, owner, now),
             _ => self.wait_step(route, now),
         }
     }
--- a/coltsfootgate_core/src/routing/local.rs
+++ b/coltsfootgate_core/src/routing/local.rs
@@ -59,6 +59,8 @@
         RouteStep::Wait
     }
 
+    fn set_silent(&mut self, _: &InstanceId, _: bool) {}
+
     fn granted(&mut self, _: &RequestRoute, _: Option<&InstanceId>, _: &EndpointId) {}
 
     fn ended(&mut self, _: &PoolId, _: &EndpointId) {}
@@ -129,6 +131,8 @@
         RouteStep::Wait
     }
 
+    fn set_silent(&mut self, _: &InstanceId, _: bool) {}
+
     fn granted(&mut self, route: &RequestRoute, _: Option<&InstanceId>, endpoint: &EndpointId) {
         if let Some(count) = self.count(&route.request.pool, endpoint) {
             *count += 1;
--- a/coltsfootgate_core/src/routing/mod.rs
+++ b/coltsfootgate_core/src/routing/mod.rs
@@ -65,6 +65,10 @@
     pub refusal: Option<ErrorKind>,
     /// The owners in whose queues it waits; the first grant is used.
     pub joined_queues: Vec<InstanceId>,
+    /// Since when it waits for the answer of an owner that must not queue it.
+    pub asked_since: Option<Instant>,
+    /// Whether it waits for this instance's fallback share of the pool.
+    pub asked_fallback: bool,
     /// When a better owner was last looked for while it waited.
     pub reconsidered_at: Option<Instant>,
 }
@@ -79,6 +83,8 @@
             unresponsive: Vec::new(),
             refusal: None,
             joined_queues: Vec::new(),
+            asked_since: None,
+            asked_fallback: false,
             reconsidered_at: None,
         }
     }
@@ -153,6 +159,9 @@
     /// Returns the step for a request that waits: `Ask` another owner as well, or `Wait`.
     fn reconsider(&mut self, route: &mut RequestRoute, now: Instant) -> RouteStep;
 
+    /// Records that an owner does not answer, or that it was heard again.
+    fn set_silent(&mut self, owner: &InstanceId, is_silent: bool);
+
     /// Records that an owner granted an endpoint, or that the request was sent without a grant.
     fn granted(&mut self, route: &RequestRoute, owner: Option<&InstanceId>, endpoint: &EndpointId);
 
--- a/coltsfootgate_core/src/routing/strategy.rs
+++ b/coltsfootgate_core/src/routing/strategy.rs
@@ -76,6 +76,10 @@
         forward!(self, policy => policy.reconsider(route, now))
     }
 
+    fn set_silent(&mut self, owner: &InstanceId, is_silent: bool) {
+        forward!(self, policy => policy.set_silent(owner, is_silent))
+    }
+
     fn granted(&mut self, route: &RequestRoute, owner: Option<&InstanceId>, endpoint: &EndpointId) {
         forward!(self, policy => policy.granted(route, owner, endpoint))
     }
--- a/coltsfootgate_core/src/routing/view.rs
+++ b/coltsfootgate_core/src/routing/view.rs
@@ -7,8 +7,6 @@
 
 /// Age from which on a reported pressure is ignored.
 const PRESSURE_MAX_AGE: Duration = Duration::from_millis(1000);
-/// Time for which an owner that did not answer is avoided.
-const UNRESPONSIVE_TIME: Duration = Duration::from_millis(1000);
 
 /// An owner with its last known pressure.
 #[derive(Clone, Debug)]
@@ -17,20 +15,21 @@
     pub location: OwnerLocation,
     /// The latest reported pressure and when it was measured.
     pressure: Option<(OwnerPressure, Instant)>,
-    unresponsive_since: Option<Instant>,
+    /// Whether it did not answer and was not heard since.
+    is_silent: bool,
 }
 
 impl OwnerView {
     /// Creates the view of an owner that has not reported its pressure yet.
     pub fn new(location: OwnerLocation) -> Self {
-        Self { location, pressure: None, unresponsive_since: None }
+        Self { location, pressure: None, is_silent: false }
     }
 
     /// Records a pressure measured at `measured_at`, unless a later one is known.
     pub fn update_pressure(&mut self, pressure: OwnerPressure, measured_at: Instant) {
         if self.pressure.is_none_or(|(_, known)| known <= measured_at) {
             self.pressure = Some((pressure, measured_at));
-            self.unresponsive_since = None;
+            self.is_silent = false;
         }
     }
 
@@ -48,14 +47,14 @@
         }
     }
 
-    /// Records that the owner did not answer.
-    pub fn mark_unresponsive(&mut self, now: Instant) {
-        self.unresponsive_since = Some(now);
+    /// Records that the owner did not answer, or that it was heard again.
+    pub fn set_silent(&mut self, is_silent: bool) {
+        self.is_silent = is_silent;
     }
 
-    /// Whether the owner recently failed to answer.
-    pub fn is_unresponsive(&self, now: Instant) -> bool {
-        self.unresponsive_since.is_some_and(|since| now.duration_since(since) < UNRESPONSIVE_TIME)
+    /// Whether the owner did not answer and was not heard since; it is asked nothing meanwhile.
+    pub fn is_silent(&self) -> bool {
+        self.is_silent
     }
 
     /// The last known pressure, unless it is too old.
@@ -71,15 +70,14 @@
     /// Whether it answers and may have a free slot for a request of this rank; true if its pressure
     /// is unknown.
     pub fn may_be_free(&self, rank: QueueRank, now: Instant) -> bool {
-        !self.is_unresponsive(now)
-            && self.pressure(now).is_none_or(|pressure| pressure.may_serve(rank))
+        !self.is_silent && self.pressure(now).is_none_or(|pressure| pressure.may_serve(rank))
     }
 
     /// Whether it may accept a request of this rank that another owner refused, in a free slot or
     /// in place of a waiting request of a lower rank.
     pub fn may_accept(&self, rank: QueueRank, now: Instant) -> bool {
         let has_lower = |pressure: &OwnerPressure| pressure.waiting.is_any_below(rank);
-        !self.is_unresponsive(now)
+        !self.is_silent
             && (self.may_be_free(rank, now) || self.pressure(now).is_some_and(has_lower))
     }
 
--- a/coltsfootgate_standins/src/pool_model/fleet.rs
+++ b/coltsfootgate_standins/src/pool_model/fleet.rs
@@ -135,7 +135,10 @@
     pub(super) names: Vec<InstanceId>,
     pub(super) processors: Vec<InstanceProcessor>,
     pub(super) policies: Vec<CooperativePolicy>,
+    /// The owners of the pool, then those of fallback shares.
     pub(super) owners: Vec<ModelOwner>,
+    /// The positions of owners of fallback shares, by entry.
+    pub(super) fallbacks: HashMap<usize, usize>,
     pub(super) engines: Vec<EngineModel>,
     pub(super) engine_ids: HashMap<EndpointId, usize>,
     pub(super) requests_of_engine: Vec<u32>,
@@ -184,6 +187,7 @@
             processors: profile.instances.iter().map(InstanceProcessor::new).collect(),
             policies: profile.instances.iter().map(policy).collect(),
             owners: Vec::new(),
+            fallbacks: HashMap::new(),
             engines: vec![EngineModel::new(profile.engine); profile.engines],
             engine_ids: HashMap::new(),
             requests_of_engine: vec![0; profile.engines],
--- a/coltsfootgate_standins/src/pool_model/owners.rs
+++ b/coltsfootgate_standins/src/pool_model/owners.rs
@@ -4,7 +4,7 @@
 
 use coltsfootgate_core::owner::{GrantAnswer, OwnerAction, OwnerEvent, OwnerSettings, PoolOwner};
 use coltsfootgate_core::prelude::{EndpointSettings, PoolKind, PoolSettings, RouteTarget};
-use coltsfootgate_core::routing::{OwnerLocation, OwnerSet, RoutePolicy};
+use coltsfootgate_core::routing::{OwnerLocation, OwnerSet, RoutePolicy, fallback_share};
 
 use super::ModelTime;
 use super::fleet::{Assignment, ControlMessage, ModelEvent, POOL, PoolFleet, zone_name};
@@ -93,6 +93,21 @@
         }
     }
 
+    /// The position of an entry's own owner for its fallback share.
+    pub(super) fn fallback_owner(&mut self, entry: usize, now: ModelTime) -> usize {
+        if let Some(position) = self.fallbacks.get(&entry) {
+            return *position;
+        }
+        let endpoints = self.pool_settings().endpoints;
+        let share = fallback_share(&endpoints, &self.names[entry], &self.names);
+        let mut owner = PoolOwner::new(self.owner_settings());
+        owner.handle(OwnerEvent::Endpoints(share), self.instant(now));
+        self.owners.push(ModelOwner { instance: entry, owner, next_tick: None });
+        let position = self.owners.len() - 1;
+        self.fallbacks.insert(entry, position);
+        position
+    }
+
     pub(super) fn tick_owner(&mut self, owner: usize, now: ModelTime) {
         self.owners[owner].next_tick = None;
         self.drive_owner(owner, OwnerEvent::Tick, now);
