--- a/coltsfootgate/src/endpoint/connection.rs
+++ b/coltsfootgate/src/endpoint/connection.rs
@@ -8,13 +8,14 @@
 
 use bytes::Bytes;
 use coltsfootgate_core::answer::AnswerFraming;
+use coltsfootgate_core::prelude::EndpointId;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use monoio::net::TcpStream;
 use monoio::time::timeout;
 
-use super::{EndpointAnswer, EndpointClient, EndpointFailure, EndpointRequest};
+use super::{EndpointAnswer, EndpointClient, EndpointFailure, EndpointPath, EndpointRequest};
 use crate::transfer::{HttpConnection, SendFailure, answer_framing};
 
 /// Maximum time to connect to an endpoint.
@@ -25,15 +26,16 @@
 type IdleConnections = HashMap<Arc<str>, Vec<HttpConnection>>;
 
 /// The connections of this instance to all endpoints.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct ConnectionPool {
     idle: Rc<RefCell<IdleConnections>>,
+    path: EndpointPath,
 }
 
 impl ConnectionPool {
-    /// Creates a pool without connections.
-    pub fn new() -> Self {
-        Self::default()
+    /// Creates a pool without connections, which records in `path` what it reaches.
+    pub fn new(path: EndpointPath) -> Self {
+        Self { idle: Rc::default(), path }
     }
 
     /// Closes the idle connections to an endpoint after one of its connections stopped responding.
@@ -63,17 +65,24 @@
         }
     }
 
-    async fn connect(&self, address: &str) -> Result<HttpConnection, EndpointFailure> {
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-            .await
-            .map_err(|_| EndpointFailure::NeverSent)?
-            .map_err(|_| EndpointFailure::NeverSent)?;
+    async fn connect(
+        &self,
+        endpoint: &EndpointId,
+        address: &str,
+    ) -> Result<HttpConnection, EndpointFailure> {
+        let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let Ok(Ok(stream)) = connected else {
+            self.path.record_unreached(endpoint);
+            return Err(EndpointFailure::NeverSent);
+        };
+        self.path.record_reached();
         HttpConnection::start(stream).await.map_err(|_| EndpointFailure::NeverSent)
     }
 
     /// Sends a request on an idle connection, or on a new one if no idle connection accepts it.
     async fn send_once(
         &self,
+        endpoint: &EndpointId,
         address: &Arc<str>,
         mut message: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, HttpConnection), EndpointFailure> {
@@ -84,7 +93,7 @@
                 Err(SendFailure::Broken(_)) => return Err(EndpointFailure::ConnectionLost),
             }
         }
-        let mut connection = self.connect(address).await?;
+        let mut connection = self.connect(endpoint, address).await?;
         match connection.send(message).await {
             Ok(response) => Ok((response, connection)),
             Err(SendFailure::Unsent(_)) => Err(EndpointFailure::NeverSent),
@@ -95,17 +104,20 @@
 
 impl EndpointClient for ConnectionPool {
     async fn send(&self, request: EndpointRequest) -> Result<EndpointAnswer, EndpointFailure> {
-        let address = request.address.clone();
+        let (endpoint, address) = (request.endpoint.clone(), request.address.clone());
         let head_timeout = request.head_timeout;
         let message = build_message(request)?;
-        let (response, connection) =
-            match timeout(head_timeout, self.send_once(&address, message)).await {
-                Ok(sent) => sent?,
-                Err(_) => {
-                    self.drop_idle(&address);
-                    return Err(EndpointFailure::Stalled);
-                }
-            };
+        let waiting = self.path.begin_wait();
+        let sending = self.send_once(&endpoint, &address, message);
+        let (response, connection) = match timeout(head_timeout, sending).await {
+            Ok(sent) => sent?,
+            Err(_) => {
+                self.drop_idle(&address);
+                return Err(EndpointFailure::Stalled);
+            }
+        };
+        drop(waiting);
+        self.path.record_heard();
         let (head, body) = response.into_parts();
         let framing = answer_framing(&head.headers, &body);
         let stream = AnswerStream {
@@ -170,6 +182,7 @@
                 Some(Err(_)) => return Err(EndpointFailure::ConnectionLost),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        self.pool.path.record_heard();
                         return Ok(Some(data));
                     }
                 }
--- a/coltsfootgate/src/endpoint/mod.rs
+++ b/coltsfootgate/src/endpoint/mod.rs
@@ -3,15 +3,18 @@
 
 mod connection;
 pub mod event;
+mod path;
 pub mod scanner;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use coltsfootgate_core::prelude::EndpointId;
 use http::{HeaderMap, Method, StatusCode};
 
 pub use connection::{AnswerStream, ConnectionPool};
+pub use path::EndpointPath;
 
 /// Header with the id of an attempt, which the endpoint echoes.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -28,6 +31,8 @@
 /// One attempt of a request at one endpoint.
 #[derive(Clone, Debug)]
 pub struct EndpointRequest {
+    /// The endpoint.
+    pub endpoint: EndpointId,
     /// IP address and port of the endpoint.
     pub address: Arc<str>,
     /// The caller's method.
--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -11,7 +11,7 @@
 use crate::claims::{ClaimsHandle, ClaimsTask, follow_owners};
 use crate::clock;
 use crate::dialect::Dialect;
-use crate::endpoint::ConnectionPool;
+use crate::endpoint::{ConnectionPool, EndpointPath};
 use crate::endpoints::{EndpointDirectory, EndpointsTask, SharedRoster, SnapshotPoller};
 use crate::limits::{LimitHandle, LimitTask};
 use crate::members::{MembersHandle, MembersTask};
@@ -168,6 +168,8 @@
         let poller = SnapshotPoller::new(own.clone(), members.clone(), self.peers.clone(), origins);
         monoio::spawn(task.run(self.platform.clone(), poller, self.metrics.clone()));
         let owner_client = OwnerClient::new(own.clone(), owner.clone(), self.peers.clone());
+        let path = EndpointPath::new(routes.clone(), self.metrics.clone());
+        monoio::spawn(path.clone().watch());
         let context = PipelineContext {
             own,
             zone: self.settings.zone.clone(),
@@ -180,7 +182,7 @@
             roster,
             quarantine: self.start_quarantine(members),
             buffers: BufferBudget::default(),
-            endpoints: ConnectionPool::new(),
+            endpoints: ConnectionPool::new(path),
             records: RequestRecords::default(),
             metrics: self.metrics.clone(),
             budgets: BudgetTable::default(),
--- a/coltsfootgate/src/metrics/mod.rs
+++ b/coltsfootgate/src/metrics/mod.rs
@@ -79,6 +79,7 @@
     deferrals: IntCounterVec,
     lost_grants: IntCounterVec,
     streams_taken_up: IntCounterVec,
+    path_lost: IntGauge,
     loop_delay: Histogram,
 }
 
@@ -245,6 +246,10 @@
                 "Grants that their requesters did not hold any more and had not returned.",
                 &["pool"],
             ),
+            path_lost: registrar.register(IntGauge::new(
+                "coltsfootgate_path_lost",
+                "Whether this instance reaches no endpoint; 1 if so.",
+            )),
             loop_delay: registrar.register(Histogram::with_opts(
                 HistogramOpts::new(
                     "coltsfootgate_loop_delay_seconds",
@@ -419,6 +424,11 @@
         self.lost_grants.with_label_values(&[pool]).inc_by(change.lost_grants);
     }
 
+    /// Sets whether this instance reaches no endpoint.
+    pub fn path_lost(&self, is_lost: bool) {
+        self.path_lost.set(i64::from(is_lost));
+    }
+
     /// Records the delay of a timer.
     pub fn loop_delayed(&self, time: Duration) {
         self.loop_delay.observe(time.as_secs_f64());
--- a/coltsfootgate/src/pipeline/dispatch.rs
+++ b/coltsfootgate/src/pipeline/dispatch.rs
@@ -56,6 +56,7 @@
         time_left: request.deadline.saturating_duration_since(Instant::now()),
     };
     let endpoint_request = EndpointRequest {
+        endpoint: lease.endpoint.id.clone(),
         address: lease.endpoint.address.clone(),
         method: request.accepted.method.clone(),
         path: request.accepted.target.clone(),
--- a/coltsfootgate/src/routes/mod.rs
+++ b/coltsfootgate/src/routes/mod.rs
@@ -19,6 +19,7 @@
 use coltsfootgate_core::routing::{
     OwnerSet, RequestRoute, RoutePolicy, RouteReply, RouteStep, SelectedPolicy,
 };
+use rand::seq::IteratorRandom;
 
 use crate::endpoints::ActivePools;
 
@@ -98,6 +99,24 @@
         pool.endpoints.iter().find(|candidate| candidate.id == *endpoint).cloned()
     }
 
+    /// The number of endpoints of all pools.
+    pub fn endpoint_count(&self) -> usize {
+        let state = self.0.borrow();
+        let pools = state.pools.iter().flat_map(|pools| pools.pools());
+        pools.map(|pool| pool.endpoints.len()).sum()
+    }
+
+    /// Returns up to `count` endpoints of any pools, chosen at random.
+    pub fn sample_endpoints(&self, count: usize) -> Vec<EndpointSettings> {
+        if count == 0 {
+            return Vec::new();
+        }
+        let state = self.0.borrow();
+        let pools = state.pools.iter().flat_map(|pools| pools.pools());
+        let endpoints = pools.flat_map(|pool| pool.endpoints.iter());
+        endpoints.cloned().choose_multiple(&mut rand::rng(), count)
+    }
+
     /// Whether any endpoint of a pool states the version of its software.
     pub fn has_versions(&self, pool: &str) -> bool {
         let state = self.0.borrow();
--- a/coltsfootgate_core/src/lib.rs
+++ b/coltsfootgate_core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod origins;
 pub mod outcome;
 pub mod owner;
+pub mod path;
 pub mod prelude;
 pub mod prompt;
 pub mod quarantine;
