--- a/coltsfootgate/src/daemon.rs
+++ b/coltsfootgate/src/daemon.rs
@@ -226,11 +226,12 @@
         settings.drain_time
     );
     handles.readiness.set_unready(UnreadyCause::Leaving);
+    handles.forwards.close();
     handles.members.leave().await;
     monoio::time::sleep(settings.drain_time).await;
     trigger.trigger();
     let open = || handles.context.metrics.open_connections(ConnectionSide::Callers);
-    while open() > 0 && Instant::now() < end {
+    while (open() > 0 || handles.forwards.open() > 0) && Instant::now() < end {
         monoio::time::sleep(DRAIN_POLL_PERIOD).await;
     }
     match open() {
--- /dev/null
+++ b/coltsfootgate/src/endpoint/access.rs
@@ -0,0 +1,232 @@
+//! Sends requests to endpoints, through other instances while this one has no path to endpoints.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use log::info;
+use monoio::time::timeout;
+
+use coltsfootgate_core::forward::ForwarderBook;
+use coltsfootgate_core::prelude::{EndpointId, InstanceId, PoolId, ZoneName};
+use coltsfootgate_wire::{
+    ForwardReply, ForwardRequest, HeaderRows, PeerReply, PeerRequest, encode_forward_request,
+};
+
+use super::{
+    AnswerStream, ConnectionPool, EndpointAnswer, EndpointClient, EndpointFailure, EndpointPath,
+    EndpointRequest,
+};
+use crate::members::MembersHandle;
+use crate::metrics::DaemonMetrics;
+use crate::peer::{ForwardedAnswer, PeerError, PeerHandle};
+
+/// Time limit for another instance to say whether it reaches an endpoint.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Number of other instances that are asked whether they reach an endpoint.
+const CHECKS_MAX: usize = 2;
+
+/// Sends requests to endpoints; clones share the same connections.
+#[derive(Clone)]
+pub struct EndpointAccess {
+    direct: ConnectionPool,
+    path: EndpointPath,
+    forwarders: Rc<ForwarderClient>,
+}
+
+/// Asks other instances to forward requests.
+pub struct ForwarderClient {
+    own: InstanceId,
+    zone: ZoneName,
+    members: MembersHandle,
+    peers: PeerHandle,
+    metrics: DaemonMetrics,
+    book: RefCell<ForwarderBook>,
+}
+
+/// What is known of an endpoint to which a connection was lost or failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EndpointReach {
+    /// An instance connects to it.
+    Reached,
+    /// No instance that has a path connects to it.
+    Unreached,
+    /// This instance has no path, and no other one told.
+    Unknown,
+}
+
+impl EndpointAccess {
+    /// Creates the access of an instance.
+    pub fn new(direct: ConnectionPool, path: EndpointPath, forwarders: ForwarderClient) -> Self {
+        Self { direct, path, forwarders: Rc::new(forwarders) }
+    }
+
+    /// The connections of this instance itself.
+    pub fn direct(&self) -> &ConnectionPool {
+        &self.direct
+    }
+
+    /// The path of this instance itself.
+    pub fn path(&self) -> &EndpointPath {
+        &self.path
+    }
+
+    /// Whether this instance reaches no endpoint of a pool itself.
+    pub fn is_path_lost(&self, pool: &PoolId) -> bool {
+        self.path.is_lost(pool)
+    }
+
+    /// Finds out whether an endpoint accepts connections, also of other instances.
+    pub async fn find_reach(&self, endpoint: &EndpointId) -> EndpointReach {
+        let reached = self.path.connects_to(endpoint).await;
+        if reached == Some(true) {
+            return EndpointReach::Reached;
+        }
+        let mut has_answer = reached.is_some();
+        for instance in self.forwarders.choose().into_iter().take(CHECKS_MAX) {
+            match self.forwarders.check(&instance, endpoint).await {
+                Some(true) => return EndpointReach::Reached,
+                Some(false) => has_answer = true,
+                None => {}
+            }
+        }
+        if has_answer { EndpointReach::Unreached } else { EndpointReach::Unknown }
+    }
+}
+
+impl EndpointClient for EndpointAccess {
+    async fn send(&self, request: EndpointRequest) -> Result<EndpointAnswer, EndpointFailure> {
+        let pool = request.pool.clone();
+        if !self.path.is_lost(&pool) {
+            let sent = self.direct.send(request.clone()).await;
+            let may_forward = matches!(sent, Err(EndpointFailure::NeverSent));
+            if !may_forward || !self.path.is_lost(&pool) {
+                return sent;
+            }
+        }
+        let time = request.head_timeout;
+        let forwarding = self.forwarders.send(request);
+        timeout(time, forwarding).await.unwrap_or(Err(EndpointFailure::Stalled))
+    }
+}
+
+impl ForwarderClient {
+    /// Creates the client of an instance in a zone.
+    pub fn new(
+        own: InstanceId,
+        zone: ZoneName,
+        members: MembersHandle,
+        peers: PeerHandle,
+        metrics: DaemonMetrics,
+    ) -> Self {
+        Self { own, zone, members, peers, metrics, book: RefCell::default() }
+    }
+
+    fn choose(&self) -> Vec<InstanceId> {
+        let (view, book) = (self.members.view(), self.book.borrow());
+        book.choose(&view.locations, &self.own, &self.zone, Instant::now(), rand::random)
+    }
+
+    async fn check(&self, instance: &InstanceId, endpoint: &EndpointId) -> Option<bool> {
+        let deadline = Instant::now() + CHECK_TIMEOUT;
+        let question = PeerRequest::CheckEndpoint(endpoint.clone());
+        match self.peers.call(instance, question, deadline).await {
+            Ok(PeerReply::Reachable(is_reachable)) => is_reachable,
+            Ok(_) | Err(_) => None,
+        }
+    }
+
+    /// Sends a request through the first instance that forwards it.
+    async fn send(&self, request: EndpointRequest) -> Result<EndpointAnswer, EndpointFailure> {
+        let via = request.via.clone();
+        let message = encode_forward_request(forward_request(request));
+        let Ok(message) = message.map(Bytes::from) else {
+            self.metrics.request_sent_around("too-large");
+            return Err(EndpointFailure::PathLost);
+        };
+        for instance in self.choose() {
+            via.set(Some(instance.clone()));
+            match self.peers.forward(&instance, message.clone()).await {
+                Ok(ForwardedAnswer { reply: ForwardReply::Refused(refusal), .. }) => {
+                    self.refused(&instance, refusal.name());
+                }
+                Err(PeerError::Unreachable(_)) => self.refused(&instance, "unreachable"),
+                Ok(answer) => {
+                    self.book.borrow_mut().record_forward(&instance);
+                    return self.read_answer(answer);
+                }
+                Err(error) => {
+                    // The instance may have forwarded the request.
+                    self.book.borrow_mut().record_refusal(instance, Instant::now());
+                    self.metrics.request_sent_around(error.name());
+                    return Err(EndpointFailure::ConnectionLost);
+                }
+            }
+        }
+        via.set(None);
+        Err(EndpointFailure::PathLost)
+    }
+
+    fn refused(&self, instance: &InstanceId, cause: &str) {
+        info!("instance {instance} does not forward a request: {cause}");
+        self.metrics.request_sent_around(cause);
+        self.book.borrow_mut().record_refusal(instance.clone(), Instant::now());
+    }
+
+    fn read_answer(&self, answer: ForwardedAnswer) -> Result<EndpointAnswer, EndpointFailure> {
+        let ForwardedAnswer { reply, body } = answer;
+        let (name, result) = match reply {
+            ForwardReply::Answered { status, headers, framing } => {
+                let head = StatusCode::from_u16(status).ok().zip(from_header_rows(&headers));
+                let stream = AnswerStream::forwarded(body, framing);
+                let answer =
+                    head.map(|(status, headers)| EndpointAnswer { status, headers, stream });
+                ("answered", answer.ok_or(EndpointFailure::ConnectionLost))
+            }
+            ForwardReply::NeverSent | ForwardReply::Refused(_) => {
+                ("never-sent", Err(EndpointFailure::NeverSent))
+            }
+            ForwardReply::ConnectionLost => {
+                ("connection-lost", Err(EndpointFailure::ConnectionLost))
+            }
+            ForwardReply::Stalled => ("stalled", Err(EndpointFailure::Stalled)),
+        };
+        self.metrics.request_sent_around(name);
+        result
+    }
+}
+
+fn forward_request(request: EndpointRequest) -> ForwardRequest {
+    ForwardRequest {
+        pool: request.pool,
+        endpoint: request.endpoint,
+        attempt: request.attempt,
+        method: request.method.as_str().into(),
+        path: request.path,
+        headers: header_rows(&request.headers),
+        body: request.body.to_vec(),
+        head_timeout: request.head_timeout,
+        silence: request.silence,
+    }
+}
+
+/// Headers as they are sent between instances.
+pub fn header_rows(headers: &HeaderMap) -> HeaderRows {
+    let row = |(name, value): (&HeaderName, &HeaderValue)| {
+        (Arc::from(name.as_str()), value.as_bytes().to_vec())
+    };
+    headers.iter().map(row).collect()
+}
+
+/// The headers that another instance sent; `None` if one of them is malformed.
+pub fn from_header_rows(rows: &HeaderRows) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::with_capacity(rows.len());
+    for (name, value) in rows {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_bytes(value).ok()?);
+    }
+    Some(headers)
+}
--- a/coltsfootgate/src/endpoint/connection.rs
+++ b/coltsfootgate/src/endpoint/connection.rs
@@ -2,13 +2,14 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use coltsfootgate_core::answer::AnswerFraming;
-use coltsfootgate_core::prelude::EndpointId;
+use coltsfootgate_core::prelude::{EndpointId, PoolId};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -16,13 +17,23 @@
 use monoio::time::timeout;
 
 use super::{EndpointAnswer, EndpointClient, EndpointFailure, EndpointPath, EndpointRequest};
+use crate::peer::ForwardedBody;
 use crate::transfer::{HttpConnection, SendFailure, answer_framing};
 
 /// Maximum time to connect to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Interval at which a connect that takes long looks whether the path is lost.
+const PATH_CHECK_PERIOD: Duration = Duration::from_millis(50);
 /// Maximum number of idle connections to each endpoint.
 const IDLE_CONNECTIONS_MAX: usize = 64;
 
+/// The endpoint to which a request is sent.
+struct SendTarget {
+    pool: PoolId,
+    endpoint: EndpointId,
+    address: Arc<str>,
+}
+
 type IdleConnections = HashMap<Arc<str>, Vec<HttpConnection>>;
 
 /// The connections of this instance to all endpoints.
@@ -65,35 +76,43 @@
         }
     }
 
-    async fn connect(
-        &self,
-        endpoint: &EndpointId,
-        address: &str,
-    ) -> Result<HttpConnection, EndpointFailure> {
-        let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        let Ok(Ok(stream)) = connected else {
-            self.path.record_unreached(endpoint);
+    async fn connect(&self, target: &SendTarget) -> Result<HttpConnection, EndpointFailure> {
+        let Some(stream) = self.open(target).await else {
+            self.path.record_unreached(&target.pool, &target.endpoint);
             return Err(EndpointFailure::NeverSent);
         };
-        self.path.record_reached();
+        self.path.record_reached(&target.pool);
         HttpConnection::start(stream).await.map_err(|_| EndpointFailure::NeverSent)
     }
 
+    /// Connects to an endpoint, unless the path to all of its pool turns out to be lost meanwhile.
+    async fn open(&self, target: &SendTarget) -> Option<TcpStream> {
+        let give_up_at = Instant::now() + CONNECT_TIMEOUT;
+        let mut connecting = pin!(TcpStream::connect(&*target.address));
+        loop {
+            if let Ok(connected) = timeout(PATH_CHECK_PERIOD, connecting.as_mut()).await {
+                return connected.ok();
+            }
+            if self.path.is_lost(&target.pool) || Instant::now() >= give_up_at {
+                return None;
+            }
+        }
+    }
+
     /// Sends a request on an idle connection, or on a new one if no idle connection accepts it.
     async fn send_once(
         &self,
-        endpoint: &EndpointId,
-        address: &Arc<str>,
+        target: &SendTarget,
         mut message: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, HttpConnection), EndpointFailure> {
-        while let Some(mut connection) = self.take_idle(address) {
+        while let Some(mut connection) = self.take_idle(&target.address) {
             match connection.send(message).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(SendFailure::Unsent(unsent)) => message = *unsent,
                 Err(SendFailure::Broken(_)) => return Err(EndpointFailure::ConnectionLost),
             }
         }
-        let mut connection = self.connect(endpoint, address).await?;
+        let mut connection = self.connect(target).await?;
         match connection.send(message).await {
             Ok(response) => Ok((response, connection)),
             Err(SendFailure::Unsent(_)) => Err(EndpointFailure::NeverSent),
@@ -104,29 +123,29 @@
 
 impl EndpointClient for ConnectionPool {
     async fn send(&self, request: EndpointRequest) -> Result<EndpointAnswer, EndpointFailure> {
-        let (endpoint, address) = (request.endpoint.clone(), request.address.clone());
+        let target = SendTarget {
+            pool: request.pool.clone(),
+            endpoint: request.endpoint.clone(),
+            address: request.address.clone(),
+        };
         let head_timeout = request.head_timeout;
         let message = build_message(request)?;
-        let waiting = self.path.begin_wait();
-        let sending = self.send_once(&endpoint, &address, message);
+        let waiting = self.path.begin_wait(&target.pool);
+        let sending = self.send_once(&target, message);
         let (response, connection) = match timeout(head_timeout, sending).await {
             Ok(sent) => sent?,
             Err(_) => {
-                self.drop_idle(&address);
+                self.drop_idle(&target.address);
                 return Err(EndpointFailure::Stalled);
             }
         };
         drop(waiting);
-        self.path.record_heard();
+        self.path.record_heard(&target.pool);
         let (head, body) = response.into_parts();
         let framing = answer_framing(&head.headers, &body);
-        let stream = AnswerStream {
-            body,
-            framing,
-            connection: Some(connection),
-            address,
-            pool: self.clone(),
-        };
+        let connection = Some(connection);
+        let body = DirectBody { body, connection, target, connections: self.clone() };
+        let stream = AnswerStream { framing, source: AnswerSource::Direct(body) };
         Ok(EndpointAnswer { status: head.status, headers: head.headers, stream })
     }
 }
@@ -139,22 +158,39 @@
     Ok(message)
 }
 
-/// The body of an answer. Dropping it before its end closes the connection.
+/// The body of an answer. Dropping it before its end cancels the request at the endpoint.
 pub struct AnswerStream {
-    body: Incoming,
     framing: AnswerFraming,
+    source: AnswerSource,
+}
+
+/// Where the body of an answer arrives.
+enum AnswerSource {
+    Direct(DirectBody),
+    Forwarded(ForwardedBody),
+}
+
+/// The body of an answer on a connection of this instance. Dropping it before its end closes the
+/// connection.
+struct DirectBody {
+    body: Incoming,
     connection: Option<HttpConnection>,
-    address: Arc<str>,
-    pool: ConnectionPool,
+    target: SendTarget,
+    connections: ConnectionPool,
 }
 
 impl std::fmt::Debug for AnswerStream {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter.debug_struct("AnswerStream").field("address", &self.address).finish()
+        formatter.debug_struct("AnswerStream").field("framing", &self.framing).finish()
     }
 }
 
 impl AnswerStream {
+    /// Creates the stream of an answer that another instance forwards.
+    pub fn forwarded(body: ForwardedBody, framing: AnswerFraming) -> Self {
+        Self { framing, source: AnswerSource::Forwarded(body) }
+    }
+
     /// How the end of the body is marked.
     pub fn framing(&self) -> AnswerFraming {
         self.framing
@@ -166,11 +202,23 @@
     ///
     /// Fails if the connection is lost or no data arrives for the time `silence`.
     pub async fn next(&mut self, silence: Duration) -> Result<Option<Bytes>, EndpointFailure> {
+        match &mut self.source {
+            AnswerSource::Direct(body) => body.next(silence).await,
+            AnswerSource::Forwarded(body) => match timeout(silence, body.next()).await {
+                Ok(piece) => piece.map_err(|_| EndpointFailure::ConnectionLost),
+                Err(_) => Err(EndpointFailure::Stalled),
+            },
+        }
+    }
+}
+
+impl DirectBody {
+    async fn next(&mut self, silence: Duration) -> Result<Option<Bytes>, EndpointFailure> {
         loop {
             let frame = match timeout(silence, self.body.frame()).await {
                 Ok(frame) => frame,
                 Err(_) => {
-                    self.pool.drop_idle(&self.address);
+                    self.connections.drop_idle(&self.target.address);
                     return Err(EndpointFailure::Stalled);
                 }
             };
@@ -182,7 +230,7 @@
                 Some(Err(_)) => return Err(EndpointFailure::ConnectionLost),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
-                        self.pool.path.record_heard();
+                        self.connections.path.record_heard(&self.target.pool);
                         return Ok(Some(data));
                     }
                 }
@@ -192,7 +240,7 @@
 
     fn return_connection(&mut self) {
         if let Some(connection) = self.connection.take() {
-            self.pool.put_idle(&self.address, connection);
+            self.connections.put_idle(&self.target.address, connection);
         }
     }
 }
--- a/coltsfootgate/src/endpoint/mod.rs
+++ b/coltsfootgate/src/endpoint/mod.rs
@@ -1,18 +1,22 @@
 //! The client of endpoints: sends a request, and returns an answer or a failure that states whether
 //! the request may have run.
 
+mod access;
 mod connection;
 pub mod event;
 mod path;
 pub mod scanner;
 
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use coltsfootgate_core::prelude::EndpointId;
+use coltsfootgate_core::prelude::{EndpointId, InstanceId, PoolId};
 use http::{HeaderMap, Method, StatusCode};
 
+pub use access::{EndpointAccess, EndpointReach, ForwarderClient, from_header_rows, header_rows};
 pub use connection::{AnswerStream, ConnectionPool};
 pub use path::EndpointPath;
 
@@ -31,8 +35,12 @@
 /// One attempt of a request at one endpoint.
 #[derive(Clone, Debug)]
 pub struct EndpointRequest {
+    /// The pool of the endpoint.
+    pub pool: PoolId,
     /// The endpoint.
     pub endpoint: EndpointId,
+    /// The id that the answer must echo.
+    pub attempt: Arc<str>,
     /// IP address and port of the endpoint.
     pub address: Arc<str>,
     /// The caller's method.
@@ -45,6 +53,26 @@
     pub body: Bytes,
     /// Maximum time to wait for the head of the answer.
     pub head_timeout: Duration,
+    /// Maximum time without data from the endpoint after the head.
+    pub silence: Duration,
+    /// Takes the instance through which the request is sent.
+    pub via: SendRoute,
+}
+
+/// The instance through which a request is sent to an endpoint, if not directly; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct SendRoute(Rc<RefCell<Option<InstanceId>>>);
+
+impl SendRoute {
+    /// Sets the instance.
+    pub fn set(&self, via: Option<InstanceId>) {
+        *self.0.borrow_mut() = via;
+    }
+
+    /// The instance; `None` if the request is sent directly.
+    pub fn get(&self) -> Option<InstanceId> {
+        self.0.borrow().clone()
+    }
 }
 
 /// The head of an endpoint's answer, with its body still to be read.
@@ -63,6 +91,9 @@
 pub enum EndpointFailure {
     /// No byte of the request was sent.
     NeverSent,
+    /// No byte of the request was sent, since neither this instance nor those that it asked reach any
+    /// endpoint.
+    PathLost,
     /// The endpoint refused the request and reported that it did not start it.
     RefusedBeforeStart,
     /// The endpoint answered with an error and did not report that it had not started the request.
--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -11,7 +11,7 @@
 use crate::claims::{ClaimsHandle, ClaimsTask, follow_owners};
 use crate::clock;
 use crate::dialect::Dialect;
-use crate::endpoint::{ConnectionPool, EndpointPath};
+use crate::endpoint::{ConnectionPool, EndpointAccess, EndpointPath, ForwarderClient};
 use crate::endpoints::{EndpointDirectory, EndpointsTask, SharedRoster, SnapshotPoller};
 use crate::limits::{LimitHandle, LimitTask};
 use crate::members::{MembersHandle, MembersTask};
@@ -19,7 +19,10 @@
 use crate::operators::{ReadinessGate, RequestRecords, StatusRegistry};
 use crate::options::DaemonSettings;
 use crate::owner::{GrantCheck, OwnerHandle, OwnerReporter, OwnerService, OwnerTask};
-use crate::peer::{PeerDispatch, PeerHandle, PeerIdentity, PeerListener};
+use crate::peer::{
+    EndpointRules, ForwardLoad, PeerDispatch, PeerHandle, PeerIdentity, PeerListener,
+    RequestForwarder,
+};
 use crate::pipeline::budget::BudgetTable;
 use crate::pipeline::context::{GrantCounter, PipelineContext};
 use crate::platform::{
@@ -39,6 +42,8 @@
     pub members: MembersHandle,
     /// Whether the instance is ready for callers.
     pub readiness: ReadinessGate,
+    /// The requests that are forwarded for other instances.
+    pub forwards: ForwardLoad,
     /// The status page.
     pub status: StatusRegistry,
 }
@@ -77,8 +82,19 @@
     let pools = starter.follow_members(&members, &owner, &context);
     let quarantine = context.quarantine.clone();
     let status = build_status(settings, &members, pools, quarantine);
-    starter.start_peer_server(identity, peer_listener, &members, roster, owner, &context);
-    InstanceHandles { context: Rc::new(context), members, readiness: starter.readiness, status }
+    let forwards = ForwardLoad::default();
+    let forwarder = RequestForwarder {
+        endpoints: context.endpoints.direct().clone(),
+        path: context.endpoints.path().clone(),
+        routes: context.routes.clone(),
+        roster,
+        rules: EndpointRules::of::<D::Endpoints>(),
+        metrics: starter.metrics.clone(),
+        load: forwards.clone(),
+    };
+    starter.start_peer_server(identity, peer_listener, &members, forwarder, owner, &context);
+    let readiness = starter.readiness;
+    InstanceHandles { context: Rc::new(context), members, readiness, forwards, status }
 }
 
 impl<P> TaskStarter<'_, P>
@@ -168,8 +184,7 @@
         let poller = SnapshotPoller::new(own.clone(), members.clone(), self.peers.clone(), origins);
         monoio::spawn(task.run(self.platform.clone(), poller, self.metrics.clone()));
         let owner_client = OwnerClient::new(own.clone(), owner.clone(), self.peers.clone());
-        let path = EndpointPath::new(routes.clone(), self.metrics.clone());
-        monoio::spawn(path.clone().watch());
+        let endpoints = self.start_access(members, &routes);
         let context = PipelineContext {
             own,
             zone: self.settings.zone.clone(),
@@ -182,7 +197,7 @@
             roster,
             quarantine: self.start_quarantine(members),
             buffers: BufferBudget::default(),
-            endpoints: ConnectionPool::new(path),
+            endpoints,
             records: RequestRecords::default(),
             metrics: self.metrics.clone(),
             budgets: BudgetTable::default(),
@@ -192,6 +207,19 @@
         (owner, context)
     }
 
+    fn start_access(&self, members: &MembersHandle, routes: &RouteTable) -> EndpointAccess {
+        let path = EndpointPath::new(routes.clone(), self.metrics.clone());
+        monoio::spawn(path.clone().watch());
+        let forwarders = ForwarderClient::new(
+            self.settings.instance.clone(),
+            self.settings.zone.clone(),
+            members.clone(),
+            self.peers.clone(),
+            self.metrics.clone(),
+        );
+        EndpointAccess::new(ConnectionPool::new(path.clone()), path, forwarders)
+    }
+
     fn start_origins(&self, members: &MembersHandle) -> OriginsHandle {
         if !P::ANNOUNCES {
             return OriginsHandle::without_list();
@@ -248,7 +276,7 @@
         identity: PeerIdentity,
         peer_listener: TcpListener,
         members: &MembersHandle,
-        roster: SharedRoster,
+        forwarder: RequestForwarder,
         owner: OwnerHandle,
         context: &PipelineContext,
     ) {
@@ -257,10 +285,11 @@
         let dispatch = PeerDispatch {
             members: members.clone(),
             tree: context.tree.clone(),
-            replicas: roster,
+            replicas: context.roster.clone(),
             claims: context.claims.clone(),
             streams: context.streams.clone(),
             quarantine: context.quarantine.clone(),
+            path: context.endpoints.path().clone(),
             metrics: self.metrics.clone(),
             owner_calls: owner_call_sender,
         };
@@ -269,8 +298,14 @@
         monoio::spawn(service.run(owner_calls));
         let connections = self.settings.peer_connections;
         let metrics = self.metrics.clone();
-        let listener =
-            PeerListener::new(peer_listener, identity, metrics, call_sender, connections);
+        let listener = PeerListener::new(
+            peer_listener,
+            identity,
+            metrics,
+            call_sender,
+            forwarder,
+            connections,
+        );
         monoio::spawn(listener.serve());
     }
 }
--- a/coltsfootgate/src/metrics/mod.rs
+++ b/coltsfootgate/src/metrics/mod.rs
@@ -79,7 +79,9 @@
     deferrals: IntCounterVec,
     lost_grants: IntCounterVec,
     streams_taken_up: IntCounterVec,
-    path_lost: IntGauge,
+    path_lost: IntGaugeVec,
+    sent_around: IntCounterVec,
+    forwarded: IntCounterVec,
     loop_delay: Histogram,
 }
 
@@ -246,10 +248,22 @@
                 "Grants that their requesters did not hold any more and had not returned.",
                 &["pool"],
             ),
-            path_lost: registrar.register(IntGauge::new(
-                "coltsfootgate_path_lost",
-                "Whether this instance reaches no endpoint; 1 if so.",
-            )),
+            sent_around: registrar.counters(
+                "sent_around",
+                "Requests that other instances were asked to forward, since this one reached no \
+                 endpoint, by result.",
+                &["result"],
+            ),
+            forwarded: registrar.counters(
+                "forwarded",
+                "Requests that this instance was asked to forward to endpoints, by result.",
+                &["result"],
+            ),
+            path_lost: registrar.gauges(
+                "path_lost",
+                "Whether this instance reaches no endpoint of a pool; 1 if so.",
+                &["pool"],
+            ),
             loop_delay: registrar.register(Histogram::with_opts(
                 HistogramOpts::new(
                     "coltsfootgate_loop_delay_seconds",
@@ -424,9 +438,19 @@
         self.lost_grants.with_label_values(&[pool]).inc_by(change.lost_grants);
     }
 
-    /// Sets whether this instance reaches no endpoint.
-    pub fn path_lost(&self, is_lost: bool) {
-        self.path_lost.set(i64::from(is_lost));
+    /// Counts a request that another instance was asked to forward.
+    pub fn request_sent_around(&self, result: &str) {
+        self.sent_around.with_label_values(&[result]).inc();
+    }
+
+    /// Counts a request that this instance was asked to forward.
+    pub fn request_forwarded(&self, result: &str) {
+        self.forwarded.with_label_values(&[result]).inc();
+    }
+
+    /// Sets whether this instance reaches no endpoint of a pool.
+    pub fn path_lost(&self, pool: &str, is_lost: bool) {
+        self.path_lost.with_label_values(&[pool]).set(i64::from(is_lost));
     }
 
     /// Records the delay of a timer.
--- a/coltsfootgate/src/owner/desk.rs
+++ b/coltsfootgate/src/owner/desk.rs
@@ -94,6 +94,7 @@
             | PeerRequest::ShareQuarantine(_)
             | PeerRequest::CompareQuarantine(_)
             | PeerRequest::ReportLeaving(_)
+            | PeerRequest::CheckEndpoint(_)
             | PeerRequest::TakeTrial(_)
             | PeerRequest::Claim { .. } => false,
         };
--- a/coltsfootgate/src/peer/client.rs
+++ b/coltsfootgate/src/peer/client.rs
@@ -13,8 +13,8 @@
 use coltsfootgate_core::ids::InstanceId;
 use coltsfootgate_wire::{PeerReply, PeerRequest, encode_request};
 
-use super::link::{LinkCall, PeerLink};
-use super::{PeerError, PeerIdentity};
+use super::link::{LinkCall, PeerLink, ReplySender};
+use super::{ForwardedAnswer, PeerError, PeerIdentity};
 use crate::clock;
 use crate::metrics::DaemonMetrics;
 use crate::tree::{PeerFetchError, TreePeers};
@@ -64,7 +64,7 @@
         let message = Bytes::from(encode_request(request, now)?);
         self.0.metrics.peer_message_sent(kind, message.len());
         let (reply, receiver) = oneshot::channel();
-        self.send(instance, LinkCall { message, reply });
+        self.send(instance, LinkCall { message, reply: ReplySender::Message(reply) });
         let time_left = deadline.saturating_duration_since(now);
         let result = match monoio::time::timeout(time_left, receiver).await {
             Ok(Ok(result)) => result,
@@ -77,6 +77,26 @@
         result
     }
 
+    /// Sends an encoded request that an instance is asked to forward, and waits for its reply.
+    ///
+    /// Dropping the future resets the stream, which cancels the request at the endpoint.
+    ///
+    /// # Errors
+    ///
+    /// After [`PeerError::Unreachable`] the instance never received the request; after any other
+    /// error it may have forwarded it.
+    pub async fn forward(
+        &self,
+        instance: &InstanceId,
+        message: Bytes,
+    ) -> Result<ForwardedAnswer, PeerError> {
+        self.0.metrics.peer_message_sent("forward", message.len());
+        let (reply, receiver) = oneshot::channel();
+        self.send(instance, LinkCall { message, reply: ReplySender::Forward(reply) });
+        let result = receiver.await;
+        result.unwrap_or_else(|_| Err(PeerError::Broken("connection closed".to_owned())))
+    }
+
     /// Whether an instance with calls in flight does not answer pings.
     pub fn is_silent(&self, instance: &InstanceId) -> bool {
         self.0.links.borrow().get(instance).is_some_and(|link| link.is_silent.get())
--- a/coltsfootgate/src/peer/dispatch.rs
+++ b/coltsfootgate/src/peer/dispatch.rs
@@ -10,6 +10,7 @@
 use super::PeerCall;
 use crate::claims::ClaimsHandle;
 use crate::clock;
+use crate::endpoint::EndpointPath;
 use crate::endpoints::SharedRoster;
 use crate::members::{MemberMessage, MembersHandle};
 use crate::metrics::DaemonMetrics;
@@ -31,6 +32,8 @@
     pub streams: StreamRegister,
     /// Receives crashes and blocked parts of prompts.
     pub quarantine: QuarantineHandle,
+    /// The path to endpoints.
+    pub path: EndpointPath,
     /// The metrics.
     pub metrics: DaemonMetrics,
     /// Receives requests about grants and limits.
@@ -103,6 +106,13 @@
                 self.replicas.report_leaving(endpoint);
                 let _ = reply.send(PeerReply::Accepted);
             }
+            PeerRequest::CheckEndpoint(endpoint) => {
+                let path = self.path.clone();
+                monoio::spawn(async move {
+                    let is_reachable = path.connects_to(&endpoint).await;
+                    let _ = reply.send(PeerReply::Reachable(is_reachable));
+                });
+            }
             PeerRequest::TakeTrial(key) => {
                 let quarantine = self.quarantine.clone();
                 monoio::spawn(async move {
@@ -151,6 +161,7 @@
         | PeerRequest::ShareQuarantine(_)
         | PeerRequest::CompareQuarantine(_)
         | PeerRequest::ReportLeaving(_)
+        | PeerRequest::CheckEndpoint(_)
         | PeerRequest::TakeTrial(_)
         | PeerRequest::Claim { .. } => true,
     }
--- a/coltsfootgate/src/peer/exchange.rs
+++ b/coltsfootgate/src/peer/exchange.rs
@@ -1,16 +1,25 @@
-//! Exchange of one request and one reply over an h2 stream.
+//! Exchange of one request and one reply over an h2 stream, which the bytes of an answer may follow.
 
 use bytes::{Bytes, BytesMut};
 use h2::client::SendRequest;
 use h2::{RecvStream, SendStream};
 use http::{Request, StatusCode};
 
-use coltsfootgate_wire::{MESSAGE_BYTES_MAX, PeerReply, WireError, decode_reply};
+use coltsfootgate_wire::{
+    ForwardReply, MESSAGE_BYTES_MAX, PeerReply, WireError, decode_forward_reply, decode_reply,
+    encode_forward_reply,
+};
 
 use super::PeerError;
 
-/// URI of all requests; their content is in the message.
+/// URI of all requests but those to forward; their content is in the message.
 const PEER_URI: &str = "http://peer/";
+/// URI of requests that the peer is asked to forward to an endpoint.
+const FORWARD_URI: &str = "http://peer/forward";
+/// Path of [`FORWARD_URI`].
+pub(super) const FORWARD_PATH: &str = "/forward";
+/// Size of the length before the reply to such a request, in bytes.
+const LENGTH_BYTES: usize = size_of::<u32>();
 
 /// Sends an encoded request and waits for the reply.
 ///
@@ -37,6 +46,94 @@
     Ok(reply)
 }
 
+/// The reply to a request that the peer was asked to forward, and the bytes that follow it.
+pub(super) struct ForwardedHead {
+    pub(super) reply: ForwardReply,
+    /// Bytes of the answer that arrived with the reply.
+    pub(super) first: Bytes,
+    pub(super) body: RecvStream,
+}
+
+/// Sends an encoded request that the peer is asked to forward, and waits for the reply.
+///
+/// Dropping the future or the body resets the stream, which cancels the request at the endpoint.
+///
+/// # Errors
+///
+/// After [`PeerError::Unreachable`] nothing was sent to the peer.
+pub(super) async fn forward(
+    sender: SendRequest<Bytes>,
+    message: Bytes,
+) -> Result<ForwardedHead, PeerError> {
+    let unsent = |error: h2::Error| PeerError::Unreachable(error.to_string());
+    let mut sender = sender.ready().await.map_err(unsent)?;
+    let request = Request::post(FORWARD_URI).body(());
+    let request = request.map_err(|error| PeerError::Broken(error.to_string()))?;
+    let (response, stream) = sender.send_request(request, false).map_err(unsent)?;
+    drop(sender);
+    let receiving = async {
+        let response = response.await?;
+        if response.status() != StatusCode::OK {
+            return Err(PeerError::Unhandled);
+        }
+        read_forward_reply(response.into_body()).await
+    };
+    let (_, head) = futures_util::try_join!(send_message(stream, message), receiving)?;
+    Ok(head)
+}
+
+async fn read_forward_reply(mut body: RecvStream) -> Result<ForwardedHead, PeerError> {
+    let mut received = BytesMut::new();
+    loop {
+        if let Some((length, rest)) = received.split_first_chunk::<LENGTH_BYTES>() {
+            let length = u32::from_be_bytes(*length) as usize;
+            if length > MESSAGE_BYTES_MAX {
+                return Err(WireError::TooLarge(length).into());
+            }
+            if rest.len() >= length {
+                let reply = decode_forward_reply(&rest[..length])?;
+                let first = received.split_off(LENGTH_BYTES + length).freeze();
+                return Ok(ForwardedHead { reply, first, body });
+            }
+        }
+        let Some(part) = body.data().await else {
+            return Err(PeerError::Broken("the reply ended early".to_owned()));
+        };
+        let part = part?;
+        received.extend_from_slice(&part);
+        body.flow_control().release_capacity(part.len())?;
+    }
+}
+
+/// Sends the reply to a request that was to be forwarded; the bytes of the answer may follow.
+pub(super) async fn send_forward_reply(
+    stream: &mut SendStream<Bytes>,
+    reply: ForwardReply,
+) -> Result<(), PeerError> {
+    let encoded = encode_forward_reply(reply)?;
+    let mut message = BytesMut::with_capacity(LENGTH_BYTES + encoded.len());
+    message.extend_from_slice(&(encoded.len() as u32).to_be_bytes());
+    message.extend_from_slice(&encoded);
+    send_part(stream, message.freeze()).await
+}
+
+/// Sends bytes within the flow-control window of the other side, without ending the stream.
+pub(super) async fn send_part(
+    stream: &mut SendStream<Bytes>,
+    mut part: Bytes,
+) -> Result<(), PeerError> {
+    while !part.is_empty() {
+        stream.reserve_capacity(part.len());
+        while stream.capacity() == 0 {
+            let capacity = std::future::poll_fn(|context| stream.poll_capacity(context)).await;
+            capacity.ok_or_else(|| PeerError::Broken("stream closed".to_owned()))??;
+        }
+        let sent = part.split_to(stream.capacity().min(part.len()));
+        stream.send_data(sent, false)?;
+    }
+    Ok(())
+}
+
 /// Sends a message within the flow-control window of the other side, and ends the stream.
 pub(super) async fn send_message(
     mut stream: SendStream<Bytes>,
--- a/coltsfootgate/src/peer/link.rs
+++ b/coltsfootgate/src/peer/link.rs
@@ -21,6 +21,7 @@
 
 use super::counted::CountedStream;
 use super::exchange;
+use super::forwarded::ForwardedAnswer;
 use super::handshake::authenticate_as_client;
 use super::{PeerError, PeerIdentity};
 use crate::metrics::DaemonMetrics;
@@ -29,6 +30,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time without calls after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Flow-control window of a connection for answers that the peer forwards, in bytes.
+const CONNECTION_WINDOW_BYTES: u32 = 4 * 1024 * 1024;
 /// Interval between two pings while calls are in flight.
 const PING_INTERVAL: Duration = Duration::from_millis(200);
 /// Time without an answer to a ping after which the peer counts as silent.
@@ -43,7 +46,39 @@
 /// An encoded request that waits for its reply.
 pub(super) struct LinkCall {
     pub(super) message: Bytes,
-    pub(super) reply: oneshot::Sender<Result<PeerReply, PeerError>>,
+    pub(super) reply: ReplySender,
+}
+
+/// Takes the reply to a call, by the kind of the call.
+pub(super) enum ReplySender {
+    Message(oneshot::Sender<Result<PeerReply, PeerError>>),
+    Forward(oneshot::Sender<Result<ForwardedAnswer, PeerError>>),
+}
+
+impl ReplySender {
+    fn fail(self, error: PeerError) {
+        // Sending fails if the caller has dropped the call.
+        match self {
+            Self::Message(reply) => drop(reply.send(Err(error))),
+            Self::Forward(reply) => drop(reply.send(Err(error))),
+        }
+    }
+}
+
+/// Counts a call as in flight until it is dropped.
+pub(super) struct CallCount(Rc<Cell<usize>>);
+
+impl CallCount {
+    fn new(in_flight: &Rc<Cell<usize>>) -> Self {
+        in_flight.set(in_flight.get() + 1);
+        Self(in_flight.clone())
+    }
+}
+
+impl Drop for CallCount {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 /// Manages the connection to one peer.
@@ -94,14 +129,14 @@
             match self.connect().await {
                 Ok(link) => self.serve(link, call, &mut calls).await,
                 Err(error) => {
-                    let _ = call.reply.send(Err(error));
+                    call.reply.fail(error);
                 }
             }
         }
         // Calls that arrived in the meantime fail explicitly; their callers may retry.
         calls.close();
         while let Some(call) = calls.next().await {
-            let _ = call.reply.send(Err(PeerError::Unreachable("connection closing".to_owned())));
+            call.reply.fail(PeerError::Unreachable("connection closing".to_owned()));
         }
     }
 
@@ -141,7 +176,10 @@
                 error => error,
             }
         })?;
-        let (sender, mut connection) = client::handshake(StreamWrapper::new(stream)).await?;
+        let (sender, mut connection) = client::Builder::new()
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+            .handshake(StreamWrapper::new(stream))
+            .await?;
         let ping_pong = connection.ping_pong();
         let (closing, closed) = oneshot::channel();
         let (driver, abort) = abortable(async move {
@@ -192,23 +230,36 @@
 /// Sends a call in a task of its own, which ends early if the caller drops the call.
 fn start_call(sender: &SendRequest<Bytes>, call: LinkCall, in_flight: &Rc<Cell<usize>>) {
     let sender = sender.clone();
-    let in_flight = in_flight.clone();
-    in_flight.set(in_flight.get() + 1);
+    let count = CallCount::new(in_flight);
     monoio::spawn(async move {
-        let LinkCall { message, mut reply } = call;
-        let exchange = exchange::call(sender, message);
-        pin_mut!(exchange);
-        let result = match select(exchange, reply.cancellation()).await {
-            Either::Left((result, _)) => Some(result),
-            Either::Right(_) => None,
-        };
-        if let Some(result) = result {
-            let _ = reply.send(result);
+        let LinkCall { message, reply } = call;
+        match reply {
+            ReplySender::Message(mut reply) => {
+                let call = exchange::call(sender, message);
+                if let Some(result) = until_dropped(call, &mut reply).await {
+                    let _ = reply.send(result);
+                }
+                drop(count);
+            }
+            ReplySender::Forward(mut reply) => {
+                let call = exchange::forward(sender, message);
+                if let Some(result) = until_dropped(call, &mut reply).await {
+                    let _ = reply.send(result.map(|head| ForwardedAnswer::new(head, count)));
+                }
+            }
         }
-        in_flight.set(in_flight.get() - 1);
     });
 }
 
+/// Runs a call until it ends, or until the receiver of its reply is dropped.
+async fn until_dropped<C: Future, T>(call: C, reply: &mut oneshot::Sender<T>) -> Option<C::Output> {
+    pin_mut!(call);
+    match select(call, reply.cancellation()).await {
+        Either::Left((result, _)) => Some(result),
+        Either::Right(_) => None,
+    }
+}
+
 /// Returns when a ping is not answered in time; pings are sent only while calls are in flight.
 async fn wait_for_ping_timeout(
     ping_pong: Option<PingPong>,
--- a/coltsfootgate/src/peer/mod.rs
+++ b/coltsfootgate/src/peer/mod.rs
@@ -4,6 +4,8 @@
 mod counted;
 mod dispatch;
 mod exchange;
+mod forwarded;
+mod forwarder;
 mod handshake;
 mod link;
 mod server;
@@ -18,6 +20,8 @@
 
 pub use self::client::PeerHandle;
 pub use self::dispatch::PeerDispatch;
+pub use self::forwarded::{ForwardedAnswer, ForwardedBody};
+pub use self::forwarder::{EndpointRules, ForwardLoad, RequestForwarder};
 pub use self::server::{PeerCall, PeerListener};
 
 /// The identity with which this instance authenticates to its peers.
--- a/coltsfootgate/src/peer/server.rs
+++ b/coltsfootgate/src/peer/server.rs
@@ -20,7 +20,8 @@
 use coltsfootgate_wire::{PeerReply, PeerRequest, decode_request, encode_reply};
 
 use super::counted::CountedStream;
-use super::exchange::{read_message, send_message};
+use super::exchange::{FORWARD_PATH, read_message, send_message};
+use super::forwarder::RequestForwarder;
 use super::handshake::authenticate_as_server;
 use super::{PeerError, PeerIdentity};
 use crate::accept::accept_connections;
@@ -64,6 +65,7 @@
     identity: PeerIdentity,
     metrics: DaemonMetrics,
     calls: UnboundedSender<PeerCall>,
+    forwarder: RequestForwarder,
     connections_max: usize,
     /// The current connection of each peer, with a number that distinguishes it from earlier ones.
     connections: RefCell<HashMap<InstanceId, (u64, AbortHandle)>>,
@@ -71,17 +73,25 @@
 }
 
 impl PeerListener {
-    /// Creates a listener that forwards requests to `calls`.
+    /// Creates a listener that passes calls on to `calls` and requests for endpoints to `forwarder`.
     pub fn new(
         listener: TcpListener,
         identity: PeerIdentity,
         metrics: DaemonMetrics,
         calls: UnboundedSender<PeerCall>,
+        forwarder: RequestForwarder,
         connections_max: usize,
     ) -> Self {
         let (connections, opened_count) = (RefCell::default(), Cell::new(0));
-        let shared =
-            ListenerShared { identity, metrics, calls, connections_max, connections, opened_count };
+        let shared = ListenerShared {
+            identity,
+            metrics,
+            calls,
+            forwarder,
+            connections_max,
+            connections,
+            opened_count,
+        };
         Self { listener, shared: Rc::new(shared) }
     }
 
@@ -188,9 +198,13 @@
         request: Request<RecvStream>,
         respond: &mut SendResponse<Bytes>,
     ) -> Result<(), PeerError> {
+        let is_forward = request.uri().path() == FORWARD_PATH;
         let message = monoio::time::timeout(REQUEST_TIMEOUT, read_message(request.into_body()))
             .await
             .unwrap_or(Err(PeerError::TimedOut))?;
+        if is_forward {
+            return self.forwarder.serve(&message, respond).await;
+        }
         let request = decode_request(&message, clock::now())?;
         let (reply, receiver) = oneshot::channel();
         let _ = self.calls.unbounded_send(PeerCall { from, request, reply });
--- a/coltsfootgate/src/pipeline/context.rs
+++ b/coltsfootgate/src/pipeline/context.rs
@@ -7,7 +7,7 @@
 
 use super::budget::BudgetTable;
 use crate::claims::ClaimsHandle;
-use crate::endpoint::ConnectionPool;
+use crate::endpoint::EndpointAccess;
 use crate::endpoints::SharedRoster;
 use crate::limits::LimitHandle;
 use crate::metrics::DaemonMetrics;
@@ -43,7 +43,7 @@
     /// The memory for answers that cannot be forwarded yet.
     pub buffers: BufferBudget,
     /// The connections to endpoints.
-    pub endpoints: ConnectionPool,
+    pub endpoints: EndpointAccess,
     /// The records of recent requests.
     pub records: RequestRecords,
     /// The metrics.
--- a/coltsfootgate/src/pipeline/dispatch.rs
+++ b/coltsfootgate/src/pipeline/dispatch.rs
@@ -56,13 +56,17 @@
         time_left: request.deadline.saturating_duration_since(Instant::now()),
     };
     let endpoint_request = EndpointRequest {
+        pool: request.pool.id.clone(),
         endpoint: lease.endpoint.id.clone(),
+        attempt: start.id.into(),
         address: lease.endpoint.address.clone(),
         method: request.accepted.method.clone(),
         path: request.accepted.target.clone(),
         headers: D::attempt_headers(&attempt),
         body: request.accepted.body.clone(),
         head_timeout: head_timeout(request),
+        silence: request.pool.silence,
+        via: lease.via.clone(),
     };
     let time_left = request.timeout_at.saturating_duration_since(Instant::now());
     let sent_at = Instant::now();
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -251,11 +251,14 @@
     let measurements = task.measurements;
     *last_event = task.last_event;
     journal.record.endpoint_limit = lease.limit();
+    journal.record.via = lease.via.get().map(|via| via.to_string());
     let (sent_to, first_token) = (&lease.endpoint, measurements.first_token);
     observe_attempt(context, request, sent_to, sent_at, first_token, &end);
     let between = measurements.between_tokens;
     journal.record.between_tokens_ms = between.map(|between| between.as_secs_f64() * 1000.0);
-    lease.release(release_result(&end), measurements);
+    let is_path_lost =
+        context.endpoints.is_path_lost(&request.pool.id) && lease.via.get().is_none();
+    lease.release(release_result(&end, is_path_lost), measurements);
     end
 }
 
@@ -282,8 +285,11 @@
     sending.await
 }
 
-fn release_result(end: &RelayEnd) -> ReleaseResult {
+/// What the end of an attempt shows about its endpoint; nothing if this instance lost the path to all.
+fn release_result(end: &RelayEnd, is_path_lost: bool) -> ReleaseResult {
     match end {
+        RelayEnd::Failed(EndpointFailure::PathLost) => ReleaseResult::NotSent,
+        RelayEnd::Failed(_) if is_path_lost => ReleaseResult::Cancelled,
         RelayEnd::Served(answer) if answer.status().is_server_error() => ReleaseResult::Failed,
         RelayEnd::Served(_) => ReleaseResult::Completed,
         RelayEnd::ErrorAnswer(_) => ReleaseResult::Failed,
@@ -309,7 +315,9 @@
         false => FailureStage::SentNoAnswer,
     };
     let (stage, cause) = match failure {
-        EndpointFailure::NeverSent => (FailureStage::NeverSent, FailureCause::Unreachable),
+        EndpointFailure::NeverSent | EndpointFailure::PathLost => {
+            (FailureStage::NeverSent, FailureCause::Unreachable)
+        }
         EndpointFailure::RefusedBeforeStart => {
             (FailureStage::RefusedBeforeStart, FailureCause::Refused)
         }
--- a/coltsfootgate/src/pipeline/record.rs
+++ b/coltsfootgate/src/pipeline/record.rs
@@ -30,6 +30,8 @@
     pub request_digest: Option<String>,
     /// The endpoint of its last attempt.
     pub endpoint: Option<String>,
+    /// The instance through which that attempt was sent, because this one reached no endpoint.
+    pub via: Option<String>,
     /// The version of that endpoint's software.
     pub endpoint_version: Option<String>,
     /// Whether its caller already has events of the stream.
--- a/coltsfootgate/src/routes/mod.rs
+++ b/coltsfootgate/src/routes/mod.rs
@@ -99,22 +99,32 @@
         pool.endpoints.iter().find(|candidate| candidate.id == *endpoint).cloned()
     }
 
-    /// The number of endpoints of all pools.
-    pub fn endpoint_count(&self) -> usize {
+    /// Returns an endpoint and its pool; `None` if no pool contains it now.
+    pub fn find_endpoint(&self, endpoint: &EndpointId) -> Option<(PoolId, EndpointSettings)> {
         let state = self.0.borrow();
-        let pools = state.pools.iter().flat_map(|pools| pools.pools());
-        pools.map(|pool| pool.endpoints.len()).sum()
+        let mut pools = state.pools.as_ref()?.pools();
+        pools.find_map(|pool| {
+            let found = pool.endpoints.iter().find(|candidate| candidate.id == *endpoint)?;
+            Some((pool.id.clone(), found.clone()))
+        })
     }
 
-    /// Returns up to `count` endpoints of any pools, chosen at random.
-    pub fn sample_endpoints(&self, count: usize) -> Vec<EndpointSettings> {
+    /// The number of endpoints of a pool.
+    pub fn endpoint_count(&self, pool: &str) -> usize {
+        let state = self.0.borrow();
+        let pool = state.pools.as_ref().and_then(|pools| pools.pool(pool));
+        pool.map_or(0, |pool| pool.endpoints.len())
+    }
+
+    /// Returns up to `count` endpoints of a pool, chosen at random.
+    pub fn sample_endpoints(&self, pool: &str, count: usize) -> Vec<EndpointSettings> {
         if count == 0 {
             return Vec::new();
         }
         let state = self.0.borrow();
-        let pools = state.pools.iter().flat_map(|pools| pools.pools());
-        let endpoints = pools.flat_map(|pool| pool.endpoints.iter());
-        endpoints.cloned().choose_multiple(&mut rand::rng(), count)
+        let pool = state.pools.as_ref().and_then(|pools| pools.pool(pool));
+        let endpoints = pool.iter().flat_map(|pool| pool.endpoints.iter().cloned());
+        endpoints.choose_multiple(&mut rand::rng(), count)
     }
 
     /// Whether any endpoint of a pool states the version of its software.
--- a/coltsfootgate/tests/peers.rs
+++ b/coltsfootgate/tests/peers.rs
@@ -5,9 +5,16 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use coltsfootgate::dialect::NativeEndpoints;
+use coltsfootgate::endpoint::{ConnectionPool, EndpointPath};
+use coltsfootgate::endpoints::SharedRoster;
 use coltsfootgate::metrics::DaemonMetrics;
 use coltsfootgate::options::PeerSecret;
-use coltsfootgate::peer::{PeerCall, PeerError, PeerHandle, PeerIdentity, PeerListener};
+use coltsfootgate::peer::{
+    EndpointRules, ForwardLoad, PeerCall, PeerError, PeerHandle, PeerIdentity, PeerListener,
+    RequestForwarder,
+};
+use coltsfootgate::routes::RouteTable;
 use coltsfootgate_core::ids::InstanceId;
 use coltsfootgate_standins::proxy::start_proxy;
 use coltsfootgate_wire::{
@@ -25,6 +32,21 @@
 const WAIT_MAX: Duration = Duration::from_secs(10);
 const ANY_PORT: &str = "127.0.0.1:0";
 
+/// Forwards requests to no endpoints.
+fn forwarder(metrics: &DaemonMetrics) -> RequestForwarder {
+    let routes = RouteTable::new("a".into());
+    let path = EndpointPath::new(routes.clone(), metrics.clone());
+    RequestForwarder {
+        endpoints: ConnectionPool::new(path.clone()),
+        path,
+        routes,
+        roster: SharedRoster::new().0,
+        rules: EndpointRules::of::<NativeEndpoints>(),
+        metrics: metrics.clone(),
+        load: ForwardLoad::default(),
+    }
+}
+
 /// The peer listener of an instance, without the rest of the instance.
 struct TestPeer {
     instance: InstanceId,
@@ -42,7 +64,8 @@
         let identity = identity(&instance, SECRET);
         let metrics = DaemonMetrics::new();
         let (sender, calls) = unbounded();
-        let listener = PeerListener::new(listener, identity, metrics.clone(), sender, 8);
+        let forwarder = forwarder(&metrics);
+        let listener = PeerListener::new(listener, identity, metrics.clone(), sender, forwarder, 8);
         monoio::spawn(listener.serve());
         Self { instance, metrics, calls }
     }
--- a/coltsfootgate_core/src/lib.rs
+++ b/coltsfootgate_core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod comeback;
 pub mod endpoint_limit;
 pub mod estimate;
+pub mod forward;
 pub mod freshness;
 pub mod gossip;
 pub mod head;
--- a/coltsfootgate_core/src/path.rs
+++ b/coltsfootgate_core/src/path.rs
@@ -1,4 +1,4 @@
-//! Decides from the connects of an instance whether it has lost the path to all endpoints.
+//! Decides from the connects of an instance whether it has lost the path to all endpoints of a pool.
 //!
 //! Load pattern: an instance is partitioned from all endpoints, while callers, the store and other instances
 //! still reach it. Its connects hang or are refused, and its open connections fall silent or live on. A single
@@ -22,7 +22,7 @@
 /// A change of what is known of the path.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PathChange {
-    /// The path to all endpoints is lost.
+    /// The path to all endpoints of the pool is lost.
     Lost {
         /// Number of endpoints that could not be reached.
         unreached: usize,
@@ -33,7 +33,7 @@
     Regained(Duration),
 }
 
-/// What an instance knows of its path to endpoints, over all pools.
+/// What an instance knows of its path to the endpoints of one pool.
 #[derive(Clone, Debug, Default)]
 pub struct PathMonitor {
     /// Number of endpoints that may be reached.
@@ -56,7 +56,7 @@
         self.endpoints = endpoints;
     }
 
-    /// Whether the path to all endpoints is lost.
+    /// Whether the path to all endpoints of the pool is lost.
     pub fn is_lost(&self) -> bool {
         self.lost_since.is_some()
     }
--- a/coltsfootgate_wire/src/lib.rs
+++ b/coltsfootgate_wire/src/lib.rs
@@ -3,6 +3,7 @@
 mod claim;
 mod endpoint_limit;
 mod error;
+mod forward;
 mod frame;
 mod grant;
 mod limit;
@@ -18,6 +19,10 @@
 
 pub use self::claim::{decode_claim_page, encode_claim_page};
 pub use self::error::WireError;
+pub use self::forward::{
+    ForwardRefusal, ForwardReply, ForwardRequest, HeaderRows, decode_forward_reply,
+    decode_forward_request, encode_forward_reply, encode_forward_request,
+};
 pub use self::frame::{
     MESSAGE_BYTES_MAX, decode_reply, decode_request, encode_reply, encode_request,
 };
--- a/coltsfootgate_wire/src/message.rs
+++ b/coltsfootgate_wire/src/message.rs
@@ -106,6 +106,8 @@
     TakeTrial(CauseKey),
     /// Reports that an endpoint said in an answer that it is leaving.
     ReportLeaving(EndpointId),
+    /// Asks whether the receiver can connect to an endpoint.
+    CheckEndpoint(EndpointId),
     /// Fetches the head of the tree in force.
     FetchHead,
     /// Fetches a value of the tree in force by its digest.
@@ -144,6 +146,7 @@
             Self::CompareQuarantine(_) => "compare-quarantine",
             Self::ReportLeaving(_) => "report-leaving",
             Self::TakeTrial(_) => "take-trial",
+            Self::CheckEndpoint(_) => "check-endpoint",
             Self::FetchHead => "fetch-head",
             Self::FetchObject(_) => "fetch-object",
             Self::FetchReplicas => "fetch-replicas",
@@ -181,6 +184,9 @@
     Stream(Option<StreamOrigin>),
     /// Whether the request may be sent.
     Trial(bool),
+    /// Whether the replying instance can connect to the endpoint; `None` if it does not know the
+    /// endpoint or reaches none at all.
+    Reachable(Option<bool>),
     /// A slice of a customer's limits.
     LimitSlice(LimitSlice),
     /// The verdict on a change to a page of claims.
--- a/coltsfootgate_wire/src/proof.rs
+++ b/coltsfootgate_wire/src/proof.rs
@@ -14,7 +14,7 @@
 use sha2::Sha256;
 
 /// Version of the protocol between instances.
-pub const PROTOCOL_VERSION: u16 = 11;
+pub const PROTOCOL_VERSION: u16 = 12;
 /// Size of a nonce, in bytes.
 pub const NONCE_BYTES: usize = 32;
 /// Size of a proof, in bytes.
--- a/coltsfootgate_wire/src/wire.rs
+++ b/coltsfootgate_wire/src/wire.rs
@@ -48,6 +48,7 @@
     CompareQuarantine(u64),
     TakeTrial(WireCauseKey),
     ReportLeaving(Arc<str>),
+    CheckEndpoint(Arc<str>),
     FetchHead,
     FetchObject(Arc<str>),
     FetchReplicas,
@@ -69,6 +70,7 @@
     Replicas(WireReplicaSnapshot),
     Stream(Option<WireStreamOrigin>),
     Trial(bool),
+    Reachable(Option<bool>),
     LimitSlice(WireLimitSlice),
     Claim(WireVerdict),
 }
@@ -130,6 +132,7 @@
             }
             PeerRequest::CompareQuarantine(digest) => Self::CompareQuarantine(digest),
             PeerRequest::ReportLeaving(endpoint) => Self::ReportLeaving(endpoint),
+            PeerRequest::CheckEndpoint(endpoint) => Self::CheckEndpoint(endpoint),
             PeerRequest::TakeTrial(key) => Self::TakeTrial(key.into()),
             PeerRequest::FetchHead => Self::FetchHead,
             PeerRequest::FetchReplicas => Self::FetchReplicas,
@@ -200,6 +203,9 @@
             WireRequest::ReportLeaving(endpoint) => {
                 Self::ReportLeaving(check_name(endpoint, "endpoint")?)
             }
+            WireRequest::CheckEndpoint(endpoint) => {
+                Self::CheckEndpoint(check_name(endpoint, "endpoint")?)
+            }
             WireRequest::TakeTrial(key) => Self::TakeTrial(key.try_into()?),
             WireRequest::FetchHead => Self::FetchHead,
             WireRequest::FetchReplicas => Self::FetchReplicas,
@@ -242,6 +248,7 @@
             PeerReply::Replicas(snapshot) => Self::Replicas(snapshot.into()),
             PeerReply::Stream(origin) => Self::Stream(origin.map(WireStreamOrigin::from)),
             PeerReply::Trial(may_send) => Self::Trial(may_send),
+            PeerReply::Reachable(is_reachable) => Self::Reachable(is_reachable),
             PeerReply::LimitSlice(slice) => Self::LimitSlice(slice.into()),
             PeerReply::Claim(verdict) => Self::Claim(verdict.into()),
         }
@@ -277,6 +284,7 @@
                 Self::Stream(origin.map(|origin| origin.try_into()).transpose()?)
             }
             WireReply::Trial(may_send) => Self::Trial(may_send),
+            WireReply::Reachable(is_reachable) => Self::Reachable(is_reachable),
             WireReply::LimitSlice(slice) => Self::LimitSlice(slice.try_into()?),
             WireReply::Claim(verdict) => Self::Claim(verdict.try_into()?),
         })
--- a/coltsfootgate_wire/tests/messages.rs
+++ b/coltsfootgate_wire/tests/messages.rs
@@ -178,6 +178,7 @@
         }
         "compare-quarantine" => PeerRequest::CompareQuarantine(u64::MAX),
         "report-leaving" => PeerRequest::ReportLeaving("i-1@7".into()),
+        "check-endpoint" => PeerRequest::CheckEndpoint("i-1@7".into()),
         "take-trial" => PeerRequest::TakeTrial(cause_key()),
         "head" => PeerRequest::FetchHead,
         "replicas" => PeerRequest::FetchReplicas,
@@ -236,6 +237,7 @@
 #[case::no_held_grants(PeerReply::HeldGrants(Vec::new()))]
 #[case::accepted(PeerReply::Accepted)]
 #[case::trial(PeerReply::Trial(true))]
+#[case::reachable(PeerReply::Reachable(Some(true)))]
 #[case::no_head(PeerReply::Head(None))]
 #[case::head(PeerReply::Head(Some(TreeHead { version: 3, root: DIGEST.into(), nonce: "n".into() })))]
 #[case::object(PeerReply::Object(Some(vec![7; 1 << 20])))]
