Do not restrict endpoints for failures of an instance's own path

Cause: a fault of a path is taken for a fault of the endpoint behind it. Owners applied each failed connect and lost connection to the endpoint, whoever reported it.

An owner now keeps the endpoints at which an instance failed since its last complete answer. From the second one on, failed connects, lost connections and silence of that instance are counted as faults of its path and do not reach the health or error rate of the endpoint, as long as another instance was served within the last second. Error answers are not affected. If nobody is served, endpoints are ejected as before.

--- a/coltsfootgate/src/metrics/mod.rs
+++ b/coltsfootgate/src/metrics/mod.rs
@@ -78,6 +78,7 @@
     grants: IntCounterVec,
     deferrals: IntCounterVec,
     lost_grants: IntCounterVec,
+    path_faults: IntCounterVec,
     streams_taken_up: IntCounterVec,
     path_lost: IntGaugeVec,
     sent_around: IntCounterVec,
@@ -264,6 +265,12 @@
                 "Whether this instance reaches no endpoint of a pool; 1 if so.",
                 &["pool"],
             ),
+            path_faults: registrar.counters(
+                "path_faults",
+                "Failed attempts that showed a lost path of the instance that sent them, not a fault of \
+                 the endpoint.",
+                &["pool"],
+            ),
             loop_delay: registrar.register(Histogram::with_opts(
                 HistogramOpts::new(
                     "coltsfootgate_loop_delay_seconds",
@@ -436,6 +443,7 @@
             self.deferrals.with_label_values(&[pool, cause.name()]).inc_by(count);
         }
         self.lost_grants.with_label_values(&[pool]).inc_by(change.lost_grants);
+        self.path_faults.with_label_values(&[pool]).inc_by(change.path_faults);
     }
 
     /// Counts a request that another instance was asked to forward.
--- a/coltsfootgate/src/owner/report.rs
+++ b/coltsfootgate/src/owner/report.rs
@@ -67,6 +67,12 @@
         let change = snapshot.activity.since(&reported.counted);
         reported.counted = snapshot.activity;
         self.metrics.owner_decided(&snapshot.pool, &change);
+        if change.path_faults > 0 {
+            info!(
+                "pool {}: {} attempts failed on the paths of their instances",
+                snapshot.pool, change.path_faults
+            );
+        }
         if change.lost_grants > 0 {
             info!("pool {}: {} grants were held by nobody", snapshot.pool, change.lost_grants);
         }
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -299,9 +299,9 @@
         RelayEnd::Failed(EndpointFailure::NeverSent) => ReleaseResult::ConnectFailed,
         RelayEnd::Failed(EndpointFailure::RefusedBeforeStart) => ReleaseResult::Refused,
         RelayEnd::Failed(EndpointFailure::Stalled) => ReleaseResult::Silent,
+        RelayEnd::Failed(EndpointFailure::ConnectionLost) => ReleaseResult::ConnectionLost,
         RelayEnd::Failed(
             EndpointFailure::FailedAnswer(_)
-            | EndpointFailure::ConnectionLost
             | EndpointFailure::Abandoned
             | EndpointFailure::Mismatched,
         ) => ReleaseResult::Failed,
--- a/coltsfootgate_core/src/owner/activity.rs
+++ b/coltsfootgate_core/src/owner/activity.rs
@@ -50,6 +50,8 @@
     pub lost_grants: u64,
     /// Requests refused since their answers were expected to end after their deadlines.
     pub late_refusals: u64,
+    /// Failed attempts that showed a lost path of their requester, not a fault of the endpoint.
+    pub path_faults: u64,
 }
 
 impl OwnerActivity {
@@ -74,6 +76,11 @@
         self.late_refusals += 1;
     }
 
+    /// Counts a failed attempt that shows a lost path of its requester.
+    pub fn record_path_fault(&mut self) {
+        self.path_faults += 1;
+    }
+
     /// The counts since an earlier state of the same owner.
     pub fn since(&self, earlier: &Self) -> Self {
         let deferrals = std::array::from_fn(|index| {
@@ -85,6 +92,7 @@
             deferrals,
             lost_grants: self.lost_grants.saturating_sub(earlier.lost_grants),
             late_refusals: self.late_refusals.saturating_sub(earlier.late_refusals),
+            path_faults: self.path_faults.saturating_sub(earlier.path_faults),
         }
     }
 }
--- a/coltsfootgate_core/src/owner/endpoint.rs
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -280,7 +280,9 @@
             .median_token_time_excluding(&report.endpoint)
             .filter(|_| self.may_be_slow(&report.endpoint));
         // If most endpoints fail, ejecting them one by one would leave none in service.
-        let is_pool_wide = report.result == ReleaseResult::Failed
+        let has_failed =
+            matches!(report.result, ReleaseResult::ConnectionLost | ReleaseResult::Failed);
+        let is_pool_wide = has_failed
             && self.median_error_rate_excluding(&report.endpoint, now) >= POOL_WIDE_ERROR_RATE;
         let Some(endpoint) = self.endpoints.get_mut(&report.endpoint) else { return };
         endpoint.error_rate.record(report.result, now);
--- a/coltsfootgate_core/src/owner/errors.rs
+++ b/coltsfootgate_core/src/owner/errors.rs
@@ -24,7 +24,10 @@
     pub fn record(&mut self, result: ReleaseResult, now: Instant) {
         let failed = match result {
             ReleaseResult::Completed => 0.0,
-            ReleaseResult::ConnectFailed | ReleaseResult::Silent | ReleaseResult::Failed => 1.0,
+            ReleaseResult::ConnectFailed
+            | ReleaseResult::ConnectionLost
+            | ReleaseResult::Silent
+            | ReleaseResult::Failed => 1.0,
             ReleaseResult::Cancelled | ReleaseResult::NotSent | ReleaseResult::Refused => return,
         };
         self.rate = self.get(now) * (1.0 - ANSWER_WEIGHT) + failed * ANSWER_WEIGHT;
--- a/coltsfootgate_core/src/owner/event.rs
+++ b/coltsfootgate_core/src/owner/event.rs
@@ -109,7 +109,9 @@
     ConnectFailed,
     /// The endpoint stopped responding.
     Silent,
-    /// The endpoint returned an error or ended the answer early.
+    /// The connection was lost before the answer was complete.
+    ConnectionLost,
+    /// The endpoint returned an error, or an answer that is not usable.
     Failed,
 }
 
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -13,6 +13,7 @@
 mod headroom;
 mod ledger;
 mod limit;
+mod paths;
 mod placement;
 mod queue;
 mod snapshot;
@@ -41,6 +42,7 @@
 pub use waiting::WaitingCounts;
 
 use self::dispatch::{DeferralScan, SCAN_PERIOD};
+use self::paths::RequesterPaths;
 use crate::endpoint_limit::LimitStatement;
 use crate::estimate::{LengthEstimator, ServiceEstimator};
 use crate::ids::{EndpointId, GrantId, InstanceId, PoolId};
@@ -97,6 +99,7 @@
     headroom: RankHeadroom,
     endpoints: EndpointTable,
     affinity: PrefixAffinity<EndpointId>,
+    paths: RequesterPaths,
     answers: LengthEstimator,
     service: ServiceEstimator,
     /// When the last event was processed.
@@ -118,6 +121,7 @@
             headroom: RankHeadroom::default(),
             endpoints,
             affinity: PrefixAffinity::default(),
+            paths: RequesterPaths::default(),
             answers: LengthEstimator::default(),
             service: ServiceEstimator::default(),
             updated: None,
@@ -289,7 +293,11 @@
     fn release(&mut self, report: &ReleaseReport, now: Instant) {
         self.queue.remove(&report.requester, report.grant);
         let Some(record) = self.ledger.end(&report.requester, report.grant) else { return };
-        self.endpoints.record_release(report, self.settings.between_tokens, now);
+        if self.paths.record(report, now) {
+            self.activity.record_path_fault();
+        } else {
+            self.endpoints.record_release(report, self.settings.between_tokens, now);
+        }
         let key = (report.requester.clone(), report.grant);
         self.endpoints.remove_prompt(&record.endpoint, &key, now);
         self.record_end(&record);
@@ -338,6 +346,7 @@
 
     fn requester_lost(&mut self, requester: &InstanceId, now: Instant) {
         self.queue.remove_requester(requester);
+        self.paths.remove(requester);
         for record in self.ledger.remove_requester(requester) {
             self.record_end(&record);
         }
--- a/coltsfootgate_core/src/owner/straggler.rs
+++ b/coltsfootgate_core/src/owner/straggler.rs
@@ -128,7 +128,7 @@
             ReleaseResult::Completed => self.failed_answers = 0,
             ReleaseResult::Cancelled | ReleaseResult::NotSent | ReleaseResult::Refused => {}
             ReleaseResult::ConnectFailed | ReleaseResult::Silent => self.eject(now),
-            ReleaseResult::Failed => {
+            ReleaseResult::ConnectionLost | ReleaseResult::Failed => {
                 self.failed_answers += 1;
                 if self.failed_answers >= FAILED_ANSWER_THRESHOLD {
                     self.eject(now);
--- a/coltsfootgate_wire/src/grant.rs
+++ b/coltsfootgate_wire/src/grant.rs
@@ -109,6 +109,7 @@
     ConnectFailed,
     Silent,
     Failed,
+    ConnectionLost,
 }
 
 #[derive(Deserialize, Serialize)]
@@ -239,6 +240,7 @@
             ReleaseResult::ConnectFailed => Self::ConnectFailed,
             ReleaseResult::Silent => Self::Silent,
             ReleaseResult::Failed => Self::Failed,
+            ReleaseResult::ConnectionLost => Self::ConnectionLost,
         }
     }
 }
@@ -253,6 +255,7 @@
             WireResult::ConnectFailed => Self::ConnectFailed,
             WireResult::Silent => Self::Silent,
             WireResult::Failed => Self::Failed,
+            WireResult::ConnectionLost => Self::ConnectionLost,
         }
     }
 }
