Ask other instances before an endpoint counts as crashed or stays ejected

Both checks connected from the instance itself only.

If neither the endpoint nor any other of its pool accepts a connection, two other instances are asked (CheckEndpoint); without an answer nothing is concluded.

--- a/coltsfootgate/src/endpoint/access.rs
+++ b/coltsfootgate/src/endpoint/access.rs
@@ -79,13 +79,20 @@
         self.path.is_lost(pool)
     }
 
-    /// Finds out whether an endpoint accepts connections, also of other instances.
-    pub async fn find_reach(&self, endpoint: &EndpointId) -> EndpointReach {
-        let reached = self.path.connects_to(endpoint).await;
-        if reached == Some(true) {
+    /// Finds out whether an endpoint accepts connections, from other instances if this one reaches none.
+    pub async fn find_reach(
+        &self,
+        pool: &PoolId,
+        endpoint: &EndpointId,
+        address: &str,
+    ) -> EndpointReach {
+        if self.path.check(pool, address).await {
             return EndpointReach::Reached;
         }
-        let mut has_answer = reached.is_some();
+        if self.path.reaches_any(pool).await {
+            return EndpointReach::Unreached;
+        }
+        let mut has_answer = !self.path.is_lost(pool);
         for instance in self.forwarders.choose().into_iter().take(CHECKS_MAX) {
             match self.forwarders.check(&instance, endpoint).await {
                 Some(true) => return EndpointReach::Reached,
--- a/coltsfootgate/src/endpoint/connection.rs
+++ b/coltsfootgate/src/endpoint/connection.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use coltsfootgate_core::answer::AnswerFraming;
-use coltsfootgate_core::prelude::{EndpointId, PoolId};
+use coltsfootgate_core::prelude::PoolId;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -30,7 +30,6 @@
 /// The endpoint to which a request is sent.
 struct SendTarget {
     pool: PoolId,
-    endpoint: EndpointId,
     address: Arc<str>,
 }
 
@@ -78,7 +77,7 @@
 
     async fn connect(&self, target: &SendTarget) -> Result<HttpConnection, EndpointFailure> {
         let Some(stream) = self.open(target).await else {
-            self.path.record_unreached(&target.pool, &target.endpoint);
+            self.path.record_unreached(&target.pool);
             return Err(EndpointFailure::NeverSent);
         };
         self.path.record_reached(&target.pool);
@@ -123,11 +122,7 @@
 
 impl EndpointClient for ConnectionPool {
     async fn send(&self, request: EndpointRequest) -> Result<EndpointAnswer, EndpointFailure> {
-        let target = SendTarget {
-            pool: request.pool.clone(),
-            endpoint: request.endpoint.clone(),
-            address: request.address.clone(),
-        };
+        let target = SendTarget { pool: request.pool.clone(), address: request.address.clone() };
         let head_timeout = request.head_timeout;
         let message = build_message(request)?;
         let waiting = self.path.begin_wait(&target.pool);
--- a/coltsfootgate/src/endpoint/path.rs
+++ b/coltsfootgate/src/endpoint/path.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use log::{info, warn};
 use monoio::net::TcpStream;
 use monoio::time::{sleep, timeout};
@@ -20,6 +22,9 @@
 /// Time limit for an endpoint to accept the connection of a check.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Number of endpoints by which it is decided whether any is reached.
+const SAMPLE_SIZE: usize = 4;
+
 /// What this instance knows of its paths to endpoints; clones share the same state.
 #[derive(Clone)]
 pub struct EndpointPath(Rc<PathState>);
@@ -59,31 +64,61 @@
         loop {
             sleep(WATCH_PERIOD).await;
             let pools: Vec<PoolId> = self.0.monitors.borrow().keys().cloned().collect();
-            pools.iter().for_each(|pool| self.start_checks(pool));
+            pools.iter().for_each(|pool| self.start_check(pool));
         }
     }
 
-    fn start_checks(&self, pool: &PoolId) {
-        let checks = self.update(pool, |monitor| monitor.take_checks(Instant::now()));
-        for endpoint in self.0.routes.sample_endpoints(pool, checks) {
-            let path = self.clone();
-            monoio::spawn(async move { path.connects_to(&endpoint.id).await });
+    /// Starts a check of the path to a pool if one is due.
+    fn start_check(&self, pool: &PoolId) {
+        let started = Instant::now();
+        let Some(size) = self.update(pool, |monitor| monitor.start_check(started)) else { return };
+        let (path, pool) = (self.clone(), pool.clone());
+        monoio::spawn(async move {
+            if let Some(unreached) = path.find_unreached(&pool, size).await {
+                let change = path.update(&pool, |monitor| {
+                    monitor.record_failed_check(unreached, started, Instant::now())
+                });
+                path.report(&pool, change);
+            }
+        });
+    }
+
+    /// Connects to some endpoints of a pool at the same time until one accepts; returns their number if
+    /// none does.
+    async fn find_unreached(&self, pool: &PoolId, size: usize) -> Option<usize> {
+        let sample = self.0.routes.sample_endpoints(pool, size);
+        let connects = sample.iter().map(|endpoint| connects(&endpoint.address));
+        let mut connects: FuturesUnordered<_> = connects.collect();
+        while let Some(is_connected) = connects.next().await {
+            if is_connected {
+                self.record_reached(pool);
+                return None;
+            }
         }
+        Some(sample.len())
+    }
+
+    /// Whether an endpoint of a pool, of some that are chosen at random, accepts a connection of this
+    /// instance.
+    pub(super) async fn reaches_any(&self, pool: &PoolId) -> bool {
+        self.find_unreached(pool, SAMPLE_SIZE).await.is_none()
     }
 
     /// Whether an endpoint accepts a connection of this instance; `None` if it is not known here, or
     /// this instance reaches no endpoint of its pool.
     pub async fn connects_to(&self, endpoint: &EndpointId) -> Option<bool> {
         let (pool, endpoint) = self.0.routes.find_endpoint(endpoint)?;
-        let connected = timeout(CHECK_TIMEOUT, TcpStream::connect(&*endpoint.address)).await;
-        match connected {
-            Ok(Ok(_)) => {
-                self.record_reached(&pool);
-                return Some(true);
-            }
-            Ok(Err(_)) | Err(_) => self.record_unreached(&pool, &endpoint.id),
+        let is_connected = self.check(&pool, &endpoint.address).await;
+        (is_connected || !self.is_lost(&pool)).then_some(is_connected)
+    }
+
+    /// Whether the endpoint of a pool at an address accepts a connection of this instance.
+    pub(super) async fn check(&self, pool: &PoolId, address: &str) -> bool {
+        let is_connected = connects(address).await;
+        if is_connected {
+            self.record_reached(pool);
         }
-        (!self.is_lost(&pool)).then_some(false)
+        is_connected
     }
 
     /// Records that a request begins to wait for the head of its answer.
@@ -104,14 +139,9 @@
     }
 
     /// Records a connect that failed.
-    pub(super) fn record_unreached(&self, pool: &PoolId, endpoint: &EndpointId) {
-        let endpoints = self.0.routes.endpoint_count(pool);
-        let change = self.update(pool, |monitor| {
-            monitor.set_endpoints(endpoints);
-            monitor.record_unreached(endpoint.clone(), Instant::now())
-        });
-        self.report(pool, change);
-        self.start_checks(pool);
+    pub(super) fn record_unreached(&self, pool: &PoolId) {
+        self.update(pool, PathMonitor::record_unreached);
+        self.start_check(pool);
     }
 
     fn update<T>(&self, pool: &PoolId, change: impl FnOnce(&mut PathMonitor) -> T) -> T {
@@ -139,3 +169,7 @@
         }
     }
 }
+
+async fn connects(address: &str) -> bool {
+    matches!(timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await, Ok(Ok(_)))
+}
--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -167,7 +167,6 @@
         let own = self.settings.instance.clone();
         let (owner, messages) = OwnerHandle::new();
         let reporter = OwnerReporter::new(self.metrics.clone());
-        monoio::spawn(OwnerTask::new(own.clone(), owner.clone(), reporter).run(messages));
         let origins = self.start_origins(members);
         let streams = StreamRegister::new(own.clone(), self.peers.clone(), origins.clone());
         let routes = RouteTable::new(self.settings.zone.clone());
@@ -185,6 +184,8 @@
         monoio::spawn(task.run(self.platform.clone(), poller, self.metrics.clone()));
         let owner_client = OwnerClient::new(own.clone(), owner.clone(), self.peers.clone());
         let endpoints = self.start_access(members, &routes);
+        let owner_task = OwnerTask::new(own.clone(), owner.clone(), endpoints.clone(), reporter);
+        monoio::spawn(owner_task.run(messages));
         let context = PipelineContext {
             own,
             zone: self.settings.zone.clone(),
@@ -195,7 +196,7 @@
             claims,
             streams,
             roster,
-            quarantine: self.start_quarantine(members),
+            quarantine: self.start_quarantine(members, endpoints.clone()),
             buffers: BufferBudget::default(),
             endpoints,
             records: RequestRecords::default(),
@@ -230,13 +231,18 @@
         origins
     }
 
-    fn start_quarantine(&self, members: &MembersHandle) -> QuarantineHandle {
+    fn start_quarantine(
+        &self,
+        members: &MembersHandle,
+        access: EndpointAccess,
+    ) -> QuarantineHandle {
         let (quarantine, messages) = QuarantineHandle::new();
         let task = QuarantineTask::new(
             self.settings.instance.clone(),
             quarantine.clone(),
             members.clone(),
             self.peers.clone(),
+            access,
             self.metrics.clone(),
         );
         monoio::spawn(task.run(messages));
--- a/coltsfootgate/src/owner/task.rs
+++ b/coltsfootgate/src/owner/task.rs
@@ -8,7 +8,6 @@
 use futures_channel::{mpsc, oneshot};
 use futures_util::StreamExt;
 use log::info;
-use monoio::net::TcpStream;
 use monoio::time::timeout;
 
 use coltsfootgate_core::owner::{
@@ -20,12 +19,11 @@
 use coltsfootgate_core::routing::{OwnerSet, fallback_share};
 
 use super::{OwnerHandle, OwnerMessage, OwnerReporter, OwnerScope, UnconfirmedGrants};
+use crate::endpoint::{EndpointAccess, EndpointReach};
 use crate::endpoints::ActivePools;
 
 /// Longest wait for a message before a tick, so that floors and probes proceed without events.
 const IDLE_WAIT_MAX: Duration = Duration::from_secs(1);
-/// Time limit for a probed endpoint to accept a connection.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(1000);
 
 type PoolKey = (PoolId, OwnerScope);
 /// Senders for the answers to grant requests that are not answered yet.
@@ -41,12 +39,18 @@
     addresses: HashMap<EndpointId, Arc<str>>,
     draining: HashSet<Arc<str>>,
     pending: PendingAnswers,
+    access: EndpointAccess,
     reporter: OwnerReporter,
 }
 
 impl OwnerTask {
     /// Creates the task; the instance owns no endpoints until it receives settings and owners.
-    pub fn new(own: InstanceId, handle: OwnerHandle, reporter: OwnerReporter) -> Self {
+    pub fn new(
+        own: InstanceId,
+        handle: OwnerHandle,
+        access: EndpointAccess,
+        reporter: OwnerReporter,
+    ) -> Self {
         Self {
             own,
             handle,
@@ -56,6 +60,7 @@
             addresses: HashMap::new(),
             draining: HashSet::new(),
             pending: HashMap::new(),
+            access,
             reporter,
         }
     }
@@ -303,10 +308,10 @@
     fn probe(&self, (pool, scope): &PoolKey, endpoint: EndpointId) {
         let Some(address) = self.addresses.get(&endpoint).cloned() else { return };
         let (pool, scope) = (pool.clone(), *scope);
-        let handle = self.handle.clone();
+        let (handle, access) = (self.handle.clone(), self.access.clone());
         monoio::spawn(async move {
-            let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(&*address)).await;
-            let alive = matches!(connected, Ok(Ok(_)));
+            let reach = access.find_reach(&pool, &endpoint, &address).await;
+            let alive = reach == EndpointReach::Reached;
             handle.send(OwnerMessage::ProbeResult { pool, scope, endpoint, alive });
         });
     }
--- a/coltsfootgate/src/quarantine/task.rs
+++ b/coltsfootgate/src/quarantine/task.rs
@@ -20,6 +20,7 @@
 use super::check::CrashChecks;
 use super::{QuarantineHandle, QuarantineMessage};
 use crate::clock;
+use crate::endpoint::EndpointAccess;
 use crate::members::{MemberChange, MembersHandle};
 use crate::metrics::DaemonMetrics;
 use crate::peer::PeerHandle;
@@ -57,6 +58,7 @@
         handle: QuarantineHandle,
         members: MembersHandle,
         peers: PeerHandle,
+        access: EndpointAccess,
         metrics: DaemonMetrics,
     ) -> Self {
         Self {
@@ -65,7 +67,7 @@
             members,
             peers,
             metrics,
-            checks: CrashChecks::default(),
+            checks: CrashChecks::new(access),
             ledger: CrashLedger::default(),
             list: BlockList::default(),
             watched: HashMap::new(),
--- a/coltsfootgate_core/src/path.rs
+++ b/coltsfootgate_core/src/path.rs
@@ -1,22 +1,21 @@
 //! Decides from the connects of an instance whether it has lost the path to all endpoints of a pool.
 //!
 //! Load pattern: an instance is partitioned from all endpoints, while callers, the store and other instances
-//! still reach it. Its connects hang or are refused, and its open connections fall silent or live on. A single
-//! endpoint that crashed, or that is silent for a moment, looks the same for its own connects only.
+//! still reach it. Its connects hang or are refused, and its open connections fall silent or live on. Endpoints
+//! that crashed, or that are silent for a moment, look the same for their own connects only.
 
-use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crate::ids::EndpointId;
-
-/// Number of endpoints that cannot be reached, and none that can, from which the path counts as lost.
-const UNREACHED_MIN: usize = 3;
-/// Time after which a failed connect says nothing about the path any more.
-const UNREACHED_TIME: Duration = Duration::from_secs(3);
+/// Number of endpoints that a check connects to at the same time.
+const SAMPLE_SIZE: usize = 4;
+/// The same while the path is lost.
+const LOST_SAMPLE_SIZE: usize = 2;
+/// Number of endpoints that a check must have tried to show that the path is lost.
+const UNREACHED_MIN: usize = 2;
 /// Time for which requests may wait for the head of an answer, while no endpoint sends anything, before the
 /// path is checked.
 const SILENCE_MAX: Duration = Duration::from_millis(300);
-/// Interval between two checks of a path that is suspected or lost.
+/// Interval between the starts of two checks.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
 
 /// A change of what is known of the path.
@@ -36,12 +35,12 @@
 /// What an instance knows of its path to the endpoints of one pool.
 #[derive(Clone, Debug, Default)]
 pub struct PathMonitor {
-    /// Number of endpoints that may be reached.
-    endpoints: usize,
-    /// The endpoints whose last connect failed, with its time, since any connect succeeded.
-    unreached: BTreeMap<EndpointId, Instant>,
+    /// Whether a connect failed since the last check began.
+    has_failed: bool,
     /// When an endpoint last sent anything.
     heard_at: Option<Instant>,
+    /// When a connect last succeeded.
+    reached_at: Option<Instant>,
     /// Number of requests that wait for the head of an answer.
     waiting: usize,
     /// Since when requests wait without a pause.
@@ -51,11 +50,6 @@
 }
 
 impl PathMonitor {
-    /// Sets the number of endpoints that may be reached.
-    pub fn set_endpoints(&mut self, endpoints: usize) {
-        self.endpoints = endpoints;
-    }
-
     /// Whether the path to all endpoints of the pool is lost.
     pub fn is_lost(&self) -> bool {
         self.lost_since.is_some()
@@ -81,42 +75,47 @@
 
     /// Records a connect that succeeded.
     pub fn record_reached(&mut self, now: Instant) -> Option<PathChange> {
-        self.unreached.clear();
+        self.has_failed = false;
         self.heard_at = Some(now);
+        self.reached_at = Some(now);
         let lost_since = self.lost_since.take()?;
         Some(PathChange::Regained(now.saturating_duration_since(lost_since)))
     }
 
-    /// Records a connect that failed.
-    pub fn record_unreached(&mut self, endpoint: EndpointId, now: Instant) -> Option<PathChange> {
-        self.unreached.insert(endpoint, now);
-        self.unreached.retain(|_, failed_at| now < *failed_at + UNREACHED_TIME);
-        let unreached = self.unreached.len();
-        if self.is_lost() || unreached < UNREACHED_MIN.min(self.endpoints.max(2)) {
-            return None;
-        }
-        self.lost_since = Some(now);
-        let silence = self.heard_at.map(|heard_at| now.saturating_duration_since(heard_at));
-        Some(PathChange::Lost { unreached, silence })
+    /// Records a connect that failed, which may be the endpoint's fault.
+    pub fn record_unreached(&mut self) {
+        self.has_failed = true;
     }
 
-    /// The number of endpoints to connect to now, to learn whether the path is lost or back.
-    pub fn take_checks(&mut self, now: Instant) -> usize {
+    /// Starts a check if one is due; returns the number of endpoints to connect to at the same time.
+    pub fn start_check(&mut self, now: Instant) -> Option<usize> {
         if self.checked_at.is_some_and(|checked_at| now < checked_at + CHECK_PERIOD) {
-            return 0;
+            return None;
         }
-        let checks = match self.is_lost() {
-            true => 1,
-            false if self.is_suspected(now) => UNREACHED_MIN,
-            false => return 0,
+        let sample = match self.is_lost() {
+            true => LOST_SAMPLE_SIZE,
+            false if self.has_failed || self.is_silent(now) => SAMPLE_SIZE,
+            false => return None,
         };
         self.checked_at = Some(now);
-        checks
+        self.has_failed = false;
+        Some(sample)
     }
 
-    fn is_suspected(&self, now: Instant) -> bool {
-        let has_failed = self.unreached.values().any(|failed_at| now < *failed_at + CHECK_PERIOD);
-        has_failed || self.is_silent(now)
+    /// Records that a check that began at `started` connected to none of so many endpoints.
+    pub fn record_failed_check(
+        &mut self,
+        unreached: usize,
+        started: Instant,
+        now: Instant,
+    ) -> Option<PathChange> {
+        let was_reached = self.reached_at.is_some_and(|reached_at| reached_at >= started);
+        if self.is_lost() || was_reached || unreached < UNREACHED_MIN {
+            return None;
+        }
+        self.lost_since = Some(now);
+        let silence = self.heard_at.map(|heard_at| now.saturating_duration_since(heard_at));
+        Some(PathChange::Lost { unreached, silence })
     }
 
     /// Whether requests wait, and no endpoint has sent anything for so long.
