Ask again whether an endpoint rests once a connection to it is open

Cause, as far as reproduced: a rest was asked for when a grant was used, and the connect that follows takes up to 1.5 s; requests that were connecting when another one was turned away reached the replica within its rest. The pool of connections now asks again before the first byte and sends nothing to an endpoint that rests: the request is granted elsewhere, the connection is kept.

--- a/coltsfootgate/src/endpoint/connection.rs
+++ b/coltsfootgate/src/endpoint/connection.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use coltsfootgate_core::answer::AnswerFraming;
-use coltsfootgate_core::prelude::PoolId;
+use coltsfootgate_core::prelude::{EndpointId, PoolId};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -18,6 +18,7 @@
 
 use super::{EndpointAnswer, EndpointClient, EndpointFailure, EndpointPath, EndpointRequest};
 use crate::peer::ForwardedBody;
+use crate::routes::RouteTable;
 use crate::transfer::{HttpConnection, SendFailure, answer_framing};
 
 /// Maximum time to connect to an endpoint.
@@ -30,6 +31,7 @@
 /// The endpoint to which a request is sent.
 struct SendTarget {
     pool: PoolId,
+    endpoint: EndpointId,
     address: Arc<str>,
 }
 
@@ -40,12 +42,14 @@
 pub struct ConnectionPool {
     idle: Rc<RefCell<IdleConnections>>,
     path: EndpointPath,
+    routes: RouteTable,
 }
 
 impl ConnectionPool {
-    /// Creates a pool without connections, which records in `path` what it reaches.
-    pub fn new(path: EndpointPath) -> Self {
-        Self { idle: Rc::default(), path }
+    /// Creates a pool without connections, which records in `path` what it reaches, and sends nothing to
+    /// endpoints that rest according to `routes`.
+    pub fn new(path: EndpointPath, routes: RouteTable) -> Self {
+        Self { idle: Rc::default(), path, routes }
     }
 
     /// Closes the idle connections to an endpoint after one of its connections stopped responding.
@@ -112,6 +116,11 @@
             }
         }
         let mut connection = self.connect(target).await?;
+        // The endpoint may have turned another request away meanwhile.
+        if self.routes.is_resting(&target.endpoint) {
+            self.put_idle(&target.address, connection);
+            return Err(EndpointFailure::Resting);
+        }
         match connection.send(message).await {
             Ok(response) => Ok((response, connection)),
             Err(SendFailure::Unsent(_)) => Err(EndpointFailure::NeverSent),
@@ -122,7 +131,11 @@
 
 impl EndpointClient for ConnectionPool {
     async fn send(&self, request: EndpointRequest) -> Result<EndpointAnswer, EndpointFailure> {
-        let target = SendTarget { pool: request.pool.clone(), address: request.address.clone() };
+        let target = SendTarget {
+            pool: request.pool.clone(),
+            endpoint: request.endpoint.clone(),
+            address: request.address.clone(),
+        };
         let head_timeout = request.head_timeout;
         let message = build_message(request)?;
         let waiting = self.path.begin_wait(&target.pool);
--- a/coltsfootgate/src/endpoint/mod.rs
+++ b/coltsfootgate/src/endpoint/mod.rs
@@ -91,6 +91,8 @@
 pub enum EndpointFailure {
     /// No byte of the request was sent.
     NeverSent,
+    /// No byte of the request was sent, since the endpoint asked for time without requests meanwhile.
+    Resting,
     /// No byte of the request was sent, since neither this instance nor those that it asked reach any
     /// endpoint.
     PathLost,
--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -218,7 +218,7 @@
             self.peers.clone(),
             self.metrics.clone(),
         );
-        EndpointAccess::new(ConnectionPool::new(path.clone()), path, forwarders)
+        EndpointAccess::new(ConnectionPool::new(path.clone(), routes.clone()), path, forwarders)
     }
 
     fn start_origins(&self, members: &MembersHandle) -> OriginsHandle {
--- a/coltsfootgate/src/peer/forwarder.rs
+++ b/coltsfootgate/src/peer/forwarder.rs
@@ -151,6 +151,7 @@
             EndpointFailure::NeverSent if self.path.is_lost(&pool) => {
                 ForwardReply::Refused(ForwardRefusal::PathLost)
             }
+            EndpointFailure::Resting => ForwardReply::Refused(ForwardRefusal::EndpointResting),
             EndpointFailure::NeverSent | EndpointFailure::PathLost => ForwardReply::NeverSent,
             EndpointFailure::Stalled => ForwardReply::Stalled,
             _ => ForwardReply::ConnectionLost,
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -288,7 +288,9 @@
 /// What the end of an attempt shows about its endpoint; nothing if this instance lost the path to all.
 fn release_result(end: &RelayEnd, is_path_lost: bool) -> ReleaseResult {
     match end {
-        RelayEnd::Failed(EndpointFailure::PathLost) => ReleaseResult::NotSent,
+        RelayEnd::Failed(EndpointFailure::PathLost | EndpointFailure::Resting) => {
+            ReleaseResult::NotSent
+        }
         RelayEnd::Failed(_) if is_path_lost => ReleaseResult::Cancelled,
         RelayEnd::Served(answer) if answer.status().is_server_error() => ReleaseResult::Failed,
         RelayEnd::Served(_) => ReleaseResult::Completed,
@@ -318,6 +320,7 @@
         EndpointFailure::NeverSent | EndpointFailure::PathLost => {
             (FailureStage::NeverSent, FailureCause::Unreachable)
         }
+        EndpointFailure::Resting => (FailureStage::NeverSent, FailureCause::Refused),
         EndpointFailure::RefusedBeforeStart => {
             (FailureStage::RefusedBeforeStart, FailureCause::Refused)
         }
--- a/coltsfootgate/tests/peers.rs
+++ b/coltsfootgate/tests/peers.rs
@@ -37,7 +37,7 @@
     let routes = RouteTable::new("a".into());
     let path = EndpointPath::new(routes.clone(), metrics.clone());
     RequestForwarder {
-        endpoints: ConnectionPool::new(path.clone()),
+        endpoints: ConnectionPool::new(path.clone(), routes.clone()),
         path,
         routes,
         roster: SharedRoster::new().0,
--- a/coltsfootgate_core/src/retry.rs
+++ b/coltsfootgate_core/src/retry.rs
@@ -63,6 +63,7 @@
     /// The reason for repeating a request from the start.
     pub fn for_retry(failure: AttemptFailure) -> Self {
         match (failure.stage, failure.cause) {
+            (FailureStage::NeverSent, FailureCause::Refused) => Self::Refused,
             (FailureStage::NeverSent, _) => Self::Unreachable,
             (FailureStage::RefusedBeforeStart, _) => Self::Refused,
             (_, FailureCause::Unreachable | FailureCause::Refused) => Self::ConnectionLost,
