Do not take the refusal of an earlier request for that of the one that was sent

Reported by operators of a similar system: a faulty replica wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run which had. A refusal that names another attempt is now mismatched, as any other answer is: the connection is dropped and the outcome is unknown. One without an id is still taken for the request's own.

--- a/coltsfootgate/src/dialect/native.rs
+++ b/coltsfootgate/src/dialect/native.rs
@@ -141,11 +141,14 @@
         headers: &HeaderMap,
         attempt: &str,
     ) -> Result<(), EndpointFailure> {
-        // A component in front of the endpoint may refuse the request without knowing its id.
-        if headers.get(NOT_STARTED_HEADER).is_some_and(|value| value == "true") {
+        let echoed = headers.get(REQUEST_ID_HEADER);
+        let is_refusal = headers.get(NOT_STARTED_HEADER).is_some_and(|value| value == "true");
+        // A component in front of the endpoint may refuse the request without knowing its id, and an
+        // endpoint may send the refusal of an earlier request once more.
+        if is_refusal && echoed.is_none_or(|echoed| echoed.as_bytes() == attempt.as_bytes()) {
             return Err(EndpointFailure::RefusedBeforeStart);
         }
-        check_echoed_id(status, headers.get(REQUEST_ID_HEADER), attempt)
+        check_echoed_id(status, echoed, attempt)
     }
 
     fn answer_notice(_status: StatusCode, headers: &HeaderMap) -> Option<AnswerNotice> {
