Do not end a stream that broke off as complete when its continuation brings nothing

Reported by operators of a similar system: a stream broke off, the next replica answered with an error, and callers found its text in their stream, or the stream ended as if it were complete. Looked at with tests: error answers with and without events, and a text sent as a success, never reach the caller. An empty success did end the stream as complete. An attempt that continues a stream and brings no event is a lost connection now; the caller sees the break and may take the stream up again.

Evidence: nothing_as_a_success failed before; the other cases guard what held.

--- a/coltsfootgate/src/pipeline/relay/events.rs
+++ b/coltsfootgate/src/pipeline/relay/events.rs
@@ -30,6 +30,7 @@
             // The body may be an error that another endpoint does not return.
             return self.relay_body::<D>(answer, caller, journal).await;
         }
+        let is_continuation = caller.has_started();
         let EndpointAnswer { status, headers, mut stream } = answer;
         let headers = answer_headers(&headers);
         let mut reader = EventReader::new(&self.context.buffers);
@@ -47,6 +48,10 @@
             self.forward_events(events, caller, journal).await?;
         }
         self.end_answer(reader.end(), &stream, journal)?;
+        // The stream broke off before its end, so something must follow.
+        if is_continuation && self.measurements.tokens == 0 {
+            return Err(EndpointFailure::ConnectionLost.into());
+        }
         let body = reader.take_remainder();
         if !caller.has_started() {
             return Ok(ServedAnswer::Body { status, headers, body });
