Name the metrics of forwarded requests and the state of paths in the field's terms

coltsfootgate_forwards_requested_total and coltsfootgate_forwards_served_total in place of sent_around and forwarded; EndpointPaths, since it holds one path for each pool. No change of behaviour.

--- a/coltsfootgate/src/endpoint/access.rs
+++ b/coltsfootgate/src/endpoint/access.rs
@@ -17,7 +17,7 @@
 };
 
 use super::{
-    AnswerStream, ConnectionPool, EndpointAnswer, EndpointClient, EndpointFailure, EndpointPath,
+    AnswerStream, ConnectionPool, EndpointAnswer, EndpointClient, EndpointFailure, EndpointPaths,
     EndpointRequest,
 };
 use crate::members::MembersHandle;
@@ -33,7 +33,7 @@
 #[derive(Clone)]
 pub struct EndpointAccess {
     direct: ConnectionPool,
-    path: EndpointPath,
+    path: EndpointPaths,
     forwarders: Rc<ForwarderClient>,
 }
 
@@ -60,7 +60,7 @@
 
 impl EndpointAccess {
     /// Creates the access of an instance.
-    pub fn new(direct: ConnectionPool, path: EndpointPath, forwarders: ForwarderClient) -> Self {
+    pub fn new(direct: ConnectionPool, path: EndpointPaths, forwarders: ForwarderClient) -> Self {
         Self { direct, path, forwarders: Rc::new(forwarders) }
     }
 
@@ -70,7 +70,7 @@
     }
 
     /// The path of this instance itself.
-    pub fn path(&self) -> &EndpointPath {
+    pub fn path(&self) -> &EndpointPaths {
         &self.path
     }
 
@@ -151,7 +151,7 @@
         let via = request.via.clone();
         let message = encode_forward_request(forward_request(request));
         let Ok(message) = message.map(Bytes::from) else {
-            self.metrics.request_sent_around("too-large");
+            self.metrics.forward_requested("too-large");
             return Err(EndpointFailure::PathLost);
         };
         for instance in self.choose() {
@@ -168,7 +168,7 @@
                 Err(error) => {
                     // The instance may have forwarded the request.
                     self.book.borrow_mut().record_refusal(instance, Instant::now());
-                    self.metrics.request_sent_around(error.name());
+                    self.metrics.forward_requested(error.name());
                     return Err(EndpointFailure::ConnectionLost);
                 }
             }
@@ -179,7 +179,7 @@
 
     fn refused(&self, instance: &InstanceId, cause: &str) {
         info!("instance {instance} does not forward a request: {cause}");
-        self.metrics.request_sent_around(cause);
+        self.metrics.forward_requested(cause);
         self.book.borrow_mut().record_refusal(instance.clone(), Instant::now());
     }
 
@@ -201,7 +201,7 @@
             }
             ForwardReply::Stalled => ("stalled", Err(EndpointFailure::Stalled)),
         };
-        self.metrics.request_sent_around(name);
+        self.metrics.forward_requested(name);
         result
     }
 }
--- a/coltsfootgate/src/endpoint/connection.rs
+++ b/coltsfootgate/src/endpoint/connection.rs
@@ -16,7 +16,7 @@
 use monoio::net::TcpStream;
 use monoio::time::timeout;
 
-use super::{EndpointAnswer, EndpointClient, EndpointFailure, EndpointPath, EndpointRequest};
+use super::{EndpointAnswer, EndpointClient, EndpointFailure, EndpointPaths, EndpointRequest};
 use crate::peer::ForwardedBody;
 use crate::routes::RouteTable;
 use crate::transfer::{HttpConnection, SendFailure, answer_framing};
@@ -41,14 +41,14 @@
 #[derive(Clone)]
 pub struct ConnectionPool {
     idle: Rc<RefCell<IdleConnections>>,
-    path: EndpointPath,
+    path: EndpointPaths,
     routes: RouteTable,
 }
 
 impl ConnectionPool {
     /// Creates a pool without connections, which records in `path` what it reaches, and sends nothing to
     /// endpoints that rest according to `routes`.
-    pub fn new(path: EndpointPath, routes: RouteTable) -> Self {
+    pub fn new(path: EndpointPaths, routes: RouteTable) -> Self {
         Self { idle: Rc::default(), path, routes }
     }
 
--- a/coltsfootgate/src/endpoint/mod.rs
+++ b/coltsfootgate/src/endpoint/mod.rs
@@ -18,7 +18,7 @@
 
 pub use access::{EndpointAccess, EndpointReach, ForwarderClient, from_header_rows, header_rows};
 pub use connection::{AnswerStream, ConnectionPool};
-pub use path::EndpointPath;
+pub use path::EndpointPaths;
 
 /// Header with the id of an attempt, which the endpoint echoes.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
--- a/coltsfootgate/src/endpoint/path.rs
+++ b/coltsfootgate/src/endpoint/path.rs
@@ -27,7 +27,7 @@
 
 /// What this instance knows of its paths to endpoints; clones share the same state.
 #[derive(Clone)]
-pub struct EndpointPath(Rc<PathState>);
+pub struct EndpointPaths(Rc<PathState>);
 
 struct PathState {
     monitors: RefCell<HashMap<PoolId, PathMonitor>>,
@@ -37,7 +37,7 @@
 
 /// A request that waits for the head of its answer, until it is dropped.
 pub(super) struct HeadWait {
-    path: EndpointPath,
+    path: EndpointPaths,
     pool: PoolId,
 }
 
@@ -47,7 +47,7 @@
     }
 }
 
-impl EndpointPath {
+impl EndpointPaths {
     /// Creates the state of an instance that has reached no endpoint yet.
     pub fn new(routes: RouteTable, metrics: DaemonMetrics) -> Self {
         let monitors = RefCell::default();
--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -11,7 +11,7 @@
 use crate::claims::{ClaimsHandle, ClaimsTask, follow_owners};
 use crate::clock;
 use crate::dialect::Dialect;
-use crate::endpoint::{ConnectionPool, EndpointAccess, EndpointPath, ForwarderClient};
+use crate::endpoint::{ConnectionPool, EndpointAccess, EndpointPaths, ForwarderClient};
 use crate::endpoints::{EndpointDirectory, EndpointsTask, SharedRoster, SnapshotPoller};
 use crate::limits::{LimitHandle, LimitTask};
 use crate::members::{MembersHandle, MembersTask};
@@ -209,7 +209,7 @@
     }
 
     fn start_access(&self, members: &MembersHandle, routes: &RouteTable) -> EndpointAccess {
-        let path = EndpointPath::new(routes.clone(), self.metrics.clone());
+        let path = EndpointPaths::new(routes.clone(), self.metrics.clone());
         monoio::spawn(path.clone().watch());
         let forwarders = ForwarderClient::new(
             self.settings.instance.clone(),
--- a/coltsfootgate/src/metrics/mod.rs
+++ b/coltsfootgate/src/metrics/mod.rs
@@ -81,8 +81,8 @@
     path_faults: IntCounterVec,
     streams_taken_up: IntCounterVec,
     path_lost: IntGaugeVec,
-    sent_around: IntCounterVec,
-    forwarded: IntCounterVec,
+    forwards_requested: IntCounterVec,
+    forwards_served: IntCounterVec,
     loop_delay: Histogram,
 }
 
@@ -249,14 +249,14 @@
                 "Grants that their requesters did not hold any more and had not returned.",
                 &["pool"],
             ),
-            sent_around: registrar.counters(
-                "sent_around",
+            forwards_requested: registrar.counters(
+                "forwards_requested",
                 "Requests that other instances were asked to forward, since this one reached no \
                  endpoint, by result.",
                 &["result"],
             ),
-            forwarded: registrar.counters(
-                "forwarded",
+            forwards_served: registrar.counters(
+                "forwards_served",
                 "Requests that this instance was asked to forward to endpoints, by result.",
                 &["result"],
             ),
@@ -447,13 +447,13 @@
     }
 
     /// Counts a request that another instance was asked to forward.
-    pub fn request_sent_around(&self, result: &str) {
-        self.sent_around.with_label_values(&[result]).inc();
+    pub fn forward_requested(&self, result: &str) {
+        self.forwards_requested.with_label_values(&[result]).inc();
     }
 
     /// Counts a request that this instance was asked to forward.
-    pub fn request_forwarded(&self, result: &str) {
-        self.forwarded.with_label_values(&[result]).inc();
+    pub fn forward_served(&self, result: &str) {
+        self.forwards_served.with_label_values(&[result]).inc();
     }
 
     /// Sets whether this instance reaches no endpoint of a pool.
--- a/coltsfootgate/src/peer/dispatch.rs
+++ b/coltsfootgate/src/peer/dispatch.rs
@@ -10,7 +10,7 @@
 use super::PeerCall;
 use crate::claims::ClaimsHandle;
 use crate::clock;
-use crate::endpoint::EndpointPath;
+use crate::endpoint::EndpointPaths;
 use crate::endpoints::SharedRoster;
 use crate::members::{MemberMessage, MembersHandle};
 use crate::metrics::DaemonMetrics;
@@ -33,7 +33,7 @@
     /// Receives crashes and blocked parts of prompts.
     pub quarantine: QuarantineHandle,
     /// The path to endpoints.
-    pub path: EndpointPath,
+    pub path: EndpointPaths,
     /// The metrics.
     pub metrics: DaemonMetrics,
     /// Receives requests about grants and limits.
--- a/coltsfootgate/src/peer/forwarder.rs
+++ b/coltsfootgate/src/peer/forwarder.rs
@@ -22,7 +22,7 @@
 use super::exchange::{send_forward_reply, send_part};
 use crate::dialect::{AnswerNotice, EndpointDialect};
 use crate::endpoint::{
-    AnswerStream, ConnectionPool, EndpointAnswer, EndpointClient, EndpointFailure, EndpointPath,
+    AnswerStream, ConnectionPool, EndpointAnswer, EndpointClient, EndpointFailure, EndpointPaths,
     EndpointRequest, SendRoute, from_header_rows, header_rows,
 };
 use crate::endpoints::SharedRoster;
@@ -55,7 +55,7 @@
     /// The connections to endpoints.
     pub endpoints: ConnectionPool,
     /// The path to endpoints.
-    pub path: EndpointPath,
+    pub path: EndpointPaths,
     /// The endpoints, and which of them rest.
     pub routes: RouteTable,
     /// The replicas that announced themselves.
@@ -135,7 +135,7 @@
                 pass_on(answer, stream, silence).await
             }
             Err(reply) => {
-                self.metrics.request_forwarded(reply_name(&reply));
+                self.metrics.forward_served(reply_name(&reply));
                 send_forward_reply(&mut stream, reply).await?;
                 Ok(stream.send_data(Bytes::new(), true)?)
             }
@@ -157,7 +157,7 @@
             _ => ForwardReply::ConnectionLost,
         })?;
         self.observe(&endpoint, &answer, &attempt);
-        self.metrics.request_forwarded("answered");
+        self.metrics.forward_served("answered");
         Ok(answer)
     }
 
--- a/coltsfootgate/tests/peers.rs
+++ b/coltsfootgate/tests/peers.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use coltsfootgate::dialect::NativeEndpoints;
-use coltsfootgate::endpoint::{ConnectionPool, EndpointPath};
+use coltsfootgate::endpoint::{ConnectionPool, EndpointPaths};
 use coltsfootgate::endpoints::SharedRoster;
 use coltsfootgate::metrics::DaemonMetrics;
 use coltsfootgate::options::PeerSecret;
@@ -35,7 +35,7 @@
 /// Forwards requests to no endpoints.
 fn forwarder(metrics: &DaemonMetrics) -> RequestForwarder {
     let routes = RouteTable::new("a".into());
-    let path = EndpointPath::new(routes.clone(), metrics.clone());
+    let path = EndpointPaths::new(routes.clone(), metrics.clone());
     RequestForwarder {
         endpoints: ConnectionPool::new(path.clone(), routes.clone()),
         path,
