--- a/coltsfootgate/src/endpoint/path.rs
+++ b/coltsfootgate/src/endpoint/path.rs
@@ -11,7 +11,7 @@
 use monoio::net::TcpStream;
 use monoio::time::{sleep, timeout};
 
-use coltsfootgate_core::path::{PathChange, PathMonitor};
+use coltsfootgate_core::path::{PathChange, PathMonitor, SAMPLE_SIZE};
 use coltsfootgate_core::prelude::{EndpointId, PoolId};
 
 use crate::metrics::DaemonMetrics;
@@ -22,9 +22,6 @@
 /// Time limit for an endpoint to accept the connection of a check.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Number of endpoints by which it is decided whether any is reached.
-const SAMPLE_SIZE: usize = 4;
-
 /// What this instance knows of its paths to endpoints; clones share the same state.
 #[derive(Clone)]
 pub struct EndpointPaths(Rc<PathState>);
--- a/coltsfootgate_core/src/path.rs
+++ b/coltsfootgate_core/src/path.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 /// Number of endpoints that a check connects to at the same time.
-const SAMPLE_SIZE: usize = 4;
+pub const SAMPLE_SIZE: usize = 4;
 /// The same while the path is lost.
 const LOST_SAMPLE_SIZE: usize = 2;
 /// Number of endpoints that a check must have tried to show that the path is lost.
