--- a/coltsfootgate/src/routes/mod.rs
+++ b/coltsfootgate/src/routes/mod.rs
@@ -109,13 +109,6 @@
         })
     }
 
-    /// The number of endpoints of a pool.
-    pub fn endpoint_count(&self, pool: &str) -> usize {
-        let state = self.0.borrow();
-        let pool = state.pools.as_ref().and_then(|pools| pools.pool(pool));
-        pool.map_or(0, |pool| pool.endpoints.len())
-    }
-
     /// Returns up to `count` endpoints of a pool, chosen at random.
     pub fn sample_endpoints(&self, pool: &str, count: usize) -> Vec<EndpointSettings> {
         if count == 0 {
