Review case 1: requests that wait when a machine is stopped get no answer

Cause: `drain` returns at 0.95 of the grace time, whatever still waits for a grant; the process ends and the connections close without an answer. Change: none to the project; the case and the stand-ins that the cases share.

--- /dev/null
+++ b/review/kit/cases.rs
@@ -0,0 +1,19 @@
+//! The cases.
+
+mod queued_at_stop;
+
+use std::io;
+
+use crate::record::Record;
+
+/// Runs a case; returns how the rule was broken.
+///
+/// # Errors
+///
+/// Fails if the case could not run.
+pub fn run(case: &str, has_trouble: bool, record: &Record) -> io::Result<Vec<String>> {
+    match case {
+        "queued-at-stop" => queued_at_stop::run(has_trouble, record),
+        _ => Err(io::ErrorKind::NotFound.into()),
+    }
+}
