--- a/review/kit/cases.rs
+++ b/review/kit/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod model_list;
 mod queued_at_stop;
 
 use std::io;
@@ -13,6 +14,7 @@
 /// Fails if the case could not run.
 pub fn run(case: &str, has_trouble: bool, record: &Record) -> io::Result<Vec<String>> {
     match case {
+        "model-list" => model_list::run(has_trouble, record),
         "queued-at-stop" => queued_at_stop::run(has_trouble, record),
         _ => Err(io::ErrorKind::NotFound.into()),
     }
