Review case 3: requests that wait for a service that a version drops hang

Cause: `OwnerTask::assign_endpoints` drops the queue of a pool that is no longer configured without refusing what waits in it, and the search for a grant has no time limit of its own. Change: none to the project; the case.

--- a/review/kit/cases.rs
+++ b/review/kit/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod dropped_service;
 mod model_list;
 mod queued_at_stop;
 
@@ -14,6 +15,7 @@
 /// Fails if the case could not run.
 pub fn run(case: &str, has_trouble: bool, record: &Record) -> io::Result<Vec<String>> {
     match case {
+        "dropped-service" => dropped_service::run(has_trouble, record),
         "model-list" => model_list::run(has_trouble, record),
         "queued-at-stop" => queued_at_stop::run(has_trouble, record),
         _ => Err(io::ErrorKind::NotFound.into()),
