Review case 5: streams of two versions are joined after a drill of the store

Cause: a stream without a record goes on at the only listed version, and the list may have gone back with the store, whose `Store-Era` is not read. Change: none to the project; the case.

--- a/review/kit/cases.rs
+++ b/review/kit/cases.rs
@@ -3,6 +3,7 @@
 mod dropped_service;
 mod model_list;
 mod queued_at_stop;
+mod rewound_origins;
 mod rolled_records;
 
 use std::io;
@@ -19,6 +20,7 @@
         "dropped-service" => dropped_service::run(has_trouble, record),
         "model-list" => model_list::run(has_trouble, record),
         "queued-at-stop" => queued_at_stop::run(has_trouble, record),
+        "rewound-origins" => rewound_origins::run(has_trouble, record),
         "rolled-records" => rolled_records::run(has_trouble, record),
         _ => Err(io::ErrorKind::NotFound.into()),
     }
