--- a/review/kit/cases/rewound_origins.rs
+++ b/review/kit/cases/rewound_origins.rs
@@ -23,6 +23,8 @@
 /// Tries of a caller to take up its stream again, and the pause between them unless it is told one.
 const TAKE_UPS: usize = 5;
 const TAKE_UP_PAUSE: Duration = Duration::from_millis(300);
+/// Time by which each caller notices later than the one before that its stream broke off.
+const NOTICE_TIME: Duration = Duration::from_millis(40);
 /// Streams that may hold events of two versions without breaking the rule.
 const MIXED_MAX: usize = 2;
 
@@ -190,7 +192,9 @@
             break;
         }
         let left = Duration::from_millis(DEADLINE_MS).saturating_sub(begun.elapsed());
-        thread::sleep(reply.retry_after.unwrap_or(TAKE_UP_PAUSE).min(left / 3));
+        // Callers do not notice at the same moment that their streams broke off.
+        let pause = if take_up == 0 { NOTICE_TIME * number as u32 } else { TAKE_UP_PAUSE };
+        thread::sleep(reply.retry_after.unwrap_or(pause).min(left / 3));
     }
     versions
 }
