Let leaving instances own endpoints while no instance is live

Callers of the last instances to leave (a single instance, or a stop of all at once) were refused as no-endpoint from the signal on, and so was what waited there, although all endpoints served.

Cause: owners are chosen among live instances, and a leaving one is not live. With none left there was no owner and no fallback share, which is zero for an instance that is not in the set.

Ruled out: keeping only the own instance, which would give every leaving one all slots. While any instance is live nothing changes, so builds side by side agree.

--- a/coltsfootgate/src/members/mod.rs
+++ b/coltsfootgate/src/members/mod.rs
@@ -21,10 +21,11 @@
 use self::list::ListedMembers;
 pub use self::task::MembersTask;
 
-/// The instances of the region that this instance considers live.
+/// The instances of the region that may own anything: those that this instance considers live or, while there
+/// is none, those that are leaving.
 #[derive(Clone, Debug, Default)]
 pub struct MemberView {
-    /// Address and zone of each live instance, including this one unless it is leaving.
+    /// Address and zone of each of these instances, which may include this one.
     pub locations: Vec<OwnerLocation>,
     /// Assigns owners among these instances.
     pub owners: OwnerTable,
@@ -33,7 +34,7 @@
 }
 
 impl MemberView {
-    /// The zone of an instance; `None` if it is not live.
+    /// The zone of an instance; `None` if it is none of these.
     pub fn zone(&self, instance: &InstanceId) -> Option<&ZoneName> {
         self.locations
             .iter()
--- a/coltsfootgate/src/members/task.rs
+++ b/coltsfootgate/src/members/task.rs
@@ -253,7 +253,7 @@
 
     fn publish_view(&self) {
         let own = self.table.own_profile();
-        let live = self.table.live_in_region(&own.region);
+        let owners = self.table.owners();
         let profiles: BTreeMap<_, _> = self
             .table
             .peers()
@@ -261,14 +261,14 @@
             .chain([own])
             .map(|profile| (&profile.id, profile))
             .collect();
-        let locations = live.iter().filter_map(|id| {
+        let locations = owners.iter().filter_map(|id| {
             let PeerProfile { zone, processor_milli, .. } = *profiles.get(id)?;
             let (zone, processor_milli) = (zone.clone(), *processor_milli);
             Some(OwnerLocation { owner: id.clone(), zone, processor_milli })
         });
         let view = MemberView {
             locations: locations.collect(),
-            owners: OwnerTable::new(live.iter().cloned()),
+            owners: OwnerTable::new(owners.iter().cloned()),
             leaving_endpoints: self.leaving_endpoints.clone(),
         };
         self.handle.publish(MemberChange::View(Rc::new(view)));
--- a/coltsfootgate_core/src/membership/table.rs
+++ b/coltsfootgate_core/src/membership/table.rs
@@ -11,7 +11,7 @@
 };
 use crate::gossip::{GossipQueue, transmit_count};
 use crate::ids::{ConfigVersion, InstanceId, ZoneName};
-use crate::rendezvous::{OwnerTable, stable_hash};
+use crate::rendezvous::stable_hash;
 
 /// Tracks the state of all known instances and chooses the neighbours of this one.
 #[derive(Debug)]
@@ -67,12 +67,16 @@
 
     /// The live instances that pass the filter, this one included unless it is leaving.
     pub fn live(&self, filter: impl Fn(&PeerProfile) -> bool) -> Vec<InstanceId> {
-        let peers = self.peers.values().filter(|peer| peer.state.is_live());
-        let own = Some(&self.own).filter(|own| own.state.is_live()).map(|own| &own.profile);
-        own.into_iter()
-            .chain(peers.map(|peer| &peer.profile))
-            .filter(|profile| filter(profile))
-            .map(|profile| profile.id.clone())
+        self.instances(|state, profile| state.is_live() && filter(profile))
+    }
+
+    /// The instances that pass the filter, by their state and profile, this one included.
+    fn instances(&self, filter: impl Fn(PeerState, &PeerProfile) -> bool) -> Vec<InstanceId> {
+        let peers = self.peers.values().map(|peer| (peer.state, &peer.profile));
+        std::iter::once((self.own.state, &self.own.profile))
+            .chain(peers)
+            .filter(|(state, profile)| filter(*state, profile))
+            .map(|(_, profile)| profile.id.clone())
             .collect()
     }
 
@@ -86,9 +90,15 @@
         self.live(|profile| &*profile.zone == zone)
     }
 
-    /// The owners among the live instances of this instance's region.
-    pub fn owners(&self) -> OwnerTable {
-        OwnerTable::new(self.live_in_region(&self.own.profile.region))
+    /// The instances of this instance's region that may own anything: the live ones or, while there is none,
+    /// those that are leaving, which still have requests to serve.
+    pub fn owners(&self) -> Vec<InstanceId> {
+        let region = &self.own.profile.region;
+        let live = self.live_in_region(region);
+        if !live.is_empty() {
+            return live;
+        }
+        self.instances(|state, profile| state == PeerState::Leaving && profile.region == *region)
     }
 
     /// Whether this instance hears from another one, which a third instance suspects.
--- a/coltsfootgate_core/tests/membership.rs
+++ b/coltsfootgate_core/tests/membership.rs
@@ -131,6 +131,25 @@
     }
 }
 
+/// While all instances leave, their last requests still need owners.
+#[test]
+fn leaving_instances_own_while_no_instance_is_live() {
+    let mut fleet = ModelFleet::new(3);
+    fleet.run(1);
+    fleet.event(&id(0), PeerEvent::Leave);
+    fleet.run(1);
+    assert_eq!(fleet.tables[&id(0)].owners(), [id(1), id(2)]);
+    for index in 1..3 {
+        fleet.event(&id(index), PeerEvent::Leave);
+    }
+    fleet.run(1);
+    for index in 0..3 {
+        assert!(fleet.live_at(index).is_empty());
+        let owners: BTreeSet<_> = fleet.tables[&id(index)].owners().into_iter().collect();
+        assert_eq!(owners, (0..3).map(id).collect());
+    }
+}
+
 #[test]
 fn a_new_instance_is_live_before_the_platform_lists_it() {
     let mut fleet = ModelFleet::new(3);
