Bound everything that a request waits for by the end of the process

Cause: drain() waited for open connections and returned; a request's waits for a slot, limits, a claim, a connect or a pause were bounded by its own deadline only, and nothing asked whether an answer could still end.

Now all tasks share the schedule of a shutdown. What was not sent ends as instance-leaving (503, not run), at the signal already where the owner's pressure shows that its turn comes too late; what was sent ends as instance-stopped (502, unknown) 0.2 s before the exit. What may still be sent is decided by what answers of the class took lately.

Tests (coltsfootgate/tests/planned_stop.rs) before: three of four fail, with IncompleteMessage in place of an answer and with a late request that is passed on; all pass now.

--- a/coltsfootgate/src/daemon.rs
+++ b/coltsfootgate/src/daemon.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use coltsfootgate_core::drain::DrainSchedule;
 use error_stack::{Report, ResultExt};
 use gumdrop::Options;
 use log::{info, warn};
@@ -31,9 +32,6 @@
 
 /// Interval at which a shutdown checks whether all requests in flight have ended.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(20);
-/// Share of the grace time after which the process exits, since a supervisor may kill the process
-/// once all of the grace time has passed.
-const GRACE_SHARE: f64 = 0.95;
 /// Longest time that a shutdown waits until the outcomes of claimed requests are recorded.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest time that a shutdown waits until the last log lines are written.
@@ -124,7 +122,8 @@
         .ok_or_else(|| Report::new(DaemonError::Listen("peers", settings.peer_listen)))?;
     let platform =
         D::platform(&settings).map_err(|fault| Report::new(DaemonError::Platform).attach(fault))?;
-    let handles = start_instance::<D>(&settings, platform, identity, peer_listener);
+    let handles =
+        start_instance::<D>(&settings, platform, identity, peer_listener, shutdown.clone());
     start_operators(&settings, &handles, operators_listener);
     let listener = bind("callers", settings.listen)?;
     let callers = listener.local_addr().change_context(DaemonError::Runtime)?;
@@ -218,9 +217,10 @@
 }
 
 /// Fails readiness checks until load balancers have noticed, then closes the listener and waits
-/// until the requests in flight have ended or the grace time is nearly over.
-async fn drain(settings: &DaemonSettings, handles: &InstanceHandles, trigger: ShutdownTrigger) {
-    let end = Instant::now() + settings.grace_time.mul_f64(GRACE_SHARE);
+/// until the requests in flight have ended, by the schedule at the latest.
+async fn drain(settings: &DaemonSettings, handles: &InstanceHandles, mut trigger: ShutdownTrigger) {
+    let schedule = DrainSchedule::new(Instant::now(), settings.grace_time);
+    trigger.start(schedule);
     info!(
         "shutting down: not ready, accepting new connections for another {:?}",
         settings.drain_time
@@ -228,17 +228,18 @@
     handles.readiness.set_unready(UnreadyCause::Leaving);
     handles.forwards.close();
     handles.members.leave().await;
-    monoio::time::sleep(settings.drain_time).await;
-    trigger.trigger();
+    let time_left = schedule.time_left(Instant::now());
+    monoio::time::sleep(settings.drain_time.min(time_left)).await;
+    trigger.close();
     let open = || handles.context.metrics.open_connections(ConnectionSide::Callers);
-    while (open() > 0 || handles.forwards.open() > 0) && Instant::now() < end {
+    while (open() > 0 || handles.forwards.open() > 0) && Instant::now() < schedule.exits_by {
         monoio::time::sleep(DRAIN_POLL_PERIOD).await;
     }
     match open() {
         0 => info!("shut down: all connections of callers are closed"),
         open => warn!("shut down: the grace time passed with {open} connections of callers open"),
     }
-    let settle_until = (Instant::now() + SETTLE_TIMEOUT).min(end);
+    let settle_until = (Instant::now() + SETTLE_TIMEOUT).min(schedule.exits_by);
     while handles.context.claims.open_settlements() > 0 && Instant::now() < settle_until {
         monoio::time::sleep(DRAIN_POLL_PERIOD).await;
     }
--- a/coltsfootgate/src/endpoint/access.rs
+++ b/coltsfootgate/src/endpoint/access.rs
@@ -148,19 +148,24 @@
 
     /// Sends a request through the first instance that forwards it.
     async fn send(&self, request: EndpointRequest) -> Result<EndpointAnswer, EndpointFailure> {
-        let via = request.via.clone();
+        let progress = request.progress.clone();
         let message = encode_forward_request(forward_request(request));
         let Ok(message) = message.map(Bytes::from) else {
             self.metrics.forward_requested("too-large");
             return Err(EndpointFailure::PathLost);
         };
         for instance in self.choose() {
-            via.set(Some(instance.clone()));
+            progress.set_via(Some(instance.clone()));
+            progress.begin_send();
             match self.peers.forward(&instance, message.clone()).await {
                 Ok(ForwardedAnswer { reply: ForwardReply::Refused(refusal), .. }) => {
+                    progress.revert_send();
                     self.refused(&instance, refusal.name());
                 }
-                Err(PeerError::Unreachable(_)) => self.refused(&instance, "unreachable"),
+                Err(PeerError::Unreachable(_)) => {
+                    progress.revert_send();
+                    self.refused(&instance, "unreachable");
+                }
                 Ok(answer) => {
                     self.book.borrow_mut().record_forward(&instance);
                     return self.read_answer(answer);
@@ -173,7 +178,7 @@
                 }
             }
         }
-        via.set(None);
+        progress.set_via(None);
         Err(EndpointFailure::PathLost)
     }
 
--- a/coltsfootgate/src/endpoint/connection.rs
+++ b/coltsfootgate/src/endpoint/connection.rs
@@ -16,7 +16,9 @@
 use monoio::net::TcpStream;
 use monoio::time::timeout;
 
-use super::{EndpointAnswer, EndpointClient, EndpointFailure, EndpointPaths, EndpointRequest};
+use super::{
+    EndpointAnswer, EndpointClient, EndpointFailure, EndpointPaths, EndpointRequest, SendProgress,
+};
 use crate::peer::ForwardedBody;
 use crate::routes::RouteTable;
 use crate::transfer::{HttpConnection, SendFailure, answer_framing};
@@ -107,20 +109,24 @@
         &self,
         target: &SendTarget,
         mut message: Request<Full<Bytes>>,
+        progress: &SendProgress,
     ) -> Result<(Response<Incoming>, HttpConnection), EndpointFailure> {
         while let Some(mut connection) = self.take_idle(&target.address) {
+            progress.begin_send();
             match connection.send(message).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(SendFailure::Unsent(unsent)) => message = *unsent,
                 Err(SendFailure::Broken(_)) => return Err(EndpointFailure::ConnectionLost),
             }
         }
+        progress.revert_send();
         let mut connection = self.connect(target).await?;
         // The endpoint may have turned another request away meanwhile.
         if self.routes.is_resting(&target.endpoint) {
             self.put_idle(&target.address, connection);
             return Err(EndpointFailure::Resting);
         }
+        progress.begin_send();
         match connection.send(message).await {
             Ok(response) => Ok((response, connection)),
             Err(SendFailure::Unsent(_)) => Err(EndpointFailure::NeverSent),
@@ -136,10 +142,10 @@
             endpoint: request.endpoint.clone(),
             address: request.address.clone(),
         };
-        let head_timeout = request.head_timeout;
+        let (head_timeout, progress) = (request.head_timeout, request.progress.clone());
         let message = build_message(request)?;
         let waiting = self.path.begin_wait(&target.pool);
-        let sending = self.send_once(&target, message);
+        let sending = self.send_once(&target, message, &progress);
         let (response, connection) = match timeout(head_timeout, sending).await {
             Ok(sent) => sent?,
             Err(_) => {
--- a/coltsfootgate/src/endpoint/mod.rs
+++ b/coltsfootgate/src/endpoint/mod.rs
@@ -7,7 +7,7 @@
 mod path;
 pub mod scanner;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -55,23 +55,44 @@
     pub head_timeout: Duration,
     /// Maximum time without data from the endpoint after the head.
     pub silence: Duration,
-    /// Takes the instance through which the request is sent.
-    pub via: SendRoute,
+    /// Takes how far the sending has come.
+    pub progress: SendProgress,
 }
 
-/// The instance through which a request is sent to an endpoint, if not directly; clones share it.
+/// How far the sending of a request to an endpoint has come; clones share the same state.
 #[derive(Clone, Debug, Default)]
-pub struct SendRoute(Rc<RefCell<Option<InstanceId>>>);
+pub struct SendProgress(Rc<ProgressState>);
 
-impl SendRoute {
-    /// Sets the instance.
-    pub fn set(&self, via: Option<InstanceId>) {
-        *self.0.borrow_mut() = via;
+#[derive(Debug, Default)]
+struct ProgressState {
+    via: RefCell<Option<InstanceId>>,
+    may_be_sent: Cell<bool>,
+}
+
+impl SendProgress {
+    /// Sets the instance through which the request is sent; `None` if it is sent directly.
+    pub fn set_via(&self, via: Option<InstanceId>) {
+        *self.0.via.borrow_mut() = via;
+    }
+
+    /// The instance through which the request is sent; `None` if it is sent directly.
+    pub fn via(&self) -> Option<InstanceId> {
+        self.0.via.borrow().clone()
+    }
+
+    /// Records that bytes of the request may leave this process from now on.
+    pub fn begin_send(&self) {
+        self.0.may_be_sent.set(true);
+    }
+
+    /// Records the proof that no byte of the request was sent.
+    pub fn revert_send(&self) {
+        self.0.may_be_sent.set(false);
     }
 
-    /// The instance; `None` if the request is sent directly.
-    pub fn get(&self) -> Option<InstanceId> {
-        self.0.borrow().clone()
+    /// Whether bytes of the request may have been sent.
+    pub fn may_be_sent(&self) -> bool {
+        self.0.may_be_sent.get()
     }
 }
 
@@ -111,6 +132,11 @@
     Abandoned,
     /// The answer carries the id of another request.
     Mismatched,
+    /// This process ends before the attempt did.
+    ProcessEnding {
+        /// Whether bytes of the request may have been sent.
+        may_be_sent: bool,
+    },
 }
 
 /// Sends requests to endpoints.
--- a/coltsfootgate/src/entry/answer.rs
+++ b/coltsfootgate/src/entry/answer.rs
@@ -74,6 +74,11 @@
         Bytes::from(json!({ "error": error }).to_string())
     }
 
+    /// Whether the caller must not use the connection again.
+    fn ends_connection(&self) -> bool {
+        matches!(self.kind, ErrorKind::InstanceLeaving | ErrorKind::InstanceStopped)
+    }
+
     /// The headers of the answer that depend only on the kind of the error and its delay.
     pub fn headers<D: CallerDialect>(&self) -> HeaderMap {
         let mut headers = HeaderMap::new();
@@ -82,6 +87,9 @@
             let delay = self.retry_after.unwrap_or(Duration::from_secs(1));
             headers.insert(header::RETRY_AFTER, D::retry_after(delay));
         }
+        if self.ends_connection() {
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
         headers
     }
 }
--- a/coltsfootgate/src/entry/listener.rs
+++ b/coltsfootgate/src/entry/listener.rs
@@ -92,7 +92,7 @@
     pub async fn run(self) {
         let start = |stream| self.start_connection(stream);
         let accepting = accept_connections(&self.listener, "callers", start);
-        let stopping = self.shutdown.clone().triggered();
+        let stopping = self.shutdown.closing();
         select(std::pin::pin!(accepting), std::pin::pin!(stopping)).await;
     }
 
@@ -155,7 +155,7 @@
         let guard = service_phase.request_started();
         async move {
             let mut response = handler.handle(request).await;
-            if draining.is_triggered() {
+            if draining.is_closing() {
                 let close = header::HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
@@ -170,7 +170,7 @@
         .max_buf_size(bounds.head_bytes_max)
         .serve_connection(stream, service);
     let mut connection = std::pin::pin!(connection);
-    let ended = match select(connection.as_mut(), std::pin::pin!(shutdown.triggered())).await {
+    let ended = match select(connection.as_mut(), std::pin::pin!(shutdown.closing())).await {
         Either::Left((ended, _)) => ended,
         Either::Right(_) => {
             connection.as_mut().graceful_shutdown();
--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -1,5 +1,6 @@
 //! Starts the tasks of an instance and connects them by their handles.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use coltsfootgate_core::membership::PeerProfile;
@@ -30,6 +31,7 @@
 };
 use crate::quarantine::{QuarantineHandle, QuarantineTask};
 use crate::routes::{MemberWatcher, OwnerClient, PoolStatus, RouteTable};
+use crate::shutdown::ShutdownSignal;
 use crate::streams::{OriginsHandle, OriginsTask, StreamRegister, follow_instances};
 use crate::transfer::BufferBudget;
 use crate::tree::{TreeHandle, TreeTask};
@@ -55,6 +57,7 @@
     peers: PeerHandle,
     metrics: DaemonMetrics,
     readiness: ReadinessGate,
+    shutdown: ShutdownSignal,
 }
 
 /// Starts all tasks of an instance except those that serve callers and operators.
@@ -63,6 +66,7 @@
     platform: D::Platform,
     identity: PeerIdentity,
     peer_listener: TcpListener,
+    shutdown: ShutdownSignal,
 ) -> InstanceHandles {
     let metrics = DaemonMetrics::new();
     let starter = TaskStarter {
@@ -71,6 +75,7 @@
         peers: PeerHandle::new(identity.clone(), metrics.clone()),
         metrics,
         readiness: ReadinessGate::default(),
+        shutdown,
     };
     let tree = starter.start_tree();
     let members = starter.start_members(&tree);
@@ -91,6 +96,7 @@
         rules: EndpointRules::of::<D::Endpoints>(),
         metrics: starter.metrics.clone(),
         load: forwards.clone(),
+        shutdown: starter.shutdown.clone(),
     };
     starter.start_peer_server(identity, peer_listener, &members, forwarder, owner, &context);
     let readiness = starter.readiness;
@@ -204,6 +210,8 @@
             budgets: BudgetTable::default(),
             config_age_max: self.settings.config_age_max,
             grants: GrantCounter::default(),
+            answer_times: RefCell::default(),
+            shutdown: self.shutdown.clone(),
         };
         (owner, context)
     }
--- a/coltsfootgate/src/peer/forwarder.rs
+++ b/coltsfootgate/src/peer/forwarder.rs
@@ -23,11 +23,12 @@
 use crate::dialect::{AnswerNotice, EndpointDialect};
 use crate::endpoint::{
     AnswerStream, ConnectionPool, EndpointAnswer, EndpointClient, EndpointFailure, EndpointPaths,
-    EndpointRequest, SendRoute, from_header_rows, header_rows,
+    EndpointRequest, SendProgress, from_header_rows, header_rows,
 };
 use crate::endpoints::SharedRoster;
 use crate::metrics::DaemonMetrics;
 use crate::routes::RouteTable;
+use crate::shutdown::ShutdownSignal;
 
 /// Time by which the timeouts here exceed those of the instance that asked, so that its own apply first.
 const TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
@@ -66,6 +67,8 @@
     pub metrics: DaemonMetrics,
     /// The requests in flight.
     pub load: ForwardLoad,
+    /// The shutdown of this process.
+    pub shutdown: ShutdownSignal,
 }
 
 /// The requests that are being forwarded; clones share the same state.
@@ -116,7 +119,7 @@
         let _open = self.load.begin();
         let silence = request.silence + TIMEOUT_MARGIN;
         let answer = {
-            let sending = self.send(request);
+            let sending = self.send_until_due(request);
             let reset = poll_fn(|context| respond.poll_reset(context));
             pin_mut!(sending);
             match select(sending, reset).await {
@@ -132,7 +135,7 @@
                 let headers = header_rows(&headers);
                 let reply = ForwardReply::Answered { status, headers, framing };
                 send_forward_reply(&mut stream, reply).await?;
-                pass_on(answer, stream, silence).await
+                self.pass_on(answer, stream, silence).await
             }
             Err(reply) => {
                 self.metrics.forward_served(reply_name(&reply));
@@ -142,11 +145,32 @@
         }
     }
 
-    async fn send(&self, request: ForwardRequest) -> Result<EndpointAnswer, ForwardReply> {
+    /// Sends a request and waits for the head of its answer, until this process must end its answers.
+    async fn send_until_due(
+        &self,
+        request: ForwardRequest,
+    ) -> Result<EndpointAnswer, ForwardReply> {
+        let progress = SendProgress::default();
+        let sending = self.send(request, progress.clone());
+        let due = self.shutdown.answers_due();
+        pin_mut!(sending, due);
+        match select(sending, due).await {
+            Either::Left((answer, _)) => answer,
+            Either::Right(_) if progress.may_be_sent() => Err(ForwardReply::ConnectionLost),
+            Either::Right(_) => Err(ForwardReply::Refused(ForwardRefusal::Leaving)),
+        }
+    }
+
+    async fn send(
+        &self,
+        request: ForwardRequest,
+        progress: SendProgress,
+    ) -> Result<EndpointAnswer, ForwardReply> {
         let endpoint = request.endpoint.clone();
         let address = self.usable_address(&request).map_err(ForwardReply::Refused)?;
         let (pool, attempt) = (request.pool.clone(), request.attempt.clone());
-        let request = endpoint_request(request, address).ok_or(ForwardReply::NeverSent)?;
+        let request = endpoint_request(request, address, progress);
+        let request = request.ok_or(ForwardReply::NeverSent)?;
         let answer = self.endpoints.send(request).await.map_err(|failure| match failure {
             EndpointFailure::NeverSent if self.path.is_lost(&pool) => {
                 ForwardReply::Refused(ForwardRefusal::PathLost)
@@ -196,39 +220,48 @@
             self.routes.record_rest(endpoint, time);
         }
     }
-}
 
-/// Passes the bytes of an answer on; a broken answer ends with a reset, so that it never looks complete.
-async fn pass_on(
-    mut answer: AnswerStream,
-    mut stream: SendStream<Bytes>,
-    silence: Duration,
-) -> Result<(), PeerError> {
-    loop {
-        let piece = {
-            let next = answer.next(silence);
-            let reset = poll_fn(|context| stream.poll_reset(context));
-            pin_mut!(next);
-            match select(next, reset).await {
-                Either::Left((piece, _)) => piece,
-                Either::Right(_) => return Ok(()),
-            }
-        };
-        match piece {
-            Ok(Some(piece)) => timeout(READER_TIMEOUT, send_part(&mut stream, piece))
-                .await
-                .unwrap_or(Err(PeerError::TimedOut))?,
-            Ok(None) => return Ok(stream.send_data(Bytes::new(), true)?),
-            Err(_) => {
-                stream.send_reset(Reason::INTERNAL_ERROR);
-                return Ok(());
+    /// Passes the bytes of an answer on; an answer that breaks off, or does not end before this process must, ends
+    /// with a reset, so that it never looks complete.
+    async fn pass_on(
+        &self,
+        mut answer: AnswerStream,
+        mut stream: SendStream<Bytes>,
+        silence: Duration,
+    ) -> Result<(), PeerError> {
+        let due = self.shutdown.answers_due();
+        pin_mut!(due);
+        loop {
+            let piece = {
+                let next = answer.next(silence);
+                let reset = poll_fn(|context| stream.poll_reset(context));
+                pin_mut!(next);
+                match select(next, select(reset, due.as_mut())).await {
+                    Either::Left((piece, _)) => piece,
+                    Either::Right((Either::Left(_), _)) => return Ok(()),
+                    Either::Right((Either::Right(_), _)) => Err(EndpointFailure::ConnectionLost),
+                }
+            };
+            match piece {
+                Ok(Some(piece)) => timeout(READER_TIMEOUT, send_part(&mut stream, piece))
+                    .await
+                    .unwrap_or(Err(PeerError::TimedOut))?,
+                Ok(None) => return Ok(stream.send_data(Bytes::new(), true)?),
+                Err(_) => {
+                    stream.send_reset(Reason::INTERNAL_ERROR);
+                    return Ok(());
+                }
             }
         }
     }
 }
 
 /// `None` if the request cannot be sent as it is.
-fn endpoint_request(request: ForwardRequest, address: Arc<str>) -> Option<EndpointRequest> {
+fn endpoint_request(
+    request: ForwardRequest,
+    address: Arc<str>,
+    progress: SendProgress,
+) -> Option<EndpointRequest> {
     Some(EndpointRequest {
         pool: request.pool,
         endpoint: request.endpoint,
@@ -240,7 +273,7 @@
         body: request.body.into(),
         head_timeout: request.head_timeout + TIMEOUT_MARGIN,
         silence: request.silence,
-        via: SendRoute::default(),
+        progress,
     })
 }
 
--- a/coltsfootgate/src/pipeline/admit.rs
+++ b/coltsfootgate/src/pipeline/admit.rs
@@ -12,6 +12,7 @@
 
 use super::classify::ClassifiedRequest;
 use super::context::PipelineContext;
+use super::guard::{ExchangeGuard, GRACE_RULE};
 use super::journal::RequestJournal;
 use super::lease::{GrantLease, return_grant, start_lease};
 use super::route::{GrantResult, GrantSearch};
@@ -73,7 +74,8 @@
 ) -> Result<Result<GrantLease, UnusableGrant>, Refusal> {
     let search_started = Instant::now();
     let template = grant_request(context, request, needs);
-    let mut search = GrantSearch::new(context, &request.pool.id, &template);
+    let guard = ExchangeGuard::new(context, request);
+    let mut search = GrantSearch::new(context, &request.pool.id, &template, guard);
     let end =
         match select(std::pin::pin!(search.run()), std::pin::pin!(caller.disconnected())).await {
             Either::Left((end, _)) => Some(end),
@@ -214,12 +216,18 @@
         ErrorKind::DeadlinePassed => {
             "the request's deadline passed while it was waiting".to_owned()
         }
+        ErrorKind::InstanceLeaving => {
+            "the instance shuts down before the request is expected to end".to_owned()
+        }
         _ => "no endpoint of the pool is in service".to_owned(),
     }
 }
 
-/// Creates a refusal that names the branch of the settings tree with the rule for it.
+/// Creates a refusal that names the branch of the settings tree, or the flag, with the rule for it.
 pub fn refusal(request: &ClassifiedRequest, kind: ErrorKind, message: &str) -> Refusal {
+    if matches!(kind, ErrorKind::InstanceLeaving | ErrorKind::InstanceStopped) {
+        return Refusal::new(kind, GRACE_RULE, message);
+    }
     let subjects = coltsfootgate_config::RequestBranches {
         class: Some(&request.class.id),
         customer: Some(&request.customer.id),
--- a/coltsfootgate/src/pipeline/context.rs
+++ b/coltsfootgate/src/pipeline/context.rs
@@ -1,8 +1,9 @@
 //! State and handles shared by all requests of this instance.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
+use coltsfootgate_core::drain::AnswerTimes;
 use coltsfootgate_core::prelude::{GrantId, InstanceId, ZoneName};
 
 use super::budget::BudgetTable;
@@ -14,6 +15,7 @@
 use crate::operators::RequestRecords;
 use crate::quarantine::QuarantineHandle;
 use crate::routes::{OwnerClient, RouteTable};
+use crate::shutdown::ShutdownSignal;
 use crate::streams::StreamRegister;
 use crate::transfer::BufferBudget;
 use crate::tree::TreeHandle;
@@ -54,6 +56,10 @@
     pub config_age_max: Duration,
     /// Issues the ids of grants.
     pub grants: GrantCounter,
+    /// How long recent answers took.
+    pub answer_times: RefCell<AnswerTimes>,
+    /// The shutdown of this process.
+    pub shutdown: ShutdownSignal,
 }
 
 /// Issues the ids of the grants that this process requests.
--- a/coltsfootgate/src/pipeline/dispatch.rs
+++ b/coltsfootgate/src/pipeline/dispatch.rs
@@ -66,7 +66,7 @@
         body: request.accepted.body.clone(),
         head_timeout: head_timeout(request),
         silence: request.pool.silence,
-        via: lease.via.clone(),
+        progress: lease.progress.clone(),
     };
     let time_left = request.timeout_at.saturating_duration_since(Instant::now());
     let sent_at = Instant::now();
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -19,6 +19,7 @@
 use super::classify::{AnswerForm, ClassifiedRequest, classify_request};
 use super::context::PipelineContext;
 use super::dispatch::{AttemptStart, dispatch_request};
+use super::guard::ExchangeGuard;
 use super::identify::{check_settings_age, identify_customer};
 use super::journal::RequestJournal;
 use super::lease::{AttemptMeasurements, GrantLease};
@@ -48,7 +49,9 @@
             return settle_request::<D::Callers>(&context, None, journal, caller, end).await;
         }
     };
-    let end = match find_origin(&context, &mut request, &mut journal).await {
+    let guard = ExchangeGuard::new(&context, &request);
+    let origin = guard.before_send(find_origin(&context, &mut request, &mut journal)).await;
+    let end = match origin.flatten() {
         Ok(origin) => {
             serve_request::<D>(&context, &request, origin, &mut caller, &mut journal).await
         }
@@ -86,8 +89,9 @@
     caller: &mut CallerLink,
     journal: &mut RequestJournal,
 ) -> Result<RequestEnd, Refusal> {
-    let permit = limit_request(context, request, caller).await?;
-    let end = match claim_request(context, request, caller).await? {
+    let guard = ExchangeGuard::new(context, request);
+    let permit = guard.before_send(limit_request(context, request, caller)).await??;
+    let end = match guard.before_send(claim_request(context, request, caller)).await?? {
         ClaimResult::NotNeeded => {
             run_attempts::<D>(context, request, origin, None, caller, journal).await
         }
@@ -112,6 +116,7 @@
     caller: &mut CallerLink,
     journal: &mut RequestJournal,
 ) -> Result<RequestEnd, Refusal> {
+    let guard = ExchangeGuard::new(context, request);
     let mut needs = EndpointNeeds::default();
     let mut history = AttemptHistory::new(retry_conditions(request, claim.is_some()));
     let mut last_event = None;
@@ -119,7 +124,8 @@
     loop {
         let version = required_version(context, request, origin.as_ref());
         needs.version = version.map_err(|refusal| adjust_refusal(request, &history, refusal))?;
-        let admitted = admit_attempt(context, request, &needs, caller, journal).await;
+        let admitting = admit_attempt(context, request, &needs, caller, journal);
+        let admitted = guard.before_send(admitting).await.flatten();
         let lease = admitted.map_err(|refusal| adjust_refusal(request, &history, refusal))?;
         let endpoint = lease.endpoint.id.clone();
         let attempted = endpoint_origin(request, &lease.endpoint);
@@ -165,7 +171,8 @@
         context.metrics.retried(&request.class.id, reason);
         journal.record.retries.push(reason.name());
         needs.excluded.push(endpoint);
-        monoio::time::sleep(delay).await;
+        let paused = guard.before_send(monoio::time::sleep(delay)).await;
+        paused.map_err(|refusal| adjust_refusal(request, &history, refusal))?;
     }
 }
 
@@ -235,29 +242,33 @@
     let start = AttemptStart { id: &attempt, offset, last_event: resume_after.as_deref() };
     let sending = dispatch_request::<D::Endpoints>(context, request, &lease, start);
     let sending = await_head(context, request, may_abandon, sending);
-    let answer = match select(pin!(sending), pin!(caller.disconnected())).await {
-        Either::Left((answer, _)) => answer.map_err(RelayEnd::Failed),
-        Either::Right(_) => Err(RelayEnd::CallerDisconnected),
-    };
-    let end = match answer {
-        Ok(answer) => {
-            let relaying = task.relay::<D::Callers>(answer, caller, journal);
-            let time_left = request.timeout_at.saturating_duration_since(Instant::now());
-            let relayed = monoio::time::timeout(time_left, relaying).await;
-            relayed.unwrap_or(RelayEnd::Failed(EndpointFailure::RequestTimeout))
-        }
-        Err(end) => end,
+    let running = async {
+        let answer = match select(pin!(sending), pin!(caller.disconnected())).await {
+            Either::Left((Ok(answer), _)) => answer,
+            Either::Left((Err(failure), _)) => return RelayEnd::Failed(failure),
+            Either::Right(_) => return RelayEnd::CallerDisconnected,
+        };
+        let relaying = task.relay::<D::Callers>(answer, caller, journal);
+        let time_left = request.timeout_at.saturating_duration_since(Instant::now());
+        let relayed = monoio::time::timeout(time_left, relaying).await;
+        relayed.unwrap_or(RelayEnd::Failed(EndpointFailure::RequestTimeout))
     };
+    let end = ExchangeGuard::new(context, request).after_send(running).await;
+    let may_be_sent = lease.progress.may_be_sent();
+    let end = end.unwrap_or(RelayEnd::Failed(EndpointFailure::ProcessEnding { may_be_sent }));
+    if let RelayEnd::Served(_) = end {
+        context.answer_times.borrow_mut().record(&request.class.id, sent_at.elapsed());
+    }
     let measurements = task.measurements;
     *last_event = task.last_event;
     journal.record.endpoint_limit = lease.limit();
-    journal.record.via = lease.via.get().map(|via| via.to_string());
+    journal.record.via = lease.progress.via().map(|via| via.to_string());
     let (sent_to, first_token) = (&lease.endpoint, measurements.first_token);
     observe_attempt(context, request, sent_to, sent_at, first_token, &end);
     let between = measurements.between_tokens;
     journal.record.between_tokens_ms = between.map(|between| between.as_secs_f64() * 1000.0);
     let is_path_lost =
-        context.endpoints.is_path_lost(&request.pool.id) && lease.via.get().is_none();
+        context.endpoints.is_path_lost(&request.pool.id) && lease.progress.via().is_none();
     lease.release(release_result(&end, is_path_lost), measurements);
     end
 }
@@ -295,9 +306,10 @@
         RelayEnd::Served(answer) if answer.status().is_server_error() => ReleaseResult::Failed,
         RelayEnd::Served(_) => ReleaseResult::Completed,
         RelayEnd::ErrorAnswer(_) => ReleaseResult::Failed,
-        RelayEnd::CallerDisconnected | RelayEnd::Failed(EndpointFailure::RequestTimeout) => {
-            ReleaseResult::Cancelled
-        }
+        RelayEnd::CallerDisconnected
+        | RelayEnd::Failed(
+            EndpointFailure::RequestTimeout | EndpointFailure::ProcessEnding { .. },
+        ) => ReleaseResult::Cancelled,
         RelayEnd::Failed(EndpointFailure::NeverSent) => ReleaseResult::ConnectFailed,
         RelayEnd::Failed(EndpointFailure::RefusedBeforeStart) => ReleaseResult::Refused,
         RelayEnd::Failed(EndpointFailure::Stalled) => ReleaseResult::Silent,
@@ -330,6 +342,12 @@
             (started, FailureCause::Stalled)
         }
         EndpointFailure::Mismatched => (started, FailureCause::WrongId),
+        EndpointFailure::ProcessEnding { may_be_sent: true } => {
+            (started, FailureCause::ProcessEnding)
+        }
+        EndpointFailure::ProcessEnding { may_be_sent: false } => {
+            (FailureStage::NeverSent, FailureCause::ProcessEnding)
+        }
     };
     AttemptFailure { stage, cause }
 }
@@ -357,6 +375,8 @@
         ErrorKind::RetriesSpent => "the retries are used up, and no endpoint ran the request",
         ErrorKind::NoEndpoint => "no endpoint could be reached",
         ErrorKind::DeadlinePassed => "the deadline passed before another attempt",
+        ErrorKind::InstanceLeaving => "the instance shut down before the request was sent",
+        ErrorKind::InstanceStopped => "the instance shut down before the answer arrived",
         _ => "the request ended between two attempts",
     };
     refusal(request, kind, message)
--- a/coltsfootgate/src/pipeline/gate.rs
+++ b/coltsfootgate/src/pipeline/gate.rs
@@ -6,12 +6,14 @@
 
 use bytes::Bytes;
 use coltsfootgate_core::prelude::ErrorKind;
+use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use serde_json::json;
 
 use super::context::PipelineContext;
 use super::exchange::run_exchange;
+use super::guard::leaving_refusal;
 use super::identify::identify_customer;
 use super::journal::RequestJournal;
 use super::settle::{RequestEnd, ServedAnswer, settle_request};
@@ -41,7 +43,15 @@
         let id = new_request_id();
         let arrived = Instant::now();
         let bounds = self.bounds.with_overrides(&self.context.tree.connections());
-        match accept_request::<D::Callers>(id, request, &bounds).await {
+        let accepting = accept_request::<D::Callers>(id, request, &bounds);
+        let due = self.context.shutdown.answers_due();
+        let accepted = match select(std::pin::pin!(accepting), std::pin::pin!(due)).await {
+            Either::Left((accepted, _)) => accepted,
+            Either::Right(_) => {
+                Err(leaving_refusal("the instance shut down before the request was read"))
+            }
+        };
+        match accepted {
             Ok(accepted) if is_model_list(&accepted) => {
                 self.list_models(accepted, caller).await;
             }
--- a/coltsfootgate/src/pipeline/lease.rs
+++ b/coltsfootgate/src/pipeline/lease.rs
@@ -10,7 +10,7 @@
 use super::context::PipelineContext;
 use super::route::GrantSearch;
 use crate::dialect::AnswerNotice;
-use crate::endpoint::SendRoute;
+use crate::endpoint::SendProgress;
 use crate::endpoints::SharedRoster;
 use crate::metrics::DaemonMetrics;
 use crate::routes::{GrantSource, LeaseEntry, OwnerClient, RouteTable};
@@ -19,8 +19,8 @@
 pub struct GrantLease {
     /// The endpoint.
     pub endpoint: EndpointSettings,
-    /// The instance through which the request is sent.
-    pub via: SendRoute,
+    /// How far the sending of the request has come.
+    pub progress: SendProgress,
     entry: LeaseEntry,
     routes: RouteTable,
     owner_client: OwnerClient,
@@ -145,7 +145,7 @@
     context.routes.record_grant(search.route(), owner, entry.clone());
     GrantLease {
         endpoint,
-        via: SendRoute::default(),
+        progress: SendProgress::default(),
         entry,
         routes: context.routes.clone(),
         owner_client: context.owner_client.clone(),
--- a/coltsfootgate/src/pipeline/mod.rs
+++ b/coltsfootgate/src/pipeline/mod.rs
@@ -11,6 +11,7 @@
 pub mod dispatch;
 pub mod exchange;
 pub mod gate;
+mod guard;
 pub mod identify;
 pub mod journal;
 pub mod lease;
--- a/coltsfootgate/src/pipeline/route.rs
+++ b/coltsfootgate/src/pipeline/route.rs
@@ -1,6 +1,6 @@
 //! Asks owners for a grant until one grants it or all are ruled out.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use coltsfootgate_core::owner::{GrantAnswer, GrantRequest, OwnerPressure};
 use coltsfootgate_core::prelude::{EndpointId, ErrorKind, GrantId};
@@ -10,6 +10,7 @@
 use monoio::time::timeout;
 
 use super::context::PipelineContext;
+use super::guard::ExchangeGuard;
 use crate::routes::GrantSource;
 
 /// Time after which a waiting request first looks for a better owner.
@@ -50,11 +51,18 @@
     pressure: OwnerPressure,
     /// Number of grant requests sent.
     asked: u32,
+    guard: ExchangeGuard<'a>,
+    started_at: Instant,
 }
 
 impl<'a> GrantSearch<'a> {
     /// Creates a search; each grant request has a grant id of its own.
-    pub fn new(context: &'a PipelineContext, pool: &str, grant_request: &'a GrantRequest) -> Self {
+    pub fn new(
+        context: &'a PipelineContext,
+        pool: &str,
+        grant_request: &'a GrantRequest,
+        guard: ExchangeGuard<'a>,
+    ) -> Self {
         let mut excluded = grant_request.excluded.clone();
         if let Some(version) = &grant_request.version {
             excluded.extend(context.routes.endpoints_of_other_versions(pool, version));
@@ -68,7 +76,15 @@
             excluded,
             random: rand::random(),
         });
-        Self { context, grant_request, route, pressure: OwnerPressure::default(), asked: 0 }
+        Self {
+            context,
+            grant_request,
+            route,
+            pressure: OwnerPressure::default(),
+            asked: 0,
+            guard,
+            started_at: Instant::now(),
+        }
     }
 
     /// The route, for the affinity of later requests.
@@ -109,6 +125,9 @@
                 }
                 Err(_) => {
                     reconsider_after = RECONSIDER_PERIOD;
+                    if !self.guard.allows_wait(self.started_at, self.expected_wait()) {
+                        return self.refused(ErrorKind::InstanceLeaving);
+                    }
                     self.note_silent_owners();
                     context.routes.reconsider(&mut self.route)
                 }
@@ -116,6 +135,10 @@
         }
     }
 
+    fn expected_wait(&self) -> Duration {
+        self.context.routes.expected_wait(&self.route)
+    }
+
     /// Notes which owners do not answer any more in whose queues the request waits.
     fn note_silent_owners(&self) {
         let client = &self.context.owner_client;
--- a/coltsfootgate/src/routes/mod.rs
+++ b/coltsfootgate/src/routes/mod.rs
@@ -165,6 +165,11 @@
         self.0.borrow().endpoint_owners.values().any(|owner| owner == instance)
     }
 
+    /// Returns the shortest time for which a new request is expected to wait for a slot.
+    pub fn expected_wait(&self, route: &RequestRoute) -> Duration {
+        self.0.borrow().policy.expected_wait(route, Instant::now())
+    }
+
     /// Returns the first step for a request.
     pub fn first_step(&self, route: &mut RequestRoute) -> RouteStep {
         self.0.borrow_mut().policy.first_step(route, Instant::now())
--- a/coltsfootgate/tests/peers.rs
+++ b/coltsfootgate/tests/peers.rs
@@ -15,6 +15,7 @@
     RequestForwarder,
 };
 use coltsfootgate::routes::RouteTable;
+use coltsfootgate::shutdown::shutdown_pair;
 use coltsfootgate_core::ids::InstanceId;
 use coltsfootgate_standins::proxy::start_proxy;
 use coltsfootgate_wire::{
@@ -44,6 +45,7 @@
         rules: EndpointRules::of::<NativeEndpoints>(),
         metrics: metrics.clone(),
         load: ForwardLoad::default(),
+        shutdown: shutdown_pair().1,
     }
 }
 
--- a/coltsfootgate/tests/planned_stop.rs
+++ b/coltsfootgate/tests/planned_stop.rs
@@ -4,20 +4,22 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::thread;
 use std::time::Duration;
 
 use coltsfootgate_standins::platform::start_platform;
 use coltsfootgate_standins::runner::{ANY_PORT, StandinHandle};
 use coltsfootgate_standins::service::start_plain_service;
+use serde_json::json;
 
-use support::{SAMPLE_KEY, TestCall, TestDaemon, put_tree, sample_tree};
+use support::{SAMPLE_KEY, TestAnswer, TestCall, TestDaemon, put_tree, sample_tree};
 
 /// The path of requests that must not run twice.
 const PATH: &str = "/orders/1";
 
 struct StopSetup {
     _platform: StandinHandle,
-    _service: StandinHandle,
+    service: StandinHandle,
     daemon: TestDaemon,
 }
 
@@ -30,7 +32,7 @@
     put_tree(platform.address, 1, &tree.replace("silence = \"2 s\"", "silence = \"30 s\""));
     let daemon = TestDaemon::start(platform.address, "a", &["--grace-time", grace_time]);
     daemon.wait_ready();
-    StopSetup { _platform: platform, _service: service, daemon }
+    StopSetup { _platform: platform, service, daemon }
 }
 
 fn order() -> TestCall {
@@ -38,6 +40,23 @@
 }
 
 impl StopSetup {
+    fn executed(&self) -> u64 {
+        self.service.control.counters().unwrap()["executed"].as_u64().unwrap()
+    }
+
+    fn wait_executed(&self, count: u64) {
+        self.daemon.wait_for("an execution", || (self.executed() == count).then_some(()));
+    }
+
+    fn wait_queued(&self, count: u64) {
+        self.daemon.wait_for("waiting requests", || {
+            let status = self.daemon.status();
+            let tiers = status["queues"].as_array()?.iter();
+            let waiting = tiers.flat_map(|queue| queue["waiting_by_tier"].as_array()).flatten();
+            (waiting.filter_map(|tier| tier.as_u64()).sum::<u64>() == count).then_some(())
+        });
+    }
+
     /// Sends the head of a request and the first byte of its body.
     fn send_half(&self) -> TcpStream {
         let mut stream = TcpStream::connect(self.daemon.ports.callers).unwrap();
@@ -67,6 +86,51 @@
     answer
 }
 
+fn assert_refused(answer: &TestAnswer) {
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert_eq!(answer.header("coltsfootgate-reason"), "instance-leaving", "{answer:?}");
+    assert_eq!(answer.header("coltsfootgate-outcome"), "not-run", "{answer:?}");
+    assert_eq!(answer.header("connection"), "close", "{answer:?}");
+    assert!(!answer.header("retry-after").is_empty(), "{answer:?}");
+}
+
+/// Guards against requests that end without an answer because they still wait for a slot when the process
+/// exits, and against running ones that end so.
+#[test]
+fn requests_in_progress_get_their_final_answers_before_the_process_exits() {
+    let mut setup = start("3 s", Duration::ZERO);
+    setup.service.control.send(&json!({"fault": "hang_after"})).unwrap();
+    let running = order().start(setup.daemon.ports.callers);
+    setup.wait_executed(1);
+    let waiting = [(); 3].map(|()| order().start(setup.daemon.ports.callers));
+    setup.wait_queued(3);
+    setup.daemon.terminate();
+    for call in waiting {
+        assert_refused(&call.join().unwrap());
+    }
+    let answer = running.join().unwrap();
+    assert_eq!(answer.status, 502, "{answer:?}");
+    assert_eq!(answer.header("coltsfootgate-reason"), "instance-stopped", "{answer:?}");
+    assert_eq!(answer.header("coltsfootgate-outcome"), "unknown", "{answer:?}");
+    assert_eq!(setup.executed(), 1);
+    assert!(setup.daemon.wait_exit());
+}
+
+/// Guards against a request that is passed on late in the grace time and cut off at its end.
+#[test]
+fn a_request_that_cannot_be_answered_in_time_is_not_passed_on() {
+    let setup = start("5 s", Duration::from_secs(2));
+    assert_eq!(order().send(setup.daemon.ports.callers).status, 200);
+    let late = setup.send_half();
+    setup.stop();
+    thread::sleep(Duration::from_secs(3));
+    let answer = send_rest(late);
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer:?}");
+    assert!(answer.contains("coltsfootgate-reason: instance-leaving\r\n"), "{answer:?}");
+    assert!(answer.contains("connection: close\r\n"), "{answer:?}");
+    assert_eq!(setup.executed(), 1);
+}
+
 /// Guards against refusals for lack of an owner while all instances leave.
 #[test]
 fn the_last_instance_serves_requests_that_it_has_begun_to_read() {
@@ -77,3 +141,15 @@
     let answer = send_rest(late);
     assert!(answer.starts_with("HTTP/1.1 200 "), "{answer:?}");
 }
+
+/// Guards against a request that ends without an answer because its body never arrives.
+#[test]
+fn a_half_read_request_is_refused_before_the_process_exits() {
+    let setup = start("2 s", Duration::ZERO);
+    let mut half = setup.send_half();
+    setup.stop();
+    let mut answer = String::new();
+    half.read_to_string(&mut answer).expect("the connection ends without a reset");
+    assert!(answer.contains("coltsfootgate-reason: instance-leaving\r\n"), "{answer:?}");
+    assert_eq!(setup.executed(), 0);
+}
--- a/coltsfootgate_config/src/rule.rs
+++ b/coltsfootgate_config/src/rule.rs
@@ -91,6 +91,8 @@
         | ErrorKind::CallerLeftWaiting
         | ErrorKind::KeyInvalid
         | ErrorKind::NotReady
+        | ErrorKind::InstanceLeaving
+        | ErrorKind::InstanceStopped
         | ErrorKind::SettingsStale => (ConfigSection::Classes, "tier"),
     }
 }
--- a/coltsfootgate_core/src/attempt.rs
+++ b/coltsfootgate_core/src/attempt.rs
@@ -40,6 +40,8 @@
     ErrorAnswer,
     /// The answer carried the id of another request.
     WrongId,
+    /// This process ends before the attempt did.
+    ProcessEnding,
 }
 
 /// The failure of one attempt.
@@ -158,7 +160,7 @@
         random: f64,
     ) -> RetryDecision {
         let kind = self.record_failure(failure);
-        if !self.may_send() {
+        if !self.may_send() || failure.cause == FailureCause::ProcessEnding {
             return RetryDecision::End(kind);
         }
         let resuming = self.caller_has_bytes;
@@ -201,8 +203,9 @@
         if self.caller_has_bytes {
             self.may_have_run = Some(ErrorKind::AnswerCutShort);
         }
-        self.may_have_run.unwrap_or(match failure.stage {
-            FailureStage::NeverSent => ErrorKind::NoEndpoint,
+        self.may_have_run.unwrap_or(match (failure.stage, failure.cause) {
+            (_, FailureCause::ProcessEnding) => ErrorKind::InstanceLeaving,
+            (FailureStage::NeverSent, _) => ErrorKind::NoEndpoint,
             _ => ErrorKind::EndpointRefused,
         })
     }
@@ -255,6 +258,7 @@
         (_, FailureCause::Stalled) => ErrorKind::EndpointStalled,
         (_, FailureCause::ErrorAnswer) => ErrorKind::EndpointFailed,
         (_, FailureCause::WrongId) => ErrorKind::AnswerMismatched,
+        (_, FailureCause::ProcessEnding) => ErrorKind::InstanceStopped,
         (_, FailureCause::Unreachable | FailureCause::Refused | FailureCause::ConnectionLost) => {
             ErrorKind::EndpointLost
         }
--- a/coltsfootgate_core/src/comeback.rs
+++ b/coltsfootgate_core/src/comeback.rs
@@ -27,6 +27,8 @@
         ErrorKind::NoEndpoint | ErrorKind::StreamUnknown => NO_ENDPOINT_DELAY_MIN,
         _ => DELAY_MIN,
     };
+    // Other instances serve the caller, whatever waits at this one.
+    let queue_time = if kind == ErrorKind::InstanceLeaving { Duration::ZERO } else { queue_time };
     let delay = queue_time.max(minimum).mul_f64(1.0 + JITTER * random.clamp(0.0, 1.0));
     delay.min(DELAY_MAX)
 }
--- a/coltsfootgate_core/src/lib.rs
+++ b/coltsfootgate_core/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod calendar;
 pub mod claim;
 pub mod comeback;
+pub mod drain;
 pub mod endpoint_limit;
 pub mod estimate;
 pub mod forward;
--- a/coltsfootgate_core/src/reason.rs
+++ b/coltsfootgate_core/src/reason.rs
@@ -125,6 +125,10 @@
     ClaimExpired => "claim-expired", 503, "server_error", NotRun, true;
     /// The settings were not confirmed as the newest for too long, so bearer keys are not trusted.
     SettingsStale => "settings-stale", 503, "server_error", NotRun, true;
+    /// The instance shuts down, and the answer to the request would not end in time.
+    InstanceLeaving => "instance-leaving", 503, "server_error", NotRun, true;
+    /// The instance shut down while an endpoint worked on the request.
+    InstanceStopped => "instance-stopped", 502, "server_error", Unknown, false;
     /// The instance has no settings tree in force yet.
     NotReady => "not-ready", 503, "server_error", NotRun, true;
 }
--- a/coltsfootgate_core/src/retry.rs
+++ b/coltsfootgate_core/src/retry.rs
@@ -67,7 +67,8 @@
             (FailureStage::NeverSent, _) => Self::Unreachable,
             (FailureStage::RefusedBeforeStart, _) => Self::Refused,
             (_, FailureCause::Unreachable | FailureCause::Refused) => Self::ConnectionLost,
-            (_, FailureCause::ConnectionLost) => Self::ConnectionLost,
+            // A request whose process ends is not repeated.
+            (_, FailureCause::ConnectionLost | FailureCause::ProcessEnding) => Self::ConnectionLost,
             (_, FailureCause::Stalled) => Self::Stalled,
             (_, FailureCause::ErrorAnswer) => Self::ErrorAnswer,
             (_, FailureCause::WrongId) => Self::WrongId,
@@ -79,9 +80,10 @@
         match cause {
             FailureCause::Stalled => Self::ResumedAfterStall,
             FailureCause::ErrorAnswer | FailureCause::WrongId => Self::ResumedAfterError,
-            FailureCause::Unreachable | FailureCause::Refused | FailureCause::ConnectionLost => {
-                Self::ResumedAfterLoss
-            }
+            FailureCause::Unreachable
+            | FailureCause::Refused
+            | FailureCause::ConnectionLost
+            | FailureCause::ProcessEnding => Self::ResumedAfterLoss,
         }
     }
 }
--- a/coltsfootgate_core/src/routing/cooperative.rs
+++ b/coltsfootgate_core/src/routing/cooperative.rs
@@ -190,6 +190,13 @@
         }
     }
 
+    fn expected_wait(&self, route: &RequestRoute, now: Instant) -> Duration {
+        let pool = self.pools.get(&route.request.pool);
+        let owners = pool.iter().flat_map(|pool| pool.owners.values());
+        let waits = owners.map(|view| view.expected_wait(route.request.rank, now));
+        waits.min().unwrap_or(Duration::ZERO)
+    }
+
     fn first_step(&mut self, route: &mut RequestRoute, now: Instant) -> RouteStep {
         let rank = route.request.rank;
         match self.best_owner(route, now, |_, view| view.may_be_free(rank, now)) {
--- a/coltsfootgate_core/src/routing/local.rs
+++ b/coltsfootgate_core/src/routing/local.rs
@@ -30,6 +30,10 @@
     ) {
     }
 
+    fn expected_wait(&self, _: &RequestRoute, _: Instant) -> Duration {
+        Duration::ZERO
+    }
+
     fn first_step(&mut self, route: &mut RequestRoute, _: Instant) -> RouteStep {
         let request = &route.request;
         let Some((endpoints, last_used)) = self.pools.get_mut(&request.pool) else {
@@ -101,6 +105,10 @@
     ) {
     }
 
+    fn expected_wait(&self, _: &RequestRoute, _: Instant) -> Duration {
+        Duration::ZERO
+    }
+
     fn first_step(&mut self, route: &mut RequestRoute, _: Instant) -> RouteStep {
         let request = &route.request;
         let endpoints = self.pools.get(&request.pool).map(Vec::as_slice).unwrap_or_default();
--- a/coltsfootgate_core/src/routing/mod.rs
+++ b/coltsfootgate_core/src/routing/mod.rs
@@ -144,6 +144,9 @@
         now: Instant,
     );
 
+    /// Returns the shortest time for which a new request is expected to wait for a slot; zero if it is unknown.
+    fn expected_wait(&self, route: &RequestRoute, now: Instant) -> Duration;
+
     /// Returns the first step for a request.
     fn first_step(&mut self, route: &mut RequestRoute, now: Instant) -> RouteStep;
 
--- a/coltsfootgate_core/src/routing/strategy.rs
+++ b/coltsfootgate_core/src/routing/strategy.rs
@@ -58,6 +58,10 @@
         forward!(self, policy => policy.update_pressure(pool, owner, pressure, age, now))
     }
 
+    fn expected_wait(&self, route: &RequestRoute, now: Instant) -> Duration {
+        forward!(self, policy => policy.expected_wait(route, now))
+    }
+
     fn first_step(&mut self, route: &mut RequestRoute, now: Instant) -> RouteStep {
         forward!(self, policy => policy.first_step(route, now))
     }
