--- a/coltsfootgate_core/src/drain.rs
+++ b/coltsfootgate_core/src/drain.rs
@@ -14,7 +14,7 @@
 /// Share of the grace time after which the process exits, since a supervisor may kill it once all of that
 /// time has passed.
 const EXIT_SHARE: f64 = 0.95;
-/// Number of mean deviations above the average within which almost all answers of a class end.
+/// Number of mean deviations from the average between which almost all answers of a class end.
 const CERTAIN_DEVIATIONS: f64 = 2.0;
 /// Weight of a new answer in the averages of its class.
 const ANSWER_WEIGHT: f64 = 0.2;
@@ -57,7 +57,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CutCost {
     /// Time: the caller has a part of the answer, or may send the request again. Such a request is sent unless its
-    /// answer most likely does not end, since elsewhere it may have to wait for a slot once more.
+    /// answer almost certainly does not end, since elsewhere it may have to wait for a slot once more.
     Wait,
     /// The caller does not learn whether its request, which must not run twice, has run. Such a request is sent only
     /// if its answer almost certainly ends.
@@ -94,7 +94,7 @@
     pub fn needed(&self, class: &ClassId, cut: CutCost, fallback: Duration) -> Duration {
         let Some(times) = self.classes.get(class) else { return fallback };
         let seconds = match cut {
-            CutCost::Wait => times.mean - times.deviation,
+            CutCost::Wait => times.mean - CERTAIN_DEVIATIONS * times.deviation,
             CutCost::UnknownOutcome => times.mean + CERTAIN_DEVIATIONS * times.deviation,
         };
         Duration::from_secs_f64(seconds.max(0.0))
