Let requests that wait at an owner that leaves wait for the next one

Cause: a leaving owner refuses what waits there as no-endpoint. The entry rules it out, knows no other owner yet, and asks for its fallback share, which is zero for an instance that leaves itself (and where a pool has fewer slots than instances). Then it refuses the request, or lets it wait for the share alone although the new owner is known a moment later.

An entry now goes on looking for the owner that replaces one which has given up its endpoints, and refuses only after a second without one. Ruled out: that the new owner refuses (its log shows no such grant request).

--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -124,9 +124,14 @@
     loop {
         let version = required_version(context, request, origin.as_ref());
         needs.version = version.map_err(|refusal| adjust_refusal(request, &history, refusal))?;
+        let waiting_since = Instant::now();
         let admitting = admit_attempt(context, request, &needs, caller, journal);
-        let admitted = guard.before_send(admitting).await.flatten();
-        let lease = admitted.map_err(|refusal| adjust_refusal(request, &history, refusal))?;
+        let admitted = guard.before_send(admitting).await;
+        if admitted.is_err() {
+            journal.record_wait(waiting_since.elapsed());
+        }
+        let lease = admitted.flatten();
+        let lease = lease.map_err(|refusal| adjust_refusal(request, &history, refusal))?;
         let endpoint = lease.endpoint.id.clone();
         let attempted = endpoint_origin(request, &lease.endpoint);
         journal.record.endpoint_version = lease.endpoint.version.as_ref().map(ToString::to_string);
--- a/coltsfootgate/src/pipeline/route.rs
+++ b/coltsfootgate/src/pipeline/route.rs
@@ -7,7 +7,7 @@
 use coltsfootgate_core::routing::{RequestRoute, RouteReply, RouteRequest, RouteStep};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use monoio::time::timeout;
+use monoio::time::{sleep, timeout};
 
 use super::context::PipelineContext;
 use super::guard::ExchangeGuard;
@@ -120,21 +120,36 @@
                     Ok(result) => return result,
                     Err(step) => step,
                 },
+                Ok(None) if context.routes.awaits_owner(&self.route) => {
+                    sleep(RECONSIDER_PERIOD).await;
+                    match self.reconsider() {
+                        Ok(step) => step,
+                        Err(kind) => return self.refused(kind),
+                    }
+                }
                 Ok(None) => {
                     return self.refused(self.route.refusal.unwrap_or(ErrorKind::NoEndpoint));
                 }
                 Err(_) => {
                     reconsider_after = RECONSIDER_PERIOD;
-                    if !self.guard.allows_wait(self.started_at, self.expected_wait()) {
-                        return self.refused(ErrorKind::InstanceLeaving);
+                    match self.reconsider() {
+                        Ok(step) => step,
+                        Err(kind) => return self.refused(kind),
                     }
-                    self.note_silent_owners();
-                    context.routes.reconsider(&mut self.route)
                 }
             };
         }
     }
 
+    /// Returns the next step of a request that waits, or the reason for which it should not wait any longer.
+    fn reconsider(&mut self) -> Result<RouteStep, ErrorKind> {
+        if !self.guard.allows_wait(self.started_at, self.expected_wait()) {
+            return Err(ErrorKind::InstanceLeaving);
+        }
+        self.note_silent_owners();
+        Ok(self.context.routes.reconsider(&mut self.route))
+    }
+
     fn expected_wait(&self) -> Duration {
         self.context.routes.expected_wait(&self.route)
     }
@@ -194,7 +209,10 @@
             RouteReply::Refused(kind, _) => *kind,
             RouteReply::Busy(_) | RouteReply::Unresponsive => ErrorKind::NoEndpoint,
         };
-        if !self.route.joined_queues.is_empty() || self.route.asked_since.is_some() {
+        let is_asking = !self.route.joined_queues.is_empty() || self.route.asked_since.is_some();
+        let awaits_owner =
+            kind == ErrorKind::NoEndpoint && self.context.routes.awaits_owner(&self.route);
+        if is_asking || awaits_owner {
             self.route.refusal.get_or_insert(kind);
             return Err(RouteStep::Wait);
         }
--- a/coltsfootgate/src/routes/mod.rs
+++ b/coltsfootgate/src/routes/mod.rs
@@ -190,6 +190,11 @@
         self.0.borrow_mut().policy.reconsider(route, Instant::now())
     }
 
+    /// Whether a request that no owner serves should wait, since the endpoints are changing their owner.
+    pub fn awaits_owner(&self, route: &RequestRoute) -> bool {
+        self.0.borrow().policy.awaits_owner(route, Instant::now())
+    }
+
     /// Records a grant, or a request that is sent without an owner's grant.
     pub fn record_grant(
         &self,
--- a/coltsfootgate/tests/instances.rs
+++ b/coltsfootgate/tests/instances.rs
@@ -132,6 +132,14 @@
     endpoints.iter().filter_map(|endpoint| endpoint["in_flight"].as_u64()).sum()
 }
 
+/// The number of requests that wait in the queues of an instance.
+fn waiting_requests(daemon: &TestDaemon) -> u64 {
+    let status = daemon.status();
+    let queues = status["queues"].as_array().cloned().unwrap_or_default();
+    let waiting = queues.iter().flat_map(|queue| queue["waiting_by_tier"].as_array()).flatten();
+    waiting.filter_map(Value::as_u64).sum()
+}
+
 fn limit_to_one_slot(tree: String) -> String {
     tree.replace("slots = 4\nslots_max = 8", "slots = 1\nslots_max = 1")
 }
@@ -236,6 +244,32 @@
     assert!(long_call(9).send(setup.daemons[0].ports.callers).is_complete());
 }
 
+/// Guards against refusals for lack of an endpoint when the owner of a queue leaves: what waits there moves to
+/// the new owner, also at an instance that is leaving itself.
+#[test]
+fn requests_that_wait_at_an_owner_that_leaves_are_served_by_the_next_one() {
+    let slow = EngineSettings { step_base: Duration::from_millis(2), ..Default::default() };
+    let setup = start_with_engines(3, 1, &slow, limit_to_one_slot);
+    let owns = |daemon: &&TestDaemon| owned_endpoints(daemon).contains(&FIRST_ENGINE.to_owned());
+    let owner = setup.daemons.iter().find(owns).unwrap();
+    let others: Vec<_> = setup.daemons.iter().filter(|daemon| !owns(daemon)).collect();
+    let (entry, last) = (others[0], others[1]);
+    let running =
+        TestCall::stream("describe every wheel of railcar 0", 2000).start(last.ports.callers);
+    entry.wait_for("a running request", || (setup.running_requests() == 1).then_some(()));
+    let waiting =
+        [1, 2].map(|index| TestCall::stream(&format!("car {index}"), 8).start(entry.ports.callers));
+    owner.wait_for("waiting requests", || (waiting_requests(owner) == 2).then_some(()));
+    entry.terminate();
+    owner.wait_log(&format!("instance {} is leaving", entry.ports.peers));
+    owner.terminate();
+    for call in waiting {
+        let answer = call.join().unwrap();
+        assert!(answer.is_complete(), "{answer:?}");
+    }
+    assert!(running.join().unwrap().is_complete());
+}
+
 #[test]
 fn a_restarted_instance_does_not_reuse_grant_ids() {
     let first_ids = [(); 8].map(|()| coltsfootgate::pipeline::GrantCounter::default().next());
--- a/coltsfootgate_core/src/routing/cooperative.rs
+++ b/coltsfootgate_core/src/routing/cooperative.rs
@@ -31,6 +31,8 @@
 /// Time without any answer after which a request also asks for the fallback share. An owner that stands still
 /// is noticed by each entry on its own, so that the first request of each must not wait until that is certain.
 const HEDGE_DELAY: Duration = Duration::from_millis(50);
+/// Time within which an entry learns of the new owner after the old one has given up its endpoints.
+const OWNER_CHANGE_TIME: Duration = Duration::from_secs(1);
 /// Interval at which a better owner is looked for while a request waits.
 const RECONSIDER_PERIOD: Duration = Duration::from_millis(50);
 
@@ -137,6 +139,7 @@
         let has_endpoints =
             self.pools.get(&route.request.pool).is_some_and(|pool| pool.has_endpoints);
         match route.refusal {
+            Some(ErrorKind::NoEndpoint) if has_endpoints && route.asked_fallback => RouteStep::Wait,
             None | Some(ErrorKind::NoEndpoint) if has_endpoints => {
                 route.asked_fallback = true;
                 RouteStep::AskFallbackShare
@@ -146,6 +149,12 @@
         }
     }
 
+    /// The owner that replaces one which has given up its endpoints, if this entry knows it already.
+    fn replacing_owner(&self, route: &RequestRoute, now: Instant) -> Option<InstanceId> {
+        route.disowned_at?;
+        self.best_owner(route, now, |_, view| !view.is_silent())
+    }
+
     /// The step of a request that waits for the answer of an owner which must not queue it.
     fn hedge_step(&self, route: &mut RequestRoute, now: Instant) -> RouteStep {
         let is_slow = route
@@ -238,7 +247,10 @@
             return RouteStep::Wait;
         }
         if route.joined_queues.is_empty() {
-            return self.hedge_step(route, now);
+            return match self.replacing_owner(route, now) {
+                Some(owner) => self.join_queue(route, owner),
+                None => self.hedge_step(route, now),
+            };
         }
         route.reconsidered_at = Some(now);
         let joined_queues = route.joined_queues.clone();
@@ -264,6 +276,13 @@
         }
     }
 
+    fn awaits_owner(&self, route: &RequestRoute, now: Instant) -> bool {
+        let pool = self.pools.get(&route.request.pool);
+        let has_endpoints = pool.is_some_and(|pool| pool.has_endpoints);
+        let is_recent = |at| now.saturating_duration_since(at) < OWNER_CHANGE_TIME;
+        has_endpoints && route.disowned_at.is_some_and(is_recent)
+    }
+
     fn set_silent(&mut self, owner: &InstanceId, is_silent: bool) {
         let views = self.pools.values_mut().filter_map(|pool| pool.owners.get_mut(owner));
         views.for_each(|view| view.set_silent(is_silent));
@@ -297,6 +316,9 @@
                     route.refused.clear();
                 }
                 route.refused.push(owner.clone());
+                if *kind == ErrorKind::NoEndpoint {
+                    route.disowned_at.get_or_insert(now);
+                }
                 // A lack of capacity tells the caller more than a lack of endpoints.
                 if *kind != ErrorKind::NoEndpoint || route.refusal.is_none() {
                     route.refusal = Some(*kind);
--- a/coltsfootgate_core/src/routing/local.rs
+++ b/coltsfootgate_core/src/routing/local.rs
@@ -63,6 +63,10 @@
         RouteStep::Wait
     }
 
+    fn awaits_owner(&self, _: &RequestRoute, _: Instant) -> bool {
+        false
+    }
+
     fn set_silent(&mut self, _: &InstanceId, _: bool) {}
 
     fn granted(&mut self, _: &RequestRoute, _: Option<&InstanceId>, _: &EndpointId) {}
@@ -139,6 +143,10 @@
         RouteStep::Wait
     }
 
+    fn awaits_owner(&self, _: &RequestRoute, _: Instant) -> bool {
+        false
+    }
+
     fn set_silent(&mut self, _: &InstanceId, _: bool) {}
 
     fn granted(&mut self, route: &RequestRoute, _: Option<&InstanceId>, endpoint: &EndpointId) {
--- a/coltsfootgate_core/src/routing/mod.rs
+++ b/coltsfootgate_core/src/routing/mod.rs
@@ -71,6 +71,8 @@
     pub asked_fallback: bool,
     /// When a better owner was last looked for while it waited.
     pub reconsidered_at: Option<Instant>,
+    /// When an owner first answered that it owns no endpoint of the pool any more.
+    pub disowned_at: Option<Instant>,
 }
 
 impl RequestRoute {
@@ -86,6 +88,7 @@
             asked_since: None,
             asked_fallback: false,
             reconsidered_at: None,
+            disowned_at: None,
         }
     }
 
@@ -162,6 +165,9 @@
     /// Returns the step for a request that waits: `Ask` another owner as well, or `Wait`.
     fn reconsider(&mut self, route: &mut RequestRoute, now: Instant) -> RouteStep;
 
+    /// Whether a request that no owner serves should wait, since the endpoints are changing their owner.
+    fn awaits_owner(&self, route: &RequestRoute, now: Instant) -> bool;
+
     /// Records that an owner does not answer, or that it was heard again.
     fn set_silent(&mut self, owner: &InstanceId, is_silent: bool);
 
--- a/coltsfootgate_core/src/routing/strategy.rs
+++ b/coltsfootgate_core/src/routing/strategy.rs
@@ -80,6 +80,10 @@
         forward!(self, policy => policy.reconsider(route, now))
     }
 
+    fn awaits_owner(&self, route: &RequestRoute, now: Instant) -> bool {
+        forward!(self, policy => policy.awaits_owner(route, now))
+    }
+
     fn set_silent(&mut self, owner: &InstanceId, is_silent: bool) {
         forward!(self, policy => policy.set_silent(owner, is_silent))
     }
--- a/coltsfootgate_core/tests/routing.rs
+++ b/coltsfootgate_core/tests/routing.rs
@@ -243,6 +243,39 @@
     assert_eq!(policy.reconsider(&mut route, at(180)), RouteStep::Wait);
 }
 
+/// An owner that leaves refuses what waits there before each entry knows its successor.
+#[test]
+fn a_request_whose_owner_gave_up_its_endpoints_joins_the_queue_of_the_next_one() {
+    let now = Instant::now();
+    let mut policy = single_owner_policy();
+    let mut route = route(3, None, now);
+    policy.first_step(&mut route, now);
+    let disowned = RouteReply::Refused(ErrorKind::NoEndpoint, OwnerPressure::default());
+    let step = policy.next_step(&mut route, &owner_id(0), disowned.clone(), now);
+    assert_eq!(step, RouteStep::AskFallbackShare);
+    assert!(policy.awaits_owner(&route, now));
+    assert_eq!(policy.reconsider(&mut route, now), RouteStep::Wait);
+    let next = locations().into_iter().skip(1).take(1).collect();
+    policy.set_pool(&POOL.into(), next, vec!["endpoints.e0".into()]);
+    let step = policy.reconsider(&mut route, now);
+    assert_eq!(step, RouteStep::Ask { owner: owner_id(1), wait: true });
+    // Owners that never have the endpoints are not waited for.
+    let step = policy.next_step(&mut route, &owner_id(1), disowned, now);
+    assert_eq!(step, RouteStep::Wait);
+    assert!(!policy.awaits_owner(&route, now + Duration::from_secs(1)));
+}
+
+#[test]
+fn no_owner_is_awaited_for_a_pool_without_endpoints() {
+    let now = Instant::now();
+    let mut policy = CooperativePolicy::new("zone-a".into());
+    policy.set_pool(&POOL.into(), locations(), Vec::new());
+    let mut route = route(3, None, now);
+    let disowned = RouteReply::Refused(ErrorKind::NoEndpoint, OwnerPressure::default());
+    policy.next_step(&mut route, &owner_id(0), disowned, now);
+    assert!(!policy.awaits_owner(&route, now));
+}
+
 #[test]
 fn waiting_request_joins_a_second_queue_and_asks_an_idle_owner() {
     let now = Instant::now();
