Do not answer "not run" where a request's task ends without an answer

The handler of a connection answered 503, which promises that the request did not run, if the task of a request was dropped without an answer; the task may have sent it. It answers 502 now, whose outcome is unknown.

--- a/coltsfootgate/src/entry/caller.rs
+++ b/coltsfootgate/src/entry/caller.rs
@@ -41,6 +41,23 @@
     pub guard: ConnectionGuard,
 }
 
+impl AnswerReceiver {
+    /// Waits for the answer.
+    ///
+    /// A task that was dropped without an answer may have sent the request, so its caller must not be told that
+    /// the request did not run.
+    pub async fn receive(self) -> Response<AnswerBody> {
+        match self.head.await {
+            Ok(response) => response.map(|body| body.with_connection(self.guard)),
+            Err(_) => {
+                let mut response = Response::new(AnswerBody::full(Bytes::new()));
+                *response.status_mut() = StatusCode::BAD_GATEWAY;
+                response
+            }
+        }
+    }
+}
+
 impl CallerLink {
     /// Creates both ends of a link.
     pub fn new() -> (Self, AnswerReceiver) {
--- a/coltsfootgate/src/pipeline/gate.rs
+++ b/coltsfootgate/src/pipeline/gate.rs
@@ -107,15 +107,7 @@
     async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
         let (caller, receiver) = CallerLink::new();
         self.start_request(request, caller).await;
-        match receiver.head.await {
-            Ok(response) => response.map(|body| body.with_connection(receiver.guard)),
-            // A task is dropped without an answer only while the process shuts down.
-            Err(_) => {
-                let mut response = Response::new(AnswerBody::full(Bytes::new()));
-                *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-                response
-            }
-        }
+        receiver.receive().await
     }
 
     fn connection_failed(&self, kind: ErrorKind) {
