Let the dialect say what paths and headers mean, so that none shows on the platform

Cause: the pipeline compared paths before any dialect was asked. The class is an own interface that shows through on the platform.

Ruled out: a route that is not in force yet (other requests on it are served at that moment).

--- a/coltsfootgate/src/dialect/mod.rs
+++ b/coltsfootgate/src/dialect/mod.rs
@@ -12,7 +12,9 @@
 use coltsfootgate_core::prelude::EndpointSettings;
 use coltsfootgate_core::prompt::PromptPart;
 
-pub use self::native::{NativeCallers, NativeDialect, NativeEndpoints};
+pub use self::native::{
+    MODEL_PATHS, NativeCallers, NativeDialect, NativeEndpoints, OWN_HEADERS, RECORD_HEADERS,
+};
 use crate::endpoint::EndpointFailure;
 use crate::endpoints::EndpointDirectory;
 use crate::entry::Refusal;
@@ -76,6 +78,15 @@
     pub answer_tokens: u32,
 }
 
+/// The meaning of a path in the protocol of model engines.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ModelPath {
+    /// The list of models, which the daemon answers itself.
+    List,
+    /// Requests that name their model in the body, which chooses the pool.
+    Completion,
+}
+
 /// The protocol between callers and the daemon.
 pub trait CallerDialect: 'static {
     /// Parses the metadata of a request from its head.
@@ -85,6 +96,12 @@
     /// Returns the refusal to send if a header is malformed.
     fn read_head(head: &Parts) -> Result<RequestMetadata, Refusal>;
 
+    /// What the path of a request means by itself; `None` if only the settings tree says what serves it.
+    fn model_path(path: &str) -> Option<ModelPath>;
+
+    /// Whether a header of an endpoint's answer is not forwarded, since only the daemon may set it.
+    fn is_record_header(name: &str) -> bool;
+
     /// The headers of an answer that report the request's outcome and the decisions about it.
     fn record_headers(record: &DecisionRecord) -> HeaderMap;
 
--- a/coltsfootgate/src/dialect/native.rs
+++ b/coltsfootgate/src/dialect/native.rs
@@ -10,15 +10,15 @@
 use coltsfootgate_core::prelude::ErrorKind;
 
 use super::{
-    AnswerNotice, AttemptContext, CallerDialect, Dialect, EndpointDialect, PromptMetadata,
-    RequestMetadata, check_echoed_id,
+    AnswerNotice, AttemptContext, CallerDialect, Dialect, EndpointDialect, ModelPath,
+    PromptMetadata, RequestMetadata, check_echoed_id,
 };
 use crate::endpoint::{
     EndpointFailure, NOT_STARTED_HEADER, PRIORITY_HEADER, RATE_LIMIT_HEADER, REQUEST_ID_HEADER,
     RESUME_HEADER,
 };
 use crate::entry::Refusal;
-use crate::entry::answer::{CONFIG_VERSION, OUTCOME, REASON, REQUEST_ID, RULE};
+use crate::entry::answer::{CONFIG_VERSION, OUTCOME, REASON, REPLAYED, REQUEST_ID, RULE};
 use crate::entry::head::{bearer_key, header_text, malformed, positive_duration};
 use crate::entry::request::{
     DEADLINE, ENTRY_RULE, IDEMPOTENCY_KEY, IDEMPOTENCY_KEY_BYTES_MAX, NOT_REPEATABLE,
@@ -29,6 +29,28 @@
 use crate::pipeline::dispatch::forwarded_headers;
 use crate::platform::HttpPlatform;
 
+/// The prefix of the headers that only the daemon sets in answers.
+const RECORD_PREFIX: &str = "coltsfootgate-";
+/// The path of the list of models.
+const MODELS_PATH: &str = "/v1/models";
+/// The paths of requests that name their model in the body.
+const COMPLETION_PATHS: [&str; 2] = ["/v1/chat/completions", "/v1/completions"];
+/// The paths that have a meaning of their own in the native dialect.
+pub const MODEL_PATHS: [&str; 3] = [MODELS_PATH, COMPLETION_PATHS[0], COMPLETION_PATHS[1]];
+/// The headers that the daemon adds to answers in the native dialect.
+pub const RECORD_HEADERS: [&str; 6] = [REQUEST_ID, OUTCOME, REASON, RULE, CONFIG_VERSION, REPLAYED];
+/// The other headers that have a meaning of their own in the native dialect, in requests and answers.
+pub const OWN_HEADERS: [&str; 8] = [
+    DEADLINE,
+    NOT_REPEATABLE,
+    IDEMPOTENCY_KEY,
+    REQUEST_ID_HEADER,
+    PRIORITY_HEADER,
+    RESUME_HEADER,
+    NOT_STARTED_HEADER,
+    RATE_LIMIT_HEADER,
+];
+
 /// Headers of callers that are not forwarded to endpoints, besides hop-by-hop headers.
 const WITHHELD_HEADERS: &[&str] = &[
     "authorization",
@@ -78,6 +100,18 @@
         })
     }
 
+    fn model_path(path: &str) -> Option<ModelPath> {
+        match path {
+            MODELS_PATH => Some(ModelPath::List),
+            _ if COMPLETION_PATHS.contains(&path) => Some(ModelPath::Completion),
+            _ => None,
+        }
+    }
+
+    fn is_record_header(name: &str) -> bool {
+        name.starts_with(RECORD_PREFIX)
+    }
+
     fn record_headers(record: &DecisionRecord) -> HeaderMap {
         let mut headers = HeaderMap::new();
         let version = record.config_version.to_string();
--- a/coltsfootgate/src/pipeline/classify.rs
+++ b/coltsfootgate/src/pipeline/classify.rs
@@ -18,7 +18,7 @@
 
 use super::digest::request_digest;
 use super::identify::IdentifiedRequest;
-use crate::dialect::PromptMetadata;
+use crate::dialect::{CallerDialect, ModelPath, PromptMetadata};
 use crate::entry::{AcceptedRequest, Refusal};
 use crate::tree::ActiveTree;
 
@@ -106,11 +106,13 @@
 /// # Errors
 ///
 /// Refuses a request that lacks a required API key, is malformed, or matches no pool.
-pub fn classify_request(identified: IdentifiedRequest) -> Result<ClassifiedRequest, Refusal> {
+pub fn classify_request<D: CallerDialect>(
+    identified: IdentifiedRequest,
+) -> Result<ClassifiedRequest, Refusal> {
     let customer = find_customer(&identified)?;
     let IdentifiedRequest { accepted, active, .. } = identified;
     let class = classify(&accepted, &active, &customer.id, None);
-    let matched = match_pool(&accepted, &active, &class)?;
+    let matched = match_pool::<D>(&accepted, &active, &class)?;
     let class = match &matched.model {
         Some(model) => classify(&accepted, &active, &customer.id, Some(model)),
         None => class,
@@ -171,7 +173,7 @@
     })
 }
 
-fn match_pool(
+fn match_pool<D: CallerDialect>(
     accepted: &AcceptedRequest,
     active: &ActiveTree,
     class: &ClassSettings,
@@ -181,9 +183,9 @@
         let prefix = shared_prefix(&accepted.metadata.prompt);
         return Ok(PoolMatch { model: None, form, pool, prefix });
     }
-    match &*accepted.path {
-        "/v1/chat/completions" | "/v1/completions" => match_model_pool(accepted, active),
-        _ => match_service_pool(accepted, active),
+    match D::model_path(&accepted.path) {
+        Some(ModelPath::Completion) => match_model_pool(accepted, active),
+        Some(ModelPath::List) | None => match_service_pool(accepted, active),
     }
 }
 
--- a/coltsfootgate/src/pipeline/dispatch.rs
+++ b/coltsfootgate/src/pipeline/dispatch.rs
@@ -8,7 +8,7 @@
 use super::classify::{AnswerForm, ClassifiedRequest};
 use super::context::PipelineContext;
 use super::lease::GrantLease;
-use crate::dialect::{AttemptContext, EndpointDialect};
+use crate::dialect::{AttemptContext, CallerDialect, EndpointDialect};
 use crate::endpoint::{EndpointAnswer, EndpointClient, EndpointFailure, EndpointRequest};
 
 /// Hop-by-hop headers, which are not forwarded.
@@ -83,8 +83,8 @@
 }
 
 /// Copies the headers of an endpoint's answer that are forwarded to the caller.
-pub fn answer_headers(headers: &HeaderMap) -> HeaderMap {
-    let mut forwarded = forwarded_headers(headers, |name| name.starts_with("coltsfootgate-"));
+pub fn answer_headers<D: CallerDialect>(headers: &HeaderMap) -> HeaderMap {
+    let mut forwarded = forwarded_headers(headers, D::is_record_header);
     forwarded.remove(header::CONTENT_LENGTH);
     forwarded
 }
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -28,7 +28,7 @@
 use super::relay::{RelayEnd, RelayTask};
 use super::resume::{endpoint_origin, find_origin, required_version};
 use super::settle::{RequestEnd, settle_request};
-use crate::dialect::{Dialect, EndpointDialect};
+use crate::dialect::{CallerDialect, Dialect, EndpointDialect};
 use crate::endpoint::{EndpointAnswer, EndpointFailure};
 use crate::entry::{AcceptedRequest, CallerLink, Refusal};
 
@@ -42,7 +42,7 @@
     mut caller: CallerLink,
 ) {
     let mut journal = RequestJournal::from_accepted(&accepted, &context.own);
-    let mut request = match prepare_request(&context, accepted, &mut journal) {
+    let mut request = match prepare_request::<D::Callers>(&context, accepted, &mut journal) {
         Ok(request) => request,
         Err(refusal) => {
             let end = RequestEnd::Refused(refusal);
@@ -62,7 +62,7 @@
 }
 
 /// Runs the stages that decide without waiting.
-fn prepare_request(
+fn prepare_request<D: CallerDialect>(
     context: &PipelineContext,
     accepted: AcceptedRequest,
     journal: &mut RequestJournal,
@@ -76,7 +76,7 @@
     if identified.accepted.metadata.bearer.is_some() {
         check_settings_age(context.tree.age(), context.config_age_max)?;
     }
-    let request = classify_request(identified)?;
+    let request = classify_request::<D>(identified)?;
     journal.record_class(&request);
     Ok(request)
 }
--- a/coltsfootgate/src/pipeline/gate.rs
+++ b/coltsfootgate/src/pipeline/gate.rs
@@ -17,15 +17,12 @@
 use super::identify::identify_customer;
 use super::journal::RequestJournal;
 use super::settle::{RequestEnd, ServedAnswer, settle_request};
-use crate::dialect::Dialect;
+use crate::dialect::{CallerDialect, Dialect, ModelPath};
 use crate::entry::listener::RequestHandler;
 use crate::entry::request::{RequestBounds, accept_request, new_request_id};
 use crate::entry::{AcceptedRequest, AnswerBody, CallerLink, Refusal};
 use crate::metrics::NO_CLASS;
 
-/// The path of the list of models.
-const MODELS_PATH: &str = "/v1/models";
-
 /// Handles callers' requests with the pipeline.
 pub struct PipelineHandler<D> {
     dialect: PhantomData<D>,
@@ -52,7 +49,7 @@
             }
         };
         match accepted {
-            Ok(accepted) if is_model_list(&accepted) => {
+            Ok(accepted) if is_model_list::<D::Callers>(&accepted) => {
                 self.list_models(accepted, caller).await;
             }
             Ok(accepted) => {
@@ -116,6 +113,6 @@
     }
 }
 
-fn is_model_list(accepted: &AcceptedRequest) -> bool {
-    accepted.method == Method::GET && &*accepted.path == MODELS_PATH
+fn is_model_list<D: CallerDialect>(accepted: &AcceptedRequest) -> bool {
+    accepted.method == Method::GET && D::model_path(&accepted.path) == Some(ModelPath::List)
 }
--- a/coltsfootgate/src/pipeline/relay/body.rs
+++ b/coltsfootgate/src/pipeline/relay/body.rs
@@ -29,7 +29,7 @@
         journal: &mut RequestJournal,
     ) -> Result<ServedAnswer, RelayEnd> {
         let EndpointAnswer { status, headers, mut stream } = answer;
-        let headers = answer_headers(&headers);
+        let headers = answer_headers::<D>(&headers);
         self.measurements.first_token = Some(self.sent_at.elapsed());
         let (mut buffered, mut share) = (BytesMut::new(), self.context.buffers.share());
         while let Some(piece) = self.next_piece(&mut stream, caller).await? {
