Do not take one of two origins of a stream for certain

What callers saw: a stream whose id had begun at two versions, because its caller used the id twice, was continued at one of them: at the instance that had served either, and wherever one of those was among the instances that were asked.

Cause: each instance knows only what it recorded itself or was told. The lookup ended with this instance's own record, or with the first answer that named an origin; a holder that knew both answered like one that knows nothing.

Ruled out: a new reply, which would make builds side by side strangers to each other.

--- a/coltsfootgate/src/peer/dispatch.rs
+++ b/coltsfootgate/src/peer/dispatch.rs
@@ -84,7 +84,7 @@
                 let _ = reply.send(PeerReply::Accepted);
             }
             PeerRequest::FindStream(key) => {
-                let _ = reply.send(PeerReply::Stream(self.streams.find_local(&key)));
+                let _ = reply.send(self.streams.answer(&key));
             }
             PeerRequest::ReportCrash(report) => {
                 self.quarantine.send(QuarantineMessage::Crash(report));
--- a/coltsfootgate/src/pipeline/resume.rs
+++ b/coltsfootgate/src/pipeline/resume.rs
@@ -4,7 +4,7 @@
 
 use coltsfootgate_core::comeback::retry_after_delay;
 use coltsfootgate_core::prelude::{EndpointSettings, ErrorKind, SoftwareVersion};
-use coltsfootgate_core::stream::{StreamKey, StreamOrigin, record_lifetime};
+use coltsfootgate_core::stream::{RecordedOrigin, StreamKey, StreamOrigin, record_lifetime};
 
 use super::admit::refusal;
 use super::classify::{AnswerForm, ClassifiedRequest};
@@ -56,10 +56,12 @@
     let key = resumption.stream.as_ref().and_then(|stream| stream_key(request, stream));
     let recorded = match &key {
         Some(key) => context.streams.find(key).await,
-        None => None,
+        None => RecordedOrigin::Unknown,
     };
-    if recorded.is_some() {
-        return (recorded, "record");
+    match recorded {
+        RecordedOrigin::Known(origin) => return (Some(origin), "record"),
+        RecordedOrigin::Conflicting => return (None, "conflicting-records"),
+        RecordedOrigin::Unknown => {}
     }
     match context.streams.sole_origin(request.class.timeout * STREAM_AGE_FACTOR).await {
         Ok(origin) => (Some(origin), "sole-origin"),
--- a/coltsfootgate/src/streams/mod.rs
+++ b/coltsfootgate/src/streams/mod.rs
@@ -16,12 +16,12 @@
 
 use coltsfootgate_core::prelude::InstanceId;
 use coltsfootgate_core::rendezvous::{OwnerTable, stable_hash};
-use coltsfootgate_core::stream::{StreamBook, StreamKey, StreamOrigin};
+use coltsfootgate_core::stream::{RecordedOrigin, StreamBook, StreamKey, StreamOrigin};
 use coltsfootgate_wire::{PeerReply, PeerRequest};
 
 use crate::clock;
 use crate::members::{MemberChange, MembersHandle};
-use crate::peer::PeerHandle;
+use crate::peer::{PeerError, PeerHandle};
 
 pub use self::origins::{OriginsHandle, OriginsTask};
 
@@ -39,6 +39,8 @@
 const RECORD_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time limit for the answer to a question about a stream.
 const FIND_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest time for which an answer that names an origin waits for others, which may contradict it.
+const CONTRADICTION_WAIT: Duration = Duration::from_millis(50);
 
 /// Why it is not known where a stream without a record began.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -110,30 +112,33 @@
         self.0.book.borrow_mut().record(key, origin, expires, clock::now());
     }
 
-    /// Where a stream began, if this instance has a record of it.
-    pub fn find_local(&self, key: &StreamKey) -> Option<StreamOrigin> {
-        self.0.book.borrow().find(key, clock::now())
+    /// What this instance knows about where a stream began, as the reply to another one.
+    pub fn answer(&self, key: &StreamKey) -> PeerReply {
+        match self.0.book.borrow().find(key, clock::now()) {
+            RecordedOrigin::Unknown => PeerReply::Stream(None),
+            RecordedOrigin::Known(origin) => PeerReply::Stream(Some(origin)),
+            RecordedOrigin::Conflicting => PeerReply::Accepted,
+        }
     }
 
-    /// Where a stream began, according to this instance or others.
-    pub async fn find(&self, key: &StreamKey) -> Option<StreamOrigin> {
-        if let Some(origin) = self.find_local(key) {
-            return Some(origin);
-        }
-        let deadline = clock::now() + FIND_TIMEOUT;
+    /// Where a stream began, according to this instance and others.
+    pub async fn find(&self, key: &StreamKey) -> RecordedOrigin {
+        let started = clock::now();
+        let mut found = self.0.book.borrow().find(key, started);
         let asked = self.ranked_instances(key).into_iter().take(ASKED_INSTANCES);
         let mut answers: FuturesUnordered<_> = asked
             .map(|instance| async move {
                 let request = PeerRequest::FindStream(key.clone());
-                self.0.peers.call(&instance, request, deadline).await
+                self.0.peers.call(&instance, request, started + FIND_TIMEOUT).await
             })
             .collect();
-        while let Some(answer) = answers.next().await {
-            if let Ok(PeerReply::Stream(Some(origin))) = answer {
-                return Some(origin);
-            }
+        while found != RecordedOrigin::Conflicting {
+            let wait =
+                if found == RecordedOrigin::Unknown { FIND_TIMEOUT } else { CONTRADICTION_WAIT };
+            let Ok(Some(answer)) = timeout(wait, answers.next()).await else { break };
+            found = found.join(stated_origin(answer));
         }
-        None
+        found
     }
 
     /// The origins that streams may have.
@@ -161,6 +166,15 @@
     }
 }
 
+/// What an instance that was asked about a stream knows.
+fn stated_origin(answer: Result<PeerReply, PeerError>) -> RecordedOrigin {
+    match answer {
+        Ok(PeerReply::Stream(Some(origin))) => RecordedOrigin::Known(origin),
+        Ok(PeerReply::Accepted) => RecordedOrigin::Conflicting,
+        Ok(_) | Err(_) => RecordedOrigin::Unknown,
+    }
+}
+
 /// Passes the live instances to a register until the membership task has ended.
 pub async fn follow_instances(members: MembersHandle, streams: StreamRegister) {
     let mut changes = members.subscribe();
--- a/coltsfootgate_core/src/stream.rs
+++ b/coltsfootgate_core/src/stream.rs
@@ -49,10 +49,40 @@
     pub version: Option<SoftwareVersion>,
 }
 
+/// What is recorded about where a stream began.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum RecordedOrigin {
+    /// Nothing is recorded.
+    #[default]
+    Unknown,
+    /// The stream began here.
+    Known(StreamOrigin),
+    /// Streams with the same key began at different origins, and cannot be told apart.
+    Conflicting,
+}
+
+impl RecordedOrigin {
+    /// The origin, if it is known.
+    pub fn known(self) -> Option<StreamOrigin> {
+        match self {
+            Self::Known(origin) => Some(origin),
+            Self::Unknown | Self::Conflicting => None,
+        }
+    }
+
+    /// What is recorded at two instances together.
+    pub fn join(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Unknown, known) | (known, Self::Unknown) => known,
+            (Self::Known(one), Self::Known(other)) if one == other => Self::Known(one),
+            _ => Self::Conflicting,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct StreamRecord {
-    /// `None` if two streams with the same key began at different versions.
-    origin: Option<StreamOrigin>,
+    origin: RecordedOrigin,
     expires: Instant,
     /// Distinguishes records that expire at the same time.
     number: u64,
@@ -75,12 +105,11 @@
     pub fn record(&mut self, key: StreamKey, origin: StreamOrigin, expires: Instant, now: Instant) {
         self.remove_expired(now);
         self.records_made += 1;
-        let mut record = StreamRecord { origin: Some(origin), expires, number: self.records_made };
+        let origin = RecordedOrigin::Known(origin);
+        let mut record = StreamRecord { origin, expires, number: self.records_made };
         if let Some(known) = self.records.get(&key) {
             record.expires = record.expires.max(known.expires);
-            if known.origin != record.origin {
-                record.origin = None;
-            }
+            record.origin = record.origin.join(known.origin.clone());
             self.expiries.remove(&(known.expires, known.number));
         }
         self.expiries.insert((record.expires, record.number), key.clone());
@@ -90,10 +119,10 @@
         }
     }
 
-    /// The origin of a stream, if it is known.
-    pub fn find(&self, key: &StreamKey, now: Instant) -> Option<StreamOrigin> {
-        let record = self.records.get(key).filter(|record| now < record.expires)?;
-        record.origin.clone()
+    /// What is recorded about the origin of a stream.
+    pub fn find(&self, key: &StreamKey, now: Instant) -> RecordedOrigin {
+        let record = self.records.get(key).filter(|record| now < record.expires);
+        record.map_or(RecordedOrigin::Unknown, |record| record.origin.clone())
     }
 
     /// Number of records.
--- a/coltsfootgate_wire/src/message.rs
+++ b/coltsfootgate_wire/src/message.rs
@@ -91,7 +91,8 @@
         /// When the record expires.
         expires: Instant,
     },
-    /// Asks where a stream began.
+    /// Asks where a stream began. The reply is [`PeerReply::Stream`], or [`PeerReply::Accepted`] if streams with
+    /// the key began at several origins, which earlier builds take for a stream that is not recorded.
     FindStream(StreamKey),
     /// Reports the requests of the sender that were lost in the crash of an endpoint.
     ReportCrash(CrashReport),
