Let records of streams outlive the instances that made them

Cause: which version began a stream was known to the entry and to two instances that were live then. Leaving instances were neither asked nor recorded at, though they answer for seconds, and nothing moved a record when those that held it went.

While somebody who may know cannot be asked, the caller waits up to a second.

--- a/coltsfootgate/src/daemon.rs
+++ b/coltsfootgate/src/daemon.rs
@@ -32,7 +32,8 @@
 
 /// Interval at which a shutdown checks whether all requests in flight have ended.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(20);
-/// Longest time that a shutdown waits until the outcomes of claimed requests are recorded.
+/// Longest time that a shutdown waits until other instances have the outcomes of claimed requests and the records of
+/// streams.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest time that a shutdown waits until the last log lines are written.
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
@@ -240,7 +241,11 @@
         open => warn!("shut down: the grace time passed with {open} connections of callers open"),
     }
     let settle_until = (Instant::now() + SETTLE_TIMEOUT).min(schedule.exits_by);
-    while handles.context.claims.open_settlements() > 0 && Instant::now() < settle_until {
+    let is_open = || {
+        let context = &handles.context;
+        context.claims.open_settlements() > 0 || context.streams.has_open_deliveries()
+    };
+    while is_open() && Instant::now() < settle_until {
         monoio::time::sleep(DRAIN_POLL_PERIOD).await;
     }
 }
--- a/coltsfootgate/src/members/mod.rs
+++ b/coltsfootgate/src/members/mod.rs
@@ -29,6 +29,12 @@
     pub locations: Vec<OwnerLocation>,
     /// Assigns owners among these instances.
     pub owners: OwnerTable,
+    /// The live instances, which may include this one.
+    pub live: OwnerTable,
+    /// The instances that are leaving, which may include this one; they answer until they have left.
+    pub leaving: OwnerTable,
+    /// Whether every listed instance was heard, or was silent for so long that it counts as dead.
+    pub is_complete: bool,
     /// Addresses of the endpoints that the platform lists as leaving.
     pub leaving_endpoints: BTreeSet<Arc<str>>,
 }
--- a/coltsfootgate/src/members/task.rs
+++ b/coltsfootgate/src/members/task.rs
@@ -134,7 +134,10 @@
                 let others = listed.routers.iter().map(|(id, _)| id.clone());
                 self.update_sources(others.collect());
                 self.apply_event(PeerEvent::Listed(listed.routers));
-                if listed.leaving_endpoints != self.leaving_endpoints {
+                let is_complete = !self.table.has_unheard();
+                let is_changed = listed.leaving_endpoints != self.leaving_endpoints
+                    || is_complete != self.handle.view().is_complete;
+                if is_changed {
                     self.leaving_endpoints = listed.leaving_endpoints;
                     self.publish_view();
                 }
@@ -269,6 +272,9 @@
         let view = MemberView {
             locations: locations.collect(),
             owners: OwnerTable::new(owners.iter().cloned()),
+            live: OwnerTable::new(self.table.live_in_region(&own.region)),
+            leaving: OwnerTable::new(self.table.leaving_in_region(&own.region)),
+            is_complete: self.is_list_read && !self.table.has_unheard(),
             leaving_endpoints: self.leaving_endpoints.clone(),
         };
         self.handle.publish(MemberChange::View(Rc::new(view)));
--- a/coltsfootgate/src/peer/dispatch.rs
+++ b/coltsfootgate/src/peer/dispatch.rs
@@ -5,6 +5,7 @@
 use log::warn;
 
 use coltsfootgate_core::ids::InstanceId;
+use coltsfootgate_core::stream::RecordCopy;
 use coltsfootgate_wire::{PeerReply, PeerRequest};
 
 use super::PeerCall;
@@ -80,7 +81,7 @@
                 let _ = reply.send(PeerReply::Replicas(snapshot));
             }
             PeerRequest::RecordStream { key, origin, expires } => {
-                self.streams.keep(key, origin, expires);
+                self.streams.receive(&from, RecordCopy { key, origin, expires });
                 let _ = reply.send(PeerReply::Accepted);
             }
             PeerRequest::FindStream(key) => {
--- a/coltsfootgate/src/pipeline/resume.rs
+++ b/coltsfootgate/src/pipeline/resume.rs
@@ -4,7 +4,9 @@
 
 use coltsfootgate_core::comeback::retry_after_delay;
 use coltsfootgate_core::prelude::{EndpointSettings, ErrorKind, SoftwareVersion};
-use coltsfootgate_core::stream::{RecordedOrigin, StreamKey, StreamOrigin, record_lifetime};
+use coltsfootgate_core::stream::{
+    RecordCopy, RecordedOrigin, StreamKey, StreamOrigin, record_lifetime,
+};
 
 use super::admit::refusal;
 use super::classify::{AnswerForm, ClassifiedRequest};
@@ -12,6 +14,7 @@
 use super::journal::RequestJournal;
 use crate::dialect::StreamResumption;
 use crate::entry::Refusal;
+use crate::streams::FoundOrigin;
 
 /// Multiple of a class's timeout within which a stream that is taken up again began.
 const STREAM_AGE_FACTOR: u32 = 2;
@@ -54,18 +57,31 @@
     resumption: &StreamResumption,
 ) -> (Option<StreamOrigin>, &'static str) {
     let key = resumption.stream.as_ref().and_then(|stream| stream_key(request, stream));
-    let recorded = match &key {
+    let found = match &key {
         Some(key) => context.streams.find(key).await,
-        None => RecordedOrigin::Unknown,
+        None => FoundOrigin { origin: RecordedOrigin::Unknown, is_final: true },
     };
-    match recorded {
-        RecordedOrigin::Known(origin) => return (Some(origin), "record"),
-        RecordedOrigin::Conflicting => return (None, "conflicting-records"),
-        RecordedOrigin::Unknown => {}
+    if let Some(result) = recorded_origin(found.origin) {
+        return result;
     }
-    match context.streams.sole_origin(request.class.timeout * STREAM_AGE_FACTOR).await {
-        Ok(origin) => (Some(origin), "sole-origin"),
-        Err(unknown) => (None, unknown.name()),
+    let unknown = match context.streams.sole_origin(request.class.timeout * STREAM_AGE_FACTOR).await
+    {
+        Ok(origin) => return (Some(origin), "sole-origin"),
+        Err(unknown) => unknown,
+    };
+    let later = match &key {
+        Some(key) if !found.is_final => context.streams.find_later(key, request.deadline).await,
+        Some(_) | None => RecordedOrigin::Unknown,
+    };
+    recorded_origin(later).unwrap_or((None, unknown.name()))
+}
+
+/// What follows from the records of a stream; `None` if there is none.
+fn recorded_origin(recorded: RecordedOrigin) -> Option<(Option<StreamOrigin>, &'static str)> {
+    match recorded {
+        RecordedOrigin::Known(origin) => Some((Some(origin), "record")),
+        RecordedOrigin::Conflicting => Some((None, "conflicting-records")),
+        RecordedOrigin::Unknown => None,
     }
 }
 
@@ -118,7 +134,8 @@
     let caller_deadline = request.accepted.metadata.deadline.unwrap_or(request.class.deadline);
     let kept_for = record_lifetime(caller_deadline, request.class.timeout);
     let expires = request.accepted.arrived + kept_for;
-    context.streams.record(key, endpoint_origin(request, endpoint), expires).await;
+    let origin = endpoint_origin(request, endpoint);
+    context.streams.record(RecordCopy { key, origin, expires }).await;
 }
 
 /// The origin of a stream whose first event came from an endpoint.
--- a/coltsfootgate/src/streams/mod.rs
+++ b/coltsfootgate/src/streams/mod.rs
@@ -1,5 +1,6 @@
 //! Remembers, together with other instances, which software version began each stream.
 
+mod handover;
 mod origins;
 mod stored;
 #[cfg(test)]
@@ -12,36 +13,42 @@
 use futures_channel::mpsc::unbounded;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use monoio::time::timeout;
+use monoio::time::{sleep, timeout};
 
 use coltsfootgate_core::prelude::InstanceId;
-use coltsfootgate_core::rendezvous::{OwnerTable, stable_hash};
-use coltsfootgate_core::stream::{RecordedOrigin, StreamBook, StreamKey, StreamOrigin};
+use coltsfootgate_core::stream::{
+    RecordCopy, RecordHolders, RecordedOrigin, StreamBook, StreamKey, StreamOrigin, stream_group,
+};
 use coltsfootgate_wire::{PeerReply, PeerRequest};
 
 use crate::clock;
 use crate::members::{MemberChange, MembersHandle};
 use crate::peer::{PeerError, PeerHandle};
 
+use self::handover::DeliveryCount;
 pub use self::origins::{OriginsHandle, OriginsTask};
 
-/// Number of groups of streams; those of one group are recorded at the same instances, so that an
-/// instance of a large fleet needs connections to a part of the others only.
-const STREAM_GROUPS: u64 = 32;
-/// Number of other instances at which each stream is recorded.
-const COPIES: usize = 2;
-/// Number of instances that are asked for a record; more than hold one, since some may have joined
-/// or failed since it was made.
-const ASKED_INSTANCES: usize = 4;
 /// Longest time for which the first event of a stream waits for its record.
 const RECORD_WAIT_MAX: Duration = Duration::from_millis(30);
-/// Time limit for delivering a record.
-const RECORD_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time limit for the answer to a question about a stream.
 const FIND_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest time for which an answer that names an origin waits for others, which may contradict it.
 const CONTRADICTION_WAIT: Duration = Duration::from_millis(50);
 
+/// Pause before the question is asked again, of instances that could not be asked.
+const FIND_PAUSE: Duration = Duration::from_millis(250);
+/// Longest time for which a caller waits until all instances that may have a record can be asked.
+const FIND_TIME_MAX: Duration = Duration::from_secs(1);
+
+/// What the instances that answered know about where a stream began.
+#[derive(Clone, Debug)]
+pub struct FoundOrigin {
+    /// What is recorded.
+    pub origin: RecordedOrigin,
+    /// Whether every other instance that may have a record has answered.
+    pub is_final: bool,
+}
+
 /// Why it is not known where a stream without a record began.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum UnknownOrigin {
@@ -70,46 +77,33 @@
     peers: PeerHandle,
     origins: OriginsHandle,
     book: RefCell<StreamBook>,
-    instances: RefCell<OwnerTable>,
+    holders: RefCell<RecordHolders>,
+    deliveries: DeliveryCount,
 }
 
 impl StreamRegister {
     /// Creates the register of an instance that knows no other one yet.
     pub fn new(own: InstanceId, peers: PeerHandle, origins: OriginsHandle) -> Self {
-        let (book, instances) = (RefCell::default(), RefCell::default());
-        Self(Rc::new(RegisterState { own, peers, origins, book, instances }))
+        let (book, holders) = (RefCell::default(), RefCell::default());
+        let deliveries = DeliveryCount::default();
+        Self(Rc::new(RegisterState { own, peers, origins, book, holders, deliveries }))
     }
 
     /// Records where a stream began, here and at other instances; returns once one of them has the
     /// record, or after a short time.
     ///
     /// If this instance fails without one, the stream is not continued at any version.
-    pub async fn record(&self, key: StreamKey, origin: StreamOrigin, expires: Instant) {
+    pub async fn record(&self, copy: RecordCopy) {
+        self.keep(copy.clone());
         let (acknowledged, mut acknowledgements) = unbounded();
-        for instance in self.ranked_instances(&key).into_iter().take(COPIES) {
-            let (peers, acknowledged) = (self.0.peers.clone(), acknowledged.clone());
-            let (key, origin) = (key.clone(), origin.clone());
-            let request = PeerRequest::RecordStream { key, origin, expires };
-            monoio::spawn(async move {
-                let deadline = clock::now() + RECORD_TIMEOUT;
-                match peers.call(&instance, request, deadline).await {
-                    // Fails once another instance has acknowledged the record.
-                    Ok(_) => drop(acknowledged.unbounded_send(())),
-                    Err(error) => {
-                        log::debug!("could not record a stream at {instance}: {}", error.name());
-                    }
-                }
-            });
-        }
-        drop(acknowledged);
-        self.keep(key, origin, expires);
+        monoio::spawn(self.clone().deliver_new(copy, acknowledged));
         // Ends at once if no other instance is known.
         let _ = timeout(RECORD_WAIT_MAX, acknowledgements.next()).await;
     }
 
-    /// Records at this instance alone where a stream began.
-    pub fn keep(&self, key: StreamKey, origin: StreamOrigin, expires: Instant) {
-        self.0.book.borrow_mut().record(key, origin, expires, clock::now());
+    /// Records at this instance alone where a stream began; returns whether that was not recorded before.
+    fn keep(&self, copy: RecordCopy) -> bool {
+        self.0.book.borrow_mut().record(copy, clock::now())
     }
 
     /// What this instance knows about where a stream began, as the reply to another one.
@@ -122,23 +116,41 @@
     }
 
     /// Where a stream began, according to this instance and others.
-    pub async fn find(&self, key: &StreamKey) -> RecordedOrigin {
+    pub async fn find(&self, key: &StreamKey) -> FoundOrigin {
         let started = clock::now();
-        let mut found = self.0.book.borrow().find(key, started);
-        let asked = self.ranked_instances(key).into_iter().take(ASKED_INSTANCES);
+        let (asked, mut is_final) = {
+            let holders = self.0.holders.borrow();
+            (holders.candidates(stream_group(key), &self.0.own), holders.is_complete)
+        };
+        let mut origin = self.0.book.borrow().find(key, started);
         let mut answers: FuturesUnordered<_> = asked
+            .into_iter()
             .map(|instance| async move {
                 let request = PeerRequest::FindStream(key.clone());
                 self.0.peers.call(&instance, request, started + FIND_TIMEOUT).await
             })
             .collect();
-        while found != RecordedOrigin::Conflicting {
+        while origin != RecordedOrigin::Conflicting {
             let wait =
-                if found == RecordedOrigin::Unknown { FIND_TIMEOUT } else { CONTRADICTION_WAIT };
+                if origin == RecordedOrigin::Unknown { FIND_TIMEOUT } else { CONTRADICTION_WAIT };
             let Ok(Some(answer)) = timeout(wait, answers.next()).await else { break };
-            found = found.join(stated_origin(answer));
+            is_final &= answer.is_ok();
+            origin = origin.join(stated_origin(answer));
+        }
+        FoundOrigin { origin, is_final }
+    }
+
+    /// Asks again where a stream began, while some that may know could not be asked, until `give_up_at` at the latest.
+    pub async fn find_later(&self, key: &StreamKey, give_up_at: Instant) -> RecordedOrigin {
+        let give_up_at = give_up_at.min(clock::now() + FIND_TIME_MAX);
+        while clock::now() + FIND_PAUSE < give_up_at {
+            sleep(FIND_PAUSE).await;
+            let found = self.find(key).await;
+            if found.is_final || found.origin != RecordedOrigin::Unknown {
+                return found.origin;
+            }
         }
-        found
+        RecordedOrigin::Unknown
     }
 
     /// The origins that streams may have.
@@ -156,14 +168,6 @@
         let sole = list.sole_origin(span, SystemTime::now());
         sole.cloned().ok_or(UnknownOrigin::Several)
     }
-
-    /// The other instances, in the order in which they hold the record of a stream.
-    fn ranked_instances(&self, key: &StreamKey) -> Vec<InstanceId> {
-        let group = stable_hash(key.stream.as_bytes()) % STREAM_GROUPS;
-        let instances = self.0.instances.borrow();
-        let ranked = instances.ranked(&format!("streams.{group}"));
-        ranked.into_iter().filter(|id| **id != self.0.own).cloned().collect()
-    }
 }
 
 /// What an instance that was asked about a stream knows.
@@ -175,12 +179,18 @@
     }
 }
 
-/// Passes the live instances to a register until the membership task has ended.
+/// Follows the live and leaving instances for a register until the membership task has ended.
 pub async fn follow_instances(members: MembersHandle, streams: StreamRegister) {
     let mut changes = members.subscribe();
     while let Some(change) = changes.next().await {
-        if let MemberChange::View(view) = change {
-            *streams.0.instances.borrow_mut() = view.owners.clone();
+        match change {
+            MemberChange::View(view) => {
+                let (live, leaving) = (view.live.clone(), view.leaving.clone());
+                let is_complete = view.is_complete;
+                streams.set_holders(RecordHolders { live, leaving, is_complete });
+            }
+            MemberChange::Restarted(instance) => streams.restore(&instance),
+            MemberChange::Lost(_) | MemberChange::Pressure(..) => {}
         }
     }
 }
--- a/coltsfootgate/src/streams/tests.rs
+++ b/coltsfootgate/src/streams/tests.rs
@@ -42,7 +42,7 @@
     /// Waits for a read.
     async fn wait_read(&self) {
         while self.0.held.borrow().is_empty() {
-            monoio::time::sleep(POLL_PERIOD).await;
+            sleep(POLL_PERIOD).await;
         }
     }
 
--- a/coltsfootgate_core/src/membership/table.rs
+++ b/coltsfootgate_core/src/membership/table.rs
@@ -98,7 +98,17 @@
         if !live.is_empty() {
             return live;
         }
-        self.instances(|state, profile| state == PeerState::Leaving && profile.region == *region)
+        self.leaving_in_region(region)
+    }
+
+    /// The instances of a region that are leaving, this one included.
+    pub fn leaving_in_region(&self, region: &str) -> Vec<InstanceId> {
+        self.instances(|state, profile| state == PeerState::Leaving && &*profile.region == region)
+    }
+
+    /// Whether the platform lists an instance that was not heard yet and may run.
+    pub fn has_unheard(&self) -> bool {
+        self.peers.values().any(|peer| peer.state == PeerState::Listed)
     }
 
     /// Whether this instance hears from another one, which a third instance suspects.
--- a/coltsfootgate_core/src/rendezvous.rs
+++ b/coltsfootgate_core/src/rendezvous.rs
@@ -97,6 +97,12 @@
         Self::new(self.ranked(name).into_iter().take(count).cloned())
     }
 
+    /// Whether the table holds an instance.
+    pub fn contains(&self, instance: &InstanceId) -> bool {
+        let hash = stable_hash(instance.as_bytes());
+        self.instances.binary_search_by(|(known, id)| (*known, id).cmp(&(hash, instance))).is_ok()
+    }
+
     /// How many instances the table holds.
     pub fn len(&self) -> usize {
         self.instances.len()
--- a/coltsfootgate_core/src/stream.rs
+++ b/coltsfootgate_core/src/stream/mod.rs
@@ -1,11 +1,15 @@
 //! Records which software version began each stream, so that no other version continues it.
 
+mod holders;
+
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::ids::{CustomerId, PoolId, SoftwareVersion};
 
+pub use self::holders::{KEEPERS, RecordHolders, STREAM_GROUPS, StreamGroup, stream_group};
+
 /// Maximum number of records; beyond it, those that expire first are dropped.
 const RECORDS_MAX: usize = 20_000;
 /// How long a record is kept beyond the deadline of the stream's caller.
@@ -80,14 +84,42 @@
     }
 }
 
+/// The origin of a stream, as one instance tells another.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RecordCopy {
+    /// The stream.
+    pub key: StreamKey,
+    /// Where it began.
+    pub origin: StreamOrigin,
+    /// When the record expires.
+    pub expires: Instant,
+}
+
 #[derive(Clone, Debug)]
 struct StreamRecord {
-    origin: RecordedOrigin,
+    origin: StreamOrigin,
+    /// Another origin, if streams with the same key began at several.
+    contradiction: Option<StreamOrigin>,
     expires: Instant,
     /// Distinguishes records that expire at the same time.
     number: u64,
 }
 
+impl StreamRecord {
+    /// Adds an origin; returns whether it was not recorded.
+    fn add(&mut self, origin: StreamOrigin) -> bool {
+        if origin == self.origin || self.contradiction.is_some() {
+            return false;
+        }
+        self.contradiction = Some(origin);
+        true
+    }
+
+    fn origins(&self) -> impl Iterator<Item = &StreamOrigin> {
+        std::iter::once(&self.origin).chain(&self.contradiction)
+    }
+}
+
 /// The origins of recent streams.
 #[derive(Clone, Debug, Default)]
 pub struct StreamBook {
@@ -98,31 +130,56 @@
 }
 
 impl StreamBook {
-    /// Records the origin of a stream until the given time.
+    /// Records the origin of a stream; returns whether it was not recorded before.
     ///
     /// If another origin is already recorded under the key, the two streams cannot be told apart, and
     /// neither origin is returned any more.
-    pub fn record(&mut self, key: StreamKey, origin: StreamOrigin, expires: Instant, now: Instant) {
+    pub fn record(&mut self, copy: RecordCopy, now: Instant) -> bool {
+        let RecordCopy { key, origin, expires } = copy;
         self.remove_expired(now);
         self.records_made += 1;
-        let origin = RecordedOrigin::Known(origin);
-        let mut record = StreamRecord { origin, expires, number: self.records_made };
-        if let Some(known) = self.records.get(&key) {
-            record.expires = record.expires.max(known.expires);
-            record.origin = record.origin.join(known.origin.clone());
-            self.expiries.remove(&(known.expires, known.number));
-        }
-        self.expiries.insert((record.expires, record.number), key.clone());
+        let number = self.records_made;
+        let mut is_new = true;
+        let record = match self.records.remove(&key) {
+            Some(mut known) => {
+                self.expiries.remove(&(known.expires, known.number));
+                is_new = known.add(origin);
+                StreamRecord { expires: known.expires.max(expires), number, ..known }
+            }
+            None => StreamRecord { origin, contradiction: None, expires, number },
+        };
+        self.expiries.insert((record.expires, number), key.clone());
         self.records.insert(key, record);
         if self.records.len() > RECORDS_MAX {
             self.remove_first();
         }
+        is_new
     }
 
     /// What is recorded about the origin of a stream.
     pub fn find(&self, key: &StreamKey, now: Instant) -> RecordedOrigin {
         let record = self.records.get(key).filter(|record| now < record.expires);
-        record.map_or(RecordedOrigin::Unknown, |record| record.origin.clone())
+        match record {
+            None => RecordedOrigin::Unknown,
+            Some(StreamRecord { contradiction: Some(_), .. }) => RecordedOrigin::Conflicting,
+            Some(record) => RecordedOrigin::Known(record.origin.clone()),
+        }
+    }
+
+    /// Copies of the records of some groups; two of a stream with several origins, which is then unknown at
+    /// their receiver too.
+    pub fn copies(&self, groups: &[StreamGroup], now: Instant) -> Vec<RecordCopy> {
+        let is_copied = |(key, record): &(&StreamKey, &StreamRecord)| {
+            now < record.expires && groups.contains(&stream_group(key))
+        };
+        let copied = self.records.iter().filter(is_copied);
+        let copies = copied.flat_map(|(key, record)| {
+            record.origins().map(|origin| {
+                let (key, origin) = (key.clone(), origin.clone());
+                RecordCopy { key, origin, expires: record.expires }
+            })
+        });
+        copies.collect()
     }
 
     /// Number of records.
--- a/coltsfootgate_core/tests/stream.rs
+++ b/coltsfootgate_core/tests/stream.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use coltsfootgate_core::stream::{
-    RecordedOrigin, StreamBook, StreamKey, StreamOrigin, record_lifetime,
+    RecordCopy, RecordedOrigin, STREAM_GROUPS, StreamBook, StreamKey, StreamOrigin,
+    record_lifetime, stream_group,
 };
 use rstest::rstest;
 
@@ -22,10 +23,15 @@
     StreamOrigin { pool: "pools.model".into(), version: Some(version.into()) }
 }
 
+/// A copy of the record of a stream of the customer `one`.
+fn copy(stream: &str, version: &str, expires: Instant) -> RecordCopy {
+    RecordCopy { key: key("one", stream), origin: origin(version), expires }
+}
+
 /// A book with the stream `a` of the customer `one`, which began at v1, until 10 s.
 fn book() -> StreamBook {
     let mut book = StreamBook::default();
-    book.record(key("one", "a"), origin("v1"), after(10), *START);
+    book.record(copy("a", "v1", after(10)), *START);
     book
 }
 
@@ -52,18 +58,18 @@
     #[case] expected: RecordedOrigin,
 ) {
     let mut book = book();
-    book.record(key("one", "a"), origin(version), after(5), after(1));
+    book.record(copy("a", version, after(5)), after(1));
     assert_eq!(book.find(&key("one", "a"), after(2)), expected);
     // It stays ambiguous when one of the two is recorded again.
-    book.record(key("one", "a"), origin("v1"), after(6), after(2));
+    book.record(copy("a", "v1", after(6)), after(2));
     assert_eq!(book.find(&key("one", "a"), after(3)), expected);
 }
 
 #[test]
 fn records_are_kept_until_the_latest_time() {
     let mut book = book();
-    book.record(key("one", "a"), origin("v1"), after(5), after(1));
-    book.record(key("one", "b"), origin("v2"), after(20), after(7));
+    book.record(copy("a", "v1", after(5)), after(1));
+    book.record(copy("b", "v2", after(20)), after(7));
     assert_eq!(book.find(&key("one", "a"), after(9)), RecordedOrigin::Known(origin("v1")));
 }
 
@@ -81,11 +87,11 @@
     let mut book = StreamBook::default();
     for number in 0..30_000 {
         let expires = after(100) + Duration::from_millis(number);
-        book.record(key("one", &number.to_string()), origin("v1"), expires, *START);
+        book.record(copy(&number.to_string(), "v1", expires), *START);
     }
     assert_eq!(book.len(), 20_000);
     assert_eq!(book.find(&key("one", "29999"), after(1)), RecordedOrigin::Known(origin("v1")));
-    book.record(key("one", "late"), origin("v1"), after(300), after(200));
+    book.record(copy("late", "v1", after(300)), after(200));
     assert_eq!(book.len(), 1);
 }
 
@@ -111,3 +117,28 @@
     assert_eq!(known.fold(RecordedOrigin::Unknown, RecordedOrigin::join), expected);
     assert_eq!(RecordedOrigin::Conflicting.join(expected), RecordedOrigin::Conflicting);
 }
+
+/// A copy of one of several origins would make it certain where it arrives.
+#[test]
+fn copies_of_a_record_with_several_origins_are_conflicting_too() {
+    let mut book = book();
+    book.record(copy("a", "v2", after(5)), *START);
+    book.record(copy("a", "v3", after(5)), *START);
+    let group = stream_group(&key("one", "a"));
+    let mut other = StreamBook::default();
+    for copy in book.copies(&[group], after(1)) {
+        assert_eq!(copy.expires, after(10));
+        assert!(other.record(copy, after(1)));
+    }
+    assert_eq!(other.find(&key("one", "a"), after(2)), RecordedOrigin::Conflicting);
+}
+
+#[test]
+fn records_of_other_groups_and_expired_ones_are_not_copied() {
+    let book = book();
+    let group = stream_group(&key("one", "a"));
+    let others: Vec<_> = (0..STREAM_GROUPS).filter(|other| *other != group).collect();
+    assert_eq!(book.copies(&others, *START), []);
+    assert_eq!(book.copies(&[group], after(9)), [copy("a", "v1", after(10))]);
+    assert_eq!(book.copies(&[group], after(10)), []);
+}
