Ask leaving instances too for the list of blocked parts, and for replicas

What callers would see: an instance that starts while all others are leaving (a rolling restart with pauses shorter than the grace time) sends requests with a part of the prompt that crashes replicas, until it has crashed as many again as it takes to block it.

Lists were compared and shared among the owners, which are the live instances; those that know and still answer were left out.

Why it works: who may know is asked among live and leaving instances (MemberView::answering), who decides stays with the owners (docs/design/membership.md, "Who still answers"). Crashes counted by an owner, too few to block, are still lost with it.

--- a/coltsfootgate/src/endpoints/peers.rs
+++ b/coltsfootgate/src/endpoints/peers.rs
@@ -57,13 +57,7 @@
 
     fn random_peer(&self) -> Option<InstanceId> {
         let view = self.members.view();
-        let others: Vec<&InstanceId> = view
-            .locations
-            .iter()
-            .map(|location| &location.owner)
-            .filter(|id| **id != self.own)
-            .collect();
-        others.choose(&mut rand::rng()).map(|id| (*id).clone())
+        view.answering(&self.own).choose(&mut rand::rng()).map(|id| (*id).clone())
     }
 
     async fn poll(&self, peer: &InstanceId, events: &UnboundedSender<RosterEvent>) {
--- a/coltsfootgate/src/members/mod.rs
+++ b/coltsfootgate/src/members/mod.rs
@@ -40,6 +40,12 @@
 }
 
 impl MemberView {
+    /// The other instances that answer, leaving ones included: those that may know what is not stored.
+    pub fn answering(&self, own: &InstanceId) -> Vec<&InstanceId> {
+        let all = self.live.instances().chain(self.leaving.instances());
+        all.filter(|id| *id != own).collect()
+    }
+
     /// The zone of an instance; `None` if it is none of these.
     pub fn zone(&self, instance: &InstanceId) -> Option<&ZoneName> {
         self.locations
--- a/coltsfootgate/src/quarantine/task.rs
+++ b/coltsfootgate/src/quarantine/task.rs
@@ -261,10 +261,8 @@
     /// Applies the list here and sends it to all other instances.
     fn share(&mut self) {
         self.publish();
-        for location in &self.members.view().locations {
-            if location.owner != self.own {
-                self.send_notice(&location.owner);
-            }
+        for instance in self.members.view().answering(&self.own) {
+            self.send_notice(instance);
         }
     }
 
@@ -300,9 +298,7 @@
     fn compare_with_peer(&mut self) {
         self.compared_at = clock::now();
         let view = self.members.view();
-        let others: Vec<&InstanceId> =
-            view.locations.iter().map(|one| &one.owner).filter(|id| **id != self.own).collect();
-        if let Some(peer) = others.choose(&mut rand::rng()) {
+        if let Some(peer) = view.answering(&self.own).choose(&mut rand::rng()) {
             let request = PeerRequest::CompareQuarantine(self.list.digest());
             self.send((*peer).clone(), request);
         }
--- a/coltsfootgate_core/src/rendezvous.rs
+++ b/coltsfootgate_core/src/rendezvous.rs
@@ -97,6 +97,11 @@
         Self::new(self.ranked(name).into_iter().take(count).cloned())
     }
 
+    /// The instances in the table.
+    pub fn instances(&self) -> impl Iterator<Item = &InstanceId> {
+        self.instances.iter().map(|(_, id)| id)
+    }
+
     /// Whether the table holds an instance.
     pub fn contains(&self, instance: &InstanceId) -> bool {
         let hash = stable_hash(instance.as_bytes());
