End every wait of a request at its deadline

Cause: each stage relied on the other side to keep the deadline, with a margin of its own; nothing bounded the whole.

Evidence: a_request_is_answered_by_its_deadline_whatever_it_waits_for fails before (503 after the store's time limit, in place of an answer within half a second of the deadline).

Why it works: the guard through which every stage before a request is sent already passes ends it 0.1 s after the deadline, as not run; within that, a stage can still end with a reason that tells more. Without the margin two tests of claims got `deadline-passed` in place of `claim-unavailable`. What runs after sending was bounded by the timeout already.

--- a/coltsfootgate/src/pipeline/guard.rs
+++ b/coltsfootgate/src/pipeline/guard.rs
@@ -1,30 +1,39 @@
-//! Bounds what a request waits for by the end of the process.
+//! Bounds what a request waits for by its deadline and by the end of the process.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use coltsfootgate_config::RequestBranches;
 use coltsfootgate_core::comeback::retry_after_delay;
 use coltsfootgate_core::drain::CutCost;
 use coltsfootgate_core::prelude::{ClassSettings, ErrorKind};
 use futures_util::future::{Either, select};
-use monoio::time::sleep;
+use monoio::time::{sleep, timeout};
 
 use super::classify::{AnswerForm, ClassifiedRequest};
 use super::context::PipelineContext;
 use crate::entry::Refusal;
+use crate::tree::ActiveTree;
 
 /// The rule of refusals by the end of the process.
 pub const GRACE_RULE: &str = "process.grace-time";
 
+/// Time after the deadline in which a stage can still end with a reason of its own.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(100);
+
 /// The process ends before what was waited for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ProcessEnding;
 
-/// Bounds the waits of one request by the end of the process.
+/// Bounds the waits of one request by its deadline and by the end of the process.
 #[derive(Clone)]
 pub struct ExchangeGuard<'a> {
     context: &'a PipelineContext,
     class: Arc<ClassSettings>,
+    active: Rc<ActiveTree>,
+    /// When the request must not be sent any more.
+    deadline: Instant,
     /// The time that an answer takes if none of the class was measured.
     target: Duration,
     cut_cost: CutCost,
@@ -43,21 +52,35 @@
             true => CutCost::Wait,
             false => CutCost::UnknownOutcome,
         };
-        Self { context, class, target, cut_cost }
+        let (active, deadline) = (request.active.clone(), request.deadline);
+        Self { context, class, active, deadline, target, cut_cost }
     }
 
-    /// Runs a stage in which nothing is sent to an endpoint, while an answer could still end in time.
+    /// Runs a stage in which nothing is sent to an endpoint, until shortly after the deadline and while an answer could
+    /// still end in time.
     ///
     /// # Errors
     ///
     /// Refuses the request as not run otherwise.
     pub async fn before_send<T>(&self, stage: impl Future<Output = T>) -> Result<T, Refusal> {
-        match select(std::pin::pin!(self.too_late()), std::pin::pin!(stage)).await {
-            Either::Left(_) => Err(self.refusal()),
-            Either::Right((end, _)) => Ok(end),
+        let (too_late, stage) = (std::pin::pin!(self.too_late()), std::pin::pin!(stage));
+        let end_at = self.deadline + DEADLINE_MARGIN;
+        let time_left = end_at.saturating_duration_since(Instant::now());
+        match timeout(time_left, select(too_late, stage)).await {
+            Ok(Either::Left(_)) => Err(self.refusal()),
+            Ok(Either::Right((end, _))) => Ok(end),
+            Err(_) => Err(self.deadline_refusal()),
         }
     }
 
+    /// The refusal of a request whose deadline passed while it waited, whatever for.
+    fn deadline_refusal(&self) -> Refusal {
+        let kind = ErrorKind::DeadlinePassed;
+        let subjects = RequestBranches { class: Some(&self.class.id), customer: None, pool: None };
+        let rule = self.active.tree.rule(Some(kind), subjects);
+        Refusal::new(kind, rule.branch, "the request's deadline passed while it was waiting")
+    }
+
     /// The refusal of a request that was not sent, since its answer would not end in time.
     pub fn refusal(&self) -> Refusal {
         let schedule = self.context.shutdown.schedule();
