Answer what waits for a service that newer settings drop

Cause: OwnerTask::assign_endpoints removed the owner of the pool with its queue, whose answers stayed pending, and with the slots in use, so that a pool which came back had them free: 3 requests at a replica with one slot.

Why it works: the entry sends such a request, which was never sent, to the pool to which the newer settings lead, or refuses it at once; the owner goes on for two seconds for entries with older settings, then its ordinary rules refuse what is left, and it stays until no slot is in use. Both scopes, requests of all instances.

Ruled out: refusing at the owner at once.

--- a/coltsfootgate/src/owner/task.rs
+++ b/coltsfootgate/src/owner/task.rs
@@ -24,11 +24,21 @@
 
 /// Longest wait for a message before a tick, so that floors and probes proceed without events.
 const IDLE_WAIT_MAX: Duration = Duration::from_secs(1);
+/// Time for which the owner of a pool that is not configured any more serves entries that do not know that yet.
+const RETIREMENT_TIME: Duration = Duration::from_secs(2);
 
 type PoolKey = (PoolId, OwnerScope);
 /// Senders for the answers to grant requests that are not answered yet.
 type PendingAnswers = HashMap<(InstanceId, GrantId), oneshot::Sender<GrantAnswer>>;
 
+/// A pool that is not configured any more.
+struct RetiredPool {
+    /// When its owners give up its endpoints.
+    ends_at: Instant,
+    /// Whether they have.
+    is_ended: bool,
+}
+
 /// Keeps a [`PoolOwner`] for each pool and scope, and assigns endpoints to them.
 pub struct OwnerTask {
     own: InstanceId,
@@ -36,6 +46,8 @@
     owners: OwnerSet,
     active_pools: Option<Rc<ActivePools>>,
     pools: HashMap<PoolKey, PoolOwner>,
+    /// The pools that are not configured any more and whose owners remain.
+    retired: HashMap<PoolId, RetiredPool>,
     addresses: HashMap<EndpointId, Arc<str>>,
     draining: HashSet<Arc<str>>,
     pending: PendingAnswers,
@@ -57,6 +69,7 @@
             owners: OwnerSet::default(),
             active_pools: None,
             pools: HashMap::new(),
+            retired: HashMap::new(),
             addresses: HashMap::new(),
             draining: HashSet::new(),
             pending: HashMap::new(),
@@ -74,6 +87,9 @@
                 Ok(None) => return,
                 Err(_) => self.tick(Instant::now()),
             }
+            if !self.retired.is_empty() {
+                self.end_retired_pools(Instant::now());
+            }
         }
     }
 
@@ -200,7 +216,7 @@
     /// Assigns the endpoints that this instance has under the settings in force and the live instances.
     fn assign_endpoints(&mut self, now: Instant) {
         let Some(pools) = self.active_pools.clone() else { return };
-        self.pools.retain(|(pool, _), _| pools.pool(pool).is_some());
+        self.retire_pools(&pools, now);
         let between_tokens = pools.active.tree.classes().map(|class| class.between_tokens).min();
         let live: Vec<InstanceId> = self.owners.locations.keys().cloned().collect();
         for pool in pools.pools() {
@@ -223,6 +239,34 @@
         }
     }
 
+    /// Notes which pools are not configured any more. Their owners go on for entries whose settings are older.
+    fn retire_pools(&mut self, pools: &ActivePools, now: Instant) {
+        self.retired.retain(|pool, _| pools.pool(pool).is_none());
+        for (pool, _) in self.keys().into_iter().filter(|(pool, _)| pools.pool(pool).is_none()) {
+            let retired = RetiredPool { ends_at: now + RETIREMENT_TIME, is_ended: false };
+            self.retired.entry(pool).or_insert(retired);
+        }
+    }
+
+    /// Takes the endpoints from the owners of retired pools whose time has passed, so that they refuse what still waits
+    /// there. Such an owner stays until no slot is in use, as the pool may come back before.
+    fn end_retired_pools(&mut self, now: Instant) {
+        let is_due =
+            |(_, retired): &(&PoolId, &RetiredPool)| !retired.is_ended && retired.ends_at <= now;
+        let due: Vec<PoolId> =
+            self.retired.iter().filter(is_due).map(|(pool, _)| pool.clone()).collect();
+        for pool in due {
+            for scope in [OwnerScope::Owned, OwnerScope::FallbackShare] {
+                self.handle_event(&(pool.clone(), scope), OwnerEvent::Endpoints(Vec::new()), now);
+            }
+            self.retired.entry(pool).and_modify(|retired| retired.is_ended = true);
+        }
+        let retired = &mut self.retired;
+        let is_ended = |pool: &PoolId| retired.get(pool).is_some_and(|retired| retired.is_ended);
+        self.pools.retain(|(pool, _), owner| !is_ended(pool) || !owner.is_idle());
+        retired.retain(|pool, _| self.pools.keys().any(|(kept, _)| kept == pool));
+    }
+
     fn owned_endpoints(&self, pool: &PoolSettings, owner_endpoints: u32) -> Vec<EndpointSettings> {
         let owners = self.owners.endpoint_owners(pool, owner_endpoints);
         let is_owned = |endpoint: &&EndpointSettings| owners.get(&endpoint.id) == Some(&self.own);
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -26,6 +26,7 @@
 use super::limit::limit_request;
 use super::quarantine::{check_quarantine, confirm_quarantine, observe_attempt};
 use super::relay::{RelayEnd, RelayTask};
+use super::reroute::reroute_request;
 use super::resume::{endpoint_origin, find_origin, required_version};
 use super::settle::{RequestEnd, settle_request};
 use crate::dialect::{CallerDialect, Dialect, EndpointDialect};
@@ -53,7 +54,7 @@
     let origin = guard.before_send(find_origin(&context, &mut request, &mut journal)).await;
     let end = match origin.flatten() {
         Ok(origin) => {
-            serve_request::<D>(&context, &request, origin, &mut caller, &mut journal).await
+            serve_request::<D>(&context, &mut request, origin, &mut caller, &mut journal).await
         }
         Err(refusal) => Err(refusal),
     };
@@ -84,7 +85,7 @@
 /// Runs the stages that wait and run once for each request.
 async fn serve_request<D: Dialect>(
     context: &PipelineContext,
-    request: &ClassifiedRequest,
+    request: &mut ClassifiedRequest,
     origin: Option<StreamOrigin>,
     caller: &mut CallerLink,
     journal: &mut RequestJournal,
@@ -93,11 +94,11 @@
     let permit = guard.before_send(limit_request(context, request, caller)).await??;
     let end = match guard.before_send(claim_request(context, request, caller)).await?? {
         ClaimResult::NotNeeded => {
-            run_attempts::<D>(context, request, origin, None, caller, journal).await
+            run_routed::<D>(context, request, origin, None, caller, journal).await
         }
         ClaimResult::Granted(mut lease) => {
             let claim = Some(&mut lease);
-            let end = run_attempts::<D>(context, request, origin, claim, caller, journal).await;
+            let end = run_routed::<D>(context, request, origin, claim, caller, journal).await;
             lease.settle(&end);
             end
         }
@@ -107,6 +108,33 @@
     end
 }
 
+/// Runs the attempts at the pool of a request, and at another one if newer settings drop that pool before anything
+/// was sent.
+async fn run_routed<D: Dialect>(
+    context: &PipelineContext,
+    request: &mut ClassifiedRequest,
+    origin: Option<StreamOrigin>,
+    mut claim: Option<&mut ClaimLease>,
+    caller: &mut CallerLink,
+    journal: &mut RequestJournal,
+) -> Result<RequestEnd, Refusal> {
+    context.budgets.record_request(&request.class);
+    loop {
+        let (origin, lease) = (origin.clone(), claim.as_deref_mut());
+        let may_reroute = origin.is_none();
+        let end = run_attempts::<D>(context, request, origin, lease, caller, journal).await;
+        let refused = match &end {
+            Err(refusal) if may_reroute && journal.record.attempts == 0 => refusal,
+            _ => return end,
+        };
+        let Some(rerouted) = reroute_request::<D::Callers>(context, request, refused) else {
+            return end;
+        };
+        journal.record_reroute(request, &rerouted);
+        *request = rerouted;
+    }
+}
+
 /// Runs the stages that wait and run once for each attempt.
 async fn run_attempts<D: Dialect>(
     context: &PipelineContext,
@@ -120,7 +148,6 @@
     let mut needs = EndpointNeeds::default();
     let mut history = AttemptHistory::new(retry_conditions(request, claim.is_some()));
     let mut last_event = None;
-    context.budgets.record_request(&request.class);
     loop {
         let version = required_version(context, request, origin.as_ref());
         needs.version = version.map_err(|refusal| adjust_refusal(request, &history, refusal))?;
--- a/coltsfootgate/src/pipeline/journal.rs
+++ b/coltsfootgate/src/pipeline/journal.rs
@@ -57,6 +57,12 @@
         self.record.config_version = request.active.version;
     }
 
+    /// Records that newer settings lead the request to another pool than the one for which it waited.
+    pub fn record_reroute(&mut self, request: &ClassifiedRequest, rerouted: &ClassifiedRequest) {
+        self.record.rerouted_from = Some(request.pool.id.to_string());
+        self.record_class(rerouted);
+    }
+
     /// Records an endpoint whose connection was lost while it had the request.
     pub fn record_lost(&mut self, request: &ClassifiedRequest, endpoint: &str) {
         self.record.lost_endpoints.push(endpoint.to_owned());
--- a/coltsfootgate/src/pipeline/mod.rs
+++ b/coltsfootgate/src/pipeline/mod.rs
@@ -19,6 +19,7 @@
 mod quarantine;
 pub mod record;
 pub mod relay;
+mod reroute;
 pub mod resume;
 pub mod route;
 pub mod settle;
--- a/coltsfootgate/src/pipeline/record.rs
+++ b/coltsfootgate/src/pipeline/record.rs
@@ -21,6 +21,8 @@
     pub class_tier: Option<u8>,
     /// Its pool, once known.
     pub pool: Option<String>,
+    /// The pool for which it waited when newer settings dropped that.
+    pub rerouted_from: Option<String>,
     /// The parts of its prompt, in order, as hexadecimal ids; the last one is left out, since no other
     /// request has it.
     pub shared_parts: Vec<String>,
--- a/coltsfootgate/src/routes/mod.rs
+++ b/coltsfootgate/src/routes/mod.rs
@@ -13,7 +13,7 @@
 use coltsfootgate_core::endpoint_limit::{LimitBook, LimitStatement};
 use coltsfootgate_core::owner::{HeldGrant, OwnerPressure};
 use coltsfootgate_core::prelude::{
-    EndpointId, EndpointSettings, GrantId, InstanceId, PoolId, RoutingStrategy, ZoneName,
+    EndpointId, EndpointSettings, ErrorKind, GrantId, InstanceId, PoolId, RoutingStrategy, ZoneName,
 };
 use coltsfootgate_core::rest::RestBook;
 use coltsfootgate_core::routing::{
@@ -172,7 +172,7 @@
 
     /// Returns the first step for a request.
     pub fn first_step(&self, route: &mut RequestRoute) -> RouteStep {
-        self.0.borrow_mut().policy.first_step(route, Instant::now())
+        self.step(&route.request.pool.clone(), |policy| policy.first_step(route, Instant::now()))
     }
 
     /// Returns the step after an owner's answer that was not a grant.
@@ -182,17 +182,32 @@
         owner: &InstanceId,
         reply: RouteReply,
     ) -> RouteStep {
-        self.0.borrow_mut().policy.next_step(route, owner, reply, Instant::now())
+        let pool = route.request.pool.clone();
+        self.step(&pool, |policy| policy.next_step(route, owner, reply, Instant::now()))
     }
 
     /// Returns the step for a request that waits: `Ask` another owner as well, or `Wait`.
     pub fn reconsider(&self, route: &mut RequestRoute) -> RouteStep {
-        self.0.borrow_mut().policy.reconsider(route, Instant::now())
+        self.step(&route.request.pool.clone(), |policy| policy.reconsider(route, Instant::now()))
+    }
+
+    /// The next step of a request, which is refused if its pool is not configured any more.
+    fn step(
+        &self,
+        pool: &PoolId,
+        choose: impl FnOnce(&mut SelectedPolicy) -> RouteStep,
+    ) -> RouteStep {
+        let mut state = self.0.borrow_mut();
+        if !state.is_configured(pool) {
+            return RouteStep::Refuse(ErrorKind::NoEndpoint);
+        }
+        choose(&mut state.policy)
     }
 
     /// Whether a request that no owner serves should wait, since the endpoints are changing their owner.
     pub fn awaits_owner(&self, route: &RequestRoute) -> bool {
-        self.0.borrow().policy.awaits_owner(route, Instant::now())
+        let state = self.0.borrow();
+        state.is_configured(&route.request.pool) && state.policy.awaits_owner(route, Instant::now())
     }
 
     /// Records a grant, or a request that is sent without an owner's grant.
@@ -299,6 +314,11 @@
 }
 
 impl TableState {
+    /// Whether the settings in force name a pool; also true before there are any.
+    fn is_configured(&self, pool: &PoolId) -> bool {
+        self.pools.as_ref().is_none_or(|pools| pools.pool(pool).is_some())
+    }
+
     /// Recomputes the owners and endpoints of every pool.
     fn refresh(&mut self) {
         let Some(pools) = &self.pools else { return };
--- a/coltsfootgate_core/tests/owner.rs
+++ b/coltsfootgate_core/tests/owner.rs
@@ -7,7 +7,7 @@
 use coltsfootgate_core::owner::{GrantRequest, OwnerEvent, ReleaseResult};
 use coltsfootgate_core::prelude::*;
 use rstest::rstest;
-use support::{OwnerDriver, grant_request};
+use support::{OwnerDriver, endpoint, grant_request};
 
 #[rstest]
 #[case::higher_tier_first(&[(5, 0.0), (1, 0.0), (3, 0.0)], &[1, 3, 5])]
@@ -104,6 +104,21 @@
     assert_eq!(driver.refusals().first().map(|(_, kind)| *kind), kind);
 }
 
+/// A pool that settings drop, and that newer ones bring back while its slot is still in use.
+#[test]
+fn an_owner_without_endpoints_refuses_what_waits_and_keeps_the_slots_in_use() {
+    let mut driver = OwnerDriver::new(1, 1);
+    driver.request(grant_request(0, 1));
+    driver.request(grant_request(1, 2));
+    driver.handle(OwnerEvent::Endpoints(Vec::new()));
+    assert_eq!(driver.refusals(), [(RequestTier::new(2).unwrap(), ErrorKind::NoEndpoint)]);
+    driver.handle(OwnerEvent::Endpoints(vec![endpoint(0, 1)]));
+    driver.request(grant_request(2, 1));
+    assert_eq!((driver.grant_count(), driver.in_flight()), (1, 1));
+    driver.release_oldest(ReleaseResult::Completed);
+    assert_eq!((driver.grant_count(), driver.in_flight()), (2, 1));
+}
+
 /// The release of a grant can be lost, or go to another owner.
 #[test]
 fn a_grant_that_its_requester_does_not_hold_frees_its_slot() {
