Bound by bytes what is kept of an answer for a caller that does not read

What callers would see: with callers that read slowly or not at all, answers without end fill the memory of an instance, 1 MB for each of them, and the requests of other callers end with it.

Cause: the relay stopped after 16 pieces for a slow caller, whatever their size; a piece has up to 64 KiB. The budget for buffered answers did not cover these.

Why it works: the relay waits while 64 KiB are buffered, as it did at 16 pieces; the endpoint waits with it. A piece that is larger by itself still passes.

--- a/coltsfootgate/src/entry/answer.rs
+++ b/coltsfootgate/src/entry/answer.rs
@@ -7,13 +7,13 @@
 
 use bytes::Bytes;
 use coltsfootgate_core::prelude::{BranchPath, ErrorKind};
-use futures_channel::mpsc;
 use futures_util::Stream;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use http_body::{Body, Frame, SizeHint};
 use serde_json::json;
 
 use super::caller::ConnectionGuard;
+use super::pieces::PieceReceiver;
 use super::stall::RequestGuard;
 use crate::dialect::CallerDialect;
 
@@ -125,7 +125,7 @@
 #[derive(Debug)]
 enum AnswerContent {
     Full(Option<Bytes>),
-    Stream(mpsc::Receiver<Result<Bytes, AbortedTransfer>>),
+    Stream(PieceReceiver),
     /// The pieces before the abort are being written.
     Aborting,
 }
@@ -138,7 +138,7 @@
     }
 
     /// Creates a body whose pieces arrive one by one.
-    pub fn stream(pieces: mpsc::Receiver<Result<Bytes, AbortedTransfer>>) -> Self {
+    pub fn stream(pieces: PieceReceiver) -> Self {
         Self { content: AnswerContent::Stream(pieces), guard: None, request: None }
     }
 
--- a/coltsfootgate/src/entry/caller.rs
+++ b/coltsfootgate/src/entry/caller.rs
@@ -5,15 +5,11 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use futures_channel::{mpsc, oneshot};
-use futures_util::SinkExt;
+use futures_channel::oneshot;
 use http::{HeaderMap, Response, StatusCode};
 
-use super::answer::{AbortedTransfer, AnswerBody};
-
-/// Number of pieces of an answer that are buffered for a slow caller; beyond it the relay waits,
-/// and with it the endpoint.
-const BUFFERED_PIECES_MAX: usize = 16;
+use super::answer::AnswerBody;
+use super::pieces::{PieceSender, piece_channel};
 
 /// The caller closed its connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -29,7 +25,7 @@
 #[derive(Debug)]
 pub struct CallerLink {
     head: Option<oneshot::Sender<Response<AnswerBody>>>,
-    pieces: Option<mpsc::Sender<Result<Bytes, AbortedTransfer>>>,
+    pieces: Option<PieceSender>,
     disconnection: oneshot::Receiver<Infallible>,
 }
 
@@ -80,7 +76,7 @@
 
     /// Sends the head of an answer whose body follows in pieces.
     pub fn start_stream(&mut self, status: StatusCode, headers: HeaderMap) {
-        let (sender, receiver) = mpsc::channel(BUFFERED_PIECES_MAX);
+        let (sender, receiver) = piece_channel();
         self.pieces = Some(sender);
         self.send_head(status, headers, AnswerBody::stream(receiver));
     }
@@ -92,7 +88,7 @@
     /// Fails if the caller has disconnected.
     pub async fn send(&mut self, piece: Bytes) -> Result<(), CallerDisconnected> {
         let pieces = self.pieces.as_mut().ok_or(CallerDisconnected)?;
-        pieces.send(Ok(piece)).await.map_err(|_| CallerDisconnected)
+        pieces.send(piece).await
     }
 
     /// Ends a started answer as a complete transfer.
@@ -102,8 +98,8 @@
 
     /// Aborts a started answer, so that the caller sees an incomplete transfer.
     pub async fn abort(&mut self) {
-        if let Some(mut pieces) = self.pieces.take() {
-            let _ = pieces.send(Err(AbortedTransfer)).await;
+        if let Some(pieces) = self.pieces.take() {
+            pieces.abort().await;
         }
     }
 
--- a/coltsfootgate/src/entry/mod.rs
+++ b/coltsfootgate/src/entry/mod.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod head;
 pub mod listener;
+mod pieces;
 pub mod request;
 mod stall;
 
