Bound the memory for the bodies of all requests together

What callers would see: with bodies of 4 MB, which the settings allow, 70 callers at once fill the memory of an instance, and the requests of all others end with it. A body that is announced as too large was refused only after so many bytes had come.

Cause: a bound for each body, none for all.

Announcing reserves nothing.

--- a/coltsfootgate/src/entry/request.rs
+++ b/coltsfootgate/src/entry/request.rs
@@ -1,20 +1,23 @@
 //! Reads a caller's request completely, within limits on its size and time.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use coltsfootgate_core::comeback::retry_after_delay;
 use coltsfootgate_core::prelude::{ErrorKind, RequestId};
 use coltsfootgate_core::settings::ConnectionSettings;
 use http::{HeaderMap, Method, Request};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use monoio::time::timeout;
 use uuid::Uuid;
 
 use super::answer::Refusal;
 use super::head::malformed;
 use crate::dialect::{CallerDialect, RequestMetadata};
+use crate::transfer::{BufferBudget, BufferShare};
 
 /// Header with the caller's deadline.
 pub const DEADLINE: &str = "coltsfootgate-deadline";
@@ -46,6 +49,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// The memory of the body, until the request is dropped.
+    pub memory: Rc<BufferShare>,
     /// The metadata in its headers.
     pub metadata: RequestMetadata,
 }
@@ -80,11 +85,14 @@
     id: RequestId,
     request: Request<Incoming>,
     bounds: &RequestBounds,
+    memory: &BufferBudget,
 ) -> Result<AcceptedRequest, Refusal> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
     let metadata = D::read_head(&head)?;
-    let body = read_body(body, bounds).await?;
+    let reading = read_body(body, bounds, memory);
+    let (body, memory) =
+        timeout(bounds.body_timeout, reading).await.unwrap_or_else(|_| Err(too_slow(bounds)))?;
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
     Ok(AcceptedRequest {
         id,
@@ -94,6 +102,7 @@
         target: target.into(),
         headers: head.headers,
         body,
+        memory: Rc::new(memory),
         metadata,
     })
 }
@@ -103,19 +112,49 @@
     Uuid::new_v4()
 }
 
-async fn read_body(body: Incoming, bounds: &RequestBounds) -> Result<Bytes, Refusal> {
-    let limited = Limited::new(body, bounds.body_bytes_max);
-    let Ok(collected) = timeout(bounds.body_timeout, limited.collect()).await else {
-        let allowed = bounds.body_timeout;
-        let message = format!("the body did not arrive within {allowed:?}");
-        return Err(Refusal::new(ErrorKind::SlowRequest, ENTRY_RULE, message));
-    };
-    match collected {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            let message = format!("the body is larger than {} bytes", bounds.body_bytes_max);
-            Err(Refusal::new(ErrorKind::BodyTooLarge, bounds.rule, message))
+/// Reads a body, and draws its memory from a budget. What cannot be kept is refused as soon as that is known, by its
+/// announced size before any of it was read.
+async fn read_body(
+    mut body: Incoming,
+    bounds: &RequestBounds,
+    memory: &BufferBudget,
+) -> Result<(Bytes, BufferShare), Refusal> {
+    let announced = body.size_hint().exact();
+    let announced = announced.map_or(0, |bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
+    if announced > bounds.body_bytes_max {
+        return Err(too_large(bounds));
+    }
+    if !memory.covers(announced) {
+        return Err(memory_full());
+    }
+    let (mut content, mut share) = (BytesMut::new(), memory.share());
+    while let Some(frame) = body.frame().await {
+        let frame =
+            frame.map_err(|error| malformed(format!("the body cannot be read: {error}")))?;
+        let Ok(piece) = frame.into_data() else { continue };
+        if content.len() + piece.len() > bounds.body_bytes_max {
+            return Err(too_large(bounds));
+        }
+        content.extend_from_slice(&piece);
+        if !share.resize(content.capacity()) {
+            return Err(memory_full());
         }
-        Err(error) => Err(malformed(format!("the body cannot be read: {error}"))),
     }
+    Ok((content.freeze(), share))
+}
+
+fn too_slow(bounds: &RequestBounds) -> Refusal {
+    let message = format!("the body did not arrive within {:?}", bounds.body_timeout);
+    Refusal::new(ErrorKind::SlowRequest, ENTRY_RULE, message)
+}
+
+fn too_large(bounds: &RequestBounds) -> Refusal {
+    let message = format!("the body is larger than {} bytes", bounds.body_bytes_max);
+    Refusal::new(ErrorKind::BodyTooLarge, bounds.rule, message)
+}
+
+fn memory_full() -> Refusal {
+    let message = "the instance has no memory left for the body of the request";
+    let delay = retry_after_delay(ErrorKind::MemoryFull, Duration::ZERO, rand::random());
+    Refusal::new(ErrorKind::MemoryFull, ENTRY_RULE, message).with_retry_after(delay)
 }
--- a/coltsfootgate/src/pipeline/context.rs
+++ b/coltsfootgate/src/pipeline/context.rs
@@ -44,6 +44,8 @@
     pub quarantine: QuarantineHandle,
     /// The memory for answers that cannot be forwarded yet.
     pub buffers: BufferBudget,
+    /// The memory for the bodies of requests.
+    pub request_memory: BufferBudget,
     /// The connections to endpoints.
     pub endpoints: EndpointAccess,
     /// The records of recent requests.
--- a/coltsfootgate/src/pipeline/gate.rs
+++ b/coltsfootgate/src/pipeline/gate.rs
@@ -40,7 +40,8 @@
         let id = new_request_id();
         let arrived = Instant::now();
         let bounds = self.bounds.with_overrides(&self.context.tree.connections());
-        let accepting = accept_request::<D::Callers>(id, request, &bounds);
+        let memory = &self.context.request_memory;
+        let accepting = accept_request::<D::Callers>(id, request, &bounds, memory);
         let due = self.context.shutdown.answers_due();
         let accepted = match select(std::pin::pin!(accepting), std::pin::pin!(due)).await {
             Either::Left((accepted, _)) => accepted,
--- a/coltsfootgate/tests/buffer_budget.rs
+++ b/coltsfootgate/tests/buffer_budget.rs
@@ -7,7 +7,7 @@
 
 #[test]
 fn the_budget_is_shared_by_all_answers() {
-    let budget = BufferBudget::default();
+    let budget = BufferBudget::for_answers();
     let mut shares = Vec::new();
     loop {
         let mut share = budget.share();
@@ -26,7 +26,7 @@
 /// Answers of the usual size are served also if others use up the budget.
 #[test]
 fn small_buffers_do_not_draw_on_the_budget() {
-    let budget = BufferBudget::default();
+    let budget = BufferBudget::for_answers();
     let mut large: Vec<_> = (0..1_000).map(|_| budget.share()).collect();
     while large.iter_mut().any(|share| share.resize(LARGE)) && large.len() > 1 {
         large.truncate(large.len() / 2);
--- a/coltsfootgate_config/src/rule.rs
+++ b/coltsfootgate_config/src/rule.rs
@@ -87,6 +87,7 @@
         ErrorKind::Displaced
         | ErrorKind::MalformedRequest
         | ErrorKind::TooManyConnections
+        | ErrorKind::MemoryFull
         | ErrorKind::CallerLeft
         | ErrorKind::CallerLeftWaiting
         | ErrorKind::KeyInvalid
--- a/coltsfootgate_core/src/reason.rs
+++ b/coltsfootgate_core/src/reason.rs
@@ -69,6 +69,8 @@
     MethodNotAllowed => "method-not-allowed", 405, "invalid_request_error", NotRun, false;
     /// The instance has reached its limit of open connections.
     TooManyConnections => "too-many-connections", 503, "server_error", NotRun, true;
+    /// The instance has no memory left for the body of the request.
+    MemoryFull => "memory-full", 503, "server_error", NotRun, true;
     /// The customer exceeds its request rate limit.
     RateLimited => "rate-limited", 429, "rate_limit_error", NotRun, true;
     /// The customer has reached its limit of requests in flight.
