Report usage and order replicas by one instance at a time

One instance holds a lease in the store and acts under a token that rises with each holder and with the store's era. Three candidates fetch what all instances counted and what they have running and waiting; the counts of a window are stored under the lease before they are sent. Instances ask each other with a request at the end of the list, which earlier builds answer with an error; PROTOCOL_VERSION stays 12, and nothing that they store changes.

Ruled out, in docs/design/duties.md: counts by the owners of pools, totals pushed to an aggregator, a record rewritten by its holder, a reactive controller for replicas.

--- a/coltsfootctl/src/commands/status.rs
+++ b/coltsfootctl/src/commands/status.rs
@@ -51,6 +51,37 @@
     peers: Vec<PeerView>,
     endpoints: Vec<EndpointView>,
     queues: Vec<QueueView>,
+    duties: DutyView,
+}
+
+/// The part of an instance in the duties.
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
+#[serde(default)]
+struct DutyView {
+    token: Option<u64>,
+    is_acting: bool,
+    reports: Vec<ReportView>,
+    replicas: BTreeMap<String, Vec<ReplicaView>>,
+}
+
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
+#[serde(default)]
+struct ReportView {
+    window: u64,
+    requests: u64,
+    customers: u64,
+}
+
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
+#[serde(default)]
+struct ReplicaView {
+    zone: String,
+    kind: String,
+    present: u64,
+    wanted: u64,
 }
 
 #[derive(Debug, Default)]
@@ -95,7 +126,13 @@
             None => writeln!(formatter, "no tree is stored")?,
         }
         let views: Vec<_> = self.instances.iter().map(|status| (status, status.view())).collect();
-        for rows in [instance_rows(&views), queue_rows(&views), endpoint_rows(&views)] {
+        for rows in [
+            instance_rows(&views),
+            duty_rows(&views),
+            replica_rows(&views),
+            queue_rows(&views),
+            endpoint_rows(&views),
+        ] {
             if rows.len() > 1 {
                 write!(formatter, "\n{}\n", table(&rows))?;
             }
@@ -129,6 +166,34 @@
     rows
 }
 
+/// One row per instance that holds the lease on the duties, with its last report.
+fn duty_rows(views: &[(&InstanceStatus, InstanceView)]) -> Vec<Vec<String>> {
+    let mut rows = vec![header_row(["duties held by", "token", "acts", "last report"])];
+    for (status, view) in views {
+        let Some(token) = view.duties.token else { continue };
+        let report = view.duties.reports.last().map_or_else(String::new, |report| {
+            let ReportView { window, requests, customers } = report;
+            format!("window {window}: {requests} requests of {customers} customers")
+        });
+        let acts = if view.duties.is_acting { "yes" } else { "not now" };
+        rows.push(vec![status.instance.to_string(), token.to_string(), acts.into(), report]);
+    }
+    rows
+}
+
+/// One row per kind and zone in which the holder of the duties wants replicas or sees some.
+fn replica_rows(views: &[(&InstanceStatus, InstanceView)]) -> Vec<Vec<String>> {
+    let mut rows = vec![header_row(["pool", "zone", "kind", "replicas", "wanted"])];
+    let holders = views.iter().filter(|(_, view)| view.duties.token.is_some());
+    for (pool, replicas) in holders.flat_map(|(_, view)| &view.duties.replicas) {
+        for ReplicaView { zone, kind, present, wanted } in replicas {
+            let counts = [present.to_string(), wanted.to_string()];
+            rows.push([vec![pool.clone(), zone.clone(), kind.clone()], counts.to_vec()].concat());
+        }
+    }
+    rows
+}
+
 /// One row per pool, summed over the instances that own some of its endpoints.
 fn queue_rows(views: &[(&InstanceStatus, InstanceView)]) -> Vec<Vec<String>> {
     let mut sums: BTreeMap<&str, QueueView> = BTreeMap::new();
--- a/coltsfootgate/src/dialect/mod.rs
+++ b/coltsfootgate/src/dialect/mod.rs
@@ -15,6 +15,7 @@
 pub use self::native::{
     MODEL_PATHS, NativeCallers, NativeDialect, NativeEndpoints, OWN_HEADERS, RECORD_HEADERS,
 };
+use crate::duties::{DutyPlan, DutyPlatform};
 use crate::endpoint::EndpointFailure;
 use crate::endpoints::EndpointDirectory;
 use crate::entry::Refusal;
@@ -31,6 +32,8 @@
     type Endpoints: EndpointDialect;
     /// The client of the platform's store and of its lists of instances and endpoints.
     type Platform: PlatformStore + InstanceDirectory + EndpointDirectory + Clone + 'static;
+    /// The client of the platform for the holder of the duties.
+    type Duties: DutyPlatform;
 
     /// Creates the client of the platform.
     ///
@@ -38,6 +41,9 @@
     ///
     /// Returns a message that names the invalid setting and the reason.
     fn platform(settings: &DaemonSettings) -> Result<Self::Platform, String>;
+
+    /// The duties of the deployment, with the client for them; `None` if there are none.
+    fn duties(settings: &DaemonSettings) -> Option<(DutyPlan, Self::Duties)>;
 }
 
 /// The metadata in the headers of a caller's request.
--- a/coltsfootgate/src/dialect/native.rs
+++ b/coltsfootgate/src/dialect/native.rs
@@ -13,6 +13,7 @@
     AnswerNotice, AttemptContext, CallerDialect, Dialect, EndpointDialect, ModelPath,
     PromptMetadata, RequestMetadata, check_echoed_id,
 };
+use crate::duties::{DutyPlan, NoDuties};
 use crate::endpoint::{
     EndpointFailure, NOT_STARTED_HEADER, PRIORITY_HEADER, RATE_LIMIT_HEADER, REQUEST_ID_HEADER,
     RESUME_HEADER,
@@ -81,10 +82,15 @@
     type Callers = NativeCallers;
     type Endpoints = NativeEndpoints;
     type Platform = HttpPlatform;
+    type Duties = NoDuties;
 
     fn platform(settings: &DaemonSettings) -> Result<HttpPlatform, String> {
         Ok(HttpPlatform::new(settings.platform, settings.platform_timeout))
     }
+
+    fn duties(_settings: &DaemonSettings) -> Option<(DutyPlan, NoDuties)> {
+        None
+    }
 }
 
 impl CallerDialect for NativeCallers {
--- a/coltsfootgate/src/endpoints/board.rs
+++ b/coltsfootgate/src/endpoints/board.rs
@@ -6,8 +6,10 @@
 
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 
-use coltsfootgate_core::ids::EndpointId;
-use coltsfootgate_core::roster::{ReplicaChange, ReplicaRoster, ReplicaSnapshot, RosterEvent};
+use coltsfootgate_core::ids::{EndpointId, PoolId};
+use coltsfootgate_core::roster::{
+    ReplicaAnnouncement, ReplicaChange, ReplicaRoster, ReplicaSnapshot, RosterEvent,
+};
 use coltsfootgate_core::stream::StreamOrigin;
 
 /// The replicas that may serve requests; clones share the same roster.
@@ -39,6 +41,11 @@
         self.0.roster.borrow().has_left(endpoint)
     }
 
+    /// The replicas of a pool that serve and are not leaving.
+    pub fn serving(&self, pool: &PoolId) -> Vec<ReplicaAnnouncement> {
+        self.0.roster.borrow().serving(pool).cloned().collect()
+    }
+
     /// The replicas known here, for another instance, with the listed `origins` of streams.
     pub fn snapshot(&self, origins: Vec<StreamOrigin>) -> ReplicaSnapshot {
         self.0.roster.borrow().snapshot(origins)
--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -12,6 +12,7 @@
 use crate::claims::{ClaimsHandle, ClaimsTask, follow_owners};
 use crate::clock;
 use crate::dialect::Dialect;
+use crate::duties::{DutyContext, DutyPlan, DutyPlatform, DutyStatus, DutyTask, UsageBoard};
 use crate::endpoint::{ConnectionPool, EndpointAccess, EndpointPaths, ForwarderClient};
 use crate::endpoints::{EndpointDirectory, EndpointsTask, SharedRoster, SnapshotPoller};
 use crate::limits::{LimitHandle, LimitTask};
@@ -82,11 +83,18 @@
     let claims = starter.start_claims(&tree, &members);
     let limits = starter.start_limits(&tree);
     let (roster, roster_events) = SharedRoster::new();
-    let (owner, context) =
+    let duties = D::duties(settings);
+    let board = duties.as_ref().map_or_else(UsageBoard::without_duties, |_| UsageBoard::new());
+    let (owner, mut context) =
         starter.start_routing(tree, &members, roster.clone(), roster_events, claims, limits);
+    context.usage = board;
     let pools = starter.follow_members(&members, &owner, &context);
     let quarantine = context.quarantine.clone();
     let status = build_status(settings, &members, pools, quarantine);
+    if let Some((plan, client)) = duties {
+        let duty_status = starter.start_duties(plan, client, &members, &context);
+        status.add("duties", move || duty_status.to_json());
+    }
     let forwards = ForwardLoad::default();
     let forwarder = RequestForwarder {
         endpoints: context.endpoints.direct().clone(),
@@ -206,6 +214,7 @@
             buffers: BufferBudget::for_answers(),
             request_memory: BufferBudget::for_requests(),
             endpoints,
+            usage: UsageBoard::without_duties(),
             records: RequestRecords::default(),
             metrics: self.metrics.clone(),
             budgets: BudgetTable::default(),
@@ -258,6 +267,29 @@
         quarantine
     }
 
+    fn start_duties<C: DutyPlatform>(
+        &self,
+        plan: DutyPlan,
+        client: C,
+        members: &MembersHandle,
+        context: &PipelineContext,
+    ) -> DutyStatus {
+        let status = DutyStatus::default();
+        let context = DutyContext {
+            own: self.settings.instance.clone(),
+            members: members.clone(),
+            peers: self.peers.clone(),
+            tree: context.tree.clone(),
+            roster: context.roster.clone(),
+            board: context.usage.clone(),
+            status: status.clone(),
+            metrics: self.metrics.duties(),
+            shutdown: self.shutdown.clone(),
+        };
+        monoio::spawn(DutyTask::new(plan, client, context).run());
+        status
+    }
+
     fn follow_members(
         &self,
         members: &MembersHandle,
@@ -304,6 +336,7 @@
             claims: context.claims.clone(),
             streams: context.streams.clone(),
             quarantine: context.quarantine.clone(),
+            usage: context.usage.clone(),
             path: context.endpoints.path().clone(),
             metrics: self.metrics.clone(),
             owner_calls: owner_call_sender,
--- a/coltsfootgate/src/lib.rs
+++ b/coltsfootgate/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod clock;
 pub mod daemon;
 pub mod dialect;
+pub mod duties;
 pub mod endpoint;
 pub mod endpoints;
 pub mod entry;
--- a/coltsfootgate/src/metrics/mod.rs
+++ b/coltsfootgate/src/metrics/mod.rs
@@ -1,5 +1,6 @@
 //! Metrics of the daemon, exported in the Prometheus text format.
 
+mod duty;
 mod labels;
 mod registrar;
 #[cfg(test)]
@@ -19,6 +20,7 @@
 use coltsfootgate_core::reason::ErrorKind;
 use coltsfootgate_core::retry::RetryReason;
 
+pub use self::duty::DutyMetrics;
 pub use self::labels::{ConnectionSide, LatencyTarget};
 use self::registrar::MetricRegistrar;
 
@@ -466,6 +468,11 @@
         self.loop_delay.observe(time.as_secs_f64());
     }
 
+    /// Registers the metrics of the duties, once.
+    pub fn duties(&self) -> DutyMetrics {
+        DutyMetrics::new(&MetricRegistrar(self.registry.clone()))
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn encode(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/coltsfootgate/src/options/mod.rs
+++ b/coltsfootgate/src/options/mod.rs
@@ -14,11 +14,13 @@
 use gumdrop::Options;
 use log::LevelFilter;
 
+use coltsfootgate_core::duty::report::ReportTerms;
 use coltsfootgate_core::ids::{InstanceId, ZoneName};
 
 use self::parse::{
     SettingReader, parse_addresses, parse_advertised, parse_count, parse_duration, parse_file,
-    parse_milli, parse_path,
+    parse_milli, parse_names, parse_optional_address, parse_optional_name, parse_optional_number,
+    parse_path,
 };
 
 /// Prefix of the environment variables that the daemon reads.
@@ -142,6 +144,31 @@
         help = "maximum time without confirmed settings before requests with API keys are refused (1440 min)"
     )]
     pub config_age_max: Option<String>,
+    /// Name of this instance at its platform.
+    #[options(
+        no_short,
+        meta = "NAME",
+        help = "name of this instance at its platform (its address)"
+    )]
+    pub node_name: Option<String>,
+    /// Duties that one instance at a time carries out for the platform.
+    #[options(no_short, meta = "NAME,..", help = "duties of one instance at a time (none)")]
+    pub duties: Option<String>,
+    /// Address of the platform's service that the holder of the duties calls.
+    #[options(no_short, meta = "IP:PORT", help = "address for the calls of the duties (none)")]
+    pub duty_platform: Option<String>,
+    /// Time within which two instances must not act in turns, in milliseconds.
+    #[options(no_short, meta = "MS", help = "lease time of the duties, in milliseconds (3000)")]
+    pub duty_lease_ms: Option<String>,
+    /// Length of a window of usage, in seconds.
+    #[options(no_short, meta = "S", help = "length of a window of usage, in seconds (60)")]
+    pub usage_window_s: Option<String>,
+    /// Time after the end of a window at which its report is due, in seconds.
+    #[options(no_short, meta = "S", help = "time until a report of usage is due, in seconds (30)")]
+    pub usage_due_s: Option<String>,
+    /// Error that a report of usage may have.
+    #[options(no_short, meta = "SHARE", help = "error that a report of usage may have (0.05)")]
+    pub usage_tolerance: Option<String>,
     /// File of a base settings tree, if operators set only a part of the settings.
     #[options(
         no_short,
@@ -268,6 +295,23 @@
     pub readiness_path: Option<Arc<str>>,
     /// File of a base settings tree, if operators set only a part of the settings.
     pub base_tree: Option<PathBuf>,
+    /// The duties of the deployment.
+    pub duties: DutySettings,
+}
+
+/// The duties of the deployment, as the platform states them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DutySettings {
+    /// Name of this instance at its platform.
+    pub node_name: Arc<str>,
+    /// The duties, by the names that the platform gives them.
+    pub names: Vec<Arc<str>>,
+    /// Address of the platform's service for the calls of the holder.
+    pub platform: Option<SocketAddr>,
+    /// Time within which two instances must not act in turns.
+    pub lease_time: Duration,
+    /// How usage is reported, where that is a duty.
+    pub reports: ReportTerms,
 }
 
 /// A setting that is missing or invalid.
@@ -344,6 +388,19 @@
         let seeds = reader.required("seeds", flags.seeds, Some(""), parse_addresses);
         let readiness_path = reader.value("readiness-path", flags.readiness_path, None, parse_path);
         let base_tree = reader.value("base-tree", flags.base_tree, None, parse_file);
+        let node_name = reader.value("node-name", flags.node_name, None, parse_optional_name);
+        let duty_names = reader.required("duties", flags.duties, Some(""), parse_names);
+        let duty_platform =
+            reader.required("duty-platform", flags.duty_platform, Some(""), parse_optional_address);
+        // The platform leaves these empty where it does not know them.
+        let mut number = |name, flag, default: f64| {
+            let number = reader.required(name, flag, Some(""), parse_optional_number)?;
+            Some(number.unwrap_or(default))
+        };
+        let duty_lease_ms = number("duty-lease-ms", flags.duty_lease_ms, 3000.0);
+        let usage_window_s = number("usage-window-s", flags.usage_window_s, 60.0);
+        let usage_due_s = number("usage-due-s", flags.usage_due_s, 30.0);
+        let usage_tolerance = number("usage-tolerance", flags.usage_tolerance, 0.05);
         let mut count =
             |name, flag, default| reader.required(name, flag, Some(default), parse_count);
         let connections = count("connections", flags.connections, "4096");
@@ -361,11 +418,23 @@
         reader.check_unknown_variables();
         let settings = (|| {
             let (peer_listen, operators_listen) = (peer_listen?, operators_listen?);
+            let instance: InstanceId = advertise.unwrap_or(peer_listen).to_string().into();
+            let duties = DutySettings {
+                node_name: node_name.flatten().unwrap_or_else(|| instance.clone()),
+                names: duty_names?,
+                platform: duty_platform?,
+                lease_time: Duration::from_secs_f64(duty_lease_ms? / 1000.0),
+                reports: ReportTerms {
+                    window: Duration::from_secs_f64(usage_window_s?),
+                    due: Duration::from_secs_f64(usage_due_s?),
+                    tolerance: usage_tolerance?,
+                },
+            };
             Some(Self {
                 listen: listen?,
                 peer_listen,
                 operators_listen,
-                instance: advertise.unwrap_or(peer_listen).to_string().into(),
+                instance,
                 operators_address: advertise_operators
                     .unwrap_or(operators_listen)
                     .to_string()
@@ -394,6 +463,7 @@
                 seeds: seeds?,
                 readiness_path,
                 base_tree,
+                duties,
             })
         })();
         reader.finish(settings)
--- a/coltsfootgate/src/options/parse.rs
+++ b/coltsfootgate/src/options/parse.rs
@@ -182,6 +182,34 @@
     parts.map(|part| parse_advertised(part).map(|address| address.to_string().into())).collect()
 }
 
+/// Parses a comma-separated list of names.
+pub(super) fn parse_names(text: &str) -> Result<Vec<Arc<str>>, &'static str> {
+    text.split(',').map(str::trim).filter(|part| !part.is_empty()).map(parse_name).collect()
+}
+
+/// Parses a name; an empty text stands for none.
+pub(super) fn parse_optional_name(text: &str) -> Result<Option<Arc<str>>, &'static str> {
+    if text.is_empty() { Ok(None) } else { parse_name(text).map(Some) }
+}
+
+/// Parses an address that others listen on; an empty text stands for none.
+pub(super) fn parse_optional_address(text: &str) -> Result<Option<SocketAddr>, &'static str> {
+    if text.is_empty() { Ok(None) } else { parse_advertised(text).map(Some) }
+}
+
+/// Parses a number above 0; an empty text stands for none.
+pub(super) fn parse_optional_number(text: &str) -> Result<Option<f64>, &'static str> {
+    /// Largest number: a day, in milliseconds.
+    const NUMBER_MAX: f64 = 86_400_000.0;
+    if text.is_empty() {
+        return Ok(None);
+    }
+    match text.trim().parse::<f64>() {
+        Ok(number) if number > 0.0 && number <= NUMBER_MAX => Ok(Some(number)),
+        _ => Err("a number above 0, up to 86400000"),
+    }
+}
+
 /// Parses the path of an HTTP endpoint.
 pub(super) fn parse_path(text: &str) -> Result<Arc<str>, &'static str> {
     if !text.starts_with('/') || !text.bytes().all(|byte| byte.is_ascii_graphic()) {
--- a/coltsfootgate/src/owner/desk.rs
+++ b/coltsfootgate/src/owner/desk.rs
@@ -96,6 +96,7 @@
             | PeerRequest::ReportLeaving(_)
             | PeerRequest::CheckEndpoint(_)
             | PeerRequest::TakeTrial(_)
+            | PeerRequest::FetchUsage(_)
             | PeerRequest::Claim { .. } => false,
         };
         if is_notification {
--- a/coltsfootgate/src/peer/dispatch.rs
+++ b/coltsfootgate/src/peer/dispatch.rs
@@ -11,6 +11,7 @@
 use super::PeerCall;
 use crate::claims::ClaimsHandle;
 use crate::clock;
+use crate::duties::UsageBoard;
 use crate::endpoint::EndpointPaths;
 use crate::endpoints::SharedRoster;
 use crate::members::{MemberMessage, MembersHandle};
@@ -33,6 +34,8 @@
     pub streams: StreamRegister,
     /// Receives crashes and blocked parts of prompts.
     pub quarantine: QuarantineHandle,
+    /// What this instance counted.
+    pub usage: UsageBoard,
     /// The path to endpoints.
     pub path: EndpointPaths,
     /// The metrics.
@@ -129,6 +132,12 @@
                     let _ = reply.send(PeerReply::Claim(verdict));
                 });
             }
+            PeerRequest::FetchUsage(known) => {
+                // Without duties there is nothing to tell, and the request counts as not handled.
+                if let Some(usage) = self.usage.usage(known) {
+                    let _ = reply.send(PeerReply::Usage(usage));
+                }
+            }
             request => {
                 let _ = self.owner_calls.unbounded_send(PeerCall { from, request, reply });
             }
@@ -164,6 +173,7 @@
         | PeerRequest::ReportLeaving(_)
         | PeerRequest::CheckEndpoint(_)
         | PeerRequest::TakeTrial(_)
+        | PeerRequest::FetchUsage(_)
         | PeerRequest::Claim { .. } => true,
     }
 }
--- a/coltsfootgate/src/pipeline/context.rs
+++ b/coltsfootgate/src/pipeline/context.rs
@@ -8,6 +8,7 @@
 
 use super::budget::BudgetTable;
 use crate::claims::ClaimsHandle;
+use crate::duties::UsageBoard;
 use crate::endpoint::EndpointAccess;
 use crate::endpoints::SharedRoster;
 use crate::limits::LimitHandle;
@@ -46,6 +47,8 @@
     pub buffers: BufferBudget,
     /// The memory for the bodies of requests.
     pub request_memory: BufferBudget,
+    /// What this instance served and has to serve.
+    pub usage: UsageBoard,
     /// The connections to endpoints.
     pub endpoints: EndpointAccess,
     /// The records of recent requests.
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -217,6 +217,7 @@
     journal: &mut RequestJournal,
 ) -> Result<GrantLease, Refusal> {
     check_quarantine(context, request, journal)?;
+    let _waiting = context.usage.record_waiting(&request.pool.id);
     let lease = admit_request(context, request, needs, caller, journal).await?;
     if let Err(refusal) = confirm_quarantine(context, request, journal).await {
         lease.release_unsent();
@@ -259,6 +260,7 @@
     journal: &mut RequestJournal,
 ) -> RelayEnd {
     let attempt = D::Endpoints::attempt_id(request, journal.record.attempts);
+    let _running = context.usage.record_running(&request.pool.id);
     let sent_at = Instant::now();
     let ResumePoint { offset, last_event, may_abandon } = resume;
     let resume_after = last_event.clone();
@@ -269,6 +271,7 @@
         attempt: &attempt,
         sent_at,
         measurements: AttemptMeasurements::default(),
+        has_begun: false,
         last_event: resume_after.clone(),
     };
     let start = AttemptStart { id: &attempt, offset, last_event: resume_after.as_deref() };
@@ -291,6 +294,9 @@
     if let RelayEnd::Served(_) = end {
         context.answer_times.borrow_mut().record(&request.class.id, sent_at.elapsed());
     }
+    if may_have_begun(request, &end, may_be_sent) {
+        task.record_begun();
+    }
     let measurements = task.measurements;
     *last_event = task.last_event;
     journal.record.endpoint_limit = lease.limit();
@@ -328,6 +334,22 @@
     sending.await
 }
 
+/// Whether an endpoint began to run a request, as far as its end shows. A stream begins with its first token; any
+/// other request that was sent and not refused is taken for begun, since endpoints seldom let requests wait.
+fn may_have_begun(request: &ClassifiedRequest, end: &RelayEnd, may_be_sent: bool) -> bool {
+    let is_stream = matches!(request.form, AnswerForm::ModelStream | AnswerForm::EventStream);
+    let is_refused = matches!(
+        end,
+        RelayEnd::Failed(
+            EndpointFailure::NeverSent
+                | EndpointFailure::Resting
+                | EndpointFailure::PathLost
+                | EndpointFailure::RefusedBeforeStart
+        )
+    );
+    !is_stream && may_be_sent && !is_refused
+}
+
 /// What the end of an attempt shows about its endpoint; nothing if this instance lost the path to all.
 fn release_result(end: &RelayEnd, is_path_lost: bool) -> ReleaseResult {
     match end {
--- a/coltsfootgate/src/pipeline/relay/mod.rs
+++ b/coltsfootgate/src/pipeline/relay/mod.rs
@@ -63,6 +63,8 @@
     pub sent_at: Instant,
     /// The measurements of the attempt.
     pub measurements: AttemptMeasurements,
+    /// Whether the request was counted as begun.
+    pub has_begun: bool,
     /// The id of the last event sent to the caller in any attempt.
     pub last_event: Option<Arc<str>>,
 }
@@ -108,7 +110,16 @@
         if is_complete(framing, end) { Ok(()) } else { Err(EndpointFailure::ConnectionLost) }
     }
 
+    /// Counts the request as one that the endpoint began to run.
+    pub fn record_begun(&mut self) {
+        if !self.has_begun {
+            self.has_begun = true;
+            self.context.usage.record_begun(&self.request.customer.id);
+        }
+    }
+
     fn record_token(&mut self, now: Instant, journal: &mut RequestJournal) {
+        self.record_begun();
         journal.record_first_token(now);
         let since_sent = now.duration_since(self.sent_at);
         let first = *self.measurements.first_token.get_or_insert(since_sent);
--- a/coltsfootgate_config/src/pools.rs
+++ b/coltsfootgate_config/src/pools.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
+use coltsfootgate_core::duty::scale::ScaleSettings;
 use coltsfootgate_core::ids::{BranchPath, PoolId};
 use coltsfootgate_core::settings::{EndpointSettings, PoolKind, PoolSettings, RouteTarget};
 
@@ -120,6 +121,8 @@
         let (resumes, silence) = (reader.boolean("resumes"), reader.duration("silence"));
         let (id, memory) = (reader.path(), reader.memory());
         let (allowed_parts, allowed_requests) = (reader.allowed_parts(), reader.allowed_requests());
+        let scale = reader.scale();
+        self.check_scale(node, scale.as_ref());
         let pool = Arc::new(PoolSettings {
             id,
             target,
@@ -128,6 +131,7 @@
             memory,
             allowed_parts,
             allowed_requests,
+            scale,
             endpoints,
         });
         self.insert(node, pool);
@@ -168,6 +172,18 @@
         }
     }
 
+    fn check_scale(&mut self, node: &BranchNode, scale: Option<&ScaleSettings>) {
+        let Some(scale) = scale else { return };
+        if scale.minimum > scale.maximum {
+            let found = format!("scale_minimum = {} above scale_maximum", scale.minimum);
+            let allowed = format!("0 to scale_maximum, here {}", scale.maximum);
+            self.faults.add_branch(node, ConfigFault::WrongValue { found, allowed });
+        }
+        if scale.zone_prices.is_empty() {
+            self.faults.add_missing(node, "zone_prices", "the price of a replica in each zone");
+        }
+    }
+
     fn check_endpoint(&mut self, node: &BranchNode, endpoint: &EndpointSettings) {
         self.check_zone(node, endpoint);
         self.check_address(node, endpoint);
--- a/coltsfootgate_config/src/resolve.rs
+++ b/coltsfootgate_config/src/resolve.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coltsfootgate_core::duty::scale::ScaleSettings;
 use coltsfootgate_core::ids::{BranchPath, RequestTier};
 use coltsfootgate_core::quarantine::{PartId, RequestDigest};
 use coltsfootgate_core::settings::{
@@ -154,6 +155,23 @@
         self.texts("allowed_parts").iter().filter_map(|text| parse_hex_id(text)).collect()
     }
 
+    /// How many replicas a pool may have in each zone; `None` if it sets no maximum.
+    pub(crate) fn scale(&self) -> Option<ScaleSettings> {
+        let maximum = self.optional_integer("scale_maximum")?;
+        let prices = match self.value("zone_prices") {
+            Some(SettingValue::Table(prices)) => &prices[..],
+            _ => &[],
+        };
+        let price = |price: &Setting| Some((price.key.clone(), price.value.as_number()?));
+        Some(ScaleSettings {
+            minimum: self.optional_integer("scale_minimum").unwrap_or(0),
+            maximum,
+            boot_time: self.duration("boot_time"),
+            spot_price: self.value("spot_price").and_then(SettingValue::as_number),
+            zone_prices: prices.iter().filter_map(price).collect(),
+        })
+    }
+
     /// The requests that a pool never blocks.
     pub(crate) fn allowed_requests(&self) -> Vec<RequestDigest> {
         self.texts("allowed_requests").iter().filter_map(|text| parse_hex_id(text)).collect()
--- a/coltsfootgate_config/src/schema.rs
+++ b/coltsfootgate_config/src/schema.rs
@@ -15,6 +15,8 @@
 
 /// The maximum weight of a pool in a class.
 const POOL_WEIGHT_MAX: i64 = 1_000_000;
+/// The maximum price of a replica.
+const PRICE_MAX: f64 = 1_000_000.0;
 /// The allowed value of `match`, for error messages.
 pub(crate) const MATCH_DESCRIPTION: &str =
     "a table of customer, model, method, host, prefix, path and header";
@@ -84,8 +86,7 @@
 
     /// Whether the value of a key is a table rather than a child branch.
     pub(crate) fn is_table_key(self, name: &str) -> bool {
-        self.key(name)
-            .is_some_and(|spec| matches!(spec.kind, ValueKind::Match | ValueKind::PoolShares))
+        self.key(name).is_some_and(|spec| spec.kind.is_table())
     }
 }
 
@@ -131,9 +132,16 @@
     Match,
     /// A table that maps pool names to weights.
     PoolShares,
+    /// A table that maps names of availability zones to prices.
+    ZonePrices,
 }
 
 impl ValueKind {
+    /// Whether the value is a table.
+    fn is_table(self) -> bool {
+        matches!(self, Self::Match | Self::PoolShares | Self::ZonePrices)
+    }
+
     /// Whether a value is allowed.
     pub(crate) fn allows(self, value: &SettingValue) -> bool {
         match self {
@@ -166,6 +174,7 @@
             Self::PathPrefix => value.as_text().is_some_and(|text| is_path_prefix(text)),
             Self::Match => matches!(value, SettingValue::Table(_)),
             Self::PoolShares => are_pool_shares(value),
+            Self::ZonePrices => are_zone_prices(value),
         }
     }
 
@@ -193,6 +202,9 @@
             Self::PoolShares => format!(
                 "a table from pool names to weights from 0 to {POOL_WEIGHT_MAX}, one of them above 0"
             ),
+            Self::ZonePrices => {
+                format!("a table from names of zones to prices above 0, up to {PRICE_MAX}")
+            }
         }
     }
 }
@@ -210,6 +222,12 @@
     has_positive_weight && shares.iter().map(weight).all(is_allowed)
 }
 
+fn are_zone_prices(value: &SettingValue) -> bool {
+    let SettingValue::Table(prices) = value else { return false };
+    let is_price = |price: f64| price > 0.0 && price <= PRICE_MAX;
+    prices.iter().all(|price| price.value.as_number().is_some_and(is_price))
+}
+
 fn is_plain_text(text: &str) -> bool {
     !text.is_empty() && text.len() <= TEXT_BYTES_MAX && !text.chars().any(char::is_control)
 }
@@ -314,6 +332,16 @@
         default: None,
         inherited: true,
     },
+    own("scale_minimum", ValueKind::Integer(0, 65536)),
+    own("scale_maximum", ValueKind::Integer(0, 65536)),
+    inherited("boot_time", ValueKind::Duration(MILLISECOND, HOUR), "30 s"),
+    KeySpec {
+        name: "spot_price",
+        kind: ValueKind::Number(0.0, PRICE_MAX),
+        default: None,
+        inherited: true,
+    },
+    KeySpec { name: "zone_prices", kind: ValueKind::ZonePrices, default: None, inherited: true },
     inherited("slots", ValueKind::Integer(1, 65536), "8"),
     inherited("slots_max", ValueKind::Integer(1, 65536), "64"),
 ];
--- a/coltsfootgate_core/src/lib.rs
+++ b/coltsfootgate_core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod claim;
 pub mod comeback;
 pub mod drain;
+pub mod duty;
 pub mod endpoint_limit;
 pub mod estimate;
 pub mod forward;
--- a/coltsfootgate_core/src/roster.rs
+++ b/coltsfootgate_core/src/roster.rs
@@ -39,6 +39,8 @@
     pub slots: u32,
     /// Whether it is shutting down and gets no new requests.
     pub is_leaving: bool,
+    /// Whether the platform may reclaim it; not told to other instances.
+    pub is_spot: bool,
 }
 
 impl ReplicaAnnouncement {
@@ -175,6 +177,15 @@
         pools
     }
 
+    /// The replicas of a pool that serve and are not leaving.
+    pub fn serving<'a>(
+        &'a self,
+        pool: &'a PoolId,
+    ) -> impl Iterator<Item = &'a ReplicaAnnouncement> {
+        let announcements = self.entries.values().map(|entry| &entry.announcement);
+        announcements.filter(|one| one.pool == *pool && !self.left.contains_key(&one.endpoint_id()))
+    }
+
     /// Whether an endpoint is known to be leaving, or has left.
     pub fn has_left(&self, endpoint: &EndpointId) -> bool {
         self.left.contains_key(endpoint)
--- a/coltsfootgate_core/src/routing/owners.rs
+++ b/coltsfootgate_core/src/routing/owners.rs
@@ -55,6 +55,11 @@
         table.balanced(pool.endpoints.iter().map(|endpoint| &endpoint.id))
     }
 
+    /// The instances that may use the most processor time, ordered for a name.
+    pub fn ranked_strongest(&self, name: &str) -> Vec<&InstanceId> {
+        self.strongest.ranked(name)
+    }
+
     /// The locations of the owners in `endpoint_owners`.
     pub fn owner_locations(
         &self,
--- a/coltsfootgate_core/src/settings.rs
+++ b/coltsfootgate_core/src/settings.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::duty::scale::ScaleSettings;
 use crate::ids::{ClassId, CustomerId, EndpointId, PoolId, RequestTier, SoftwareVersion, ZoneName};
 use crate::quarantine::{PartId, RequestDigest};
 
@@ -131,6 +132,8 @@
     pub allowed_parts: Vec<PartId>,
     /// The requests that are never blocked, whatever crashes under them.
     pub allowed_requests: Vec<RequestDigest>,
+    /// How many replicas it may have in each zone; `None` if they are not ordered.
+    pub scale: Option<ScaleSettings>,
     /// Its endpoints, sorted by id.
     pub endpoints: Vec<EndpointSettings>,
 }
--- a/coltsfootgate_core/tests/roster.rs
+++ b/coltsfootgate_core/tests/roster.rs
@@ -23,6 +23,7 @@
         zone: "zone-a".into(),
         slots: 4,
         is_leaving: false,
+        is_spot: false,
     }
 }
 
--- a/coltsfootgate_standins/src/pool_model/owners.rs
+++ b/coltsfootgate_standins/src/pool_model/owners.rs
@@ -80,6 +80,7 @@
             memory: Some(self.profile.engine.kv_cache_tokens),
             allowed_parts: Vec::new(),
             allowed_requests: Vec::new(),
+            scale: None,
             endpoints: (0..self.profile.engines).map(endpoint).collect(),
         }
     }
--- a/coltsfootgate_wire/src/lib.rs
+++ b/coltsfootgate_wire/src/lib.rs
@@ -15,6 +15,7 @@
 mod replica;
 mod stream;
 mod tree;
+mod usage;
 mod wire;
 
 pub use self::claim::{decode_claim_page, encode_claim_page};
--- a/coltsfootgate_wire/src/message.rs
+++ b/coltsfootgate_wire/src/message.rs
@@ -4,6 +4,8 @@
 use std::time::Instant;
 
 use coltsfootgate_core::claim::page::{ClaimChange, ClaimVerdict};
+use coltsfootgate_core::duty::InstanceUsage;
+use coltsfootgate_core::duty::usage::SlotNumber;
 use coltsfootgate_core::endpoint_limit::LimitStatement;
 use coltsfootgate_core::head::TreeHead;
 use coltsfootgate_core::ids::{EndpointId, GrantId, InstanceId, PoolId};
@@ -124,6 +126,9 @@
         /// When the sender stops waiting.
         deadline: Instant,
     },
+    /// Fetches what the receiver counted since a slot of the process with a number. Earlier builds do not know this
+    /// request and answer it with an error.
+    FetchUsage(Option<(u64, SlotNumber)>),
 }
 
 impl PeerRequest {
@@ -153,6 +158,7 @@
             Self::FetchReplicas => "fetch-replicas",
             Self::RequestSlice(_) => "limit-ask",
             Self::Claim { .. } => "claim",
+            Self::FetchUsage(_) => "fetch-usage",
         }
     }
 }
@@ -192,4 +198,6 @@
     LimitSlice(LimitSlice),
     /// The verdict on a change to a page of claims.
     Claim(ClaimVerdict),
+    /// What the replying instance counted.
+    Usage(InstanceUsage),
 }
--- a/coltsfootgate_wire/src/replica.rs
+++ b/coltsfootgate_wire/src/replica.rs
@@ -75,7 +75,7 @@
 impl TryFrom<WireAnnouncement> for ReplicaAnnouncement {
     type Error = WireError;
 
-    /// Replicas that are leaving are never sent, so `is_leaving` is always false.
+    /// Replicas that are leaving are never sent, and whether a replica may be reclaimed is not told to others.
     fn try_from(announcement: WireAnnouncement) -> Result<Self, WireError> {
         Ok(Self {
             replica: check_name(announcement.replica, "replica")?,
@@ -87,6 +87,7 @@
             zone: check_name(announcement.zone, "zone")?,
             slots: announcement.slots,
             is_leaving: false,
+            is_spot: false,
         })
     }
 }
--- a/coltsfootgate_wire/src/wire.rs
+++ b/coltsfootgate_wire/src/wire.rs
@@ -1,7 +1,8 @@
 //! Wire types of requests and replies.
 //!
 //! The encoding identifies variants and fields by their position, so their order and number are
-//! part of the protocol in all wire types.
+//! part of the protocol in all wire types. A request that is added at the end is refused by earlier builds, which
+//! answer it with an error and nothing else; its sender must do without an answer.
 //!
 //! Some names differ from those in `PeerRequest` and its fields: `Ask` is `RequestGrant`,
 //! `LimitAsk` is `RequestSlice`, `asker` is `requester`, and `memory` is `kv_cache_tokens`.
@@ -28,6 +29,7 @@
 use crate::replica::WireReplicaSnapshot;
 use crate::stream::{WireStreamKey, WireStreamOrigin};
 use crate::tree::WireHead;
+use crate::usage::WireUsage;
 
 #[derive(Deserialize, Serialize)]
 pub(crate) enum WireRequest {
@@ -54,6 +56,7 @@
     FetchReplicas,
     LimitAsk(WireSliceRequest),
     Claim { change: WireChange, micros_left: u64 },
+    FetchUsage(Option<(u64, u64)>),
 }
 
 #[derive(Deserialize, Serialize)]
@@ -73,6 +76,7 @@
     Reachable(Option<bool>),
     LimitSlice(WireLimitSlice),
     Claim(WireVerdict),
+    Usage(WireUsage),
 }
 
 fn convert_all<T, U: From<T>>(items: Vec<T>) -> Vec<U> {
@@ -141,6 +145,7 @@
             PeerRequest::Claim { change, deadline } => {
                 Self::Claim { change: change.into(), micros_left: micros_until(deadline, now) }
             }
+            PeerRequest::FetchUsage(known) => Self::FetchUsage(known),
         }
     }
 }
@@ -215,6 +220,7 @@
                 change: change.try_into()?,
                 deadline: now + from_micros(micros_left)?,
             },
+            WireRequest::FetchUsage(known) => Self::FetchUsage(known),
         })
     }
 }
@@ -251,6 +257,7 @@
             PeerReply::Reachable(is_reachable) => Self::Reachable(is_reachable),
             PeerReply::LimitSlice(slice) => Self::LimitSlice(slice.into()),
             PeerReply::Claim(verdict) => Self::Claim(verdict.into()),
+            PeerReply::Usage(usage) => Self::Usage(usage.into()),
         }
     }
 }
@@ -287,6 +294,7 @@
             WireReply::Reachable(is_reachable) => Self::Reachable(is_reachable),
             WireReply::LimitSlice(slice) => Self::LimitSlice(slice.try_into()?),
             WireReply::Claim(verdict) => Self::Claim(verdict.try_into()?),
+            WireReply::Usage(usage) => Self::Usage(usage.try_into()?),
         })
     }
 }
--- a/coltsfootgate_wire/tests/messages.rs
+++ b/coltsfootgate_wire/tests/messages.rs
@@ -252,6 +252,7 @@
         zone: "zone-a".into(),
         slots: 64,
         is_leaving: false,
+        is_spot: false,
     }],
     left: vec!["i-2@0".into()],
     origins: vec![StreamOrigin { pool: "pools.a".into(), version: Some("v1.1".into()) }],
