Judge endpoints by their spread, and open them by their answers

Cause: four slow answers or three errors in a row took a sound replica out, and a clock brought it back; with tails and errors of the application that left one of three replicas idle while a hundred requests waited. New and recovered ones were flooded or let in by timed probes.

Ruled out: higher thresholds of consecutive answers (finds sick ones late), a ramp by time, a fixed ramp; see docs/design/endpoint-pace.md.

--- a/coltsfootgate_core/src/owner/choice.rs
+++ b/coltsfootgate_core/src/owner/choice.rs
@@ -13,6 +13,8 @@
 /// Cost, as a fraction of an endpoint's slots, if its error rate exceeds the pool's lowest by 1;
 /// smaller differences cost proportionally less.
 const ERROR_PENALTY: f64 = 2.5;
+/// Cost, as a fraction of an endpoint's slots, if it takes as much longer than its pool as a good answer may.
+const SLOW_PENALTY: f64 = 0.5;
 /// Cost of an endpoint in another availability zone, as a fraction of its slots.
 const ZONE_PENALTY: f64 = 0.05;
 
@@ -85,10 +87,9 @@
             let zone_penalty = if is_other_zone { ZONE_PENALTY } else { 0.0 };
             let error_penalty =
                 (endpoint.error_rate.get(now) - lowest_error_rate).max(0.0) * ERROR_PENALTY;
-            (
-                endpoint.slot_usage(now) - affinity_bonus + zone_penalty + error_penalty,
-                endpoint.last_grant,
-            )
+            let slow_penalty = endpoint.excess_slowness(now) * SLOW_PENALTY;
+            let penalty = zone_penalty + error_penalty + slow_penalty;
+            (endpoint.slot_usage(now) - affinity_bonus + penalty, endpoint.last_grant)
         };
         let order = |one: &(f64, u64), other: &(f64, u64)| {
             one.0.total_cmp(&other.0).then(one.1.cmp(&other.1))
--- a/coltsfootgate_core/src/owner/endpoint.rs
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -15,6 +15,8 @@
 use crate::ids::EndpointId;
 use crate::settings::EndpointSettings;
 
+/// Error rate above that of the other endpoints from which an endpoint is ejected.
+const EXCESS_ERROR_RATE: f64 = 0.5;
 /// Median error rate of the other endpoints from which failures count as pool-wide.
 const POOL_WIDE_ERROR_RATE: f64 = 0.2;
 
@@ -32,6 +34,8 @@
     in_flight: u32,
     is_draining: bool,
     is_owned: bool,
+    /// Whether no endpoint of the pool that is fully open has a free slot.
+    is_pressed: bool,
     /// The table's grant count at the endpoint's last grant; orders equally loaded endpoints.
     pub(super) last_grant: u64,
 }
@@ -50,6 +54,7 @@
             in_flight: 0,
             is_draining: false,
             is_owned: true,
+            is_pressed: false,
             last_grant: 0,
         }
     }
@@ -58,6 +63,11 @@
         self.is_owned && !self.is_draining && self.health.state() != EndpointState::Ejected
     }
 
+    /// Whether it serves with all its slots and has answered lately.
+    fn is_proven(&self) -> bool {
+        self.is_in_service() && self.health.is_fully_open() && self.slots.token_time().is_some()
+    }
+
     /// Whether a request may be sent to this endpoint, whose id is `id`, once it has a free slot.
     pub(super) fn may_serve(&self, id: &EndpointId, request: &GrantRequest) -> bool {
         let has_version = request.version.is_none() || request.version == self.settings.version;
@@ -66,7 +76,10 @@
 
     /// Current maximum number of concurrent requests.
     pub(super) fn slot_limit(&self, now: Instant) -> u32 {
-        if self.is_in_service() { self.health.allowed_slots(self.slots.limit(), now) } else { 0 }
+        if !self.is_in_service() {
+            return 0;
+        }
+        self.health.allowed_slots(self.slots.limit(), self.is_pressed, now)
     }
 
     /// Number of requests that may be sent to it now.
@@ -77,10 +90,10 @@
 
     /// Slots without a request, whatever limit the endpoint states.
     fn untaken_slots(&self, now: Instant) -> u32 {
-        match self.health.state() {
-            EndpointState::Probing if self.in_flight > 0 => 0,
-            _ => self.slot_limit(now).saturating_sub(self.in_flight),
+        if self.health.is_single(self.is_pressed) && self.in_flight > 0 {
+            return 0;
         }
+        self.slot_limit(now).saturating_sub(self.in_flight)
     }
 
     /// Slots that are taken or free; an endpoint that limits its requests leaves others unused.
@@ -99,6 +112,11 @@
         by_slots.min(self.limiter.rate().unwrap_or(f64::INFINITY))
     }
 
+    /// By how much longer than its pool it takes, beyond what a good endpoint may.
+    pub(super) fn excess_slowness(&self, now: Instant) -> f64 {
+        self.health.excess_slowness(now)
+    }
+
     /// Requests in flight relative to the current maximum.
     pub(super) fn slot_usage(&self, now: Instant) -> f64 {
         f64::from(self.in_flight) / f64::from(self.slot_limit(now).max(1))
@@ -126,11 +144,17 @@
         for endpoint in self.endpoints.values_mut() {
             endpoint.is_owned = false;
         }
+        // Where none has answered yet, nobody is the measure for the others.
+        let has_proven = self.endpoints.values().any(OwnedEndpoint::is_proven);
         for settings in owned {
-            let endpoint = self
-                .endpoints
-                .entry(settings.id.clone())
-                .or_insert_with(|| OwnedEndpoint::new(settings.clone(), limit_sharers));
+            let start = || {
+                let mut endpoint = OwnedEndpoint::new(settings.clone(), limit_sharers);
+                if has_proven {
+                    endpoint.health.start_opening();
+                }
+                endpoint
+            };
+            let endpoint = self.endpoints.entry(settings.id.clone()).or_insert_with(start);
             endpoint.load.set_kv_cache_tokens(kv_cache_tokens);
             endpoint.slots.set_bounds(settings.slots, settings.slots_max);
             endpoint.settings = settings;
@@ -223,6 +247,18 @@
         if endpoint.untaken_slots(now) == 0 {
             endpoint.slots.record_saturation();
         }
+        self.update_pressure(now);
+    }
+
+    /// Finds out whether any endpoint that is fully open has a free slot.
+    pub fn update_pressure(&mut self, now: Instant) {
+        let is_free = |endpoint: &OwnedEndpoint| {
+            endpoint.health.is_fully_open() && endpoint.free_slots(now) > 0
+        };
+        let is_pressed = !self.endpoints.values().any(is_free);
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.is_pressed = is_pressed;
+        }
     }
 
     /// Records a grant that an earlier owner issued.
@@ -244,6 +280,7 @@
     pub fn record_first_token(&mut self, endpoint: &EndpointId, grant: &GrantKey, now: Instant) {
         if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
             endpoint.load.record_first_token(grant, now);
+            endpoint.health.record_first_token(endpoint.slots.limit());
         }
     }
 
@@ -282,13 +319,19 @@
         // If most endpoints fail, ejecting them one by one would leave none in service.
         let has_failed =
             matches!(report.result, ReleaseResult::ConnectionLost | ReleaseResult::Failed);
-        let is_pool_wide = has_failed
-            && self.median_error_rate_excluding(&report.endpoint, now) >= POOL_WIDE_ERROR_RATE;
+        let others_rate = self.median_error_rate_excluding(&report.endpoint, now);
+        let is_pool_wide = has_failed && others_rate >= POOL_WIDE_ERROR_RATE;
         let Some(endpoint) = self.endpoints.get_mut(&report.endpoint) else { return };
         endpoint.error_rate.record(report.result, now);
         if !is_pool_wide {
             endpoint.health.record_result(report.result, now);
+            // Error answers of an application are no fault of an endpoint unless the others give far fewer.
+            let excess = endpoint.error_rate.get(now) - others_rate;
+            if report.result == ReleaseResult::Failed && excess >= EXCESS_ERROR_RATE {
+                endpoint.health.record_excess_failures(now);
+            }
         }
+        let slots = endpoint.slots.limit();
         if report.result == ReleaseResult::Refused {
             endpoint.slots.record_endpoint_queueing();
         }
@@ -300,10 +343,10 @@
         }
         match (token_time, pool) {
             (Some(token_time), Some(pool)) => {
-                endpoint.health.record_token_time(token_time, pool, now);
+                endpoint.health.record_token_time(token_time, pool, slots, now);
             }
             _ if report.result == ReleaseResult::Completed => {
-                endpoint.health.record_completion(now);
+                endpoint.health.record_completion(slots, now);
             }
             _ => {}
         }
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -13,6 +13,7 @@
 mod headroom;
 mod ledger;
 mod limit;
+mod pace;
 mod paths;
 mod placement;
 mod queue;
@@ -35,6 +36,7 @@
 pub use fair::{ArrivalNumber, FairQueue};
 pub use headroom::RankHeadroom;
 pub use ledger::{GrantLedger, GrantRecord, LedgerChange};
+pub use pace::OpeningPace;
 pub use placement::{EngineCandidate, placement_cost};
 pub use queue::{AdmissionQueue, QueueAdmission, QueuedRequest};
 pub use snapshot::EndpointSnapshot;
@@ -166,6 +168,7 @@
             OwnerEvent::Tick => {}
         }
         self.updated = Some(now);
+        self.endpoints.update_pressure(now);
         self.finish_event(now, &mut actions);
         actions
     }
