Let two instances of a zone read the platform's state for the others

Cause: every instance watched settings and replicas by itself, 2.5 calls a second each; a watch of replicas ends within milliseconds, since they renew their announcements all the time.

Followers ask a reader of their zone with two requests at the end of the list, which earlier builds refuse with an error; then they read for themselves. PROTOCOL_VERSION stays 12, nothing that is stored changes.

Ruled out, in docs/design/feed.md: a tree, pushes, gossip alone, contents of versions from readers.

--- a/coltsfootgate/src/endpoints/directory.rs
+++ b/coltsfootgate/src/endpoints/directory.rs
@@ -1,10 +1,10 @@
 //! The interface to the platform's list of endpoints.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use coltsfootgate_core::roster::ReplicaAnnouncement;
 
+use crate::feed::RevisedNotices;
 use crate::platform::{PlatformError, ValueRevision};
 
 /// The announcements in the list at one revision.
@@ -16,15 +16,6 @@
     pub revision: ValueRevision,
 }
 
-/// A change in the list of endpoints.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum EndpointNotice {
-    /// A replica stored a new announcement.
-    Announced(ReplicaAnnouncement),
-    /// The announcement of a replica was removed, or no longer describes a replica.
-    Withdrawn(Arc<str>),
-}
-
 /// The platform's list of endpoints, in which replicas announce themselves.
 // The runtime has one thread, so the futures need not be `Send`.
 #[allow(async_fn_in_trait)]
@@ -39,7 +30,7 @@
     /// Fails if the platform gives no usable response.
     async fn endpoints(&self) -> Result<EndpointList, PlatformError>;
 
-    /// Reads the changes after a revision, and returns them with the revision to continue from.
+    /// Reads the changes after a revision, each with its own, and returns them with the revision to continue from.
     ///
     /// Waits for the first change, but no longer than `wait`.
     ///
@@ -51,5 +42,11 @@
         &self,
         after: ValueRevision,
         wait: Duration,
-    ) -> Result<(Vec<EndpointNotice>, ValueRevision), PlatformError>;
+    ) -> Result<(RevisedNotices, ValueRevision), PlatformError>;
+
+    /// How often the platform's store came back from an older copy, as far as its answers stated. Revisions of
+    /// different eras are not comparable.
+    fn era(&self) -> u64 {
+        0
+    }
 }
--- a/coltsfootgate/src/endpoints/mod.rs
+++ b/coltsfootgate/src/endpoints/mod.rs
@@ -13,7 +13,7 @@
 use coltsfootgate_core::prelude::{EndpointSettings, PoolId, PoolSettings};
 
 pub use self::board::SharedRoster;
-pub use self::directory::{EndpointDirectory, EndpointList, EndpointNotice};
+pub use self::directory::{EndpointDirectory, EndpointList};
 pub use self::peers::SnapshotPoller;
 pub use self::task::EndpointsTask;
 use crate::tree::ActiveTree;
--- a/coltsfootgate/src/endpoints/task.rs
+++ b/coltsfootgate/src/endpoints/task.rs
@@ -14,8 +14,9 @@
 use coltsfootgate_core::roster::RosterEvent;
 use coltsfootgate_core::stream::StreamOrigin;
 
-use super::{ActivePools, EndpointDirectory, EndpointNotice, SharedRoster, SnapshotPoller};
+use super::{ActivePools, EndpointDirectory, SharedRoster, SnapshotPoller};
 use crate::clock;
+use crate::feed::FeedHandle;
 use crate::metrics::DaemonMetrics;
 use crate::operators::{ReadinessGate, UnreadyCause};
 use crate::owner::{OwnerHandle, OwnerMessage};
@@ -89,13 +90,14 @@
         mut self,
         directory: D,
         poller: SnapshotPoller,
+        feed: FeedHandle,
         metrics: DaemonMetrics,
     ) {
         let events = self.roster.events();
         if D::ANNOUNCES {
             self.readiness.set_unready(UnreadyCause::NoEndpoints);
             monoio::spawn(poller.run(self.roster.clone(), events.clone()));
-            monoio::spawn(poll_directory(directory, events, metrics));
+            monoio::spawn(poll_directory(directory, feed, events, metrics));
         }
         let mut steps = self.take_steps();
         loop {
@@ -179,14 +181,15 @@
 /// Polls the directory and sends what it reads as events, until their receiver is dropped.
 async fn poll_directory<D: EndpointDirectory>(
     directory: D,
+    feed: FeedHandle,
     events: UnboundedSender<RosterEvent>,
     metrics: DaemonMetrics,
 ) {
     let mut is_reachable = true;
     loop {
-        let Err(error) = read_directory(&directory, &events, &mut is_reachable).await else {
-            return;
-        };
+        let read = read_directory(&directory, &feed, &events, &mut is_reachable).await;
+        let Err(error) = read else { return };
+        feed.lose_replicas();
         metrics.platform_called("endpoints", "error");
         if error != PlatformError::HistoryGone {
             if is_reachable {
@@ -205,10 +208,12 @@
 /// the events is dropped.
 async fn read_directory<D: EndpointDirectory>(
     directory: &D,
+    feed: &FeedHandle,
     events: &UnboundedSender<RosterEvent>,
     is_reachable: &mut bool,
 ) -> Result<(), PlatformError> {
     let list = directory.endpoints().await?;
+    let era = directory.era();
     if !*is_reachable {
         info!("the platform's list of endpoints is reachable again");
         *is_reachable = true;
@@ -218,15 +223,24 @@
         return Ok(());
     }
     loop {
-        sleep(READ_PERIOD).await;
-        let (notices, next) = directory.endpoint_changes(revision, CHANGE_WAIT).await?;
+        let followed = feed.follow_replicas(era, revision).await;
+        let (notices, next) = match followed {
+            Some(followed) => followed,
+            None => {
+                sleep(READ_PERIOD).await;
+                let changes = directory.endpoint_changes(revision, CHANGE_WAIT).await?;
+                feed.publish_replicas(directory.era(), revision, &changes.0, changes.1);
+                changes
+            }
+        };
+        if directory.era() != era {
+            // Revisions were given out again, and announcements that are not stored again yet are not withdrawn.
+            let _ = events.unbounded_send(RosterEvent::SourceLost);
+            return Err(PlatformError::HistoryGone);
+        }
         revision = next;
-        for notice in notices {
-            let event = match notice {
-                EndpointNotice::Announced(announcement) => RosterEvent::Announced(announcement),
-                EndpointNotice::Withdrawn(replica) => RosterEvent::Withdrawn(replica),
-            };
-            if events.unbounded_send(event).is_err() {
+        for (_, notice) in notices {
+            if events.unbounded_send(notice.into()).is_err() {
                 return Ok(());
             }
         }
--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -15,6 +15,7 @@
 use crate::duties::{DutyContext, DutyPlan, DutyPlatform, DutyStatus, DutyTask, UsageBoard};
 use crate::endpoint::{ConnectionPool, EndpointAccess, EndpointPaths, ForwarderClient};
 use crate::endpoints::{EndpointDirectory, EndpointsTask, SharedRoster, SnapshotPoller};
+use crate::feed::FeedHandle;
 use crate::limits::{LimitHandle, LimitTask};
 use crate::members::{MembersHandle, MembersTask};
 use crate::metrics::DaemonMetrics;
@@ -58,6 +59,7 @@
     peers: PeerHandle,
     metrics: DaemonMetrics,
     readiness: ReadinessGate,
+    feed: FeedHandle,
     shutdown: ShutdownSignal,
 }
 
@@ -70,10 +72,12 @@
     shutdown: ShutdownSignal,
 ) -> InstanceHandles {
     let metrics = DaemonMetrics::new();
+    let peers = PeerHandle::new(identity.clone(), metrics.clone());
     let starter = TaskStarter {
         settings,
         platform,
-        peers: PeerHandle::new(identity.clone(), metrics.clone()),
+        feed: FeedHandle::new(peers.clone()),
+        peers,
         metrics,
         readiness: ReadinessGate::default(),
         shutdown,
@@ -91,6 +95,8 @@
     let pools = starter.follow_members(&members, &owner, &context);
     let quarantine = context.quarantine.clone();
     let status = build_status(settings, &members, pools, quarantine);
+    let feed = starter.feed.clone();
+    status.add("feed", move || feed.status());
     if let Some((plan, client)) = duties {
         let duty_status = starter.start_duties(plan, client, &members, &context);
         status.add("duties", move || duty_status.to_json());
@@ -126,7 +132,7 @@
             self.readiness.clone(),
             self.settings.watch_time,
         );
-        monoio::spawn(task.run());
+        monoio::spawn(task.with_feed(self.feed.clone()).run());
         tree
     }
 
@@ -149,6 +155,8 @@
         };
         let seeds = self.settings.seeds.clone();
         monoio::spawn(task.run(self.platform.clone(), registration, seeds));
+        let (own, zone) = (self.settings.instance.clone(), self.settings.zone.clone());
+        monoio::spawn(self.feed.clone().follow_members(own, zone, members.clone()));
         members
     }
 
@@ -195,7 +203,8 @@
             roster_events,
         );
         let poller = SnapshotPoller::new(own.clone(), members.clone(), self.peers.clone(), origins);
-        monoio::spawn(task.run(self.platform.clone(), poller, self.metrics.clone()));
+        let (feed, metrics) = (self.feed.clone(), self.metrics.clone());
+        monoio::spawn(task.run(self.platform.clone(), poller, feed, metrics));
         let owner_client = OwnerClient::new(own.clone(), owner.clone(), self.peers.clone());
         let endpoints = self.start_access(members, &routes);
         let owner_task = OwnerTask::new(own.clone(), owner.clone(), endpoints.clone(), reporter);
@@ -337,6 +346,7 @@
             streams: context.streams.clone(),
             quarantine: context.quarantine.clone(),
             usage: context.usage.clone(),
+            feed: self.feed.clone(),
             path: context.endpoints.path().clone(),
             metrics: self.metrics.clone(),
             owner_calls: owner_call_sender,
--- a/coltsfootgate/src/lib.rs
+++ b/coltsfootgate/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod endpoint;
 pub mod endpoints;
 pub mod entry;
+pub mod feed;
 pub mod instance;
 pub mod limits;
 pub mod logging;
--- a/coltsfootgate/src/owner/desk.rs
+++ b/coltsfootgate/src/owner/desk.rs
@@ -97,6 +97,8 @@
             | PeerRequest::CheckEndpoint(_)
             | PeerRequest::TakeTrial(_)
             | PeerRequest::FetchUsage(_)
+            | PeerRequest::FollowHead(_)
+            | PeerRequest::FollowReplicas { .. }
             | PeerRequest::Claim { .. } => false,
         };
         if is_notification {
--- a/coltsfootgate/src/peer/dispatch.rs
+++ b/coltsfootgate/src/peer/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::duties::UsageBoard;
 use crate::endpoint::EndpointPaths;
 use crate::endpoints::SharedRoster;
+use crate::feed::FeedHandle;
 use crate::members::{MemberMessage, MembersHandle};
 use crate::metrics::DaemonMetrics;
 use crate::quarantine::{QuarantineHandle, QuarantineMessage};
@@ -36,6 +37,8 @@
     pub quarantine: QuarantineHandle,
     /// What this instance counted.
     pub usage: UsageBoard,
+    /// What this instance read of the platform's state.
+    pub feed: FeedHandle,
     /// The path to endpoints.
     pub path: EndpointPaths,
     /// The metrics.
@@ -138,6 +141,23 @@
                     let _ = reply.send(PeerReply::Usage(usage));
                 }
             }
+            PeerRequest::FollowHead(known) => {
+                let feed = self.feed.clone();
+                monoio::spawn(async move {
+                    // One that does not know enough does not answer, so that the asker turns to another source.
+                    if let Some((version, age)) = feed.answer_head(known).await {
+                        let _ = reply.send(PeerReply::HeadProof { version, age });
+                    }
+                });
+            }
+            PeerRequest::FollowReplicas { era, after } => {
+                let feed = self.feed.clone();
+                monoio::spawn(async move {
+                    if let Some((notices, end)) = feed.answer_replicas(era, after).await {
+                        let _ = reply.send(PeerReply::ReplicaChanges { notices, end });
+                    }
+                });
+            }
             request => {
                 let _ = self.owner_calls.unbounded_send(PeerCall { from, request, reply });
             }
@@ -174,6 +194,8 @@
         | PeerRequest::CheckEndpoint(_)
         | PeerRequest::TakeTrial(_)
         | PeerRequest::FetchUsage(_)
+        | PeerRequest::FollowHead(_)
+        | PeerRequest::FollowReplicas { .. }
         | PeerRequest::Claim { .. } => true,
     }
 }
--- a/coltsfootgate/src/platform/http.rs
+++ b/coltsfootgate/src/platform/http.rs
@@ -11,7 +11,8 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
-use crate::endpoints::{EndpointDirectory, EndpointList, EndpointNotice};
+use crate::endpoints::{EndpointDirectory, EndpointList};
+use crate::feed::RevisedNotices;
 
 use super::client::BoundedClient;
 use super::{
@@ -149,7 +150,7 @@
         &self,
         after: ValueRevision,
         wait: Duration,
-    ) -> Result<(Vec<EndpointNotice>, ValueRevision), PlatformError> {
+    ) -> Result<(RevisedNotices, ValueRevision), PlatformError> {
         monoio::time::sleep(wait).await;
         Ok((Vec::new(), after))
     }
--- a/coltsfootgate/src/tree/task.rs
+++ b/coltsfootgate/src/tree/task.rs
@@ -15,6 +15,7 @@
 use super::load::{LoadError, TreeLoader};
 use super::watch::{HeadWatch, parse_head};
 use super::{ActiveTree, TreeHandle, TreeObjects, TreePeers};
+use crate::feed::FeedHandle;
 use crate::metrics::DaemonMetrics;
 use crate::operators::{ReadinessGate, UnreadyCause};
 use crate::platform::PlatformStore;
@@ -31,6 +32,7 @@
     metrics: DaemonMetrics,
     readiness: ReadinessGate,
     watch_wait: Duration,
+    feed: Option<FeedHandle>,
     tracker: HeadTracker,
     outcome_sender: UnboundedSender<LoadOutcome>,
     outcomes: UnboundedReceiver<LoadOutcome>,
@@ -74,15 +76,23 @@
             metrics,
             readiness,
             watch_wait,
+            feed: None,
             tracker,
             outcome_sender,
             outcomes,
         }
     }
 
+    /// Follows other instances where they watch the head.
+    pub fn with_feed(mut self, feed: FeedHandle) -> Self {
+        self.feed = Some(feed);
+        self
+    }
+
     /// Runs until the process ends.
     pub async fn run(mut self) {
-        let watch = HeadWatch::new(self.store.clone(), self.handle.clone(), self.watch_wait);
+        let (store, handle) = (self.store.clone(), self.handle.clone());
+        let watch = HeadWatch::new(store, handle, self.feed.clone(), self.watch_wait);
         monoio::spawn(watch.run());
         loop {
             match self.next_step().await {
--- a/coltsfootgate/src/tree/watch.rs
+++ b/coltsfootgate/src/tree/watch.rs
@@ -13,6 +13,7 @@
 
 use super::TreeHandle;
 use crate::clock;
+use crate::feed::FeedHandle;
 use crate::platform::{PlatformError, PlatformStore, StoredValue, ValueRevision};
 
 /// Number of watches after which the head is read again, in case a watch missed a change.
@@ -26,6 +27,8 @@
 pub(super) struct HeadWatch<S> {
     store: S,
     tree: TreeHandle,
+    /// Passes on what this instance reads, and what others read.
+    feed: Option<FeedHandle>,
     /// How long the store may hold a watch. Together with the timeout of a call, it bounds the time
     /// until a watch that no longer responds is detected.
     wait: Duration,
@@ -35,8 +38,13 @@
 }
 
 impl<S: PlatformStore> HeadWatch<S> {
-    pub(super) fn new(store: S, tree: TreeHandle, wait: Duration) -> Self {
-        Self { store, tree, wait, revision: 0, version: 0, failures: 0 }
+    pub(super) fn new(
+        store: S,
+        tree: TreeHandle,
+        feed: Option<FeedHandle>,
+        wait: Duration,
+    ) -> Self {
+        Self { store, tree, feed, wait, revision: 0, version: 0, failures: 0 }
     }
 
     /// Runs until the receiver of the events is dropped.
@@ -51,13 +59,18 @@
         }
     }
 
-    /// Reads the head once and then watches it [`WATCHES_PER_READ`] times.
+    /// Reads the head once, and then follows another instance or watches the head itself, [`WATCHES_PER_READ`] times.
     async fn read_and_watch(&mut self) -> Result<(), PlatformError> {
         let sent = clock::boot_time();
         let value = self.store.read(HEAD_KEY).await?;
         self.report(value)?;
         self.record_proof(sent);
-        for _ in 0..WATCHES_PER_READ {
+        let mut watches = 0;
+        while watches < WATCHES_PER_READ {
+            if self.follow().await? {
+                continue;
+            }
+            watches += 1;
             let sent = clock::boot_time();
             let value = self.store.watch(HEAD_KEY, self.revision, self.wait).await?;
             if value.is_some() {
@@ -75,6 +88,22 @@
         Ok(())
     }
 
+    /// Follows an instance that watches the head; `false` if this one is to watch it itself. A newer version is read
+    /// from the store at once.
+    async fn follow(&mut self) -> Result<bool, PlatformError> {
+        let Some(feed) = &self.feed else { return Ok(false) };
+        let Some(proof) = feed.follow_head(self.version).await else { return Ok(false) };
+        if proof.version > self.version {
+            let sent = clock::boot_time();
+            let value = self.store.read(HEAD_KEY).await?;
+            self.report(value)?;
+            self.record_proof(sent);
+        } else {
+            self.tree.record_proof(proof);
+        }
+        Ok(true)
+    }
+
     fn report(&mut self, value: Option<StoredValue>) -> Result<(), PlatformError> {
         if self.failures > 0 {
             info!("the store answers again");
@@ -95,7 +124,11 @@
     /// Records that the version last read was the newest one when the call that returned it was
     /// sent.
     fn record_proof(&self, sent: Duration) {
-        self.tree.record_proof(VersionProof { version: self.version, at: sent });
+        let proof = VersionProof { version: self.version, at: sent };
+        self.tree.record_proof(proof);
+        if let Some(feed) = &self.feed {
+            feed.publish_head(proof);
+        }
     }
 
     /// Reports that a call to the store failed; `false` if the receiver of the events was dropped.
--- a/coltsfootgate_core/src/lib.rs
+++ b/coltsfootgate_core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod duty;
 pub mod endpoint_limit;
 pub mod estimate;
+pub mod feed;
 pub mod forward;
 pub mod freshness;
 pub mod gossip;
--- a/coltsfootgate_core/src/roster.rs
+++ b/coltsfootgate_core/src/roster.rs
@@ -50,6 +50,24 @@
     }
 }
 
+/// A change in the list of announcements.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ReplicaNotice {
+    /// A replica stored a new announcement.
+    Announced(ReplicaAnnouncement),
+    /// The announcement of a replica was removed, or no longer describes a replica.
+    Withdrawn(Arc<str>),
+}
+
+impl From<ReplicaNotice> for RosterEvent {
+    fn from(notice: ReplicaNotice) -> Self {
+        match notice {
+            ReplicaNotice::Announced(announcement) => Self::Announced(announcement),
+            ReplicaNotice::Withdrawn(replica) => Self::Withdrawn(replica),
+        }
+    }
+}
+
 /// The replicas that an instance knows, for instances that cannot reach the source.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ReplicaSnapshot {
--- a/coltsfootgate_wire/src/message.rs
+++ b/coltsfootgate_wire/src/message.rs
@@ -1,21 +1,22 @@
 //! Requests and replies between instances.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use coltsfootgate_core::claim::page::{ClaimChange, ClaimVerdict};
 use coltsfootgate_core::duty::InstanceUsage;
 use coltsfootgate_core::duty::usage::SlotNumber;
 use coltsfootgate_core::endpoint_limit::LimitStatement;
+use coltsfootgate_core::feed::FeedRevision;
 use coltsfootgate_core::head::TreeHead;
-use coltsfootgate_core::ids::{EndpointId, GrantId, InstanceId, PoolId};
+use coltsfootgate_core::ids::{ConfigVersion, EndpointId, GrantId, InstanceId, PoolId};
 use coltsfootgate_core::limit::{LimitSlice, SliceRequest};
 use coltsfootgate_core::membership::PeerHeartbeat;
 use coltsfootgate_core::owner::{
     GrantAnswer, GrantRequest, HeldGrant, OwnerPressure, ReleaseReport,
 };
 use coltsfootgate_core::quarantine::{CauseKey, CrashReport, QuarantineNotice};
-use coltsfootgate_core::roster::ReplicaSnapshot;
+use coltsfootgate_core::roster::{ReplicaNotice, ReplicaSnapshot};
 use coltsfootgate_core::stream::{StreamKey, StreamOrigin};
 
 /// The load of the endpoints of one pool that an instance owns.
@@ -129,6 +130,16 @@
     /// Fetches what the receiver counted since a slot of the process with a number. Earlier builds do not know this
     /// request and answer it with an error.
     FetchUsage(Option<(u64, SlotNumber)>),
+    /// Waits for a version of the settings above one that the sender knows. Earlier builds refuse this and the next
+    /// request, as they do any that they do not know.
+    FollowHead(ConfigVersion),
+    /// Waits for changes of the announced replicas after a revision of an era of the platform's store.
+    FollowReplicas {
+        /// The era.
+        era: u64,
+        /// The revision.
+        after: FeedRevision,
+    },
 }
 
 impl PeerRequest {
@@ -159,6 +170,8 @@
             Self::RequestSlice(_) => "limit-ask",
             Self::Claim { .. } => "claim",
             Self::FetchUsage(_) => "fetch-usage",
+            Self::FollowHead(_) => "follow-head",
+            Self::FollowReplicas { .. } => "follow-replicas",
         }
     }
 }
@@ -200,4 +213,18 @@
     Claim(ClaimVerdict),
     /// What the replying instance counted.
     Usage(InstanceUsage),
+    /// The newest version of the settings that the replying instance read.
+    HeadProof {
+        /// The version.
+        version: ConfigVersion,
+        /// Time since it was proved to be the newest.
+        age: Duration,
+    },
+    /// Changes of the announced replicas.
+    ReplicaChanges {
+        /// The changes in order, each with its revision.
+        notices: Vec<(FeedRevision, ReplicaNotice)>,
+        /// The revision up to which they are complete.
+        end: FeedRevision,
+    },
 }
--- a/coltsfootgate_wire/src/replica.rs
+++ b/coltsfootgate_wire/src/replica.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use coltsfootgate_core::roster::{ReplicaAnnouncement, ReplicaSnapshot};
+use coltsfootgate_core::roster::{ReplicaAnnouncement, ReplicaNotice, ReplicaSnapshot};
 use coltsfootgate_core::stream::StreamOrigin;
 
 use crate::error::WireError;
@@ -22,7 +22,7 @@
 }
 
 #[derive(Deserialize, Serialize)]
-struct WireAnnouncement {
+pub(crate) struct WireAnnouncement {
     replica: Arc<str>,
     born: u64,
     sequence: u64,
@@ -33,6 +33,43 @@
     slots: u32,
 }
 
+/// A change of a replica, with all that its announcement states.
+#[derive(Deserialize, Serialize)]
+pub(crate) enum WireReplicaNotice {
+    Announced { revision: u64, announcement: WireAnnouncement, is_leaving: bool, is_spot: bool },
+    Withdrawn { revision: u64, replica: Arc<str> },
+}
+
+impl From<(u64, ReplicaNotice)> for WireReplicaNotice {
+    fn from((revision, notice): (u64, ReplicaNotice)) -> Self {
+        match notice {
+            ReplicaNotice::Announced(announcement) => {
+                let ReplicaAnnouncement { is_leaving, is_spot, .. } = announcement;
+                let announcement = announcement.into();
+                Self::Announced { revision, announcement, is_leaving, is_spot }
+            }
+            ReplicaNotice::Withdrawn(replica) => Self::Withdrawn { revision, replica },
+        }
+    }
+}
+
+impl TryFrom<WireReplicaNotice> for (u64, ReplicaNotice) {
+    type Error = WireError;
+
+    fn try_from(notice: WireReplicaNotice) -> Result<Self, WireError> {
+        Ok(match notice {
+            WireReplicaNotice::Announced { revision, announcement, is_leaving, is_spot } => {
+                let announcement = ReplicaAnnouncement::try_from(announcement)?;
+                let announcement = ReplicaAnnouncement { is_leaving, is_spot, ..announcement };
+                (revision, ReplicaNotice::Announced(announcement))
+            }
+            WireReplicaNotice::Withdrawn { revision, replica } => {
+                (revision, ReplicaNotice::Withdrawn(check_name(replica, "replica")?))
+            }
+        })
+    }
+}
+
 impl From<ReplicaSnapshot> for WireReplicaSnapshot {
     fn from(snapshot: ReplicaSnapshot) -> Self {
         let announcements = snapshot.announcements.into_iter().map(WireAnnouncement::from);
--- a/coltsfootgate_wire/src/wire.rs
+++ b/coltsfootgate_wire/src/wire.rs
@@ -8,6 +8,7 @@
 //! `LimitAsk` is `RequestSlice`, `asker` is `requester`, and `memory` is `kv_cache_tokens`.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -23,10 +24,10 @@
 use crate::member::WireHeartbeat;
 use crate::message::{PeerReply, PeerRequest};
 use crate::names::{
-    TimedMessage, check_digest, check_instance, check_name, from_micros, micros_until,
+    TimedMessage, check_digest, check_instance, check_name, from_micros, micros_until, to_micros,
 };
 use crate::quarantine::{WireCauseKey, WireCrashReport, WireNotice, WireServedCauses};
-use crate::replica::WireReplicaSnapshot;
+use crate::replica::{WireReplicaNotice, WireReplicaSnapshot};
 use crate::stream::{WireStreamKey, WireStreamOrigin};
 use crate::tree::WireHead;
 use crate::usage::WireUsage;
@@ -57,6 +58,8 @@
     LimitAsk(WireSliceRequest),
     Claim { change: WireChange, micros_left: u64 },
     FetchUsage(Option<(u64, u64)>),
+    FollowHead(u64),
+    FollowReplicas { era: u64, after: u64 },
 }
 
 #[derive(Deserialize, Serialize)]
@@ -77,6 +80,8 @@
     LimitSlice(WireLimitSlice),
     Claim(WireVerdict),
     Usage(WireUsage),
+    HeadProof { version: u64, age_micros: u64 },
+    ReplicaChanges { notices: Vec<WireReplicaNotice>, end: u64 },
 }
 
 fn convert_all<T, U: From<T>>(items: Vec<T>) -> Vec<U> {
@@ -146,6 +151,8 @@
                 Self::Claim { change: change.into(), micros_left: micros_until(deadline, now) }
             }
             PeerRequest::FetchUsage(known) => Self::FetchUsage(known),
+            PeerRequest::FollowHead(known) => Self::FollowHead(known),
+            PeerRequest::FollowReplicas { era, after } => Self::FollowReplicas { era, after },
         }
     }
 }
@@ -221,6 +228,8 @@
                 deadline: now + from_micros(micros_left)?,
             },
             WireRequest::FetchUsage(known) => Self::FetchUsage(known),
+            WireRequest::FollowHead(known) => Self::FollowHead(known),
+            WireRequest::FollowReplicas { era, after } => Self::FollowReplicas { era, after },
         })
     }
 }
@@ -258,6 +267,13 @@
             PeerReply::LimitSlice(slice) => Self::LimitSlice(slice.into()),
             PeerReply::Claim(verdict) => Self::Claim(verdict.into()),
             PeerReply::Usage(usage) => Self::Usage(usage.into()),
+            // Rounded up, so that the proof never appears newer than it is.
+            PeerReply::HeadProof { version, age } => {
+                Self::HeadProof { version, age_micros: to_micros(age) + 1 }
+            }
+            PeerReply::ReplicaChanges { notices, end } => {
+                Self::ReplicaChanges { notices: convert_all(notices), end }
+            }
         }
     }
 }
@@ -295,6 +311,12 @@
             WireReply::LimitSlice(slice) => Self::LimitSlice(slice.try_into()?),
             WireReply::Claim(verdict) => Self::Claim(verdict.try_into()?),
             WireReply::Usage(usage) => Self::Usage(usage.try_into()?),
+            WireReply::HeadProof { version, age_micros } => {
+                Self::HeadProof { version, age: Duration::from_micros(age_micros) }
+            }
+            WireReply::ReplicaChanges { notices, end } => {
+                Self::ReplicaChanges { notices: check_all(notices)?, end }
+            }
         })
     }
 }
