--- a/coltsfootgate/src/endpoint/connection.rs
+++ b/coltsfootgate/src/endpoint/connection.rs
@@ -27,6 +27,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Interval at which a connect that takes long looks whether the path is lost.
 const PATH_CHECK_PERIOD: Duration = Duration::from_millis(50);
+/// Highest number that is the status of an answer; the HTTP library takes any of three digits from 100 on.
+const STATUS_MAX: u16 = 599;
 /// Maximum number of idle connections to each endpoint.
 const IDLE_CONNECTIONS_MAX: usize = 64;
 
@@ -156,6 +158,10 @@
         drop(waiting);
         self.path.record_heard(&target.pool);
         let (head, body) = response.into_parts();
+        if head.status.as_u16() > STATUS_MAX {
+            // No status of an answer; the connection is dropped with whatever follows.
+            return Err(EndpointFailure::Mismatched);
+        }
         let framing = answer_framing(&head.headers, &body);
         let connection = Some(connection);
         let body = DirectBody { body, connection, target, connections: self.clone() };
