Let followed instances confirm the settings more often than those that follow them ask

Cause: a proof is as old as two watches of 1.5 s before the next one is there, so a reader refused to answer a third of the time (its limit is 2.5 s), and its followers watched for themselves.

--- a/coltsfootgate/src/feed/mod.rs
+++ b/coltsfootgate/src/feed/mod.rs
@@ -28,6 +28,8 @@
 const WAIT_MAX: Duration = Duration::from_secs(1);
 /// Time limit of a question beside that.
 const ANSWER_TIME: Duration = Duration::from_millis(300);
+/// Longest watch of an instance that others follow: a proof is as old as two watches before the next one is there.
+const FOLLOWED_WAIT: Duration = Duration::from_millis(750);
 /// Age of a reader's own proof from which on it answers no more, so that those that follow it ask the platform.
 const PROOF_AGE_MAX: Duration = Duration::from_millis(2500);
 
@@ -210,6 +212,12 @@
         }
     }
 
+    /// How long a watch of the store may take at this instance: one that is followed confirms more often than that, so
+    /// that its proofs are young when they arrive.
+    pub fn watch_wait(&self, wait: Duration) -> Duration {
+        if self.0.choice.borrow().is_followed() { wait.min(FOLLOWED_WAIT) } else { wait }
+    }
+
     fn reader(&self) -> Option<InstanceId> {
         let reader = self.0.choice.borrow().reader(clock::now()).cloned();
         self.0.followed.replace(reader.clone());
--- a/coltsfootgate/src/tree/watch.rs
+++ b/coltsfootgate/src/tree/watch.rs
@@ -71,8 +71,9 @@
                 continue;
             }
             watches += 1;
+            let wait = self.feed.as_ref().map_or(self.wait, |feed| feed.watch_wait(self.wait));
             let sent = clock::boot_time();
-            let value = self.store.watch(HEAD_KEY, self.revision, self.wait).await?;
+            let value = self.store.watch(HEAD_KEY, self.revision, wait).await?;
             if value.is_some() {
                 self.report(value)?;
                 self.record_proof(sent);
--- a/coltsfootgate_core/src/feed.rs
+++ b/coltsfootgate_core/src/feed.rs
@@ -29,6 +29,8 @@
 pub struct FeedChoice {
     /// The readers of the zone, those that this instance asks first before the others; empty if it reads itself.
     readers: Vec<InstanceId>,
+    /// Whether this instance reads for others.
+    is_followed: bool,
     avoided: HashMap<InstanceId, Instant>,
 }
 
@@ -43,6 +45,7 @@
         let of_zone = locations.into_iter().filter(|location| location.zone == *zone);
         let of_zone: Vec<OwnerLocation> = of_zone.collect();
         self.readers.clear();
+        self.is_followed = false;
         if of_zone.len() <= SMALL_ZONE {
             return;
         }
@@ -58,7 +61,8 @@
             is_new
         });
         readers.truncate(READERS_PER_ZONE);
-        if !readers.contains(own) {
+        self.is_followed = readers.contains(own);
+        if !self.is_followed {
             let first = stable_hash(own.as_bytes()) as usize % readers.len().max(1);
             readers.rotate_left(first);
             self.readers = readers;
@@ -77,6 +81,11 @@
         !self.readers.is_empty()
     }
 
+    /// Whether others follow this instance.
+    pub fn is_followed(&self) -> bool {
+        self.is_followed
+    }
+
     /// Records that a reader did not answer, or knows too little.
     pub fn record_failure(&mut self, reader: &InstanceId, now: Instant) {
         self.avoided.retain(|_, until| now < *until);
--- a/coltsfootgate_core/tests/feed.rs
+++ b/coltsfootgate_core/tests/feed.rs
@@ -49,7 +49,9 @@
     let readers: BTreeSet<InstanceId> = readers(60).into_iter().collect();
     let mut asked = BTreeSet::new();
     for number in 0..60 {
-        if let Some(reader) = choice(number, &fleet).reader(*START) {
+        let choice = choice(number, &fleet);
+        assert_eq!(choice.is_followed(), readers.contains(&location(number).owner));
+        if let Some(reader) = choice.reader(*START) {
             assert!(readers.contains(reader));
             let zone = fleet.iter().find(|one| one.owner == *reader).unwrap().zone.clone();
             assert_eq!(zone, location(number).zone);
