Restrict endpoints as slow only after consecutive slow answers too

Both must hold now: four slow answers in a row, and a mean that the spread does not explain.

pool_model.rs passes again; endpoint_pace.rs and owner_endpoints.rs as before.

--- a/coltsfootgate_core/src/owner/endpoint.rs
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -129,6 +129,9 @@
     pub(super) endpoints: BTreeMap<EndpointId, OwnedEndpoint>,
     peer_token_times: Vec<Duration>,
     kv_cache_tokens: Option<u64>,
+    /// Whether the endpoints answer in tokens. An engine is slow because of what it runs, so that one that is
+    /// restricted gets no more while the others are full.
+    has_tokens: bool,
     /// Number of instances among which the endpoints' limits are divided.
     pub(super) limit_sharers: u32,
     grants: u64,
@@ -224,6 +227,11 @@
         slot.max(endpoint.load.kv_cache_share(request.prompt.kv_cache_tokens())).min(1.0)
     }
 
+    /// Sets whether the endpoints answer in tokens.
+    pub fn set_has_tokens(&mut self, has_tokens: bool) {
+        self.has_tokens = has_tokens;
+    }
+
     /// Sets the KV cache capacity of each engine, in tokens.
     pub fn set_kv_cache_tokens(&mut self, kv_cache_tokens: Option<u64>) {
         self.kv_cache_tokens = kv_cache_tokens;
@@ -255,7 +263,7 @@
         let is_free = |endpoint: &OwnedEndpoint| {
             endpoint.health.is_fully_open() && endpoint.free_slots(now) > 0
         };
-        let is_pressed = !self.endpoints.values().any(is_free);
+        let is_pressed = !self.has_tokens && !self.endpoints.values().any(is_free);
         for endpoint in self.endpoints.values_mut() {
             endpoint.is_pressed = is_pressed;
         }
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -113,6 +113,7 @@
     pub fn new(settings: OwnerSettings) -> Self {
         let mut endpoints = EndpointTable::default();
         endpoints.set_kv_cache_tokens(settings.kv_cache_tokens);
+        endpoints.set_has_tokens(settings.between_tokens.is_some());
         endpoints.set_limit_sharers(settings.limit_sharers);
         Self {
             last_scan: None,
@@ -133,6 +134,7 @@
     /// Replaces the settings of the pool.
     pub fn set_settings(&mut self, settings: OwnerSettings) {
         self.endpoints.set_kv_cache_tokens(settings.kv_cache_tokens);
+        self.endpoints.set_has_tokens(settings.between_tokens.is_some());
         self.endpoints.set_limit_sharers(settings.limit_sharers);
         self.settings = settings;
     }
--- a/coltsfootgate_core/src/owner/straggler.rs
+++ b/coltsfootgate_core/src/owner/straggler.rs
@@ -13,7 +13,7 @@
 const SLOW_RATIO: f64 = 2.0;
 /// Ratio to the pool's time between tokens below which an answer counts as good.
 const RECOVERED_RATIO: f64 = 1.5;
-/// Fewest answers by which an endpoint counts as slow.
+/// Consecutive slow answers without which an endpoint does not count as slow.
 const SLOW_ANSWERS_MIN: u32 = 4;
 /// Consecutive good answers after which an endpoint's state improves.
 const GOOD_ANSWER_THRESHOLD: u32 = 3;
@@ -87,12 +87,14 @@
     mean: f64,
     variance: f64,
     answers: u32,
+    /// Consecutive answers above [`SLOW_RATIO`], up to now.
+    slow_run: u32,
     updated: Option<Instant>,
 }
 
 impl Default for Slowness {
     fn default() -> Self {
-        Self { mean: 1.0, variance: 0.0, answers: 0, updated: None }
+        Self { mean: 1.0, variance: 0.0, answers: 0, slow_run: 0, updated: None }
     }
 }
 
@@ -111,6 +113,7 @@
 
     fn record(&mut self, ratio: f64, now: Instant) {
         self.updated = Some(now);
+        self.slow_run = if ratio > SLOW_RATIO { self.slow_run.saturating_add(1) } else { 0 };
         let (weight, deviation) = (self.weight(), ratio.min(Self::RATIO_MAX) - self.mean);
         self.mean += weight * deviation;
         self.variance = (1.0 - weight) * (self.variance + weight * deviation.powi(2));
@@ -130,11 +133,11 @@
         Self::WEIGHT_MIN.max(1.0 / f64::from(self.answers.saturating_add(2)))
     }
 
-    /// Whether the answers are slower than their own spread explains.
+    /// Whether the last answers were slow, and all together slower than their own spread explains.
     fn is_slow(&self) -> bool {
         let weight = self.weight();
         let error = (self.variance * weight / (2.0 - weight)).sqrt();
-        self.answers >= SLOW_ANSWERS_MIN && self.mean - Self::CONFIDENCE * error > SLOW_RATIO
+        self.slow_run >= SLOW_ANSWERS_MIN && self.mean - Self::CONFIDENCE * error > SLOW_RATIO
     }
 }
 
