Pause before a follower reads a version again that the store does not have

Cause, found by reading: a store that came back from an older copy may lack a version that the reader saw; the reader answers at once, and its followers would read the store again and again.

--- a/coltsfootgate/src/tree/watch.rs
+++ b/coltsfootgate/src/tree/watch.rs
@@ -99,6 +99,10 @@
             let value = self.store.read(HEAD_KEY).await?;
             self.report(value)?;
             self.record_proof(sent);
+            if self.version < proof.version {
+                // A store that came back from an older copy does not have it yet: avoids a busy loop.
+                monoio::time::sleep(BACKOFF_MIN).await;
+            }
         } else {
             self.tree.record_proof(proof);
         }
