Review: a case on slow readers whose answers exceed the memory of an instance

Cause sought: a buffered answer is charged to the memory budget only while it is received, not while its caller reads it.

--- a/review/kit-2/cases/mod.rs
+++ b/review/kit-2/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod memory;
 mod revoked;
 mod versions;
 
@@ -7,6 +8,7 @@
 pub fn run(name: &str, folder: &str, logs: &str) {
     let has_trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
     match name {
+        "memory" => memory::run(folder, logs, has_trouble),
         "revoked" => revoked::run(folder, logs, has_trouble),
         "versions" => versions::run(folder, logs, has_trouble),
         _ => std::process::exit(2),
--- a/review/kit-2/fleet.rs
+++ b/review/kit-2/fleet.rs
@@ -1,5 +1,6 @@
 //! Starts and ends the processes of a case, and records what happens.
 
+use std::collections::HashSet;
 use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
@@ -31,6 +32,8 @@
     started: Instant,
     record: Arc<Mutex<File>>,
     children: Arc<Mutex<Vec<Arc<Mutex<Child>>>>>,
+    /// The ids of the requests that replicas began to run.
+    runs: Arc<Mutex<HashSet<String>>>,
 }
 
 impl Stage {
@@ -41,6 +44,7 @@
             started: Instant::now(),
             record: Arc::new(Mutex::new(file)),
             children: Arc::default(),
+            runs: Arc::default(),
         };
         let (watched, hooked) = (stage.clone(), stage.clone());
         thread::spawn(move || {
@@ -67,6 +71,11 @@
         let _ = writeln!(self.record.lock().unwrap(), "{now:8.3}  {line}");
     }
 
+    /// Whether a replica began to run a request.
+    pub fn has_run(&self, id: &str) -> bool {
+        self.runs.lock().unwrap().contains(id)
+    }
+
     fn spawn(&self, command: &mut Command) -> Arc<Mutex<Child>> {
         let child = command.stdin(Stdio::null()).stdout(Stdio::piped()).spawn().unwrap();
         let child = Arc::new(Mutex::new(child));
@@ -212,6 +221,29 @@
         }
     }
 
+    /// Kills the process as the platform does as soon as it uses more memory than its machine has.
+    pub fn limit_memory(&self, limit_mb: u64) {
+        let (child, stage, name) =
+            (self.child.clone().unwrap(), self.stage.clone(), self.name.clone());
+        thread::spawn(move || {
+            let path = format!("/proc/{}/status", child.lock().unwrap().id());
+            let mut peak = 0;
+            while let Some(used) = used_memory_mb(&path) {
+                if used / 10 > peak / 10 {
+                    stage.note(&format!("{name} uses {used} MB"));
+                }
+                peak = used.max(peak);
+                if used > limit_mb {
+                    stage.note(&format!(
+                        "{name} exceeds {limit_mb} MB and is killed by the platform"
+                    ));
+                    return kill(&child);
+                }
+                thread::sleep(Duration::from_millis(20));
+            }
+        });
+    }
+
     /// Whether the instance says that it is ready.
     pub fn is_ready(&self) -> bool {
         let request = "GET /coltsfootgate/readiness HTTP/1.1\r\nHost: x\r\n\r\n";
@@ -220,11 +252,19 @@
     }
 }
 
+fn used_memory_mb(status: &str) -> Option<u64> {
+    let status = std::fs::read_to_string(status).ok()?;
+    let used = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    Some(used.trim().trim_end_matches(" kB").parse::<u64>().ok()? / 1024)
+}
+
 /// A replica that registers itself in the store, at the same address and under the same id after each start.
 pub struct ReplicaSlot {
     pub id: String,
     pub service: String,
     pub address: SocketAddr,
+    /// Requests that it runs at once.
+    pub slots: usize,
     stage: Stage,
     store: Store,
     child: Option<Arc<Mutex<Child>>>,
@@ -238,6 +278,7 @@
             id: format!("i-{service}-{number}"),
             service: service.to_owned(),
             address: free_address(),
+            slots: SLOTS,
             stage: stage.clone(),
             store: store.clone(),
             child: None,
@@ -256,6 +297,9 @@
         stage.note(&format!("replica {name} listens"));
         thread::spawn(move || {
             for line in lines.map_while(Result::ok) {
+                if let Some(id) = line.strip_prefix("ran ").and_then(|ran| ran.split(' ').next()) {
+                    stage.runs.lock().unwrap().insert(id.to_owned());
+                }
                 stage.note(&format!("replica {name} {line}"));
             }
         });
@@ -269,11 +313,12 @@
         let (store, current, key) =
             (self.store.clone(), self.life.clone(), format!("servers/{}", self.id));
         let entry = format!(
-            "\"service\":{},\"address\":\"{}\",\"zone\":\"cebu-hall\",\"version\":{},\"slots\":{SLOTS},\
+            "\"service\":{},\"address\":\"{}\",\"zone\":\"cebu-hall\",\"version\":{},\"slots\":{},\
              \"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":{born}",
             quote(&self.service),
             self.address,
-            quote(version)
+            quote(version),
+            self.slots
         );
         let write = move |seq: u64| store.put(&key, &format!("{{{entry},\"seq\":{seq}}}"));
         thread::spawn(move || {
--- a/review/kit-2/http.rs
+++ b/review/kit-2/http.rs
@@ -118,6 +118,31 @@
     reader: BufReader<TcpStream>,
 }
 
+/// A connection that stays open between requests.
+pub struct Connection {
+    reader: BufReader<TcpStream>,
+}
+
+impl Connection {
+    pub fn open(address: SocketAddr, timeout: Duration) -> io::Result<Self> {
+        let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(timeout))?;
+        Ok(Self { reader: BufReader::new(stream) })
+    }
+
+    /// Sends a request and reads its whole answer; returns the status.
+    pub fn call(&mut self, request: &[u8]) -> io::Result<u16> {
+        self.reader.get_mut().write_all(request)?;
+        let line = read_line(&mut self.reader)?;
+        let status = line.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+        let headers = read_headers(&mut self.reader)?;
+        let length = headers.get("content-length").and_then(|length| length.parse().ok());
+        self.reader.read_exact(&mut vec![0; length.unwrap_or(0)])?;
+        Ok(status)
+    }
+}
+
 /// Sends a request on a new connection, and waits for the head of its answer.
 pub fn send(address: SocketAddr, request: &[u8], timeout: Duration) -> io::Result<Answer> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
--- a/review/kit-2/main.rs
+++ b/review/kit-2/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod json;
 mod replica;
+mod slow;
 mod store;
 
 fn main() {
--- a/review/kit-2/replica.rs
+++ b/review/kit-2/replica.rs
@@ -10,6 +10,12 @@
 
 /// Paths below this one are answered with streams.
 pub const STREAM_PREFIX: &str = "/s/";
+/// Paths below this one are answered with a long body.
+pub const LONG_PREFIX: &str = "/l/";
+/// Bytes of a long body.
+pub const LONG_BYTES: usize = 1_000_000;
+/// Time that a plain answer takes.
+const WORK_TIME: Duration = Duration::from_millis(250);
 /// Requests that a replica runs at once; its callers see to it that there are no more.
 pub const SLOTS: usize = 4;
 /// Events of a complete stream.
@@ -62,7 +68,11 @@
             "X-Coltsfootgate-Attempt-Id: {attempt}\r\nX-Coltsfootgate-Replica-Stamp: {}.{}\r\n",
             self.id, self.version
         );
+        if request.path().starts_with(LONG_PREFIX) {
+            return write_answer(writer, 200, &headers, &vec![b'x'; LONG_BYTES]);
+        }
         if !request.path().starts_with(STREAM_PREFIX) {
+            thread::sleep(WORK_TIME);
             return write_answer(writer, 200, &headers, b"done");
         }
         let head = format!(
