--- a/review/kit-2/cases/mod.rs
+++ b/review/kit-2/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod forwarded;
 mod memory;
 mod revoked;
 mod versions;
@@ -8,6 +9,7 @@
 pub fn run(name: &str, folder: &str, logs: &str) {
     let has_trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
     match name {
+        "forwarded" => forwarded::run(folder, logs, has_trouble),
         "memory" => memory::run(folder, logs, has_trouble),
         "revoked" => revoked::run(folder, logs, has_trouble),
         "versions" => versions::run(folder, logs, has_trouble),
--- a/review/kit-2/fleet.rs
+++ b/review/kit-2/fleet.rs
@@ -383,3 +383,12 @@
     )
     .into_bytes()
 }
+
+/// The bytes of a client's request with a body.
+pub fn post(path: &str, id: &str, key: &str, deadline: Duration, body_bytes: usize) -> Vec<u8> {
+    let head =
+        request(path, id, key, deadline.as_millis(), &format!("Content-Length: {body_bytes}\r\n"));
+    let mut bytes = [b"POST", &head[3..]].concat();
+    bytes.resize(bytes.len() + body_bytes, b'x');
+    bytes
+}
--- a/review/kit-2/main.rs
+++ b/review/kit-2/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod http;
 mod json;
+mod link;
 mod replica;
 mod slow;
 mod store;
--- a/review/kit-2/replica.rs
+++ b/review/kit-2/replica.rs
@@ -12,6 +12,10 @@
 pub const STREAM_PREFIX: &str = "/s/";
 /// Paths below this one are answered with a long body.
 pub const LONG_PREFIX: &str = "/l/";
+/// Paths below this one are answered after a long time.
+pub const WORK_PREFIX: &str = "/w/";
+/// Time that such an answer takes.
+const LONG_WORK_TIME: Duration = Duration::from_secs(6);
 /// Bytes of a long body.
 pub const LONG_BYTES: usize = 1_000_000;
 /// Time that a plain answer takes.
@@ -72,7 +76,8 @@
             return write_answer(writer, 200, &headers, &vec![b'x'; LONG_BYTES]);
         }
         if !request.path().starts_with(STREAM_PREFIX) {
-            thread::sleep(WORK_TIME);
+            let is_long = request.path().starts_with(WORK_PREFIX);
+            thread::sleep(if is_long { LONG_WORK_TIME } else { WORK_TIME });
             return write_answer(writer, 200, &headers, b"done");
         }
         let head = format!(
--- a/review/kit-2/store.rs
+++ b/review/kit-2/store.rs
@@ -55,6 +55,8 @@
 pub struct StorePort {
     pub address: SocketAddr,
     gate: Arc<AtomicU8>,
+    /// What its callers read in place of a text, such as the address of a proxy for that of a replica.
+    replaced: Arc<Mutex<Vec<(String, String)>>>,
 }
 
 impl StorePort {
@@ -62,6 +64,21 @@
         self.gate.store(gate as u8, Ordering::SeqCst);
     }
 
+    /// Lets the callers read another text in place of one.
+    pub fn replace(&self, text: &str, other: &str) {
+        self.replaced.lock().unwrap().push((text.to_owned(), other.to_owned()));
+    }
+
+    /// A value as the callers of this address read it.
+    fn value(&self, value: &[u8]) -> Vec<u8> {
+        let replaced = self.replaced.lock().unwrap();
+        if replaced.is_empty() {
+            return value.to_vec();
+        }
+        let text = String::from_utf8_lossy(value).into_owned();
+        replaced.iter().fold(text, |text, (from, to)| text.replace(from, to)).into_bytes()
+    }
+
     fn is_open(&self) -> bool {
         self.gate.load(Ordering::SeqCst) == Gate::Open as u8
     }
@@ -77,8 +94,9 @@
     /// Opens another address.
     pub fn open_port(&self) -> StorePort {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let port =
-            StorePort { address: listener.local_addr().unwrap(), gate: Arc::new(AtomicU8::new(0)) };
+        let address = listener.local_addr().unwrap();
+        let (gate, replaced) = (Arc::new(AtomicU8::new(0)), Arc::default());
+        let port = StorePort { address, gate, replaced };
         let (store, shared) = (self.clone(), port.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -127,9 +145,9 @@
         let mut state = self.0.0.lock().unwrap();
         state.end_leases();
         let answer = match (request.method.as_str(), path.as_str()) {
-            ("GET", "/coltsfootgate/kv-key") => state.read(request),
-            ("GET", "/coltsfootgate/kv-range") => state.list(request),
-            ("POST", "/coltsfootgate/kv-txn") => state.change(request),
+            ("GET", "/coltsfootgate/kv-key") => state.read(request, port),
+            ("GET", "/coltsfootgate/kv-range") => state.list(request, port),
+            ("POST", "/coltsfootgate/kv-txn") => state.change(request, port),
             ("POST", "/coltsfootgate/kv-lease") => state.grant(request),
             ("POST", path) => match path.strip_prefix("/coltsfootgate/kv-keep/") {
                 Some(lease) => state.renew(lease),
@@ -163,7 +181,7 @@
             let changed: Vec<String> = changed
                 .filter(|(revision, key, _)| *revision > after && key.starts_with(&prefix))
                 .map(|(revision, key, item)| match item {
-                    Some(item) => item.json(key),
+                    Some(item) => item.json(key, port),
                     None => {
                         format!(
                             "{{\"key\":{},\"revision\":{revision},\"deleted\":true}}",
@@ -183,11 +201,11 @@
 }
 
 impl Item {
-    fn json(&self, key: &str) -> String {
+    fn json(&self, key: &str, port: &StorePort) -> String {
         format!(
             "{{\"key\":{},\"value\":\"{}\",\"revision\":{},\"created\":{},\"lease\":{}}}",
             quote(key),
-            base64::encode(&self.value),
+            base64::encode(&port.value(&self.value)),
             self.revision,
             self.created,
             self.lease
@@ -230,22 +248,22 @@
         }
     }
 
-    fn read(&self, request: &Request) -> (u16, String) {
+    fn read(&self, request: &Request, port: &StorePort) -> (u16, String) {
         let key = request.parameter("key").unwrap_or_default();
         let Some(item) = self.items.get(&key) else { return (404, "{}".into()) };
-        let mut json = item.json(&key);
+        let mut json = item.json(&key, port);
         json.truncate(json.len() - 1);
         (200, format!("{json},\"store_revision\":{}}}", self.revision))
     }
 
-    fn list(&self, request: &Request) -> (u16, String) {
+    fn list(&self, request: &Request, port: &StorePort) -> (u16, String) {
         let prefix = request.parameter("path_prefix").unwrap_or_default();
         let after = request.parameter("after").unwrap_or_default();
         let listed = self.items.iter();
         let mut listed = listed
             .filter(|(key, _)| key.starts_with(&prefix) && (after.is_empty() || **key > after));
         let items: Vec<String> =
-            listed.by_ref().take(PAGE_ITEMS).map(|(key, item)| item.json(key)).collect();
+            listed.by_ref().take(PAGE_ITEMS).map(|(key, item)| item.json(key, port)).collect();
         let has_more = listed.next().is_some();
         let (items, revision) = (items.join(","), self.revision);
         let body = format!(
@@ -254,7 +272,7 @@
         (200, body)
     }
 
-    fn change(&mut self, request: &Request) -> (u16, String) {
+    fn change(&mut self, request: &Request, port: &StorePort) -> (u16, String) {
         let Some(body) = Json::parse(&String::from_utf8_lossy(&request.body)) else {
             return (400, "{}".into());
         };
@@ -269,7 +287,7 @@
         });
         if !holds {
             let keys = expect.iter().map(|row| text(row, "key"));
-            let items = keys.filter_map(|key| Some(self.items.get(&key)?.json(&key)));
+            let items = keys.filter_map(|key| Some(self.items.get(&key)?.json(&key, port)));
             return (412, format!("{{\"items\":[{}]}}", items.collect::<Vec<_>>().join(",")));
         }
         let lease = |row: &Json| row.get("lease").and_then(Json::number).unwrap_or(0);
