--- a/review/kit-2/http.rs
+++ b/review/kit-2/http.rs
@@ -161,23 +161,4 @@
     pub fn next(&mut self) -> io::Result<Option<Vec<u8>>> {
         read_chunk(&mut self.reader)
     }
-
-    pub fn is_chunked(&self) -> bool {
-        self.headers.get("transfer-encoding").is_some_and(|coding| coding.contains("chunked"))
-    }
-
-    /// Reads a whole body.
-    pub fn body(&mut self) -> io::Result<Vec<u8>> {
-        if self.is_chunked() {
-            let mut body = Vec::new();
-            while let Some(chunk) = self.next()? {
-                body.extend(chunk);
-            }
-            return Ok(body);
-        }
-        let length = self.headers.get("content-length").and_then(|length| length.parse().ok());
-        let mut body = vec![0; length.unwrap_or(0)];
-        self.reader.read_exact(&mut body)?;
-        Ok(body)
-    }
 }
