State the version and the age of the settings as one value

Cause: the answer to a heartbeat joined two facts of different moments. The version came from the peer table, which hears of a tree at its next tick (0 after a start), the age from the tree in force. The receiver took it as a proof that no version above 0 existed a moment ago, and every proof of a version up to its own confirms its own.

Fix: the tree makes version and age in one read (SettingsStatement), at the moment of the answer; the peer table no longer keeps a version of its own. A statement without a version proves nothing at the receiver, so that an earlier build that has just started can do no harm. The messages are the same bytes.

--- a/coltsfootgate/src/members/task.rs
+++ b/coltsfootgate/src/members/task.rs
@@ -12,7 +12,7 @@
 use log::info;
 use serde_json::{Value, json};
 
-use coltsfootgate_core::freshness::VersionProof;
+use coltsfootgate_core::freshness::SettingsStatement;
 use coltsfootgate_core::ids::InstanceId;
 use coltsfootgate_core::membership::{
     HEARTBEAT_PERIOD, PeerAction, PeerEvent, PeerHeartbeat, PeerProfile, PeerState, PeerTable,
@@ -86,7 +86,6 @@
         }
         monoio::spawn(keep_registered(directory.clone(), own));
         monoio::spawn(poll_list(directory, self.handle.clone(), self.metrics.clone()));
-        let mut trees = self.tree.subscribe();
         let mut next_tick = clock::now();
         loop {
             let now = clock::now();
@@ -94,9 +93,6 @@
                 // Missed ticks are skipped, so that the peer table sees a pause of this process as a
                 // gap between ticks.
                 next_tick = now + HEARTBEAT_PERIOD;
-                while let Ok(tree) = trees.try_recv() {
-                    self.apply_event(PeerEvent::ConfigChanged(tree.version));
-                }
                 self.apply_event(PeerEvent::Tick);
                 self.update_status();
             }
@@ -116,7 +112,7 @@
                 self.handle_heartbeat(heartbeat, pressures);
                 let (mut heartbeat, pressures) =
                     (self.table.heartbeat_for(&from), self.handle.pressures());
-                heartbeat.config_age = self.tree.age();
+                heartbeat.settings = self.tree.statement();
                 let _ = reply.send(PeerReply::Heartbeat { heartbeat, pressures });
             }
             MemberMessage::HeartbeatReply { heartbeat, pressures } => {
@@ -216,9 +212,11 @@
     fn exchange_heartbeats(
         &self,
         to: InstanceId,
-        heartbeat: PeerHeartbeat,
+        mut heartbeat: PeerHeartbeat,
     ) -> impl Future<Output = ()> + use<> {
         let (peers, handle, tree) = (self.peers.clone(), self.handle.clone(), self.tree.clone());
+        // Only an answer states an age: its receiver knows since when it waits for it.
+        heartbeat.settings = SettingsStatement { age: None, ..tree.statement() };
         let request = PeerRequest::Heartbeat { heartbeat, pressures: handle.pressures() };
         async move {
             let deadline = clock::now() + CALL_TIMEOUT;
@@ -227,11 +225,8 @@
             if let Ok(PeerReply::Heartbeat { heartbeat, pressures }) = reply
                 && heartbeat.sender.profile.id == to
             {
-                if let Some(age) = heartbeat.config_age {
-                    // The peer computed the age after this request was sent, so its proof is no older
-                    // than this.
-                    let at = sent.saturating_sub(age);
-                    tree.record_proof(VersionProof { version: heartbeat.config_version, at });
+                if let Some(proof) = heartbeat.settings.proof(sent) {
+                    tree.record_proof(proof);
                 }
                 handle.send(MemberMessage::HeartbeatReply { heartbeat, pressures });
             }
--- a/coltsfootgate/src/tree/mod.rs
+++ b/coltsfootgate/src/tree/mod.rs
@@ -18,7 +18,7 @@
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 
 use coltsfootgate_config::{ConfigTree, ContentDigest};
-use coltsfootgate_core::freshness::{SettingsFreshness, VersionProof};
+use coltsfootgate_core::freshness::{SettingsFreshness, SettingsStatement, VersionProof};
 use coltsfootgate_core::head::{HeadEvent, TreeHead};
 use coltsfootgate_core::ids::{ConfigVersion, InstanceId};
 use coltsfootgate_core::settings::ConnectionSettings;
@@ -83,8 +83,13 @@
 
     /// Time since the tree in force was last confirmed as the newest; `None` if it never was.
     pub fn age(&self) -> Option<Duration> {
-        let version = self.current()?.version;
-        self.0.freshness.borrow().age(version, clock::boot_time())
+        self.statement().age
+    }
+
+    /// The version of the tree in force and the time since it was last confirmed, as one value.
+    pub fn statement(&self) -> SettingsStatement {
+        let version = self.0.current.borrow().as_ref().map(|active| active.version);
+        self.0.freshness.borrow().statement(version, clock::boot_time())
     }
 
     /// Records a proof that a version was the newest one.
--- a/coltsfootgate_core/src/freshness.rs
+++ b/coltsfootgate_core/src/freshness.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::ConfigVersion;
 
 /// Maximum number of versions whose proofs are kept; the oldest versions are dropped first.
@@ -17,6 +19,29 @@
     pub at: Duration,
 }
 
+/// What an instance states about the settings that it has in force. Both parts are of the same moment, so that the
+/// version was the newest one as long ago as the age says.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct SettingsStatement {
+    /// The version in force, 0 if there is none.
+    pub version: ConfigVersion,
+    /// Time since this version was last confirmed as the newest, if the sender knows.
+    pub age: Option<Duration>,
+}
+
+impl SettingsStatement {
+    /// What the statement proves to the instance that asked for it at a point in time. It was made after that, so that
+    /// its proof is no older than this.
+    ///
+    /// `None` without a version: builds that took version and age from two places could state the age of a tree as
+    /// that of no tree, and whoever has none in force can't confirm another one.
+    pub fn proof(&self, asked_at: Duration) -> Option<VersionProof> {
+        let age = self.age.filter(|_| self.version > 0)?;
+        Some(VersionProof { version: self.version, at: asked_at.saturating_sub(age) })
+    }
+}
+
 /// Keeps the latest proof of each recent version, from which the age of the settings in force
 /// follows.
 #[derive(Clone, Debug, Default)]
@@ -42,4 +67,10 @@
         let proved_at = self.latest.range(..=in_force).map(|(_, at)| *at).max()?;
         Some(now.saturating_sub(proved_at))
     }
+
+    /// What an instance may state at a point in time about the version that it has in force.
+    pub fn statement(&self, in_force: Option<ConfigVersion>, now: Duration) -> SettingsStatement {
+        let Some(version) = in_force else { return SettingsStatement::default() };
+        SettingsStatement { version, age: self.age(version, now) }
+    }
 }
--- a/coltsfootgate_core/src/membership/mod.rs
+++ b/coltsfootgate_core/src/membership/mod.rs
@@ -12,6 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::freshness::SettingsStatement;
 use crate::ids::{ConfigVersion, Incarnation, InstanceId, ZoneName};
 
 pub use self::entry::PeerEntry;
@@ -113,10 +114,8 @@
 pub struct PeerHeartbeat {
     /// The sender's own profile and state.
     pub sender: PeerRumor,
-    /// The version of the settings tree that the sender has in force.
-    pub config_version: ConfigVersion,
-    /// Time since that version was last confirmed as the newest, if the sender knows.
-    pub config_age: Option<Duration>,
+    /// What the sender states about the settings that it has in force.
+    pub settings: SettingsStatement,
     /// Rumors about other instances that the sender passes on.
     pub rumors: Vec<PeerRumor>,
 }
@@ -139,8 +138,6 @@
     },
     /// This instance starts to shut down.
     Leave,
-    /// This instance put a new version of the settings tree in force.
-    ConfigChanged(ConfigVersion),
     /// Time passed; expected once every [`HEARTBEAT_PERIOD`].
     Tick,
 }
@@ -148,7 +145,7 @@
 /// Output of a peer table, for the caller to carry out.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum PeerAction {
-    /// Send a heartbeat to an instance, which answers with its own.
+    /// Send a heartbeat to an instance, which answers with its own. The caller states the settings in it.
     Send(InstanceId, PeerHeartbeat),
     /// Ask an instance whether it hears from a suspect.
     AskAbout {
--- a/coltsfootgate_core/src/membership/rumor.rs
+++ b/coltsfootgate_core/src/membership/rumor.rs
@@ -17,17 +17,17 @@
         now: Instant,
         actions: &mut Vec<PeerAction>,
     ) {
-        let PeerHeartbeat { sender, config_version, rumors, config_age: _ } = heartbeat;
+        let PeerHeartbeat { sender, settings, rumors } = heartbeat;
         let id = sender.profile.id.clone();
         if id == self.own.profile.id {
             return;
         }
         self.handle_statement(sender, now, actions);
         if let Some(peer) = self.peers.get_mut(&id)
-            && config_version > peer.config_version
+            && settings.version > peer.config_version
         {
-            peer.config_version = config_version;
-            actions.push(PeerAction::VersionAdvanced(id, config_version));
+            peer.config_version = settings.version;
+            actions.push(PeerAction::VersionAdvanced(id, settings.version));
         }
         for rumor in rumors {
             self.handle_rumor(rumor, now, actions);
--- a/coltsfootgate_core/src/membership/table.rs
+++ b/coltsfootgate_core/src/membership/table.rs
@@ -9,15 +9,15 @@
     PeerHeartbeat, PeerProfile, PeerRumor, PeerState, REFRESH_PER_HEARTBEAT, SUSPECT_AFTER,
     UPDATES_PER_HEARTBEAT,
 };
+use crate::freshness::SettingsStatement;
 use crate::gossip::{GossipQueue, transmit_count};
-use crate::ids::{ConfigVersion, InstanceId, ZoneName};
+use crate::ids::{InstanceId, ZoneName};
 use crate::rendezvous::stable_hash;
 
 /// Tracks the state of all known instances and chooses the neighbours of this one.
 #[derive(Debug)]
 pub struct PeerTable {
     pub(super) own: PeerRumor,
-    config_version: ConfigVersion,
     pub(super) peers: BTreeMap<InstanceId, PeerEntry>,
     pub(super) neighbours: BTreeSet<InstanceId>,
     pub(super) pending_updates: GossipQueue<InstanceId>,
@@ -31,7 +31,6 @@
     pub fn new(own: PeerProfile) -> Self {
         Self {
             own: PeerRumor { profile: own, state: PeerState::Alive, refutation: 0 },
-            config_version: 0,
             peers: BTreeMap::new(),
             neighbours: BTreeSet::new(),
             pending_updates: GossipQueue::default(),
@@ -124,8 +123,8 @@
         })
     }
 
-    /// Builds the heartbeat for a peer. It includes what this table holds about that peer, so that
-    /// the peer can refute it.
+    /// Builds the heartbeat for a peer, without a statement about the settings. It includes what this table holds
+    /// about that peer, so that the peer can refute it.
     pub fn heartbeat_for(&mut self, to: &InstanceId) -> PeerHeartbeat {
         let mut subjects: Vec<InstanceId> = vec![to.clone()];
         subjects.extend(self.pending_updates.take(UPDATES_PER_HEARTBEAT));
@@ -138,9 +137,8 @@
         let rumors = subjects.iter().filter_map(|id| self.rumor_about(id)).collect();
         PeerHeartbeat {
             sender: self.own.clone(),
-            config_version: self.config_version,
-            // The caller fills this in, since the table doesn't follow the settings.
-            config_age: None,
+            // The caller fills this in at the moment of sending, since the table doesn't follow the settings.
+            settings: SettingsStatement::default(),
             rumors,
         }
     }
@@ -164,9 +162,6 @@
                 self.handle_reachability_report(&about, by, heard, now, &mut actions);
             }
             PeerEvent::Leave => self.leave(&mut actions),
-            PeerEvent::ConfigChanged(version) => {
-                self.config_version = self.config_version.max(version);
-            }
             PeerEvent::Tick => self.tick(now, &mut actions),
         }
         self.choose_neighbours(now);
--- a/coltsfootgate_wire/src/member.rs
+++ b/coltsfootgate_wire/src/member.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use coltsfootgate_core::freshness::SettingsStatement;
 use coltsfootgate_core::membership::{PeerHeartbeat, PeerProfile, PeerRumor, PeerState};
 
 use crate::error::WireError;
@@ -92,9 +93,9 @@
     fn from(heartbeat: PeerHeartbeat) -> Self {
         Self {
             sender: heartbeat.sender.into(),
-            config_version: heartbeat.config_version,
+            config_version: heartbeat.settings.version,
             // Rounded up, so that the confirmation of the version never appears newer than it is.
-            config_age_ms: heartbeat.config_age.map(|age| age.as_micros().div_ceil(1000) as u64),
+            config_age_ms: heartbeat.settings.age.map(|age| age.as_micros().div_ceil(1000) as u64),
             rumors: heartbeat.rumors.into_iter().map(WireRumor::from).collect(),
         }
     }
@@ -110,8 +111,10 @@
         let rumors = heartbeat.rumors.into_iter().map(PeerRumor::try_from);
         Ok(Self {
             sender: heartbeat.sender.try_into()?,
-            config_version: heartbeat.config_version,
-            config_age: heartbeat.config_age_ms.map(Duration::from_millis),
+            settings: SettingsStatement {
+                version: heartbeat.config_version,
+                age: heartbeat.config_age_ms.map(Duration::from_millis),
+            },
             rumors: rumors.collect::<Result<_, _>>()?,
         })
     }
--- a/coltsfootgate_wire/tests/messages.rs
+++ b/coltsfootgate_wire/tests/messages.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use coltsfootgate_core::endpoint_limit::{LimitNotice, LimitStatement};
+use coltsfootgate_core::freshness::SettingsStatement;
 use coltsfootgate_core::head::TreeHead;
 use coltsfootgate_core::ids::RequestTier;
 use coltsfootgate_core::membership::{PeerHeartbeat, PeerProfile, PeerRumor, PeerState};
@@ -40,8 +41,8 @@
 
 fn heartbeat() -> PeerHeartbeat {
     let rumors = vec![rumor(PeerState::Suspect), rumor(PeerState::Leaving)];
-    let config_age = Some(Duration::from_millis(1_200));
-    PeerHeartbeat { sender: rumor(PeerState::Alive), config_version: 9, config_age, rumors }
+    let settings = SettingsStatement { version: 9, age: Some(Duration::from_millis(1_200)) };
+    PeerHeartbeat { sender: rumor(PeerState::Alive), settings, rumors }
 }
 
 fn pressure() -> OwnerPressure {
