Let no store confirm settings that it does not have

What callers would see: a store that came back from an older copy lacks the version in force, and with it whatever was written since, such as the end of a key; all keys stay valid for as long as it does.

Cause: the watch of the settings recorded every answer as a proof of the highest version that it had ever heard of, also one that returned nothing, an earlier version, or "unchanged" where the adapter had found neither history nor value.

Fix: a watch tells "unchanged" from "this is there now", which may be nothing; only answers of a store that has the version are recorded and passed on to followers. A store without the settings is asked again after a pause: before, a watch without history was repeated at once.

Ruled out: that earlier versions are ever written in order (PROTOCOL.md: they increase), so that refusing keys then hits a sound deployment.

--- a/coltsfootctl/tests/commit.rs
+++ b/coltsfootctl/tests/commit.rs
@@ -11,7 +11,7 @@
 use coltsfootctl::error::ToolError;
 use coltsfootctl::tree_store::TreeStore;
 use coltsfootgate::platform::{
-    PlatformError, PlatformStore, StoredValue, SwapResult, ValueRevision,
+    PlatformError, PlatformStore, StoredValue, SwapResult, ValueRevision, WatchResult,
 };
 use coltsfootgate_config::{BranchDocument, HEAD_KEY, HeadObject, TreeParts, history_key};
 use monoio::{LegacyDriver, RuntimeBuilder};
@@ -146,8 +146,8 @@
         _key: &str,
         _after: ValueRevision,
         _wait: Duration,
-    ) -> Result<Option<StoredValue>, PlatformError> {
-        Ok(None)
+    ) -> Result<WatchResult, PlatformError> {
+        Ok(WatchResult::Unchanged)
     }
 
     async fn list(&self, _prefix: &str) -> Result<Vec<Arc<str>>, PlatformError> {
--- a/coltsfootgate/src/platform/http.rs
+++ b/coltsfootgate/src/platform/http.rs
@@ -17,7 +17,7 @@
 use super::client::BoundedClient;
 use super::{
     InstanceDirectory, ListedInstance, PlatformError, PlatformStore, StoredValue, SwapResult,
-    VALUE_BYTES_MAX, ValueRevision,
+    VALUE_BYTES_MAX, ValueRevision, WatchResult,
 };
 
 /// Header with the revision of a value.
@@ -96,12 +96,13 @@
         key: &str,
         after: ValueRevision,
         wait: Duration,
-    ) -> Result<Option<StoredValue>, PlatformError> {
+    ) -> Result<WatchResult, PlatformError> {
         let path = format!("/kv/{key}?after={after}&wait={}", wait.as_millis());
         let response = self.get(&path, wait + self.timeout, VALUE_BYTES_MAX).await?;
         match response.status() {
-            StatusCode::OK => Ok(Some(stored_value(response)?)),
-            StatusCode::NOT_MODIFIED | StatusCode::NOT_FOUND => Ok(None),
+            StatusCode::OK => Ok(WatchResult::Read(Some(stored_value(response)?))),
+            StatusCode::NOT_MODIFIED => Ok(WatchResult::Unchanged),
+            StatusCode::NOT_FOUND => Ok(WatchResult::Read(None)),
             _ => Err(PlatformError::refused(&response)),
         }
     }
--- a/coltsfootgate/src/platform/mod.rs
+++ b/coltsfootgate/src/platform/mod.rs
@@ -35,6 +35,15 @@
     pub value: Bytes,
 }
 
+/// What a watch of a value returned.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum WatchResult {
+    /// The value did not change while the watch waited.
+    Unchanged,
+    /// This is the value now; `None` if the key has none.
+    Read(Option<StoredValue>),
+}
+
 /// The result of a compare-and-swap.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SwapResult {
@@ -150,14 +159,14 @@
     /// Reads a value; `None` if the key has none.
     async fn read(&self, key: &str) -> Result<Option<StoredValue>, PlatformError>;
 
-    /// Waits until the revision of a value is above `after` and returns the value, or `None` after
-    /// `wait`.
+    /// Waits until the revision of a value is above `after` and returns the value, or [`WatchResult::Unchanged`]
+    /// after `wait`. May return at once if the key has no value.
     async fn watch(
         &self,
         key: &str,
         after: ValueRevision,
         wait: Duration,
-    ) -> Result<Option<StoredValue>, PlatformError>;
+    ) -> Result<WatchResult, PlatformError>;
 
     /// Writes a value if its current revision is `revision`; 0 creates the value.
     async fn swap(
--- a/coltsfootgate/src/streams/tests.rs
+++ b/coltsfootgate/src/streams/tests.rs
@@ -20,7 +20,9 @@
 use crate::metrics::DaemonMetrics;
 use crate::options::PeerSecret;
 use crate::peer::PeerIdentity;
-use crate::platform::{PlatformError, PlatformStore, StoredValue, SwapResult, ValueRevision};
+use crate::platform::{
+    PlatformError, PlatformStore, StoredValue, SwapResult, ValueRevision, WatchResult,
+};
 use crate::tree::TreeHandle;
 
 const OLD: &str = r#"{"origins":[{"pool":"pools.a","version":"v1"}]}"#;
@@ -72,7 +74,7 @@
         _key: &str,
         _after: ValueRevision,
         _wait: Duration,
-    ) -> Result<Option<StoredValue>, PlatformError> {
+    ) -> Result<WatchResult, PlatformError> {
         std::future::pending().await
     }
 
--- a/coltsfootgate/src/tree/tests.rs
+++ b/coltsfootgate/src/tree/tests.rs
@@ -19,7 +19,9 @@
 use super::*;
 use crate::metrics::DaemonMetrics;
 use crate::operators::ReadinessGate;
-use crate::platform::{PlatformError, PlatformStore, StoredValue, SwapResult, ValueRevision};
+use crate::platform::{
+    PlatformError, PlatformStore, StoredValue, SwapResult, ValueRevision, WatchResult,
+};
 
 /// Longest time that the store may hold a watch.
 const WATCH_WAIT: Duration = Duration::from_secs(3);
@@ -74,7 +76,7 @@
         _key: &str,
         _after: ValueRevision,
         _wait: Duration,
-    ) -> Result<Option<StoredValue>, PlatformError> {
+    ) -> Result<WatchResult, PlatformError> {
         pending().await
     }
 
--- a/coltsfootgate/src/tree/watch.rs
+++ b/coltsfootgate/src/tree/watch.rs
@@ -14,7 +14,7 @@
 use super::TreeHandle;
 use crate::clock;
 use crate::feed::FeedHandle;
-use crate::platform::{PlatformError, PlatformStore, StoredValue, ValueRevision};
+use crate::platform::{PlatformError, PlatformStore, StoredValue, ValueRevision, WatchResult};
 
 /// Number of watches after which the head is read again, in case a watch missed a change.
 const WATCHES_PER_READ: u32 = 10;
@@ -33,7 +33,11 @@
     /// until a watch that no longer responds is detected.
     wait: Duration,
     revision: ValueRevision,
+    /// The highest version that the store ever returned.
     version: ConfigVersion,
+    /// Whether the store has that version, as far as it said last. One that came back from an older copy may have an
+    /// earlier one or none, and then confirms nothing.
+    has_version: bool,
     failures: u32,
 }
 
@@ -44,7 +48,7 @@
         feed: Option<FeedHandle>,
         wait: Duration,
     ) -> Self {
-        Self { store, tree, feed, wait, revision: 0, version: 0, failures: 0 }
+        Self { store, tree, feed, wait, revision: 0, version: 0, has_version: false, failures: 0 }
     }
 
     /// Runs until the receiver of the events is dropped.
@@ -73,14 +77,12 @@
             watches += 1;
             let wait = self.feed.as_ref().map_or(self.wait, |feed| feed.watch_wait(self.wait));
             let sent = clock::boot_time();
-            let value = self.store.watch(HEAD_KEY, self.revision, wait).await?;
-            if value.is_some() {
-                self.report(value)?;
-                self.record_proof(sent);
-                continue;
+            match self.store.watch(HEAD_KEY, self.revision, wait).await? {
+                WatchResult::Read(value) => self.report(value)?,
+                WatchResult::Unchanged => (),
             }
             self.record_proof(sent);
-            if self.revision == 0 {
+            if !self.has_version {
                 // A store may respond to a watch of a missing value at once, so this avoids a busy
                 // loop.
                 monoio::time::sleep(BACKOFF_MIN).await;
@@ -118,7 +120,9 @@
             Some(stored) => Some(parse_head(stored)?),
             None => None,
         };
-        self.version = self.version.max(head.as_ref().map_or(0, |head| head.version));
+        let version = head.as_ref().map_or(0, |head| head.version);
+        self.has_version = version > 0 && version >= self.version;
+        self.version = self.version.max(version);
         // A replica that lags may return a lower revision, and a watch after a lower revision would
         // return at once.
         self.revision = self.revision.max(value.map_or(0, |stored| stored.revision));
@@ -127,8 +131,11 @@
     }
 
     /// Records that the version last read was the newest one when the call that returned it was
-    /// sent.
+    /// sent, unless the store lacks that version.
     fn record_proof(&self, sent: Duration) {
+        if !self.has_version {
+            return;
+        }
         let proof = VersionProof { version: self.version, at: sent };
         self.tree.record_proof(proof);
         if let Some(feed) = &self.feed {
