Take the era of the store from the answer that states a revision

What callers would see: after the store came back from an older copy, a version or a replica stays unknown, since the watch for it began at a revision of the era before.

Cause: revisions were taken from the answer, their era from a cell with the highest era that any answer stated. An answer that was on its way while another one stated the new era was so dated too late.

Ruled out for the duties: their client makes one call after the other.

--- a/coltsfootgate/src/endpoints/directory.rs
+++ b/coltsfootgate/src/endpoints/directory.rs
@@ -12,6 +12,8 @@
 pub struct EndpointList {
     /// The announcement of each replica.
     pub announcements: Vec<ReplicaAnnouncement>,
+    /// The era of the store in which the list was read, see [`EndpointDirectory::era`].
+    pub era: u64,
     /// The revision after which to read changes.
     pub revision: ValueRevision,
 }
@@ -44,7 +46,7 @@
         wait: Duration,
     ) -> Result<(RevisedNotices, ValueRevision), PlatformError>;
 
-    /// How often the platform's store came back from an older copy, as far as its answers stated. Revisions of
+    /// How often the platform's store came back from an older copy, as far as any of its answers stated. Revisions of
     /// different eras are not comparable.
     fn era(&self) -> u64 {
         0
--- a/coltsfootgate/src/endpoints/task.rs
+++ b/coltsfootgate/src/endpoints/task.rs
@@ -213,7 +213,7 @@
     is_reachable: &mut bool,
 ) -> Result<(), PlatformError> {
     let list = directory.endpoints().await?;
-    let era = directory.era();
+    let era = list.era;
     if !*is_reachable {
         info!("the platform's list of endpoints is reachable again");
         *is_reachable = true;
