--- a/coltsfootgate/src/daemon.rs
+++ b/coltsfootgate/src/daemon.rs
@@ -148,6 +148,7 @@
         records: handles.context.records.clone(),
         readiness: handles.readiness.clone(),
         tree: handles.context.tree.clone(),
+        memory: handles.context.memory.clone(),
         connections_max: settings.operators_connections,
         readiness_path: settings.readiness_path.clone(),
     };
--- a/coltsfootgate/src/endpoint/access.rs
+++ b/coltsfootgate/src/endpoint/access.rs
@@ -5,30 +5,43 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use log::info;
-use monoio::time::timeout;
+use monoio::time::{sleep, timeout};
 
 use coltsfootgate_core::forward::ForwarderBook;
 use coltsfootgate_core::prelude::{EndpointId, InstanceId, PoolId, ZoneName};
 use coltsfootgate_wire::{
-    ForwardReply, ForwardRequest, HeaderRows, PeerReply, PeerRequest, encode_forward_request,
+    ForwardMessage, ForwardReply, ForwardRequest, HeaderRows, PeerReply, PeerRequest,
+    encode_forward_request,
 };
 
 use super::{
     AnswerStream, ConnectionPool, EndpointAnswer, EndpointClient, EndpointFailure, EndpointPaths,
-    EndpointRequest,
+    EndpointRequest, SendProgress,
 };
 use crate::members::MembersHandle;
 use crate::metrics::DaemonMetrics;
-use crate::peer::{ForwardedAnswer, PeerError, PeerHandle};
+use crate::peer::{ANSWER_WINDOW_BYTES, ForwardedAnswer, PeerError, PeerHandle};
+use crate::transfer::MemoryShare;
 
 /// Time limit for another instance to say whether it reaches an endpoint.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Number of other instances that are asked whether they reach an endpoint.
 const CHECKS_MAX: usize = 2;
 
+/// Pauses after which instances without memory for a request are asked again.
+const FULL_PAUSES: [Duration; 8] = [
+    Duration::from_millis(25),
+    Duration::from_millis(50),
+    Duration::from_millis(100),
+    Duration::from_millis(200),
+    Duration::from_millis(400),
+    Duration::from_millis(400),
+    Duration::from_millis(400),
+    Duration::from_millis(400),
+];
+
 /// Sends requests to endpoints; clones share the same connections.
 #[derive(Clone)]
 pub struct EndpointAccess {
@@ -44,7 +57,38 @@
     members: MembersHandle,
     peers: PeerHandle,
     metrics: DaemonMetrics,
-    book: RefCell<ForwarderBook>,
+    book: Rc<RefCell<ForwarderBook>>,
+}
+
+/// Counts a request as forwarded by an instance until it is dropped.
+struct ForwardCount {
+    book: Rc<RefCell<ForwarderBook>>,
+    instance: InstanceId,
+}
+
+impl Drop for ForwardCount {
+    fn drop(&mut self) {
+        self.book.borrow_mut().end(&self.instance);
+    }
+}
+
+/// What became of asking instances to forward a request.
+enum AskResult {
+    /// One of them forwards it, or tried to.
+    Forwarded(Box<ForwardedAnswer>, ForwardCount),
+    /// It may have been forwarded, and failed.
+    Failed(EndpointFailure),
+    /// None of them forwards it.
+    Refused {
+        /// Whether one of them has no memory left for it.
+        has_full: bool,
+    },
+}
+
+/// What an answer that is forwarded holds until its end.
+pub struct ForwardHold {
+    _count: ForwardCount,
+    _window: MemoryShare,
 }
 
 /// What is known of an endpoint to which a connection was lost or failed.
@@ -114,9 +158,7 @@
                 return sent;
             }
         }
-        let time = request.head_timeout;
-        let forwarding = self.forwarders.send(request);
-        timeout(time, forwarding).await.unwrap_or(Err(EndpointFailure::Stalled))
+        self.forwarders.send(request).await
     }
 }
 
@@ -129,7 +171,12 @@
         peers: PeerHandle,
         metrics: DaemonMetrics,
     ) -> Self {
-        Self { own, zone, members, peers, metrics, book: RefCell::default() }
+        Self { own, zone, members, peers, metrics, book: Rc::default() }
+    }
+
+    fn count(&self, instance: &InstanceId) -> ForwardCount {
+        self.book.borrow_mut().begin(instance.clone());
+        ForwardCount { book: self.book.clone(), instance: instance.clone() }
     }
 
     fn choose(&self) -> Vec<InstanceId> {
@@ -146,40 +193,82 @@
         }
     }
 
-    /// Sends a request through the first instance that forwards it.
+    /// Sends a request through the first instance that forwards it. While some have no memory left for it, waits for
+    /// a time, since bodies are kept only until their endpoints have read them.
     async fn send(&self, request: EndpointRequest) -> Result<EndpointAnswer, EndpointFailure> {
         let progress = request.progress.clone();
-        let message = encode_forward_request(forward_request(request));
-        let Ok(message) = message.map(Bytes::from) else {
+        let mut answer_due = Instant::now() + request.head_timeout;
+        let mut pauses = FULL_PAUSES.iter();
+        let Ok(message) = encode_forward_request(forward_request(request)) else {
             self.metrics.forward_requested("too-large");
             return Err(EndpointFailure::PathLost);
         };
+        let Some(window) = self.peers.forwarded_memory().take(ANSWER_WINDOW_BYTES) else {
+            info!(
+                "a request is not sent through another instance: no memory is left for its answer"
+            );
+            self.metrics.forward_requested("memory-full");
+            return Err(EndpointFailure::PathLost);
+        };
+        loop {
+            let asked = self.ask_instances(&message, &progress, answer_due).await;
+            let has_full = match asked {
+                AskResult::Forwarded(answer, count) => {
+                    let hold = ForwardHold { _count: count, _window: window };
+                    return self.read_answer(*answer, hold);
+                }
+                AskResult::Failed(failure) => return Err(failure),
+                AskResult::Refused { has_full } => has_full,
+            };
+            let Some(pause) = pauses.next().filter(|_| has_full) else { break };
+            let pause = pause.mul_f64(rand::random_range(0.5..1.0));
+            sleep(pause).await;
+            answer_due += pause;
+        }
+        progress.set_via(None);
+        Err(EndpointFailure::PathLost)
+    }
+
+    /// Asks one instance after the other to forward a request.
+    async fn ask_instances(
+        &self,
+        message: &ForwardMessage,
+        progress: &SendProgress,
+        answer_due: Instant,
+    ) -> AskResult {
+        let mut has_full = false;
         for instance in self.choose() {
+            let count = self.count(&instance);
             progress.set_via(Some(instance.clone()));
             progress.begin_send();
-            match self.peers.forward(&instance, message.clone()).await {
+            let time_left = answer_due.saturating_duration_since(Instant::now());
+            let forwarding = self.peers.forward(&instance, message.clone());
+            let Ok(forwarded) = timeout(time_left, forwarding).await else {
+                return AskResult::Failed(EndpointFailure::Stalled);
+            };
+            match forwarded {
                 Ok(ForwardedAnswer { reply: ForwardReply::Refused(refusal), .. }) => {
                     progress.revert_send();
                     self.refused(&instance, refusal.name());
                 }
-                Err(PeerError::Unreachable(_)) => {
+                Err(error @ (PeerError::Unreachable(_) | PeerError::MemoryFull)) => {
                     progress.revert_send();
-                    self.refused(&instance, "unreachable");
+                    self.refused(&instance, error.name());
+                    has_full |= error == PeerError::MemoryFull;
                 }
                 Ok(answer) => {
                     self.book.borrow_mut().record_forward(&instance);
-                    return self.read_answer(answer);
+                    return AskResult::Forwarded(Box::new(answer), count);
                 }
                 Err(error) => {
                     // The instance may have forwarded the request.
                     self.book.borrow_mut().record_refusal(instance, Instant::now());
                     self.metrics.forward_requested(error.name());
-                    return Err(EndpointFailure::ConnectionLost);
+                    return AskResult::Failed(EndpointFailure::ConnectionLost);
                 }
             }
         }
-        progress.set_via(None);
-        Err(EndpointFailure::PathLost)
+        AskResult::Refused { has_full }
     }
 
     fn refused(&self, instance: &InstanceId, cause: &str) {
@@ -188,12 +277,16 @@
         self.book.borrow_mut().record_refusal(instance.clone(), Instant::now());
     }
 
-    fn read_answer(&self, answer: ForwardedAnswer) -> Result<EndpointAnswer, EndpointFailure> {
+    fn read_answer(
+        &self,
+        answer: ForwardedAnswer,
+        hold: ForwardHold,
+    ) -> Result<EndpointAnswer, EndpointFailure> {
         let ForwardedAnswer { reply, body } = answer;
         let (name, result) = match reply {
             ForwardReply::Answered { status, headers, framing } => {
                 let head = StatusCode::from_u16(status).ok().zip(from_header_rows(&headers));
-                let stream = AnswerStream::forwarded(body, framing);
+                let stream = AnswerStream::forwarded(body, framing, hold);
                 let answer =
                     head.map(|(status, headers)| EndpointAnswer { status, headers, stream });
                 ("answered", answer.ok_or(EndpointFailure::ConnectionLost))
@@ -219,7 +312,7 @@
         method: request.method.as_str().into(),
         path: request.path,
         headers: header_rows(&request.headers),
-        body: request.body.to_vec(),
+        body: request.body,
         head_timeout: request.head_timeout,
         silence: request.silence,
     }
--- a/coltsfootgate/src/endpoint/connection.rs
+++ b/coltsfootgate/src/endpoint/connection.rs
@@ -11,17 +11,18 @@
 use coltsfootgate_core::answer::AnswerFraming;
 use coltsfootgate_core::prelude::{EndpointId, PoolId};
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use monoio::net::TcpStream;
 use monoio::time::timeout;
 
 use super::{
-    EndpointAnswer, EndpointClient, EndpointFailure, EndpointPaths, EndpointRequest, SendProgress,
+    EndpointAnswer, EndpointClient, EndpointFailure, EndpointPaths, EndpointRequest, ForwardHold,
+    SendProgress,
 };
 use crate::peer::ForwardedBody;
 use crate::routes::RouteTable;
-use crate::transfer::{HttpConnection, SendFailure, answer_framing};
+use crate::transfer::{HttpConnection, PiecedBody, SendFailure, answer_framing};
 
 /// Maximum time to connect to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -110,7 +111,7 @@
     async fn send_once(
         &self,
         target: &SendTarget,
-        mut message: Request<Full<Bytes>>,
+        mut message: Request<PiecedBody>,
         progress: &SendProgress,
     ) -> Result<(Response<Incoming>, HttpConnection), EndpointFailure> {
         while let Some(mut connection) = self.take_idle(&target.address) {
@@ -170,8 +171,8 @@
     }
 }
 
-fn build_message(request: EndpointRequest) -> Result<Request<Full<Bytes>>, EndpointFailure> {
-    let mut message = Request::new(Full::new(request.body));
+fn build_message(request: EndpointRequest) -> Result<Request<PiecedBody>, EndpointFailure> {
+    let mut message = Request::new(PiecedBody::from(request.body));
     *message.method_mut() = request.method;
     *message.uri_mut() = request.path.parse().map_err(|_| EndpointFailure::NeverSent)?;
     *message.headers_mut() = request.headers;
@@ -187,7 +188,7 @@
 /// Where the body of an answer arrives.
 enum AnswerSource {
     Direct(DirectBody),
-    Forwarded(ForwardedBody),
+    Forwarded { body: ForwardedBody, _hold: ForwardHold },
 }
 
 /// The body of an answer on a connection of this instance. Dropping it before its end closes the
@@ -207,8 +208,8 @@
 
 impl AnswerStream {
     /// Creates the stream of an answer that another instance forwards.
-    pub fn forwarded(body: ForwardedBody, framing: AnswerFraming) -> Self {
-        Self { framing, source: AnswerSource::Forwarded(body) }
+    pub fn forwarded(body: ForwardedBody, framing: AnswerFraming, hold: ForwardHold) -> Self {
+        Self { framing, source: AnswerSource::Forwarded { body, _hold: hold } }
     }
 
     /// How the end of the body is marked.
@@ -224,7 +225,7 @@
     pub async fn next(&mut self, silence: Duration) -> Result<Option<Bytes>, EndpointFailure> {
         match &mut self.source {
             AnswerSource::Direct(body) => body.next(silence).await,
-            AnswerSource::Forwarded(body) => match timeout(silence, body.next()).await {
+            AnswerSource::Forwarded { body, .. } => match timeout(silence, body.next()).await {
                 Ok(piece) => piece.map_err(|_| EndpointFailure::ConnectionLost),
                 Err(_) => Err(EndpointFailure::Stalled),
             },
--- a/coltsfootgate/src/endpoint/event.rs
+++ b/coltsfootgate/src/endpoint/event.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 
 use super::scanner::EventScanner;
-use crate::transfer::{BufferBudget, BufferShare};
+use crate::transfer::{MemoryPart, MemoryShare};
 
 /// Maximum size of an event and the comments before it, in bytes; a larger one fails the attempt.
 const EVENT_BYTES_MAX: usize = 1024 * 1024;
@@ -60,16 +60,16 @@
 #[derive(Debug)]
 pub struct EventReader {
     buffer: BytesMut,
-    share: BufferShare,
+    share: MemoryShare,
     scanner: EventScanner,
     scanned: usize,
 }
 
 impl EventReader {
-    /// Creates a reader with an empty buffer, whose memory is drawn from `buffers`.
-    pub fn new(buffers: &BufferBudget) -> Self {
+    /// Creates a reader with an empty buffer, whose memory is drawn from `memory`.
+    pub fn new(memory: &MemoryPart) -> Self {
         let (buffer, scanner) = (BytesMut::new(), EventScanner::default());
-        Self { buffer, share: buffers.share(), scanner, scanned: 0 }
+        Self { buffer, share: memory.share(), scanner, scanned: 0 }
     }
 
     /// Appends a piece of the stream.
@@ -121,7 +121,7 @@
     }
 
     fn check_size(&mut self) -> Result<(), EventTooLarge> {
-        let is_covered = self.share.resize(self.buffer.capacity());
+        let is_covered = self.share.ask(self.buffer.capacity());
         let is_large = self.scanner.bytes_since_event() > EVENT_BYTES_MAX || !is_covered;
         if is_large { Err(EventTooLarge) } else { Ok(()) }
     }
--- a/coltsfootgate/src/endpoint/mod.rs
+++ b/coltsfootgate/src/endpoint/mod.rs
@@ -16,7 +16,9 @@
 use coltsfootgate_core::prelude::{EndpointId, InstanceId, PoolId};
 use http::{HeaderMap, Method, StatusCode};
 
-pub use access::{EndpointAccess, EndpointReach, ForwarderClient, from_header_rows, header_rows};
+pub use access::{
+    EndpointAccess, EndpointReach, ForwardHold, ForwarderClient, from_header_rows, header_rows,
+};
 pub use connection::{AnswerStream, ConnectionPool};
 pub use path::EndpointPaths;
 
--- a/coltsfootgate/src/entry/request.rs
+++ b/coltsfootgate/src/entry/request.rs
@@ -1,10 +1,9 @@
 //! Reads a caller's request completely, within limits on its size and time.
 
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use coltsfootgate_core::comeback::retry_after_delay;
 use coltsfootgate_core::prelude::{ErrorKind, RequestId};
 use coltsfootgate_core::settings::ConnectionSettings;
@@ -17,7 +16,7 @@
 use super::answer::Refusal;
 use super::head::malformed;
 use crate::dialect::{CallerDialect, RequestMetadata};
-use crate::transfer::{BufferBudget, BufferShare};
+use crate::transfer::{HeldBuffer, MemoryFull, MemoryPart};
 
 /// Header with the caller's deadline.
 pub const DEADLINE: &str = "coltsfootgate-deadline";
@@ -47,10 +46,8 @@
     pub target: Arc<str>,
     /// Its headers.
     pub headers: HeaderMap,
-    /// Its body.
+    /// Its body, with its share of the memory.
     pub body: Bytes,
-    /// The memory of the body, until the request is dropped.
-    pub memory: Rc<BufferShare>,
     /// The metadata in its headers.
     pub metadata: RequestMetadata,
 }
@@ -85,13 +82,13 @@
     id: RequestId,
     request: Request<Incoming>,
     bounds: &RequestBounds,
-    memory: &BufferBudget,
+    memory: &MemoryPart,
 ) -> Result<AcceptedRequest, Refusal> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
     let metadata = D::read_head(&head)?;
     let reading = read_body(body, bounds, memory);
-    let (body, memory) =
+    let body =
         timeout(bounds.body_timeout, reading).await.unwrap_or_else(|_| Err(too_slow(bounds)))?;
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
     Ok(AcceptedRequest {
@@ -102,7 +99,6 @@
         target: target.into(),
         headers: head.headers,
         body,
-        memory: Rc::new(memory),
         metadata,
     })
 }
@@ -112,22 +108,22 @@
     Uuid::new_v4()
 }
 
-/// Reads a body, and draws its memory from a budget. What cannot be kept is refused as soon as that is known, by its
-/// announced size before any of it was read.
+/// Reads a body, and draws its memory from the part for requests. What cannot be kept is refused as soon as that is
+/// known, by its announced size before any of it was read.
 async fn read_body(
     mut body: Incoming,
     bounds: &RequestBounds,
-    memory: &BufferBudget,
-) -> Result<(Bytes, BufferShare), Refusal> {
+    memory: &MemoryPart,
+) -> Result<Bytes, Refusal> {
     let announced = body.size_hint().exact();
-    let announced = announced.map_or(0, |bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
-    if announced > bounds.body_bytes_max {
+    let announced = announced.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
+    if announced.is_some_and(|bytes| bytes > bounds.body_bytes_max) {
         return Err(too_large(bounds));
     }
-    if !memory.covers(announced) {
+    if announced.is_some_and(|bytes| !memory.covers(bytes)) {
         return Err(memory_full());
     }
-    let (mut content, mut share) = (BytesMut::new(), memory.share());
+    let mut content = HeldBuffer::new(memory, announced);
     while let Some(frame) = body.frame().await {
         let frame =
             frame.map_err(|error| malformed(format!("the body cannot be read: {error}")))?;
@@ -135,12 +131,9 @@
         if content.len() + piece.len() > bounds.body_bytes_max {
             return Err(too_large(bounds));
         }
-        content.extend_from_slice(&piece);
-        if !share.resize(content.capacity()) {
-            return Err(memory_full());
-        }
+        content.extend(&piece).map_err(|MemoryFull| memory_full())?;
     }
-    Ok((content.freeze(), share))
+    Ok(content.freeze())
 }
 
 fn too_slow(bounds: &RequestBounds) -> Refusal {
--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -35,7 +35,7 @@
 use crate::routes::{MemberWatcher, OwnerClient, PoolStatus, RouteTable};
 use crate::shutdown::ShutdownSignal;
 use crate::streams::{OriginsHandle, OriginsTask, StreamRegister, follow_instances};
-use crate::transfer::BufferBudget;
+use crate::transfer::{MemoryAccount, MemoryUse};
 use crate::tree::{TreeHandle, TreeTask};
 
 /// The handles of a running instance that the daemon uses.
@@ -61,6 +61,7 @@
     readiness: ReadinessGate,
     feed: FeedHandle,
     shutdown: ShutdownSignal,
+    memory: MemoryAccount,
 }
 
 /// Starts all tasks of an instance except those that serve callers and operators.
@@ -72,7 +73,8 @@
     shutdown: ShutdownSignal,
 ) -> InstanceHandles {
     let metrics = DaemonMetrics::new();
-    let peers = PeerHandle::new(identity.clone(), metrics.clone());
+    let memory = MemoryAccount::new(settings.memory_mb);
+    let peers = PeerHandle::new(identity.clone(), metrics.clone(), &memory);
     let starter = TaskStarter {
         settings,
         platform,
@@ -81,6 +83,7 @@
         metrics,
         readiness: ReadinessGate::default(),
         shutdown,
+        memory,
     };
     let tree = starter.start_tree();
     let members = starter.start_members(&tree);
@@ -109,6 +112,7 @@
         roster,
         rules: EndpointRules::of::<D::Endpoints>(),
         metrics: starter.metrics.clone(),
+        memory: starter.memory.part(MemoryUse::Forwards).clone(),
         load: forwards.clone(),
         shutdown: starter.shutdown.clone(),
     };
@@ -220,8 +224,7 @@
             streams,
             roster,
             quarantine: self.start_quarantine(members, endpoints.clone()),
-            buffers: BufferBudget::for_answers(),
-            request_memory: BufferBudget::for_requests(),
+            memory: self.memory.clone(),
             endpoints,
             usage: UsageBoard::without_duties(),
             records: RequestRecords::default(),
--- a/coltsfootgate/src/metrics/mod.rs
+++ b/coltsfootgate/src/metrics/mod.rs
@@ -2,6 +2,7 @@
 
 mod duty;
 mod labels;
+mod memory;
 mod registrar;
 #[cfg(test)]
 mod tests;
@@ -22,6 +23,7 @@
 
 pub use self::duty::DutyMetrics;
 pub use self::labels::{ConnectionSide, LatencyTarget};
+pub use self::memory::MemoryMetrics;
 use self::registrar::MetricRegistrar;
 
 /// Class label of requests that ended before they were classified.
@@ -86,6 +88,7 @@
     forwards_requested: IntCounterVec,
     forwards_served: IntCounterVec,
     loop_delay: Histogram,
+    memory: MemoryMetrics,
 }
 
 impl Default for DaemonMetrics {
@@ -280,6 +283,7 @@
                 )
                 .buckets(TOKEN_BUCKETS.to_vec()),
             )),
+            memory: MemoryMetrics::new(&registrar),
             registry: registrar.0,
         };
         metrics.init_reason_series();
@@ -468,6 +472,11 @@
         self.loop_delay.observe(time.as_secs_f64());
     }
 
+    /// The metrics of the memory that is held for others.
+    pub fn memory(&self) -> &MemoryMetrics {
+        &self.memory
+    }
+
     /// Registers the metrics of the duties, once.
     pub fn duties(&self) -> DutyMetrics {
         DutyMetrics::new(&MetricRegistrar(self.registry.clone()))
--- a/coltsfootgate/src/operators/server.rs
+++ b/coltsfootgate/src/operators/server.rs
@@ -28,6 +28,7 @@
 use super::{ReadinessGate, RequestRecords, StatusRegistry};
 use crate::accept::accept_connections;
 use crate::metrics::{ConnectionSide, DaemonMetrics};
+use crate::transfer::MemoryAccount;
 use crate::tree::TreeHandle;
 
 /// Maximum size of a request, head and body together, in bytes.
@@ -53,6 +54,8 @@
     pub readiness: ReadinessGate,
     /// The settings tree in force.
     pub tree: TreeHandle,
+    /// The memory that is held for callers and for other instances.
+    pub memory: MemoryAccount,
     /// Maximum number of open connections.
     pub connections_max: usize,
     /// A second path that serves readiness, besides `/readyz`.
@@ -158,6 +161,7 @@
             (&Method::GET, "/readyz") => self.readiness_response(),
             (&Method::GET, "/metrics") => {
                 self.metrics.set_config_age(self.tree.age());
+                self.metrics.memory().set(&self.memory);
                 OperatorsResponse::new(StatusCode::OK, TEXT, self.metrics.encode())
             }
             (&Method::GET, "/status") => {
--- a/coltsfootgate/src/operators/tests.rs
+++ b/coltsfootgate/src/operators/tests.rs
@@ -11,6 +11,7 @@
 
 use super::*;
 use crate::metrics::DaemonMetrics;
+use crate::transfer::MemoryAccount;
 use crate::tree::TreeHandle;
 
 /// Runs a server for one request and returns its response.
@@ -25,6 +26,7 @@
             records: RequestRecords::default(),
             readiness: ReadinessGate::default(),
             tree,
+            memory: MemoryAccount::default(),
             connections_max: 4,
         };
         prepare(&context);
--- a/coltsfootgate/src/options/mod.rs
+++ b/coltsfootgate/src/options/mod.rs
@@ -23,6 +23,8 @@
     parse_path,
 };
 
+use crate::transfer::DEFAULT_MACHINE_MB;
+
 /// Prefix of the environment variables that the daemon reads.
 pub const ENVIRONMENT_PREFIX: &str = "COLTSFOOTGATE_";
 /// Environment variable that contains the secret shared by all instances.
@@ -73,6 +75,9 @@
     /// Share of a core that this instance may use.
     #[options(no_short, meta = "SHARE", help = "share of a core that this process may use (1)")]
     pub processor_share: Option<String>,
+    /// Memory of the machine, in MB.
+    #[options(no_short, meta = "MB", help = "memory that this process may use, in MB (160)")]
+    pub memory_mb: Option<String>,
     /// Address of the platform's key-value service and instance list.
     #[options(no_short, meta = "IP:PORT", help = "address of the platform's service (required)")]
     pub platform: Option<String>,
@@ -269,6 +274,8 @@
     pub peer_connections: usize,
     /// Processor time that this process may use, in thousandths of a core.
     pub processor_milli: u32,
+    /// Memory that this process may use, in MB.
+    pub memory_mb: usize,
     /// Maximum number of open connections from operators.
     pub operators_connections: usize,
     /// Maximum size of a caller's request head, in bytes.
@@ -401,6 +408,7 @@
         let usage_window_s = number("usage-window-s", flags.usage_window_s, 60.0);
         let usage_due_s = number("usage-due-s", flags.usage_due_s, 30.0);
         let usage_tolerance = number("usage-tolerance", flags.usage_tolerance, 0.05);
+        let memory_mb = number("memory-mb", flags.memory_mb, DEFAULT_MACHINE_MB as f64);
         let mut count =
             |name, flag, default| reader.required(name, flag, Some(default), parse_count);
         let connections = count("connections", flags.connections, "4096");
@@ -450,6 +458,7 @@
                 connections: connections?,
                 peer_connections: peer_connections?,
                 processor_milli: processor_milli?,
+                memory_mb: memory_mb? as usize,
                 operators_connections: operators_connections?,
                 head_bytes: head_bytes?,
                 body_bytes: body_bytes?,
--- a/coltsfootgate/src/peer/client.rs
+++ b/coltsfootgate/src/peer/client.rs
@@ -11,12 +11,13 @@
 
 use coltsfootgate_core::head::TreeHead;
 use coltsfootgate_core::ids::InstanceId;
-use coltsfootgate_wire::{PeerReply, PeerRequest, encode_request};
+use coltsfootgate_wire::{ForwardMessage, PeerReply, PeerRequest, encode_request};
 
-use super::link::{LinkCall, PeerLink, ReplySender};
+use super::link::{LinkCall, PeerLink};
 use super::{ForwardedAnswer, PeerError, PeerIdentity};
 use crate::clock;
 use crate::metrics::DaemonMetrics;
+use crate::transfer::{MemoryAccount, MemoryPart, MemoryUse};
 use crate::tree::{PeerFetchError, TreePeers};
 
 /// Timeout of fetching the head or a value of the tree from a peer.
@@ -29,6 +30,8 @@
 struct PeerShared {
     identity: PeerIdentity,
     metrics: DaemonMetrics,
+    /// The memory for answers that peers forward.
+    memory: MemoryPart,
     links: RefCell<HashMap<InstanceId, PeerLinkHandle>>,
 }
 
@@ -41,8 +44,14 @@
 
 impl PeerHandle {
     /// Creates a handle without connections.
-    pub fn new(identity: PeerIdentity, metrics: DaemonMetrics) -> Self {
-        Self(Rc::new(PeerShared { identity, metrics, links: RefCell::default() }))
+    pub fn new(identity: PeerIdentity, metrics: DaemonMetrics, memory: &MemoryAccount) -> Self {
+        let memory = memory.part(MemoryUse::ForwardedAnswers).clone();
+        Self(Rc::new(PeerShared { identity, metrics, memory, links: RefCell::default() }))
+    }
+
+    /// The memory for answers that peers forward.
+    pub fn forwarded_memory(&self) -> &MemoryPart {
+        &self.0.memory
     }
 
     /// Sends a request to an instance and waits for its reply until the deadline.
@@ -64,7 +73,7 @@
         let message = Bytes::from(encode_request(request, now)?);
         self.0.metrics.peer_message_sent(kind, message.len());
         let (reply, receiver) = oneshot::channel();
-        self.send(instance, LinkCall { message, reply: ReplySender::Message(reply) });
+        self.send(instance, LinkCall::Message(message, reply));
         let time_left = deadline.saturating_duration_since(now);
         let result = match monoio::time::timeout(time_left, receiver).await {
             Ok(Ok(result)) => result,
@@ -83,16 +92,16 @@
     ///
     /// # Errors
     ///
-    /// After [`PeerError::Unreachable`] the instance never received the request; after any other
-    /// error it may have forwarded it.
+    /// After [`PeerError::Unreachable`] the instance never received the request, and after
+    /// [`PeerError::MemoryFull`] it does not forward it; after any other error it may have forwarded it.
     pub async fn forward(
         &self,
         instance: &InstanceId,
-        message: Bytes,
+        message: ForwardMessage,
     ) -> Result<ForwardedAnswer, PeerError> {
-        self.0.metrics.peer_message_sent("forward", message.len());
+        self.0.metrics.peer_message_sent("forward", message.size());
         let (reply, receiver) = oneshot::channel();
-        self.send(instance, LinkCall { message, reply: ReplySender::Forward(reply) });
+        self.send(instance, LinkCall::Forward(message, reply));
         let result = receiver.await;
         result.unwrap_or_else(|_| Err(PeerError::Broken("connection closed".to_owned())))
     }
@@ -120,7 +129,9 @@
         let handle = PeerLinkHandle { calls: sender, is_silent: is_silent.clone() };
         links.insert(instance.clone(), handle);
         let (identity, metrics) = (self.0.identity.clone(), self.0.metrics.clone());
-        let link = PeerLink::new(instance.clone(), identity, metrics, is_silent);
+        let forwarded_bytes_max = self.0.memory.bytes_max;
+        let link =
+            PeerLink::new(instance.clone(), identity, metrics, is_silent, forwarded_bytes_max);
         monoio::spawn(link.run(calls));
     }
 
--- a/coltsfootgate/src/peer/forwarded.rs
+++ b/coltsfootgate/src/peer/forwarded.rs
@@ -9,6 +9,9 @@
 use super::exchange::ForwardedHead;
 use super::link::CallCount;
 
+/// Bytes of an answer that may arrive before its caller reads them: the flow-control window of a stream.
+pub const ANSWER_WINDOW_BYTES: usize = 64 * 1024;
+
 /// The reply of a peer that was asked to forward a request, with the bytes that follow it. Dropping it
 /// before its end cancels the request at the endpoint.
 pub struct ForwardedAnswer {
--- a/coltsfootgate/src/peer/forwarder.rs
+++ b/coltsfootgate/src/peer/forwarder.rs
@@ -19,7 +19,8 @@
 use coltsfootgate_wire::{ForwardRefusal, ForwardReply, ForwardRequest, decode_forward_request};
 
 use super::PeerError;
-use super::exchange::{send_forward_reply, send_part};
+use super::exchange::{refuse_forward, send_forward_reply, send_part};
+use super::forwarded::ANSWER_WINDOW_BYTES;
 use crate::dialect::{AnswerNotice, EndpointDialect};
 use crate::endpoint::{
     AnswerStream, ConnectionPool, EndpointAnswer, EndpointClient, EndpointFailure, EndpointPaths,
@@ -29,6 +30,7 @@
 use crate::metrics::DaemonMetrics;
 use crate::routes::RouteTable;
 use crate::shutdown::ShutdownSignal;
+use crate::transfer::MemoryPart;
 
 /// Time by which the timeouts here exceed those of the instance that asked, so that its own apply first.
 const TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
@@ -65,6 +67,8 @@
     pub rules: EndpointRules,
     /// The metrics.
     pub metrics: DaemonMetrics,
+    /// The memory for messages of other instances and for what is on its way through this one.
+    pub memory: MemoryPart,
     /// The requests in flight.
     pub load: ForwardLoad,
     /// The shutdown of this process.
@@ -112,11 +116,18 @@
     /// Sends a request to its endpoint and passes the answer on, until it ends or the peer cancels it.
     pub(super) async fn serve(
         &self,
-        message: &[u8],
+        message: Bytes,
         respond: &mut SendResponse<Bytes>,
     ) -> Result<(), PeerError> {
-        let request = decode_forward_request(message)?;
+        let request = decode_forward_request(&message)?;
+        // The body of the request is a slice of the message and alone keeps it.
+        drop(message);
         let _open = self.load.begin();
+        let Some(_window) = self.memory.take(ANSWER_WINDOW_BYTES) else {
+            info!("refused to forward a request: no memory is left for its answer");
+            self.metrics.forward_served(PeerError::MemoryFull.name());
+            return refuse_forward(respond).await;
+        };
         let silence = request.silence + TIMEOUT_MARGIN;
         let answer = {
             let sending = self.send_until_due(request);
@@ -270,7 +281,7 @@
         method: request.method.parse().ok()?,
         path: request.path,
         headers: from_header_rows(&request.headers)?,
-        body: request.body.into(),
+        body: request.body,
         head_timeout: request.head_timeout + TIMEOUT_MARGIN,
         silence: request.silence,
         progress,
--- a/coltsfootgate/src/peer/link.rs
+++ b/coltsfootgate/src/peer/link.rs
@@ -17,7 +17,7 @@
 use rand::Rng;
 
 use coltsfootgate_core::ids::InstanceId;
-use coltsfootgate_wire::PeerReply;
+use coltsfootgate_wire::{ForwardMessage, PeerReply};
 
 use super::counted::CountedStream;
 use super::exchange;
@@ -30,8 +30,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time without calls after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
-/// Flow-control window of a connection for answers that the peer forwards, in bytes.
-const CONNECTION_WINDOW_BYTES: u32 = 4 * 1024 * 1024;
+/// Flow-control window of a connection for replies, in bytes, beside what forwarded answers may fill.
+const REPLIES_WINDOW_BYTES: usize = 4 * 1024 * 1024;
+/// Largest flow-control window, in bytes.
+const WINDOW_BYTES_MAX: u32 = (1 << 31) - 1;
 /// Interval between two pings while calls are in flight.
 const PING_INTERVAL: Duration = Duration::from_millis(200);
 /// Time without an answer to a ping after which the peer counts as silent.
@@ -44,23 +46,17 @@
 const BACKOFF_MAX: Duration = Duration::from_secs(1);
 
 /// An encoded request that waits for its reply.
-pub(super) struct LinkCall {
-    pub(super) message: Bytes,
-    pub(super) reply: ReplySender,
+pub(super) enum LinkCall {
+    Message(Bytes, oneshot::Sender<Result<PeerReply, PeerError>>),
+    Forward(ForwardMessage, oneshot::Sender<Result<ForwardedAnswer, PeerError>>),
 }
 
-/// Takes the reply to a call, by the kind of the call.
-pub(super) enum ReplySender {
-    Message(oneshot::Sender<Result<PeerReply, PeerError>>),
-    Forward(oneshot::Sender<Result<ForwardedAnswer, PeerError>>),
-}
-
-impl ReplySender {
+impl LinkCall {
     fn fail(self, error: PeerError) {
         // Sending fails if the caller has dropped the call.
         match self {
-            Self::Message(reply) => drop(reply.send(Err(error))),
-            Self::Forward(reply) => drop(reply.send(Err(error))),
+            Self::Message(_, reply) => drop(reply.send(Err(error))),
+            Self::Forward(_, reply) => drop(reply.send(Err(error))),
         }
     }
 }
@@ -89,6 +85,8 @@
     backoff: ConnectBackoff,
     /// Whether the peer does not answer pings.
     is_silent: Rc<Cell<bool>>,
+    /// Bytes that may be held of answers that peers forward.
+    forwarded_bytes_max: usize,
 }
 
 /// Delays attempts to connect after failures.
@@ -118,9 +116,10 @@
         identity: PeerIdentity,
         metrics: DaemonMetrics,
         is_silent: Rc<Cell<bool>>,
+        forwarded_bytes_max: usize,
     ) -> Self {
         let backoff = ConnectBackoff { failures: 0, next_attempt: None, last_error: None };
-        Self { peer, identity, metrics, backoff, is_silent }
+        Self { peer, identity, metrics, backoff, is_silent, forwarded_bytes_max }
     }
 
     /// Sends calls until none arrives for [`IDLE_TIMEOUT`], and reconnects as needed.
@@ -128,15 +127,13 @@
         while let Ok(Some(call)) = monoio::time::timeout(IDLE_TIMEOUT, calls.next()).await {
             match self.connect().await {
                 Ok(link) => self.serve(link, call, &mut calls).await,
-                Err(error) => {
-                    call.reply.fail(error);
-                }
+                Err(error) => call.fail(error),
             }
         }
         // Calls that arrived in the meantime fail explicitly; their callers may retry.
         calls.close();
         while let Some(call) = calls.next().await {
-            call.reply.fail(PeerError::Unreachable("connection closing".to_owned()));
+            call.fail(PeerError::Unreachable("connection closing".to_owned()));
         }
     }
 
@@ -177,7 +174,7 @@
             }
         })?;
         let (sender, mut connection) = client::Builder::new()
-            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+            .initial_connection_window_size(self.window_bytes())
             .handshake(StreamWrapper::new(stream))
             .await?;
         let ping_pong = connection.ping_pong();
@@ -192,6 +189,13 @@
         Ok(OpenLink { sender, ping_pong, closed, driver: abort })
     }
 
+    /// Flow-control window of the connection, in bytes: forwarded answers that their callers read slowly can't fill it
+    /// all, however many they are, so that replies never wait for them.
+    fn window_bytes(&self) -> u32 {
+        let window = self.forwarded_bytes_max + REPLIES_WINDOW_BYTES;
+        u32::try_from(window).unwrap_or(u32::MAX).min(WINDOW_BYTES_MAX)
+    }
+
     /// Sends calls until the connection ends, stops answering pings or is no longer used.
     async fn serve(
         &self,
@@ -232,16 +236,15 @@
     let sender = sender.clone();
     let count = CallCount::new(in_flight);
     monoio::spawn(async move {
-        let LinkCall { message, reply } = call;
-        match reply {
-            ReplySender::Message(mut reply) => {
+        match call {
+            LinkCall::Message(message, mut reply) => {
                 let call = exchange::call(sender, message);
                 if let Some(result) = until_dropped(call, &mut reply).await {
                     let _ = reply.send(result);
                 }
                 drop(count);
             }
-            ReplySender::Forward(mut reply) => {
+            LinkCall::Forward(message, mut reply) => {
                 let call = exchange::forward(sender, message);
                 if let Some(result) = until_dropped(call, &mut reply).await {
                     let _ = reply.send(result.map(|head| ForwardedAnswer::new(head, count)));
--- a/coltsfootgate/src/peer/mod.rs
+++ b/coltsfootgate/src/peer/mod.rs
@@ -20,7 +20,7 @@
 
 pub use self::client::PeerHandle;
 pub use self::dispatch::PeerDispatch;
-pub use self::forwarded::{ForwardedAnswer, ForwardedBody};
+pub use self::forwarded::{ANSWER_WINDOW_BYTES, ForwardedAnswer, ForwardedBody};
 pub use self::forwarder::{EndpointRules, ForwardLoad, RequestForwarder};
 pub use self::server::{PeerCall, PeerListener};
 
@@ -58,6 +58,8 @@
     Invalid(WireError),
     /// The peer did not handle the request.
     Unhandled,
+    /// No memory is left for a message.
+    MemoryFull,
 }
 
 impl PeerError {
@@ -70,6 +72,7 @@
             Self::TimedOut => "timed-out",
             Self::Invalid(_) => "invalid-message",
             Self::Unhandled => "unhandled",
+            Self::MemoryFull => "memory-full",
         }
     }
 }
@@ -83,6 +86,7 @@
             Self::TimedOut => formatter.write_str("timed out"),
             Self::Invalid(error) => write!(formatter, "{error}"),
             Self::Unhandled => formatter.write_str("the peer did not handle the request"),
+            Self::MemoryFull => formatter.write_str("no memory is left for the message"),
         }
     }
 }
--- a/coltsfootgate/src/peer/server.rs
+++ b/coltsfootgate/src/peer/server.rs
@@ -11,22 +11,27 @@
 use futures_util::future::{AbortHandle, Abortable, Either, select};
 use h2::RecvStream;
 use h2::server::{self, Connection, SendResponse};
-use http::{Request, Response, StatusCode};
-use log::debug;
+use http::header::CONTENT_LENGTH;
+use http::{HeaderMap, Request, Response, StatusCode};
+use log::{debug, info};
 use monoio::net::{TcpListener, TcpStream};
+use monoio::time::timeout;
 use monoio_compat::StreamWrapper;
 
 use coltsfootgate_core::ids::InstanceId;
-use coltsfootgate_wire::{PeerReply, PeerRequest, decode_request, encode_reply};
+use coltsfootgate_wire::{
+    MESSAGE_BYTES_MAX, PeerReply, PeerRequest, WireError, decode_request, encode_reply,
+};
 
 use super::counted::CountedStream;
-use super::exchange::{FORWARD_PATH, read_message, send_message};
+use super::exchange::{FORWARD_PATH, discard_message, read_message, refuse_forward, send_message};
 use super::forwarder::RequestForwarder;
 use super::handshake::authenticate_as_server;
 use super::{PeerError, PeerIdentity};
 use crate::accept::accept_connections;
 use crate::clock;
 use crate::metrics::{ConnectionSide, DaemonMetrics};
+use crate::transfer::{HeldBuffer, MemoryPart};
 
 /// Timeout of authentication and the h2 handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -66,6 +71,8 @@
     metrics: DaemonMetrics,
     calls: UnboundedSender<PeerCall>,
     forwarder: RequestForwarder,
+    /// The memory for messages.
+    memory: MemoryPart,
     connections_max: usize,
     /// The current connection of each peer, with a number that distinguishes it from earlier ones.
     connections: RefCell<HashMap<InstanceId, (u64, AbortHandle)>>,
@@ -83,11 +90,13 @@
         connections_max: usize,
     ) -> Self {
         let (connections, opened_count) = (RefCell::default(), Cell::new(0));
+        let memory = forwarder.memory.clone();
         let shared = ListenerShared {
             identity,
             metrics,
             calls,
             forwarder,
+            memory,
             connections_max,
             connections,
             opened_count,
@@ -123,7 +132,7 @@
     async fn serve_connection(self: &Rc<Self>, stream: TcpStream) -> Result<(), PeerError> {
         stream.set_nodelay(true)?;
         let stream = CountedStream::new(stream, self.metrics.clone());
-        let (from, connection) = monoio::time::timeout(HANDSHAKE_TIMEOUT, self.open(stream))
+        let (from, connection) = timeout(HANDSHAKE_TIMEOUT, self.open(stream))
             .await
             .unwrap_or(Err(PeerError::TimedOut))?;
         let (abort, registration) = AbortHandle::new_pair();
@@ -156,7 +165,7 @@
         mut connection: PeerConnection,
     ) -> Result<(), PeerError> {
         loop {
-            let accepted = monoio::time::timeout(IDLE_TIMEOUT, connection.accept()).await;
+            let accepted = timeout(IDLE_TIMEOUT, connection.accept()).await;
             let Ok(Some(accepted)) = accepted else { return Ok(()) };
             let (request, respond) = accepted?;
             monoio::spawn(self.clone().serve_call(from.clone(), request, respond));
@@ -192,6 +201,37 @@
         }
     }
 
+    /// Reads a message into memory that is taken for it first, by its announced size.
+    async fn receive(
+        &self,
+        headers: &HeaderMap,
+        body: &mut RecvStream,
+    ) -> Result<Bytes, PeerError> {
+        let announced = headers.get(CONTENT_LENGTH).and_then(|length| length.to_str().ok());
+        let announced = announced.and_then(|length| length.parse().ok()).unwrap_or(0);
+        if announced > MESSAGE_BYTES_MAX {
+            return Err(WireError::TooLarge(announced).into());
+        }
+        let share = self.memory.take(announced).ok_or(PeerError::MemoryFull)?;
+        let reading = read_message(body, HeldBuffer::with_share(share, announced));
+        timeout(REQUEST_TIMEOUT, reading).await.unwrap_or(Err(PeerError::TimedOut))
+    }
+
+    /// Tells a peer that its request is not forwarded, for want of memory.
+    async fn refuse_forward(
+        &self,
+        from: &InstanceId,
+        mut body: RecvStream,
+        respond: &mut SendResponse<Bytes>,
+    ) -> Result<(), PeerError> {
+        info!("refused to forward a request of {from}: no memory is left for it");
+        self.metrics.forward_served(PeerError::MemoryFull.name());
+        refuse_forward(respond).await?;
+        // Earlier builds send all of a request before they read the reply.
+        let discarding = discard_message(&mut body);
+        timeout(REQUEST_TIMEOUT, discarding).await.unwrap_or(Err(PeerError::TimedOut))
+    }
+
     async fn handle_call(
         &self,
         from: InstanceId,
@@ -199,13 +239,16 @@
         respond: &mut SendResponse<Bytes>,
     ) -> Result<(), PeerError> {
         let is_forward = request.uri().path() == FORWARD_PATH;
-        let message = monoio::time::timeout(REQUEST_TIMEOUT, read_message(request.into_body()))
-            .await
-            .unwrap_or(Err(PeerError::TimedOut))?;
+        let (head, mut body) = request.into_parts();
+        let message = self.receive(&head.headers, &mut body).await;
         if is_forward {
-            return self.forwarder.serve(&message, respond).await;
+            return match message {
+                Ok(message) => self.forwarder.serve(message, respond).await,
+                Err(PeerError::MemoryFull) => self.refuse_forward(&from, body, respond).await,
+                Err(error) => Err(error),
+            };
         }
-        let request = decode_request(&message, clock::now())?;
+        let request = decode_request(&message?, clock::now())?;
         let (reply, receiver) = oneshot::channel();
         let _ = self.calls.unbounded_send(PeerCall { from, request, reply });
         let reset = std::future::poll_fn(|context| respond.poll_reset(context));
@@ -216,7 +259,7 @@
         };
         let message = Bytes::from(encode_reply(reply)?);
         let stream = respond.send_response(Response::new(()), false)?;
-        monoio::time::timeout(REPLY_TIMEOUT, send_message(stream, message))
+        timeout(REPLY_TIMEOUT, send_message(stream, message))
             .await
             .unwrap_or(Err(PeerError::TimedOut))
     }
--- a/coltsfootgate/src/pipeline/context.rs
+++ b/coltsfootgate/src/pipeline/context.rs
@@ -18,7 +18,7 @@
 use crate::routes::{OwnerClient, RouteTable};
 use crate::shutdown::ShutdownSignal;
 use crate::streams::StreamRegister;
-use crate::transfer::BufferBudget;
+use crate::transfer::{MemoryAccount, MemoryPart, MemoryUse};
 use crate::tree::TreeHandle;
 
 /// Handles to the tasks and shared state of this instance.
@@ -43,10 +43,8 @@
     pub roster: SharedRoster,
     /// What crashes endpoints.
     pub quarantine: QuarantineHandle,
-    /// The memory for answers that cannot be forwarded yet.
-    pub buffers: BufferBudget,
-    /// The memory for the bodies of requests.
-    pub request_memory: BufferBudget,
+    /// The memory that is held for callers and for other instances.
+    pub memory: MemoryAccount,
     /// What this instance served and has to serve.
     pub usage: UsageBoard,
     /// The connections to endpoints.
@@ -67,6 +65,13 @@
     pub shutdown: ShutdownSignal,
 }
 
+impl PipelineContext {
+    /// The memory for answers that cannot be passed on yet.
+    pub fn answer_memory(&self) -> &MemoryPart {
+        self.memory.part(MemoryUse::Answers)
+    }
+}
+
 /// Issues the ids of the grants that this process requests.
 ///
 /// The ids start at a random number: owners remember the grants of an earlier process at this
--- a/coltsfootgate/src/pipeline/relay/body.rs
+++ b/coltsfootgate/src/pipeline/relay/body.rs
@@ -31,10 +31,10 @@
         let EndpointAnswer { status, headers, mut stream } = answer;
         let headers = answer_headers::<D>(&headers);
         self.measurements.first_token = Some(self.sent_at.elapsed());
-        let (mut buffered, mut share) = (BytesMut::new(), self.context.buffers.share());
+        let (mut buffered, mut share) = (BytesMut::new(), self.context.answer_memory().share());
         while let Some(piece) = self.next_piece(&mut stream, caller).await? {
             buffered.extend_from_slice(&piece);
-            let is_covered = share.resize(buffered.capacity());
+            let is_covered = share.ask(buffered.capacity());
             if buffered.len() > BUFFERED_ANSWER_BYTES_MAX || !is_covered {
                 let head = (status, headers);
                 return self
--- a/coltsfootgate/src/pipeline/relay/events.rs
+++ b/coltsfootgate/src/pipeline/relay/events.rs
@@ -33,7 +33,7 @@
         let is_continuation = caller.has_started();
         let EndpointAnswer { status, headers, mut stream } = answer;
         let headers = answer_headers::<D>(&headers);
-        let mut reader = EventReader::new(&self.context.buffers);
+        let mut reader = EventReader::new(self.context.answer_memory());
         while let Some(piece) = self.next_piece(&mut stream, caller).await? {
             reader.push(&piece);
             let (events, last) = reader.take_complete()?;
--- a/coltsfootgate/src/pipeline/relay/model.rs
+++ b/coltsfootgate/src/pipeline/relay/model.rs
@@ -24,7 +24,7 @@
         caller: &mut CallerLink,
         journal: &mut RequestJournal,
     ) -> Result<ServedAnswer, RelayEnd> {
-        let mut reader = EventReader::new(&self.context.buffers);
+        let mut reader = EventReader::new(self.context.answer_memory());
         loop {
             match reader.next_event()? {
                 Some(StreamEvent::Done) => {
--- a/coltsfootgate/src/platform/client.rs
+++ b/coltsfootgate/src/platform/client.rs
@@ -9,12 +9,12 @@
 use bytes::{Bytes, BytesMut};
 use http::header::HOST;
 use http::{Method, Request, Response};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use monoio::net::TcpStream;
 
 use super::PlatformError;
-use crate::transfer::{HttpConnection, SendFailure, answer_framing};
+use crate::transfer::{HttpConnection, PiecedBody, SendFailure, answer_framing};
 
 /// Maximum number of idle connections that are kept.
 const IDLE_CONNECTIONS_MAX: usize = 4;
@@ -44,12 +44,12 @@
         method: Method,
         target: &str,
         body: Bytes,
-    ) -> Result<Request<Full<Bytes>>, PlatformError> {
+    ) -> Result<Request<PiecedBody>, PlatformError> {
         Request::builder()
             .method(method)
             .uri(target)
             .header(HOST, &*self.host)
-            .body(Full::new(body))
+            .body(PiecedBody::from(body))
             .map_err(PlatformError::malformed)
     }
 
@@ -67,7 +67,7 @@
     /// its [`AnswerFraming`](coltsfootgate_core::answer::AnswerFraming).
     pub async fn call(
         &self,
-        request: Request<Full<Bytes>>,
+        request: Request<PiecedBody>,
         timeout: Duration,
         body_bytes_max: usize,
     ) -> Result<Response<Bytes>, PlatformError> {
@@ -78,7 +78,7 @@
 
     async fn exchange(
         &self,
-        request: Request<Full<Bytes>>,
+        request: Request<PiecedBody>,
         timeout: Duration,
         body_bytes_max: usize,
     ) -> Result<Response<Bytes>, PlatformError> {
@@ -97,7 +97,7 @@
     /// Sends a request on an idle connection, or on a new one if no idle connection accepts it.
     async fn send(
         &self,
-        mut request: Request<Full<Bytes>>,
+        mut request: Request<PiecedBody>,
     ) -> Result<(Response<Incoming>, HttpConnection), PlatformError> {
         while let Some(mut connection) = self.idle_connection().await {
             match connection.send(request).await {
--- a/coltsfootgate/src/streams/tests.rs
+++ b/coltsfootgate/src/streams/tests.rs
@@ -23,6 +23,7 @@
 use crate::platform::{
     PlatformError, PlatformStore, StoredValue, SwapResult, ValueRevision, WatchResult,
 };
+use crate::transfer::MemoryAccount;
 use crate::tree::TreeHandle;
 
 const OLD: &str = r#"{"origins":[{"pool":"pools.a","version":"v1"}]}"#;
@@ -98,7 +99,7 @@
     let secret = PeerSecret::new("a-secret-of-the-tests-only");
     let identity = PeerIdentity::new(own.clone(), secret).unwrap();
     let metrics = DaemonMetrics::new();
-    let peers = PeerHandle::new(identity, metrics.clone());
+    let peers = PeerHandle::new(identity, metrics.clone(), &MemoryAccount::default());
     let (zone, region) = ("a".into(), "a".into());
     let profile =
         PeerProfile { id: own.clone(), incarnation: 1, zone, region, processor_milli: 1000 };
--- a/coltsfootgate/src/transfer/connection.rs
+++ b/coltsfootgate/src/transfer/connection.rs
@@ -2,16 +2,15 @@
 
 use std::io;
 
-use bytes::Bytes;
 use futures_util::future::{AbortHandle, abortable};
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use monoio::io::IntoPollIo;
 use monoio::net::TcpStream;
 use monoio_compat::hyper::MonoioIo;
 
+use super::body::PiecedBody;
 use super::reads::{BoundedReads, HeadAllowance};
 
 /// Maximum size of the head of an answer, in bytes.
@@ -24,7 +23,7 @@
 #[derive(Debug)]
 pub enum SendFailure {
     /// No byte of the request was sent; it may be sent on another connection.
-    Unsent(Box<Request<Full<Bytes>>>),
+    Unsent(Box<Request<PiecedBody>>),
     /// The connection failed after the request was sent.
     Broken(hyper::Error),
 }
@@ -32,7 +31,7 @@
 /// A connection that closes when it is dropped, whatever the server does.
 #[derive(Debug)]
 pub struct HttpConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<PiecedBody>,
     head: HeadAllowance,
     task: AbortHandle,
 }
@@ -79,7 +78,7 @@
     /// Fails if the connection breaks, or if the head is too large.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<PiecedBody>,
     ) -> Result<Response<Incoming>, SendFailure> {
         self.head.begin(BYTES_BEFORE_HEAD_MAX);
         let sent = self.sender.try_send_request(request).await;
--- a/coltsfootgate/src/transfer/mod.rs
+++ b/coltsfootgate/src/transfer/mod.rs
@@ -1,10 +1,14 @@
-//! The transfer of answers over HTTP/1.1 connections to endpoints and to the platform.
+//! The transfer of requests and answers, and the memory that is held for them.
 
-mod budget;
+mod account;
+mod body;
 mod connection;
 mod framing;
 mod reads;
 
-pub use budget::{BufferBudget, BufferShare};
+pub use account::{
+    DEFAULT_MACHINE_MB, HeldBuffer, MemoryAccount, MemoryFull, MemoryPart, MemoryShare, MemoryUse,
+};
+pub use body::{PiecedBody, take_frame};
 pub use connection::{HttpConnection, SendFailure};
 pub use framing::answer_framing;
--- a/coltsfootgate/tests/event_reader.rs
+++ b/coltsfootgate/tests/event_reader.rs
@@ -3,12 +3,16 @@
 
 use coltsfootgate::endpoint::event::EventReader;
 use coltsfootgate::endpoint::scanner::EventScanner;
-use coltsfootgate::transfer::BufferBudget;
+use coltsfootgate::transfer::{MemoryAccount, MemoryUse};
 use coltsfootgate_core::answer::ContentEnd;
 use rstest::rstest;
 
 const STREAM: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
 
+fn new_reader() -> EventReader {
+    EventReader::new(MemoryAccount::default().part(MemoryUse::Answers))
+}
+
 #[rstest]
 #[case::nothing("", "", None)]
 #[case::part_of_an_event("id: 1\nda", "", None)]
@@ -22,7 +26,7 @@
     #[case] expected: &str,
     #[case] last: Option<&str>,
 ) {
-    let mut reader = EventReader::new(&BufferBudget::for_answers());
+    let mut reader = new_reader();
     reader.push(stream.as_bytes());
     let (events, id) = reader.take_complete().unwrap();
     assert_eq!(events, expected.as_bytes());
@@ -32,7 +36,7 @@
 
 #[rstest]
 fn the_sizes_of_the_pieces_do_not_matter(#[values(1, 2, 3, 5, 7, 11, 100)] length: usize) {
-    let mut reader = EventReader::new(&BufferBudget::for_answers());
+    let mut reader = new_reader();
     let (mut events, mut last) = (Vec::new(), None);
     for piece in STREAM.as_bytes().chunks(length) {
         reader.push(piece);
@@ -66,7 +70,7 @@
 /// Until the first event the request can still be tried at another endpoint.
 #[test]
 fn comments_are_held_until_the_first_event() {
-    let mut reader = EventReader::new(&BufferBudget::for_answers());
+    let mut reader = new_reader();
     reader.push(b": ping\n\n");
     assert_eq!(reader.take_complete().unwrap().0, "");
     reader.push(b"data: a\n\n: ping\n\n");
@@ -82,7 +86,7 @@
 #[case::blank_lines(b"\n\n\n", true)]
 #[case::events(b"data: a\n\n", false)]
 fn endless_bytes_without_an_event_fail(#[case] piece: &[u8], #[case] fails: bool) {
-    let mut reader = EventReader::new(&BufferBudget::for_answers());
+    let mut reader = new_reader();
     reader.push(b"data: first\n\n");
     let size = 2 * 1024 * 1024;
     let failed = (0..size / piece.len()).any(|_| {
--- a/coltsfootgate/tests/peers.rs
+++ b/coltsfootgate/tests/peers.rs
@@ -16,10 +16,12 @@
 };
 use coltsfootgate::routes::RouteTable;
 use coltsfootgate::shutdown::shutdown_pair;
+use coltsfootgate::transfer::{MemoryAccount, MemoryUse};
 use coltsfootgate_core::ids::InstanceId;
 use coltsfootgate_standins::proxy::start_proxy;
 use coltsfootgate_wire::{
-    MESSAGE_BYTES_MAX, PROTOCOL_VERSION, PeerReply, PeerRequest, ProofError, WireError,
+    ForwardMessage, ForwardRefusal, ForwardReply, ForwardRequest, MESSAGE_BYTES_MAX,
+    PROTOCOL_VERSION, PeerReply, PeerRequest, ProofError, WireError, encode_forward_request,
 };
 use futures_channel::mpsc::{UnboundedReceiver, unbounded};
 use futures_util::StreamExt;
@@ -34,7 +36,7 @@
 const ANY_PORT: &str = "127.0.0.1:0";
 
 /// Forwards requests to no endpoints.
-fn forwarder(metrics: &DaemonMetrics) -> RequestForwarder {
+fn forwarder(metrics: &DaemonMetrics, memory: &MemoryAccount) -> RequestForwarder {
     let routes = RouteTable::new("a".into());
     let path = EndpointPaths::new(routes.clone(), metrics.clone());
     RequestForwarder {
@@ -44,6 +46,7 @@
         roster: SharedRoster::new().0,
         rules: EndpointRules::of::<NativeEndpoints>(),
         metrics: metrics.clone(),
+        memory: memory.part(MemoryUse::Forwards).clone(),
         load: ForwardLoad::default(),
         shutdown: shutdown_pair().1,
     }
@@ -59,6 +62,14 @@
 impl TestPeer {
     /// Starts a listener that is known by its own address or by the address that `proxy` returns.
     fn start(proxy: impl FnOnce(SocketAddr) -> Option<SocketAddr>) -> Self {
+        Self::start_with(&MemoryAccount::default(), proxy)
+    }
+
+    /// Starts one that draws the memory for messages from an account.
+    fn start_with(
+        memory: &MemoryAccount,
+        proxy: impl FnOnce(SocketAddr) -> Option<SocketAddr>,
+    ) -> Self {
         let options = ListenerOpts::new().reuse_port(false);
         let listener = TcpListener::bind_with_config(ANY_PORT, &options).unwrap();
         let address = listener.local_addr().unwrap();
@@ -66,7 +77,7 @@
         let identity = identity(&instance, SECRET);
         let metrics = DaemonMetrics::new();
         let (sender, calls) = unbounded();
-        let forwarder = forwarder(&metrics);
+        let forwarder = forwarder(&metrics, memory);
         let listener = PeerListener::new(listener, identity, metrics.clone(), sender, forwarder, 8);
         monoio::spawn(listener.serve());
         Self { instance, metrics, calls }
@@ -104,7 +115,8 @@
 }
 
 fn caller(secret: &str) -> PeerHandle {
-    PeerHandle::new(identity(&"127.0.0.1:9".into(), secret), DaemonMetrics::new())
+    let identity = identity(&"127.0.0.1:9".into(), secret);
+    PeerHandle::new(identity, DaemonMetrics::new(), &MemoryAccount::default())
 }
 
 fn test_deadline() -> Instant {
@@ -314,3 +326,45 @@
         drop(connections);
     });
 }
+
+/// A request with a body of a size, for an endpoint that the other instance does not know.
+fn message_to_forward(body_bytes: usize) -> ForwardMessage {
+    let request = ForwardRequest {
+        pool: "pools.p".into(),
+        endpoint: "e".into(),
+        attempt: "a".into(),
+        method: "POST".into(),
+        path: "/".into(),
+        headers: Vec::new(),
+        body: vec![b'x'; body_bytes].into(),
+        head_timeout: WAIT_MAX,
+        silence: WAIT_MAX,
+    };
+    encode_forward_request(request).unwrap()
+}
+
+/// Guards against messages of other instances that fill the memory: what does not fit is refused by its announced
+/// size, as certainly not sent, and what does is handled.
+#[rstest]
+#[case::fits(30_000, Ok(ForwardReply::Refused(ForwardRefusal::EndpointUnknown)))]
+#[case::does_not_fit(900_000, Err(PeerError::MemoryFull))]
+fn a_request_to_forward_is_refused_if_no_memory_is_left(
+    #[case] body_bytes: usize,
+    #[case] expected: Result<ForwardReply, PeerError>,
+) {
+    block_on(async {
+        let memory = MemoryAccount::new(1);
+        let peer = TestPeer::start_with(&memory, |_| None);
+        let caller = caller(SECRET);
+        for _ in 0..3 {
+            let answer = caller.forward(&peer.instance, message_to_forward(body_bytes));
+            let answer = monoio::time::timeout(WAIT_MAX, answer).await.unwrap();
+            assert_eq!(answer.map(|answer| answer.reply), expected);
+        }
+        // The connection is of use for other calls, and nothing is held any more.
+        let instance = peer.accept_all();
+        let reply = caller.call(&instance, PeerRequest::FetchHead, test_deadline()).await;
+        assert_eq!(reply, Ok(PeerReply::Accepted));
+        assert_eq!(memory.part(MemoryUse::Forwards).held(), 0);
+    });
+}
--- a/coltsfootgate_core/src/forward.rs
+++ b/coltsfootgate_core/src/forward.rs
@@ -14,10 +14,15 @@
 /// Time for which an instance that could not forward a request is asked last.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
 
-/// The instances that may forward requests, and which of them could not lately.
+/// Open requests by which an instance of the own zone may be ahead of one of another zone before that one is asked
+/// first: the few that are left in a zone do not forward for all the others.
+const ZONE_LEAD: usize = 8;
+
+/// The instances that may forward requests, which of them could not lately, and what they forward for this one.
 #[derive(Clone, Debug, Default)]
 pub struct ForwarderBook {
     refused_until: HashMap<InstanceId, Instant>,
+    open: HashMap<InstanceId, usize>,
 }
 
 impl ForwarderBook {
@@ -32,8 +37,22 @@
         self.refused_until.remove(instance);
     }
 
-    /// The instances to ask, in order: those that refused lately come last, then those of the own zone come
-    /// first. `random` orders the others, so that no instance forwards for all.
+    /// Records that an instance begins to forward a request.
+    pub fn begin(&mut self, instance: InstanceId) {
+        *self.open.entry(instance).or_default() += 1;
+    }
+
+    /// Records that an instance does not forward a request any more.
+    pub fn end(&mut self, instance: &InstanceId) {
+        let Some(open) = self.open.get_mut(instance) else { return };
+        *open -= 1;
+        if *open == 0 {
+            self.open.remove(instance);
+        }
+    }
+
+    /// The instances to ask, in order: those that refused lately come last; of the others those with the fewest open
+    /// requests come first, those of the own zone with a lead. `random` orders equal ones.
     pub fn choose(
         &self,
         live: &[OwnerLocation],
@@ -47,7 +66,9 @@
             .map(|location| {
                 let until = self.refused_until.get(&location.owner);
                 let has_refused = until.is_some_and(|until| *until > now);
-                let rank = (has_refused, location.zone != *zone, random());
+                let open = self.open.get(&location.owner).copied().unwrap_or(0);
+                let lead = if location.zone == *zone { 0 } else { ZONE_LEAD };
+                let rank = (has_refused, open + lead, random());
                 (rank, &location.owner)
             })
             .collect();
--- a/coltsfootgate_core/tests/forward.rs
+++ b/coltsfootgate_core/tests/forward.rs
@@ -34,6 +34,25 @@
     assert_eq!(names, ["10.0.0.3:1", "10.0.0.2:1", "10.0.0.4:1"]);
 }
 
+/// Load: most instances of a zone lose their path and all send through the one that is left.
+#[test]
+fn the_last_instance_of_a_zone_does_not_forward_for_all_others() {
+    let (mut book, now) = (ForwarderBook::default(), Instant::now());
+    let mut asked: Vec<InstanceId> = Vec::new();
+    for _ in 0..60 {
+        let first = chosen(&book, now)[0].clone();
+        book.begin(first.clone());
+        asked.push(first);
+    }
+    let count = |instance: &str| asked.iter().filter(|one| ***one == *instance).count();
+    let counts = ["10.0.0.3:1", "10.0.0.2:1", "10.0.0.4:1"].map(count);
+    assert_eq!(counts.iter().sum::<usize>(), 60);
+    assert!(counts[0] >= counts[1] && counts[0] >= counts[2], "{counts:?}");
+    assert!(counts[0] <= 30, "{counts:?}");
+    asked.iter().for_each(|instance| book.end(instance));
+    assert_eq!(&*chosen(&book, now)[0], "10.0.0.3:1");
+}
+
 #[test]
 fn an_instance_that_refused_comes_last_for_a_time() {
     let (mut book, now) = (ForwarderBook::default(), Instant::now());
--- a/coltsfootgate_wire/src/forward.rs
+++ b/coltsfootgate_wire/src/forward.rs
@@ -5,12 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use coltsfootgate_core::answer::AnswerFraming;
 use coltsfootgate_core::ids::{EndpointId, PoolId};
 use serde::{Deserialize, Serialize};
 
 use crate::error::WireError;
-use crate::frame::{decode, encode};
+use crate::frame::{check_size, decode, decode_start, encode};
 use crate::names::{check_name, from_micros, to_micros};
 
 /// Maximum number of headers of a request or an answer.
@@ -35,7 +36,7 @@
     /// The headers to send.
     pub headers: HeaderRows,
     /// The caller's body.
-    pub body: Vec<u8>,
+    pub body: Bytes,
     /// Maximum time to wait for the head of the answer.
     pub head_timeout: Duration,
     /// Maximum time without data from the endpoint after the head.
@@ -78,15 +79,39 @@
     Leaving,
 }
 
+/// An encoded request in three parts that are sent one after the other, so that the body is not copied.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ForwardMessage {
+    /// What precedes the body.
+    pub head: Bytes,
+    /// The body.
+    pub body: Bytes,
+    /// What follows the body.
+    pub tail: Bytes,
+}
+
+impl ForwardMessage {
+    /// Size of the whole message, in bytes.
+    pub fn size(&self) -> usize {
+        self.head.len() + self.body.len() + self.tail.len()
+    }
+}
+
+/// What precedes the body of a request; with the length of the body it is coded like the fields of one message.
 #[derive(Deserialize, Serialize)]
-struct WireForwardRequest {
+struct WireForwardHead {
     pool: Arc<str>,
     endpoint: Arc<str>,
     attempt: Arc<str>,
     method: Arc<str>,
     path: Arc<str>,
     headers: HeaderRows,
-    body: Vec<u8>,
+    body_bytes: u64,
+}
+
+/// What follows the body of a request.
+#[derive(Deserialize, Serialize)]
+struct WireForwardTail {
     head_micros: u64,
     silence_micros: u64,
 }
@@ -107,36 +132,45 @@
     ConnectionClose,
 }
 
-impl From<ForwardRequest> for WireForwardRequest {
-    fn from(request: ForwardRequest) -> Self {
+impl From<&ForwardRequest> for WireForwardHead {
+    fn from(request: &ForwardRequest) -> Self {
+        Self {
+            pool: request.pool.clone(),
+            endpoint: request.endpoint.clone(),
+            attempt: request.attempt.clone(),
+            method: request.method.clone(),
+            path: request.path.clone(),
+            headers: request.headers.clone(),
+            body_bytes: request.body.len() as u64,
+        }
+    }
+}
+
+impl From<&ForwardRequest> for WireForwardTail {
+    fn from(request: &ForwardRequest) -> Self {
         Self {
-            pool: request.pool,
-            endpoint: request.endpoint,
-            attempt: request.attempt,
-            method: request.method,
-            path: request.path,
-            headers: request.headers,
-            body: request.body,
             head_micros: to_micros(request.head_timeout),
             silence_micros: to_micros(request.silence),
         }
     }
 }
 
-impl TryFrom<WireForwardRequest> for ForwardRequest {
+impl TryFrom<(WireForwardHead, Bytes, WireForwardTail)> for ForwardRequest {
     type Error = WireError;
 
-    fn try_from(request: WireForwardRequest) -> Result<Self, WireError> {
+    fn try_from(
+        (head, body, tail): (WireForwardHead, Bytes, WireForwardTail),
+    ) -> Result<Self, WireError> {
         Ok(Self {
-            pool: check_name(request.pool, "pool")?,
-            endpoint: check_name(request.endpoint, "endpoint")?,
-            attempt: check_name(request.attempt, "attempt")?,
-            method: check_name(request.method, "method")?,
-            path: request.path,
-            headers: check_headers(request.headers)?,
-            body: request.body,
-            head_timeout: from_micros(request.head_micros)?,
-            silence: from_micros(request.silence_micros)?,
+            pool: check_name(head.pool, "pool")?,
+            endpoint: check_name(head.endpoint, "endpoint")?,
+            attempt: check_name(head.attempt, "attempt")?,
+            method: check_name(head.method, "method")?,
+            path: head.path,
+            headers: check_headers(head.headers)?,
+            body,
+            head_timeout: from_micros(tail.head_micros)?,
+            silence: from_micros(tail.silence_micros)?,
         })
     }
 }
@@ -216,17 +250,28 @@
 /// # Errors
 ///
 /// Fails if it is too large, which a caller's body may be.
-pub fn encode_forward_request(request: ForwardRequest) -> Result<Vec<u8>, WireError> {
-    encode(&WireForwardRequest::from(request))
+pub fn encode_forward_request(request: ForwardRequest) -> Result<ForwardMessage, WireError> {
+    let head = encode(&WireForwardHead::from(&request))?.into();
+    let tail = encode(&WireForwardTail::from(&request))?.into();
+    let message = ForwardMessage { head, body: request.body, tail };
+    check_size(message.size())?;
+    Ok(message)
 }
 
-/// Decodes a request.
+/// Decodes a request; its body is a slice of the message.
 ///
 /// # Errors
 ///
 /// Fails unless the bytes are exactly one valid request.
-pub fn decode_forward_request(bytes: &[u8]) -> Result<ForwardRequest, WireError> {
-    decode::<WireForwardRequest>(bytes)?.try_into()
+pub fn decode_forward_request(message: &Bytes) -> Result<ForwardRequest, WireError> {
+    let (head, read) = decode_start::<WireForwardHead>(message)?;
+    let body_bytes = usize::try_from(head.body_bytes).unwrap_or(usize::MAX);
+    let end = read.saturating_add(body_bytes);
+    if end > message.len() {
+        return Err(WireError::Malformed("the body is not complete".to_owned()));
+    }
+    let tail = decode::<WireForwardTail>(&message[end..])?;
+    (head, message.slice(read..end), tail).try_into()
 }
 
 /// Encodes a reply.
--- a/coltsfootgate_wire/src/frame.rs
+++ b/coltsfootgate_wire/src/frame.rs
@@ -64,16 +64,21 @@
 }
 
 pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, WireError> {
-    check_size(bytes.len())?;
-    let (message, read) = bincode::serde::decode_from_slice(bytes, CONFIGURATION)
-        .map_err(|error: DecodeError| WireError::Malformed(error.to_string()))?;
+    let (message, read) = decode_start(bytes)?;
     if read < bytes.len() {
         return Err(WireError::Malformed("trailing bytes after the message".to_owned()));
     }
     Ok(message)
 }
 
-fn check_size(bytes: usize) -> Result<(), WireError> {
+/// Decodes a value at the start of a message, and returns it with the number of bytes that encode it.
+pub(crate) fn decode_start<T: DeserializeOwned>(bytes: &[u8]) -> Result<(T, usize), WireError> {
+    check_size(bytes.len())?;
+    bincode::serde::decode_from_slice(bytes, CONFIGURATION)
+        .map_err(|error: DecodeError| WireError::Malformed(error.to_string()))
+}
+
+pub(crate) fn check_size(bytes: usize) -> Result<(), WireError> {
     if bytes > MESSAGE_BYTES_MAX {
         return Err(WireError::TooLarge(bytes));
     }
--- a/coltsfootgate_wire/src/lib.rs
+++ b/coltsfootgate_wire/src/lib.rs
@@ -21,7 +21,7 @@
 pub use self::claim::{decode_claim_page, encode_claim_page};
 pub use self::error::WireError;
 pub use self::forward::{
-    ForwardRefusal, ForwardReply, ForwardRequest, HeaderRows, decode_forward_reply,
+    ForwardMessage, ForwardRefusal, ForwardReply, ForwardRequest, HeaderRows, decode_forward_reply,
     decode_forward_request, encode_forward_reply, encode_forward_request,
 };
 pub use self::frame::{
