Store where streams began while several versions serve

Cause: what must last is known to memory alone. The list of origins names the versions of a service, the records of streams end with the three instances that hold them.

Fix: while streams may have several origins, the first instance of each of the 32 groups writes four times a second where the streams began that it has records of, all its groups in one conditional call; whoever takes up a stream without a record reads the page of its group. A page may lack streams but never names another origin, so that pages are joined in any order: with two writers, a paused one, a lost answer, a torn page or an older copy of the store (Store-Era: all is read and written again) streams are unknown, never joined. No first event waits for a page; with one version listed nothing is read or written; earlier builds neither write nor read pages. Decision lines have origin `page` and page_age_ms.

--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -34,7 +34,10 @@
 use crate::quarantine::{QuarantineHandle, QuarantineTask};
 use crate::routes::{MemberWatcher, OwnerClient, PoolStatus, RouteTable};
 use crate::shutdown::ShutdownSignal;
-use crate::streams::{OriginsHandle, OriginsTask, StreamRegister, follow_instances};
+use crate::streams::{
+    OriginsHandle, OriginsTask, PageReader, PageWriter, PagesHandle, StreamRegister,
+    follow_instances,
+};
 use crate::transfer::{MemoryAccount, MemoryUse};
 use crate::tree::{TreeHandle, TreeTask};
 
@@ -194,7 +197,7 @@
         let (owner, messages) = OwnerHandle::new();
         let reporter = OwnerReporter::new(self.metrics.clone());
         let origins = self.start_origins(members);
-        let streams = StreamRegister::new(own.clone(), self.peers.clone(), origins.clone());
+        let streams = self.start_streams(&tree, origins.clone());
         let routes = RouteTable::new(self.settings.zone.clone());
         let (task_owner, readiness) = (owner.clone(), self.readiness.clone());
         let task = EndpointsTask::new(
@@ -261,6 +264,19 @@
         origins
     }
 
+    fn start_streams(&self, tree: &TreeHandle, origins: OriginsHandle) -> StreamRegister {
+        let (own, peers) = (self.settings.instance.clone(), self.peers.clone());
+        if !P::ANNOUNCES {
+            return StreamRegister::new(own, peers, origins, PagesHandle::without_pages());
+        }
+        let (store, metrics) = (self.platform.clone(), self.metrics.clone());
+        let (reader, pages) = PageReader::new(store.clone(), metrics.clone());
+        monoio::spawn(reader.run());
+        let streams = StreamRegister::new(own, peers, origins, pages);
+        monoio::spawn(PageWriter::new(store, streams.clone(), tree.clone(), metrics).run());
+        streams
+    }
+
     fn start_quarantine(
         &self,
         members: &MembersHandle,
--- a/coltsfootgate/src/metrics/mod.rs
+++ b/coltsfootgate/src/metrics/mod.rs
@@ -84,6 +84,7 @@
     lost_grants: IntCounterVec,
     path_faults: IntCounterVec,
     streams_taken_up: IntCounterVec,
+    stream_pages: IntCounterVec,
     path_lost: IntGaugeVec,
     forwards_requested: IntCounterVec,
     forwards_served: IntCounterVec,
@@ -246,9 +247,14 @@
             streams_taken_up: registrar.counters(
                 "streams_taken_up",
                 "Streams that callers took up again, by how it was determined where they began; all but \
-                 `record` and `sole-origin` were refused.",
+                 `record`, `page` and `sole-origin` were refused.",
                 &["origin"],
             ),
+            stream_pages: registrar.counters(
+                "stream_pages",
+                "Pages that name where streams began, by what became of reading or writing them.",
+                &["result"],
+            ),
             lost_grants: registrar.counters(
                 "lost_grants",
                 "Grants that their requesters did not hold any more and had not returned.",
@@ -378,6 +384,11 @@
         self.streams_taken_up.with_label_values(&[origin]).inc();
     }
 
+    /// Counts pages of streams that were read or written.
+    pub fn stream_page_called(&self, result: &str, count: usize) {
+        self.stream_pages.with_label_values(&[result]).inc_by(count as u64);
+    }
+
     /// Counts a call to the platform's service.
     pub fn platform_called(&self, call: &str, result: &str) {
         self.platform_calls.with_label_values(&[call, result]).inc();
--- a/coltsfootgate/src/pipeline/record.rs
+++ b/coltsfootgate/src/pipeline/record.rs
@@ -42,6 +42,8 @@
     pub resumes: Option<String>,
     /// How it was determined which software version began a stream that its caller takes up again.
     pub origin: Option<&'static str>,
+    /// Time since the stored page that names the stream was read, in milliseconds.
+    pub page_age_ms: Option<u64>,
     /// The instance that owns that endpoint.
     pub owner: Option<String>,
     /// Number of grant requests that were sent to owners.
--- a/coltsfootgate/src/pipeline/resume.rs
+++ b/coltsfootgate/src/pipeline/resume.rs
@@ -14,10 +14,7 @@
 use super::journal::RequestJournal;
 use crate::dialect::StreamResumption;
 use crate::entry::Refusal;
-use crate::streams::FoundOrigin;
-
-/// Multiple of a class's timeout within which a stream that is taken up again began.
-const STREAM_AGE_FACTOR: u32 = 2;
+use crate::streams::{FoundOrigin, PageAnswer};
 
 /// Finds where a stream began that the caller takes up again, and returns the request to that pool;
 /// `None` for any other request.
@@ -33,8 +30,9 @@
     let accepted = request.accepted.clone();
     let resumption = accepted.metadata.resumption.as_ref().filter(|_| is_resumable(request));
     let Some(resumption) = resumption else { return Ok(None) };
-    let (origin, source) = look_up(context, request, resumption).await;
+    let LookedUp { origin, source, page_age } = look_up(context, request, resumption).await;
     journal.record.origin = Some(source);
+    journal.record.page_age_ms = page_age.map(|age| age.as_millis() as u64);
     context.metrics.stream_taken_up(source);
     let Some(origin) = origin else {
         let kind = ErrorKind::StreamUnknown;
@@ -46,43 +44,62 @@
     Ok(Some(origin))
 }
 
-/// Looks up where a stream began; returns also how that was determined, or why it is not known.
+/// Where a stream began, and how that was determined, or why it is not known.
+struct LookedUp {
+    origin: Option<StreamOrigin>,
+    source: &'static str,
+    /// Time since the stored page that names the stream was read.
+    page_age: Option<Duration>,
+}
+
+impl LookedUp {
+    fn new(origin: Option<StreamOrigin>, source: &'static str) -> Self {
+        Self { origin, source, page_age: None }
+    }
+
+    /// What follows from the records of a stream; `None` if there is none.
+    fn from_records(recorded: RecordedOrigin, source: &'static str) -> Option<Self> {
+        match recorded {
+            RecordedOrigin::Known(origin) => Some(Self::new(Some(origin), source)),
+            RecordedOrigin::Conflicting => Some(Self::new(None, "conflicting-records")),
+            RecordedOrigin::Unknown => None,
+        }
+    }
+}
+
+/// Looks up where a stream began.
 ///
-/// A stream without a record, or one that its caller does not name, is continued only if a single origin is
-/// listed. The list is read after the request arrived, so it names the origin of the stream, whatever this
-/// instance missed before.
+/// A stream without a record, or one that its caller does not name, is continued if a single origin is listed, or
+/// if a stored page names it. The list is read after the request arrived, so it names the origin of the stream,
+/// whatever this instance missed before.
 async fn look_up(
     context: &PipelineContext,
     request: &ClassifiedRequest,
     resumption: &StreamResumption,
-) -> (Option<StreamOrigin>, &'static str) {
+) -> LookedUp {
     let key = resumption.stream.as_ref().and_then(|stream| stream_key(request, stream));
     let found = match &key {
         Some(key) => context.streams.find(key).await,
         None => FoundOrigin { origin: RecordedOrigin::Unknown, is_final: true },
     };
-    if let Some(result) = recorded_origin(found.origin) {
+    if let Some(result) = LookedUp::from_records(found.origin, "record") {
         return result;
     }
-    let unknown = match context.streams.sole_origin(request.class.timeout * STREAM_AGE_FACTOR).await
-    {
-        Ok(origin) => return (Some(origin), "sole-origin"),
+    let unknown = match context.streams.sole_origin(request.class.timeout).await {
+        Ok(origin) => return LookedUp::new(Some(origin), "sole-origin"),
         Err(unknown) => unknown,
     };
-    let later = match &key {
-        Some(key) if !found.is_final => context.streams.find_later(key, request.deadline).await,
-        Some(_) | None => RecordedOrigin::Unknown,
-    };
-    recorded_origin(later).unwrap_or((None, unknown.name()))
-}
-
-/// What follows from the records of a stream; `None` if there is none.
-fn recorded_origin(recorded: RecordedOrigin) -> Option<(Option<StreamOrigin>, &'static str)> {
-    match recorded {
-        RecordedOrigin::Known(origin) => Some((Some(origin), "record")),
-        RecordedOrigin::Conflicting => Some((None, "conflicting-records")),
-        RecordedOrigin::Unknown => None,
+    let Some(key) = key else { return LookedUp::new(None, unknown.name()) };
+    if let Some(PageAnswer { origin, age }) = context.streams.pages().find(&key).await
+        && let Some(result) = LookedUp::from_records(origin, "page")
+    {
+        return LookedUp { page_age: Some(age), ..result };
     }
+    let later = match found.is_final {
+        false => context.streams.find_later(&key, request.deadline).await,
+        true => RecordedOrigin::Unknown,
+    };
+    LookedUp::from_records(later, "record").unwrap_or(LookedUp::new(None, unknown.name()))
 }
 
 /// Sets the pool of a request to the one at which its stream began.
--- a/coltsfootgate/src/platform/mod.rs
+++ b/coltsfootgate/src/platform/mod.rs
@@ -53,6 +53,17 @@
     Conflict(ValueRevision),
 }
 
+/// A value to be written if its current revision is the one that is stated.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ValueSwap {
+    /// The key.
+    pub key: Arc<str>,
+    /// The revision that the value must have; 0 creates it.
+    pub revision: ValueRevision,
+    /// The value.
+    pub value: Bytes,
+}
+
 /// Why a call to the platform failed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum PlatformError {
@@ -176,9 +187,28 @@
         value: Bytes,
     ) -> Result<SwapResult, PlatformError>;
 
+    /// Writes several values, each if its current revision is the one that is stated. Platforms that can write all
+    /// or none do so; others may have written some at a conflict.
+    async fn swap_all(&self, swaps: Vec<ValueSwap>) -> Result<SwapResult, PlatformError> {
+        let mut last = SwapResult::Written(0);
+        for swap in swaps {
+            last = self.swap(&swap.key, swap.revision, swap.value).await?;
+            if matches!(last, SwapResult::Conflict(_)) {
+                break;
+            }
+        }
+        Ok(last)
+    }
+
     /// Lists the keys that start with a prefix.
     async fn list(&self, prefix: &str) -> Result<Vec<Arc<str>>, PlatformError>;
 
+    /// How often the service came back from an older copy, as far as its answers stated. Revisions of different eras are
+    /// not comparable.
+    fn era(&self) -> u64 {
+        0
+    }
+
     /// A value that this client has already, so that reading it needs no call.
     fn held_value(&self, _key: &str) -> Option<Bytes> {
         None
--- a/coltsfootgate/src/streams/mod.rs
+++ b/coltsfootgate/src/streams/mod.rs
@@ -2,6 +2,7 @@
 
 mod handover;
 mod origins;
+mod pages;
 mod stored;
 #[cfg(test)]
 mod tests;
@@ -17,7 +18,8 @@
 
 use coltsfootgate_core::prelude::InstanceId;
 use coltsfootgate_core::stream::{
-    RecordCopy, RecordHolders, RecordedOrigin, StreamBook, StreamKey, StreamOrigin, stream_group,
+    RecordCopy, RecordHolders, RecordNumber, RecordedOrigin, STREAM_GROUPS, StreamBook,
+    StreamGroup, StreamKey, StreamOrigin, stream_group,
 };
 use coltsfootgate_wire::{PeerReply, PeerRequest};
 
@@ -27,7 +29,10 @@
 
 use self::handover::DeliveryCount;
 pub use self::origins::{OriginsHandle, OriginsTask};
+pub use self::pages::{PageAnswer, PageReader, PageWriter, PagesHandle};
 
+/// Multiple of a class's timeout within which a stream that is taken up again began.
+const STREAM_AGE_FACTOR: u32 = 2;
 /// Longest time for which the first event of a stream waits for its record.
 const RECORD_WAIT_MAX: Duration = Duration::from_millis(30);
 /// Time limit for the answer to a question about a stream.
@@ -76,6 +81,7 @@
     own: InstanceId,
     peers: PeerHandle,
     origins: OriginsHandle,
+    pages: PagesHandle,
     book: RefCell<StreamBook>,
     holders: RefCell<RecordHolders>,
     deliveries: DeliveryCount,
@@ -83,10 +89,15 @@
 
 impl StreamRegister {
     /// Creates the register of an instance that knows no other one yet.
-    pub fn new(own: InstanceId, peers: PeerHandle, origins: OriginsHandle) -> Self {
+    pub fn new(
+        own: InstanceId,
+        peers: PeerHandle,
+        origins: OriginsHandle,
+        pages: PagesHandle,
+    ) -> Self {
         let (book, holders) = (RefCell::default(), RefCell::default());
         let deliveries = DeliveryCount::default();
-        Self(Rc::new(RegisterState { own, peers, origins, book, holders, deliveries }))
+        Self(Rc::new(RegisterState { own, peers, origins, pages, book, holders, deliveries }))
     }
 
     /// Records where a stream began, here and at other instances; returns once one of them has the
@@ -158,18 +169,44 @@
         &self.0.origins
     }
 
-    /// The origin of every stream that began within the last `span`, if there is only one.
+    /// The stored pages that name where recent streams began.
+    pub fn pages(&self) -> &PagesHandle {
+        &self.0.pages
+    }
+
+    /// The groups of streams for whose records this instance comes first.
+    fn first_groups(&self) -> Vec<StreamGroup> {
+        let holders = self.0.holders.borrow();
+        (0..STREAM_GROUPS).filter(|group| holders.is_first(*group, &self.0.own)).collect()
+    }
+
+    /// Copies of the records of some groups that were made after the one with this number, and the number of the last.
+    fn copies_since(
+        &self,
+        groups: &[StreamGroup],
+        after: RecordNumber,
+    ) -> (Vec<RecordCopy>, RecordNumber) {
+        let book = self.0.book.borrow();
+        (book.copies_since(groups, after, clock::now()), book.last_number())
+    }
+
+    /// The origin of every stream of a class with this timeout that can be taken up now, if there is only one.
     ///
     /// # Errors
     ///
     /// Fails with the reason if no origin is certain.
-    pub async fn sole_origin(&self, span: Duration) -> Result<StreamOrigin, UnknownOrigin> {
+    pub async fn sole_origin(&self, timeout: Duration) -> Result<StreamOrigin, UnknownOrigin> {
         let list = self.0.origins.confirm().await.ok_or(UnknownOrigin::Unconfirmed)?;
-        let sole = list.sole_origin(span, SystemTime::now());
+        let sole = list.sole_origin(stream_span(timeout), SystemTime::now());
         sole.cloned().ok_or(UnknownOrigin::Several)
     }
 }
 
+/// Time within which the streams of a class with this timeout began that are taken up again now.
+fn stream_span(timeout: Duration) -> Duration {
+    timeout * STREAM_AGE_FACTOR
+}
+
 /// What an instance that was asked about a stream knows.
 fn stated_origin(answer: Result<PeerReply, PeerError>) -> RecordedOrigin {
     match answer {
--- a/coltsfootgate/src/streams/origins.rs
+++ b/coltsfootgate/src/streams/origins.rs
@@ -85,6 +85,11 @@
         self.0.tracker.borrow().listed().cloned().collect()
     }
 
+    /// Whether streams that began within the last `span` may have several origins, as far as this instance knows.
+    pub fn has_several(&self, span: Duration) -> bool {
+        self.0.tracker.borrow().has_several(span, SystemTime::now())
+    }
+
     /// Subscribes to changes of the origins that are listed.
     pub fn subscribe(&self) -> UnboundedReceiver<()> {
         let (sender, receiver) = unbounded();
--- a/coltsfootgate_core/src/origins.rs
+++ b/coltsfootgate_core/src/origins.rs
@@ -41,12 +41,18 @@
 
     /// The origin of every stream that began within the last `span`, if there is only one.
     pub fn sole_origin(&self, span: Duration, now: SystemTime) -> Option<&StreamOrigin> {
-        let is_possible = |ended: &Option<SystemTime>| {
+        let mut possible = self.possible(span, now);
+        let sole = possible.next()?;
+        possible.next().is_none().then_some(sole)
+    }
+
+    /// The origins of streams that began within the last `span`.
+    fn possible(&self, span: Duration, now: SystemTime) -> impl Iterator<Item = &StreamOrigin> {
+        let is_possible = move |ended: &Option<SystemTime>| {
             ended.is_none_or(|ended| ended + LATE_USE_MAX + span > now)
         };
-        let mut possible = self.origins.iter().filter(|(_, ended)| is_possible(ended));
-        let (sole, _) = possible.next()?;
-        possible.next().is_none().then_some(sole)
+        let possible = self.origins.iter().filter(move |(_, ended)| is_possible(ended));
+        possible.map(|(origin, _)| origin)
     }
 }
 
@@ -107,6 +113,13 @@
         self.serving.iter().any(|origin| !self.is_listed(origin))
     }
 
+    /// Whether streams that began within the last `span` may have several origins, as far as is known here.
+    pub fn has_several(&self, span: Duration, wall_now: SystemTime) -> bool {
+        let listed = self.list.possible(span, wall_now);
+        let origins: BTreeSet<_> = listed.chain(&self.learned).chain(&self.serving).collect();
+        origins.len() > 1
+    }
+
     /// The list that should replace the stored one, if it differs.
     pub fn changed_list(&self, now: Instant, wall_now: SystemTime) -> Option<OriginList> {
         let mut origins = self.list.origins.clone();
--- a/coltsfootgate_core/src/stream/holders.rs
+++ b/coltsfootgate_core/src/stream/holders.rs
@@ -56,6 +56,11 @@
         ranked(&self.live, group).into_iter().take(KEEPERS).cloned().collect()
     }
 
+    /// Whether an instance is the first of those that keep the records of a group, and writes its page.
+    pub fn is_first(&self, group: StreamGroup, instance: &InstanceId) -> bool {
+        self.keepers(group).first() == Some(instance)
+    }
+
     /// Whether an instance keeps the records of a group.
     pub fn keeps(&self, group: StreamGroup, instance: &InstanceId) -> bool {
         self.keepers(group).contains(instance)
--- a/coltsfootgate_core/src/stream/mod.rs
+++ b/coltsfootgate_core/src/stream/mod.rs
@@ -1,6 +1,8 @@
 //! Records which software version began each stream, so that no other version continues it.
 
 mod holders;
+mod page;
+mod page_book;
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -9,6 +11,10 @@
 use crate::ids::{CustomerId, PoolId, SoftwareVersion};
 
 pub use self::holders::{KEEPERS, RecordHolders, STREAM_GROUPS, StreamGroup, stream_group};
+pub use self::page::{
+    DIGEST_BYTES, PAGE_STREAMS_MAX, PageEntry, PageTime, StreamDigest, StreamPage,
+};
+pub use self::page_book::{PageBook, PageRevision, PageWrite};
 
 /// Maximum number of records; beyond it, those that expire first are dropped.
 const RECORDS_MAX: usize = 20_000;
@@ -102,7 +108,7 @@
     contradiction: Option<StreamOrigin>,
     expires: Instant,
     /// Distinguishes records that expire at the same time.
-    number: u64,
+    number: RecordNumber,
 }
 
 impl StreamRecord {
@@ -120,13 +126,16 @@
     }
 }
 
+/// Numbers the records of an instance in the order in which they were made or changed, from 1.
+pub type RecordNumber = u64;
+
 /// The origins of recent streams.
 #[derive(Clone, Debug, Default)]
 pub struct StreamBook {
     records: HashMap<StreamKey, StreamRecord>,
     /// The keys of all records in the order in which they expire.
-    expiries: BTreeMap<(Instant, u64), StreamKey>,
-    records_made: u64,
+    expiries: BTreeMap<(Instant, RecordNumber), StreamKey>,
+    records_made: RecordNumber,
 }
 
 impl StreamBook {
@@ -169,8 +178,18 @@
     /// Copies of the records of some groups; two of a stream with several origins, which is then unknown at
     /// their receiver too.
     pub fn copies(&self, groups: &[StreamGroup], now: Instant) -> Vec<RecordCopy> {
+        self.copies_since(groups, 0, now)
+    }
+
+    /// Copies of the records of some groups that were made after another one, which has this number.
+    pub fn copies_since(
+        &self,
+        groups: &[StreamGroup],
+        after: RecordNumber,
+        now: Instant,
+    ) -> Vec<RecordCopy> {
         let is_copied = |(key, record): &(&StreamKey, &StreamRecord)| {
-            now < record.expires && groups.contains(&stream_group(key))
+            after < record.number && now < record.expires && groups.contains(&stream_group(key))
         };
         let copied = self.records.iter().filter(is_copied);
         let copies = copied.flat_map(|(key, record)| {
@@ -182,6 +201,11 @@
         copies.collect()
     }
 
+    /// The number of the record that was made last.
+    pub fn last_number(&self) -> RecordNumber {
+        self.records_made
+    }
+
     /// Number of records.
     pub fn len(&self) -> usize {
         self.records.len()
--- a/coltsfootgate_wire/src/lib.rs
+++ b/coltsfootgate_wire/src/lib.rs
@@ -14,6 +14,7 @@
 mod quarantine;
 mod replica;
 mod stream;
+mod stream_page;
 mod tree;
 mod usage;
 mod wire;
@@ -33,3 +34,4 @@
     CHALLENGE_BYTES, ChallengeFrame, HELLO_BYTES, HelloFrame, PROOF_BYTES, PROTOCOL_VERSION,
     ProofError, ProofTranscript,
 };
+pub use self::stream_page::{decode_stream_page, encode_stream_page};
