--- a/coltsfootgate/src/tree/watch.rs
+++ b/coltsfootgate/src/tree/watch.rs
@@ -121,8 +121,7 @@
             None => None,
         };
         let version = head.as_ref().map_or(0, |head| head.version);
-        self.has_version = version > 0 && version >= self.version;
-        self.version = self.version.max(version);
+        self.set_stored(version);
         // A replica that lags may return a lower revision, and a watch after a lower revision would
         // return at once.
         self.revision = self.revision.max(value.map_or(0, |stored| stored.revision));
@@ -130,6 +129,21 @@
         Ok(())
     }
 
+    /// Records which version the store has, 0 if none.
+    fn set_stored(&mut self, version: ConfigVersion) {
+        let had_version = self.has_version;
+        self.has_version = version > 0 && version >= self.version;
+        if had_version && !self.has_version {
+            let known = self.version;
+            warn!(
+                "the store has version {version} after {known}, so it does not confirm the settings"
+            );
+        } else if !had_version && self.has_version && self.version > 0 {
+            info!("the store has version {version} and confirms the settings again");
+        }
+        self.version = self.version.max(version);
+    }
+
     /// Records that the version last read was the newest one when the call that returned it was
     /// sent, unless the store lacks that version.
     fn record_proof(&self, sent: Duration) {
