Hold the memory of an answer until its caller has read it

Cause: the share of a buffered answer was dropped when the answer was complete, so that answers for slow callers were charged to nothing. Behind it: an answer that is passed on as it arrives held 0.4 MB for a slow caller.

Fix: the bytes of an answer hold their share until the last of them is written. An answer that does not fit is passed on from its first piece; connections read and write 16 KB at once; what waits for slow callers is counted, bounded to one piece each when it is much, and new requests are refused as memory-full (not run) while all parts together are overdrawn. Ready answers are delivered, also late.

Ruled out: ending the slowest callers (their answers are ready); room for announced answers that the part does not cover.

--- a/coltsfootgate/src/endpoint/connection.rs
+++ b/coltsfootgate/src/endpoint/connection.rs
@@ -12,7 +12,7 @@
 use coltsfootgate_core::prelude::{EndpointId, PoolId};
 use http::{Request, Response};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use monoio::net::TcpStream;
 use monoio::time::timeout;
 
@@ -164,9 +164,10 @@
             return Err(EndpointFailure::Mismatched);
         }
         let framing = answer_framing(&head.headers, &body);
+        let length = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
         let connection = Some(connection);
         let body = DirectBody { body, connection, target, connections: self.clone() };
-        let stream = AnswerStream { framing, source: AnswerSource::Direct(body) };
+        let stream = AnswerStream { framing, length, source: AnswerSource::Direct(body) };
         Ok(EndpointAnswer { status: head.status, headers: head.headers, stream })
     }
 }
@@ -182,6 +183,7 @@
 /// The body of an answer. Dropping it before its end cancels the request at the endpoint.
 pub struct AnswerStream {
     framing: AnswerFraming,
+    length: Option<usize>,
     source: AnswerSource,
 }
 
@@ -209,7 +211,7 @@
 impl AnswerStream {
     /// Creates the stream of an answer that another instance forwards.
     pub fn forwarded(body: ForwardedBody, framing: AnswerFraming, hold: ForwardHold) -> Self {
-        Self { framing, source: AnswerSource::Forwarded { body, _hold: hold } }
+        Self { framing, length: None, source: AnswerSource::Forwarded { body, _hold: hold } }
     }
 
     /// How the end of the body is marked.
@@ -217,6 +219,11 @@
         self.framing
     }
 
+    /// Number of bytes of the body, if its endpoint stated it.
+    pub fn length(&self) -> Option<usize> {
+        self.length
+    }
+
     /// Returns the next piece of the body, or `None` at its end.
     ///
     /// # Errors
--- a/coltsfootgate/src/entry/answer.rs
+++ b/coltsfootgate/src/entry/answer.rs
@@ -16,6 +16,7 @@
 use super::pieces::PieceReceiver;
 use super::stall::RequestGuard;
 use crate::dialect::CallerDialect;
+use crate::transfer::take_frame;
 
 /// Header with the id of the request.
 pub const REQUEST_ID: &str = "coltsfootgate-request-id";
@@ -124,7 +125,8 @@
 
 #[derive(Debug)]
 enum AnswerContent {
-    Full(Option<Bytes>),
+    /// What is left of a complete answer.
+    Full(Bytes),
     Stream(PieceReceiver),
     /// The pieces before the abort are being written.
     Aborting,
@@ -133,8 +135,7 @@
 impl AnswerBody {
     /// Creates a body from complete content.
     pub fn full(body: Bytes) -> Self {
-        let content = (!body.is_empty()).then_some(body);
-        Self { content: AnswerContent::Full(content), guard: None, request: None }
+        Self { content: AnswerContent::Full(body), guard: None, request: None }
     }
 
     /// Creates a body whose pieces arrive one by one.
@@ -164,7 +165,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AbortedTransfer>>> {
         match &mut self.content {
-            AnswerContent::Full(body) => Poll::Ready(body.take().map(|body| Ok(Frame::data(body)))),
+            AnswerContent::Full(body) => {
+                Poll::Ready(take_frame(body).map(|frame| Ok(Frame::data(frame))))
+            }
             AnswerContent::Stream(pieces) => match Pin::new(pieces).poll_next(context) {
                 // The server drops unwritten pieces on an error. The error is therefore delayed by
                 // one poll, in which the server can write them.
@@ -180,13 +183,12 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self.content, AnswerContent::Full(None))
+        matches!(&self.content, AnswerContent::Full(body) if body.is_empty())
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.content {
-            AnswerContent::Full(Some(body)) => SizeHint::with_exact(body.len() as u64),
-            AnswerContent::Full(None) => SizeHint::with_exact(0),
+            AnswerContent::Full(body) => SizeHint::with_exact(body.len() as u64),
             AnswerContent::Stream(_) | AnswerContent::Aborting => SizeHint::default(),
         }
     }
--- a/coltsfootgate/src/entry/caller.rs
+++ b/coltsfootgate/src/entry/caller.rs
@@ -10,6 +10,7 @@
 
 use super::answer::AnswerBody;
 use super::pieces::{PieceSender, piece_channel};
+use crate::transfer::{MemoryAccount, MemoryPart, MemoryUse};
 
 /// The caller closed its connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -26,6 +27,8 @@
 pub struct CallerLink {
     head: Option<oneshot::Sender<Response<AnswerBody>>>,
     pieces: Option<PieceSender>,
+    /// The memory for pieces that wait for the caller.
+    memory: MemoryPart,
     disconnection: oneshot::Receiver<Infallible>,
 }
 
@@ -55,11 +58,12 @@
 }
 
 impl CallerLink {
-    /// Creates both ends of a link.
-    pub fn new() -> (Self, AnswerReceiver) {
+    /// Creates both ends of a link; what waits for a slow caller draws on `memory`.
+    pub fn new(memory: &MemoryAccount) -> (Self, AnswerReceiver) {
+        let memory = memory.part(MemoryUse::SlowCallers).clone();
         let (head_sender, head) = oneshot::channel();
         let (disconnection_sender, disconnection) = oneshot::channel();
-        let link = Self { head: Some(head_sender), pieces: None, disconnection };
+        let link = Self { head: Some(head_sender), pieces: None, memory, disconnection };
         let guard = ConnectionGuard { _sender: disconnection_sender };
         (link, AnswerReceiver { head, guard })
     }
@@ -76,7 +80,7 @@
 
     /// Sends the head of an answer whose body follows in pieces.
     pub fn start_stream(&mut self, status: StatusCode, headers: HeaderMap) {
-        let (sender, receiver) = piece_channel();
+        let (sender, receiver) = piece_channel(&self.memory);
         self.pieces = Some(sender);
         self.send_head(status, headers, AnswerBody::stream(receiver));
     }
--- a/coltsfootgate/src/entry/request.rs
+++ b/coltsfootgate/src/entry/request.rs
@@ -16,7 +16,7 @@
 use super::answer::Refusal;
 use super::head::malformed;
 use crate::dialect::{CallerDialect, RequestMetadata};
-use crate::transfer::{HeldBuffer, MemoryFull, MemoryPart};
+use crate::transfer::{HeldBuffer, MemoryAccount, MemoryFull, MemoryPart, MemoryUse};
 
 /// Header with the caller's deadline.
 pub const DEADLINE: &str = "coltsfootgate-deadline";
@@ -77,17 +77,20 @@
 ///
 /// # Errors
 ///
-/// Refuses a request if its head is malformed, or its body is too large, too slow or unreadable.
+/// Refuses a request if its head is malformed, its body is too large, too slow or unreadable, or no memory is left.
 pub async fn accept_request<D: CallerDialect>(
     id: RequestId,
     request: Request<Incoming>,
     bounds: &RequestBounds,
-    memory: &MemoryPart,
+    memory: &MemoryAccount,
 ) -> Result<AcceptedRequest, Refusal> {
     let arrived = Instant::now();
+    if memory.is_overdrawn() {
+        return Err(memory_full());
+    }
     let (head, body) = request.into_parts();
     let metadata = D::read_head(&head)?;
-    let reading = read_body(body, bounds, memory);
+    let reading = read_body(body, bounds, memory.part(MemoryUse::Requests));
     let body =
         timeout(bounds.body_timeout, reading).await.unwrap_or_else(|_| Err(too_slow(bounds)))?;
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
@@ -147,7 +150,7 @@
 }
 
 fn memory_full() -> Refusal {
-    let message = "the instance has no memory left for the body of the request";
+    let message = "the instance has no memory left for the request";
     let delay = retry_after_delay(ErrorKind::MemoryFull, Duration::ZERO, rand::random());
     Refusal::new(ErrorKind::MemoryFull, ENTRY_RULE, message).with_retry_after(delay)
 }
--- a/coltsfootgate/src/pipeline/gate.rs
+++ b/coltsfootgate/src/pipeline/gate.rs
@@ -22,7 +22,6 @@
 use crate::entry::request::{RequestBounds, accept_request, new_request_id};
 use crate::entry::{AcceptedRequest, AnswerBody, CallerLink, Refusal};
 use crate::metrics::NO_CLASS;
-use crate::transfer::MemoryUse;
 
 /// Handles callers' requests with the pipeline.
 pub struct PipelineHandler<D> {
@@ -41,7 +40,7 @@
         let id = new_request_id();
         let arrived = Instant::now();
         let bounds = self.bounds.with_overrides(&self.context.tree.connections());
-        let memory = self.context.memory.part(MemoryUse::Requests);
+        let memory = &self.context.memory;
         let accepting = accept_request::<D::Callers>(id, request, &bounds, memory);
         let due = self.context.shutdown.answers_due();
         let accepted = match select(std::pin::pin!(accepting), std::pin::pin!(due)).await {
@@ -104,7 +103,7 @@
 
 impl<D: Dialect> RequestHandler for PipelineHandler<D> {
     async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
-        let (caller, receiver) = CallerLink::new();
+        let (caller, receiver) = CallerLink::new(&self.context.memory);
         self.start_request(request, caller).await;
         receiver.receive().await
     }
--- a/coltsfootgate/src/pipeline/relay/body.rs
+++ b/coltsfootgate/src/pipeline/relay/body.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use coltsfootgate_core::answer::ContentEnd;
 use http::{HeaderMap, StatusCode};
 
@@ -15,10 +15,16 @@
 use crate::pipeline::dispatch::answer_headers;
 use crate::pipeline::journal::RequestJournal;
 use crate::pipeline::settle::{ServedAnswer, outcome_headers};
+use crate::transfer::{HeldBuffer, MemoryFull};
 
 /// Maximum size of an answer that is buffered until it is complete, in bytes.
 const BUFFERED_ANSWER_BYTES_MAX: usize = 4 * 1024 * 1024;
 
+/// Whether an answer of this length may be buffered until it is complete.
+fn fits_buffer(bytes: usize) -> bool {
+    bytes <= BUFFERED_ANSWER_BYTES_MAX
+}
+
 impl RelayTask<'_> {
     /// Buffers an answer until it is complete, so that another attempt can still follow, and forwards
     /// it as it arrives once it is too large for that or no memory is left.
@@ -31,11 +37,12 @@
         let EndpointAnswer { status, headers, mut stream } = answer;
         let headers = answer_headers::<D>(&headers);
         self.measurements.first_token = Some(self.sent_at.elapsed());
-        let (mut buffered, mut share) = (BytesMut::new(), self.context.answer_memory().share());
+        let (announced, memory) = (stream.length(), self.context.answer_memory());
+        let may_fit = announced.is_none_or(|length| fits_buffer(length) && memory.covers(length));
+        let mut buffered = HeldBuffer::new(memory, announced.filter(|_| may_fit));
         while let Some(piece) = self.next_piece(&mut stream, caller).await? {
-            buffered.extend_from_slice(&piece);
-            let is_covered = share.ask(buffered.capacity());
-            if buffered.len() > BUFFERED_ANSWER_BYTES_MAX || !is_covered {
+            let is_covered = buffered.extend(&piece) != Err(MemoryFull);
+            if !may_fit || !is_covered || !fits_buffer(buffered.len()) {
                 let head = (status, headers);
                 return self
                     .forward_body::<D>(head, buffered.freeze(), stream, caller, journal)
--- a/coltsfootgate/src/transfer/account.rs
+++ b/coltsfootgate/src/transfer/account.rs
@@ -15,8 +15,10 @@
 pub enum MemoryUse {
     /// The bodies of callers' requests.
     Requests,
-    /// Answers that are buffered, or that wait for their callers to read them.
+    /// Answers that are buffered whole, until their callers have read them.
     Answers,
+    /// Answers that are passed on as they arrive, and wait for callers that read slowly.
+    SlowCallers,
     /// Messages of other instances, with the requests to forward for them.
     Forwards,
     /// What arrives of answers that other instances forward to this one.
@@ -25,14 +27,15 @@
 
 impl MemoryUse {
     /// All uses.
-    pub const ALL: [Self; 4] =
-        [Self::Requests, Self::Answers, Self::Forwards, Self::ForwardedAnswers];
+    pub const ALL: [Self; 5] =
+        [Self::Requests, Self::Answers, Self::SlowCallers, Self::Forwards, Self::ForwardedAnswers];
 
     /// The name used in metrics.
     pub fn name(self) -> &'static str {
         match self {
             Self::Requests => "requests",
             Self::Answers => "answers",
+            Self::SlowCallers => "slow-callers",
             Self::Forwards => "forwards",
             Self::ForwardedAnswers => "forwarded-answers",
         }
@@ -43,7 +46,8 @@
     fn permille(self) -> usize {
         match self {
             Self::Requests => 300,
-            Self::Answers => 200,
+            Self::Answers => 175,
+            Self::SlowCallers => 50,
             Self::Forwards | Self::ForwardedAnswers => 75,
         }
     }
@@ -54,7 +58,7 @@
             Self::Requests => 8 * 1024,
             Self::Answers => 64 * 1024,
             Self::Forwards => 16 * 1024,
-            Self::ForwardedAnswers => 0,
+            Self::SlowCallers | Self::ForwardedAnswers => 0,
         }
     }
 }
@@ -80,6 +84,13 @@
     pub fn parts(&self) -> &[MemoryPart] {
         &self.parts
     }
+
+    /// Whether more is held than all parts allow together, since some of it came without being asked for. Nothing
+    /// new is begun then, small as it may be.
+    pub fn is_overdrawn(&self) -> bool {
+        let held: usize = self.parts.iter().map(MemoryPart::held).sum();
+        held > self.parts.iter().map(|part| part.bytes_max).sum()
+    }
 }
 
 impl Default for MemoryAccount {
@@ -153,6 +164,11 @@
         is_covered
     }
 
+    /// Whether the part of this share holds all that it may, or more.
+    pub fn is_part_full(&self) -> bool {
+        self.part.held() >= self.part.bytes_max
+    }
+
     /// Records the size of bytes that are held already, whether or not the part covers it.
     pub fn record(&mut self, bytes: usize) {
         let charge = self.part.charge(bytes);
@@ -185,7 +201,8 @@
 impl HeldBuffer {
     /// Creates a buffer for a number of bytes if it is known, which draws on the part as they arrive.
     pub fn new(part: &MemoryPart, announced: Option<usize>) -> Self {
-        let announced = announced.unwrap_or(0);
+        // Room for what will not be covered would be of no use.
+        let announced = announced.filter(|bytes| part.covers(*bytes)).unwrap_or(0);
         let content = BytesMut::with_capacity(announced);
         Self { content, share: part.share(), announced }
     }
--- a/coltsfootgate/src/transfer/reads.rs
+++ b/coltsfootgate/src/transfer/reads.rs
@@ -10,6 +10,9 @@
 use monoio::io::poll_io::{AsyncRead, AsyncWrite, ReadBuf};
 use monoio::time::{Sleep, sleep};
 
+/// Maximum number of bytes that a connection delivers at once. What an answer leaves in buffers while its caller does not
+/// read is a multiple of it.
+const READ_BYTES_MAX: usize = 16 * 1024;
 /// Maximum number of bytes that a connection delivers without a pause.
 const BURST_BYTES_MAX: usize = 256 * 1024;
 /// Pause after a burst. The event loop runs its timers only when no task is ready.
@@ -73,13 +76,15 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         ready!(self.poll_pause(context));
-        let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let length = buffer.remaining().min(READ_BYTES_MAX);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(length));
+        let read = Pin::new(&mut self.stream).poll_read(context, &mut part);
+        let bytes = part.filled().len();
+        buffer.advance(bytes);
         if read.is_pending() {
             self.burst = 0;
         }
         ready!(read)?;
-        let bytes = buffer.filled().len() - before;
         self.burst += bytes;
         Poll::Ready(self.head.spend(bytes))
     }
--- a/coltsfootgate/tests/memory_account.rs
+++ b/coltsfootgate/tests/memory_account.rs
@@ -51,6 +51,13 @@
     }
     let held: usize = account.parts().iter().map(MemoryPart::held).sum();
     assert!(held < 260 * 1024 * 1024 * 7 / 10, "{held}");
+    assert!(!account.is_overdrawn());
+    // What came without being asked for.
+    let mut uncovered = account.part(MemoryUse::SlowCallers).share();
+    uncovered.record(260 * 1024 * 1024);
+    assert!(account.is_overdrawn());
+    drop(uncovered);
+    assert!(!account.is_overdrawn());
 }
 
 /// A share that is taken for announced bytes is neither raised nor given back while these arrive.
