Review: events whose lines end by CR are sent twice

Cause: last_event_id takes events apart at LF only, while the scanner of the same file accepts CR as the end of a line. A stream that is resumed after a crash is sent on without Last-Event-Id.

Change: case 12, a script with stand-ins of the kit.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -20,5 +20,5 @@
 for program in target/review-3/kit target/release/coltsfootgate-platform; do
     [ -x "$program" ] || { echo "$program is not built" >&2; exit 2; }
 done
-target/review-3/kit back review/12 &
+target/review-3/kit lines review/12 &
 wait $!
--- a/review/kit-3/back.rs
+++ b/review/kit-3/back.rs
@@ -73,6 +73,7 @@
         first: Duration::from_millis(20),
         events: 3,
         gap: Duration::from_millis(20),
+        line_end: "\n",
         crash_parts: "",
         brittle: AtomicUsize::new(0),
         back_after: Duration::from_secs(2),
--- a/review/kit-3/brittle.rs
+++ b/review/kit-3/brittle.rs
@@ -51,6 +51,7 @@
         first: Duration::from_millis(200),
         events: 40,
         gap: Duration::from_millis(70),
+        line_end: "\n",
         crash_parts: "",
         brittle: AtomicUsize::new(0),
         back_after: Duration::from_secs(3),
--- a/review/kit-3/crash.rs
+++ b/review/kit-3/crash.rs
@@ -50,6 +50,7 @@
         first: Duration::from_millis(100),
         events: 10,
         gap: Duration::from_millis(80),
+        line_end: "\n",
         crash_parts: "bad",
         brittle: AtomicUsize::new(0),
         back_after: Duration::from_secs(2),
--- a/review/kit-3/limits.rs
+++ b/review/kit-3/limits.rs
@@ -36,6 +36,7 @@
         first: Duration::from_millis(20),
         events: 3,
         gap: Duration::from_millis(20),
+        line_end: "\n",
         crash_parts: "",
         brittle: AtomicUsize::new(0),
         back_after: Duration::from_secs(2),
--- a/review/kit-3/main.rs
+++ b/review/kit-3/main.rs
@@ -11,6 +11,7 @@
 mod instances;
 mod json;
 mod limits;
+mod lines;
 mod record;
 mod replicas;
 mod store;
@@ -54,6 +55,7 @@
         "brittle" => brittle::run(&record, has_trouble),
         "crash" => crash::run(&record, has_trouble),
         "limits" => limits::run(&record, has_trouble),
+        "lines" => lines::run(&record, has_trouble),
         "stray" => stray::run(&record, has_trouble),
         _ => Verdict::NotRun("there is no such case"),
     };
--- a/review/kit-3/replicas.rs
+++ b/review/kit-3/replicas.rs
@@ -29,6 +29,8 @@
     pub events: usize,
     /// Time between two events.
     pub gap: Duration,
+    /// How the lines of events end: a line feed, a carriage return or both.
+    pub line_end: &'static str,
     /// Begin of the ids of parts that crash a replica as it begins to write an answer.
     pub crash_parts: &'static str,
     /// Requests that a replica may turn away in a second before it falls over; 0 if it is not brittle.
@@ -103,6 +105,15 @@
         self.is_stopped.store(true, Ordering::Relaxed);
     }
 
+    /// Ends the replica that runs most requests.
+    pub fn crash_busiest(&self) {
+        let replicas = self.replicas.lock().expect("replicas").clone();
+        let running = |one: &&Arc<Replica>| one.load.lock().expect("the load").0;
+        if let Some(busiest) = replicas.iter().filter(|one| one.is_alive()).max_by_key(running) {
+            busiest.end("it crashes");
+        }
+    }
+
     /// Partitions a replica from the store, or ends that.
     pub fn set_cut(&self, number: usize, is_cut: bool) {
         let replica = self.replicas.lock().expect("replicas")[number].clone();
@@ -239,7 +250,8 @@
             self.end(&format!("part {part}"));
         }
         let streamed = if self.is_alive() && is_open {
-            self.stream(&id, writer)
+            let last = request.header("last-event-id").and_then(|text| text.parse().ok());
+            self.stream(&id, last.unwrap_or(0), writer)
         } else {
             Err(io::ErrorKind::ConnectionAborted.into())
         };
@@ -320,7 +332,8 @@
         }
     }
 
-    fn stream(&self, id: &str, writer: &mut TcpStream) -> io::Result<()> {
+    /// Streams the events after the one that the caller has; 0 if it has none.
+    fn stream(&self, id: &str, last: usize, writer: &mut TcpStream) -> io::Result<()> {
         let head = format!(
             "HTTP/1.1 200 OK\r\nX-Coltsfootgate-Attempt-Id: {id}\r\n\
              X-Coltsfootgate-Replica-Stamp: {}.{id}\r\nContent-Type: text/event-stream\r\n\
@@ -329,8 +342,9 @@
             self.brittle_header()
         );
         writer.write_all(head.as_bytes())?;
-        for event in 1..=self.pool.plan.events {
-            let text = format!("id: {event}\ndata: piece {event} of {id}\n\n");
+        let end = self.pool.plan.line_end;
+        for event in last + 1..=self.pool.plan.events {
+            let text = format!("id: {event}{end}data: piece {event} of {id}{end}{end}");
             writer.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
             if event < self.pool.plan.events {
                 let is_open = self.pause(self.pool.plan.gap, writer);
