Read events of a stream in one place, and never go on from an unknown position

What callers saw: after a crash, a stream whose replica ends its lines by CR held the events 1 to 9 and then 1 to 20, in one answer 200 that ended whole.

Cause: two readers of one format. The scanner ended lines at CR, LF and CR LF; last_event_id split them at LF only. No id seen was taken for "no event forwarded yet", so the next attempt was sent without Last-Event-Id. Events without an id, or with an empty one, took the same way; an id of an earlier event was kept for later ones without.

Change: the scanner reports ends of lines, EventFields reads each line; ids, data and ends of events come from there. StreamPosition has three values, and from Unknown no attempt goes on. A model's chunk without a token leaves the position unknown too. Ids that a header can't carry unchanged are no position; others than ASCII are sent now.

--- a/coltsfootgate/src/endpoint/mod.rs
+++ b/coltsfootgate/src/endpoint/mod.rs
@@ -4,6 +4,7 @@
 mod access;
 mod connection;
 pub mod event;
+mod fields;
 mod path;
 pub mod scanner;
 
--- a/coltsfootgate/src/pipeline/exchange.rs
+++ b/coltsfootgate/src/pipeline/exchange.rs
@@ -2,7 +2,6 @@
 
 use std::pin::pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use coltsfootgate_core::attempt::{
@@ -11,7 +10,7 @@
 use coltsfootgate_core::owner::ReleaseResult;
 use coltsfootgate_core::prelude::ErrorKind;
 use coltsfootgate_core::retry::RetryDecision;
-use coltsfootgate_core::stream::StreamOrigin;
+use coltsfootgate_core::stream::{StreamOrigin, StreamPosition};
 use futures_util::future::{Either, select};
 
 use super::admit::{EndpointNeeds, admit_request, refusal};
@@ -147,7 +146,7 @@
     let guard = ExchangeGuard::new(context, request);
     let mut needs = EndpointNeeds::default();
     let mut history = AttemptHistory::new(retry_conditions(request, claim.is_some()));
-    let mut last_event = None;
+    let mut position = StreamPosition::Start;
     loop {
         let version = required_version(context, request, origin.as_ref());
         needs.version = version.map_err(|refusal| adjust_refusal(request, &history, refusal))?;
@@ -170,11 +169,12 @@
         journal.record.attempts = history.attempts();
         let offset = permit.resume_offset;
         let may_abandon = history.may_abandon();
-        let resume = ResumePoint { offset, last_event: &mut last_event, may_abandon };
+        let resume = ResumePoint { offset, position: &mut position, may_abandon };
         let end = run_attempt::<D>(context, request, lease, resume, caller, journal).await;
         if caller.has_started() {
             origin.get_or_insert(attempted);
             history.record_relayed(journal.record.tokens - history.caller_tokens());
+            history.record_position(&position);
         }
         let (failure, answer) = match end {
             RelayEnd::Served(answer) => return Ok(RequestEnd::Served(answer)),
@@ -245,8 +245,8 @@
 struct ResumePoint<'a> {
     /// Tokens that the caller already has.
     offset: u64,
-    /// The id of the last event that the caller already has.
-    last_event: &'a mut Option<Arc<str>>,
+    /// Where the caller is in a stream of events.
+    position: &'a mut StreamPosition,
     /// Whether the attempt may be abandoned for another one.
     may_abandon: bool,
 }
@@ -262,8 +262,8 @@
     let attempt = D::Endpoints::attempt_id(request, journal.record.attempts);
     let _running = context.usage.record_running(&request.pool.id);
     let sent_at = Instant::now();
-    let ResumePoint { offset, last_event, may_abandon } = resume;
-    let resume_after = last_event.clone();
+    let ResumePoint { offset, position, may_abandon } = resume;
+    let resumed = position.clone();
     let mut task = RelayTask {
         context,
         request,
@@ -272,9 +272,9 @@
         sent_at,
         measurements: AttemptMeasurements::default(),
         has_begun: false,
-        last_event: resume_after.clone(),
+        position: resumed.clone(),
     };
-    let start = AttemptStart { id: &attempt, offset, last_event: resume_after.as_deref() };
+    let start = AttemptStart { id: &attempt, offset, last_event: resumed.last_event() };
     let sending = dispatch_request::<D::Endpoints>(context, request, &lease, start);
     let sending = await_head(context, request, may_abandon, sending);
     let running = async {
@@ -298,7 +298,7 @@
         task.record_begun();
     }
     let measurements = task.measurements;
-    *last_event = task.last_event;
+    *position = task.position;
     journal.record.endpoint_limit = lease.limit();
     journal.record.via = lease.progress.via().map(|via| via.to_string());
     let (sent_to, first_token) = (&lease.endpoint, measurements.first_token);
--- a/coltsfootgate/src/pipeline/relay/body.rs
+++ b/coltsfootgate/src/pipeline/relay/body.rs
@@ -89,7 +89,6 @@
         if !status.is_success() {
             return true;
         }
-        let fields = serde_json::from_slice::<ChunkFields>(body);
-        fields.is_ok_and(|fields| fields.id == self.attempt)
+        ChunkFields::parse(body).is_some_and(|fields| fields.id == self.attempt)
     }
 }
--- a/coltsfootgate/src/pipeline/relay/events.rs
+++ b/coltsfootgate/src/pipeline/relay/events.rs
@@ -6,7 +6,7 @@
 
 use super::{RelayEnd, RelayTask};
 use crate::dialect::CallerDialect;
-use crate::endpoint::event::EventReader;
+use crate::endpoint::event::{EventBatch, EventReader};
 use crate::endpoint::{EndpointAnswer, EndpointFailure};
 use crate::entry::CallerLink;
 use crate::pipeline::dispatch::answer_headers;
@@ -33,11 +33,11 @@
         let is_continuation = caller.has_started();
         let EndpointAnswer { status, headers, mut stream } = answer;
         let headers = answer_headers::<D>(&headers);
-        let mut reader = EventReader::new(self.context.answer_memory());
+        let mut reader = EventReader::new(self.context.answer_memory(), self.position.clone());
         while let Some(piece) = self.next_piece(&mut stream, caller).await? {
             reader.push(&piece);
-            let (events, last) = reader.take_complete()?;
-            self.last_event = last.or(self.last_event.take());
+            let EventBatch { bytes: events, position } = reader.take_complete()?;
+            self.position = position;
             if events.is_empty() {
                 continue;
             }
--- a/coltsfootgate/src/pipeline/relay/mod.rs
+++ b/coltsfootgate/src/pipeline/relay/mod.rs
@@ -6,11 +6,11 @@
 mod model;
 
 use std::convert::identity;
-use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::Bytes;
 use coltsfootgate_core::answer::{ContentEnd, is_complete};
+use coltsfootgate_core::stream::StreamPosition;
 use futures_util::future::{Either, select};
 use http::{HeaderValue, StatusCode, header};
 
@@ -65,8 +65,8 @@
     pub measurements: AttemptMeasurements,
     /// Whether the request was counted as begun.
     pub has_begun: bool,
-    /// The id of the last event sent to the caller in any attempt.
-    pub last_event: Option<Arc<str>>,
+    /// Where the caller is in a stream of events, after all attempts.
+    pub position: StreamPosition,
 }
 
 impl RelayTask<'_> {
--- a/coltsfootgate/src/pipeline/relay/model.rs
+++ b/coltsfootgate/src/pipeline/relay/model.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use coltsfootgate_core::answer::ContentEnd;
+use coltsfootgate_core::stream::StreamPosition;
 
 use super::{RelayEnd, RelayTask};
 use crate::dialect::CallerDialect;
@@ -24,7 +25,7 @@
         caller: &mut CallerLink,
         journal: &mut RequestJournal,
     ) -> Result<ServedAnswer, RelayEnd> {
-        let mut reader = EventReader::new(self.context.answer_memory());
+        let mut reader = EventReader::new(self.context.answer_memory(), StreamPosition::Start);
         loop {
             match reader.next_event()? {
                 Some(StreamEvent::Done) => {
@@ -33,8 +34,8 @@
                     let _ = stream.next(TRANSFER_END_TIMEOUT).await;
                     return Ok(ServedAnswer::Stream);
                 }
-                Some(StreamEvent::Chunk(event)) => {
-                    self.forward_chunk::<D>(event, caller, journal).await?;
+                Some(StreamEvent::Chunk { event, data }) => {
+                    self.forward_chunk::<D>(event, &data, caller, journal).await?;
                 }
                 None => match self.next_piece(&mut stream, caller).await? {
                     Some(piece) => reader.push(&piece),
@@ -50,10 +51,11 @@
     async fn forward_chunk<D: CallerDialect>(
         &mut self,
         event: Bytes,
+        data: &[u8],
         caller: &mut CallerLink,
         journal: &mut RequestJournal,
     ) -> Result<(), RelayEnd> {
-        let Some(fields) = ChunkFields::parse(&event) else {
+        let Some(fields) = ChunkFields::parse(data) else {
             return Err(EndpointFailure::Mismatched.into());
         };
         if fields.id != self.attempt {
@@ -67,6 +69,10 @@
         if is_token {
             self.record_token(Instant::now(), journal);
         }
+        if !is_token {
+            // Endpoints skip tokens only, so this chunk would be sent again.
+            self.position = StreamPosition::Unknown;
+        }
         if caller.send(event).await.is_err() {
             return Err(RelayEnd::CallerDisconnected);
         }
--- a/coltsfootgate_core/src/attempt.rs
+++ b/coltsfootgate_core/src/attempt.rs
@@ -8,6 +8,7 @@
 use crate::outcome::RequestOutcome;
 use crate::reason::ErrorKind;
 use crate::retry::{RetryBudget, RetryDecision, RetryReason, backoff};
+use crate::stream::StreamPosition;
 
 /// Additional attempts that a request may make beyond the limit of its class if nothing was sent.
 pub const UNSENT_ATTEMPTS_MAX: u32 = 2;
@@ -85,6 +86,8 @@
     sends: u32,
     caller_tokens: u64,
     caller_has_bytes: bool,
+    /// Whether bytes were forwarded after which no endpoint could go on.
+    is_position_unknown: bool,
     /// Set once an attempt may have run: the error that reports it.
     may_have_run: Option<ErrorKind>,
     attempt_running: bool,
@@ -99,6 +102,7 @@
             sends: 0,
             caller_tokens: 0,
             caller_has_bytes: false,
+            is_position_unknown: false,
             may_have_run: None,
             attempt_running: false,
         }
@@ -149,6 +153,11 @@
         self.caller_tokens += tokens;
     }
 
+    /// Records where in the answer the caller is; from an unknown position no attempt goes on.
+    pub fn record_position(&mut self, position: &StreamPosition) {
+        self.is_position_unknown = *position == StreamPosition::Unknown;
+    }
+
     /// Ends the running attempt with a failure and decides whether to retry, resume or end.
     ///
     /// `random` lies between 0 and 1 and sets the jitter of the delay.
@@ -164,7 +173,7 @@
             return RetryDecision::End(kind);
         }
         let resuming = self.caller_has_bytes;
-        if resuming && !(self.conditions.resumable && self.caller_tokens > 0) {
+        if resuming && !self.can_resume() {
             return RetryDecision::End(kind);
         }
         if self.attempts_exhausted() || !budget.try_spend() {
@@ -181,6 +190,11 @@
         RetryDecision::Retry { delay, reason: RetryReason::for_retry(failure) }
     }
 
+    /// Whether an answer of which the caller has a part can be continued by another attempt.
+    fn can_resume(&self) -> bool {
+        self.conditions.resumable && self.caller_tokens > 0 && !self.is_position_unknown
+    }
+
     /// Whether no attempt is left; attempts of which nothing was sent count only towards the
     /// extended limit.
     fn attempts_exhausted(&self) -> bool {
--- a/coltsfootgate_core/src/stream/mod.rs
+++ b/coltsfootgate_core/src/stream/mod.rs
@@ -32,6 +32,28 @@
     (caller_deadline.max(timeout) + RECORD_MARGIN).min(RECORD_LIFETIME_MAX)
 }
 
+/// Where in a stream its caller is.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum StreamPosition {
+    /// No event was forwarded.
+    #[default]
+    Start,
+    /// The event with this id was forwarded last.
+    After(Arc<str>),
+    /// Events were forwarded, and nothing tells an endpoint after which one to go on.
+    Unknown,
+}
+
+impl StreamPosition {
+    /// The id after which an endpoint goes on; `None` if there is none.
+    pub fn last_event(&self) -> Option<&str> {
+        match self {
+            Self::After(id) => Some(id),
+            Self::Start | Self::Unknown => None,
+        }
+    }
+}
+
 /// Identifies a stream: its customer, and the id that the caller assigned to the request that brought
 /// the first event.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
--- a/coltsfootgate_core/tests/attempt.rs
+++ b/coltsfootgate_core/tests/attempt.rs
@@ -11,6 +11,7 @@
 use coltsfootgate_core::retry::{
     BACKOFF_MAX, FIRST_BACKOFF, RetryBudget, RetryDecision, RetryReason, backoff,
 };
+use coltsfootgate_core::stream::StreamPosition;
 use proptest::prelude::*;
 
 static START: LazyLock<Instant> = LazyLock::new(Instant::now);
@@ -53,6 +54,27 @@
     };
 }
 
+/// Guards against a stream that is sent from its first event again within one answer.
+macro_rules! position_cases {
+    ($($name:ident: $position:expr => $decision:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            let mut history = AttemptHistory::new(conditions(REPEATABLE, true));
+            assert!(history.begin_attempt().is_ok());
+            history.record_relayed(2);
+            history.record_position(&$position);
+            let failed = failure(FailureStage::PartialAnswer, FailureCause::ConnectionLost);
+            let decision = history.handle_failure(failed, *START, &mut RetryBudget::new(0.1), 0.0);
+            assert_eq!(decision, $decision);
+        })*
+    };
+}
+
+position_cases! {
+    after_a_known_event_a_stream_is_resumed: StreamPosition::After("7".into()) => resume(2, RetryReason::ResumedAfterLoss);
+    from_an_unknown_position_no_attempt_goes_on: StreamPosition::Unknown => RetryDecision::End(ErrorKind::AnswerCutShort);
+}
+
 first_failure_cases! {
     repeatable_unreachable: REPEATABLE, false, 0, NeverSent Unreachable => retry(RetryReason::Unreachable);
     repeatable_refused: REPEATABLE, false, 0, RefusedBeforeStart Refused => retry(RetryReason::Refused);
