Let an owner that is new to its endpoints ask what is in use there before it grants

What callers saw: the instance that hands out slots was killed and was back after 0.2 s; four of six brittle replicas fell over and 130 streams that had begun were cut off.

Cause: a new owner took its empty ledger for the truth. Entries announced held grants only if the set of owners changed, so not after a restart in place, and what they announced before the new process had its settings was dropped; after a planned stop the successor granted everything before the first announcement; fallback shares counted slots as free that their own instance used under the lost owner's grants, and no owner heard of their grants.

Change: such an owner asks each live and leaving instance (CheckGrants of nothing, answered by an Announce that may be empty) and grants nothing until all answered, 0.3 s at most, then all but the shares of the silent ones, 2 s at most; a process that stood still asks again; one that knows no others yet waits 1.2 s at most. Shares count what their instance holds; grants from a share are announced and released to owners. A request that waits for the share alone asks an owner that answers again. No message, and nothing in the store, has changed.

Ruled out: the incarnation as part of an owner's identity (the restarted process still can't tell when all have spoken).

--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -21,7 +21,7 @@
 use crate::metrics::DaemonMetrics;
 use crate::operators::{ReadinessGate, RequestRecords, StatusRegistry};
 use crate::options::DaemonSettings;
-use crate::owner::{GrantCheck, OwnerHandle, OwnerReporter, OwnerService, OwnerTask};
+use crate::owner::{GrantCheck, HolderSurvey, OwnerHandle, OwnerReporter, OwnerService, OwnerTask};
 use crate::peer::{
     EndpointRules, ForwardLoad, PeerDispatch, PeerHandle, PeerIdentity, PeerListener,
     RequestForwarder,
@@ -214,7 +214,9 @@
         monoio::spawn(task.run(self.platform.clone(), poller, feed, metrics));
         let owner_client = OwnerClient::new(own.clone(), owner.clone(), self.peers.clone());
         let endpoints = self.start_access(members, &routes);
-        let owner_task = OwnerTask::new(own.clone(), owner.clone(), endpoints.clone(), reporter);
+        let survey = self.holder_survey(&routes, &owner_client);
+        let owner_task =
+            OwnerTask::new(own.clone(), owner.clone(), endpoints.clone(), reporter, survey);
         monoio::spawn(owner_task.run(messages));
         let context = PipelineContext {
             own,
@@ -241,6 +243,11 @@
         (owner, context)
     }
 
+    fn holder_survey(&self, routes: &RouteTable, client: &OwnerClient) -> HolderSurvey {
+        let (own, peers) = (self.settings.instance.clone(), self.peers.clone());
+        HolderSurvey::new(own, peers, routes.clone(), client.clone())
+    }
+
     fn start_access(&self, members: &MembersHandle, routes: &RouteTable) -> EndpointAccess {
         let path = EndpointPaths::new(routes.clone(), self.metrics.clone());
         monoio::spawn(path.clone().watch());
@@ -371,7 +378,9 @@
             owner_calls: owner_call_sender,
         };
         monoio::spawn(dispatch.run(calls));
-        let service = OwnerService::new(owner, context.limits.clone(), context.routes.clone());
+        let (limits, routes) = (context.limits.clone(), context.routes.clone());
+        let survey = self.holder_survey(&routes, &context.owner_client);
+        let service = OwnerService::new(owner, limits, routes, survey);
         monoio::spawn(service.run(owner_calls));
         let connections = self.settings.peer_connections;
         let metrics = self.metrics.clone();
--- a/coltsfootgate/src/owner/desk.rs
+++ b/coltsfootgate/src/owner/desk.rs
@@ -8,7 +8,7 @@
 use coltsfootgate_core::prelude::PoolId;
 use coltsfootgate_wire::{PeerReply, PeerRequest};
 
-use super::{OwnerHandle, OwnerMessage, OwnerScope};
+use super::{HolderSurvey, OwnerHandle, OwnerMessage, OwnerScope};
 use crate::limits::LimitHandle;
 use crate::peer::PeerCall;
 use crate::routes::RouteTable;
@@ -19,12 +19,18 @@
     owner: OwnerHandle,
     limits: LimitHandle,
     routes: RouteTable,
+    survey: HolderSurvey,
 }
 
 impl OwnerService {
     /// Creates the service from handles of the owner task and the limit task, and the grants held here.
-    pub fn new(owner: OwnerHandle, limits: LimitHandle, routes: RouteTable) -> Self {
-        Self { owner, limits, routes }
+    pub fn new(
+        owner: OwnerHandle,
+        limits: LimitHandle,
+        routes: RouteTable,
+        survey: HolderSurvey,
+    ) -> Self {
+        Self { owner, limits, routes, survey }
     }
 
     /// Serves calls until their sender is dropped.
@@ -35,7 +41,7 @@
     }
 
     fn handle_call(&self, call: PeerCall) {
-        let PeerCall { request, reply, .. } = call;
+        let PeerCall { from, request, reply } = call;
         let is_notification = match request {
             PeerRequest::RequestGrant { pool, request } => {
                 let service = self.clone();
@@ -43,6 +49,9 @@
                 return;
             }
             PeerRequest::CheckGrants(grants) => {
+                if grants.is_empty() {
+                    self.survey.answer(&from);
+                }
                 let _ = reply.send(PeerReply::HeldGrants(self.routes.held_of(&grants)));
                 return;
             }
--- a/coltsfootgate/src/owner/mod.rs
+++ b/coltsfootgate/src/owner/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod desk;
 mod report;
+mod survey;
 mod task;
 
 use std::collections::HashSet;
@@ -14,7 +15,7 @@
 
 use coltsfootgate_core::endpoint_limit::LimitStatement;
 use coltsfootgate_core::owner::{
-    GrantAnswer, GrantRequest, HeldGrant, OwnerSnapshot, ReleaseReport,
+    GrantAnswer, GrantHolders, GrantRequest, HeldGrant, OwnerSnapshot, ReleaseReport,
 };
 use coltsfootgate_core::prelude::{EndpointId, GrantId, InstanceId, PoolId};
 use coltsfootgate_core::routing::OwnerSet;
@@ -24,6 +25,7 @@
 pub use check::GrantCheck;
 pub use desk::OwnerService;
 pub use report::OwnerReporter;
+pub use survey::HolderSurvey;
 pub use task::OwnerTask;
 
 /// Selects one of the two queues that an instance keeps for each pool.
@@ -101,6 +103,17 @@
         /// Those of them that it holds.
         held: Vec<GrantId>,
     },
+    /// The instances that may hold grants changed.
+    Holders(GrantHolders),
+    /// A request of this instance begins or ends to use an endpoint under an owner's grant.
+    HeldElsewhere {
+        /// The pool.
+        pool: PoolId,
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Whether the request begins.
+        is_held: bool,
+    },
     /// The pools or their endpoints changed.
     Settings(Rc<ActivePools>),
     /// The set of live instances changed.
--- a/coltsfootgate/src/owner/task.rs
+++ b/coltsfootgate/src/owner/task.rs
@@ -11,14 +11,16 @@
 use monoio::time::timeout;
 
 use coltsfootgate_core::owner::{
-    GrantAnswer, GrantRequest, OwnerAction, OwnerEvent, OwnerSettings, PoolOwner,
+    GrantAnswer, GrantHolders, GrantRequest, OwnerAction, OwnerEvent, OwnerSettings, PoolOwner,
 };
 use coltsfootgate_core::prelude::{
     EndpointId, EndpointSettings, ErrorKind, GrantId, InstanceId, PoolId, PoolSettings,
 };
 use coltsfootgate_core::routing::{OwnerSet, fallback_share};
 
-use super::{OwnerHandle, OwnerMessage, OwnerReporter, OwnerScope, UnconfirmedGrants};
+use super::{
+    HolderSurvey, OwnerHandle, OwnerMessage, OwnerReporter, OwnerScope, UnconfirmedGrants,
+};
 use crate::endpoint::{EndpointAccess, EndpointReach};
 use crate::endpoints::ActivePools;
 
@@ -27,6 +29,10 @@
 /// Time for which the owner of a pool that is not configured any more serves entries that do not know that yet.
 const RETIREMENT_TIME: Duration = Duration::from_secs(2);
 
+/// Shortest gap between two turns of the task that shows that this process was paused. Without a pause a turn begins
+/// within `IDLE_WAIT_MAX`, and nobody takes its endpoints over in a shorter one.
+const PAUSE_MIN: Duration = Duration::from_secs(2);
+
 type PoolKey = (PoolId, OwnerScope);
 /// Senders for the answers to grant requests that are not answered yet.
 type PendingAnswers = HashMap<(InstanceId, GrantId), oneshot::Sender<GrantAnswer>>;
@@ -44,6 +50,7 @@
     own: InstanceId,
     handle: OwnerHandle,
     owners: OwnerSet,
+    holders: GrantHolders,
     active_pools: Option<Rc<ActivePools>>,
     pools: HashMap<PoolKey, PoolOwner>,
     /// The pools that are not configured any more and whose owners remain.
@@ -53,6 +60,7 @@
     pending: PendingAnswers,
     access: EndpointAccess,
     reporter: OwnerReporter,
+    survey: HolderSurvey,
 }
 
 impl OwnerTask {
@@ -62,11 +70,13 @@
         handle: OwnerHandle,
         access: EndpointAccess,
         reporter: OwnerReporter,
+        survey: HolderSurvey,
     ) -> Self {
         Self {
             own,
             handle,
             owners: OwnerSet::default(),
+            holders: GrantHolders::default(),
             active_pools: None,
             pools: HashMap::new(),
             retired: HashMap::new(),
@@ -75,13 +85,20 @@
             pending: HashMap::new(),
             access,
             reporter,
+            survey,
         }
     }
 
     /// Handles messages until all handles are dropped.
     pub async fn run(mut self, mut messages: mpsc::UnboundedReceiver<OwnerMessage>) {
+        let mut turn_at = Instant::now();
         loop {
             let wait = self.idle_wait(Instant::now());
+            let paused = turn_at.elapsed();
+            turn_at = Instant::now();
+            if paused >= PAUSE_MIN {
+                self.resume(turn_at);
+            }
             match timeout(wait, messages.next()).await {
                 Ok(Some(message)) => self.handle_message(message, Instant::now()),
                 Ok(None) => return,
@@ -100,6 +117,30 @@
             .min(IDLE_WAIT_MAX)
     }
 
+    /// Asks again which grants are in use, since others may have owned the endpoints in the meantime.
+    fn resume(&mut self, now: Instant) {
+        for key in self.keys().into_iter().filter(|(_, scope)| *scope == OwnerScope::Owned) {
+            self.handle_event(&key, OwnerEvent::Resumed, now);
+        }
+    }
+
+    fn set_holders(&mut self, holders: GrantHolders, now: Instant) {
+        self.holders = holders;
+        for key in self.keys().into_iter().filter(|(_, scope)| *scope == OwnerScope::Owned) {
+            self.handle_event(&key, OwnerEvent::Holders(self.holders.clone()), now);
+        }
+    }
+
+    /// Counts a request in this instance's share of a pool that runs under an owner's grant.
+    fn record_elsewhere(&mut self, pool: PoolId, endpoint: &EndpointId, is_held: bool) {
+        let key = (pool, OwnerScope::FallbackShare);
+        let share = self.pools.get_mut(&key);
+        let has_waiting = share.is_some_and(|share| share.record_elsewhere(endpoint, is_held));
+        if has_waiting {
+            self.handle_event(&key, OwnerEvent::Tick, Instant::now());
+        }
+    }
+
     fn tick(&mut self, now: Instant) {
         for key in self.keys() {
             self.handle_event(&key, OwnerEvent::Tick, now);
@@ -143,6 +184,10 @@
                 self.active_pools = Some(pools);
                 self.assign_endpoints(now);
             }
+            OwnerMessage::Holders(holders) => self.set_holders(holders, now),
+            OwnerMessage::HeldElsewhere { pool, endpoint, is_held } => {
+                self.record_elsewhere(pool, &endpoint, is_held);
+            }
             OwnerMessage::Owners(owners) => {
                 self.owners = owners;
                 self.assign_endpoints(now);
@@ -281,8 +326,12 @@
         now: Instant,
     ) {
         let key = (settings.pool.clone(), scope);
+        let is_new = !self.pools.contains_key(&key);
         let owner = self.pools.entry(key.clone());
         owner.or_insert_with(|| PoolOwner::new(settings.clone())).set_settings(settings);
+        if is_new && scope == OwnerScope::Owned {
+            self.handle_event(&key, OwnerEvent::Holders(self.holders.clone()), now);
+        }
         for endpoint in &endpoints {
             self.addresses.insert(endpoint.id.clone(), endpoint.address.clone());
         }
@@ -320,6 +369,14 @@
             OwnerAction::LimitChanged { endpoint, rate: None } => {
                 info!("endpoint {endpoint} states no limit any more");
             }
+            OwnerAction::AskHolders { silent } => {
+                silent.into_iter().for_each(|holder| self.survey.ask(holder));
+            }
+            OwnerAction::TakenOver { endpoints, heard, silent, waited } => info!(
+                "took over {endpoints} endpoints of {} after {waited:?}: {heard} instances said what they hold, \
+                 silent: {silent:?}",
+                key.0
+            ),
             OwnerAction::Probe { endpoint } => self.probe(key, endpoint),
             OwnerAction::StateChanged { endpoint, state } => {
                 info!("endpoint {endpoint} changed to state {}", state.name());
--- a/coltsfootgate/src/pipeline/admit.rs
+++ b/coltsfootgate/src/pipeline/admit.rs
@@ -102,7 +102,8 @@
                 rank: template.rank(),
                 reservation: EngineReservation::from(&template.prompt),
             };
-            let entry = LeaseEntry { pool: request.pool.id.clone(), held, source };
+            let entry =
+                LeaseEntry { pool: request.pool.id.clone(), held, source, is_announced: false };
             let Some(endpoint) = usable_endpoint(context, needs, &entry, is_paced) else {
                 return_grant(context, &entry);
                 return Ok(Err(UnusableGrant(entry.held.endpoint)));
--- a/coltsfootgate/src/pipeline/lease.rs
+++ b/coltsfootgate/src/pipeline/lease.rs
@@ -124,8 +124,19 @@
 
 impl Drop for GrantLease {
     fn drop(&mut self) {
-        self.routes.record_end(&self.entry);
-        self.owner_client.release(&self.current_source(), &self.entry.pool, self.report.clone());
+        let LeaseEntry { pool, held, source, .. } = &self.entry;
+        let was_announced = self.routes.record_end(&self.entry);
+        self.owner_client.release(&self.current_source(), pool, self.report.clone());
+        match source {
+            GrantSource::Owner(_) => self.owner_client.note_held(pool, &held.endpoint, false),
+            GrantSource::FallbackShare if was_announced => {
+                if let Some(owner) = self.routes.owner_of(&held.endpoint) {
+                    let owner = GrantSource::Owner(owner);
+                    self.owner_client.release(&owner, pool, self.report.clone());
+                }
+            }
+            GrantSource::FallbackShare | GrantSource::Ungranted => {}
+        }
     }
 }
 
@@ -143,6 +154,9 @@
         GrantSource::FallbackShare | GrantSource::Ungranted => None,
     };
     context.routes.record_grant(search.route(), owner, entry.clone());
+    if owner.is_some() {
+        context.owner_client.note_held(&entry.pool, &entry.held.endpoint, true);
+    }
     GrantLease {
         endpoint,
         progress: SendProgress::default(),
--- a/coltsfootgate/src/routes/book.rs
+++ b/coltsfootgate/src/routes/book.rs
@@ -16,6 +16,15 @@
     pub held: HeldGrant,
     /// Where the grant came from.
     pub source: GrantSource,
+    /// Whether the owner of the endpoint was told of the grant, whatever its source.
+    pub is_announced: bool,
+}
+
+impl LeaseEntry {
+    /// Whether the request takes a slot that an owner gives out, and not only the endpoint's connection.
+    fn is_counted(&self) -> bool {
+        self.source != GrantSource::Ungranted
+    }
 }
 
 /// All grants that this entry instance holds, so that it can announce them to a new owner.
@@ -31,18 +40,17 @@
     }
 
     /// Removes a grant that was returned.
-    pub fn remove(&mut self, grant: GrantId) {
-        self.leases.remove(&grant);
+    pub fn remove(&mut self, grant: GrantId) -> Option<LeaseEntry> {
+        self.leases.remove(&grant)
     }
 
-    /// Whether a grant is held that an owner issued.
-    pub fn is_owned(&self, grant: GrantId) -> bool {
-        let lease = self.leases.get(&grant);
-        lease.is_some_and(|lease| matches!(lease.source, GrantSource::Owner(_)))
+    /// Whether a grant is held that its endpoint's owner counts.
+    pub fn is_counted(&self, grant: GrantId) -> bool {
+        self.leases.get(&grant).is_some_and(LeaseEntry::is_counted)
     }
 
-    /// Returns the grants issued by owners, not those from the fallback share or without an owner.
-    pub fn owned(&self) -> impl Iterator<Item = &LeaseEntry> {
-        self.leases.values().filter(|lease| matches!(lease.source, GrantSource::Owner(_)))
+    /// Returns the grants that the owners of their endpoints count, or will.
+    pub fn counted_mut(&mut self) -> impl Iterator<Item = &mut LeaseEntry> {
+        self.leases.values_mut().filter(|lease| lease.is_counted())
     }
 }
--- a/coltsfootgate/src/routes/follow.rs
+++ b/coltsfootgate/src/routes/follow.rs
@@ -10,7 +10,7 @@
 use monoio::time::timeout;
 use serde_json::{Value, json};
 
-use coltsfootgate_core::owner::{OwnerPressure, OwnerSnapshot};
+use coltsfootgate_core::owner::{GrantHolders, OwnerPressure, OwnerSnapshot};
 use coltsfootgate_core::prelude::{InstanceId, PoolId};
 use coltsfootgate_core::routing::OwnerSet;
 use coltsfootgate_wire::PoolPressure;
@@ -70,6 +70,7 @@
     client: OwnerClient,
     limits: LimitHandle,
     owners: OwnerSet,
+    holders: GrantHolders,
     pressures: HashMap<PoolId, BTreeMap<InstanceId, OwnerPressure>>,
     status: PoolStatus,
 }
@@ -86,7 +87,8 @@
         status: PoolStatus,
     ) -> Self {
         let (owners, pressures) = (OwnerSet::default(), HashMap::new());
-        Self { own, members, owner, routes, client, limits, owners, pressures, status }
+        let holders = GrantHolders::default();
+        Self { own, members, owner, routes, client, limits, owners, holders, pressures, status }
     }
 
     /// Forwards changes until the membership task has ended.
@@ -114,6 +116,7 @@
                     owners.remove(&instance);
                 }
                 self.owner.send(OwnerMessage::RequesterLost { requester: instance });
+                self.inform_owners();
             }
             MemberChange::Pressure(instance, pressures) => {
                 self.update_pressures(&instance, pressures);
@@ -125,6 +128,13 @@
         let draining = view.leaving_endpoints.iter().cloned().collect();
         self.routes.set_draining(&draining);
         self.owner.send(OwnerMessage::Draining(draining));
+        let holders = view.live.instances().chain(view.leaving.instances()).cloned();
+        let instances = holders.chain([self.own.clone()]).collect();
+        let holders = GrantHolders { instances, is_complete: view.is_complete };
+        if holders != self.holders {
+            self.holders = holders.clone();
+            self.owner.send(OwnerMessage::Holders(holders));
+        }
         let owners = OwnerSet::new(view.locations.iter().cloned());
         if owners == self.owners {
             return;
@@ -133,7 +143,12 @@
         self.owner.send(OwnerMessage::Owners(owners.clone()));
         self.limits.send(LimitMessage::Owners(owners.clone()));
         self.routes.set_owners(owners);
-        // A new owner must know which requests are in flight at its endpoints.
+        self.inform_owners();
+    }
+
+    /// Tells the owners what this instance knows of their endpoints. A new owner, or a new process of one, must know
+    /// which requests are in flight there.
+    fn inform_owners(&self) {
         for ((owner, pool), held) in self.routes.held_by_owner() {
             self.client.announce(&owner, pool, held);
         }
--- a/coltsfootgate/src/routes/link.rs
+++ b/coltsfootgate/src/routes/link.rs
@@ -184,6 +184,12 @@
         }
     }
 
+    /// Tells this instance's share of a pool that a request of it begins or ends to run under an owner's grant.
+    pub fn note_held(&self, pool: &PoolId, endpoint: &EndpointId, is_held: bool) {
+        let (pool, endpoint) = (pool.clone(), endpoint.clone());
+        self.local.send(OwnerMessage::HeldElsewhere { pool, endpoint, is_held });
+    }
+
     /// Tells an endpoint's owner that the endpoint said in an answer that it is leaving.
     pub fn report_leaving(&self, owner: &InstanceId, endpoint: &EndpointId) {
         if *owner != self.own {
--- a/coltsfootgate/src/routes/mod.rs
+++ b/coltsfootgate/src/routes/mod.rs
@@ -222,11 +222,11 @@
         state.leases.insert(lease);
     }
 
-    /// Records that a request at an endpoint ended.
-    pub fn record_end(&self, lease: &LeaseEntry) {
+    /// Records that a request at an endpoint ended; returns whether its grant was announced to an owner.
+    pub fn record_end(&self, lease: &LeaseEntry) -> bool {
         let mut state = self.0.borrow_mut();
         state.policy.ended(&lease.pool, &lease.held.endpoint);
-        state.leases.remove(lease.held.grant);
+        state.leases.remove(lease.held.grant).is_some_and(|lease| lease.is_announced)
     }
 
     /// Applies what an answer stated; returns whether the endpoint had or has a limit.
@@ -296,15 +296,32 @@
     /// Returns those of some grants that this instance holds from owners.
     pub fn held_of(&self, grants: &[GrantId]) -> Vec<GrantId> {
         let state = self.0.borrow();
-        grants.iter().copied().filter(|grant| state.leases.is_owned(*grant)).collect()
+        grants.iter().copied().filter(|grant| state.leases.is_counted(*grant)).collect()
     }
 
-    /// Returns the grants held for each owner and pool, by the current owners of the endpoints.
-    pub fn held_by_owner(&self) -> HashMap<(InstanceId, PoolId), Vec<HeldGrant>> {
+    /// Returns the grants held for an owner in each pool of which it owns endpoints.
+    pub fn held_for(&self, owner: &InstanceId) -> Vec<(PoolId, Vec<HeldGrant>)> {
+        let mut held = self.held_by_owner();
         let state = self.0.borrow();
+        let Some(pools) = &state.pools else { return Vec::new() };
+        let is_owned =
+            |endpoint: &EndpointSettings| state.endpoint_owners.get(&endpoint.id) == Some(owner);
+        let owned = pools.pools().filter(|pool| pool.endpoints.iter().any(is_owned));
+        let owned = owned.map(|pool| {
+            let held = held.remove(&(owner.clone(), pool.id.clone())).unwrap_or_default();
+            (pool.id.clone(), held)
+        });
+        owned.collect()
+    }
+
+    /// Returns the grants held for each owner and pool, by the current owners of the endpoints. Those of the fallback
+    /// share are among them; their owners hear of their ends from now on.
+    pub fn held_by_owner(&self) -> HashMap<(InstanceId, PoolId), Vec<HeldGrant>> {
+        let TableState { leases, endpoint_owners, .. } = &mut *self.0.borrow_mut();
         let mut held: HashMap<(InstanceId, PoolId), Vec<HeldGrant>> = HashMap::new();
-        for lease in state.leases.owned() {
-            if let Some(owner) = state.endpoint_owners.get(&lease.held.endpoint) {
+        for lease in leases.counted_mut() {
+            if let Some(owner) = endpoint_owners.get(&lease.held.endpoint) {
+                lease.is_announced = true;
                 let key = (owner.clone(), lease.pool.clone());
                 held.entry(key).or_default().push(lease.held.clone());
             }
--- a/coltsfootgate_core/src/owner/endpoint.rs
+++ b/coltsfootgate_core/src/owner/endpoint.rs
@@ -1,6 +1,6 @@
 //! The endpoints of an owner, with what is known of each of them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use super::concurrency::AdaptiveSlots;
@@ -10,6 +10,7 @@
 use super::ledger::GrantLedger;
 use super::snapshot::EndpointSnapshot;
 use super::straggler::{EndpointHealth, EndpointState};
+use super::takeover::SlotHold;
 use crate::endpoint_limit::EndpointLimiter;
 use crate::estimate::AnswerTime;
 use crate::ids::EndpointId;
@@ -32,8 +33,12 @@
     pub(super) load: EngineLoad,
     pub(super) error_rate: ErrorRate,
     in_flight: u32,
+    /// Requests of this instance that run there under grants of another queue.
+    pub(super) held_elsewhere: u32,
+    /// Set while the owner does not know which grants of earlier owners are in use there.
+    pub(super) hold: Option<SlotHold>,
     is_draining: bool,
-    is_owned: bool,
+    pub(super) is_owned: bool,
     /// Whether no endpoint of the pool that is fully open has a free slot.
     is_pressed: bool,
     /// The table's grant count at the endpoint's last grant; orders equally loaded endpoints.
@@ -52,6 +57,8 @@
             load: EngineLoad::new(None),
             error_rate: ErrorRate::default(),
             in_flight: 0,
+            held_elsewhere: 0,
+            hold: None,
             is_draining: false,
             is_owned: true,
             is_pressed: false,
@@ -93,7 +100,9 @@
         if self.health.is_single(self.is_pressed) && self.in_flight > 0 {
             return 0;
         }
-        self.slot_limit(now).saturating_sub(self.in_flight)
+        let slots = self.slot_limit(now);
+        let slots = self.hold.map_or(slots, |hold| hold.usable(slots, now));
+        slots.saturating_sub(self.in_flight + self.held_elsewhere)
     }
 
     /// Slots that are taken or free; an endpoint that limits its requests leaves others unused.
@@ -134,18 +143,28 @@
     has_tokens: bool,
     /// Number of instances among which the endpoints' limits are divided.
     pub(super) limit_sharers: u32,
+    /// Requests of this instance at each endpoint that run under grants of another queue.
+    pub(super) held_elsewhere: HashMap<EndpointId, u32>,
     grants: u64,
 }
 
 impl EndpointTable {
-    /// Replaces the set of endpoints; endpoints outside it get no new grants.
+    /// Replaces the set of endpoints, and returns those that were not in it; endpoints outside it get no new grants.
     ///
     /// Grants in flight are recounted from the ledger, since a requester may have announced a grant
     /// for an endpoint before the owner knew the endpoint.
-    pub fn set_owned(&mut self, owned: Vec<EndpointSettings>, ledger: &GrantLedger) {
+    pub fn set_owned(
+        &mut self,
+        owned: Vec<EndpointSettings>,
+        ledger: &GrantLedger,
+    ) -> Vec<EndpointId> {
+        let mut added = Vec::new();
         let (kv_cache_tokens, limit_sharers) = (self.kv_cache_tokens, self.limit_sharers);
-        for endpoint in self.endpoints.values_mut() {
-            endpoint.is_owned = false;
+        let mut former = HashSet::new();
+        for (id, endpoint) in &mut self.endpoints {
+            if std::mem::take(&mut endpoint.is_owned) {
+                former.insert(id.clone());
+            }
         }
         // Where none has answered yet, nobody is the measure for the others.
         let has_proven = self.endpoints.values().any(OwnedEndpoint::is_proven);
@@ -157,7 +176,11 @@
                 }
                 endpoint
             };
+            if !former.contains(&settings.id) {
+                added.push(settings.id.clone());
+            }
             let endpoint = self.endpoints.entry(settings.id.clone()).or_insert_with(start);
+            endpoint.held_elsewhere = self.held_elsewhere.get(&settings.id).copied().unwrap_or(0);
             endpoint.load.set_kv_cache_tokens(kv_cache_tokens);
             endpoint.slots.set_bounds(settings.slots, settings.slots_max);
             endpoint.settings = settings;
@@ -168,6 +191,7 @@
             endpoint.in_flight = counts.get(id).copied().unwrap_or(0);
         }
         self.remove_unused();
+        added
     }
 
     /// Marks an endpoint as draining.
--- a/coltsfootgate_core/src/owner/event.rs
+++ b/coltsfootgate_core/src/owner/event.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::straggler::EndpointState;
+use super::takeover::GrantHolders;
 use super::waiting::WaitingCounts;
 use crate::endpoint_limit::LimitStatement;
 use crate::ids::{
@@ -234,6 +235,11 @@
         /// The median time between tokens of each owner that has measurements.
         token_times: Vec<Duration>,
     },
+    /// Replaces the instances that may hold grants. From then on, endpoints that are new to this owner are granted once
+    /// these have said what they hold.
+    Holders(GrantHolders),
+    /// This process goes on after a pause in which others may have granted the slots of its endpoints.
+    Resumed,
     /// Replaces the set of endpoints that this owner schedules.
     Endpoints(Vec<EndpointSettings>),
     /// An endpoint is draining and accepts no new requests.
@@ -297,6 +303,22 @@
         /// Its limit in requests a second, if it still has one.
         rate: Option<f64>,
     },
+    /// Ask instances which grants they hold; each answers with an `Announce`.
+    AskHolders {
+        /// The instances that were not heard yet.
+        silent: Vec<InstanceId>,
+    },
+    /// Report that the owner now grants all slots of endpoints that it took over.
+    TakenOver {
+        /// Number of these endpoints.
+        endpoints: usize,
+        /// Number of instances that said what they hold.
+        heard: usize,
+        /// The instances that did not.
+        silent: Vec<InstanceId>,
+        /// Time since the owner took them over.
+        waited: Duration,
+    },
     /// Connect to the endpoint and report a `ProbeResult`.
     Probe {
         /// The endpoint.
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -19,6 +19,7 @@
 mod queue;
 mod snapshot;
 mod straggler;
+mod takeover;
 mod waiting;
 
 use std::collections::{BTreeMap, HashMap};
@@ -41,10 +42,12 @@
 pub use queue::{AdmissionQueue, QueueAdmission, QueuedRequest};
 pub use snapshot::EndpointSnapshot;
 pub use straggler::{EndpointHealth, EndpointState};
+pub use takeover::{DISCOVERY_TIME, GrantHolders, HOLD_TIME, RESERVE_TIME};
 pub use waiting::WaitingCounts;
 
 use self::dispatch::{DeferralScan, SCAN_PERIOD};
 use self::paths::RequesterPaths;
+use self::takeover::OwnerTakeover;
 use crate::endpoint_limit::LimitStatement;
 use crate::estimate::{LengthEstimator, ServiceEstimator};
 use crate::ids::{EndpointId, GrantId, InstanceId, PoolId};
@@ -102,6 +105,7 @@
     endpoints: EndpointTable,
     affinity: PrefixAffinity<EndpointId>,
     paths: RequesterPaths,
+    takeover: OwnerTakeover,
     answers: LengthEstimator,
     service: ServiceEstimator,
     /// When the last event was processed.
@@ -125,6 +129,7 @@
             endpoints,
             affinity: PrefixAffinity::default(),
             paths: RequesterPaths::default(),
+            takeover: OwnerTakeover::default(),
             answers: LengthEstimator::default(),
             service: ServiceEstimator::default(),
             updated: None,
@@ -162,7 +167,12 @@
             OwnerEvent::PeerTokenTimes { token_times } => {
                 self.endpoints.set_peer_token_times(token_times);
             }
-            OwnerEvent::Endpoints(owned) => self.endpoints.set_owned(owned, &self.ledger),
+            OwnerEvent::Endpoints(owned) => {
+                let added = self.endpoints.set_owned(owned, &self.ledger);
+                self.take_over(&added, now);
+            }
+            OwnerEvent::Holders(holders) => self.takeover.set_holders(holders, now),
+            OwnerEvent::Resumed => self.take_over(&self.endpoints.owned(), now),
             OwnerEvent::EndpointDraining { endpoint } => self.endpoints.set_draining(&endpoint),
             OwnerEvent::LimitStated(statement) => {
                 self.limit_stated(statement, now, &mut actions);
@@ -170,6 +180,7 @@
             OwnerEvent::Tick => {}
         }
         self.updated = Some(now);
+        self.takeover.advance(&mut self.endpoints, now, &mut actions);
         self.endpoints.update_pressure(now);
         self.finish_event(now, &mut actions);
         actions
@@ -194,7 +205,8 @@
         let (deadline, probe) = (self.queue.next_deadline(), self.endpoints.next_probe());
         let updated = self.updated.filter(|_| !self.queue.is_empty());
         let allowed = updated.and_then(|updated| self.endpoints.next_allowed(updated));
-        [scan, deadline, probe, allowed].into_iter().flatten().min()
+        let takeover = self.takeover.next_due();
+        [scan, deadline, probe, allowed, takeover].into_iter().flatten().min()
     }
 
     /// The state of the owner, for status pages.
@@ -215,6 +227,13 @@
         self.ledger.take_unconfirmed(now)
     }
 
+    /// Counts or forgets a request that this instance runs at an endpoint under a grant of another queue; returns
+    /// whether a request waits here.
+    pub fn record_elsewhere(&mut self, endpoint: &EndpointId, is_held: bool) -> bool {
+        self.endpoints.record_elsewhere(endpoint, is_held);
+        !self.queue.is_empty()
+    }
+
     /// Whether no request waits and no grant is in flight.
     pub fn is_idle(&self) -> bool {
         self.queue.is_empty() && self.ledger.is_empty()
@@ -349,7 +368,16 @@
         }
     }
 
+    /// Holds back the slots of endpoints whose grants others may have given out.
+    fn take_over(&mut self, taken: &[EndpointId], now: Instant) {
+        if !taken.is_empty() && self.takeover.is_needed() {
+            self.endpoints.hold(taken, now);
+            self.takeover.begin(now);
+        }
+    }
+
     fn requester_lost(&mut self, requester: &InstanceId, now: Instant) {
+        self.takeover.record_heard(requester);
         self.queue.remove_requester(requester);
         self.paths.remove(requester);
         for record in self.ledger.remove_requester(requester) {
@@ -359,6 +387,7 @@
     }
 
     fn announce(&mut self, requester: &InstanceId, held: Vec<HeldGrant>, now: Instant) {
+        self.takeover.record_heard(requester);
         let reservations: HashMap<GrantId, EngineReservation> =
             held.iter().map(|held| (held.grant, held.reservation)).collect();
         let change = self.ledger.reconcile(requester, held, now);
--- /dev/null
+++ b/coltsfootgate_core/src/owner/takeover.rs
@@ -0,0 +1,197 @@
+//! Holds back slots of endpoints that an owner took over until it knows which grants are in use there.
+//!
+//! Load pattern: an owner ends while its queue is long. Its successor, or its own next process, is asked for all waiting
+//! requests at once, before anybody has told it which slots the last owner gave out.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use super::endpoint::EndpointTable;
+use super::event::OwnerAction;
+use crate::ids::{EndpointId, InstanceId};
+
+/// Time without grants in which instances are asked what they hold; a sound one answers within a few round trips.
+pub const HOLD_TIME: Duration = Duration::from_millis(300);
+/// The same while it is not known which instances there are; two heartbeats of each fit in.
+pub const DISCOVERY_TIME: Duration = Duration::from_millis(1200);
+/// Time after which endpoints are granted in full although instances have not answered; they are dead or frozen then.
+pub const RESERVE_TIME: Duration = Duration::from_secs(2);
+/// Delay before a silent instance is asked again; it doubles each time.
+const SURVEY_DELAY_MIN: Duration = Duration::from_millis(20);
+/// Longest such delay.
+const SURVEY_DELAY_MAX: Duration = Duration::from_millis(500);
+
+/// The instances that may hold grants of an owner.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct GrantHolders {
+    /// The known ones, the owner's own instance included.
+    pub instances: BTreeSet<InstanceId>,
+    /// Whether there is no other one.
+    pub is_complete: bool,
+}
+
+/// How much of an endpoint may be granted although its owner does not know all that is in use there.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct SlotHold {
+    taken_at: Instant,
+    /// When the last of the instances became known that may hold grants.
+    known_at: Instant,
+    /// Instances that said what they hold.
+    heard: u32,
+    /// Instances that may hold grants; `None` while they are not all known.
+    holders: Option<u32>,
+}
+
+impl SlotHold {
+    /// The slots that may be taken: none at first, then all but the share of each instance that was not heard. If it is
+    /// not known which ones there are, that may be as many again as were heard.
+    pub(super) fn usable(&self, slots: u32, now: Instant) -> u32 {
+        let held_until = match self.holders {
+            Some(_) => self.taken_at.max(self.known_at) + HOLD_TIME,
+            None => self.taken_at + DISCOVERY_TIME,
+        };
+        if now >= self.taken_at + RESERVE_TIME {
+            return slots;
+        }
+        if now < held_until {
+            return 0;
+        }
+        let holders = self.holders.unwrap_or(2 * self.heard).max(1);
+        (u64::from(slots) * u64::from(self.heard) / u64::from(holders)) as u32
+    }
+}
+
+/// What an owner knows of the grants at endpoints that it took over.
+#[derive(Clone, Debug, Default)]
+pub(super) struct OwnerTakeover {
+    /// `None` if the owner need not ask anybody.
+    holders: Option<GrantHolders>,
+    running: Option<GrantSurvey>,
+}
+
+/// The questions of one takeover.
+#[derive(Clone, Debug)]
+struct GrantSurvey {
+    begun_at: Instant,
+    /// When the instances that may hold grants last changed.
+    known_at: Instant,
+    heard: BTreeSet<InstanceId>,
+    asked_at: Option<Instant>,
+    delay: Duration,
+}
+
+impl OwnerTakeover {
+    /// Begins a takeover, or begins it again if more endpoints join one that runs.
+    pub(super) fn begin(&mut self, now: Instant) {
+        if self.holders.is_some() {
+            let heard = BTreeSet::new();
+            let delay = SURVEY_DELAY_MIN;
+            self.running =
+                Some(GrantSurvey { begun_at: now, known_at: now, heard, asked_at: None, delay });
+        }
+    }
+
+    /// Whether the owner must ask which grants are in use at endpoints that are new to it.
+    pub(super) fn is_needed(&self) -> bool {
+        self.holders.is_some()
+    }
+
+    /// Replaces the instances that may hold grants; new ones are asked at once.
+    pub(super) fn set_holders(&mut self, holders: GrantHolders, now: Instant) {
+        if let Some(survey) = &mut self.running {
+            (survey.asked_at, survey.known_at) = (None, now);
+        }
+        self.holders = Some(holders);
+    }
+
+    /// Records that an instance said which grants it holds, or that it holds none any more.
+    pub(super) fn record_heard(&mut self, instance: &InstanceId) {
+        if let Some(survey) = &mut self.running {
+            survey.heard.insert(instance.clone());
+        }
+    }
+
+    /// When the next step is due, while a takeover runs.
+    pub(super) fn next_due(&self) -> Option<Instant> {
+        let survey = self.running.as_ref()?;
+        let asked = survey.asked_at.map_or(survey.begun_at, |asked_at| asked_at + survey.delay);
+        Some(asked.min(survey.begun_at + RESERVE_TIME))
+    }
+
+    /// Asks those that are silent, and ends the takeover once all were heard or its time is over.
+    pub(super) fn advance(
+        &mut self,
+        endpoints: &mut EndpointTable,
+        now: Instant,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        let (Some(holders), Some(survey)) = (&self.holders, &mut self.running) else { return };
+        let silent: Vec<InstanceId> =
+            holders.instances.difference(&survey.heard).cloned().collect();
+        let waited = now.saturating_duration_since(survey.begun_at);
+        let is_answered = silent.is_empty() && holders.is_complete;
+        if is_answered || waited >= RESERVE_TIME {
+            let (heard, taken) = (survey.heard.len(), endpoints.end_holds());
+            actions.push(OwnerAction::TakenOver { endpoints: taken, heard, silent, waited });
+            self.running = None;
+            return;
+        }
+        let all = holders.instances.len() as u32;
+        let heard = all - silent.len() as u32;
+        endpoints.update_holds(survey.known_at, heard, holders.is_complete.then_some(all));
+        let is_due = survey.asked_at.is_none_or(|asked_at| now >= asked_at + survey.delay);
+        if is_due && !silent.is_empty() {
+            survey.delay = match survey.asked_at {
+                Some(_) => (survey.delay * 2).min(SURVEY_DELAY_MAX),
+                None => SURVEY_DELAY_MIN,
+            };
+            actions.push(OwnerAction::AskHolders { silent });
+        }
+        if is_due {
+            survey.asked_at = Some(now);
+        }
+    }
+}
+
+impl EndpointTable {
+    /// The endpoints that this owner schedules.
+    pub(super) fn owned(&self) -> Vec<EndpointId> {
+        let owned = self.endpoints.iter().filter(|(_, endpoint)| endpoint.is_owned);
+        owned.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Holds back the slots of some endpoints from now on.
+    pub(super) fn hold(&mut self, taken: &[EndpointId], now: Instant) {
+        let hold = SlotHold { taken_at: now, known_at: now, heard: 0, holders: None };
+        for id in taken {
+            if let Some(endpoint) = self.endpoints.get_mut(id) {
+                endpoint.hold = Some(hold);
+            }
+        }
+    }
+
+    fn update_holds(&mut self, known_at: Instant, heard: u32, holders: Option<u32>) {
+        for hold in self.endpoints.values_mut().filter_map(|endpoint| endpoint.hold.as_mut()) {
+            (hold.known_at, hold.heard, hold.holders) = (known_at, heard, holders);
+        }
+    }
+
+    /// Ends all holds and returns their number.
+    fn end_holds(&mut self) -> usize {
+        let holds = self.endpoints.values_mut().map(|endpoint| endpoint.hold.take());
+        holds.filter(Option::is_some).count()
+    }
+
+    /// Counts or forgets a request that this instance runs at an endpoint under a grant of another queue.
+    pub(super) fn record_elsewhere(&mut self, id: &EndpointId, is_held: bool) {
+        let count = self.held_elsewhere.entry(id.clone()).or_default();
+        *count = if is_held { *count + 1 } else { count.saturating_sub(1) };
+        let count = *count;
+        if count == 0 {
+            self.held_elsewhere.remove(id);
+        }
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.held_elsewhere = count;
+        }
+    }
+}
--- a/coltsfootgate_core/src/routing/cooperative.rs
+++ b/coltsfootgate_core/src/routing/cooperative.rs
@@ -33,6 +33,8 @@
 const HEDGE_DELAY: Duration = Duration::from_millis(50);
 /// Time within which an entry learns of the new owner after the old one has given up its endpoints.
 const OWNER_CHANGE_TIME: Duration = Duration::from_secs(1);
+/// Interval at which a request that waits for the fallback share alone asks an owner that answers.
+const RETURN_PERIOD: Duration = Duration::from_millis(150);
 /// Interval at which a better owner is looked for while a request waits.
 const RECONSIDER_PERIOD: Duration = Duration::from_millis(50);
 
@@ -155,6 +157,29 @@
         self.best_owner(route, now, |_, view| !view.is_silent())
     }
 
+    /// An owner that a request which waits for the fallback share alone can ask again: it answers now, or may have
+    /// taken the endpoints over since it refused the request.
+    ///
+    /// The share may be in use for long by requests that an owner granted, while the owner has free slots.
+    fn returned_owner(&self, route: &mut RequestRoute, now: Instant) -> Option<InstanceId> {
+        let is_alone = route.asked_fallback && route.asked_since.is_none();
+        let is_wanted = route.refusal.is_none_or(|kind| kind == ErrorKind::NoEndpoint);
+        let asked_at = route.returned_at.unwrap_or(now);
+        route.returned_at.get_or_insert(now);
+        let is_due = now.saturating_duration_since(asked_at) >= RETURN_PERIOD;
+        if !is_alone || !is_wanted || !is_due {
+            return None;
+        }
+        route.returned_at = Some(now);
+        let refused = std::mem::take(&mut route.refused);
+        let unresponsive = std::mem::take(&mut route.unresponsive);
+        let owner = self.best_owner(route, now, |_, view| !view.is_silent());
+        if owner.is_none() {
+            (route.refused, route.unresponsive) = (refused, unresponsive);
+        }
+        owner
+    }
+
     /// The step of a request that waits for the answer of an owner which must not queue it.
     fn hedge_step(&self, route: &mut RequestRoute, now: Instant) -> RouteStep {
         let is_slow = route
@@ -247,7 +272,9 @@
             return RouteStep::Wait;
         }
         if route.joined_queues.is_empty() {
-            return match self.replacing_owner(route, now) {
+            let owner =
+                self.replacing_owner(route, now).or_else(|| self.returned_owner(route, now));
+            return match owner {
                 Some(owner) => self.join_queue(route, owner),
                 None => self.hedge_step(route, now),
             };
--- a/coltsfootgate_core/src/routing/mod.rs
+++ b/coltsfootgate_core/src/routing/mod.rs
@@ -73,6 +73,8 @@
     pub reconsidered_at: Option<Instant>,
     /// When an owner first answered that it owns no endpoint of the pool any more.
     pub disowned_at: Option<Instant>,
+    /// When it last asked an owner again while it waited for the fallback share alone, or began to wait so.
+    pub returned_at: Option<Instant>,
 }
 
 impl RequestRoute {
@@ -89,6 +91,7 @@
             asked_fallback: false,
             reconsidered_at: None,
             disowned_at: None,
+            returned_at: None,
         }
     }
 
--- a/coltsfootgate_core/tests/owner_properties.rs
+++ b/coltsfootgate_core/tests/owner_properties.rs
@@ -217,7 +217,9 @@
                 }
                 OwnerAction::Probe { .. }
                 | OwnerAction::StateChanged { .. }
-                | OwnerAction::LimitChanged { .. } => {}
+                | OwnerAction::LimitChanged { .. }
+                | OwnerAction::AskHolders { .. }
+                | OwnerAction::TakenOver { .. } => {}
             }
         }
         self.check_state()
--- a/coltsfootgate_core/tests/placement.rs
+++ b/coltsfootgate_core/tests/placement.rs
@@ -170,7 +170,9 @@
                 OwnerAction::Busy { .. }
                 | OwnerAction::Probe { .. }
                 | OwnerAction::StateChanged { .. }
-                | OwnerAction::LimitChanged { .. } => (),
+                | OwnerAction::LimitChanged { .. }
+                | OwnerAction::AskHolders { .. }
+                | OwnerAction::TakenOver { .. } => (),
             }
         }
     }
--- a/coltsfootgate_core/tests/routing.rs
+++ b/coltsfootgate_core/tests/routing.rs
@@ -512,7 +512,9 @@
                 }
                 OwnerAction::Probe { .. }
                 | OwnerAction::StateChanged { .. }
-                | OwnerAction::LimitChanged { .. } => continue,
+                | OwnerAction::LimitChanged { .. }
+                | OwnerAction::AskHolders { .. }
+                | OwnerAction::TakenOver { .. } => continue,
             };
             let Some((mut route, at)) = self.pending.remove(&grant) else { continue };
             self.update_all_pressures();
