Count crashes at two instances, and state them again when one of these changes

Cause: crashes were counted in the memory of one instance, and who had reported one forgot it.

Change: reports, and what was served, go to the first two in rank; the first one decides. Reporters keep their reports for ten minutes and state them again when one of the two changes or is restarted. An endpoint counts once for a cause; crashes are put in the order of their moments, and a decision waits from when they were heard of. A block that another instance decided takes its crashes from other suspects here.

On the wire: a report that is stated again has one more row, without causes, whose time is the moment of the crash. Earlier builds find nothing in it; other reports have the bytes that they had.

Ruled out: counts in the store (a write for each report), a hand-over alone (nothing after a kill). Open: the loss of both, or of all instances, at once.

--- a/coltsfootgate/src/quarantine/check.rs
+++ b/coltsfootgate/src/quarantine/check.rs
@@ -34,6 +34,7 @@
             pool: pool.clone(),
             endpoint: endpoint.clone(),
             lost: Vec::new(),
+            crashed_at: None,
         });
         report.lost.push(LostRequest { causes, sent_at });
         if is_running {
--- a/coltsfootgate/src/quarantine/task.rs
+++ b/coltsfootgate/src/quarantine/task.rs
@@ -6,14 +6,15 @@
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_channel::oneshot;
 use futures_util::StreamExt;
-use futures_util::future::{Either, select};
+use futures_util::future::{Either, join_all, select};
 use log::{debug, info, warn};
 use monoio::time::timeout;
 use rand::seq::IndexedRandom;
 
 use coltsfootgate_core::prelude::{InstanceId, PoolId};
 use coltsfootgate_core::quarantine::{
-    BlockList, CauseKey, CrashCause, CrashLedger, CrashReport, QuarantineNotice,
+    BlockDecision, BlockList, CauseKey, CrashCause, CrashLedger, CrashReport, KeptReports,
+    QuarantineNotice,
 };
 use coltsfootgate_wire::{PeerReply, PeerRequest};
 
@@ -27,8 +28,11 @@
 
 /// Time limit of a call to a peer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Number of instances, in the order in which they own the decisions about a pool, that are tried.
-const OWNERS_TRIED: usize = 2;
+/// Number of instances, in the order in which they own the decisions about a pool, that count its crashes. The first one
+/// decides, the others know as much when it is lost.
+const COUNTING_INSTANCES: usize = 2;
+/// Number of times that a crash is stated again to an instance that does not answer.
+const RESTATE_ATTEMPTS: u32 = 3;
 /// Interval at which the list is compared with that of another instance.
 const COMPARE_PERIOD: Duration = Duration::from_secs(2);
 /// Interval at which due decisions are made.
@@ -46,6 +50,10 @@
     checks: CrashChecks,
     ledger: CrashLedger,
     list: BlockList,
+    /// The crashes that this instance reported.
+    kept: KeptReports,
+    /// The instances that were told of them, by pool.
+    told: HashMap<PoolId, Vec<InstanceId>>,
     /// The causes that instances watch, by the instance that told so.
     watched: HashMap<InstanceId, BTreeSet<CauseKey>>,
     compared_at: Instant,
@@ -70,6 +78,8 @@
             checks: CrashChecks::new(access),
             ledger: CrashLedger::default(),
             list: BlockList::default(),
+            kept: KeptReports::default(),
+            told: HashMap::new(),
             watched: HashMap::new(),
             compared_at: clock::now(),
         }
@@ -117,14 +127,19 @@
 
     /// Forgets what departed instances watched, and compares the list with one that may be new.
     fn handle_change(&mut self, change: &MemberChange) {
-        let MemberChange::View(view) = change else { return };
+        let view = match change {
+            MemberChange::View(view) => view,
+            MemberChange::Restarted(instance) => return self.restate_to_restarted(instance),
+            MemberChange::Lost(_) | MemberChange::Pressure(..) => return,
+        };
+        self.restate_to_new();
         let own = self.own.clone();
         self.watched.retain(|instance, _| *instance == own || view.zone(instance).is_some());
         self.publish();
         self.compare_with_peer();
     }
 
-    /// Reports a crash to the owner of the decisions about its pool.
+    /// Reports a crash to the instances that count those of its pool.
     fn report_crash(&mut self, report: CrashReport) {
         let causes: BTreeSet<CrashCause> =
             report.lost.iter().flat_map(|lost| lost.causes.iter().copied()).collect();
@@ -139,46 +154,105 @@
         );
         self.metrics.endpoint_crashed(&report.pool);
         let pool = report.pool.clone();
-        self.send_to_owner(&pool, PeerRequest::ReportCrash(report.clone()), || {
+        self.kept.record(&report, clock::now());
+        self.told.insert(pool.clone(), self.owners(&pool));
+        self.send_to_owners(&pool, PeerRequest::ReportCrash(report.clone()), || {
             QuarantineMessage::Crash(report)
         });
     }
 
+    /// Tells the instances that begin to count the crashes of a pool of those that were reported before.
+    fn restate_to_new(&mut self) {
+        for pool in self.kept.pools() {
+            let owners = self.owners(&pool);
+            let told = self.told.insert(pool.clone(), owners.clone()).unwrap_or_default();
+            for owner in owners.iter().filter(|owner| !told.contains(owner)) {
+                self.restate(&pool, owner);
+            }
+        }
+    }
+
+    /// The new process of an instance knows nothing of what the former one counted.
+    fn restate_to_restarted(&self, instance: &InstanceId) {
+        for pool in self.kept.pools() {
+            if self.owners(&pool).contains(instance) {
+                self.restate(&pool, instance);
+            }
+        }
+    }
+
+    fn restate(&self, pool: &PoolId, owner: &InstanceId) {
+        let reports = self.kept.restated(pool, |key| self.handle.last_served(key));
+        if reports.is_empty() {
+            return;
+        }
+        info!("{owner} is told again of {} crashes of {pool}", reports.len());
+        if *owner == self.own {
+            let messages = reports.into_iter().map(QuarantineMessage::Crash);
+            return messages.for_each(|message| self.handle.send(message));
+        }
+        let (peers, owner) = (self.peers.clone(), owner.clone());
+        monoio::spawn(async move {
+            for report in reports {
+                let request = PeerRequest::ReportCrash(report);
+                if !tell(&peers, &owner, &request, RESTATE_ATTEMPTS).await {
+                    warn!("{owner} could not be told again of all crashes");
+                    return;
+                }
+            }
+        });
+    }
+
     fn report_served(&mut self, served: Vec<(CauseKey, Instant)>) {
         let Some((key, _)) = served.first() else { return };
         let pool = key.pool.clone();
-        self.send_to_owner(&pool, PeerRequest::ReportServed(served.clone()), || {
+        self.send_to_owners(&pool, PeerRequest::ReportServed(served.clone()), || {
             QuarantineMessage::Served(served)
         });
     }
 
-    /// Sends a request to the owner of the decisions about a pool, or the message to this task if that is
-    /// this instance or no other one can be reached.
-    fn send_to_owner(
+    /// Sends a request to the instances that count the crashes of a pool, or the message to this task if it is one of
+    /// them or none can be reached.
+    fn send_to_owners(
         &self,
         pool: &PoolId,
         request: PeerRequest,
         message: impl FnOnce() -> QuarantineMessage + 'static,
     ) {
-        let (handle, peers, own) = (self.handle.clone(), self.peers.clone(), self.own.clone());
-        let owners = self.owners(pool);
+        let (handle, peers) = (self.handle.clone(), self.peers.clone());
+        let mut owners = self.owners(pool);
+        let count = owners.len();
+        owners.retain(|owner| *owner != self.own);
+        let counts_here = owners.len() < count;
+        let told = owners.into_iter().map(move |owner| {
+            let (peers, request) = (peers.clone(), request.clone());
+            async move { tell(&peers, &owner, &request, 1).await }
+        });
+        let telling = join_all(told);
+        if counts_here {
+            handle.send(message());
+            monoio::spawn(async move {
+                telling.await;
+            });
+            return;
+        }
         monoio::spawn(async move {
-            for owner in owners.into_iter().take_while(|owner| *owner != own) {
-                let deadline = clock::now() + CALL_TIMEOUT;
-                match peers.call(&owner, request.clone(), deadline).await {
-                    Ok(_) => return,
-                    Err(error) => debug!("no answer from {owner}: {}", error.name()),
-                }
+            if !telling.await.contains(&true) {
+                handle.send(message());
             }
-            handle.send(message());
         });
     }
 
-    /// The instances that own the decisions about a pool, the first one first.
+    /// The instances that count the crashes of a pool; the first one decides.
     fn owners(&self, pool: &PoolId) -> Vec<InstanceId> {
         let view = self.members.view();
         let ranked = view.owners.ranked(&format!("quarantine.{pool}"));
-        ranked.into_iter().take(OWNERS_TRIED).cloned().collect()
+        ranked.into_iter().take(COUNTING_INSTANCES).cloned().collect()
+    }
+
+    /// Whether this instance decides about a pool.
+    fn decides(&self, pool: &PoolId) -> bool {
+        self.owners(pool).first().is_none_or(|first| *first == self.own)
     }
 
     fn record_crash(&mut self, report: &CrashReport) {
@@ -201,7 +275,7 @@
     }
 
     fn decide(&mut self) {
-        while let Some(decision) = self.ledger.decide(clock::now()) {
+        while let Some(decision) = self.next_decision() {
             let (key, endpoints) = (decision.key, decision.endpoints);
             warn!(
                 "{} of {} is blocked: {} endpoints crashed under it: {}",
@@ -216,6 +290,13 @@
         }
     }
 
+    fn next_decision(&mut self) -> Option<BlockDecision> {
+        let mut ledger = std::mem::take(&mut self.ledger);
+        let decision = ledger.decide(clock::now(), |pool| self.decides(pool));
+        self.ledger = ledger;
+        decision
+    }
+
     /// Decides as the owner whether a request may try a blocked cause.
     fn decide_trial(&mut self, key: &CauseKey, reply: oneshot::Sender<bool>) {
         let now = clock::now();
@@ -282,6 +363,9 @@
     fn merge_notice(&mut self, from: InstanceId, notice: QuarantineNotice) {
         for key in self.list.merge(notice.entries) {
             info!("the state of {} of {} has changed", key.cause, key.pool);
+            if self.list.find(&key.pool, &[key.cause]).is_some() {
+                self.ledger.record_blocked(&key, clock::now());
+            }
         }
         let watched: BTreeSet<CauseKey> = notice.watched.into_iter().collect();
         let known = self.watched.insert(from.clone(), watched.clone()).unwrap_or_default();
@@ -314,3 +398,19 @@
         });
     }
 }
+
+/// Sends a request to an instance up to so many times; returns whether it was answered.
+async fn tell(
+    peers: &PeerHandle,
+    instance: &InstanceId,
+    request: &PeerRequest,
+    attempts: u32,
+) -> bool {
+    for _ in 0..attempts {
+        match peers.call(instance, request.clone(), clock::now() + CALL_TIMEOUT).await {
+            Ok(_) => return true,
+            Err(error) => debug!("no answer from {instance}: {}", error.name()),
+        }
+    }
+    false
+}
--- a/coltsfootgate_core/src/quarantine/ledger.rs
+++ b/coltsfootgate_core/src/quarantine/ledger.rs
@@ -12,15 +12,12 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use super::{BlockList, CauseKey, CrashCause};
+use super::suspect::{CRASHES_TO_BLOCK, SeenCrash, Suspect};
+use super::{BlockList, CauseKey, CrashCause, ServedCauses};
 use crate::ids::{EndpointId, PoolId};
 
 /// Crashes after which instances are asked whether they served a possible cause.
 const CRASHES_TO_WATCH: usize = 2;
-/// Crashes after which a cause is blocked.
-const CRASHES_TO_BLOCK: usize = 3;
-/// Delay of a decision, in which other instances report the same crash or that a request was served.
-const DECISION_DELAY: Duration = Duration::from_millis(150);
 /// Time for the trial of a blocked cause, in which nothing else in its pool is blocked.
 const TRIAL_WAIT_MAX: Duration = Duration::from_secs(1);
 /// Time for which the crashes under a blocked cause count for no other suspect although it was not tried yet:
@@ -29,16 +26,8 @@
 /// Maximum number of possible causes of which instances report that they serve them; those whose last crash is
 /// oldest are left out.
 const WATCHED_MAX: usize = 256;
-/// Share of the crashes under the most suspected cause that another one must have to be blocked first, if both
-/// were served before the crashes.
-const CRASH_SHARE_MIN: f64 = 0.75;
-/// The same for one that was never served: it came with the crashes, and what it shares its requests with was
-/// also lost in crashes of other reasons.
-const NEW_CRASH_SHARE_MIN: f64 = 0.7;
 /// Maximum number of suspects; beyond it, those with the fewest crashes are dropped.
 const SUSPECTS_MAX: usize = 4096;
-/// Maximum number of endpoints that are kept for one suspect.
-const SUSPECT_ENDPOINTS_MAX: usize = 64;
 /// Maximum number of endpoints that are kept as crashed under blocked causes.
 const EXPLAINED_MAX: usize = 1024;
 
@@ -60,6 +49,8 @@
     pub endpoint: EndpointId,
     /// The requests, except those that had been answered for some time.
     pub lost: Vec<LostRequest>,
+    /// When the crash was known, if it is reported again; `None` if it has just become known.
+    pub crashed_at: Option<Instant>,
 }
 
 /// A cause that is to be blocked, and why.
@@ -78,73 +69,6 @@
     since: Instant,
 }
 
-#[derive(Clone, Debug)]
-struct CountedCrash {
-    endpoint: EndpointId,
-    at: Instant,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Suspect {
-    /// The crashes that count since a request with it was last served.
-    counted: Vec<CountedCrash>,
-    /// All endpoints that crashed under it since then.
-    endpoints: BTreeSet<EndpointId>,
-    /// Its position among the causes of its requests.
-    depth: usize,
-    /// When a request with it was last served, as far as known.
-    served_at: Option<Instant>,
-}
-
-impl Suspect {
-    fn record_crash(
-        &mut self,
-        cause: CrashCause,
-        endpoint: &EndpointId,
-        sent_at: Instant,
-        now: Instant,
-    ) {
-        if self.endpoints.len() < SUSPECT_ENDPOINTS_MAX {
-            self.endpoints.insert(endpoint.clone());
-        }
-        let is_known = self.counted.iter().any(|crash| crash.endpoint == *endpoint);
-        // Many requests have a part in common, so that endpoints that crash at the same moment may have
-        // another cause.
-        let counts = match cause {
-            CrashCause::Part(_) => self.counted.last().is_none_or(|last| sent_at > last.at),
-            CrashCause::Request(_) => true,
-        };
-        if !is_known && counts {
-            self.counted.push(CountedCrash { endpoint: endpoint.clone(), at: now });
-        }
-    }
-
-    fn record_served(&mut self, served_at: Instant) {
-        self.served_at = self.served_at.max(Some(served_at));
-        self.counted.retain(|crash| crash.at > served_at);
-        if self.counted.is_empty() {
-            self.endpoints.clear();
-        }
-    }
-
-    fn forget_crash(&mut self, endpoint: &EndpointId) {
-        self.counted.retain(|crash| crash.endpoint != *endpoint);
-        self.endpoints.remove(endpoint);
-    }
-
-    /// Share of the crashes under the most suspected cause from which it may be blocked before that one.
-    fn crash_share_min(&self) -> f64 {
-        if self.served_at.is_none() { NEW_CRASH_SHARE_MIN } else { CRASH_SHARE_MIN }
-    }
-
-    /// When it may be blocked; `None` if too few endpoints crashed.
-    fn due(&self, is_explained: impl Fn(&EndpointId) -> bool) -> Option<Instant> {
-        let mut unexplained = self.counted.iter().filter(|crash| !is_explained(&crash.endpoint));
-        let last = unexplained.nth(CRASHES_TO_BLOCK - 1)?;
-        Some(last.at + DECISION_DELAY)
-    }
-}
-
 /// Counts crashes by the possible causes that were lost in them.
 #[derive(Clone, Debug, Default)]
 pub struct CrashLedger {
@@ -152,6 +76,8 @@
     pending: HashMap<PoolId, Vec<PendingBlock>>,
     /// The request that is being tried in a pool, and since when.
     trials: HashMap<PoolId, (CauseKey, Instant)>,
+    /// When causes were served, also those that are no suspects any more: their crashes may be reported again.
+    served: ServedCauses,
     /// Endpoints that crashed under a blocked cause, oldest first.
     explained: VecDeque<EndpointId>,
 }
@@ -169,12 +95,17 @@
         if self.explained.contains(&report.endpoint) {
             return;
         }
+        let known_at = report.crashed_at.unwrap_or(now);
         for lost in &report.lost {
             for (depth, cause) in lost.causes.iter().enumerate() {
                 let key = CauseKey { pool: pool.clone(), cause: *cause };
+                if self.served.last(&key).is_some_and(|served_at| served_at >= known_at) {
+                    continue;
+                }
                 let suspect = self.suspects.entry(key).or_default();
                 suspect.depth = depth;
-                suspect.record_crash(*cause, &report.endpoint, lost.sent_at, now);
+                let crash = SeenCrash::new(&report.endpoint, lost.sent_at, known_at, now);
+                suspect.record_crash(*cause, crash);
             }
         }
         self.drop_excess();
@@ -182,23 +113,38 @@
 
     /// Records that a request with a possible cause was served.
     pub fn record_served(&mut self, key: &CauseKey, served_at: Instant) {
+        self.served.record(key.clone(), served_at);
         if let Some(pending) = self.pending.get_mut(&key.pool) {
             pending.retain(|one| one.decision.key != *key);
         }
         self.trials.retain(|_, (tried, _)| tried != key);
         if let Some(suspect) = self.suspects.get_mut(key) {
             suspect.record_served(served_at);
-            if suspect.counted.is_empty() {
+            if suspect.crashes() == 0 {
                 self.suspects.remove(key);
             }
         }
     }
 
+    /// Records that another instance blocked a cause; the crashes under it count for no other one until it was tried.
+    pub fn record_blocked(&mut self, key: &CauseKey, now: Instant) {
+        if let Some(suspect) = self.suspects.remove(key) {
+            self.add_pending(key.clone(), suspect, now);
+        }
+    }
+
+    fn add_pending(&mut self, key: CauseKey, suspect: Suspect, now: Instant) -> BlockDecision {
+        let endpoints = suspect.endpoints.into_iter().collect();
+        let decision = BlockDecision { key, endpoints };
+        let pending = PendingBlock { decision: decision.clone(), since: now };
+        self.pending.entry(decision.key.pool.clone()).or_default().push(pending);
+        decision
+    }
+
     /// The possible causes under which so many endpoints crashed that instances report when they serve them.
     pub fn watched(&self) -> BTreeSet<CauseKey> {
-        let watched = self.suspects.iter().filter(|(_, one)| one.counted.len() >= CRASHES_TO_WATCH);
-        let mut watched: Vec<_> =
-            watched.map(|(key, one)| (one.counted.last().map(|last| last.at), key)).collect();
+        let watched = self.suspects.iter().filter(|(_, one)| one.crashes() >= CRASHES_TO_WATCH);
+        let mut watched: Vec<_> = watched.map(|(key, one)| (one.last_crash(), key)).collect();
         watched.sort_by(|one, other| other.cmp(one));
         watched.into_iter().take(WATCHED_MAX).map(|(_, key)| key.clone()).collect()
     }
@@ -214,13 +160,20 @@
     /// with enough crashes are compared, also those that are not due by themselves: a cause that few
     /// requests have is due later than a part that all of them share.
     ///
-    /// Among the suspects under which most endpoints crashed, or nearly as many, it is the one that was served
+    /// Only pools for which `may_decide` holds are looked at. Among the suspects under which most endpoints crashed, or nearly as many, it is the one that was served
     /// least recently or never.
-    pub fn decide(&mut self, now: Instant) -> Option<BlockDecision> {
+    pub fn decide(
+        &mut self,
+        now: Instant,
+        may_decide: impl Fn(&PoolId) -> bool,
+    ) -> Option<BlockDecision> {
         for pending in self.pending.values_mut() {
             pending.retain(|one| now < one.since + PENDING_TIME_MAX);
         }
         let is_due = |key: &CauseKey, suspect: &Suspect| {
+            if !may_decide(&key.pool) {
+                return false;
+            }
             let due = suspect.due(|endpoint| self.is_explained(key, endpoint));
             due.is_some_and(|due| now >= due) && self.may_block(key, now)
         };
@@ -243,11 +196,7 @@
             })?;
         let key = key.clone();
         let suspect = self.suspects.remove(&key)?;
-        let endpoints = suspect.endpoints.into_iter().collect();
-        let decision = BlockDecision { key, endpoints };
-        let pending = PendingBlock { decision: decision.clone(), since: now };
-        self.pending.entry(decision.key.pool.clone()).or_default().push(pending);
-        Some(decision)
+        Some(self.add_pending(key, suspect, now))
     }
 
     /// Whether a blocked cause that was not tried yet is held to have crashed an endpoint, and not a suspect.
@@ -283,9 +232,11 @@
 
     /// Ends the trial that is under way if its request was lost in a crash.
     fn end_trial(&mut self, report: &CrashReport) {
-        self.trials.retain(|pool, (key, _)| {
+        self.trials.retain(|pool, (key, since)| {
             let mut lost = report.lost.iter();
-            *pool != report.pool || !lost.any(|one| one.causes.contains(&key.cause))
+            let is_older = report.crashed_at.is_some_and(|crashed_at| crashed_at < *since);
+            let is_other = *pool != report.pool || is_older;
+            is_other || !lost.any(|one| one.causes.contains(&key.cause))
         });
     }
 
@@ -315,7 +266,7 @@
         for suspect in self.suspects.values_mut() {
             suspect.forget_crash(endpoint);
         }
-        self.suspects.retain(|_, suspect| !suspect.counted.is_empty());
+        self.suspects.retain(|_, suspect| suspect.crashes() > 0);
     }
 
     fn drop_excess(&mut self) {
@@ -325,7 +276,7 @@
         let mut order: Vec<_> = self
             .suspects
             .iter()
-            .map(|(key, one)| (one.counted.len(), one.counted.last().map(|last| last.at), key))
+            .map(|(key, one)| (one.crashes(), one.last_crash(), key))
             .map(|(crashes, last, key)| (crashes, last, key.clone()))
             .collect();
         order.sort();
--- a/coltsfootgate_core/src/quarantine/mod.rs
+++ b/coltsfootgate_core/src/quarantine/mod.rs
@@ -1,13 +1,16 @@
 //! Finds what crashes endpoints, parts of prompts or whole requests, and keeps the list of what is blocked.
 
+mod kept;
 mod ledger;
 mod list;
 mod served;
+mod suspect;
 
 use std::fmt::{self, Display, Formatter};
 
 use crate::ids::PoolId;
 
+pub use kept::KeptReports;
 pub use ledger::{BlockDecision, CrashLedger, CrashReport, LostRequest};
 pub use list::{BlockEntry, BlockList, BlockState, QuarantineNotice, SendVerdict};
 pub use served::{AttemptEnd, AttemptEvidence, SURVIVAL_TIME, ServedCauses};
--- a/coltsfootgate_core/src/quarantine/served.rs
+++ b/coltsfootgate_core/src/quarantine/served.rs
@@ -82,7 +82,8 @@
 
 impl RecentKeys {
     fn record(&mut self, key: CauseKey, served_at: Instant) {
-        self.recent.insert(key, served_at);
+        let last = self.recent.entry(key).or_insert(served_at);
+        *last = served_at.max(*last);
         if self.recent.len() >= GENERATION_MAX {
             self.older = std::mem::take(&mut self.recent);
         }
--- a/coltsfootgate_core/tests/quarantine.rs
+++ b/coltsfootgate_core/tests/quarantine.rs
@@ -8,7 +8,7 @@
 
 use coltsfootgate_core::quarantine::{
     AttemptEnd, AttemptEvidence, BlockList, BlockState, CauseKey, CrashCause, CrashLedger,
-    CrashReport, LostRequest, PartId, RequestDigest, SendVerdict, ServedCauses,
+    CrashReport, KeptReports, LostRequest, PartId, RequestDigest, SendVerdict, ServedCauses,
 };
 use rstest::rstest;
 
@@ -35,6 +35,7 @@
         pool: "pools.model".into(),
         endpoint: format!("i-{number}").into(),
         lost: vec![LostRequest { causes: causes(parts), sent_at: at(sent) }],
+        crashed_at: None,
     }
 }
 
@@ -49,7 +50,7 @@
 }
 
 fn decided(ledger: &mut CrashLedger) -> Option<PartId> {
-    match ledger.decide(at(10_000))?.key.cause {
+    match ledger.decide(at(10_000), |_| true)?.key.cause {
         CrashCause::Part(part) => Some(part),
         CrashCause::Request(digest) => panic!("request {digest:x} is blocked"),
     }
@@ -77,12 +78,12 @@
     #[case] expected: Option<PartId>,
 ) {
     let (mut ledger, mut blocked) = (ledger(3), BlockList::default());
-    assert_eq!(ledger.decide(at(500)).unwrap().key, key(BAD));
+    assert_eq!(ledger.decide(at(500), |_| true).unwrap().key, key(BAD));
     blocked.block(key(BAD), 3, at(500));
     if crashes {
         ledger.record_crash(&crash(9, 600, &[SHARED, BAD]), &blocked, at(700));
     }
-    assert_eq!(ledger.decide(at(800)), None, "the trial is awaited");
+    assert_eq!(ledger.decide(at(800), |_| true), None, "the trial is awaited");
     for number in 20..20 + later_crashes {
         let report = crash(number, number * 100 + 50, &[SHARED]);
         ledger.record_crash(&report, &blocked, at(number * 100 + 100));
@@ -280,9 +281,9 @@
     }
     assert_eq!(ledger.watched().contains(&request_key(REPEATED)), crashes >= 2);
     ledger.record_served(&request_key(POLLED), at(500));
-    let decided = ledger.decide(at(600)).map(|decision| decision.key);
+    let decided = ledger.decide(at(600), |_| true).map(|decision| decision.key);
     assert_eq!(decided, is_blocked.then(|| request_key(REPEATED)));
-    assert_eq!(ledger.decide(at(10_000)), None);
+    assert_eq!(ledger.decide(at(10_000), |_| true), None);
 }
 
 /// Replays a fleet of replicas under traffic of which some requests crash them.
@@ -351,3 +352,98 @@
         assert!(model.begun_share_min() >= 0.5, "seed {seed}: {}", model.begun_share_min());
     }
 }
+
+/// Crashes as they are reported again at `heard`, in an order.
+fn restate(ledger: &mut CrashLedger, numbers: &[u64], heard: u64) {
+    for number in numbers {
+        let report = crash(*number, number * 100 + 50, &[SHARED, BAD]);
+        let report = CrashReport { crashed_at: Some(at(number * 100 + 100)), ..report };
+        ledger.record_crash(&report, &BlockList::default(), at(heard));
+    }
+}
+
+/// Guards against crashes that are counted anew when the instance changes that counts them.
+#[rstest]
+#[case::in_order(&[0, 1, 2], Some(BAD))]
+#[case::in_another_order(&[2, 0, 1], Some(BAD))]
+#[case::one_twice(&[0, 1, 1, 0], None)]
+fn crashes_that_are_reported_again_count_once_and_in_their_order(
+    #[case] numbers: &[u64],
+    #[case] expected: Option<PartId>,
+) {
+    let mut ledger = CrashLedger::default();
+    restate(&mut ledger, numbers, 900);
+    ledger.record_served(&key(SHARED), at(250));
+    assert_eq!(decided(&mut ledger), expected);
+}
+
+#[test]
+fn crashes_that_were_counted_are_not_counted_again() {
+    let mut counted = ledger(2);
+    restate(&mut counted, &[0, 1, 0, 1], 900);
+    assert_eq!(decided(&mut counted), None);
+}
+
+/// Endpoints that crash at the same moment may have another cause than a part that their requests share.
+#[test]
+fn crashes_at_the_same_moment_count_as_one_when_they_are_reported_again() {
+    let mut ledger = CrashLedger::default();
+    for number in 0..5 {
+        let report = crash(number, number + 1, &[SHARED, BAD]);
+        let report = CrashReport { crashed_at: Some(at(100)), ..report };
+        ledger.record_crash(&report, &BlockList::default(), at(900 + number * 100));
+    }
+    assert_eq!(decided(&mut ledger), None);
+}
+
+/// What was served since the crashes is heard after them, so that there must be time for it.
+#[test]
+fn a_decision_waits_for_what_was_served_since_crashes_that_are_reported_again() {
+    let mut ledger = CrashLedger::default();
+    restate(&mut ledger, &[0, 1, 2], 900);
+    assert_eq!(ledger.decide(at(901), |_| true), None);
+    ledger.record_served(&key(SHARED), at(800));
+    ledger.record_served(&key(BAD), at(800));
+    assert_eq!(decided(&mut ledger), None);
+    restate(&mut ledger, &[0, 1, 2], 950);
+    assert_eq!(decided(&mut ledger), None);
+}
+
+/// Guards against two instances that hold themselves for the first, and against one that decides for another.
+#[test]
+fn an_instance_that_only_counts_blocks_nothing_and_knows_as_much_as_the_first() {
+    let mut standby = ledger(3);
+    assert_eq!(standby.decide(at(10_000), |_| false), None);
+    standby.record_blocked(&key(BAD), at(10_000));
+    standby.record_served(&key(SHARED), at(150));
+    assert_eq!(standby.decide(at(10_500), |_| true), None, "the block explains the crashes");
+}
+
+/// A trial goes on although a crash from before it is reported again.
+#[rstest]
+#[case::before_the_trial(Some(at(100)), false)]
+#[case::during_the_trial(None, true)]
+fn only_a_later_crash_ends_a_trial(#[case] crashed_at: Option<Instant>, #[case] ends: bool) {
+    let mut ledger = ledger(0);
+    let mut blocked = BlockList::default();
+    blocked.block(key(BAD), 3, at(300));
+    assert!(ledger.begin_trial(&key(BAD), at(600)));
+    let report = CrashReport { crashed_at, ..crash(7, 50, &[SHARED, BAD]) };
+    ledger.record_crash(&report, &blocked, at(650));
+    assert_eq!(ledger.begin_trial(&key(BAD), at(700)), ends);
+}
+
+#[test]
+fn kept_reports_leave_out_what_was_served_here_since() {
+    let mut kept = KeptReports::default();
+    kept.record(&crash(1, 50, &[SHARED, BAD]), at(100));
+    kept.record(&crash(2, 150, &[SHARED, BAD]), at(200));
+    let served = |wanted: &CauseKey| (*wanted == key(SHARED)).then(|| at(150));
+    let restated = kept.restated(&"pools.model".into(), served);
+    let expected = |number, sent, parts: &[PartId], known| CrashReport {
+        crashed_at: Some(at(known)),
+        ..crash(number, sent, parts)
+    };
+    assert_eq!(restated, [expected(1, 50, &[BAD], 100), expected(2, 150, &[SHARED, BAD], 200)]);
+    assert!(kept.restated(&"pools.other".into(), |_| None).is_empty());
+}
--- a/coltsfootgate_core/tests/quarantine_model/mod.rs
+++ b/coltsfootgate_core/tests/quarantine_model/mod.rs
@@ -362,8 +362,12 @@
                 .map(|one| LostRequest { causes: one.causes.clone(), sent_at: one.sent_at })
                 .collect();
             if !lost.is_empty() {
-                let report =
-                    CrashReport { pool: Self::pool(), endpoint: endpoint.as_str().into(), lost };
+                let report = CrashReport {
+                    pool: Self::pool(),
+                    endpoint: endpoint.as_str().into(),
+                    lost,
+                    crashed_at: None,
+                };
                 self.post(REPORT_DELAY, Message::Crash(report));
             }
         }
@@ -429,7 +433,7 @@
     }
 
     fn decide(&mut self) {
-        while let Some(decision) = self.ledger.decide(self.now) {
+        while let Some(decision) = self.ledger.decide(self.now, |_| true) {
             if Some(decision.key.cause) == self.cause.crash_cause() {
                 self.blocked_at.get_or_insert(self.now);
             }
--- a/coltsfootgate_wire/src/quarantine.rs
+++ b/coltsfootgate_wire/src/quarantine.rs
@@ -36,6 +36,8 @@
     micros_since_sent: u64,
 }
 
+/// The crash of an endpoint. A row of `lost` without causes names the moment of a crash that is reported again; earlier
+/// builds find no cause in it.
 #[derive(Deserialize, Serialize)]
 pub(crate) struct WireCrashReport {
     pool: Arc<str>,
@@ -103,7 +105,15 @@
             causes: lost.causes.into_iter().map(WireCause::from).collect(),
             micros_since_sent: micros_since(lost.sent_at, now),
         });
-        Self { pool: report.pool, endpoint: report.endpoint, lost: lost.collect() }
+        let crashed_at = report.crashed_at.map(|crashed_at| WireLostRequest {
+            causes: Vec::new(),
+            micros_since_sent: micros_since(crashed_at, now),
+        });
+        Self {
+            pool: report.pool,
+            endpoint: report.endpoint,
+            lost: lost.chain(crashed_at).collect(),
+        }
     }
 }
 
@@ -113,7 +123,10 @@
     fn try_from(timed: TimedMessage<WireCrashReport>) -> Result<Self, WireError> {
         let TimedMessage { message: report, now } = timed;
         check_rows(&report.lost)?;
-        let lost = report.lost.into_iter().map(|lost| {
+        let (moments, lost): (Vec<_>, Vec<_>) =
+            report.lost.into_iter().partition(|lost| lost.causes.is_empty());
+        let crashed_at = moments.first().map(|moment| time_before(now, moment.micros_since_sent));
+        let lost = lost.into_iter().map(|lost| {
             if lost.causes.len() > CAUSES_MAX {
                 return Err(WireError::WrongValue("causes"));
             }
@@ -125,6 +138,7 @@
             pool: check_name(report.pool, "pool")?,
             endpoint: check_name(report.endpoint, "endpoint")?,
             lost: lost.collect::<Result<_, WireError>>()?,
+            crashed_at: crashed_at.transpose()?,
         })
     }
 }
--- a/coltsfootgate_wire/tests/messages.rs
+++ b/coltsfootgate_wire/tests/messages.rs
@@ -162,7 +162,15 @@
                 causes: vec![CrashCause::Part(1), CrashCause::Request(u64::MAX)],
                 sent_at: now - Duration::from_millis(7),
             }],
+            crashed_at: None,
         }),
+        "report-crash-again" => {
+            let PeerRequest::ReportCrash(report) = request("report-crash", now) else {
+                unreachable!("a crash is reported")
+            };
+            let crashed_at = Some(now - Duration::from_secs(4));
+            PeerRequest::ReportCrash(CrashReport { crashed_at, ..report })
+        }
         "report-served" => {
             PeerRequest::ReportServed(vec![(cause_key(), now - Duration::from_secs(3))])
         }
@@ -202,6 +210,7 @@
         "record-stream",
         "find-stream",
         "report-crash",
+        "report-crash-again",
         "report-served",
         "share-quarantine",
         "compare-quarantine",
