Apply the limits in force to callers' open connections

What callers saw: 4 s after header_bytes was raised, 12 of 12 requests with a head between the limits were answered 431 on connections that had been open before, 0 of 12 on new ones.

Cause: limits on heads and idle times were read when a connection was accepted and copied into what lives as long as it.

Change: TimeoutStream asks for the limits when a head begins to arrive. If another size is in force than the one that the HTTP library was set up with, it keeps the first bytes back and the connection is set up anew with them once all answers have been sent. The times for heads and between requests are the stream's own timers; a longer idle time holds at once, a shorter one from the next answer on. The timer for a head is no longer left over from the head before.

Ruled out: a ceiling for the library (its buffer for answers would have the same size, up to a megabyte for each slow caller), closing connections at a change.

--- a/coltsfootgate/src/entry/listener.rs
+++ b/coltsfootgate/src/entry/listener.rs
@@ -2,17 +2,21 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::os::fd::{AsRawFd, RawFd};
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use coltsfootgate_core::prelude::ErrorKind;
 use coltsfootgate_core::settings::ConnectionSettings;
-use futures_util::future::{Either, select};
+use futures_util::future::select;
 use http::{Request, Response, Version, header};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::rt::{Read, Write};
+use hyper::server::conn::http1::{self, Connection, Parts};
+use hyper::service::{HttpService, service_fn};
 use monoio::io::{AsyncWriteRentExt, IntoPollIo};
 use monoio::net::{TcpListener, TcpStream};
 use monoio::time::sleep;
@@ -22,7 +26,7 @@
 
 use super::answer::{AnswerBody, OUTCOME, REASON, RULE, Refusal};
 use super::request::{ENTRY_RULE, RequestBounds};
-use super::stall::{SharedPhase, TimeoutStream};
+use super::stall::{HeadLimits, SharedPhase, TimeoutStream};
 use crate::accept::{accept_backlog, accept_connections};
 use crate::metrics::{ConnectionSide, DaemonMetrics};
 use crate::shutdown::ShutdownSignal;
@@ -31,6 +35,10 @@
 /// Time that a caller which has just connected has for its first request once connections are no longer reused.
 const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
 
+/// Timeout of the HTTP library for a head; longer than any that settings allow, since the stream has timers of its own.
+/// Without one, the library does not poll the stream of a connection that becomes idle.
+const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(7 * 24 * 3600);
+
 /// Limits on callers' connections and requests.
 #[derive(Clone, Debug)]
 pub struct EntryBounds {
@@ -47,14 +55,12 @@
 }
 
 impl EntryBounds {
-    /// Returns these limits, overridden by those that the settings tree sets. The limits on the
-    /// body are overridden separately for each request.
-    pub fn with_overrides(&self, settings: &ConnectionSettings) -> Self {
-        Self {
-            head_bytes_max: settings.head_bytes.map_or(self.head_bytes_max, |bytes| bytes as usize),
+    /// The limits on heads that the settings tree sets, and these where it sets none.
+    fn head_limits(&self, settings: &ConnectionSettings) -> HeadLimits {
+        HeadLimits {
+            bytes_max: settings.head_bytes.map_or(self.head_bytes_max, |bytes| bytes as usize),
             head_timeout: settings.head_time.unwrap_or(self.head_timeout),
             idle_timeout: settings.idle_time.unwrap_or(self.idle_timeout),
-            ..self.clone()
         }
     }
 }
@@ -110,10 +116,12 @@
         }
         let count = self.metrics.connection_opened(ConnectionSide::Callers);
         let handler = self.handler.clone();
-        let bounds = self.bounds.with_overrides(&self.tree.connections());
+        let (bounds, tree) = (self.bounds.clone(), self.tree.clone());
+        let write_timeout = bounds.request.body_timeout;
+        let limits = move || bounds.head_limits(&tree.connections());
         let shutdown = self.shutdown.clone();
         monoio::spawn(async move {
-            serve_connection(stream, handler, bounds, shutdown).await;
+            serve_connection(stream, handler, write_timeout, limits, shutdown).await;
             drop(count);
         });
     }
@@ -135,29 +143,65 @@
     let (_, _) = stream.write_all(answer).await;
 }
 
+/// What is known of a connection, however often it is set up anew; clones share the same state.
+#[derive(Clone)]
+struct ConnectionState {
+    phase: SharedPhase,
+    /// Whether a head was read.
+    has_served: Rc<Cell<bool>>,
+    /// Whether the caller knows answers in chunks.
+    knows_chunks: Rc<Cell<bool>>,
+    shutdown: ShutdownSignal,
+}
+
+/// Serves the requests of a connection. `limits` returns the limits on heads that are in force.
 async fn serve_connection<H: RequestHandler>(
     stream: TcpStream,
     handler: Rc<H>,
-    bounds: EntryBounds,
+    write_timeout: Duration,
+    limits: impl Fn() -> HeadLimits + Unpin,
     shutdown: ShutdownSignal,
 ) {
     let _ = stream.set_nodelay(true);
     let descriptor = stream.as_raw_fd();
     let Ok(stream) = stream.into_poll_io() else { return };
-    let service_handler = handler.clone();
-    let served = Rc::new(Cell::new(false));
-    let has_served = served.clone();
+    let (phase, has_served) = (SharedPhase::default(), Rc::default());
     let knows_chunks = Rc::new(Cell::new(true));
-    let has_chunks = knows_chunks.clone();
-    let draining = shutdown.clone();
-    let phase = SharedPhase::default();
-    let service_phase = phase.clone();
-    let service = service_fn(move |request: Request<Incoming>| {
-        let handler = service_handler.clone();
-        let draining = draining.clone();
-        has_served.set(true);
-        has_chunks.set(request.version() >= Version::HTTP_11);
-        let guard = service_phase.request_started();
+    let state = ConnectionState { phase: phase.clone(), has_served, knows_chunks, shutdown };
+    let mut stream = TimeoutStream::new(MonoioIo::new(stream), write_timeout, phase, limits);
+    loop {
+        let mut connection = http1::Builder::new()
+            .timer(MonoioTimer)
+            .header_read_timeout(HEADER_READ_TIMEOUT)
+            .max_buf_size(stream.head_bytes_max())
+            .serve_connection(stream, request_service(handler.clone(), state.clone()));
+        let Some(ended) = run_connection(&mut connection, &state).await else {
+            let Parts { io, read_buf, .. } = connection.into_parts();
+            stream = io;
+            stream.adopt_limit(&read_buf);
+            continue;
+        };
+        let Err(error) = ended else { return };
+        if !state.knows_chunks.get() {
+            reset_on_close(descriptor);
+        }
+        if let Some(kind) = connection_error_kind(&error, &state) {
+            handler.connection_failed(kind);
+        }
+        return;
+    }
+}
+
+/// Passes the requests of a connection to their handler.
+fn request_service<H: RequestHandler>(
+    handler: Rc<H>,
+    state: ConnectionState,
+) -> impl HttpService<Incoming, ResBody = AnswerBody, Error = Infallible> {
+    service_fn(move |request: Request<Incoming>| {
+        let (handler, draining) = (handler.clone(), state.shutdown.clone());
+        state.has_served.set(true);
+        state.knows_chunks.set(request.version() >= Version::HTTP_11);
+        let guard = state.phase.request_started();
         async move {
             let mut response = handler.handle(request).await;
             if draining.is_closing() {
@@ -166,38 +210,40 @@
             }
             Ok::<_, Infallible>(response.map(|body| body.with_request(guard)))
         }
-    });
-    let (stream, write_timeout) = (MonoioIo::new(stream), bounds.request.body_timeout);
-    let stream = TimeoutStream::new(stream, write_timeout, phase.clone(), bounds.head_timeout);
-    let connection = http1::Builder::new()
-        .timer(MonoioTimer)
-        .header_read_timeout(bounds.idle_timeout.max(bounds.head_timeout))
-        .max_buf_size(bounds.head_bytes_max)
-        .serve_connection(stream, service);
-    let mut connection = std::pin::pin!(connection);
+    })
+}
+
+/// Serves a connection until it ends; returns `None` if it must be set up anew before, since the next head arrives under
+/// another limit on its size. From the shutdown on, no further request is read.
+async fn run_connection<I, S>(
+    connection: &mut Connection<I, S>,
+    state: &ConnectionState,
+) -> Option<hyper::Result<()>>
+where
+    I: Read + Write + Unpin,
+    S: HttpService<Incoming, ResBody = AnswerBody, Error = Infallible>,
+    Connection<I, S>: Future<Output = hyper::Result<()>> + Unpin,
+{
     let stopping = async {
-        shutdown.closing().await;
-        if !served.get() {
+        state.shutdown.closing().await;
+        if !state.has_served.get() {
             sleep(FIRST_REQUEST_WAIT).await;
         }
     };
-    let ended = match select(connection.as_mut(), std::pin::pin!(stopping)).await {
-        Either::Left((ended, _)) => ended,
-        Either::Right(_) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let mut stopping = std::pin::pin!(stopping);
+    let mut is_stopping = false;
+    let ended = poll_fn(|context| {
+        if !is_stopping && stopping.as_mut().poll(context).is_ready() {
+            is_stopping = true;
+            Pin::new(&mut *connection).graceful_shutdown();
         }
-    };
-    if ended.is_err() && !knows_chunks.get() {
-        reset_on_close(descriptor);
-    }
-    if let Err(error) = ended
-        && let Some(kind) = connection_error_kind(&error, &phase)
-        // A connection may be idle between two requests, so a timeout there is not an error.
-        && !(served.get() && error.is_timeout())
-    {
-        handler.connection_failed(kind);
-    }
+        match Pin::new(&mut *connection).poll(context) {
+            Poll::Ready(ended) => Poll::Ready(Some(ended)),
+            Poll::Pending if state.phase.is_limit_outdated() => Poll::Ready(None),
+            Poll::Pending => Poll::Pending,
+        }
+    });
+    ended.await
 }
 
 /// Makes a socket send a reset when it is closed.
@@ -210,15 +256,16 @@
     }
 }
 
-fn connection_error_kind(error: &hyper::Error, phase: &SharedPhase) -> Option<ErrorKind> {
-    if phase.head_timed_out() {
+/// The reason for which a connection failed; `None` if it only ended between two requests.
+fn connection_error_kind(error: &hyper::Error, state: &ConnectionState) -> Option<ErrorKind> {
+    if state.phase.head_timed_out() {
         Some(ErrorKind::SlowRequest)
+    } else if state.phase.idle_timed_out() {
+        (!state.has_served.get()).then_some(ErrorKind::SlowRequest)
     } else if error.is_parse_too_large() {
         Some(ErrorKind::HeadTooLarge)
     } else if error.is_parse() {
         Some(ErrorKind::MalformedRequest)
-    } else if error.is_timeout() {
-        Some(ErrorKind::SlowRequest)
     } else {
         None
     }
