Keep the shares of instances that were not heard in place of waiting for them

Change: an instance that holds no grant at all says so in its answer. An owner that has heard another instance grants all but the shares of those that were not heard; if nobody that it heard holds a grant, the fleet is starting and it waits for nobody. A takeover whose endpoints went to another owner ends at once.

--- a/coltsfootgate/src/instance.rs
+++ b/coltsfootgate/src/instance.rs
@@ -214,7 +214,7 @@
         monoio::spawn(task.run(self.platform.clone(), poller, feed, metrics));
         let owner_client = OwnerClient::new(own.clone(), owner.clone(), self.peers.clone());
         let endpoints = self.start_access(members, &routes);
-        let survey = self.holder_survey(&routes, &owner_client);
+        let survey = self.holder_survey(&owner, &routes, &owner_client);
         let owner_task =
             OwnerTask::new(own.clone(), owner.clone(), endpoints.clone(), reporter, survey);
         monoio::spawn(owner_task.run(messages));
@@ -243,9 +243,14 @@
         (owner, context)
     }
 
-    fn holder_survey(&self, routes: &RouteTable, client: &OwnerClient) -> HolderSurvey {
+    fn holder_survey(
+        &self,
+        owner: &OwnerHandle,
+        routes: &RouteTable,
+        client: &OwnerClient,
+    ) -> HolderSurvey {
         let (own, peers) = (self.settings.instance.clone(), self.peers.clone());
-        HolderSurvey::new(own, peers, routes.clone(), client.clone())
+        HolderSurvey::new(own, owner.clone(), peers, routes.clone(), client.clone())
     }
 
     fn start_access(&self, members: &MembersHandle, routes: &RouteTable) -> EndpointAccess {
@@ -379,7 +384,7 @@
         };
         monoio::spawn(dispatch.run(calls));
         let (limits, routes) = (context.limits.clone(), context.routes.clone());
-        let survey = self.holder_survey(&routes, &context.owner_client);
+        let survey = self.holder_survey(&owner, &routes, &context.owner_client);
         let service = OwnerService::new(owner, limits, routes, survey);
         monoio::spawn(service.run(owner_calls));
         let connections = self.settings.peer_connections;
--- a/coltsfootgate/src/members/mod.rs
+++ b/coltsfootgate/src/members/mod.rs
@@ -35,6 +35,8 @@
     pub leaving: OwnerTable,
     /// Whether every listed instance was heard, or was silent for so long that it counts as dead.
     pub is_complete: bool,
+    /// Number of listed instances that were neither heard nor given up; `None` before the list was read.
+    pub unheard: Option<usize>,
     /// Addresses of the endpoints that the platform lists as leaving.
     pub leaving_endpoints: BTreeSet<Arc<str>>,
 }
--- a/coltsfootgate/src/members/task.rs
+++ b/coltsfootgate/src/members/task.rs
@@ -131,8 +131,10 @@
                 self.update_sources(others.collect());
                 self.apply_event(PeerEvent::Listed(listed.routers));
                 let is_complete = !self.table.has_unheard();
+                let (view, unheard) = (self.handle.view(), Some(self.table.unheard_count()));
                 let is_changed = listed.leaving_endpoints != self.leaving_endpoints
-                    || is_complete != self.handle.view().is_complete;
+                    || is_complete != view.is_complete
+                    || unheard != view.unheard;
                 if is_changed {
                     self.leaving_endpoints = listed.leaving_endpoints;
                     self.publish_view();
@@ -270,6 +272,7 @@
             live: OwnerTable::new(self.table.live_in_region(&own.region)),
             leaving: OwnerTable::new(self.table.leaving_in_region(&own.region)),
             is_complete: self.is_list_read && !self.table.has_unheard(),
+            unheard: self.is_list_read.then(|| self.table.unheard_count()),
             leaving_endpoints: self.leaving_endpoints.clone(),
         };
         self.handle.publish(MemberChange::View(Rc::new(view)));
--- a/coltsfootgate/src/owner/desk.rs
+++ b/coltsfootgate/src/owner/desk.rs
@@ -49,10 +49,11 @@
                 return;
             }
             PeerRequest::CheckGrants(grants) => {
-                if grants.is_empty() {
-                    self.survey.answer(&from);
-                }
-                let _ = reply.send(PeerReply::HeldGrants(self.routes.held_of(&grants)));
+                let held = match grants.is_empty() {
+                    true => self.survey.answer(&from),
+                    false => self.routes.held_of(&grants),
+                };
+                let _ = reply.send(PeerReply::HeldGrants(held));
                 return;
             }
             PeerRequest::RequestSlice(request) => {
--- a/coltsfootgate/src/owner/mod.rs
+++ b/coltsfootgate/src/owner/mod.rs
@@ -96,6 +96,11 @@
         /// The grants.
         held: Vec<HeldGrant>,
     },
+    /// An entry instance holds no grant of any owner.
+    HoldsNothing {
+        /// The entry instance.
+        requester: InstanceId,
+    },
     /// An entry instance was asked which of some grants it holds.
     Confirm {
         /// The grants that it was asked for.
--- a/coltsfootgate/src/owner/task.rs
+++ b/coltsfootgate/src/owner/task.rs
@@ -172,6 +172,13 @@
                 let key = (pool, OwnerScope::Owned);
                 self.handle_event(&key, OwnerEvent::Announce { requester, held }, now);
             }
+            OwnerMessage::HoldsNothing { requester } => {
+                for key in self.keys().into_iter().filter(|(_, scope)| *scope == OwnerScope::Owned)
+                {
+                    let (requester, held) = (requester.clone(), Vec::new());
+                    self.handle_event(&key, OwnerEvent::Announce { requester, held }, now);
+                }
+            }
             OwnerMessage::Confirm { asked, held } => {
                 let UnconfirmedGrants { pool, requester, grants } = asked;
                 let event = OwnerEvent::Confirm { requester, asked: grants, held };
--- a/coltsfootgate/src/routes/follow.rs
+++ b/coltsfootgate/src/routes/follow.rs
@@ -130,7 +130,7 @@
         self.owner.send(OwnerMessage::Draining(draining));
         let holders = view.live.instances().chain(view.leaving.instances()).cloned();
         let instances = holders.chain([self.own.clone()]).collect();
-        let holders = GrantHolders { instances, is_complete: view.is_complete };
+        let holders = GrantHolders { instances, unheard: view.unheard.map(|count| count as u32) };
         if holders != self.holders {
             self.holders = holders.clone();
             self.owner.send(OwnerMessage::Holders(holders));
--- a/coltsfootgate/src/routes/mod.rs
+++ b/coltsfootgate/src/routes/mod.rs
@@ -299,6 +299,11 @@
         grants.iter().copied().filter(|grant| state.leases.is_counted(*grant)).collect()
     }
 
+    /// Whether this instance holds a grant that an owner counts, or will.
+    pub fn holds_any(&self) -> bool {
+        self.0.borrow_mut().leases.counted_mut().next().is_some()
+    }
+
     /// Returns the grants held for an owner in each pool of which it owns endpoints.
     pub fn held_for(&self, owner: &InstanceId) -> Vec<(PoolId, Vec<HeldGrant>)> {
         let mut held = self.held_by_owner();
--- a/coltsfootgate_core/src/membership/table.rs
+++ b/coltsfootgate_core/src/membership/table.rs
@@ -107,7 +107,12 @@
 
     /// Whether the platform lists an instance that was not heard yet and may run.
     pub fn has_unheard(&self) -> bool {
-        self.peers.values().any(|peer| peer.state == PeerState::Listed)
+        self.unheard_count() > 0
+    }
+
+    /// Number of instances that are listed and were neither heard nor given up.
+    pub fn unheard_count(&self) -> usize {
+        self.peers.values().filter(|peer| peer.state == PeerState::Listed).count()
     }
 
     /// Whether this instance hears from another one, which a third instance suspects.
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -42,7 +42,7 @@
 pub use queue::{AdmissionQueue, QueueAdmission, QueuedRequest};
 pub use snapshot::EndpointSnapshot;
 pub use straggler::{EndpointHealth, EndpointState};
-pub use takeover::{DISCOVERY_TIME, GrantHolders, HOLD_TIME, RESERVE_TIME};
+pub use takeover::{DISCOVERY_TIME, GrantHolders, HOLD_TIME, RESERVE_TIME, START_TIME};
 pub use waiting::WaitingCounts;
 
 use self::dispatch::{DeferralScan, SCAN_PERIOD};
@@ -377,7 +377,7 @@
     }
 
     fn requester_lost(&mut self, requester: &InstanceId, now: Instant) {
-        self.takeover.record_heard(requester);
+        self.takeover.record_heard(requester, false);
         self.queue.remove_requester(requester);
         self.paths.remove(requester);
         for record in self.ledger.remove_requester(requester) {
@@ -387,7 +387,7 @@
     }
 
     fn announce(&mut self, requester: &InstanceId, held: Vec<HeldGrant>, now: Instant) {
-        self.takeover.record_heard(requester);
+        self.takeover.record_heard(requester, !held.is_empty());
         let reservations: HashMap<GrantId, EngineReservation> =
             held.iter().map(|held| (held.grant, held.reservation)).collect();
         let change = self.ledger.reconcile(requester, held, now);
--- a/coltsfootgate_core/src/owner/takeover.rs
+++ b/coltsfootgate_core/src/owner/takeover.rs
@@ -14,6 +14,9 @@
 pub const HOLD_TIME: Duration = Duration::from_millis(300);
 /// The same while it is not known which instances there are; two heartbeats of each fit in.
 pub const DISCOVERY_TIME: Duration = Duration::from_millis(1200);
+/// Time after which an owner that hears only of instances without grants takes its fleet for one that starts, although
+/// others were not heard yet; in a fleet that serves, some hold grants.
+pub const START_TIME: Duration = Duration::from_millis(100);
 /// Time after which endpoints are granted in full although instances have not answered; they are dead or frozen then.
 pub const RESERVE_TIME: Duration = Duration::from_secs(2);
 /// Delay before a silent instance is asked again; it doubles each time.
@@ -26,8 +29,8 @@
 pub struct GrantHolders {
     /// The known ones, the owner's own instance included.
     pub instances: BTreeSet<InstanceId>,
-    /// Whether there is no other one.
-    pub is_complete: bool,
+    /// Number of instances that may be alive and were not heard yet; `None` if that is not known.
+    pub unheard: Option<u32>,
 }
 
 /// How much of an endpoint may be granted although its owner does not know all that is in use there.
@@ -38,8 +41,11 @@
     known_at: Instant,
     /// Instances that said what they hold.
     heard: u32,
-    /// Instances that may hold grants; `None` while they are not all known.
+    /// Instances that may hold grants; `None` while nobody else was heard who must be, or it is not known how many there
+    /// are.
     holders: Option<u32>,
+    /// Whether one that was heard has not said yet what it holds.
+    is_awaiting: bool,
 }
 
 impl SlotHold {
@@ -47,7 +53,8 @@
     /// not known which ones there are, that may be as many again as were heard.
     pub(super) fn usable(&self, slots: u32, now: Instant) -> u32 {
         let held_until = match self.holders {
-            Some(_) => self.taken_at.max(self.known_at) + HOLD_TIME,
+            Some(_) if self.is_awaiting => self.taken_at.max(self.known_at) + HOLD_TIME,
+            Some(_) => self.taken_at,
             None => self.taken_at + DISCOVERY_TIME,
         };
         if now >= self.taken_at + RESERVE_TIME {
@@ -76,6 +83,8 @@
     /// When the instances that may hold grants last changed.
     known_at: Instant,
     heard: BTreeSet<InstanceId>,
+    /// Whether any of them holds a grant.
+    has_grants: bool,
     asked_at: Option<Instant>,
     delay: Duration,
 }
@@ -84,10 +93,14 @@
     /// Begins a takeover, or begins it again if more endpoints join one that runs.
     pub(super) fn begin(&mut self, now: Instant) {
         if self.holders.is_some() {
-            let heard = BTreeSet::new();
-            let delay = SURVEY_DELAY_MIN;
-            self.running =
-                Some(GrantSurvey { begun_at: now, known_at: now, heard, asked_at: None, delay });
+            self.running = Some(GrantSurvey {
+                begun_at: now,
+                known_at: now,
+                heard: BTreeSet::new(),
+                has_grants: false,
+                asked_at: None,
+                delay: SURVEY_DELAY_MIN,
+            });
         }
     }
 
@@ -105,9 +118,10 @@
     }
 
     /// Records that an instance said which grants it holds, or that it holds none any more.
-    pub(super) fn record_heard(&mut self, instance: &InstanceId) {
+    pub(super) fn record_heard(&mut self, instance: &InstanceId, has_grants: bool) {
         if let Some(survey) = &mut self.running {
             survey.heard.insert(instance.clone());
+            survey.has_grants |= has_grants;
         }
     }
 
@@ -126,19 +140,31 @@
         actions: &mut Vec<OwnerAction>,
     ) {
         let (Some(holders), Some(survey)) = (&self.holders, &mut self.running) else { return };
+        if !endpoints.has_holds() {
+            self.running = None;
+            return;
+        }
         let silent: Vec<InstanceId> =
             holders.instances.difference(&survey.heard).cloned().collect();
         let waited = now.saturating_duration_since(survey.begun_at);
-        let is_answered = silent.is_empty() && holders.is_complete;
+        let is_start = survey.heard.len() > 1 && !survey.has_grants && waited >= START_TIME;
+        let is_answered = silent.is_empty() && (holders.unheard == Some(0) || is_start);
         if is_answered || waited >= RESERVE_TIME {
             let (heard, taken) = (survey.heard.len(), endpoints.end_holds());
             actions.push(OwnerAction::TakenOver { endpoints: taken, heard, silent, waited });
             self.running = None;
             return;
         }
-        let all = holders.instances.len() as u32;
-        let heard = all - silent.len() as u32;
-        endpoints.update_holds(survey.known_at, heard, holders.is_complete.then_some(all));
+        let known = holders.instances.len() as u32;
+        // An owner that has heard of itself alone may be the only one of its fleet that has just started.
+        let unheard = holders.unheard.filter(|unheard| known > 1 || *unheard == 0);
+        endpoints.update_holds(&SlotHold {
+            taken_at: survey.begun_at,
+            known_at: survey.known_at,
+            heard: known - silent.len() as u32,
+            holders: unheard.map(|unheard| known + unheard),
+            is_awaiting: !silent.is_empty(),
+        });
         let is_due = survey.asked_at.is_none_or(|asked_at| now >= asked_at + survey.delay);
         if is_due && !silent.is_empty() {
             survey.delay = match survey.asked_at {
@@ -162,7 +188,8 @@
 
     /// Holds back the slots of some endpoints from now on.
     pub(super) fn hold(&mut self, taken: &[EndpointId], now: Instant) {
-        let hold = SlotHold { taken_at: now, known_at: now, heard: 0, holders: None };
+        let hold =
+            SlotHold { taken_at: now, known_at: now, heard: 0, holders: None, is_awaiting: true };
         for id in taken {
             if let Some(endpoint) = self.endpoints.get_mut(id) {
                 endpoint.hold = Some(hold);
@@ -170,12 +197,18 @@
         }
     }
 
-    fn update_holds(&mut self, known_at: Instant, heard: u32, holders: Option<u32>) {
+    /// Replaces what is known of all holds but when each began.
+    fn update_holds(&mut self, known: &SlotHold) {
         for hold in self.endpoints.values_mut().filter_map(|endpoint| endpoint.hold.as_mut()) {
-            (hold.known_at, hold.heard, hold.holders) = (known_at, heard, holders);
+            *hold = SlotHold { taken_at: hold.taken_at, ..*known };
         }
     }
 
+    /// Whether slots of an endpoint that this owner schedules are held back.
+    fn has_holds(&self) -> bool {
+        self.endpoints.values().any(|endpoint| endpoint.is_owned && endpoint.hold.is_some())
+    }
+
     /// Ends all holds and returns their number.
     fn end_holds(&mut self) -> usize {
         let holds = self.endpoints.values_mut().map(|endpoint| endpoint.hold.take());
--- a/coltsfootgate_core/tests/owner_takeover.rs
+++ b/coltsfootgate_core/tests/owner_takeover.rs
@@ -8,7 +8,7 @@
 
 use coltsfootgate_core::owner::{
     DISCOVERY_TIME, EngineReservation, GrantHolders, GrantRequest, HOLD_TIME, HeldGrant,
-    OwnerAction, OwnerEvent, OwnerSettings, PoolOwner, RESERVE_TIME, ReleaseReport,
+    OwnerAction, OwnerEvent, OwnerSettings, PoolOwner, RESERVE_TIME, ReleaseReport, START_TIME,
 };
 use coltsfootgate_core::prelude::*;
 use proptest::prelude::*;
@@ -25,8 +25,9 @@
     format!("127.0.0.1:900{number}").into()
 }
 
-fn holders(count: usize, is_complete: bool) -> GrantHolders {
-    GrantHolders { instances: (0..count).map(entry).collect(), is_complete }
+/// The first of the entries, which were heard, and the number of those that were not.
+fn holders(count: usize, unheard: Option<u32>) -> GrantHolders {
+    GrantHolders { instances: (0..count).map(entry).collect(), unheard }
 }
 
 fn new_owner(holders: GrantHolders, endpoints: u32, now: Instant) -> (PoolOwner, Vec<OwnerAction>) {
@@ -83,7 +84,7 @@
 /// Guards against an owner that takes slots for free which grants of an earlier one use.
 #[test]
 fn a_new_owner_grants_what_is_left_once_all_have_said_what_they_hold() {
-    let (mut owner, actions) = new_owner(holders(ENTRIES, true), 1, *START);
+    let (mut owner, actions) = new_owner(holders(ENTRIES, Some(0)), 1, *START);
     assert_eq!(asked(&actions), (0..ENTRIES).map(entry).collect::<Vec<_>>());
     assert_eq!(fill(&mut owner, *START), 0);
     let id = endpoint(0, SLOTS).id;
@@ -98,7 +99,7 @@
 /// Nobody else lives: the first start of a fleet does not wait.
 #[test]
 fn an_owner_without_others_waits_for_its_own_instance_alone() {
-    let (mut owner, _) = new_owner(holders(1, true), 1, *START);
+    let (mut owner, _) = new_owner(holders(1, Some(0)), 1, *START);
     owner.handle(announce(0, Vec::new()), *START);
     assert_eq!(fill(&mut owner, *START), SLOTS as usize);
 }
@@ -110,7 +111,7 @@
 #[case::their_shares_afterwards(HOLD_TIME, 4)]
 #[case::all_in_the_end(RESERVE_TIME, 6)]
 fn the_share_of_a_silent_instance_is_kept(#[case] after: Duration, #[case] expected: usize) {
-    let (mut owner, _) = new_owner(holders(ENTRIES, true), 1, *START);
+    let (mut owner, _) = new_owner(holders(ENTRIES, Some(0)), 1, *START);
     for silent_no_more in [0, 1] {
         owner.handle(announce(silent_no_more, Vec::new()), *START);
     }
@@ -126,25 +127,42 @@
     #[case] after: Duration,
     #[case] expected: usize,
 ) {
-    let (mut owner, _) = new_owner(holders(1, false), 1, *START);
+    let (mut owner, _) = new_owner(holders(1, Some(2)), 1, *START);
     owner.handle(announce(0, Vec::new()), *START);
     assert_eq!(fill(&mut owner, *START + after), expected);
 }
 
+/// Guards against a fleet that waits, when all of it starts, for instances that are not up yet.
+#[rstest]
+#[case::their_shares_at_first(START_TIME - Duration::from_millis(1), false, 2)]
+#[case::nobody_holds_any(START_TIME, false, 6)]
+#[case::somebody_holds_one(START_TIME, true, 1)]
+fn a_fleet_that_starts_does_not_wait_for_those_that_are_not_up(
+    #[case] after: Duration,
+    #[case] holds_one: bool,
+    #[case] expected: usize,
+) {
+    let (mut owner, _) = new_owner(holders(2, Some(4)), 1, *START);
+    owner.handle(announce(0, Vec::new()), *START);
+    let held_there = if holds_one { vec![held(101, endpoint(0, SLOTS).id)] } else { Vec::new() };
+    owner.handle(announce(1, held_there), *START);
+    assert_eq!(fill(&mut owner, *START + after), expected);
+}
+
 /// Those that become known late have the whole time to answer.
 #[test]
 fn instances_that_become_known_late_are_asked_and_awaited() {
-    let (mut owner, _) = new_owner(holders(1, false), 1, *START);
+    let (mut owner, _) = new_owner(holders(1, Some(2)), 1, *START);
     owner.handle(announce(0, Vec::new()), *START);
     let known_at = *START + HOLD_TIME * 2;
-    let actions = owner.handle(OwnerEvent::Holders(holders(ENTRIES, true)), known_at);
+    let actions = owner.handle(OwnerEvent::Holders(holders(ENTRIES, Some(0))), known_at);
     assert_eq!(asked(&actions), [entry(1), entry(2)]);
     assert_eq!(fill(&mut owner, known_at + HOLD_TIME / 2), 0);
 }
 
 #[test]
 fn silent_instances_are_asked_again() {
-    let (mut owner, _) = new_owner(holders(ENTRIES, true), 1, *START);
+    let (mut owner, _) = new_owner(holders(ENTRIES, Some(0)), 1, *START);
     owner.handle(announce(0, Vec::new()), *START);
     owner.handle(announce(2, Vec::new()), *START);
     let due = owner.next_deadline().expect("a question is due");
@@ -155,7 +173,7 @@
 /// While the process stood still, another owner may have granted all slots.
 #[test]
 fn an_owner_that_goes_on_after_a_pause_asks_again() {
-    let (mut owner, _) = new_owner(holders(2, true), 1, *START);
+    let (mut owner, _) = new_owner(holders(2, Some(0)), 1, *START);
     owner.handle(announce(0, Vec::new()), *START);
     owner.handle(announce(1, Vec::new()), *START);
     let later = *START + Duration::from_secs(10);
@@ -220,7 +238,7 @@
 
 impl FleetModel {
     fn new() -> Self {
-        let (owner, actions) = new_owner(holders(ENTRIES, true), ENDPOINTS, *START);
+        let (owner, actions) = new_owner(holders(ENTRIES, Some(0)), ENDPOINTS, *START);
         let (running, unanswered) = (BTreeMap::new(), BTreeMap::new());
         let mut model = Self { owner, now: *START, running, unanswered, next_grant: 1 };
         model.record(&actions);
@@ -246,7 +264,7 @@
             FleetStep::Answer(from) => self.answer(from),
             FleetStep::Replace => {
                 self.unanswered.clear();
-                let (owner, actions) = new_owner(holders(ENTRIES, true), ENDPOINTS, self.now);
+                let (owner, actions) = new_owner(holders(ENTRIES, Some(0)), ENDPOINTS, self.now);
                 self.owner = owner;
                 self.record(&actions);
             }
