Ask nobody about endpoints that join a pool which one owner schedules

Change: an owner that schedules the whole pool before and after a change asks about none of the endpoints that join. Owners of a part still do, since endpoints move between them.

Evidence: endpoints_that_were_nobody_elses_are_granted_at_once; its first case would ask one instance before.

--- a/coltsfootgate/src/owner/task.rs
+++ b/coltsfootgate/src/owner/task.rs
@@ -280,14 +280,15 @@
                 kv_cache_tokens: pool.memory,
                 limit_sharers: 1,
             };
-            self.assign_pool(OwnerScope::Owned, settings.clone(), owned, now);
+            let size = pool.endpoints.len();
+            self.assign_pool(OwnerScope::Owned, settings.clone(), owned, size, now);
             let share = fallback_share(&pool.endpoints, &self.own, &live);
             let share_settings = OwnerSettings {
                 kv_cache_tokens: fallback_kv_cache(pool.memory, live.len()),
                 limit_sharers: live.len() as u32,
                 ..settings
             };
-            self.assign_pool(OwnerScope::FallbackShare, share_settings, share, now);
+            self.assign_pool(OwnerScope::FallbackShare, share_settings, share, size, now);
         }
     }
 
@@ -330,6 +331,7 @@
         scope: OwnerScope,
         settings: OwnerSettings,
         endpoints: Vec<EndpointSettings>,
+        pool_size: usize,
         now: Instant,
     ) {
         let key = (settings.pool.clone(), scope);
@@ -339,6 +341,11 @@
         if is_new && scope == OwnerScope::Owned {
             self.handle_event(&key, OwnerEvent::Holders(self.holders.clone()), now);
         }
+        // A pool without endpoints has no owner.
+        if scope == OwnerScope::Owned && pool_size > 0 {
+            let is_alone = endpoints.len() == pool_size;
+            self.handle_event(&key, OwnerEvent::Alone(is_alone), now);
+        }
         for endpoint in &endpoints {
             self.addresses.insert(endpoint.id.clone(), endpoint.address.clone());
         }
--- a/coltsfootgate_core/src/owner/event.rs
+++ b/coltsfootgate_core/src/owner/event.rs
@@ -238,6 +238,9 @@
     /// Replaces the instances that may hold grants. From then on, endpoints that are new to this owner are granted once
     /// these have said what they hold.
     Holders(GrantHolders),
+    /// Whether this owner schedules all endpoints of the pool, from the next `Endpoints` on. As long as it does, endpoints
+    /// that join were nobody else's.
+    Alone(bool),
     /// This process goes on after a pause in which others may have granted the slots of its endpoints.
     Resumed,
     /// Replaces the set of endpoints that this owner schedules.
--- a/coltsfootgate_core/src/owner/mod.rs
+++ b/coltsfootgate_core/src/owner/mod.rs
@@ -169,8 +169,11 @@
             }
             OwnerEvent::Endpoints(owned) => {
                 let added = self.endpoints.set_owned(owned, &self.ledger);
-                self.take_over(&added, now);
+                if self.takeover.may_be_others() {
+                    self.take_over(&added, now);
+                }
             }
+            OwnerEvent::Alone(is_alone) => self.takeover.set_alone(is_alone),
             OwnerEvent::Holders(holders) => self.takeover.set_holders(holders, now),
             OwnerEvent::Resumed => self.take_over(&self.endpoints.owned(), now),
             OwnerEvent::EndpointDraining { endpoint } => self.endpoints.set_draining(&endpoint),
--- a/coltsfootgate_core/src/owner/takeover.rs
+++ b/coltsfootgate_core/src/owner/takeover.rs
@@ -73,6 +73,9 @@
 pub(super) struct OwnerTakeover {
     /// `None` if the owner need not ask anybody.
     holders: Option<GrantHolders>,
+    /// Whether this owner scheduled all endpoints of its pool before, and does so now.
+    was_alone: bool,
+    is_alone: bool,
     running: Option<GrantSurvey>,
 }
 
@@ -104,6 +107,16 @@
         }
     }
 
+    /// Records whether this owner schedules all endpoints of its pool now.
+    pub(super) fn set_alone(&mut self, is_alone: bool) {
+        (self.was_alone, self.is_alone) = (self.is_alone, is_alone);
+    }
+
+    /// Whether endpoints that are new here may have been another owner's.
+    pub(super) fn may_be_others(&self) -> bool {
+        !(self.was_alone && self.is_alone)
+    }
+
     /// Whether the owner must ask which grants are in use at endpoints that are new to it.
     pub(super) fn is_needed(&self) -> bool {
         self.holders.is_some()
--- a/coltsfootgate_core/tests/owner_takeover.rs
+++ b/coltsfootgate_core/tests/owner_takeover.rs
@@ -160,6 +160,26 @@
     assert_eq!(fill(&mut owner, known_at + HOLD_TIME / 2), 0);
 }
 
+/// Guards against an owner that asks all instances whenever a replica joins its pool.
+#[rstest]
+#[case::still_alone(true, true, 0)]
+#[case::others_own_some(true, false, 1)]
+#[case::others_owned_some(false, true, 1)]
+fn endpoints_that_were_nobody_elses_are_granted_at_once(
+    #[case] was_alone: bool,
+    #[case] is_alone: bool,
+    #[case] questions: usize,
+) {
+    let (mut owner, _) = new_owner(holders(1, Some(0)), 1, *START);
+    owner.handle(announce(0, Vec::new()), *START);
+    owner.handle(OwnerEvent::Alone(was_alone), *START);
+    owner.handle(OwnerEvent::Endpoints(vec![exact_endpoint(0)]), *START);
+    owner.handle(OwnerEvent::Alone(is_alone), *START);
+    let both = vec![exact_endpoint(0), exact_endpoint(1)];
+    let actions = owner.handle(OwnerEvent::Endpoints(both), *START);
+    assert_eq!(asked(&actions).len(), questions);
+}
+
 #[test]
 fn silent_instances_are_asked_again() {
     let (mut owner, _) = new_owner(holders(ENTRIES, Some(0)), 1, *START);
